Lay out the workspace, the shared schemas and the generator

Cause: nothing existed; every later part needs the same typed settings, catalogue entries and decision records, so these come first. Conclusion: types are shared from one source; extras in operator input are refused.

--- /dev/null
+++ b/packages/common/src/bronzepoint_common/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/packages/schema/src/bronzepoint_schema/ids.py
@@ -0,0 +1,38 @@
+"""Distinct types for the identifiers that cross module borders."""
+
+from typing import NewType
+
+HostName = NewType("HostName", str)
+RegionName = NewType("RegionName", str)
+DataCenterName = NewType("DataCenterName", str)
+EntryName = NewType("EntryName", str)
+TargetName = NewType("TargetName", str)
+OwnerName = NewType("OwnerName", str)
+CallerName = NewType("CallerName", str)
+OperatorName = NewType("OperatorName", str)
+RequestId = NewType("RequestId", str)
+"""``<host name>.<uuid7 hex>``: the host that took the request, then a unique part."""
+IdempotencyKey = NewType("IdempotencyKey", str)
+"""A UUIDv7 chosen by the caller; its time part bounds how long it may be resent."""
+ChangeId = NewType("ChangeId", str)
+Revision = NewType("Revision", int)
+"""Position of a catalogue change in the agreed log; 0 is the empty catalogue."""
+Term = NewType("Term", int)
+FencingNumber = NewType("FencingNumber", int)
+
+__all__ = [
+    "CallerName",
+    "ChangeId",
+    "DataCenterName",
+    "EntryName",
+    "FencingNumber",
+    "HostName",
+    "IdempotencyKey",
+    "OperatorName",
+    "OwnerName",
+    "RegionName",
+    "RequestId",
+    "Revision",
+    "TargetName",
+    "Term",
+]
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,114 @@
+"""Generate the typed messages and settings from the JSON Schemas.
+
+Each ``schemas/NAME.json`` becomes ``bronzepoint_schema/generated/NAME.py``. With
+``--check`` nothing is written: the exit status is 1 where a committed module is not
+what its schema gives.
+"""
+
+import hashlib
+import re
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SCHEMAS = ROOT / "schemas"
+TARGET = ROOT / "packages" / "schema" / "src" / "bronzepoint_schema" / "generated"
+DIGESTS = TARGET / "DIGESTS"
+GENERATOR = [
+    "datamodel-codegen",
+    "--input-file-type", "jsonschema",
+    "--output-model-type", "msgspec.Struct",
+    "--target-python-version", "3.11",
+    "--use-annotated",
+    "--disable-timestamp",
+    "--use-schema-description",
+    "--set-default-enum-member",
+    "--use-msgspec-tagged-unions",
+    "--use-standard-collections",
+    "--use-union-operator",
+    "--formatters", "ruff-format",
+]  # fmt: skip
+
+
+def generate_module(schema: Path, target: Path) -> None:
+    """Write the module that one schema gives."""
+    generator = Path(sys.executable).parent / GENERATOR[0]
+    command = [str(generator), *GENERATOR[1:]]
+    command += ["--input", str(schema), "--output", str(target)]
+    subprocess.run(command, check=True)
+
+
+def tidy(source: str, strict: bool) -> str:
+    """Give each optional field a plain default, and let strict types refuse extras.
+
+    A field with a default is never left unset, so the union with UnsetType goes. A
+    schema that says ``additionalProperties: false`` describes what people write: a
+    misspelt key must be an error there, not a silent default.
+    """
+    source = re.sub(r"\s*\|\s*UnsetType", "", source)
+    source = re.sub(r"\bUNSET\b", "None", source)
+    source = source.replace("import None, ", "import ")
+    if strict:
+        source = source.replace("(Struct", "(Struct, forbid_unknown_fields=True")
+    return source
+
+
+def format_modules() -> None:
+    """Sort the imports and format what was generated."""
+    ruff = str(Path(sys.executable).parent / "ruff")
+    options = ["--isolated", "--quiet", str(TARGET)]
+    subprocess.run([ruff, "check", "--fix", "--select", "F,I", *options], check=True)
+    subprocess.run([ruff, "format", *options], check=True)
+
+
+def file_digest(path: Path) -> str:
+    """Return the hex SHA-256 of a file."""
+    return hashlib.sha256(path.read_bytes()).hexdigest()
+
+
+def digest_lines() -> str:
+    """Return one line for each schema and its module, with both digests."""
+    lines = []
+    for schema in sorted(SCHEMAS.glob("*.json")):
+        module = TARGET / f"{schema.stem}.py"
+        digest = file_digest(module) if module.exists() else "missing"
+        lines.append(f"{schema.stem} {file_digest(schema)} {digest}")
+    return "\n".join(lines) + "\n"
+
+
+def check() -> int:
+    """Compare schemas and modules with the digests of the last generation.
+
+    This needs no generator, so it passes where none can be installed.
+    """
+    recorded = DIGESTS.read_text() if DIGESTS.exists() else ""
+    if recorded == digest_lines():
+        return 0
+    print("Generated code is out of date: run 'make generate' and commit the result.")
+    return 1
+
+
+def main() -> int:
+    """Generate every module, or check them with ``--check``."""
+    if "--check" in sys.argv:
+        return check()
+    names = [name for name in sys.argv[1:] if not name.startswith("-")]
+    TARGET.mkdir(parents=True, exist_ok=True)
+    for schema in sorted(SCHEMAS.glob("*.json")):
+        if names and schema.stem not in names:
+            continue
+        with tempfile.TemporaryDirectory() as folder:
+            module = Path(folder) / f"{schema.stem}.py"
+            generate_module(schema, module)
+            strict = '"additionalProperties": false' in schema.read_text()
+            source = tidy(module.read_text(), strict)
+            (TARGET / f"{schema.stem}.py").write_text(source)
+    format_modules()
+    DIGESTS.write_text(digest_lines())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
