Mend the generator's handling of nullable defaults

Cause: the first version replaced the name UNSET inside the import line too, and left decisions.py unimportable. Ruled out: dropping null defaults from the schema, since a record needs "no refusal" as a value. Change: only the default is replaced; ruff then drops the unused import.

--- a/tools/generate.py
+++ b/tools/generate.py
@@ -48,8 +48,7 @@
     misspelt key must be an error there, not a silent default.
     """
     source = re.sub(r"\s*\|\s*UnsetType", "", source)
-    source = re.sub(r"\bUNSET\b", "None", source)
-    source = source.replace("import None, ", "import ")
+    source = source.replace("= UNSET", "= None")
     if strict:
         source = source.replace("(Struct", "(Struct, forbid_unknown_fields=True")
     return source
