--- /dev/null
+++ b/packages/common/src/bronzepoint_common/storage/_snapshot_file.py
@@ -0,0 +1,48 @@
+"""One value in one file, replaced as a whole."""
+
+from pathlib import Path
+
+from ._errors import StorageCorrupt, StorageFailed
+from ._folder import replace_file
+from ._frames import decode_frame, encode_frame
+
+
+class SnapshotFile:
+    """A checksummed value that is replaced atomically.
+
+    All methods block on the disk: call them with ``curio.run_in_thread``.
+
+    Args:
+        folder: Folder of the file; created if missing.
+        name: Name of the snapshot; the file is ``<name>.snapshot``.
+    """
+
+    def __init__(self, folder: Path, name: str) -> None:
+        self.path = Path(folder) / f"{name}.snapshot"
+
+    def load(self) -> bytes | None:
+        """Return the value last saved, or None if there is none.
+
+        Raises:
+            StorageCorrupt: The file fails its checksum.
+        """
+        try:
+            content = self.path.read_bytes()
+        except FileNotFoundError:
+            return None
+        frame = decode_frame(content, 0)
+        if frame is None or frame.end != len(content):
+            raise StorageCorrupt(self.path, "it fails its checksum")
+        return frame.payload
+
+    def save(self, value: bytes) -> None:
+        """Replace the value; on return it is on the disk.
+
+        Raises:
+            StorageFailed: The write failed; the old value is still there.
+        """
+        self.path.parent.mkdir(parents=True, exist_ok=True)
+        try:
+            replace_file(self.path, encode_frame(1, value))
+        except OSError as exc:
+            raise StorageFailed(self.path, exc) from exc
