Add checked settings, JSON-line logs, counters and tokens

Cause: each part of the daemon needs its settings typed before it starts, one way to log, one way to count, and the holder of a token. Change: bronzepoint_common.settings, logs, metrics, tokens, and their tests; tests is a package, so that a dotted id names a test for nose2. Conclusion: a faulty file names file, section, key and remedy for every fault at once, and tokens and the cluster key stay out of the errors.

--- /dev/null
+++ b/packages/common/src/bronzepoint_common/settings/_address.py
@@ -0,0 +1,40 @@
+"""Addresses written as ``host:port``, where the host is an IP number."""
+
+import ipaddress
+
+MAX_PORT = 65535
+
+
+class AddressError(ValueError):
+    """A text is not an IP number and a port."""
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Split ``127.0.0.1:8080`` or ``[::1]:8080`` into host and port.
+
+    Port 0 is let through: a listening socket may ask for any free port.
+
+    Raises:
+        AddressError: The text is something else; the message names the remedy.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator:
+        raise AddressError(f"{text!r} has no port; write it as 10.0.0.1:8080")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        raise AddressError(f"{text!r}: put an IPv6 number in brackets, [::1]:8080")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise AddressError(
+            f"{host!r} is not an IP number; names are not looked up, "
+            "write it as 10.0.0.1:8080"
+        ) from None
+    # isdecimal alone would let through digits of other scripts.
+    if not (port.isascii() and port.isdecimal() and int(port[:6]) <= MAX_PORT):
+        raise AddressError(f"{port!r} is not a port; use a number up to {MAX_PORT}")
+    return host, int(port)
+
+
+__all__ = ["AddressError", "split_address"]
