--- /dev/null
+++ b/packages/node/src/bronzepoint_node/decisions/_ring.py
@@ -0,0 +1,69 @@
+"""A store of segments, bounded by bytes and by age."""
+
+import time
+from collections import deque
+
+from bronzepoint_node.decisions._segment import Segment
+
+
+class SegmentRing:
+    """Keeps the newest segments and drops the oldest.
+
+    Args:
+        max_bytes: Memory that all segments may take together.
+        keep: Seconds after which a segment is dropped, even if there is room.
+    """
+
+    def __init__(self, max_bytes: int, keep: float) -> None:
+        self._max_bytes = max_bytes
+        self._keep = keep
+        self._segments: deque[Segment] = deque()
+        self._bytes = 0
+        self._records = 0
+        self._dropped_until = time.monotonic()
+
+    @property
+    def size(self) -> int:
+        """Bytes of memory in use."""
+        return self._bytes
+
+    @property
+    def records(self) -> int:
+        """Records held."""
+        return self._records
+
+    @property
+    def kept_since(self) -> float:
+        """Unix time from which everything that was added is still here.
+
+        A record that is missing although it is newer than this never came here; one
+        that is older may have been dropped, or lost when the process started anew.
+        """
+        return time.time() - (time.monotonic() - self._dropped_until)
+
+    def add(self, segment: Segment) -> None:
+        """Add a segment, and drop the oldest ones where the bounds ask for it."""
+        self._segments.append(segment)
+        self._bytes += segment.size
+        self._records += len(segment.keys)
+        while self._bytes > self._max_bytes and len(self._segments) > 1:
+            self._drop_oldest()
+        self.expire(segment.sealed)
+
+    def expire(self, now: float) -> None:
+        """Drop the segments that have reached their age."""
+        while self._segments and now - self._segments[0].sealed > self._keep:
+            self._drop_oldest()
+
+    def find(self, key: int) -> list[bytes]:
+        """Return the encoded records with this key, oldest first."""
+        found: list[bytes] = []
+        for segment in self._segments:
+            found += segment.find(key)
+        return found
+
+    def _drop_oldest(self) -> None:
+        segment = self._segments.popleft()
+        self._bytes -= segment.size
+        self._records -= len(segment.keys)
+        self._dropped_until = segment.sealed
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/decisions/_segment.py
@@ -0,0 +1,85 @@
+"""Sealed batches of records: the unit that is copied, kept and dropped.
+
+Records of one batch resemble each other, so packing them together takes a fraction
+of the bytes; the same bytes are kept here and sent to the backup, which needs neither
+to unpack nor to index them.
+"""
+
+import zlib
+from array import array
+from dataclasses import dataclass
+
+import msgspec
+from xxhash import xxh64_intdigest
+
+from bronzepoint_schema.generated.decision_records import CopySegment
+from bronzepoint_schema.generated.decisions import DecisionRecord
+from bronzepoint_schema.ids import RequestId
+
+_COMPRESSION_LEVEL = 1
+_OVERHEAD_BYTES = 300
+"""Memory of the objects around the packed bytes, measured with sys.getsizeof."""
+_KEY_BYTES = 8
+
+_encoder = msgspec.msgpack.Encoder()
+_frames = msgspec.msgpack.Decoder(list[msgspec.Raw])
+_records = msgspec.msgpack.Decoder(DecisionRecord)
+
+
+def record_key(request_id: RequestId) -> int:
+    """Return the 64-bit hash under which a record is found."""
+    return xxh64_intdigest(request_id.encode())
+
+
+def encode_record(record: DecisionRecord) -> bytes:
+    """Return a record in MessagePack."""
+    return _encoder.encode(record)
+
+
+def decode_record(encoded: bytes) -> DecisionRecord:
+    """Return the record of its MessagePack form."""
+    return _records.decode(encoded)
+
+
+@dataclass(slots=True)
+class Segment:
+    """A sealed batch.
+
+    Attributes:
+        keys: Hash of each record's request id, in the order of the records.
+        packed: The records.
+        sealed: Monotonic time in seconds at which it came to this host.
+    """
+
+    keys: array
+    packed: bytes
+    sealed: float
+
+    @property
+    def size(self) -> int:
+        """Bytes of memory that it takes."""
+        return len(self.packed) + len(self.keys) * _KEY_BYTES + _OVERHEAD_BYTES
+
+    def find(self, key: int) -> list[bytes]:
+        """Return the encoded records with this key, oldest first."""
+        if key not in self.keys:
+            return []
+        frames = _frames.decode(zlib.decompress(self.packed))
+        return [
+            bytes(frame)
+            for own_key, frame in zip(self.keys, frames, strict=True)
+            if own_key == key
+        ]
+
+
+def seal(entries: list[tuple[int, bytes]], now: float) -> Segment:
+    """Pack records, each with its key, into one segment."""
+    keys = array("Q", [key for key, _ in entries])
+    frames = [msgspec.Raw(encoded) for _, encoded in entries]
+    packed = zlib.compress(_encoder.encode(frames), _COMPRESSION_LEVEL)
+    return Segment(keys, packed, now)
+
+
+def segment_of_copy(message: CopySegment, now: float) -> Segment:
+    """Return the segment of another host's message, as kept here."""
+    return Segment(array("Q", message.keys), message.packed, now)
