Serve and ask over HTTP with h11 and curio, both sides

Change: HttpServer runs one task for each connection and answers bad input with 400, 408, 413, 431 or 503 while it lives on; Exchange notices a caller that leaves by reading ahead, cuts readers that stall past write_timeout, and aborts a stream without its last chunk (HTTP/1.0: with a reset). Closing finishes what is in progress, takes what the kernel had already accepted, and gives kept connections half a second for a request that is on its way. HttpClient keeps a connection only when both sides of its exchange are whole and no byte is left over; its errors separate "certainly not sent" from "may have run".

Ruled out: a task on each kept connection to watch for stray bytes (one read without waiting when it is taken shows the same); accepting answers that end with their connection (a cut would look whole, so they are refused as bad); closing a descriptor while another task waits on it (curio keeps the stale registration, and the next connection with that number fails), so abort only shuts the socket and the connection's own task closes it.

--- /dev/null
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -0,0 +1,266 @@
+"""HTTP client with kept connections."""
+
+import socket
+
+import curio
+import h11
+
+from bronzepoint_common.http._address import parse_address
+from bronzepoint_common.http._answer import Answer, ClientAnswer
+from bronzepoint_common.http._errors import (
+    AnswerCut,
+    AnswerMalformed,
+    AnswerTimeout,
+    ConnectFailed,
+    NotSent,
+)
+from bronzepoint_common.http._limits import HttpLimits
+from bronzepoint_common.http._pool import ConnectionPool
+from bronzepoint_common.http._request import headers_of
+from bronzepoint_common.http._wire import Wire
+
+BODYLESS_STATUSES = (204, 304)
+
+
+class HttpClient:
+    """Sends requests over kept connections; one instance for a process."""
+
+    def __init__(self, limits: HttpLimits, connect_timeout: float) -> None:
+        self._limits = limits
+        self._connect_timeout = connect_timeout
+        # Shorter than the server's own time, so that it is seldom the server
+        # that closes, perhaps just as the next request is on its way.
+        self._pool = ConnectionPool(limits.idle_timeout / 2)
+
+    def stream(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout: float,
+        fresh: bool = False,
+    ) -> "ClientExchange":
+        """Send a request; ``async with`` gives its answer in progress.
+
+        Leaving the context before the end closes the connection, by which the
+        server sees that nobody wants the rest.
+
+        Args:
+            address: ``host:port`` of the server.
+            method: HTTP method.
+            path: Path and query, as they are sent.
+            headers: Headers besides Host and Content-Length.
+            body: Whole body.
+            timeout: Seconds to wait for the head, and for each further piece.
+            fresh: True: open a new connection, so that a failure to connect
+                proves that nothing was sent.
+
+        Raises (on entering):
+            ConnectFailed, NotSent, AnswerCut, AnswerTimeout, AnswerMalformed.
+        """
+        request = h11.Request(
+            method=method, target=path, headers=self._pairs(address, headers, body)
+        )
+        return ClientExchange(self, address, request, body, timeout, fresh)
+
+    async def fetch(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout: float,
+        fresh: bool = False,
+    ) -> Answer:
+        """Send a request and read its whole answer within ``timeout`` seconds.
+
+        Raises as ``stream``, and AnswerMalformed where it exceeds max_body.
+        """
+        try:
+            async with curio.timeout_after(timeout):
+                return await self._fetch(
+                    address, method, path, headers, body, timeout, fresh
+                )
+        except curio.TaskTimeout:
+            raise AnswerTimeout(address, timeout) from None
+
+    async def _fetch(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout: float,
+        fresh: bool,
+    ) -> Answer:
+        limit = self._limits.max_body
+        parts: list[bytes] = []
+        size = 0
+        async with self.stream(
+            address, method, path, headers, body, timeout, fresh
+        ) as answer:
+            async for piece in answer.chunks():
+                size += len(piece)
+                if size > limit:
+                    raise AnswerMalformed(address, f"more than {limit} bytes")
+                parts.append(piece)
+        return Answer(answer.status, answer.headers, b"".join(parts))
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        await self._pool.close()
+
+    def _pairs(
+        self, address: str, headers: dict[str, str], body: bytes
+    ) -> list[tuple[str, str]]:
+        pairs = [("Host", address), *headers.items()]
+        if body:
+            pairs.append(("Content-Length", str(len(body))))
+        return pairs
+
+
+class ClientExchange:
+    """Context manager around one request; see ``HttpClient.stream``."""
+
+    def __init__(
+        self,
+        client: HttpClient,
+        address: str,
+        request: h11.Request,
+        body: bytes,
+        timeout: float,
+        fresh: bool,
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._request = request
+        self._body = body
+        self._timeout = timeout
+        self._fresh = fresh
+        self._reused = False
+        self._conn: h11.Connection
+        self._wire: Wire
+        self._answer: ClientAnswer | None = None
+
+    async def __aenter__(self) -> ClientAnswer:
+        await self._connect()
+        try:
+            await self._send()
+            self._answer = await self._read_head()
+        except BaseException:
+            await self._wire.close()
+            raise
+        return self._answer
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self._answer.complete:
+            await self._client._pool.put(self._address, self._conn, self._wire)
+            return
+        await self._wire.close()
+
+    async def _connect(self) -> None:
+        if not self._fresh:
+            kept = await self._client._pool.take(self._address)
+            if kept is not None:
+                self._conn, self._wire, self._reused = kept.conn, kept.wire, True
+                return
+        self._wire = await self._open()
+        self._conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._client._limits.max_head
+        )
+
+    async def _open(self) -> Wire:
+        host, port = parse_address(self._address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
+        try:
+            async with curio.timeout_after(self._client._connect_timeout):
+                await sock.connect((host, port))
+            return Wire(sock)
+        except (OSError, curio.TaskTimeout) as exc:
+            await sock.close()
+            detail = getattr(exc, "strerror", None) or "no answer in time"
+            raise ConnectFailed(self._address, detail) from None
+        except BaseException:
+            await sock.close()
+            raise
+
+    async def _send(self) -> None:
+        self._wire.sent = 0
+        data = self._conn.send(self._request)
+        if self._body:
+            data += self._conn.send(h11.Data(data=self._body))
+        data += self._conn.send(h11.EndOfMessage())
+        try:
+            await self._wire.send(data, self._timeout)
+        except curio.TaskTimeout:
+            raise AnswerTimeout(self._address, self._timeout) from None
+        except OSError:
+            raise self._unanswered() from None
+
+    def _unanswered(self) -> NotSent | AnswerCut:
+        """Tell how much may have happened when no byte of an answer came."""
+        if self._wire.sent == 0:
+            return NotSent(self._address, certain=True)
+        if self._reused:
+            return NotSent(self._address, certain=False)
+        return AnswerCut(self._address)
+
+    async def _read_head(self) -> ClientAnswer:
+        received = False
+        while True:
+            event = self._next_event()
+            if event is not h11.NEED_DATA:
+                break
+            data = await self._receive(received)
+            received = True
+            self._conn.receive_data(data)
+        if not isinstance(event, h11.Response):
+            raise AnswerMalformed(self._address, "no answer head")
+        headers = headers_of(event.headers)
+        self._check_length(event.status_code, headers)
+        return ClientAnswer(
+            self._conn,
+            self._wire,
+            self._address,
+            self._timeout,
+            event.status_code,
+            headers,
+        )
+
+    async def _receive(self, received: bool) -> bytes:
+        try:
+            data = await self._wire.receive(self._timeout)
+        except curio.TaskTimeout:
+            raise AnswerTimeout(self._address, self._timeout) from None
+        except OSError:
+            data = b""
+        if data:
+            return data
+        if received:
+            raise AnswerCut(self._address)
+        raise self._unanswered()
+
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        try:
+            while True:
+                event = self._conn.next_event()
+                if not isinstance(event, h11.InformationalResponse):
+                    return event
+        except h11.RemoteProtocolError as exc:
+            raise AnswerMalformed(self._address, str(exc)) from exc
+
+    def _check_length(self, status: int, headers: dict[str, str]) -> None:
+        # An answer whose end is the end of the connection looks the same whole
+        # and cut: a part of it would be passed on as if it were all.
+        if status in BODYLESS_STATUSES or self._request.method == b"HEAD":
+            return
+        if "content-length" in headers or "transfer-encoding" in headers:
+            return
+        raise AnswerMalformed(
+            self._address, "neither Content-Length nor chunked: a cut can't be seen"
+        )
--- /dev/null
+++ b/packages/common/src/bronzepoint_common/http/_exchange.py
@@ -0,0 +1,211 @@
+"""One request and its answer on a caller's connection."""
+
+import curio
+import h11
+
+from bronzepoint_common.http._errors import (
+    BadRequest,
+    BodyTooLarge,
+    Disconnected,
+    RequestTimeout,
+)
+from bronzepoint_common.http._head import response_head
+from bronzepoint_common.http._limits import HttpLimits
+from bronzepoint_common.http._request import Request
+from bronzepoint_common.http._wire import Wire
+
+BODYLESS_STATUSES = (204, 304)
+
+
+class Exchange:
+    """One request and its answer.
+
+    A handler sends either one whole answer (``respond``) or a stream
+    (``start_stream``, ``send``…, ``end``). All of these raise Disconnected once
+    the caller is gone.
+
+    Attributes:
+        request: Head of the request.
+        peer: Address of the caller.
+        started: True once any part of the answer was sent.
+        ended: True once the answer is complete.
+        aborted: True once the answer was cut on purpose.
+    """
+
+    def __init__(
+        self,
+        conn: h11.Connection,
+        wire: Wire,
+        request: Request,
+        peer: str,
+        limits: HttpLimits,
+        *,
+        last: bool,
+    ) -> None:
+        self.request = request
+        self.peer = peer
+        self.started = False
+        self.ended = False
+        self.aborted = False
+        self._conn = conn
+        self._wire = wire
+        self._limits = limits
+        self._last = last
+        self._body = self._body_if_empty()
+        self._early = 0
+
+    def _body_if_empty(self) -> bytes | None:
+        headers = self.request.headers
+        if "transfer-encoding" in headers or headers.get("content-length", "0") != "0":
+            return None
+        self._next_event()  # the end of the message, which h11 gives at once
+        return b""
+
+    def say_last(self) -> None:
+        """Let the answer say that the connection closes after it."""
+        self._last = True
+
+    async def body(self) -> bytes:
+        """Read the whole body.
+
+        Raises:
+            BodyTooLarge: It exceeds the limit; nothing more is read of it.
+            BadRequest: It isn't valid HTTP.
+            RequestTimeout: It took too long.
+            Disconnected: The caller left before its end.
+        """
+        if self._body is None:
+            timeout = self._limits.idle_timeout
+            try:
+                async with curio.timeout_after(timeout):
+                    self._body = await self._read_body()
+            except curio.TaskTimeout:
+                raise RequestTimeout(timeout) from None
+        return self._body
+
+    async def _read_body(self) -> bytes:
+        limit = self._limits.max_body
+        if int(self.request.headers.get("content-length", "0")) > limit:
+            raise BodyTooLarge(limit)
+        if self._conn.they_are_waiting_for_100_continue:
+            await self._write(h11.InformationalResponse(status_code=100, headers=[]))
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                self._conn.receive_data(await self._receive())
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limit:
+                    raise BodyTooLarge(limit)
+                parts.append(bytes(event.data))
+            else:
+                return b"".join(parts)
+
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        try:
+            return self._conn.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise BadRequest(str(exc)) from exc
+
+    async def _receive(self) -> bytes:
+        try:
+            data = await self._wire.receive(self._limits.idle_timeout)
+        except OSError as exc:
+            raise Disconnected(str(exc)) from exc
+        if not data:
+            raise Disconnected("it closed the connection inside its request")
+        return data
+
+    async def respond(
+        self, status: int, headers: dict[str, str], body: bytes = b""
+    ) -> None:
+        """Send a whole answer in one write."""
+        pairs = self._pairs(headers)
+        pairs.append(("Content-Length", str(len(body))))
+        head = response_head(status, pairs)
+        self.started = True
+        events: list[h11.Event] = [head]
+        if body and self._carries_body(status):
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        await self._write(*events)
+        self.ended = True
+
+    def _carries_body(self, status: int) -> bool:
+        return self.request.method != "HEAD" and status not in BODYLESS_STATUSES
+
+    async def start_stream(self, status: int, headers: dict[str, str]) -> None:
+        """Send the head of a stream; its pieces go out as chunks."""
+        self.started = True
+        pairs = self._pairs(headers)
+        pairs.append(("Transfer-Encoding", "chunked"))
+        await self._write(response_head(status, pairs))
+
+    async def send(self, chunk: bytes) -> None:
+        """Send one piece of a stream.
+
+        Raises:
+            Disconnected: The caller left, or read nothing for write_timeout.
+        """
+        if chunk and self.request.method != "HEAD":
+            await self._write(h11.Data(data=chunk))
+
+    async def end(self) -> None:
+        """End a stream as whole."""
+        await self._write(h11.EndOfMessage())
+        self.ended = True
+
+    async def abort(self) -> None:
+        """Cut the answer, so that the caller can't take it as whole.
+
+        What was sent before is still delivered. The last chunk of a chunked
+        answer never follows, which tells the caller that the answer is cut;
+        HTTP/1.0 has no such mark, there the connection is reset.
+        """
+        self.aborted = True
+        if self._conn.their_http_version == b"1.0":
+            self._wire.reset_on_close()
+            return
+        # Only shut, not closed: another task may wait on this socket, and curio
+        # can't stand a descriptor that is closed under a waiting task. The
+        # connection's own task closes it when the handler has returned.
+        self._wire.shut()
+
+    async def wait_disconnect(self) -> None:
+        """Return when the caller has left; run it in a task beside the answer.
+
+        Reads ahead what a caller sends early, up to the limit of a head.
+        """
+        while self._early <= self._limits.max_head:
+            try:
+                data = await self._wire.receive(self._limits.idle_timeout)
+            except curio.TaskTimeout:
+                continue
+            except OSError:
+                return
+            if not data:
+                return
+            self._early += len(data)
+            self._conn.receive_data(data)
+
+    def _pairs(self, headers: dict[str, str]) -> list[tuple[str, str]]:
+        pairs = list(headers.items())
+        if self._last:
+            pairs.append(("Connection", "close"))
+        return pairs
+
+    async def _write(self, *events: h11.Event) -> None:
+        if self.aborted:
+            raise Disconnected("its answer was cut")
+        data = b"".join([self._conn.send(event) or b"" for event in events])
+        try:
+            await self._wire.send(data, self._limits.write_timeout)
+        except curio.TaskTimeout:
+            self.aborted = True
+            stalled = self._limits.write_timeout
+            raise Disconnected(f"it read nothing for {stalled:g} s") from None
+        except OSError as exc:
+            self.aborted = True
+            raise Disconnected(str(exc)) from exc
--- /dev/null
+++ b/packages/common/src/bronzepoint_common/http/_server.py
@@ -0,0 +1,168 @@
+"""HTTP server: accepts connections and runs one task for each."""
+
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+from enum import Enum
+
+import curio
+import logbook
+
+from bronzepoint_common.http._address import format_address, parse_address
+from bronzepoint_common.http._errors import HttpError, TooManyConnections
+from bronzepoint_common.http._exchange import Exchange
+from bronzepoint_common.http._limits import HttpLimits
+from bronzepoint_common.http._server_connection import IDLE_GRACE, ServerConnection
+from bronzepoint_common.http._wire import Wire
+
+log = logbook.Logger("http")
+
+Handler = Callable[[Exchange], Awaitable[None]]
+ErrorAnswer = Callable[[HttpError], tuple[int, dict[str, str], bytes]]
+
+BACKLOG = 1024
+ACCEPT_PAUSE = 0.05
+"""Seconds to wait before accepting again when descriptors have run out."""
+MAX_REFUSED = 64
+"""Connections beyond the limit that get an answer at once; more are just closed."""
+DESCRIPTORS_GONE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class ServerState(Enum):
+    """Phases of a server."""
+
+    NEW = "new"
+    SERVING = "serving"
+    CLOSING = "closing"
+    CLOSED = "closed"
+
+
+class HttpServer:
+    """Serves HTTP/1.1 on one address.
+
+    Args:
+        handler: Called for each request; answers it before it returns.
+        limits: Bounds on sizes, connections and times.
+        on_error: Gives status, headers and body of the answer to bad input.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: HttpLimits,
+        on_error: ErrorAnswer | None = None,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._on_error = on_error or plain_answer
+        self._state = ServerState.NEW
+        self._listener: curio.io.Socket | None = None
+        self._accepting: curio.Task | None = None
+        self._tasks: dict[ServerConnection, curio.Task] = {}
+        self._refused = 0
+        self._address = ""
+
+    @property
+    def address(self) -> str:
+        """Address that is listened on, with the real port."""
+        return self._address
+
+    @property
+    def connections(self) -> int:
+        """Connections open now."""
+        return len(self._tasks)
+
+    async def start(self, address: str) -> None:
+        """Listen on ``host:port``; port 0 takes a free one."""
+        host, port = parse_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = curio.network.tcp_server_socket(host, port, family, BACKLOG)
+        self._listener = listener
+        self._address = format_address(*listener.getsockname()[:2])
+        self._state = ServerState.SERVING
+        self._accepting = await curio.spawn(self._accept_all, daemon=True)
+
+    async def _accept_all(self) -> None:
+        while True:
+            try:
+                sock, _ = await self._listener.accept()
+            except OSError as exc:
+                # Symptom without this: the process lives but takes no callers,
+                # after one burst used up its descriptors.
+                if exc.errno in DESCRIPTORS_GONE:
+                    await curio.sleep(ACCEPT_PAUSE)
+                continue
+            await self._take(sock)
+
+    async def _take(self, sock: curio.io.Socket) -> None:
+        try:
+            peer = format_address(*sock.getpeername()[:2])
+            wire = Wire(sock)
+        except OSError:
+            await sock.close()
+            return
+        conn = ServerConnection(wire, peer, self._handler, self._limits, self._on_error)
+        if len(self._tasks) < self._limits.max_connections:
+            task = await curio.spawn(self._serve, conn, daemon=True)
+            self._tasks[conn] = task
+        elif self._refused < MAX_REFUSED:
+            await curio.spawn(self._refuse, conn, daemon=True)
+        else:
+            await wire.close()
+
+    async def _serve(self, conn: ServerConnection) -> None:
+        try:
+            await conn.serve()
+        finally:
+            self._tasks.pop(conn, None)
+
+    async def _refuse(self, conn: ServerConnection) -> None:
+        self._refused += 1
+        try:
+            await conn.refuse(TooManyConnections(self._limits.max_connections))
+        finally:
+            self._refused -= 1
+
+    async def close(self, timeout: float) -> None:
+        """Stop accepting, finish exchanges in progress, close idle connections.
+
+        Args:
+            timeout: Seconds after which the exchanges left are cut.
+        """
+        if self._state is not ServerState.SERVING:
+            return
+        self._state = ServerState.CLOSING
+        await self._stop_accepting()
+        for conn in self._tasks:
+            conn.close_when_done()
+        # A caller may be sending its next request on a kept connection just now.
+        # Closed at once, that request would end in a reset, not in an answer.
+        await self._wait_for_tasks(min(IDLE_GRACE, timeout))
+        for conn in self._tasks:
+            conn.close_if_idle()
+        await self._wait_for_tasks(timeout)
+        for task in list(self._tasks.values()):
+            await task.cancel()
+        self._state = ServerState.CLOSED
+
+    async def _wait_for_tasks(self, seconds: float) -> None:
+        async with curio.ignore_after(seconds):
+            for task in list(self._tasks.values()):
+                await task.wait()
+
+    async def _stop_accepting(self) -> None:
+        await self._accepting.cancel()
+        # Callers whose connections are complete but not yet accepted would be
+        # reset by closing the listener, in the middle of their first request.
+        while True:
+            try:
+                sock, _ = self._listener._socket.accept()
+            except OSError:
+                break
+            await self._take(curio.io.Socket(sock))
+        await self._listener.close()
+
+
+def plain_answer(exc: HttpError) -> tuple[int, dict[str, str], bytes]:
+    """Answer an error as plain text."""
+    return exc.status, {"Content-Type": "text/plain"}, f"{exc}\n".encode()
--- /dev/null
+++ b/packages/common/src/bronzepoint_common/http/_server_connection.py
@@ -0,0 +1,208 @@
+"""One caller's connection: its requests, one after another."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+import h11
+import logbook
+
+from bronzepoint_common.http._errors import (
+    BadRequest,
+    Disconnected,
+    HandlerFailed,
+    HeadTooLarge,
+    HttpError,
+    RequestTimeout,
+)
+from bronzepoint_common.http._exchange import Exchange
+from bronzepoint_common.http._head import response_head
+from bronzepoint_common.http._limits import HttpLimits
+from bronzepoint_common.http._request import Request, request_of
+from bronzepoint_common.http._wire import Wire
+
+log = logbook.Logger("http")
+
+HEAD_TOO_LARGE = 431
+IDLE_GRACE = 0.5
+"""Seconds for which a closing server still takes a request on a kept connection."""
+LINGER_TIME = 1.0
+LINGER_BYTES = 1 << 20
+
+
+class ServerConnection:
+    """Reads requests, calls the handler for each, and answers bad input."""
+
+    def __init__(
+        self,
+        wire: Wire,
+        peer: str,
+        handler: Callable[[Exchange], Awaitable[None]],
+        limits: HttpLimits,
+        on_error: Callable[[HttpError], tuple[int, dict[str, str], bytes]],
+    ) -> None:
+        self._wire = wire
+        self._peer = peer
+        self._handler = handler
+        self._limits = limits
+        self._on_error = on_error
+        self._conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_head
+        )
+        self._exchange: Exchange | None = None
+        self._closing = False
+
+    def close_when_done(self) -> None:
+        """Close after the exchange in progress, or after the next one."""
+        self._closing = True
+        if self._exchange is not None:
+            self._exchange.say_last()
+
+    def close_if_idle(self) -> None:
+        """Close where no exchange is in progress; what arrived is still served."""
+        if self._exchange is None:
+            self._wire.finish_receiving()
+
+    async def serve(self) -> None:
+        """Serve requests until either side closes."""
+        try:
+            while await self._serve_one():
+                continue
+        except Disconnected:
+            return
+        except HttpError as exc:
+            await self._answer_error(exc)
+        finally:
+            await self._wire.close()
+
+    async def refuse(self, exc: HttpError) -> None:
+        """Answer with an error whatever the caller asks, and close."""
+        try:
+            await self._answer_error(exc)
+        finally:
+            await self._wire.close()
+
+    async def _serve_one(self) -> bool:
+        request = await self._read_head()
+        if request is None:
+            return False
+        exchange = Exchange(
+            self._conn,
+            self._wire,
+            request,
+            self._peer,
+            self._limits,
+            last=self._closing,
+        )
+        self._exchange = exchange
+        try:
+            await self._handle(exchange)
+        finally:
+            self._exchange = None
+        if exchange.aborted:
+            return False
+        return await self._start_next()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        try:
+            await self._handler(exchange)
+        except HttpError:
+            if not exchange.started:
+                raise
+            await exchange.abort()
+        except Exception:
+            log.exception("handler failed", path=exchange.request.path)
+            if not exchange.started:
+                raise HandlerFailed from None
+            await exchange.abort()
+        if not exchange.started:
+            log.error("handler gave no answer", path=exchange.request.path)
+            raise HandlerFailed
+        if not exchange.ended:
+            await exchange.abort()
+
+    async def _start_next(self) -> bool:
+        done = (self._conn.our_state, self._conn.their_state)
+        if done == (h11.DONE, h11.DONE):
+            self._conn.start_next_cycle()
+            return True
+        # The caller may still be sending a body that nobody wants. Closed at
+        # once, the kernel would send RST, which can destroy the answer on its
+        # way: the caller would see a broken connection instead of the error.
+        await self._linger()
+        return False
+
+    async def _read_head(self) -> Request | None:
+        """Read the next head; None where the caller has no further request."""
+        event = self._next_event()
+        if event is h11.NEED_DATA:
+            data = await self._first_bytes()
+            if not data:
+                return None
+            self._conn.receive_data(data)
+            event = self._next_event()
+        if event is h11.NEED_DATA:
+            event = await self._rest_of_head()
+        if not isinstance(event, h11.Request):
+            return None
+        return request_of(event)
+
+    async def _first_bytes(self) -> bytes:
+        # The answer in progress when closing began couldn't say that it is the
+        # last, so one more request may come on this connection.
+        timeout = IDLE_GRACE if self._closing else self._limits.idle_timeout
+        try:
+            return await self._wire.receive(timeout)
+        except (curio.TaskTimeout, OSError):
+            return b""
+
+    async def _rest_of_head(self) -> h11.Event:
+        timeout = self._limits.head_timeout
+        try:
+            async with curio.timeout_after(timeout):
+                while True:
+                    data = await self._wire.receive(timeout)
+                    if not data:
+                        raise Disconnected("it closed inside a head")
+                    self._conn.receive_data(data)
+                    event = self._next_event()
+                    if event is not h11.NEED_DATA:
+                        return event
+        except curio.TaskTimeout:
+            raise RequestTimeout(timeout) from None
+        except OSError as exc:
+            raise Disconnected(str(exc)) from exc
+
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        try:
+            return self._conn.next_event()
+        except h11.RemoteProtocolError as exc:
+            if exc.error_status_hint == HEAD_TOO_LARGE:
+                raise HeadTooLarge(self._limits.max_head) from exc
+            raise BadRequest(str(exc)) from exc
+
+    async def _answer_error(self, exc: HttpError) -> None:
+        """Answer an error and close; the connection can't be used any more."""
+        status, headers, body = self._on_error(exc)
+        pairs = [*headers.items(), ("Connection", "close")]
+        pairs.append(("Content-Length", str(len(body))))
+        head = response_head(status, pairs)
+        try:
+            data = self._conn.send(head) + self._conn.send(h11.Data(data=body))
+            await self._wire.send(data, self._limits.write_timeout)
+        except (h11.LocalProtocolError, curio.TaskTimeout, OSError):
+            return
+        await self._linger()
+
+    async def _linger(self) -> None:
+        """Let the answer arrive before the connection is closed."""
+        self._wire.finish_sending()
+        size = 0
+        try:
+            async with curio.timeout_after(LINGER_TIME):
+                while size < LINGER_BYTES:
+                    data = await self._wire.receive(LINGER_TIME)
+                    if not data:
+                        return
+                    size += len(data)
+        except (curio.TaskTimeout, OSError):
+            return
