Know the hosts of a region by gossip and other regions by reports

Cause: every later part asks who is there: the directory, forwarding, run-once placement, limits. Nothing answered. Weighed: probing by ping (constant bytes, but a host's load, revision and readiness then need a second way to spread), a full mesh of heartbeats (grows with the square of the region), and push-pull gossip of 12-byte pulses with one exchange a round. The last was taken; its rounds grow longer past 24 hosts, so bytes a second stay level. Whole regions are reported by two relays each, chosen by rendezvous, with a short list of hosts for forwarding. Silence is counted by a clock that leaves out the time in which this process was stopped itself.

--- /dev/null
+++ b/packages/node/src/bronzepoint_node/membership/__init__.py
@@ -0,0 +1,23 @@
+"""Membership: hosts by gossip, regions by reports, failure detection, draining."""
+
+from bronzepoint_node.membership._membership import Membership
+from bronzepoint_node.membership._notice_table import supersedes
+from bronzepoint_node.membership._rendezvous import rendezvous_order
+from bronzepoint_node.membership._running_clock import RunningClock
+from bronzepoint_node.membership._views import (
+    HostInfo,
+    HostState,
+    LoadSummary,
+    RegionSummary,
+)
+
+__all__ = [
+    "HostInfo",
+    "HostState",
+    "LoadSummary",
+    "Membership",
+    "RegionSummary",
+    "RunningClock",
+    "rendezvous_order",
+    "supersedes",
+]
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/membership/_notice_table.py
@@ -0,0 +1,80 @@
+"""Word of leaving targets, passed on between the hosts of a region."""
+
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+import xxhash
+
+from bronzepoint_schema.generated.membership import TargetNotice, WordSource
+from bronzepoint_schema.ids import TargetName
+
+NOTICE_LIFETIME = 300.0
+"""Seconds after which a notice counts no more.
+
+A notice that lived on for ever would, after a long partition, bring back what a target
+said before it returned. Who goes on polling a leaving target renews its notice.
+"""
+
+_Key = tuple[TargetName, WordSource]
+
+
+class NoticeTable:
+    """The newest notice of each target from each source.
+
+    Args:
+        wall_clock: Unix time in seconds.
+    """
+
+    def __init__(self, wall_clock: Callable[[], float] = time.time) -> None:
+        self._wall_clock = wall_clock
+        self._notices: dict[_Key, TargetNotice] = {}
+
+    def merge(self, notices: Iterable[TargetNotice]) -> list[TargetNotice]:
+        """Take over what is newer and return it."""
+        now = self._wall_clock()
+        taken = []
+        for notice in notices:
+            if abs(now - notice.as_of) > NOTICE_LIFETIME:
+                continue
+            key = (notice.target, notice.source)
+            known = self._notices.get(key)
+            if known is None or supersedes(notice, known):
+                self._notices[key] = notice
+                taken.append(notice)
+        return taken
+
+    def drop_old(self) -> None:
+        """Drop the notices that count no more."""
+        oldest = self._wall_clock() - NOTICE_LIFETIME
+        self._notices = {
+            key: notice
+            for key, notice in self._notices.items()
+            if notice.as_of >= oldest
+        }
+
+    def all(self) -> list[TargetNotice]:
+        """Return all notices."""
+        return list(self._notices.values())
+
+    def newest(self, count: int) -> list[TargetNotice]:
+        """Return the newest notices, at most so many."""
+        ordered = sorted(self._notices.values(), key=lambda n: n.as_of, reverse=True)
+        return ordered[:count]
+
+    @property
+    def digest(self) -> int:
+        """Sum over the notices, equal where two hosts have the same."""
+        total = 0
+        for notice in self._notices.values():
+            total ^= xxhash.xxh32_intdigest(msgspec.msgpack.encode(notice))
+        return total
+
+
+def supersedes(notice: TargetNotice, known: TargetNotice) -> bool:
+    """Return whether a notice replaces one of the same target and source."""
+    if notice.as_of != known.as_of:
+        return notice.as_of > known.as_of
+    # At the same moment the careful reading wins: a target that is leaving and gets
+    # work is a fault, one that stays and gets none for a second is not.
+    return notice.leaving and not known.leaving
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/membership/_region_table.py
@@ -0,0 +1,128 @@
+"""What this host knows of whole regions."""
+
+import msgspec
+
+from bronzepoint_node.membership._running_clock import RunningClock
+from bronzepoint_node.membership._views import RegionSummary
+from bronzepoint_schema.generated.membership import HostRecord, RegionReport
+from bronzepoint_schema.ids import RegionName
+
+_REPORT_INTERVAL = 1.0
+_REGIONS_A_SECOND = 3
+_MISSED_REPORTS = 2
+INCOMPLETE = 0
+"""Told in place of a sequence number where the list of hosts is missing."""
+NO_HOSTS = 0
+"""Sequence number of the list in a region's report to itself, which has none."""
+
+
+def report_interval(regions: int) -> float:
+    """Return the seconds between two reports of a region to each other one.
+
+    What a region hears grows with the number of regions, so they report less often
+    where there are many.
+    """
+    return max(_REPORT_INTERVAL, regions / _REGIONS_A_SECOND)
+
+
+class _Stored(msgspec.Struct):
+    report: RegionReport
+    heard_at: float
+    complete: bool
+
+
+class RegionTable:
+    """The newest report of each region, and how old it is.
+
+    Args:
+        clock: Time in which this process ran.
+        silent_after: Seconds without a report, beyond those that may be missed, after
+            which a region counts as unreachable.
+    """
+
+    def __init__(self, clock: RunningClock, silent_after: float) -> None:
+        self._clock = clock
+        self._silent_after = silent_after
+        self._stored: dict[RegionName, _Stored] = {}
+
+    def merge(self, report: RegionReport) -> bool:
+        """Take over a report that is newer, or that has the list that was missing."""
+        stored = self._stored.get(report.region)
+        if stored is None:
+            self._store(report, complete=_has_hosts(report))
+            return True
+        known = stored.report
+        if report.sequence == known.sequence and report.hosts and not stored.complete:
+            known.hosts = report.hosts
+            known.hosts_sequence = report.hosts_sequence
+            stored.complete = True
+            return False
+        if report.sequence <= known.sequence:
+            return False
+        if _has_hosts(report):
+            self._store(report, complete=True)
+            return True
+        complete = stored.complete and report.hosts_sequence <= known.sequence
+        kept = msgspec.structs.replace(report, hosts=known.hosts)
+        self._store(kept, complete)
+        return True
+
+    def sequences(self) -> dict[str, int]:
+        """Return the newest sequence number of each region, for other hosts."""
+        return {
+            name: stored.report.sequence if stored.complete else INCOMPLETE
+            for name, stored in self._stored.items()
+        }
+
+    def newest_sequence(self, region: RegionName) -> int:
+        """Return the newest sequence number seen of a region, 0 before the first."""
+        stored = self._stored.get(region)
+        return INCOMPLETE if stored is None else stored.report.sequence
+
+    def newer_reports(self, theirs: dict[str, int]) -> list[RegionReport]:
+        """Return the reports that another host lacks, lists only where they changed."""
+        reports = []
+        for name, stored in self._stored.items():
+            known = theirs.get(name, INCOMPLETE)
+            if stored.report.sequence > known:
+                reports.append(trim_hosts(stored.report, known))
+        return reports
+
+    def hosts(self, region: RegionName) -> list[HostRecord]:
+        """Return the hosts that a region named for forwarded requests."""
+        stored = self._stored.get(region)
+        return [] if stored is None else stored.report.hosts
+
+    def summary(self, region: RegionName) -> RegionSummary:
+        """Return what is known of a region."""
+        stored = self._stored.get(region)
+        if stored is None:
+            return RegionSummary(region, reachable=False, live=0)
+        age = self._clock.now() - stored.heard_at
+        missed = _MISSED_REPORTS * report_interval(len(self._stored))
+        return RegionSummary(
+            name=region,
+            reachable=age < self._silent_after + missed,
+            live=stored.report.live,
+            age=age,
+            trip=stored.report.trip,
+            entries=dict(stored.report.entries),
+        )
+
+    def regions(self) -> list[RegionName]:
+        """Return the regions that have reported."""
+        return list(self._stored)
+
+    def _store(self, report: RegionReport, complete: bool) -> None:
+        self._stored[report.region] = _Stored(report, self._clock.now(), complete)
+
+
+def _has_hosts(report: RegionReport) -> bool:
+    return bool(report.hosts) or report.hosts_sequence == NO_HOSTS
+
+
+def trim_hosts(report: RegionReport, known: int) -> RegionReport:
+    """Return a report without its list where the receiver has that list already."""
+    if known >= report.hosts_sequence:
+        return msgspec.structs.replace(report, hosts=[])
+    return report
--- /dev/null
+++ b/tests/test_membership_gossip.py
@@ -0,0 +1,153 @@
+"""Membership of several hosts: learning, losing, coming back, leaving, regions."""
+
+import time
+import unittest
+from bisect import insort
+
+from bronzepoint_node.membership import HostState, LoadSummary
+from bronzepoint_schema.generated.membership import EntryShare, TargetNotice
+from tests._membership_net import Group, run_group, until
+
+REGION = ["bkk-0", "bkk-1", "bkk-2"]
+TWO_REGIONS = [*REGION, "sgp-0", "sgp-1", "sgp-2"]
+
+
+def all_live(group: Group, hosts: list[str]) -> bool:
+    return all(
+        state is HostState.live
+        for name in hosts
+        for state in group.states(name).values()
+    )
+
+
+class TestRegion(unittest.TestCase):
+    def test_hosts_that_settings_do_not_name_are_learned(self) -> None:
+        async def scenario(group: Group) -> None:
+            await until(lambda: all_live(group, REGION))
+            peers = group.network.links["bkk-2"]
+            self.assertEqual(peers.addresses["bkk-1"], "bkk-1:90")
+
+        run_group(Group(REGION, seeds=["bkk-0"]), scenario)
+
+    def test_stopped_host_is_noticed_and_live_again_after_it_woke(self) -> None:
+        """A host that stops without closing its connections.
+
+        Symptom: callers go on being sent to a host that answers nothing. Sequence:
+        SIGSTOP, or a cut that drops packets in silence; no connection is reset. Cause:
+        nothing tells the others but the heartbeat that stands still.
+        """
+
+        async def scenario(group: Group) -> None:
+            await until(lambda: all_live(group, REGION))
+            group.stop("bkk-1")
+            dead = {HostState.dead}
+            await until(lambda: set(group.states("bkk-1").values()) == dead)
+            self.assertEqual(group.members["bkk-0"].host("bkk-2").state, "live")
+            self.assertEqual(len(group.members["bkk-0"].region_hosts()), 3)
+            group.network.cut.clear()
+            await until(lambda: all_live(group, REGION))
+
+        run_group(Group(REGION), scenario)
+
+    def test_restarted_host_supersedes_itself(self) -> None:
+        """A host that is killed and started again at once.
+
+        Symptom: the others call it dead for as long as its former life lasted.
+        Sequence: its counter begins again at 1, below the one they remember. Cause:
+        without an incarnation the new heartbeats look like old ones come late.
+        """
+
+        async def scenario(group: Group) -> None:
+            await until(lambda: all_live(group, REGION))
+            old = group.members["bkk-1"].host("bkk-1").incarnation
+            await group.members["bkk-1"]._tasks.cancel_remaining()
+            group.members["bkk-1"] = group.make("bkk-1")
+            await group.members["bkk-1"].start()
+
+            def superseded() -> bool:
+                info = group.members["bkk-0"].host("bkk-1")
+                return info.incarnation > old and info.state is HostState.live
+
+            await until(superseded)
+
+        run_group(Group(REGION), scenario)
+
+    def test_draining_host_is_known_everywhere_before_the_wait_ends(self) -> None:
+        async def scenario(group: Group) -> None:
+            await until(lambda: all_live(group, REGION))
+            self.assertTrue(await group.members["bkk-0"].wait_forgotten(30.0))
+            self.assertEqual(set(group.states("bkk-0").values()), {HostState.draining})
+
+        run_group(Group(REGION), scenario)
+
+    def test_draining_ends_in_time_though_a_host_does_not_answer(self) -> None:
+        async def scenario(group: Group) -> None:
+            await until(lambda: all_live(group, REGION))
+            group.stop("bkk-2")
+            self.assertFalse(await group.members["bkk-0"].wait_forgotten(0.1))
+
+        run_group(Group(REGION), scenario)
+
+    def test_host_that_closes_is_dead_at_once(self) -> None:
+        async def scenario(group: Group) -> None:
+            await until(lambda: all_live(group, REGION))
+            await group.members["bkk-0"].close()
+            self.assertEqual(set(group.states("bkk-0").values()), {HostState.dead})
+
+        run_group(Group(REGION), scenario)
+
+    def test_notice_of_a_target_reaches_all_hosts(self) -> None:
+        async def scenario(group: Group) -> None:
+            heard: list[str] = []
+            for name, member in group.members.items():
+                member.on_notice(lambda _, name=name: insort(heard, name))
+            notice = TargetNotice("engine-1", leaving=True, as_of=time.time())
+            group.members["bkk-0"].tell_notice(notice)
+            await until(lambda: heard == ["bkk-0", "bkk-1", "bkk-2"])
+
+        run_group(Group(REGION), scenario)
+
+
+class TestRegions(unittest.TestCase):
+    def test_load_of_a_region_is_known_in_the_other(self) -> None:
+        async def scenario(group: Group) -> None:
+            for name in REGION:
+                share = EntryShare("phrases", slots=24, in_progress=5, expected_wait=2)
+                group.members[name].publish(LoadSummary(entries=[share]))
+
+            def known() -> bool:
+                summaries = [m.regions()["bkk"] for m in group.members.values()]
+                loads = [summary.entries.get("phrases") for summary in summaries]
+                return all(load and load.in_progress == 15 for load in loads)
+
+            await until(known)
+            summary = group.members["sgp-1"].regions()["bkk"]
+            self.assertEqual((summary.live, summary.reachable), (3, True))
+            self.assertEqual(summary.free_slots, 9)
+            self.assertEqual(summary.entries["phrases"].expected_wait, 2)
+
+        run_group(Group(TWO_REGIONS), scenario)
+
+    def test_region_cut_off_counts_as_unreachable_until_the_cut_heals(self) -> None:
+        """Two regions that lose each other.
+
+        Symptom: requests are sent to a region that nothing reaches. Sequence: the
+        links between the regions drop all packets, those within work. Cause: the last
+        report stays in memory; only its age says that it means nothing any more.
+        """
+
+        async def scenario(group: Group) -> None:
+            def reachable(value: bool) -> bool:
+                here = [group.members[n].regions()["sgp"] for n in REGION]
+                return all(summary.reachable is value for summary in here)
+
+            await until(lambda: reachable(True))
+            group.network.cut_apart(REGION, TWO_REGIONS[3:])
+            await until(lambda: reachable(False))
+            member = group.members["bkk-0"]
+            self.assertEqual(member.live("sgp"), [])
+            self.assertEqual(len(member.live("bkk")), 3)
+            group.network.cut.clear()
+            await until(lambda: reachable(True))
+
+        run_group(Group(TWO_REGIONS), scenario)
