--- /dev/null
+++ b/tools/ci.py
@@ -0,0 +1,111 @@
+"""What CI runs: the tests, the linter, and whether generated files are current.
+
+Ends with the line ``N passed, N failed``, in which each check counts like a test. The
+exit status is 0 where nothing failed but the tests listed in KNOWN-RED.txt.
+
+Runs on a bare Python 3.11: ``make test`` sets up everything else.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from known_red import KnownRed, KnownRedError, read_known_red
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+PYTHON = str(ROOT / ".venv" / "bin" / "python")
+
+CHECKS = {
+    "format and lint": ["make", "--no-print-directory", "lint"],
+    "generated code is current": [PYTHON, "tools/generate.py", "--check"],
+    "generated pages are current": [PYTHON, "tools/document_settings.py", "--check"],
+}
+
+
+@dataclass
+class Results:
+    """What passed and what failed so far."""
+
+    passed: int
+    failed: list[str]
+
+
+def run(command: list[str], **environment: str) -> int:
+    """Run a command in the repository, its output streamed; return its status."""
+    print(f"== {' '.join(command)}", flush=True)
+    try:
+        return subprocess.run(
+            command,
+            cwd=ROOT,
+            env={**os.environ, **environment},
+            stdin=subprocess.DEVNULL,
+        ).returncode
+    except FileNotFoundError:
+        print(f"{command[0]} is not installed")
+        return 127
+
+
+def run_tests() -> Results:
+    """Run the README's test command and read its counts."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "results.json"
+        status = run(
+            ["make", "--no-print-directory", "test"],
+            PYTHON=sys.executable,
+            TEST_OPTIONS=f"--results {path}",
+        )
+        if not path.exists():
+            return Results(0, ["make test (ended before the tests did)"])
+        found = json.loads(path.read_text())
+    results = Results(found["passed"], found["failed"])
+    if status != 0 and not results.failed:
+        results.failed.append(f"make test (ended with status {status})")
+    return results
+
+
+def run_checks(results: Results) -> None:
+    """Run the checks that follow the tests."""
+    for name, command in CHECKS.items():
+        if run(command) == 0:
+            results.passed += 1
+        else:
+            results.failed.append(name)
+
+
+def sort_out(results: Results, known: list[KnownRed]) -> list[str]:
+    """Print the known failures and return those that are not known."""
+    listed = {line.test: line for line in known}
+    for name in results.failed:
+        if name in listed:
+            line = listed[name]
+            print(f"known red: {name}: {line.cause} (issue {line.issue})")
+    for name in listed:
+        if name not in results.failed:
+            print(f"known red, but didn't fail: {name}; take it off KNOWN-RED.txt")
+    return [name for name in results.failed if name not in listed]
+
+
+def main() -> int:
+    """Run everything and print the closing line."""
+    results = run_tests()
+    run_checks(results)
+    try:
+        known = read_known_red(KNOWN_RED)
+    except KnownRedError as exc:
+        print(exc)
+        results.failed.append("KNOWN-RED.txt")
+        known = []
+    unknown = sort_out(results, known)
+    for name in unknown:
+        print(f"failed: {name}")
+    print(f"{results.passed} passed, {len(results.failed)} failed", flush=True)
+    return 1 if unknown else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
