Add the bronzepoint command line for operators and callers

Cause: operators change the catalogue and ask why; callers without a program of their own send a request; both need to stand a host that is gone and an answer that is lost. Weighed and ruled out: a plain HTTP library beside h11 (the package's own client says whether anything was sent); a new change id or idempotency key for each try (the resend of a change that was applied would conflict with itself, and a saved phrase would be saved twice); sending a broken stream again to the next host (two answers to a prompt differ, so the reader would get a mixture; it is tried again only before its first word). Conclusion: one lost answer neither repeats a change nor leaves its outcome unknown while another host can be asked; where it stays unknown the error says how to ask again.

--- /dev/null
+++ b/packages/cli/src/bronzepoint_cli/_event_stream.py
@@ -0,0 +1,27 @@
+"""Read ``text/event-stream`` as far as chat completions use it."""
+
+from collections.abc import Iterator
+
+END = "[DONE]"
+"""Data of the last event of a whole answer."""
+
+DATA = b"data:"
+
+
+class EventStream:
+    """Splits the bytes of an answer into the data of its events."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    def feed(self, chunk: bytes) -> Iterator[str]:
+        """Yield the data of each event that this chunk completes."""
+        *events, self._buffer = (self._buffer + chunk).split(b"\n\n")
+        for event in events:
+            lines = (line.strip() for line in event.splitlines())
+            data = [line[len(DATA) :].strip() for line in lines if line[:5] == DATA]
+            if data:
+                yield b"\n".join(data).decode("utf-8", "replace")
+
+
+__all__ = ["END", "EventStream"]
--- /dev/null
+++ b/packages/cli/src/bronzepoint_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command or group of commands."""
--- /dev/null
+++ b/packages/cli/src/bronzepoint_cli/commands/send.py
@@ -0,0 +1,142 @@
+"""``bronzepoint send``: one request as a caller."""
+
+import sys
+from typing import Annotated
+
+import msgspec
+import typer
+import uuid_utils
+
+from bronzepoint_cli._chat import ChatCall
+from bronzepoint_cli._errors import CliError, NoHostReachable, UsageFault
+from bronzepoint_cli._gateway import Gateway, path_part
+from bronzepoint_cli._output import print_origin
+from bronzepoint_cli._running import run_with_gateway
+from bronzepoint_common.http import Answer
+
+READING = frozenset({"GET", "HEAD", "OPTIONS"})
+"""Methods that change nothing, so they carry no idempotency key."""
+
+
+class TargetError(CliError):
+    """The target itself answered with an error; its body was printed."""
+
+
+class RequestOptions(msgspec.Struct):
+    """Headers by which a caller narrows what may be done."""
+
+    deadline: float | None
+    worth: float | None
+    home_only: bool
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers for what was set."""
+        headers = {"Content-Type": "application/json"}
+        if self.deadline is not None:
+            headers["Bronzepoint-Deadline"] = f"{self.deadline:g}"
+        if self.worth is not None:
+            headers["Bronzepoint-Worth"] = f"{self.worth:g}"
+        if self.home_only:
+            headers["Bronzepoint-Residency"] = "home"
+        return headers
+
+
+def send(
+    context: typer.Context,
+    entry: Annotated[str, typer.Argument(help="Catalogue entry.")],
+    text: Annotated[
+        str, typer.Argument(help="Prompt; for a service, the body to send.")
+    ] = "",
+    path: Annotated[
+        str, typer.Option(help="Path of a plain service, such as /phrases.")
+    ] = "",
+    method: Annotated[str, typer.Option(help="Method for a plain service.")] = "GET",
+    key: Annotated[
+        str,
+        typer.Option(help="Idempotency key of an earlier try whose answer was lost."),
+    ] = "",
+    deadline: Annotated[
+        float | None,
+        typer.Option(min=0.001, help="Seconds until the answer is worth nothing."),
+    ] = None,
+    worth: Annotated[
+        float | None, typer.Option(min=0, help="Worth of an answer, in cost units.")
+    ] = None,
+    home_only: Annotated[
+        bool, typer.Option("--home-only", help="Not to leave the home region.")
+    ] = False,
+    max_tokens: Annotated[
+        int, typer.Option(min=1, help="Most tokens to generate.")
+    ] = 256,
+) -> None:
+    """Send one request as a caller, and print the answer as it comes.
+
+    A host that can't be reached is replaced by the next one of the directory. A call
+    that may change something carries an idempotency key, so that it runs at most once
+    however often it is sent.
+
+    Example: bronzepoint send phrasebook "Where is the pharmacy?"
+
+    Example: bronzepoint send saved --method POST --path /phrases '{"text": "sawasdee"}'
+    """
+    options = RequestOptions(deadline, worth, home_only)
+    if path:
+        if not path.startswith("/"):
+            raise UsageFault(f"--path {path!r} must begin with /")
+        call = ServiceCall(entry, method.upper(), path, text.encode(), key, options)
+        run_with_gateway(context, call.run)
+        return
+    if not text:
+        raise UsageFault("a model needs a prompt; for a service, give --path")
+    chat = ChatCall(entry, text, max_tokens, options.headers())
+    run_with_gateway(context, chat.run)
+
+
+class ServiceCall:
+    """One call of a plain service."""
+
+    def __init__(
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        body: bytes,
+        key: str,
+        options: RequestOptions,
+    ) -> None:
+        self._path = f"/v1/services/{path_part(entry)}{path}"
+        self._method = method
+        self._body = body
+        self._options = options
+        if not key and method not in READING:
+            key = str(uuid_utils.uuid7())
+        self._key = key
+
+    async def run(self, gateway: Gateway) -> None:
+        """Send it until it is answered, with the same key each time."""
+        await gateway.follow_directory()
+        headers = gateway.headers() | self._options.headers()
+        if self._key:
+            headers["Idempotency-Key"] = self._key
+        try:
+            answer = await gateway.send(
+                self._method, self._path, headers, self._body, relayed=True
+            )
+        except NoHostReachable as exc:
+            if not self._key:
+                raise
+            advice = f"send again with --key {self._key}: it runs at most once"
+            raise NoHostReachable(exc.problems, advice) from exc
+        self._print(answer)
+
+    def _print(self, answer: Answer) -> None:
+        sys.stdout.buffer.write(answer.body)
+        if not answer.body.endswith(b"\n"):
+            sys.stdout.buffer.write(b"\n")
+        sys.stdout.flush()
+        print_origin(answer.headers)
+        if answer.status >= 400:
+            raise TargetError(f"the target answered with status {answer.status}")
+
+
+__all__ = ["send"]
--- /dev/null
+++ b/packages/cli/src/bronzepoint_cli/commands/targets.py
@@ -0,0 +1,61 @@
+"""``bronzepoint targets``: the targets that one host chooses from."""
+
+from typing import Annotated
+
+import typer
+
+from bronzepoint_cli._options import JsonOption
+from bronzepoint_cli._output import print_json, print_table
+from bronzepoint_cli._running import run_with_gateway
+from bronzepoint_schema.generated.admin import TargetsAnswer
+
+COLUMNS = (
+    "ENTRY",
+    "TARGET",
+    "REGION",
+    "STATE",
+    "IN FLIGHT",
+    "RUNNING",
+    "WAITING",
+    "REPORT AGE",
+)
+
+
+def targets(
+    context: typer.Context,
+    entry: Annotated[str, typer.Option(help="Only targets of this entry.")] = "",
+    json: JsonOption = False,
+) -> None:
+    """Show the targets that the answering host chooses from.
+
+    IN FLIGHT counts that host's own requests; RUNNING and WAITING are what the target
+    itself reported, that many seconds ago.
+
+    Example: bronzepoint targets --entry phrasebook
+    """
+    answer = run_with_gateway(
+        context, lambda gateway: gateway.get("/v1/admin/targets", TargetsAnswer)
+    )
+    if entry:
+        answer.targets = [one for one in answer.targets if one.entry == entry]
+    if json:
+        print_json(answer)
+        return
+    rows = (
+        (
+            one.entry,
+            one.name,
+            one.region,
+            one.state,
+            one.in_flight,
+            one.running,
+            one.waiting,
+            f"{one.age:.1f} s" if one.age >= 0 else "none",
+        )
+        for one in sorted(answer.targets, key=lambda one: (one.entry, one.name))
+    )
+    print_table(COLUMNS, rows)
+    print(f"as seen by {answer.host}")
+
+
+__all__ = ["targets"]
--- /dev/null
+++ b/tests/test_cli_resend.py
@@ -0,0 +1,126 @@
+"""What the command line does when a host is gone or an answer is lost."""
+
+import unittest
+
+import msgspec
+
+from bronzepoint_schema.generated import admin, agreement, decisions
+from tests._command_line import run_command
+from tests._fake_host import FakeHost, Reply
+
+GONE = "127.0.0.1:1"
+CHANGES = "POST /v1/admin/changes"
+SAVE = "POST /v1/services/saved/phrases"
+ITEM = '{"kind": "owner", "name": "saphan", "version": 1}'
+CATALOGUE = Reply(admin.CatalogueAnswer("bkk-1", 0))
+DIRECTORY = "GET /v1/hosts"
+LATER = decisions.Refusal(
+    decisions.RefusalKind.not_ready,
+    "no quorum answered",
+    "send the same change again",
+    decisions.Ran.unknown,
+    0.05,
+)
+
+
+class Resend(unittest.TestCase):
+    def start(self, **routes: list[Reply]) -> FakeHost:
+        names = {"changes": CHANGES, "save": SAVE, "directory": DIRECTORY}
+        names |= {"chat": "POST /v1/chat/completions"}
+        replies = {names[name]: found for name, found in routes.items()}
+        replies.setdefault("GET /v1/admin/catalogue", [CATALOGUE])
+        replies.setdefault(DIRECTORY, [Reply(admin.DirectoryAnswer())])
+        host = FakeHost(replies).start()
+        self.addCleanup(host.close)
+        return host
+
+    def test_next_host_answers_for_one_that_is_gone(self):
+        host = self.start()
+        done = run_command("catalogue", "list", hosts=f"{GONE},{host.address}")
+        self.assertEqual(done.status, 0, done.err)
+
+    def test_no_host_at_all(self):
+        done = run_command("hosts", hosts=GONE)
+        self.assertEqual(done.status, 3)
+        self.assertIn("check --hosts", done.err)
+
+    def test_change_keeps_its_id(self):
+        """Symptom: a change that was applied shows up as a conflict with itself.
+
+        Sequence: the host applies the change, the answer is lost, the command sends
+        it again, to another host.
+        Cause: a resend with a new id is a second change of the same version.
+        """
+        first = self.start(changes=[Reply(cut=True)])
+        body = decisions.ErrorBody(LATER)
+        accepted = Reply(agreement.Accepted("c", 1, 1))
+        second = self.start(changes=[Reply(body, 503), accepted])
+        hosts = f"{first.address},{second.address}"
+        done = run_command("catalogue", "apply", "-", hosts=hosts, given=ITEM)
+        self.assertEqual(done.status, 0, done.err)
+        sent = [*first.sent(CHANGES), *second.sent(CHANGES)]
+        self.assertGreaterEqual(len(sent), 3)
+        changes = {
+            msgspec.json.decode(body, type=agreement.Change).change_id
+            for _, body in sent
+        }
+        self.assertEqual(len(changes), 1)
+
+    def test_change_without_an_answer_says_how_to_ask_again(self):
+        host = self.start(changes=[Reply(cut=True)])
+        done = run_command(
+            *("--timeout", "1", "catalogue", "apply", "-"),
+            hosts=host.address,
+            given=ITEM,
+        )
+        self.assertEqual(done.status, 3)
+        _, body = host.sent(CHANGES)[0]
+        change = msgspec.json.decode(body, type=agreement.Change)
+        self.assertIn(f"--change-id {change.change_id}", done.err)
+
+    def test_call_keeps_its_key(self):
+        """Symptom: a phrase is saved twice.
+
+        Sequence: the service runs the call, the answer is lost, the command sends it
+        again through the next host of the directory.
+        Cause: a resend with a new key is a new call.
+        """
+        second = self.start(save=[Reply({"saved": 1})])
+        other = admin.DirectoryHost("bkk-2", "bkk", second.address)
+        directory = [Reply(admin.DirectoryAnswer([other], 5))]
+        first = self.start(save=[Reply(cut=True)], directory=directory)
+        second_only = [Reply(cut=True), Reply({"saved": 1})]
+        second._replies[SAVE] = second_only
+        arguments = ("send", "saved", "{}", "--path", "/phrases", "--method", "POST")
+        done = run_command(*arguments, hosts=first.address)
+        self.assertEqual(done.status, 0, done.err)
+        self.assertTrue(first.sent(SAVE))
+        sent = [*first.sent(SAVE), *second.sent(SAVE)]
+        self.assertEqual(len({head["idempotency-key"] for head, _ in sent}), 1)
+        self.assertEqual(len(sent), 3)
+
+    def test_reading_call_has_no_key(self):
+        host = self.start()
+        run_command("send", "saved", "--path", "/phrases", hosts=host.address)
+        ((head, _),) = host.sent("GET /v1/services/saved/phrases")
+        self.assertNotIn("idempotency-key", head)
+
+    def test_stream_goes_to_the_next_host_only_before_it_begins(self):
+        """Symptom: the reader sees the beginning of one answer and the end of another.
+
+        Sequence: a stream breaks off in the middle, the next host starts anew.
+        Cause: two answers to one prompt differ.
+        """
+        whole = Reply(stream=[b'data: {"choices":[]}\n\n', b"data: [DONE]\n\n"])
+        part = b'data: {"choices":[{"delta":{"content":"x"}}]}\n\n'
+        for broken, asked_next in (
+            (Reply(cut=True), 1),
+            (Reply(stream=[part], cut=True), 0),
+        ):
+            with self.subTest(asked_next=asked_next):
+                first, second = self.start(chat=[broken]), self.start(chat=[whole])
+                hosts = f"{first.address},{second.address}"
+                done = run_command("send", "phrasebook", "x", hosts=hosts)
+                self.assertEqual(done.status, 0 if asked_next else 3, done.err)
+                asked = second.sent("POST /v1/chat/completions")
+                self.assertEqual(len(asked), asked_next)
