Place, limit, admit and retry requests by one policy for each host

Weighed: for the choice of a target, taking late reports at their word, own counts only, and own counts plus a report that fades towards the mean of all targets; the last keeps exact knowledge and drops what is stale. For limits, a central counter (a message for each request), equal parts only (wastes what idle hosts don't use), and grants from a holder host by reported demand; the grants won. For fairness, order of arrival against a line for each owner.

Change: choose_target, choose_region with ramp and back-off, Admission with a line fair between owners, Limits with holders, RetryBudget, and the baselines for measurements. Messages in schemas/limits.json, settings in [policy].

--- /dev/null
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -0,0 +1,170 @@
+"""Choice of a target in this region."""
+
+from random import Random
+
+from msgspec import Struct
+
+from bronzepoint_node.policy._inputs import RequestView, TargetState, TargetView
+from bronzepoint_node.policy._load_estimate import estimate_loads
+from bronzepoint_node.policy._outputs import TargetChoice
+from bronzepoint_node.policy._service_times import ServiceTimes
+from bronzepoint_schema.generated.decisions import Candidate, ExclusionReason
+
+_SAMPLED = 2
+"""Of many near-best targets, as many are compared, taken at random."""
+_AFFINITY_BOUND = 1.25
+"""A target above this multiple of the mean load gets no credit for its cache."""
+_BUSY_SHARE = 0.25
+"""Share of the hold time that a full target is taken to cost over an idle one."""
+_NEAR = 0.05
+"""Scores this near, as a share of the hold time, differ by less than is known."""
+
+
+class TargetTerms(Struct):
+    """The parts of one target's score, in seconds but for the cost.
+
+    Attributes:
+        load: requests estimated to be in progress there.
+        wait: until a slot is free.
+        first_token: from the start to the first token, cold tokens included.
+        busy: what company in the batch is estimated to cost.
+        cost: of the slot, in the operator's unit.
+    """
+
+    load: float
+    wait: float
+    first_token: float
+    busy: float
+    cost: float
+
+    def delay(self) -> float:
+        """Return the seconds until the first token."""
+        return self.wait + self.first_token
+
+    def score(self, request: RequestView) -> float:
+        """Return the loss as a share of the request's worth; lower is better."""
+        latency = request.latency_weight * (self.delay() + self.busy)
+        worth = max(request.worth, 1e-9)
+        return latency + request.cost_weight * self.cost / worth
+
+    def detail(self) -> str:
+        """Return the terms for the decision record."""
+        return (
+            f"load {self.load:.1f}, wait {self.wait:.3f} s, "
+            f"first token {self.first_token:.3f} s, cost {self.cost:.2f}"
+        )
+
+
+def usable_state(view: TargetView, request: RequestView) -> ExclusionReason | None:
+    """Return why a target may not be used at all, or None."""
+    if view.name in request.tried:
+        return ExclusionReason.tried
+    match view.state:
+        case TargetState.leaving:
+            return ExclusionReason.leaving
+        case TargetState.ejected:
+            return ExclusionReason.ejected
+        case TargetState.unknown:
+            return ExclusionReason.not_ready
+    return None
+
+
+def has_room(view: TargetView, load: float, hosts: int) -> bool:
+    """Return whether one more request may start at a target.
+
+    A host may always use its equal part of the slots. Were it bound by the estimate
+    alone, a late report of others' requests would keep a host idle that has waiting
+    callers.
+    """
+    if view.allowed is not None and view.in_flight >= view.allowed:
+        return False
+    own_part = view.slots // max(1, hosts)
+    return load < view.slots or view.in_flight < own_part
+
+
+def target_terms(
+    view: TargetView,
+    load: float,
+    mean_load: float,
+    request: RequestView,
+    times: ServiceTimes,
+    now: float,
+) -> TargetTerms:
+    """Return the parts of one target's score.
+
+    A cached prefix draws all its requests to one target. The credit ends at a bound
+    above the mean load, or a prefix in fashion would drown the target that holds it
+    while others stand idle.
+    """
+    slowness = times.slowness(view.name, now)
+    drowned = load > _AFFINITY_BOUND * mean_load * view.slots + 1
+    cached = 0 if drowned else min(view.cached_tokens, request.prompt_tokens)
+    over = max(0.0, load + 1 - view.slots)
+    hold = times.hold * slowness
+    return TargetTerms(
+        load=load,
+        wait=over * hold / view.slots,
+        first_token=times.first_token(request.prompt_tokens - cached, slowness),
+        busy=_BUSY_SHARE * hold * load / view.slots,
+        cost=view.cost * hold,
+    )
+
+
+def choose_target(
+    request: RequestView,
+    views: list[TargetView],
+    times: ServiceTimes,
+    hosts: int,
+    memory: float,
+    rng: Random,
+    now: float,
+) -> TargetChoice:
+    """Choose a target with room, by the loss that it is expected to bring.
+
+    Where several are about as good, two of them are compared, drawn at random. Hosts
+    that decide on the same late reports would otherwise all choose the same one.
+
+    Args:
+        request: What is to be placed.
+        views: The entry's targets in this region.
+        times: What is known of the entry's durations.
+        hosts: Live hosts of this region, this one included.
+        memory: Seconds after which a report weighs a third of what it did.
+        rng: Source of the random draws.
+        now: Monotonic seconds.
+    """
+    loads = estimate_loads(views, memory)
+    mean_load = sum(loads) / max(1, sum(view.slots for view in views))
+    candidates: list[Candidate] = []
+    open_targets: list[tuple[float, TargetView, TargetTerms, Candidate]] = []
+    usable = 0
+    for view, load in zip(views, loads, strict=True):
+        excluded = usable_state(view, request)
+        candidate = Candidate(view.name, view.region, excluded=excluded)
+        candidates.append(candidate)
+        if excluded is not None:
+            continue
+        usable += 1
+        terms = target_terms(view, load, mean_load, request, times, now)
+        candidate.score = round(terms.score(request), 4)
+        candidate.detail = terms.detail()
+        if not has_room(view, load, hosts):
+            candidate.excluded = ExclusionReason.full
+            continue
+        open_targets.append((terms.score(request), view, terms, candidate))
+    if not open_targets:
+        reason = "no target has room" if usable else "no target may be used"
+        return TargetChoice(None, candidates, reason, usable)
+    best = min(score for score, *_ in open_targets)
+    margin = _NEAR * request.latency_weight * times.hold
+    near = [item for item in open_targets if item[0] <= best + margin]
+    drawn = rng.sample(near, min(_SAMPLED, len(near)))
+    _, view, terms, chosen = min(drawn, key=lambda item: (item[0], rng.random()))
+    for *_, candidate in open_targets:
+        if candidate is not chosen:
+            candidate.excluded = ExclusionReason.worse
+    reason = f"least expected loss; {len(near)} within the margin, drawn at random"
+    return TargetChoice(view, candidates, reason, usable, terms.delay(), terms.wait)
+
+
+__all__ = ["TargetTerms", "choose_target", "has_room", "target_terms", "usable_state"]
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/policy/_policy.py
@@ -0,0 +1,410 @@
+"""Where a request goes: the decisions, in their order, for one host."""
+
+import os
+import time
+from collections.abc import Callable
+from random import Random
+
+from msgspec import Struct, field
+
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.peers import Peers
+from bronzepoint_node.policy._admission import Admission, Pool
+from bronzepoint_node.policy._backoff import RegionBackoff
+from bronzepoint_node.policy._baselines import Baseline
+from bronzepoint_node.policy._choose_region import (
+    RegionTerms,
+    away_terms,
+    choose_region,
+    region_excluded,
+)
+from bronzepoint_node.policy._choose_target import choose_target
+from bronzepoint_node.policy._inputs import RegionView, RequestView, TargetView
+from bronzepoint_node.policy._limits import (
+    Limits,
+    LimitTicket,
+    LimitValues,
+    RegionHosts,
+)
+from bronzepoint_node.policy._outputs import (
+    Away,
+    Home,
+    Placement,
+    Refused,
+    TargetChoice,
+)
+from bronzepoint_node.policy._ramp import AwayRamp
+from bronzepoint_node.policy._refusals import no_target
+from bronzepoint_node.policy._retry_budget import RetryBudget, safe_to_retry
+from bronzepoint_node.policy._sent_away import SentAway
+from bronzepoint_node.policy._service_times import ServiceTimes
+from bronzepoint_node.policy._warm_prefixes import WarmPrefixes
+from bronzepoint_schema.generated.decisions import (
+    Candidate,
+    ExclusionReason,
+    RetryReason,
+    TryResult,
+)
+from bronzepoint_schema.generated.settings import PolicyChoice, PolicySection
+from bronzepoint_schema.ids import EntryName, HostName, RegionName
+
+Targets = Callable[[], list[TargetView]]
+"""Returns the entry's targets in this region, as they are seen now."""
+Regions = Callable[[], list[RegionView]]
+"""Returns what is known of the entry in each region, this one included."""
+
+
+class Ticket(Struct):
+    """A request that has passed its limits.
+
+    Attributes:
+        deadline: monotonic seconds at which its first token is worth nothing.
+        placed_at: monotonic seconds of the last placement.
+        expected_wait: seconds in the target's own line expected at that moment.
+        pool: targets that it waits for, or holds a slot of.
+    """
+
+    request: RequestView
+    limits: LimitTicket
+    deadline: float
+    placed_at: float = 0.0
+    expected_wait: float = 0.0
+    pool: Pool = frozenset()
+    notes: list[str] = field(default_factory=list)
+
+
+class _EntryState(Struct):
+    """What this host has learned of one entry."""
+
+    times: ServiceTimes
+    ramp: AwayRamp
+    slots: int = 1
+    pool: Pool = frozenset()
+
+
+class Policy:
+    """Limits, places and retries the requests of one host.
+
+    Args:
+        host: This host.
+        region: Its region.
+        settings: The [policy] section.
+        peers: Messages to the other hosts, for the limits.
+        metrics: Counts every decision that refuses, waits or sends away.
+        values: The catalogue's view, for the limits' values.
+        hosts: Returns the region's hosts as they are seen now.
+    """
+
+    def __init__(
+        self,
+        host: HostName,
+        region: RegionName,
+        settings: PolicySection,
+        peers: Peers,
+        metrics: Metrics,
+        values: LimitValues,
+        hosts: Callable[[], RegionHosts],
+    ) -> None:
+        self._region = region
+        self._settings = settings
+        self._metrics = metrics
+        self._hosts = hosts
+        self._rng = Random(settings.seed or int.from_bytes(os.urandom(8)))
+        self._limits = Limits(
+            host,
+            peers,
+            values,
+            hosts,
+            settings.limits_period,
+            settings.limit_holders,
+            metrics,
+        )
+        self._admission = Admission(settings.queue_limit, metrics)
+        self._budget = RetryBudget(settings.retry_share)
+        self._baseline: Baseline | None = None
+        if settings.choice is not PolicyChoice.policy:
+            self._baseline = Baseline(settings.choice, region, self._rng)
+        self._entries: dict[EntryName, _EntryState] = {}
+        self._backoffs: dict[tuple[EntryName, RegionName], RegionBackoff] = {}
+        self._sent = SentAway()
+        self._warm = WarmPrefixes()
+
+    async def start(self) -> None:
+        """Begin to report demands to the holders of limits."""
+        await self._limits.start()
+
+    async def close(self) -> None:
+        """Stop reporting."""
+        await self._limits.close()
+
+    async def enter(self, request: RequestView) -> Ticket | Refused:
+        """Count a request against its limits. Each ticket must be left once."""
+        taken = await self._limits.acquire(request)
+        match taken:
+            case Refused():
+                return taken
+        deadline = time.monotonic() + request.deadline_left
+        return Ticket(request, taken, deadline, notes=list(taken.notes))
+
+    async def place(
+        self, ticket: Ticket, targets: Targets, regions: Regions
+    ) -> Placement:
+        """Choose where a request goes; may wait for a free target.
+
+        After `Home`, count the request at its target before anything is awaited, or
+        other requests are placed by the old counts.
+        """
+        request = ticket.request
+        request.deadline_left = ticket.deadline - time.monotonic()
+        views = targets()
+        ticket.pool = frozenset(view.name for view in views)
+        if self._baseline is not None:
+            placed: Placement = self._baseline.place(request, views, regions())
+        else:
+            state = self._entry(request.entry)
+            state.pool = ticket.pool
+
+            def look(ahead: float) -> Placement | None:
+                return self._look(ticket, ahead, targets(), regions())
+
+            placed = await self._admission.admit(
+                request,
+                ticket.pool,
+                look,
+                lambda: self._drain(state),
+                self._service(ticket),
+            )
+        self._count(ticket, placed)
+        placed.notes = [*ticket.notes, *placed.notes]
+        return placed
+
+    async def try_ended(
+        self,
+        ticket: Ticket,
+        placed: Home | Away,
+        result: TryResult,
+        first_token: float | None,
+    ) -> None:
+        """Learn from one try.
+
+        Args:
+            ticket: The request.
+            placed: Where it was tried.
+            result: How the try ended.
+            first_token: Seconds from sending it to the first token; None: none came.
+        """
+        request = ticket.request
+        now = time.monotonic()
+        state = self._entry(request.entry)
+        match placed:
+            case Home(target):
+                if first_token is not None:
+                    cached = min(target.cached_tokens, request.prompt_tokens)
+                    own = max(0.001, first_token - ticket.expected_wait)
+                    uncached = request.prompt_tokens - cached
+                    state.times.add_first_token(target.name, own, uncached, now)
+                if result is TryResult.answered:
+                    state.times.add_hold(now - ticket.placed_at)
+                    self._budget.answered(request.entry, self._region)
+                await self._admission.ended(ticket.pool, request.owner)
+            case Away(region):
+                backoff = self._backoff(request.entry, region)
+                if result is TryResult.answered:
+                    backoff.answered()
+                    self._warm.add(region, request.prefix_hashes, now)
+                    self._budget.answered(request.entry, region)
+                else:
+                    backoff.refused(now, self._rng)
+                    self._metrics.incr("away.refused")
+
+    def may_retry(
+        self, ticket: Ticket, reason: RetryReason, region: RegionName | None = None
+    ) -> bool:
+        """Return whether a failed try may be followed by another.
+
+        Args:
+            ticket: The request.
+            reason: Why the try failed.
+            region: Where it failed; None: here.
+        """
+        request = ticket.request
+        if not safe_to_retry(reason, request.idempotent):
+            self._metrics.incr("retry.unsafe")
+            return False
+        if not self._budget.take(request.entry, region or self._region, reason):
+            self._metrics.incr("retry.no_budget")
+            return False
+        self._metrics.incr(f"retry.{reason}")
+        return True
+
+    async def leave(self, ticket: Ticket, answered: bool, tokens: int) -> None:
+        """Give back what a request has taken; once for each ticket.
+
+        Args:
+            ticket: The request.
+            answered: Whether the caller got the whole answer.
+            tokens: Tokens that were generated.
+        """
+        self._limits.release(ticket.limits, tokens)
+
+    def queued(self, entry: EntryName) -> int:
+        """Return how many requests of an entry wait at this host."""
+        return self._admission.queued(entry)
+
+    def expected_wait(self, entry: EntryName) -> float:
+        """Return the seconds that a new request of an entry would wait here."""
+        state = self._entry(entry)
+        return self._admission.length(state.pool) * self._drain(state)
+
+    def _look(
+        self,
+        ticket: Ticket,
+        ahead: float,
+        views: list[TargetView],
+        regions: list[RegionView],
+    ) -> Placement | None:
+        request = ticket.request
+        state = self._entry(request.entry)
+        now = time.monotonic()
+        left = ticket.deadline - now
+        choice = choose_target(
+            request,
+            views,
+            state.times,
+            len(self._hosts().live),
+            self._settings.report_memory,
+            self._rng,
+            now,
+        )
+        self._note_slots(state, views, choice)
+        if request.forwarded:
+            return self._at_home(ticket, choice, ahead, [], "sent by its home region")
+        here = self._here(ticket, ahead, state, choice, regions, views)
+        away, ruled_out = self._away(request, state, regions, now)
+        decided = choose_region(
+            request,
+            left,
+            here,
+            away,
+            state.ramp,
+            self._settings.hysteresis,
+            self._rng,
+            now,
+        )
+        candidates = [*decided.candidates, *ruled_out]
+        if decided.region is None or decided.region == self._region:
+            return self._at_home(ticket, choice, ahead, candidates, decided.reason)
+        return Away(decided.region, [*candidates, *choice.candidates], decided.reason)
+
+    def _at_home(
+        self,
+        ticket: Ticket,
+        choice: TargetChoice,
+        ahead: float,
+        regions: list[Candidate],
+        region_reason: str,
+    ) -> Placement | None:
+        candidates = [*regions, *choice.candidates]
+        if choice.target is not None and ahead < 1:
+            ticket.expected_wait = choice.wait
+            return Home(choice.target, candidates, f"{region_reason}; {choice.reason}")
+        if choice.usable == 0:
+            return no_target(ticket.request, candidates)
+        return None
+
+    def _here(
+        self,
+        ticket: Ticket,
+        ahead: float,
+        state: _EntryState,
+        choice: TargetChoice,
+        regions: list[RegionView],
+        views: list[TargetView],
+    ) -> RegionTerms | None:
+        request = ticket.request
+        allowed = request.allowed_regions
+        if choice.usable == 0 or (allowed is not None and self._region not in allowed):
+            return None
+        found = [view for view in regions if view.name == self._region]
+        view = found[0] if found else RegionView(self._region, slots=state.slots)
+        if choice.target is not None and ahead < 1:
+            cost = choice.target.cost * state.times.hold
+            return RegionTerms(view, choice.expected, cost)
+        delay = (ahead + 1) * self._drain(state)
+        delay += state.times.first_token(request.prompt_tokens)
+        cost = min(target.cost for target in views) * state.times.hold
+        return RegionTerms(view, delay, cost)
+
+    def _away(
+        self,
+        request: RequestView,
+        state: _EntryState,
+        regions: list[RegionView],
+        now: float,
+    ) -> tuple[list[RegionTerms], list[Candidate]]:
+        terms: list[RegionTerms] = []
+        ruled_out: list[Candidate] = []
+        hosts = len(self._hosts().live)
+        for view in regions:
+            if view.name == self._region:
+                continue
+            excluded = region_excluded(view, request, self._region)
+            if excluded is not None:
+                ruled_out.append(Candidate(view.name, view.name, excluded=excluded))
+                continue
+            backoff = self._backoffs.get((request.entry, view.name))
+            if backoff is not None and backoff.paused(now):
+                full = ExclusionReason.full
+                detail = "refused requests a moment ago"
+                candidate = Candidate(view.name, view.name, 0, full, detail)
+                ruled_out.append(candidate)
+                continue
+            sent = self._sent.since(request.entry, view.name, now - view.age)
+            warm = self._warm.warm_share(view.name, request.prefix_hashes, now)
+            terms.append(away_terms(view, request, state.times, sent * hosts, warm))
+        return terms, ruled_out
+
+    def _count(self, ticket: Ticket, placed: Placement) -> None:
+        request = ticket.request
+        ticket.placed_at = time.monotonic()
+        match placed:
+            case Home():
+                self._admission.started(ticket.pool, request.owner)
+                self._metrics.incr("placed.home")
+            case Away(region):
+                self._sent.add(request.entry, region, ticket.placed_at)
+                self._metrics.incr("placed.away")
+            case Refused(kind):
+                self._metrics.incr(f"placed.refused.{kind}")
+
+    def _drain(self, state: _EntryState) -> float:
+        hosts = max(1, len(self._hosts().live))
+        return state.times.hold * hosts / max(1, state.slots)
+
+    def _service(self, ticket: Ticket) -> float:
+        times = self._entry(ticket.request.entry).times
+        return times.first_token(0)
+
+    def _note_slots(
+        self, state: _EntryState, views: list[TargetView], choice: TargetChoice
+    ) -> None:
+        if choice.usable:
+            usable = [
+                view.slots
+                for view, candidate in zip(views, choice.candidates, strict=True)
+                if candidate.score > 0 or candidate.excluded is None
+            ]
+            state.slots = max(1, sum(usable))
+
+    def _entry(self, entry: EntryName) -> _EntryState:
+        state = self._entries.get(entry)
+        if state is None:
+            ramp = AwayRamp(self._settings.away_step)
+            state = self._entries[entry] = _EntryState(ServiceTimes(), ramp)
+        return state
+
+    def _backoff(self, entry: EntryName, region: RegionName) -> RegionBackoff:
+        return self._backoffs.setdefault((entry, region), RegionBackoff())
+
+
+__all__ = ["Policy", "Regions", "Targets", "Ticket"]
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/policy/_refusals.py
@@ -0,0 +1,27 @@
+"""Refusals that several ways of placing share."""
+
+from bronzepoint_node.policy._inputs import RequestView
+from bronzepoint_node.policy._outputs import Refused
+from bronzepoint_schema.generated.decisions import Candidate, RefusalKind
+
+_RETRY_NO_TARGET = 2.0
+
+
+def no_target(request: RequestView, candidates: list[Candidate]) -> Refused:
+    """Return the refusal of a request that no target may serve now."""
+    message = f"No target of entry {request.entry!r} can be used now."
+    remedy = (
+        f"Send it again after {_RETRY_NO_TARGET:.0f} s; an operator sees the targets' "
+        "states with 'bronzepoint targets'."
+    )
+    return Refused(
+        RefusalKind.no_target,
+        message,
+        remedy,
+        _RETRY_NO_TARGET,
+        candidates,
+        "no target may be used",
+    )
+
+
+__all__ = ["no_target"]
--- /dev/null
+++ b/tests/test_policy_targets.py
@@ -0,0 +1,164 @@
+"""Choice of a target."""
+
+import unittest
+from collections import Counter, deque
+from random import Random
+
+from nose2.tools import params
+
+from bronzepoint_node.policy import TargetState, choose_target
+from bronzepoint_node.policy._load_estimate import estimate_loads
+from bronzepoint_node.policy._service_times import ServiceTimes
+from tests._policy_fakes import request, target
+
+
+def choose(views, req=None, times=None, hosts=1, seed=1, memory=1.0):
+    times = times or ServiceTimes()
+    return choose_target(
+        req or request(), views, times, hosts, memory, Random(seed), 0.0
+    )
+
+
+def name_of(choice):
+    return choice.target.name if choice.target else None
+
+
+class TestExclusions(unittest.TestCase):
+    @params(
+        (target("a", state=TargetState.leaving), "leaving"),
+        (target("a", state=TargetState.ejected), "ejected"),
+        (target("a", state=TargetState.unknown), "not_ready"),
+        (target("a", slots=2, in_flight=2), "full"),
+        (target("a", slots=8, in_flight=1, allowed=1), "full"),
+        (target("tried"), "tried"),
+    )
+    def test_alone(self, view, reason):
+        choice = choose([view], request(tried=["tried"]))
+        self.assertIsNone(choice.target)
+        self.assertEqual(choice.candidates[0].excluded, reason)
+
+    def test_every_candidate_is_in_the_record(self):
+        views = [target("a"), target("b", in_flight=7), target("c", slots=1)]
+        choice = choose(views)
+        self.assertEqual([c.name for c in choice.candidates], ["a", "b", "c"])
+        chosen = [c.name for c in choice.candidates if c.excluded is None]
+        self.assertEqual(chosen, [name_of(choice)])
+
+    def test_own_part_is_open_whatever_the_report_says(self):
+        """A host with waiting callers stays idle beside a busy target.
+
+        The last report counts so many requests of others that the target looks full,
+        and while it looks full the host sends nothing that would show otherwise.
+        """
+        view = target("a", slots=6, running=6, waiting=9, report_age=0.0)
+        self.assertIsNotNone(choose([view], hosts=3).target)
+        view.in_flight = view.in_flight_at_report = 2
+        self.assertIsNone(choose([view], hosts=3).target)
+
+
+class TestScores(unittest.TestCase):
+    @params(
+        ([target("a", in_flight=6), target("b", in_flight=1)], {}, "b"),
+        ([target("a"), target("b", cached_tokens=4000)], {"prompt_tokens": 4000}, "b"),
+        ([target("a", cost=9.0), target("b", cost=1.0)], {"worth": 10.0}, "b"),
+        (
+            [target("a", cost=2, in_flight=7), target("b", cost=1, in_flight=7.5)],
+            {"cost_weight": 0.0, "latency_weight": 5.0},
+            "a",
+        ),
+    )
+    def test_prefers(self, views, fields, expected):
+        for seed in range(20):
+            choice = choose(views, request(**fields), seed=seed)
+            self.assertEqual(name_of(choice), expected)
+
+    def test_affinity_ends_where_the_load_is_uneven(self):
+        """One target drowns while the others stand idle.
+
+        All requests of the hour share one long prefix, and the only target that has
+        it cached looks best for each of them.
+        """
+        req = request(prompt_tokens=4000)
+        hot = target("hot", slots=16, in_flight=9, cached_tokens=4000)
+        idle = [target("b", slots=16), target("c", slots=16)]
+        self.assertNotEqual(name_of(choose([hot, *idle], req)), "hot")
+        hot.in_flight = 1
+        self.assertEqual(name_of(choose([hot, *idle], req)), "hot")
+
+    def test_slow_target_is_left_and_tried_again_later(self):
+        times = ServiceTimes()
+        for _ in range(20):
+            times.add_first_token("a", 2.0, 100, 0.0)
+            times.add_first_token("b", 0.1, 100, 0.0)
+        self.assertGreater(times.slowness("a", 0.0), 5)
+        self.assertEqual(times.slowness("b", 0.0), 1.0)
+        self.assertLess(times.slowness("a", 300.0), 1.1)
+        for seed in range(20):
+            views = [target("a"), target("b", in_flight=3)]
+            self.assertEqual(name_of(choose(views, times=times, seed=seed)), "b")
+
+    def test_fit_follows_the_uncached_tokens(self):
+        times = ServiceTimes()
+        for i in range(400):
+            uncached = 100 * (i % 7)
+            times.add_first_token("a", 0.03 + 0.002 * uncached, uncached, float(i))
+        self.assertAlmostEqual(times.base, 0.03, delta=0.003)
+        self.assertAlmostEqual(times.per_token, 0.002, delta=0.0002)
+
+
+class TestLateReports(unittest.TestCase):
+    def test_old_report_gives_way_to_the_mean(self):
+        fresh = [
+            target("a", running=6, report_age=0.0),
+            target("b", running=0, report_age=0.0),
+        ]
+        self.assertEqual(estimate_loads(fresh, 1.0), [6.0, 0.0])
+        for view in fresh:
+            view.report_age = 60.0
+        old = estimate_loads(fresh, 1.0)
+        self.assertAlmostEqual(old[0], old[1], places=6)
+
+    @params(1, 2, 3, 4, 5)
+    def test_hosts_do_not_move_together(self, seed):
+        """Targets fill and empty in turns, with the period of the reports.
+
+        Nine hosts see the same reports, which are 5 s old. At each report all of them
+        send everything to the target that was idle, because each believes the report
+        and none knows what the others send in between.
+        """
+        rng = Random(seed)
+        hosts, names, slots, hold = 9, "abcdef", 24, 1.0
+        running = deque()
+        own = {(host, name): 0 for host in range(hosts) for name in names}
+        reported: deque[tuple[Counter, dict]] = deque(maxlen=50)
+        worst = 0
+        for step in range(600):
+            now = step * 0.1
+            while running and running[0][0] <= now:
+                _, host, name = running.popleft()
+                own[host, name] -= 1
+            loads = Counter({name: 0 for name in names})
+            for (_, name), count in own.items():
+                loads[name] += count
+            if step > 100:
+                worst = max(worst, max(loads.values()) - min(loads.values()))
+            reported.append((loads, dict(own)))
+            seen, seen_own = reported[0]
+            for host in range(hosts):
+                views = [
+                    target(
+                        name,
+                        slots=slots,
+                        in_flight=own[host, name],
+                        in_flight_at_report=seen_own[host, name],
+                        running=seen[name],
+                        report_age=5.0,
+                    )
+                    for name in names
+                ]
+                choice = choose(views, hosts=hosts, seed=rng.random())
+                own[host, name_of(choice)] += 1
+                running.append((now + hold, host, name_of(choice)))
+        # 90 requests are in progress, 15 a target when they are even. Taken at their
+        # word, the reports make this swing between none and all.
+        self.assertLessEqual(worst, 18)
