--- a/packages/common/src/bronzepoint_common/http/_answer.py
+++ b/packages/common/src/bronzepoint_common/http/_answer.py
@@ -27,6 +27,7 @@
         status: HTTP status.
         headers: Header values by lower-case name.
         complete: True once the end of the answer was read.
+        timeout: Seconds to wait for each further piece.
     """
 
     def __init__(
@@ -44,7 +45,7 @@
         self._conn = conn
         self._wire = wire
         self._address = address
-        self._timeout = timeout
+        self.timeout = timeout
 
     def chunks(self) -> "ClientAnswer":
         """Iterate over the body; each piece is all that one read brought.
@@ -98,8 +99,8 @@
 
     async def _receive(self) -> bytes:
         try:
-            return await self._wire.receive(self._timeout)
+            return await self._wire.receive(self.timeout)
         except curio.TaskTimeout:
-            raise AnswerTimeout(self._address, self._timeout) from None
+            raise AnswerTimeout(self._address, self.timeout) from None
         except OSError:
             raise AnswerCut(self._address) from None
--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -1,6 +1,7 @@
 """HTTP client with kept connections."""
 
 import socket
+from collections.abc import Callable
 
 import curio
 import h11
@@ -14,12 +15,14 @@
     ConnectFailed,
     NotSent,
 )
+from bronzepoint_common.http._head import Pairs, header_pairs
 from bronzepoint_common.http._limits import HttpLimits
 from bronzepoint_common.http._pool import ConnectionPool
 from bronzepoint_common.http._request import headers_of
 from bronzepoint_common.http._wire import Wire
 
 BODYLESS_STATUSES = (204, 304)
+BeforeSend = Callable[[], None]
 
 
 class HttpClient:
@@ -41,6 +44,7 @@
         body: bytes,
         timeout: float,
         fresh: bool = False,
+        before_send: BeforeSend | None = None,
     ) -> "ClientExchange":
         """Send a request; ``async with`` gives its answer in progress.
 
@@ -56,6 +60,9 @@
             timeout: Seconds to wait for the head, and for each further piece.
             fresh: True: open a new connection, so that a failure to connect
                 proves that nothing was sent.
+            before_send: Called when the connection is there, right before the first
+                byte is written; where it raises, nothing is sent. A check made
+                earlier may be out of date by now: connecting takes time.
 
         Raises (on entering):
             ConnectFailed, NotSent, AnswerCut, AnswerTimeout, AnswerMalformed.
@@ -63,7 +70,7 @@
         request = h11.Request(
             method=method, target=path, headers=self._pairs(address, headers, body)
         )
-        return ClientExchange(self, address, request, body, timeout, fresh)
+        return ClientExchange(self, address, request, body, timeout, fresh, before_send)
 
     async def fetch(
         self,
@@ -74,6 +81,7 @@
         body: bytes,
         timeout: float,
         fresh: bool = False,
+        before_send: BeforeSend | None = None,
     ) -> Answer:
         """Send a request and read its whole answer within ``timeout`` seconds.
 
@@ -82,7 +90,14 @@
         try:
             async with curio.timeout_after(timeout):
                 return await self._fetch(
-                    address, method, path, headers, body, timeout, fresh
+                    address,
+                    method,
+                    path,
+                    headers,
+                    body,
+                    timeout,
+                    fresh,
+                    before_send,
                 )
         except curio.TaskTimeout:
             raise AnswerTimeout(address, timeout) from None
@@ -96,12 +111,13 @@
         body: bytes,
         timeout: float,
         fresh: bool,
+        before_send: BeforeSend | None,
     ) -> Answer:
         limit = self._limits.max_body
         parts: list[bytes] = []
         size = 0
         async with self.stream(
-            address, method, path, headers, body, timeout, fresh
+            address, method, path, headers, body, timeout, fresh, before_send
         ) as answer:
             async for piece in answer.chunks():
                 size += len(piece)
@@ -114,12 +130,10 @@
         """Close the kept connections."""
         await self._pool.close()
 
-    def _pairs(
-        self, address: str, headers: dict[str, str], body: bytes
-    ) -> list[tuple[str, str]]:
-        pairs = [("Host", address), *headers.items()]
+    def _pairs(self, address: str, headers: dict[str, str], body: bytes) -> Pairs:
+        pairs = [(b"Host", address.encode("ascii")), *header_pairs(headers)]
         if body:
-            pairs.append(("Content-Length", str(len(body))))
+            pairs.append((b"Content-Length", b"%d" % len(body)))
         return pairs
 
 
@@ -134,6 +148,7 @@
         body: bytes,
         timeout: float,
         fresh: bool,
+        before_send: BeforeSend | None,
     ) -> None:
         self._client = client
         self._address = address
@@ -141,6 +156,7 @@
         self._body = body
         self._timeout = timeout
         self._fresh = fresh
+        self._before_send = before_send
         self._reused = False
         self._conn: h11.Connection
         self._wire: Wire
@@ -195,6 +211,8 @@
         if self._body:
             data += self._conn.send(h11.Data(data=self._body))
         data += self._conn.send(h11.EndOfMessage())
+        if self._before_send is not None:
+            self._before_send()
         try:
             await self._wire.send(data, self._timeout)
         except curio.TaskTimeout:
--- a/packages/common/src/bronzepoint_common/http/_exchange.py
+++ b/packages/common/src/bronzepoint_common/http/_exchange.py
@@ -9,7 +9,7 @@
     Disconnected,
     RequestTimeout,
 )
-from bronzepoint_common.http._head import response_head
+from bronzepoint_common.http._head import Pairs, header_pairs, response_head
 from bronzepoint_common.http._limits import HttpLimits
 from bronzepoint_common.http._request import Request
 from bronzepoint_common.http._wire import Wire
@@ -123,7 +123,7 @@
     ) -> None:
         """Send a whole answer in one write."""
         pairs = self._pairs(headers)
-        pairs.append(("Content-Length", str(len(body))))
+        pairs.append((b"Content-Length", b"%d" % len(body)))
         head = response_head(status, pairs)
         self.started = True
         events: list[h11.Event] = [head]
@@ -140,7 +140,7 @@
         """Send the head of a stream; its pieces go out as chunks."""
         self.started = True
         pairs = self._pairs(headers)
-        pairs.append(("Transfer-Encoding", "chunked"))
+        pairs.append((b"Transfer-Encoding", b"chunked"))
         await self._write(response_head(status, pairs))
 
     async def send(self, chunk: bytes) -> None:
@@ -160,18 +160,14 @@
     async def abort(self) -> None:
         """Cut the answer, so that the caller can't take it as whole.
 
-        What was sent before is still delivered. The last chunk of a chunked
-        answer never follows, which tells the caller that the answer is cut;
-        HTTP/1.0 has no such mark, there the connection is reset.
+        The connection is reset, not just closed: many clients take the end of a
+        connection between two chunks for the end of the answer, though the last
+        chunk is missing. The connection's own task closes it when the handler has
+        returned, for another task may still wait on the socket, and curio can't
+        stand a descriptor that is closed under a waiting task.
         """
         self.aborted = True
-        if self._conn.their_http_version == b"1.0":
-            self._wire.reset_on_close()
-            return
-        # Only shut, not closed: another task may wait on this socket, and curio
-        # can't stand a descriptor that is closed under a waiting task. The
-        # connection's own task closes it when the handler has returned.
-        self._wire.shut()
+        self._wire.reset_on_close()
 
     async def wait_disconnect(self) -> None:
         """Return when the caller has left; run it in a task beside the answer.
@@ -190,10 +186,10 @@
             self._early += len(data)
             self._conn.receive_data(data)
 
-    def _pairs(self, headers: dict[str, str]) -> list[tuple[str, str]]:
-        pairs = list(headers.items())
+    def _pairs(self, headers: dict[str, str]) -> Pairs:
+        pairs = header_pairs(headers)
         if self._last:
-            pairs.append(("Connection", "close"))
+            pairs.append((b"Connection", b"close"))
         return pairs
 
     async def _write(self, *events: h11.Event) -> None:
--- a/packages/common/src/bronzepoint_common/http/_head.py
+++ b/packages/common/src/bronzepoint_common/http/_head.py
@@ -1,14 +1,23 @@
-"""Head of an answer."""
+"""Heads of requests and answers."""
 
 from http import HTTPStatus
 
 import h11
 
+Pairs = list[tuple[bytes, bytes]]
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
-def response_head(status: int, headers: list[tuple[str, str]]) -> h11.Response:
+def response_head(status: int, headers: Pairs) -> h11.Response:
     """Build the head of an answer, with the customary phrase for its status."""
     return h11.Response(
         status_code=status, headers=headers, reason=REASONS.get(status, b"")
     )
+
+
+def header_pairs(headers: dict[str, str]) -> Pairs:
+    """Encode headers; values that came in from elsewhere may hold any Latin-1 byte."""
+    return [
+        (name.encode("ascii"), value.encode("latin-1", "replace"))
+        for name, value in headers.items()
+    ]
--- a/packages/common/src/bronzepoint_common/http/_server.py
+++ b/packages/common/src/bronzepoint_common/http/_server.py
@@ -146,6 +146,8 @@
         self._state = ServerState.CLOSED
 
     async def _wait_for_tasks(self, seconds: float) -> None:
+        if seconds <= 0 or not self._tasks:
+            return
         async with curio.ignore_after(seconds):
             for task in list(self._tasks.values()):
                 await task.wait()
--- a/packages/common/src/bronzepoint_common/http/_server_connection.py
+++ b/packages/common/src/bronzepoint_common/http/_server_connection.py
@@ -15,7 +15,7 @@
     RequestTimeout,
 )
 from bronzepoint_common.http._exchange import Exchange
-from bronzepoint_common.http._head import response_head
+from bronzepoint_common.http._head import header_pairs, response_head
 from bronzepoint_common.http._limits import HttpLimits
 from bronzepoint_common.http._request import Request, request_of
 from bronzepoint_common.http._wire import Wire
@@ -183,8 +183,8 @@
     async def _answer_error(self, exc: HttpError) -> None:
         """Answer an error and close; the connection can't be used any more."""
         status, headers, body = self._on_error(exc)
-        pairs = [*headers.items(), ("Connection", "close")]
-        pairs.append(("Content-Length", str(len(body))))
+        pairs = [*header_pairs(headers), (b"Connection", b"close")]
+        pairs.append((b"Content-Length", b"%d" % len(body)))
         head = response_head(status, pairs)
         try:
             data = self._conn.send(head) + self._conn.send(h11.Data(data=body))
--- a/packages/common/src/bronzepoint_common/http/_wire.py
+++ b/packages/common/src/bronzepoint_common/http/_wire.py
@@ -97,13 +97,6 @@
         """Let the task that waits to read see the end, once it has read the rest."""
         self._shutdown(socket.SHUT_RD)
 
-    def shut(self) -> None:
-        """End both directions and leave the descriptor open until ``close``.
-
-        A task that waits to read from it wakes and sees the end.
-        """
-        self._shutdown(socket.SHUT_RDWR)
-
     def _shutdown(self, how: int) -> None:
         try:
             self._sock._socket.shutdown(how)
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/entry/_http_errors.py
@@ -0,0 +1,29 @@
+"""Bad input at the HTTP level as refusals."""
+
+from bronzepoint_common.http import (
+    BodyTooLarge,
+    HandlerFailed,
+    HeadTooLarge,
+    HttpError,
+    TooManyConnections,
+)
+from bronzepoint_schema.generated.decisions import Ran, Refusal, RefusalKind
+
+RETRY_CONNECTION = 1.0
+
+
+def refusal_of_http_error(exc: HttpError) -> Refusal:
+    """Return the refusal that answers bad input."""
+    message, _, remedy = str(exc).partition(": ")
+    match exc:
+        case HeadTooLarge():
+            return Refusal(RefusalKind.head_too_large, message, remedy, Ran.no)
+        case BodyTooLarge():
+            return Refusal(RefusalKind.body_too_large, message, remedy, Ran.no)
+        case TooManyConnections():
+            return Refusal(
+                RefusalKind.overloaded, message, remedy, Ran.no, RETRY_CONNECTION
+            )
+        case HandlerFailed():
+            return Refusal(RefusalKind.internal, message, remedy, Ran.unknown)
+    return Refusal(RefusalKind.bad_request, message, remedy, Ran.no)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -35,6 +35,7 @@
         self.connections = list(connections)
         self.silent = silent
         self.accepted = 0
+        self.asked = 0
         self.left = curio.Event()
         self.late = b""
         self.speak_late = curio.Event()
@@ -64,6 +65,7 @@
             for answer in answers:
                 if not await read_until(sock, b"\r\n\r\n"):
                     break
+                self.asked += 1
                 await sock.sendall(answer)
             if self.late:
                 await self.speak_late.wait()
@@ -219,6 +221,28 @@
 
         run(main)
 
+    def test_nothing_is_sent_where_the_last_check_raises(self) -> None:
+        """Symptom: a host acts on a check that was true before it connected.
+
+        Connecting takes time, and a process may be stopped in between. The check
+        runs when the connection is there; the server must see no byte.
+        """
+
+        def check() -> None:
+            raise PermissionError("too late")
+
+        async def main() -> None:
+            async with Script([b"", WHOLE], [WHOLE]) as script:
+                with self.assertRaises(PermissionError):
+                    await script.client.fetch(
+                        script.address, "GET", "/", {}, b"", 9.0, before_send=check
+                    )
+                self.assertEqual(await script.fetch(), b"whole")
+                self.assertEqual(script.accepted, 2)
+                self.assertEqual(script.asked, 1)
+
+        run(main)
+
     def test_errors_share_a_base(self) -> None:
         for kind in (ConnectFailed, NotSent, AnswerCut, AnswerTimeout):
             self.assertTrue(issubclass(kind, HttpError))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -283,7 +283,8 @@
     def test_an_aborted_stream_does_not_look_whole(self, version) -> None:
         """Symptom: a caller takes a part of an answer for all of it.
 
-        HTTP/1.1: the last chunk is missing; HTTP/1.0: the connection is reset.
+        The part ends between two chunks. A client that reads lines takes the end of
+        the connection for the end of the answer, so it must be an error instead.
         """
 
         async def handler(exchange: Exchange) -> None:
@@ -294,13 +295,9 @@
         async def main() -> None:
             async with Site(handler) as site:
                 sock = await site.caller(GET.replace(b"HTTP/1.1", version))
-                try:
-                    answer = await read_all(sock)
-                except ConnectionResetError:
-                    return
-                self.assertEqual(version, b"HTTP/1.1")
-                self.assertIn(b"part", answer)
-                self.assertNotIn(b"0\r\n\r\n", answer)
+                self.assertIn(b"part", await read_until(sock, b"part"))
+                with self.assertRaises(ConnectionResetError):
+                    await read_all(sock)
 
         run(main)
 
