--- a/packages/node/src/bronzepoint_node/__init__.py
+++ b/packages/node/src/bronzepoint_node/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""The daemon of an entry host."""
--- a/packages/schema/src/bronzepoint_schema/ids.py
+++ b/packages/schema/src/bronzepoint_schema/ids.py
@@ -17,12 +17,17 @@
 ChangeId = NewType("ChangeId", str)
 Revision = NewType("Revision", int)
 """Position of a catalogue change in the agreed log; 0 is the empty catalogue."""
+ClusterId = NewType("ClusterId", str)
+"""Digest of the first set of voters; hosts of different clusters never mix."""
+StorageId = NewType("StorageId", str)
+"""Random name of one voter's data folder, made when the folder was empty."""
 Term = NewType("Term", int)
 FencingNumber = NewType("FencingNumber", int)
 
 __all__ = [
     "CallerName",
     "ChangeId",
+    "ClusterId",
     "DataCenterName",
     "EntryName",
     "FencingNumber",
@@ -33,6 +38,7 @@
     "RegionName",
     "RequestId",
     "Revision",
+    "StorageId",
     "TargetName",
     "Term",
 ]
