--- /dev/null
+++ b/packages/node/src/bronzepoint_node/agreement/__init__.py
@@ -0,0 +1,32 @@
+"""The agreed catalogue: consensus between voters, leases and repair."""
+
+from ._agreement import Agreement, voter_hosts
+from ._errors import (
+    AgreementError,
+    ChangeExpired,
+    Conflict,
+    InitialiseRefused,
+    Invalid,
+    NoQuorum,
+    NotLeader,
+    SettingsUnsafe,
+    VoterWithoutDisk,
+)
+from ._status import AgreementStatus, Role, VoterStatus
+
+__all__ = [
+    "Agreement",
+    "AgreementError",
+    "AgreementStatus",
+    "ChangeExpired",
+    "Conflict",
+    "InitialiseRefused",
+    "Invalid",
+    "NoQuorum",
+    "NotLeader",
+    "Role",
+    "SettingsUnsafe",
+    "VoterStatus",
+    "VoterWithoutDisk",
+    "voter_hosts",
+]
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/agreement/_agreement.py
@@ -0,0 +1,261 @@
+"""The agreed catalogue as the rest of the daemon sees it."""
+
+import uuid
+from pathlib import Path
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.peers import Area, PeerError, Peers
+from bronzepoint_node.catalogue import Catalogue, find_contradictions
+from bronzepoint_schema.generated.agreement import (
+    Accepted,
+    AgreementMessage,
+    AppendRequest,
+    Change,
+    GenesisRequest,
+    IdentityReply,
+    IdentityRequest,
+    ProposeReply,
+    ProposeRequest,
+    Put,
+    SnapshotInstall,
+    VoteRequest,
+)
+from bronzepoint_schema.generated.settings import Settings
+from bronzepoint_schema.ids import ClusterId, FencingNumber, HostName
+
+from ._errors import (
+    InitialiseRefused,
+    Invalid,
+    SettingsUnsafe,
+    VoterWithoutDisk,
+)
+from ._genesis import choose_genesis, cluster_of
+from ._proposer import Proposer
+from ._status import AgreementStatus, Role
+from ._voter import Voter
+
+_ASK_TIMEOUT = 2.0
+_UUID7 = 7
+
+
+class Agreement:
+    """Changes to the catalogue, agreed between the voters.
+
+    Args:
+        settings: This host's settings.
+        peers: Links to the other hosts.
+        catalogue: Takes what was agreed and spreads it.
+        metrics: Counters.
+
+    Raises:
+        SettingsUnsafe: The lease isn't shorter than the election timeout.
+        VoterWithoutDisk: This host is a voter without a data folder.
+    """
+
+    def __init__(
+        self, settings: Settings, peers: Peers, catalogue: Catalogue, metrics: Metrics
+    ) -> None:
+        section, host = settings.agreement, settings.host
+        if section.lease >= section.election_timeout:
+            raise SettingsUnsafe(section.lease, section.election_timeout)
+        if host.voter and not host.data_folder:
+            raise VoterWithoutDisk(host.name)
+        self._name = host.name
+        self._peers = peers
+        self._catalogue = catalogue
+        self._voters = voter_hosts(settings)
+        self._voter: Voter | None = None
+        if host.voter:
+            self._voter = Voter(
+                host.name,
+                Path(host.data_folder),
+                self._voters,
+                section,
+                peers,
+                catalogue,
+                metrics,
+                self._deliver,
+            )
+        self._proposer = Proposer(host.name, self._voters, self._voter, peers, metrics)
+        peers.register(Area.AGREEMENT, AgreementMessage, self._handle)
+        catalogue.follow(self)
+
+    async def start(self) -> None:
+        """Take part, where this host is a voter.
+
+        Raises:
+            StorageError: The data folder is damaged, or another process holds it.
+        """
+        if self._voter is not None:
+            await self._voter.start()
+
+    async def close(self) -> None:
+        """Stop taking part."""
+        if self._voter is not None:
+            await self._voter.close()
+
+    async def propose(self, change: Change, timeout: float) -> Accepted:
+        """Bring a change before the leader and return once it is accepted.
+
+        Args:
+            change: The change; sending it again with its id is always safe.
+            timeout: Seconds to wait.
+
+        Raises:
+            Invalid: It contradicts itself.
+            Conflict: Another operator's change of the item came first.
+            NotLeader: No leader was found; the change was not taken.
+            NoQuorum: The outcome is unknown.
+            ChangeExpired: It is too old to tell whether it was applied.
+        """
+        problems = change_problems(change)
+        if problems:
+            raise Invalid(problems)
+        return await self._proposer.propose(change, timeout)
+
+    def lease(self) -> FencingNumber | None:
+        """Return the fencing number while this host may act as leader, else None.
+
+        Call it right before each act: a process that was frozen between the check and
+        the act would otherwise act after another leader has begun.
+        """
+        return self._voter.lease() if self._voter is not None else None
+
+    def leader(self) -> HostName:
+        """Return the leader known here; empty: none."""
+        if self._voter is not None and self._voter.leader:
+            return self._voter.leader
+        return self._proposer.leader
+
+    def leader_age(self) -> float | None:
+        """Return how old the leader's knowledge is, in seconds.
+
+        Returns:
+            None where this host doesn't lead, or its catalogue is behind its log.
+        """
+        if self._voter is None:
+            return None
+        until = self._voter.lease_until()
+        if until is None or self._catalogue.held < self._voter.machine.revision:
+            return None
+        return max(0.0, monotonic() - until)
+
+    def voters(self) -> list[HostName]:
+        """Return the hosts that the settings name as voters."""
+        return self._voters
+
+    def status(self) -> AgreementStatus:
+        """Return what operators see of the agreement on this host."""
+        if self._voter is not None:
+            return self._voter.status()
+        return AgreementStatus(
+            role=Role.proposer,
+            leader=self._proposer.leader,
+            cluster=self._catalogue.cluster,
+            revision=self._catalogue.held,
+        )
+
+    async def initialise(self) -> ClusterId:
+        """Begin the cluster with the voters of the settings, all of them blank.
+
+        Running it again, also from two hosts at once, is harmless: the first voters
+        follow from the settings and the storages, and a storage begins one cluster.
+
+        Raises:
+            InitialiseRefused: Not every voter answered, or they disagree.
+        """
+        answers: dict[HostName, IdentityReply | None] = {}
+        async with curio.TaskGroup() as group:
+            tasks = {}
+            for host in self._voters:
+                tasks[host] = await group.spawn(self._ask, host, IdentityRequest())
+            await group.join()
+            answers = {host: task.result for host, task in tasks.items()}
+        voters = choose_genesis(answers)
+        cluster = cluster_of(voters)
+        members = {voter.host: voter.storage for voter in voters}
+        for host, answer in answers.items():
+            if answer is None or answer.cluster or members.get(host) != answer.storage:
+                continue
+            reply = await self._ask(host, GenesisRequest(voters))
+            if reply is None or reply.cluster != cluster:
+                raise InitialiseRefused(
+                    f"voter {host} did not join cluster {cluster}",
+                    "check that its [peer …] voter keys name the same voters as here, "
+                    "then run it again",
+                )
+        return cluster
+
+    async def _ask(
+        self, host: HostName, request: IdentityRequest | GenesisRequest
+    ) -> IdentityReply | None:
+        if host == self._name and self._voter is not None:
+            return await self._handle(host, request)
+        try:
+            return await self._peers.call(host, Area.AGREEMENT, request, _ASK_TIMEOUT)
+        except PeerError:
+            return None
+
+    async def _handle(
+        self, peer: HostName, message: AgreementMessage
+    ) -> AgreementMessage | None:
+        if isinstance(message, ProposeReply):
+            await self._proposer.on_reply(peer, message)
+            return None
+        voter = self._voter
+        if voter is None:
+            return None
+        match message:
+            case VoteRequest() | AppendRequest() | SnapshotInstall():
+                return await voter.handle(peer, message)
+            case ProposeRequest():
+                reply = await voter.submit(message, peer)
+                if reply is not None:
+                    self._peers.post(peer, Area.AGREEMENT, reply)
+            case IdentityRequest():
+                return voter.identity()
+            case GenesisRequest():
+                return await voter.begin_cluster(message)
+        return None
+
+    async def _deliver(self, host: HostName, reply: ProposeReply) -> None:
+        if host == self._name:
+            await self._proposer.on_reply(host, reply)
+        else:
+            self._peers.post(host, Area.AGREEMENT, reply)
+
+
+def voter_hosts(settings: Settings) -> list[HostName]:
+    """Return the hosts that the settings name as voters, in order."""
+    hosts = {HostName(name) for name, peer in settings.peers.items() if peer.voter}
+    if settings.host.voter:
+        hosts.add(settings.host.name)
+    return sorted(hosts)
+
+
+def change_problems(change: Change) -> list[str]:
+    """Return what is wrong with a change, a sentence with its remedy each."""
+    problems = []
+    if not _is_uuid7(change.change_id):
+        problems.append(
+            f"Change id {change.change_id!r} is not a UUIDv7 in its usual lower-case "
+            "form: make a new one for each change, and keep it for resends."
+        )
+    if not change.operator:
+        problems.append("The change names no operator: give one.")
+    if change.version < 1:
+        problems.append("The version must be at least 1: one more than the present.")
+    if isinstance(change.op, Put):
+        problems.extend(find_contradictions(change.op.item))
+    return problems
+
+
+def _is_uuid7(text: str) -> bool:
+    try:
+        parsed = uuid.UUID(text)
+    except ValueError:
+        return False
+    return parsed.version == _UUID7 and str(parsed) == text
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/agreement/_errors.py
@@ -0,0 +1,101 @@
+"""Typed errors of the agreed catalogue."""
+
+from bronzepoint_schema.ids import ChangeId, HostName, OperatorName
+
+
+class AgreementError(Exception):
+    """Base of all errors of the agreed catalogue.
+
+    Attributes:
+        ran_unknown: True where the change may still be applied.
+    """
+
+    ran_unknown = False
+
+
+class NotLeader(AgreementError):
+    """No leader could be reached; the change was certainly not taken."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "No voter knows a leader, so the change was not taken. Remedy: check "
+            "that a quorum of the voters runs and that 'cluster init' was done, then "
+            "send it again."
+        )
+
+
+class NoQuorum(AgreementError):
+    """The change was handed over but no outcome came back in time."""
+
+    ran_unknown = True
+
+    def __init__(self, change_id: ChangeId) -> None:
+        self.change_id = change_id
+        super().__init__(
+            f"Change {change_id} was handed to a voter but its outcome is unknown. "
+            "Remedy: send it again with the same change id; it is applied once."
+        )
+
+
+class Conflict(AgreementError):
+    """The item has another version than the change was made for."""
+
+    def __init__(self, winner: OperatorName, version: int) -> None:
+        self.winner = winner
+        self.version = version
+        holder = f"version {version}, by operator {winner}"
+        super().__init__(
+            f"The item is at {holder if version else 'no version: it does not exist'}"
+            f". Remedy: read it again and send the change with version {version + 1}."
+        )
+
+
+class ChangeExpired(AgreementError):
+    """The change is older than the outcomes that are kept."""
+
+    def __init__(self, change_id: ChangeId) -> None:
+        super().__init__(
+            f"Change {change_id} is too old: whether it was applied before can no "
+            "longer be told. Remedy: check the clock of the operator's machine, read "
+            "the item, and send a new change if it is still wanted."
+        )
+
+
+class Invalid(AgreementError):
+    """The change contradicts itself; it was not taken.
+
+    Args:
+        problems: One sentence with a remedy for each contradiction.
+    """
+
+    def __init__(self, problems: list[str]) -> None:
+        self.problems = problems
+        super().__init__(" ".join(problems))
+
+
+class SettingsUnsafe(AgreementError):
+    """The times in the settings would let two leaders act at once."""
+
+    def __init__(self, lease: float, election_timeout: float) -> None:
+        super().__init__(
+            f"[agreement] lease = {lease:g} must be below election_timeout = "
+            f"{election_timeout:g}: a new leader could start while the former one "
+            "still acts. Remedy: lower the lease or raise the election timeout."
+        )
+
+
+class VoterWithoutDisk(AgreementError):
+    """A voter has no data folder."""
+
+    def __init__(self, host: HostName) -> None:
+        super().__init__(
+            f"Host {host} is a voter without a data folder: it could not remember "
+            "its votes. Remedy: set [host] data_folder, or voter = false."
+        )
+
+
+class InitialiseRefused(AgreementError):
+    """The cluster can't be initialised now."""
+
+    def __init__(self, reason: str, remedy: str) -> None:
+        super().__init__(f"Not initialised: {reason}. Remedy: {remedy}.")
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -0,0 +1,323 @@
+"""One leader's term: replication, commit, lease and repair of voters."""
+
+import time
+import zlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import curio
+import msgspec
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.logs import get_logger
+from bronzepoint_common.peers import Area, PeerError
+from bronzepoint_common.storage import StorageError
+from bronzepoint_schema.generated.agreement import (
+    AppendReply,
+    AppendRequest,
+    Change,
+    ChangeBody,
+    ChangeResult,
+    LogEntry,
+    ProposeReply,
+    SnapshotInstall,
+    TermBody,
+    VotersBody,
+)
+from bronzepoint_schema.generated.agreement import (
+    Voter as VoterId,
+)
+from bronzepoint_schema.ids import ChangeId, HostName, StorageId, Term
+
+from ._machine import find_voter, replace_storage
+from ._quorum import reached_by_quorum
+from ._status import VoterStatus
+
+if TYPE_CHECKING:
+    from ._voter import Voter
+
+_NEVER = float("-inf")
+_MAX_ENTRIES = 32
+_SNAPSHOT_TIMEOUT = 10.0
+_encoder = msgspec.msgpack.Encoder()
+_log = get_logger("agreement")
+
+
+@dataclass
+class Progress:
+    """What the leader knows of one other voter.
+
+    Attributes:
+        host: The host.
+        storage: The storage that answered last.
+        next_index: Next position to send; 0: a snapshot must come first.
+        match_index: Last position that the storage is known to hold, synced.
+        acked_at: When the newest request that it answered was sent.
+        wake: Set when there is something to send.
+    """
+
+    host: HostName
+    storage: StorageId
+    next_index: int
+    match_index: int = 0
+    acked_at: float = _NEVER
+    wake: curio.Event = field(default_factory=curio.Event)
+
+
+class Leadership:
+    """The acts of a leader in one term.
+
+    Args:
+        voter: The voter that was elected.
+        term: The term it was elected for.
+
+    Attributes:
+        active: False once another term or a lost quorum has ended it.
+    """
+
+    def __init__(self, voter: "Voter", term: Term) -> None:
+        self.term = term
+        self.active = True
+        self._voter = voter
+        self._began = monotonic()
+        self._first_index = voter.log.last_index + 1
+        self._progress: dict[HostName, Progress] = {}
+        self._waiting: dict[ChangeId, set[HostName]] = {}
+
+    async def run(self) -> None:
+        """Lead until the term ends; returns once all its tasks have ended."""
+        async with curio.TaskGroup() as group:
+            await self._append(TermBody(self._voter.name))
+            for voter in self._voter.known_voters():
+                if voter.host == self._voter.name:
+                    continue
+                next_index = self._voter.log.last_index
+                progress = Progress(voter.host, voter.storage, next_index)
+                self._progress[voter.host] = progress
+                await group.spawn(self._replicate, progress)
+            while self.active:
+                await self._give_up_without_quorum()
+                await self._repair_one_voter()
+                await curio.sleep(self._voter.section.heartbeat)
+            await group.cancel_remaining()
+
+    def stop(self) -> None:
+        """End the term; callers hold the voter's lock."""
+        self.active = False
+
+    @property
+    def ready(self) -> bool:
+        """True once everything that former leaders committed is applied here."""
+        return self._voter.machine.index >= self._first_index
+
+    def lease_until(self) -> float:
+        """Return when the lease ends, by this host's own monotonic clock.
+
+        A voter that answered a heartbeat lets no other leader be elected for the
+        election timeout. That began after the heartbeat was sent, so counting the
+        lease from the sending can only end it too early.
+        """
+        return self._quorum_contact() + self._voter.section.lease
+
+    async def submit(self, change: Change, host: HostName) -> ProposeReply | None:
+        """Bring a change into the log; callers hold the voter's lock.
+
+        Returns:
+            The outcome if it is known already; None: it will be delivered later.
+        """
+        result = self._voter.machine.result(change.change_id)
+        if result is not None:
+            self._voter.metrics.incr("agreement.resend_answered")
+            return ProposeReply(change.change_id, self._voter.name, result)
+        waiting = self._waiting.setdefault(change.change_id, set())
+        first = not waiting
+        waiting.add(host)
+        if first:
+            await self._append_locked(ChangeBody(change))
+        return None
+
+    async def deliver(self, change_id: ChangeId, result: ChangeResult) -> None:
+        """Tell the hosts that wait for a change how it ended."""
+        reply = ProposeReply(change_id, self._voter.name, result)
+        for host in self._waiting.pop(change_id, ()):
+            await self._voter.deliver(host, reply)
+
+    def voter_statuses(self) -> list[VoterStatus]:
+        """Return what is known of each voter."""
+        now = monotonic()
+        statuses = []
+        for voter in self._voter.machine.voters:
+            progress = self._progress.get(voter.host)
+            if progress is None:
+                last = self._voter.log.last_index
+                storage = self._voter.log.identity.storage
+                status = VoterStatus(voter.host, voter.storage, storage, last, 0.0)
+            else:
+                silent = now - progress.acked_at if progress.acked_at > 0 else -1.0
+                status = VoterStatus(
+                    voter.host,
+                    voter.storage,
+                    progress.storage,
+                    progress.match_index,
+                    round(silent, 3),
+                )
+            statuses.append(status)
+        return statuses
+
+    def _quorum_contact(self) -> float:
+        """Return when the newest requests were sent that a quorum has answered."""
+        contacts = {p.storage: p.acked_at for p in self._progress.values()}
+        contacts[self._voter.log.identity.storage] = monotonic()
+        return reached_by_quorum(contacts, self._voter.voter_sets(), _NEVER)
+
+    async def _give_up_without_quorum(self) -> None:
+        """Stop where no quorum has answered for an election timeout.
+
+        A leader cut off in silence would go on taking changes that it can't commit;
+        its callers would wait for an outcome instead of asking elsewhere.
+        """
+        contact = max(self._quorum_contact(), self._began)
+        if monotonic() - contact > self._voter.section.election_timeout:
+            self._voter.metrics.incr("agreement.quorum_lost")
+            async with self._voter.lock:
+                await self._voter.step_down(self.term)
+
+    async def _append(self, body: TermBody | VotersBody) -> None:
+        async with self._voter.lock:
+            if self.active:
+                await self._append_locked(body)
+
+    async def _append_locked(self, body: TermBody | VotersBody | ChangeBody) -> None:
+        voter = self._voter
+        index = voter.log.last_index + 1
+        await voter.log.append([LogEntry(index, self.term, time.time(), body)])
+        await self._advance_commit()
+        await self._wake_all()
+
+    async def _wake_all(self) -> None:
+        for progress in self._progress.values():
+            await progress.wake.set()
+
+    async def _replicate(self, progress: Progress) -> None:
+        """Keep one voter up to date: its task for this term."""
+        try:
+            await self._replicate_until_stopped(progress)
+        except StorageError as exc:
+            await self._voter.fail(exc)
+
+    async def _replicate_until_stopped(self, progress: Progress) -> None:
+        while self.active:
+            progress.wake.clear()
+            sent_at = monotonic()
+            request = self._next_request(progress)
+            reply = await self._exchange(progress, request)
+            if isinstance(reply, AppendReply):
+                async with self._voter.lock:
+                    await self._take_reply(progress, reply, sent_at)
+                if 0 <= progress.next_index <= self._voter.log.last_index:
+                    continue
+            async with curio.ignore_after(self._voter.section.heartbeat):
+                await progress.wake.wait()
+
+    async def _exchange(
+        self, progress: Progress, request: AppendRequest | SnapshotInstall
+    ) -> object:
+        timeout = self._voter.section.election_timeout / 2
+        if isinstance(request, SnapshotInstall):
+            timeout = _SNAPSHOT_TIMEOUT
+        try:
+            return await self._voter.peers.call(
+                progress.host, Area.AGREEMENT, request, timeout
+            )
+        except PeerError as exc:
+            self._voter.metrics.incr(f"agreement.append_{type(exc).__name__}")
+            await curio.sleep(self._voter.section.heartbeat)
+            return None
+
+    def _next_request(self, progress: Progress) -> AppendRequest | SnapshotInstall:
+        log = self._voter.log
+        cluster, storage = log.identity.cluster, log.identity.storage
+        previous = progress.next_index - 1
+        previous_term = log.term_at(previous) if previous >= 0 else None
+        if previous_term is None:
+            self._voter.metrics.incr("agreement.snapshot_sent")
+            snapshot = self._voter.machine.snapshot()
+            state = zlib.compress(_encoder.encode(snapshot), 1)
+            return SnapshotInstall(
+                cluster, self.term, storage, snapshot.index, snapshot.term, state
+            )
+        entries = log.entries_after(previous, _MAX_ENTRIES)
+        commit = self._voter.commit_index
+        return AppendRequest(
+            cluster, self.term, storage, previous, previous_term, commit, entries
+        )
+
+    async def _take_reply(
+        self, progress: Progress, reply: AppendReply, sent_at: float
+    ) -> None:
+        if not self.active:
+            return
+        if reply.term > self.term:
+            await self._voter.step_down(reply.term)
+            return
+        if reply.storage != progress.storage:
+            # The host answers with another data folder: what the former one had
+            # promised and held is gone, so nothing of it may be counted.
+            _log.warning("voter answers with another storage", voter=progress.host)
+            self._voter.metrics.incr("agreement.storage_changed")
+            progress.storage = reply.storage
+            progress.match_index, progress.acked_at = 0, _NEVER
+        if reply.cluster != self._voter.log.identity.cluster:
+            progress.next_index = 0
+            return
+        progress.acked_at = max(progress.acked_at, sent_at)
+        if not reply.accepted:
+            progress.next_index = max(0, min(progress.next_index - 1, reply.index + 1))
+            return
+        progress.match_index = max(progress.match_index, reply.index)
+        progress.next_index = progress.match_index + 1
+        await self._advance_commit()
+
+    async def _advance_commit(self) -> None:
+        voter = self._voter
+        matches = {p.storage: p.match_index for p in self._progress.values()}
+        matches[voter.log.identity.storage] = voter.log.last_index
+        reached = int(reached_by_quorum(matches, voter.voter_sets(), 0))
+        # Entries of former terms count only through one of this term: another leader
+        # could still replace them otherwise.
+        if reached <= voter.commit_index or voter.log.term_at(reached) != self.term:
+            return
+        await voter.commit(reached)
+        await self._wake_all()
+
+    async def _repair_one_voter(self) -> None:
+        """Let a caught-up new storage take the place of a lost one.
+
+        One at a time, with a quorum of the present voters in contact (the lost one
+        can't answer), so each step keeps a quorum in common with the one before. A
+        storage that lacks entries would count towards a quorum while it holds
+        nothing: a second loss just then would lose accepted changes.
+        """
+        voter = self._voter
+        if not self.ready or len(voter.voter_sets()) > 1:
+            return
+        if monotonic() >= self.lease_until():
+            return
+        for progress in self._progress.values():
+            agreed = find_voter(voter.machine.voters, progress.host)
+            if agreed is None or agreed.storage == progress.storage:
+                continue
+            if not self._is_caught_up(progress):
+                continue
+            former = list(voter.machine.voters)
+            replacement = VoterId(progress.host, progress.storage)
+            voters = replace_storage(former, replacement)
+            _log.warning("replacing a voter's storage", voter=progress.host)
+            voter.metrics.incr("agreement.voter_repaired")
+            await self._append(VotersBody(voters, former))
+            return
+
+    def _is_caught_up(self, progress: Progress) -> bool:
+        voter = self._voter
+        fresh = monotonic() - progress.acked_at < voter.section.lease
+        return fresh and progress.match_index >= voter.commit_index
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/agreement/_voter_log.py
@@ -0,0 +1,235 @@
+"""What a voter must not forget: its storage, term, vote, log and snapshot."""
+
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import curio
+import msgspec
+
+from bronzepoint_common.storage import RecordLog, SnapshotFile, StorageCorrupt
+from bronzepoint_schema.generated.agreement import (
+    IdentityRecord,
+    LogEntry,
+    MachineSnapshot,
+    StoredRecord,
+    Voter,
+    VoteRecord,
+    VotersBody,
+)
+from bronzepoint_schema.ids import ClusterId, StorageId, Term
+
+_encoder = msgspec.msgpack.Encoder()
+_record_decoder = msgspec.msgpack.Decoder(StoredRecord)
+_snapshot_decoder = msgspec.msgpack.Decoder(MachineSnapshot)
+_NAME = "agreement"
+
+
+class VoterLog:
+    """The durable state of one voter, with a copy in memory.
+
+    Each method that changes something returns once it is synced; the copy in memory
+    changes only then, so nothing is answered that the disk doesn't hold.
+
+    Args:
+        folder: The data folder.
+
+    Attributes:
+        identity: Storage id and cluster.
+        term: Newest term seen.
+        voted_for: Vote in that term; empty: none.
+        snapshot: State at ``base_index`` or later; None: the log begins at 1.
+        base_index: Position before the first entry in memory.
+        base_term: Term of that position.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._log = RecordLog(folder, _NAME)
+        self._snapshot_file = SnapshotFile(folder, _NAME)
+        self.identity = IdentityRecord(StorageId(""), ClusterId(""), [])
+        self.term = Term(0)
+        self.voted_for = StorageId("")
+        self.snapshot: MachineSnapshot | None = None
+        self.base_index = 0
+        self.base_term = Term(0)
+        self._entries: list[LogEntry] = []
+
+    async def open(self) -> None:
+        """Read everything back; an empty folder gets a new storage id.
+
+        Raises:
+            StorageError: The folder is damaged, or another process holds it.
+        """
+        records = await curio.run_in_thread(self._log.open)
+        content = await curio.run_in_thread(self._snapshot_file.load)
+        if content is not None:
+            self._take_snapshot(_snapshot_decoder.decode(content))
+        if records:
+            self._replay(records)
+        elif content is not None:
+            raise StorageCorrupt(self._log.path, "it is empty beside a snapshot")
+        else:
+            await self._create_identity()
+
+    async def close(self) -> None:
+        """Close the files."""
+        await curio.run_in_thread(self._log.close)
+
+    @property
+    def last_index(self) -> int:
+        """Last position held."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> Term:
+        """Term of the last position held."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def entry_count(self) -> int:
+        """Entries kept after the snapshot."""
+        return len(self._entries)
+
+    def term_at(self, index: int) -> Term | None:
+        """Return the term of a position; None where it isn't held any more or yet."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def entry(self, index: int) -> LogEntry:
+        """Return the entry at a position that is held."""
+        return self._entries[index - self.base_index - 1]
+
+    def entries_after(self, index: int, count: int) -> list[LogEntry]:
+        """Return at most ``count`` entries that follow a position."""
+        start = index - self.base_index
+        return self._entries[start : start + count]
+
+    def last_voters_entry(self, after: int) -> LogEntry | None:
+        """Return the newest change of the voters behind a position."""
+        for entry in reversed(self._entries[max(0, after - self.base_index) :]):
+            if isinstance(entry.body, VotersBody):
+                return entry
+        return None
+
+    async def save_vote(self, term: Term, voted_for: StorageId) -> None:
+        """Keep the term and the vote in it."""
+        await self._write([VoteRecord(term, voted_for)])
+        self.term, self.voted_for = term, voted_for
+
+    async def append(self, entries: list[LogEntry]) -> None:
+        """Append entries; the first replaces whatever stands from its position on."""
+        if not entries:
+            return
+        await self._write(list(entries))
+        del self._entries[entries[0].index - self.base_index - 1 :]
+        self._entries.extend(entries)
+
+    async def adopt(self, cluster: ClusterId, voters: list[Voter]) -> None:
+        """Make this storage part of a cluster, for good."""
+        identity = IdentityRecord(self.identity.storage, cluster, voters)
+        await self._write([identity])
+        self.identity = identity
+
+    async def compact(self, snapshot: MachineSnapshot, keep: int) -> None:
+        """Replace the log up to a snapshot, but for the last ``keep`` entries.
+
+        They are kept for voters a little behind. A crash between the two writes
+        leaves the whole log beside the new snapshot, which is read back well.
+        """
+        content = _encoder.encode(snapshot)
+        await _run_to_end(self._snapshot_file.save, content)
+        first = max(self.base_index, snapshot.index - keep)
+        # The entry at the snapshot's position always stays: it proves at the next
+        # start that the entries behind it continue this snapshot.
+        first = min(first, snapshot.index - 1)
+        kept = self._entries[first - self.base_index :]
+        base_term = self.term_at(first)
+        await self._rewrite(kept)
+        self.snapshot = snapshot
+        self.base_index, self.base_term = first, base_term
+        self._entries = kept
+
+    async def install(self, snapshot: MachineSnapshot) -> None:
+        """Replace everything by a leader's snapshot, and join its cluster."""
+        await _run_to_end(self._snapshot_file.save, _encoder.encode(snapshot))
+        self._join_cluster_of(snapshot)
+        self._entries = []
+        self._take_snapshot(snapshot)
+        await self._rewrite([])
+
+    async def _write(self, records: list[StoredRecord]) -> None:
+        encoded = [_encoder.encode(record) for record in records]
+        await _run_to_end(self._log.append, encoded)
+
+    async def _rewrite(self, entries: list[LogEntry]) -> None:
+        head = [self.identity, VoteRecord(self.term, self.voted_for)]
+        encoded = [_encoder.encode(record) for record in [*head, *entries]]
+        await _run_to_end(self._log.rewrite, encoded)
+
+    async def _create_identity(self) -> None:
+        storage = StorageId(secrets.token_hex(8))
+        identity = IdentityRecord(storage, ClusterId(""), [])
+        await self._write([identity])
+        self.identity = identity
+
+    def _join_cluster_of(self, snapshot: MachineSnapshot) -> None:
+        if not self.identity.cluster:
+            self.identity = IdentityRecord(
+                self.identity.storage, snapshot.cluster, snapshot.voters
+            )
+
+    def _take_snapshot(self, snapshot: MachineSnapshot) -> None:
+        self.snapshot = snapshot
+        self.base_index, self.base_term = snapshot.index, snapshot.term
+
+    def _replay(self, records: list[bytes]) -> None:
+        entries: dict[int, LogEntry] = {}
+        last = 0
+        for content in records:
+            match _record_decoder.decode(content):
+                case IdentityRecord() as identity:
+                    self.identity = identity
+                case VoteRecord(term=term, voted_for=voted_for):
+                    self.term, self.voted_for = term, voted_for
+                case LogEntry(index=index) as entry:
+                    for stale in range(index, last + 1):
+                        entries.pop(stale, None)
+                    entries[index] = entry
+                    last = index
+        if not self.identity.storage:
+            raise StorageCorrupt(self._log.path, "it lacks the storage's identity")
+        if self.snapshot is not None:
+            self._join_cluster_of(self.snapshot)
+        self._entries = self._entries_behind_snapshot(entries)
+
+    def _entries_behind_snapshot(self, entries: dict[int, LogEntry]) -> list[LogEntry]:
+        """Return the entries that continue the snapshot.
+
+        A crash while a leader's snapshot was installed leaves the former log beside
+        it. Its entries may differ from what was agreed, so they count only if the
+        log holds the snapshot's last position with the same term.
+        """
+        if self.snapshot is not None:
+            anchor = entries.get(self.base_index)
+            if anchor is None or anchor.term != self.base_term:
+                return []
+        kept = []
+        index = self.base_index + 1
+        while index in entries:
+            kept.append(entries[index])
+            index += 1
+        return kept
+
+
+async def _run_to_end(write: Callable[[Any], None], content: Any) -> None:
+    """Write in a thread, and wait for it also when cancelled.
+
+    The thread can't be stopped. A task that left it behind would let the next write
+    be made from a copy in memory that lacks what this one put on the disk.
+    """
+    async with curio.disable_cancellation():
+        await curio.run_in_thread(write, content)
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/catalogue/_items.py
@@ -0,0 +1,113 @@
+"""Keys of catalogue items, and what differs between two versions of one."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from bronzepoint_schema.generated.agreement import (
+    Delta,
+    ItemKind,
+    PatchTargets,
+    Put,
+    Remove,
+)
+from bronzepoint_schema.generated.catalogue import (
+    CatalogueItem,
+    ClassItem,
+    ModelEntry,
+    OwnerItem,
+    ServiceEntry,
+    Target,
+)
+from bronzepoint_schema.ids import Revision, TargetName
+
+_SPACES = {
+    ItemKind.model: "entry",
+    ItemKind.service: "entry",
+    ItemKind.owner: "owner",
+    ItemKind.class_: "class",
+}
+
+
+class ItemKey(NamedTuple):
+    """Key of an item; models and services share their names, as callers see them."""
+
+    space: str
+    name: str
+
+    @classmethod
+    def of(cls, kind: ItemKind, name: str) -> "ItemKey":
+        """Return the key of an item of this kind and name."""
+        return cls(_SPACES[kind], str(name))
+
+
+def item_kind(item: CatalogueItem) -> ItemKind:
+    """Return the kind of an item."""
+    match item:
+        case ModelEntry():
+            return ItemKind.model
+        case ServiceEntry():
+            return ItemKind.service
+        case OwnerItem():
+            return ItemKind.owner
+        case ClassItem():
+            return ItemKind.class_
+
+
+def item_key(item: CatalogueItem) -> ItemKey:
+    """Return the key of an item."""
+    return ItemKey.of(item_kind(item), item.name)
+
+
+def make_delta(
+    revision: Revision, former: CatalogueItem | None, item: CatalogueItem
+) -> Delta:
+    """Return what leads from the former item to the new one.
+
+    A model of the size to come has 1,800 targets, 200 KB: sent whole for each target
+    that comes or goes, it would alone take more than a host may spend on control.
+    """
+    if type(former) is not type(item) or isinstance(item, OwnerItem | ClassItem):
+        return Delta(revision, Put(item))
+    patch = _make_patch(former, item)
+    if _patched(former, patch) != item:
+        return Delta(revision, Put(item))
+    return Delta(revision, patch)
+
+
+def apply_delta(
+    items: dict[ItemKey, CatalogueItem], delta: Delta
+) -> dict[ItemKey, CatalogueItem]:
+    """Return the items after a delta; the ones given are left as they are."""
+    items = dict(items)
+    match delta.op:
+        case Put(item=item):
+            items[item_key(item)] = item
+        case Remove(item_kind=kind, name=name):
+            items.pop(ItemKey.of(kind, name), None)
+        case PatchTargets(item=item):
+            key = item_key(item)
+            items[key] = _patched(items[key], delta.op)
+    return items
+
+
+def _make_patch(
+    former: ModelEntry | ServiceEntry, item: ModelEntry | ServiceEntry
+) -> PatchTargets:
+    before = {target.name: target for target in former.targets}
+    after = {target.name for target in item.targets}
+    changed = [t for t in item.targets if before.get(t.name) != t]
+    removed = [name for name in before if name not in after]
+    bare = msgspec.structs.replace(item, targets=[])
+    return PatchTargets(bare, changed, removed)
+
+
+def _patched(
+    former: ModelEntry | ServiceEntry, patch: PatchTargets
+) -> ModelEntry | ServiceEntry:
+    targets: dict[TargetName, Target] = {t.name: t for t in former.targets}
+    for name in patch.removed:
+        targets.pop(name, None)
+    for target in patch.changed:
+        targets[target.name] = target
+    return msgspec.structs.replace(patch.item, targets=list(targets.values()))
--- /dev/null
+++ b/tests/test_agreement_changes.py
@@ -0,0 +1,160 @@
+"""Changes: accepted once, on a quorum, whatever happens in between."""
+
+import unittest
+
+import curio
+from nose2.tools import params
+
+from bronzepoint_node.agreement import Conflict, Invalid, NotLeader
+from bronzepoint_schema.generated.agreement import Put
+from bronzepoint_schema.generated.catalogue import OwnerItem
+from tests.agreement_cluster import make_change, run, until
+
+THREE = "bkk1 sgp1 cnx1"
+
+
+async def compact(cluster):
+    """Make every voter compact its log past what it holds now."""
+    for number in range(2 * cluster.section["snapshot_every"]):
+        await cluster["bkk1"].propose(f"filler{number}")
+    for host in cluster.hosts.values():
+        if host.voter:
+            counters = host.metrics.counters
+            await until(lambda c=counters: c().get("agreement.compacted", 0) > 0)
+
+
+async def change_leader(cluster):
+    former = await cluster.leader()
+    await former.stop()
+    others = [name for name in cluster.hosts if name != former.name]
+    await cluster.leader(" ".join(others))
+    await former.start()
+
+
+async def restart_all(cluster):
+    for host in cluster.hosts.values():
+        await host.stop()
+    for host in cluster.hosts.values():
+        await host.start()
+    await cluster.leader()
+
+
+async def all_three(cluster):
+    for disturb in (compact, change_leader, restart_all):
+        await disturb(cluster)
+
+
+class TestChanges(unittest.TestCase):
+    def test_change_through_any_host_is_in_force_on_all(self):
+        async def scenario(cluster):
+            for number, host in enumerate(cluster.hosts.values(), 1):
+                accepted = await host.propose(f"owner{number}", rate=number)
+                self.assertEqual(accepted.revision, number)
+            await cluster.in_force(len(cluster.hosts))
+            for host in cluster.hosts.values():
+                self.assertEqual(host.view.owner("owner2").limits.rate, 2)
+                self.assertEqual(host.view.owner("owner2").version, 1)
+
+        run(scenario, THREE, "bkk2 sgp2 cnx2 ist1 ist2")
+
+    def test_racing_operators_with_equal_numbers(self):
+        """Two operators change the same item at once; both are told 'accepted'.
+
+        Cause: versions compared on the host that takes the change instead of at its
+        place in the agreed log.
+        """
+
+        async def scenario(cluster):
+            outcomes = {}
+
+            async def operate(operator, host):
+                try:
+                    await cluster[host].propose("item", 1, operator=operator)
+                    outcomes[operator] = None
+                except Conflict as exc:
+                    outcomes[operator] = exc.winner
+
+            async with curio.TaskGroup() as group:
+                await group.spawn(operate, "olive", "sgp1")
+                await group.spawn(operate, "pim", "cnx1")
+            winners = [name for name, lost_to in outcomes.items() if lost_to is None]
+            self.assertEqual(len(winners), 1)
+            self.assertEqual(sorted(map(str, outcomes.values())), ["None", winners[0]])
+
+        run(scenario, THREE)
+
+    @params(compact, change_leader, restart_all, all_three)
+    def test_resend_is_applied_once(self, disturb):
+        """An operator loses the answer, sends again, and the change counts twice.
+
+        In between the log was compacted, the leader changed, or all voters were
+        restarted. Cause: outcomes kept with the connection, the leader or the log,
+        and not in the replicated state and its snapshot.
+        """
+
+        async def scenario(cluster):
+            await cluster.leader()
+            host = cluster["bkk1"]
+            change = host.put("item", operator="olive")
+            first = await host.agreement.propose(change, 30)
+            lost = host.put("item", operator="pim")
+            with self.assertRaisesRegex(Conflict, "olive"):
+                await host.agreement.propose(lost, 30)
+            await host.propose("item", 2)
+            await disturb(cluster)
+            for other in ("sgp1", "cnx1", "bkk1"):
+                agreement = cluster[other].agreement
+                self.assertEqual(await agreement.propose(change, 30), first)
+                with self.assertRaisesRegex(Conflict, "olive"):
+                    await agreement.propose(lost, 30)
+            await until(lambda: host.view.owner("item") is not None)
+            self.assertEqual(host.view.owner("item").version, 2)
+
+        run(scenario, THREE, snapshot_every=20)
+
+    def test_restart_after_hundreds_of_changes(self):
+        """A process that was away comes back and serves what it knew long ago."""
+
+        async def scenario(cluster):
+            await cluster.in_force(0)
+            away = [cluster["cnx1"], cluster["cnx2"], cluster["bkk2"]]
+            revision = (await cluster["bkk1"].propose("before")).revision
+            await cluster.in_force(revision)
+            for host in away:
+                await host.stop()
+            for number in range(600):
+                await cluster["bkk1"].propose(f"owner{number}")
+            for host in away:
+                await host.start()
+            for host in away:
+                await until(lambda host=host: host.view.ready)
+                self.assertGreaterEqual(host.view.revision, 601)
+            last = await cluster["cnx1"].propose("after")
+            await cluster.in_force(last.revision)
+
+        run(scenario, THREE, "bkk2 cnx2 sgp2", "cnx2", snapshot_every=100)
+
+    def test_contradictory_change_is_not_taken(self):
+        async def scenario(cluster):
+            leader = await cluster.leader()
+            before = leader.status.last_index
+            with self.assertRaisesRegex(Invalid, "give one"):
+                change = make_change(Put(OwnerItem("")))
+                await leader.agreement.propose(change, 30)
+            self.assertEqual(leader.status.last_index, before)
+
+        run(scenario, THREE)
+
+    def test_no_leader_means_not_taken(self):
+        """Said only where no voter can have taken it: all answered that they don't."""
+
+        async def scenario(cluster):
+            for name in ("sgp1", "cnx1"):
+                await cluster[name].stop()
+            await until(lambda: not cluster["bkk1"].agreement.leader())
+            with self.assertRaises(NotLeader):
+                host = cluster["bkk1"]
+                host.agreement._proposer._voters = ["bkk1"]
+                await host.agreement.propose(host.put("item"), 0.5)
+
+        run(scenario, THREE)
--- /dev/null
+++ b/tests/test_agreement_machine.py
@@ -0,0 +1,235 @@
+"""The replicated state, the quorum rule and the voter's files."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import curio
+import msgspec
+import uuid_utils
+from nose2.tools import params
+
+from bronzepoint_node.agreement import _machine
+from bronzepoint_node.agreement._machine import Machine
+from bronzepoint_node.agreement._quorum import is_quorum, reached_by_quorum
+from bronzepoint_node.agreement._voter_log import VoterLog
+from bronzepoint_node.catalogue import apply_delta, item_key
+from bronzepoint_schema.generated.agreement import (
+    Accepted,
+    ChangeBody,
+    Conflicted,
+    Expired,
+    LogEntry,
+    MachineSnapshot,
+    PatchTargets,
+    Put,
+    TermBody,
+    Voter,
+)
+from bronzepoint_schema.generated.catalogue import ModelEntry, OwnerItem, Target
+from tests.agreement_cluster import make_change, remove_owner
+
+
+class TestMachine(unittest.TestCase):
+    def setUp(self):
+        self.machine = Machine("cluster", [Voter("bkk1", "a")])
+
+    def apply(self, change):
+        index = self.machine.index + 1
+        entry = LogEntry(index, 1, 0.0, ChangeBody(change))
+        return self.machine.apply(entry).result
+
+    def put(self, name="owner", version=1, operator="olive", change_id=None):
+        return make_change(Put(OwnerItem(name)), version, operator, change_id)
+
+    def test_equal_numbers_one_wins_and_the_other_learns_who(self):
+        first = self.apply(self.put(operator="olive"))
+        second = self.apply(self.put(operator="pim"))
+        self.assertEqual((first.revision, first.version), (1, 1))
+        self.assertEqual(second, Conflicted(second.change_id, "olive", 1))
+        self.assertEqual(self.machine.revision, 1)
+
+    @params(0, 2, 7)
+    def test_version_must_be_the_next(self, version):
+        self.assertIsInstance(self.apply(self.put(version=version)), Conflicted)
+
+    def test_resent_change_is_answered_as_the_first_time(self):
+        change = self.put()
+        first = self.apply(change)
+        self.apply(self.put(version=2))
+        lost = self.put(version=2)
+        conflict = self.apply(lost)
+        self.machine = self.reloaded()
+        self.assertEqual(self.apply(change), first)
+        self.assertEqual(self.apply(lost), conflict)
+        self.assertEqual(self.machine.revision, 2)
+
+    def test_removed_item_keeps_its_version(self):
+        """A put resent after a remove must not bring the item back."""
+        self.apply(self.put())
+        self.assertIsInstance(self.apply(remove_owner("owner", 2)), Accepted)
+        self.machine = self.reloaded()
+        self.assertIsInstance(self.apply(self.put(version=1)), Conflicted)
+        self.assertIsInstance(self.apply(remove_owner("owner", 3)), Conflicted)
+        self.assertIsInstance(self.apply(self.put(version=3)), Accepted)
+
+    def test_change_older_than_the_kept_outcomes_is_refused(self):
+        """A resend whose outcome was forgotten could otherwise be applied twice."""
+        changes = [self.put(f"owner{number}") for number in range(6)]
+        with mock.patch.object(_machine, "RESULTS_KEPT", 3):
+            for change in changes:
+                self.apply(change)
+            self.machine = self.reloaded()
+            self.assertEqual(self.apply(changes[2]), Expired(changes[2].change_id))
+            self.assertIsInstance(self.apply(changes[3]), Accepted)
+        self.assertEqual(self.machine.revision, 6)
+
+    def test_snapshot_holds_the_whole_state(self):
+        for number in range(20):
+            self.apply(self.put(f"owner{number}"))
+        self.apply(remove_owner("owner3", 2))
+        self.assertEqual(len(self.machine.snapshot().results), 21)
+        self.assertEqual(self.reloaded().snapshot(), self.machine.snapshot())
+
+    def reloaded(self):
+        content = msgspec.msgpack.encode(self.machine.snapshot())
+        return Machine.restore(msgspec.msgpack.decode(content, type=MachineSnapshot))
+
+    def test_change_of_one_target_is_a_small_delta(self):
+        targets = [
+            Target(f"t{i}", "bkk", "bkk", f"127.0.0.1:{i + 1}") for i in range(500)
+        ]
+        entry = ModelEntry("phrases", "saphan", targets=targets)
+        leaving = msgspec.structs.replace(targets[7], leaving=True)
+        added = Target("new", "bkk", "bkk", "127.0.0.1:9")
+        after = [*targets[:7], leaving, *targets[8:400], *targets[401:], added]
+        state = {}
+        for version, chosen in enumerate([targets, after, list(reversed(after))], 1):
+            item = msgspec.structs.replace(entry, targets=chosen)
+            body = ChangeBody(make_change(Put(item), version))
+            log_entry = LogEntry(self.machine.index + 1, 1, 0.0, body)
+            delta = self.machine.apply(log_entry).delta
+            state = apply_delta(state, delta)
+            held = state[item_key(item)]
+            self.assertEqual(held, msgspec.structs.replace(item, version=version))
+            if version == 2:
+                self.assertIsInstance(delta.op, PatchTargets)
+                self.assertLess(len(msgspec.msgpack.encode(delta)), 1000)
+
+
+OLD = [Voter("bkk1", "a"), Voter("sgp1", "b"), Voter("cnx1", "c")]
+NEW = [Voter("bkk1", "a2"), Voter("sgp1", "b"), Voter("cnx1", "c")]
+
+
+class TestQuorum(unittest.TestCase):
+    @params(
+        ("a b", [OLD], True),
+        ("a", [OLD], False),
+        ("a2 b", [OLD], False),
+        ("a2 b", [NEW], True),
+        ("", [], False),
+        ("a2 b", [OLD, NEW], False),
+        ("a b", [OLD, NEW], False),
+        ("b c", [OLD, NEW], True),
+        ("a a2 b", [OLD, NEW], True),
+    )
+    def test_majority_of_each_set(self, storages, sets, expected):
+        self.assertEqual(is_quorum(set(storages.split()), sets), expected)
+
+    @params(
+        ({"a": 5, "b": 3, "c": 1}, [OLD], 3),
+        ({"a": 5}, [OLD], 0),
+        ({"a2": 9, "b": 5, "c": 1}, [OLD], 1),
+        ({"a2": 9, "b": 5, "c": 1}, [OLD, NEW], 1),
+        ({"a2": 9, "b": 5, "c": 1}, [NEW], 5),
+    )
+    def test_value_reached(self, values, sets, expected):
+        self.assertEqual(reached_by_quorum(values, sets, 0), expected)
+
+
+class TestVoterLog(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def run_on_log(self, steps):
+        async def main():
+            log = VoterLog(self.folder)
+            await log.open()
+            try:
+                await steps(log)
+            finally:
+                await log.close()
+            return log
+
+        return curio.run(main)
+
+    def entries(self, first, last, term):
+        return [LogEntry(i, term, 0.0, TermBody("h")) for i in range(first, last + 1)]
+
+    def reopen(self):
+        async def nothing(log):
+            pass
+
+        return self.run_on_log(nothing)
+
+    def test_everything_comes_back(self):
+        async def steps(log):
+            await log.save_vote(3, "b")
+            await log.append(self.entries(1, 5, 1))
+            await log.append(self.entries(4, 4, 3))
+
+        before, after = self.run_on_log(steps), self.reopen()
+        self.assertTrue(after.identity.storage)
+        self.assertEqual(after.identity, before.identity)
+        self.assertEqual((after.term, after.voted_for), (3, "b"))
+        self.assertEqual([after.term_at(i) for i in range(1, 6)], [1, 1, 1, 3, None])
+
+    def test_compacted_log_comes_back(self):
+        async def steps(log):
+            await log.adopt("cluster", [])
+            await log.append(self.entries(1, 10, 1))
+            await log.compact(snapshot_at(8, 1), keep=3)
+            await log.append(self.entries(11, 12, 1))
+            self.assertEqual((log.base_index, log.last_index), (5, 12))
+
+        self.run_on_log(steps)
+        after = self.reopen()
+        self.assertEqual((after.base_index, after.last_index), (8, 12))
+
+    def test_entries_of_a_replaced_log_are_not_taken_behind_a_snapshot(self):
+        """A crash while a leader's snapshot is installed leaves the former log.
+
+        Its entries behind the snapshot's position were never agreed: taken up again,
+        they would stand where other voters hold different ones.
+        """
+
+        async def steps(log):
+            await log.append(self.entries(1, 9, 1))
+            with mock.patch.object(log, "_rewrite", side_effect=KeyboardInterrupt):
+                with self.assertRaises(KeyboardInterrupt):
+                    await log.install(snapshot_at(5, 4))
+
+        self.run_on_log(steps)
+        after = self.reopen()
+        self.assertEqual((after.last_index, after.last_term), (5, 4))
+        self.assertEqual(after.identity.cluster, "cluster")
+
+    def test_emptied_folder_is_another_storage(self):
+        before = self.reopen()
+        for path in self.folder.iterdir():
+            path.unlink()
+        self.assertNotEqual(self.reopen().identity.storage, before.identity.storage)
+
+
+def snapshot_at(index, term):
+    return MachineSnapshot("cluster", index, term, index, OLD, [], [], [], "")
+
+
+class TestChangeIds(unittest.TestCase):
+    def test_ids_order_by_their_time(self):
+        """The machine forgets the oldest ids first and relies on this order."""
+        ids = [str(uuid_utils.uuid7()) for _ in range(100)]
+        self.assertEqual(ids, sorted(ids))
--- /dev/null
+++ b/tests/test_agreement_repair.py
@@ -0,0 +1,228 @@
+"""A voter whose disk was lost, and a second loss right after."""
+
+import unittest
+import zlib
+
+import curio
+import msgspec
+from nose2.tools import params
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_node.agreement import InitialiseRefused
+from bronzepoint_schema.generated.agreement import SnapshotInstall, VoteRequest
+from tests.agreement_cluster import run, until
+
+THREE = "bkk1 sgp1 cnx1"
+
+
+def agreed_storage(observer, host):
+    voters = observer.agreement._voter.machine.voters
+    return next(v.storage for v in voters if v.host == host.name)
+
+
+def votes(host):
+    """Tell whether a host counts as a voter again; it may lead, too."""
+    return host.status.role in ("follower", "leader")
+
+
+async def not_leading(cluster):
+    leader = await cluster.leader()
+    return [host for host in cluster.hosts.values() if host is not leader]
+
+
+class TestRepair(unittest.TestCase):
+    def test_wiped_voter_is_repaired_and_a_second_loss_survived(self):
+        """Accepted changes vanish after two losses, one after the other.
+
+        A voter's disk is replaced, it rejoins, and another voter is lost. Cause: the
+        rejoined voter was counted before it held what had been accepted. It must be
+        repaired first; then the rest goes on without the second one.
+        """
+
+        async def scenario(cluster):
+            wiped, second = await not_leading(cluster)
+            for number in range(30):
+                await cluster["bkk1"].propose(f"owner{number}")
+            leader = await cluster.leader()
+            lost_storage = wiped.status.storage
+            await wiped.stop()
+            wiped.wipe()
+            await cluster["bkk1" if wiped.name != "bkk1" else "sgp1"].propose("during")
+            await wiped.start()
+            self.assertNotEqual(wiped.status.storage, lost_storage)
+            await until(
+                lambda: (
+                    agreed_storage(leader, wiped) == wiped.status.storage
+                    and votes(wiped)
+                )
+            )
+            await second.stop()
+            accepted = await wiped.propose("after")
+            self.assertEqual(accepted.revision, 32)
+            await cluster.in_force(32, wiped.name, leader.name)
+            await second.start()
+            await cluster.in_force(32)
+
+        run(scenario, THREE, snapshot_every=20)
+
+    def test_second_loss_before_the_repair_stops_changes_but_loses_none(self):
+        """With the wiped voter not yet caught up, it must not form a quorum.
+
+        The link from the leader to the wiped voter is cut, so it can't catch up; then
+        the other voter is lost. A quorum of leader and wiped voter would accept
+        changes that one more loss erases. Nothing is accepted until one is back.
+        """
+
+        async def scenario(cluster):
+            wiped, second = await not_leading(cluster)
+            leader = await cluster.leader()
+            await leader.propose("before")
+            await wiped.stop()
+            wiped.wipe()
+            cluster.isolate(wiped.name)
+            await wiped.start()
+            await second.stop()
+            cluster.heal()
+            await until(lambda: leader.agreement.lease() is None)
+            for _ in range(100):
+                self.assertIsNone(leader.agreement.lease())
+                self.assertNotEqual(wiped.status.role, "leader")
+                await curio.sleep(0.01)
+            await second.start()
+            accepted = await second.propose("after")
+            self.assertEqual(accepted.revision, 2)
+            await until(lambda: votes(wiped))
+
+        run(scenario, THREE)
+
+    def test_wiped_voter_does_not_vote(self):
+        """A wiped voter votes a second time in a term, and two leaders result."""
+
+        async def scenario(cluster):
+            wiped, _ = await not_leading(cluster)
+            leader = await cluster.leader()
+            request = VoteRequest(
+                leader.status.cluster, leader.status.term + 1, "x", 99, 99, False
+            )
+            await wiped.stop()
+            wiped.wipe()
+            cluster.isolate(wiped.name)
+            await wiped.start()
+            for _ in range(150):
+                reply = await wiped.agreement._voter.handle("x", request)
+                self.assertFalse(reply is not None and reply.granted)
+                await curio.sleep(0.01)
+            self.assertEqual(wiped.status.role, "blank")
+
+        run(scenario, THREE)
+
+    def test_wiped_voter_alone_begins_no_second_cluster(self):
+        """An operator runs 'cluster init' again on a wiped host: an empty catalogue."""
+
+        async def scenario(cluster):
+            wiped, other = await not_leading(cluster)
+            await wiped.stop()
+            wiped.wipe()
+            cluster.isolate(wiped.name)
+            await wiped.start()
+            with self.assertRaises(InitialiseRefused):
+                await wiped.agreement.initialise()
+            self.assertEqual(wiped.status.role, "blank")
+            cluster.heal()
+            await until(lambda: votes(wiped))
+            self.assertEqual(await wiped.agreement.initialise(), other.status.cluster)
+
+        run(scenario, THREE)
+
+    @params(True, False)
+    def test_former_storage_that_returns_is_not_counted(self, same_host):
+        """A disk believed lost is mounted again and forms a quorum of old voters."""
+
+        async def scenario(cluster):
+            wiped, second = await not_leading(cluster)
+            leader = await cluster.leader()
+            await leader.propose("before")
+            await wiped.stop()
+            kept = {path.name: path.read_bytes() for path in wiped.folder.iterdir()}
+            wiped.wipe()
+            await wiped.start()
+            await until(lambda: votes(wiped))
+            await until(lambda: agreed_storage(second, wiped) == wiped.status.storage)
+            await wiped.stop()
+            for name, content in kept.items():
+                (wiped.folder / name).write_bytes(content)
+            if same_host:
+                cluster.isolate(wiped.name)
+            await wiped.start()
+            if same_host:
+                counters = wiped.metrics.counters
+                await until(lambda: counters().get("agreement.trial", 0) >= 2)
+                self.assertIsNone(wiped.agreement.lease())
+                cluster.heal()
+            accepted = await wiped.propose("after")
+            self.assertEqual(accepted.revision, 2)
+            await until(lambda: agreed_storage(leader, wiped) == wiped.status.storage)
+
+        run(scenario, THREE)
+
+    def test_learner_neither_votes_nor_stands(self):
+        """A storage that only catches up takes part in an election as if it counted."""
+
+        async def scenario(cluster):
+            wiped, _ = await not_leading(cluster)
+            leader = await cluster.leader()
+            await leader.propose("before")
+            await wiped.stop()
+            wiped.wipe()
+            cluster.isolate(wiped.name)
+            await wiped.start()
+            state = leader.agreement._voter.machine.snapshot()
+            term, storage = leader.status.term, leader.status.storage
+            handle = wiped.agreement._voter.handle
+            reply = await handle(
+                leader.name,
+                SnapshotInstall(
+                    state.cluster,
+                    term,
+                    storage,
+                    state.index,
+                    state.term,
+                    zlib.compress(msgspec.msgpack.encode(state)),
+                ),
+            )
+            self.assertTrue(reply.accepted)
+            self.assertEqual(wiped.status.role, "learner")
+            request = VoteRequest(state.cluster, term + 1, "x", 99, 99, True)
+            for _ in range(150):
+                self.assertFalse((await handle("x", request)).granted)
+                await curio.sleep(0.01)
+            self.assertNotIn("agreement.trial", wiped.metrics.counters())
+            cluster.heal()
+            await until(lambda: votes(wiped))
+
+        run(scenario, THREE)
+
+    def test_storage_that_lacks_entries_does_not_replace_another(self):
+        """Changes stop after a repair: the new voter holds nothing yet.
+
+        Counted before it has caught up, it is needed for the next quorum while it
+        still takes in the whole log, and one more loss stops everything.
+        """
+
+        async def scenario(cluster):
+            gone, _ = await not_leading(cluster)
+            leader = await cluster.leader()
+            await leader.propose("item")
+            await gone.stop()
+            voter = leader.agreement._voter
+            leadership = voter._leadership
+            progress = leadership._progress[gone.name]
+            progress.storage, progress.acked_at = "fresh", monotonic()
+            progress.match_index = voter.commit_index - 1
+            await leadership._repair_one_voter()
+            self.assertIsNone(voter.log.last_voters_entry(0))
+            progress.match_index = voter.commit_index
+            await leadership._repair_one_voter()
+            self.assertIsNotNone(voter.log.last_voters_entry(0))
+
+        run(scenario, THREE)
--- /dev/null
+++ b/tests/test_agreement_spread.py
@@ -0,0 +1,218 @@
+"""How the catalogue reaches every host, and what a host may serve on."""
+
+import unittest
+from collections import Counter
+
+import curio
+from nose2.tools import params
+
+from bronzepoint_node.catalogue._exposure import PATIENCE, Exposure
+from bronzepoint_node.catalogue._tree import parents
+from tests.agreement_cluster import Cluster, remove_owner, run, until
+
+THREE = "bkk1 sgp1 cnx1"
+OTHERS = "bkk2 sgp2 cnx2 ist1 ist2"
+
+
+class TestIsolatedRegion(unittest.TestCase):
+    def test_restarted_host_takes_the_view_of_its_region(self):
+        """A host restarts in an isolated region and refuses all callers for an hour.
+
+        It has no disk and the leader is out of reach, but its neighbours hold the
+        newest view.
+        """
+
+        async def scenario(cluster):
+            accepted = await cluster["bkk1"].propose("item")
+            await cluster.in_force(accepted.revision)
+            cluster.isolate("ist1", "ist2")
+            await cluster["ist2"].restart()
+            self.assertFalse(cluster["ist2"].view.ready)
+            await until(lambda: cluster["ist2"].view.ready)
+            self.assertIsNotNone(cluster["ist2"].view.owner("item"))
+            self.assertIn("catalogue.ready.region", cluster["ist2"].metrics.counters())
+
+        run(scenario, THREE, OTHERS)
+
+    def test_own_older_view_is_not_served_in_a_newer_region(self):
+        """A removed item is served again.
+
+        A host with a disk is down while an item is removed; its region takes note and
+        is cut off; the host restarts and serves what its disk holds. Cause: the own
+        disk taken for the newest view without asking the region.
+        """
+
+        async def scenario(cluster):
+            first = await cluster["bkk1"].propose("item")
+            await cluster.in_force(first.revision)
+            await cluster["ist2"].stop()
+            change = remove_owner("item", 2)
+            removed = await cluster["bkk1"].agreement.propose(change, 30)
+            await cluster.in_force(removed.revision, "ist1")
+            cluster.isolate("ist1", "ist2")
+            await cluster["ist2"].start()
+            self.assertFalse(cluster["ist2"].view.ready)
+            await until(lambda: cluster["ist2"].view.ready)
+            self.assertIsNone(cluster["ist2"].view.owner("item"))
+
+        run(scenario, THREE, OTHERS, "ist2")
+
+    def test_view_of_a_neighbour_spreads_within_the_region(self):
+        """Only one host of the region hears of a change before the cut."""
+
+        async def scenario(cluster):
+            await cluster.in_force(0)
+            cluster.isolate("ist2")
+            accepted = await cluster["bkk1"].propose("item")
+            await cluster.in_force(accepted.revision, "ist1")
+            cluster.heal()
+            cluster.isolate("ist1", "ist2")
+            await cluster.in_force(accepted.revision, "ist2")
+
+        run(scenario, THREE, OTHERS)
+
+    def test_host_says_that_it_may_be_behind(self):
+        """A cut-off host serves on an old view and nobody can tell."""
+
+        async def scenario(cluster):
+            host = cluster["ist1"]
+            await until(lambda: host.catalogue.within_bound())
+            cluster.isolate("ist1", "ist2")
+            await until(lambda: not host.catalogue.status().within_bound)
+            self.assertTrue(host.view.ready)
+            self.assertGreater(host.view.confirmed_age(), 1.0)
+            gauges, counters = host.metrics.gauges, host.metrics.counters
+            await until(lambda: gauges()["catalogue.within_bound"] == 0)
+            await until(lambda: counters().get("catalogue.bound_exceeded") == 1)
+            accepted = await cluster["bkk1"].propose("item")
+            cluster.heal()
+            await cluster.in_force(accepted.revision, "ist1")
+            await until(lambda: host.catalogue.within_bound())
+
+        run(scenario, THREE, OTHERS, in_force_bound=1.0)
+
+    def test_leader_cut_off_says_so_too(self):
+        async def scenario(cluster):
+            leader = await cluster.leader()
+            await until(leader.catalogue.within_bound)
+            cluster.isolate(leader.name)
+            await until(lambda: not leader.catalogue.within_bound())
+
+        run(scenario, THREE, in_force_bound=1.0)
+
+
+class TestRestart(unittest.TestCase):
+    def test_nothing_is_served_before_the_cluster_begins(self):
+        async def main():
+            cluster = Cluster(THREE, "bkk2")
+            try:
+                await cluster.start(initialise=False)
+                for _ in range(100):
+                    self.assertFalse(any(h.view.ready for h in cluster.hosts.values()))
+                    await curio.sleep(0.01)
+            finally:
+                await cluster.close()
+
+        curio.run(main)
+
+    def test_host_without_disk_or_neighbours_waits_for_the_leader(self):
+        async def scenario(cluster):
+            accepted = await cluster["bkk1"].propose("item")
+            await cluster.in_force(accepted.revision)
+            cluster.isolate("ist1")
+            await cluster["ist1"].restart()
+            for _ in range(400):
+                self.assertFalse(cluster["ist1"].view.ready)
+                await curio.sleep(0.01)
+            cluster.heal()
+            await cluster.in_force(accepted.revision, "ist1")
+
+        run(scenario, THREE, "ist1")
+
+    def test_host_far_behind_takes_the_whole_view(self):
+        async def scenario(cluster):
+            await cluster.in_force(0)
+            await cluster["ist1"].stop()
+            for number in range(500):
+                last = await cluster["bkk1"].propose(f"owner{number}")
+            await cluster["ist1"].start()
+            await cluster.in_force(last.revision, "ist1")
+            self.assertEqual(len(cluster["ist1"].view.items()), 500)
+            counters = cluster["ist1"].metrics.counters()
+            self.assertEqual(counters["catalogue.whole_view"], 1)
+
+        run(scenario, THREE, "ist1", "ist1")
+
+    def test_other_cluster_is_not_followed(self):
+        """All voters are emptied and begun anew; hosts fall back to its empty view."""
+
+        async def scenario(cluster):
+            accepted = await cluster["bkk1"].propose("item")
+            await cluster.in_force(accepted.revision)
+            for name in THREE.split():
+                await cluster[name].stop()
+                cluster[name].wipe()
+            for name in THREE.split():
+                await cluster[name].start()
+            begun = await cluster["bkk1"].agreement.initialise()
+            status = cluster["ist1"].catalogue.status
+            await until(lambda: status().foreign_cluster == begun)
+            self.assertIsNotNone(cluster["ist1"].view.owner("item"))
+
+        run(scenario, THREE, "ist1 ist2")
+
+
+class TestParents(unittest.TestCase):
+    def test_silent_parent_is_replaced(self):
+        async def scenario(cluster):
+            status = cluster["ist1"].catalogue.status
+            await until(lambda: status().parent and status().ready)
+            parent = status().parent
+            await cluster[parent].stop()
+            await until(lambda: status().parent != parent)
+            others = [n for n in cluster.hosts if n != parent]
+            accepted = await cluster["ist1"].propose("item")
+            await cluster.in_force(accepted.revision, *others)
+
+        run(scenario, THREE, OTHERS)
+
+    @params((9, 3, 3), (9, 3, 5), (30, 12, 5), (30, 12, 13))
+    def test_no_host_serves_many(self, per_region, regions, voter_count):
+        """At 360 hosts a voter that serves all others spends all it has on that."""
+        hosts = {
+            f"r{r}h{i}": f"r{r}" for r in range(regions) for i in range(per_region)
+        }
+        voters = [f"r{i % regions}h{i // regions}" for i in range(voter_count)]
+        leader = voters[0]
+        children = Counter()
+        for host, region in hosts.items():
+            near = [name for name, where in hosts.items() if where == region]
+            chosen, hops = host, 0
+            while chosen != leader:
+                near = [n for n, where in hosts.items() if where == hosts[chosen]]
+                parent = parents(chosen, hosts[chosen], near, voters, leader)[0]
+                if hops == 0:
+                    children[parent] += 1
+                chosen, hops = parent, hops + 1
+                self.assertLessEqual(hops, 3)
+        self.assertLessEqual(max(children.values()), 26)
+
+
+class TestExposure(unittest.TestCase):
+    def test_lone_copy_waits_for_a_second_one(self):
+        """A relay without a disk serves on a revision that its restart loses."""
+        exposure = Exposure()
+        exposure.add(5, {"a": 1}, now=0.0)
+        self.assertIsNone(exposure.take(now=0.0))
+        exposure.note_copy(4)
+        self.assertIsNone(exposure.take(now=0.0))
+        exposure.note_copy(5)
+        self.assertEqual(exposure.take(now=0.0), (5, {"a": 1}, False))
+        self.assertIsNone(exposure.take(now=9.0))
+
+    def test_alone_it_goes_on_after_a_while(self):
+        exposure = Exposure()
+        exposure.add(5, {}, now=0.0)
+        exposure.add(6, {}, now=PATIENCE / 2)
+        self.assertEqual(exposure.take(now=PATIENCE), (5, {}, True))
+        self.assertEqual(exposure.take(now=2 * PATIENCE), (6, {}, True))
