Bring engines to the wanted version, from the lease holder alone

Cause: engines take orders from whoever sends them, the weight store refuses more than its rate, and a holder can be frozen between the check of its lease and the write. An engine that ignores fencing numbers would then go back to a replaced version.

Taken: the holder compares states again and again; the lease is checked by the HTTP client's callback right before the first byte; fencing numbers carry the lease above a counter; a new holder waits for longer than engines keep idle connections before it orders those that ignore the number; one pace for all loads; a share of the slots stays up in each entry and region; resends keep identifier and number.

--- /dev/null
+++ b/packages/node/src/bronzepoint_node/orders/__init__.py
@@ -0,0 +1,34 @@
+"""Orders to engines, given only by the host that holds the lease."""
+
+from bronzepoint_node.orders._engine import EngineClient
+from bronzepoint_node.orders._errors import (
+    EngineUnreachable,
+    LeaseLost,
+    OrderError,
+    OrderFenced,
+    OrderRefused,
+    WeightsLimited,
+)
+from bronzepoint_node.orders._numbers import OrderNumbers
+from bronzepoint_node.orders._orders import Orders
+from bronzepoint_node.orders._pace import LoadPace
+from bronzepoint_node.orders._plan import EngineView, Plan, plan_steps
+from bronzepoint_node.orders._wanted import WantedEngine, wanted_engines
+
+__all__ = [
+    "EngineClient",
+    "EngineUnreachable",
+    "EngineView",
+    "LeaseLost",
+    "LoadPace",
+    "OrderError",
+    "OrderFenced",
+    "OrderNumbers",
+    "OrderRefused",
+    "Orders",
+    "Plan",
+    "WantedEngine",
+    "WeightsLimited",
+    "plan_steps",
+    "wanted_engines",
+]
