Add the stand-ins, the fault proxy and the deployment harness

Cause: nothing could be run or broken as real processes. One proxy process for each link was ruled out: 144 links for nine hosts are carried by one process with one task a connection. Children get the kernel's death signal from a thread that lives as long as the harness, since the signal follows the thread that forked. The test that children end with a SIGKILLed harness relies on the death signal alone.

--- a/packages/emulator/src/bronzepoint_emulator/__init__.py
+++ b/packages/emulator/src/bronzepoint_emulator/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Stand-ins for the platform, the deployment harness and the experiment tool."""
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/bench/_processor_time.py
@@ -0,0 +1,16 @@
+"""Processor time of another process."""
+
+import os
+from pathlib import Path
+
+_TICKS = os.sysconf("SC_CLK_TCK")
+_USER = 11
+_SYSTEM = 12
+"""Positions of utime and stime after the command's closing bracket; see proc(5)."""
+
+
+def processor_time(pid: int) -> float:
+    """Return the seconds of processor time that a process has used, all threads."""
+    stat = Path(f"/proc/{pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[_USER]) + int(fields[_SYSTEM])) / _TICKS
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/demo/_command_line.py
@@ -0,0 +1,79 @@
+"""The ``bronzepoint`` command, run as a user would run it."""
+
+import os
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+from msgspec import Struct
+from rich.console import Console
+from rich.markup import escape
+
+from bronzepoint_emulator.demo._errors import StepFailed
+from bronzepoint_emulator.deployment import die_with
+
+PROGRAM = Path(sys.executable).with_name("bronzepoint")
+TIMEOUT = 30.0
+_REQUEST_ID = re.compile(r"(?:request|why) (\S+\.[0-9a-f]{32})")
+
+
+class CommandResult(Struct):
+    """What a command printed, and its exit status."""
+
+    status: int
+    output: str
+    errors: str
+
+    @property
+    def request_id(self) -> str:
+        """Identifier of the request that the command sent."""
+        found = _REQUEST_ID.search(self.errors)
+        if found is None:
+            raise StepFailed(f"No request id in: {self.errors}")
+        return found[1]
+
+
+class CommandLine:
+    """Runs commands and shows them with their output.
+
+    Args:
+        console: Where they are shown.
+        hosts: Addresses of the hosts that it asks, in this order.
+        token: Token of the caller or operator.
+    """
+
+    def __init__(self, console: Console, hosts: list[str], token: str) -> None:
+        self._console = console
+        self._hosts = hosts
+        self._token = token
+
+    def run(self, *arguments: str) -> CommandResult:
+        """Run one command to its end."""
+        shown = " ".join(_quoted(argument) for argument in arguments)
+        self._console.print(f"[bold cyan]$ bronzepoint {escape(shown)}[/]")
+        ended = subprocess.run(
+            [str(PROGRAM), *arguments],
+            env=os.environ | self._environment(),
+            stdin=subprocess.DEVNULL,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT,
+            # A demo that is killed takes the command along.
+            preexec_fn=die_with(os.getpid()),
+        )
+        self._console.print(escape(ended.stdout.rstrip()), highlight=False)
+        if ended.stderr:
+            self._console.print(f"[dim]{escape(ended.stderr.rstrip())}[/]")
+        return CommandResult(ended.returncode, ended.stdout, ended.stderr)
+
+    def _environment(self) -> dict[str, str]:
+        return {
+            "BRONZEPOINT_HOSTS": ",".join(self._hosts),
+            "BRONZEPOINT_TOKEN": self._token,
+            "COLUMNS": str(self._console.width),
+        }
+
+
+def _quoted(argument: str) -> str:
+    return f"'{argument}'" if " " in argument or '"' in argument else argument
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/demo/_demo.py
@@ -0,0 +1,133 @@
+"""The steps of the demo; each checks what it shows."""
+
+import time
+from collections.abc import Callable
+
+from rich.console import Console
+
+from bronzepoint_emulator.demo._command_line import CommandLine
+from bronzepoint_emulator.demo._errors import StepFailed
+from bronzepoint_emulator.deployment import (
+    Deployment,
+    DeploymentError,
+    new_key,
+    new_nonce,
+    saphan,
+)
+
+REFUSED = 1
+WIDTH = 110
+
+
+def run_demo() -> int:
+    """Run every step.
+
+    Returns:
+        Exit status: 0, or 1 where a step failed.
+    """
+    console = Console(width=WIDTH)
+    began = time.monotonic()
+    console.rule("Saphan: nine hosts in bkk, sgp and cnx, with stand-in targets")
+    try:
+        with Deployment(saphan()) as deployment:
+            taken = time.monotonic() - began
+            console.print(f"Nine daemons serve after {taken:.1f} s.")
+            Demo(console, deployment).run()
+    except (StepFailed, DeploymentError) as exc:
+        console.print(f"[bold red]Failed:[/] {exc}")
+        return 1
+    taken = time.monotonic() - began
+    console.rule(f"[green]Every step held[/] ({taken:.0f} s)")
+    return 0
+
+
+class Demo:
+    """One run of the steps.
+
+    Args:
+        console: Where it is shown.
+        deployment: Saphan's, up and declared.
+    """
+
+    def __init__(self, console: Console, deployment: Deployment) -> None:
+        self._console = console
+        self._deployment = deployment
+        hosts = ["bkk-1", "bkk-2", "sgp-1"]
+        addresses = [deployment.address(host) for host in hosts]
+        self._caller = CommandLine(console, addresses, "token-saphan-bkk")
+        self._operator = CommandLine(console, addresses, "operator-anong")
+        self._elsewhere = CommandLine(
+            console, [deployment.address("sgp-3")], "operator-deniz"
+        )
+
+    def run(self) -> None:
+        """Run the steps in order.
+
+        Raises:
+            StepFailed: A step did not show what it should.
+        """
+        steps: list[tuple[str, Callable[[], None]]] = [
+            ("What operators see", self._show_system),
+            ("A streamed answer", self._stream),
+            ("A phrase is saved once, though it is sent twice", self._save),
+            ("A refusal says whether the request ran", self._refuse),
+            ("A host is killed; the next request is still answered", self._kill),
+        ]
+        for title, step in steps:
+            self._console.rule(title, align="left")
+            step()
+
+    def _show_system(self) -> None:
+        _expect(self._operator.run("hosts").status == 0, "the hosts are listed")
+        listed = self._operator.run("catalogue", "list")
+        _expect("phrasebook" in listed.output, "the catalogue has the phrasebook")
+
+    def _stream(self) -> None:
+        nonce = new_nonce()[:8]
+        prompt = f"How do I ask for eye drops? {nonce}"
+        sent = self._caller.run("send", "phrasebook", prompt, "--max-tokens", "12")
+        _expect(sent.status == 0, "the phrasebook answers")
+        _expect(f"echo:{nonce}" in sent.output, "the answer is to this request")
+        self._why(self._operator, sent.request_id)
+
+    def _save(self) -> None:
+        nonce, key = new_nonce(), new_key()
+        body = f'{{"nonce":"{nonce}","phrase":"sabaidee"}}'
+        command = ["send", "phrases", body, "--path", "/saved", "--method", "POST"]
+        first = self._caller.run(*command, "--key", key)
+        again = self._caller.run(*command, "--key", key)
+        _expect(first.status == 0, "the phrase is saved")
+        _expect(again.output == first.output, "the second call gets the same answer")
+        runs = self._deployment.nonce_runs(nonce)
+        self._console.print(f"The service's own count of this phrase: {runs}")
+        _expect(list(runs.values()) == [1], "it was saved once")
+        self._why(self._operator, again.request_id)
+
+    def _refuse(self) -> None:
+        refused = self._caller.run("send", "weather", "Will it rain?")
+        _expect(refused.status == REFUSED, "what isn't in the catalogue is refused")
+        runs = self._deployment.runs(refused.request_id)
+        _expect(not runs, "no target ran it")
+        self._why(self._operator, refused.request_id)
+
+    def _kill(self) -> None:
+        before = self._caller.run("send", "phrasebook", "Before", "--max-tokens", "4")
+        _expect(before.status == 0, "a request is answered before")
+        self._deployment.kill("bkk-1")
+        self._console.print("[bold]bkk-1 is killed (SIGKILL).[/]")
+        after = self._caller.run("send", "phrasebook", "After", "--max-tokens", "4")
+        _expect(after.status == 0, "the next request is answered")
+        _expect("bkk-1." not in after.request_id, "another host answered it")
+        # The killed host's record of the request before is found elsewhere.
+        self._why(self._elsewhere, before.request_id)
+        self._why(self._elsewhere, after.request_id)
+
+    def _why(self, asker: CommandLine, request_id: str) -> None:
+        told = asker.run("why", request_id)
+        _expect(told.status == 0, "the reasons are found")
+        _expect(request_id in told.output, "they are of this request")
+
+
+def _expect(holds: bool, what: str) -> None:
+    if not holds:
+        raise StepFailed(f"it does not hold that {what}")
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/demo/_errors.py
@@ -0,0 +1,5 @@
+"""Errors of the demo."""
+
+
+class StepFailed(Exception):
+    """A step of the demo did not show what it should."""
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/deployment/_client.py
@@ -0,0 +1,224 @@
+"""A plain blocking HTTP client for tests and the harness."""
+
+import http.client
+import json
+import uuid
+from collections.abc import Iterator
+from typing import Any, Self
+
+import uuid_utils
+from msgspec import Struct, field
+
+DEFAULT_TIMEOUT = 30.0
+READ_SIZE = 65536
+EVENT_PREFIX = b"data:"
+
+
+class Reply(Struct):
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+    def json(self) -> Any:
+        """Return the body decoded as JSON."""
+        return json.loads(self.body)
+
+    @property
+    def request_id(self) -> str:
+        """Identifier of the request, as the gateway gave it out."""
+        return self.headers.get("bronzepoint-request-id", "")
+
+    @property
+    def refusal(self) -> dict[str, Any]:
+        """The typed refusal of an error answer."""
+        return self.json()["error"]
+
+
+class ReplyStream:
+    """A streamed answer that is read event by event; a context manager."""
+
+    def __init__(
+        self, connection: http.client.HTTPConnection, answer: http.client.HTTPResponse
+    ) -> None:
+        self._connection = connection
+        self._answer = answer
+        self.status = answer.status
+        self.headers = {name.lower(): value for name, value in answer.getheaders()}
+
+    @property
+    def request_id(self) -> str:
+        """Identifier of the request, as the gateway gave it out."""
+        return self.headers.get("bronzepoint-request-id", "")
+
+    def read(self) -> bytes:
+        """Return the rest of the body.
+
+        Raises:
+            http.client.IncompleteRead: The answer was cut.
+        """
+        try:
+            return self._answer.read()
+        except ConnectionResetError as exc:
+            raise http.client.IncompleteRead(b"") from exc
+
+    def events(self) -> Iterator[str]:
+        """Yield the data of each server-sent event.
+
+        Raises:
+            http.client.IncompleteRead: The answer was cut.
+        """
+        pending = b""
+        # Not readline(): it takes the end of a connection that was cut between two
+        # chunks for the end of the answer, and a cut stream would look whole.
+        while data := self._read_some():
+            *lines, pending = (pending + data).split(b"\n")
+            for line in lines:
+                if line.startswith(EVENT_PREFIX):
+                    yield line.removeprefix(EVENT_PREFIX).strip().decode()
+
+    def _read_some(self) -> bytes:
+        try:
+            return self._answer.read1(READ_SIZE)
+        except ConnectionResetError as exc:
+            raise http.client.IncompleteRead(b"") from exc
+
+    def close(self) -> None:
+        """Close the connection, which tells the other side to stop."""
+        self._answer.close()
+        self._connection.close()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.close()
+
+
+class Client:
+    """Sends one request on each connection.
+
+    Args:
+        address: ``host:port``.
+        token: Bearer token; empty: none is sent.
+        timeout: Seconds that one step (connect, read) may take.
+    """
+
+    def __init__(
+        self, address: str, token: str = "", timeout: float = DEFAULT_TIMEOUT
+    ) -> None:
+        self.address = address
+        self.token = token
+        self.timeout = timeout
+
+    def open(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> ReplyStream:
+        """Send a request and return the answer, whose body is still to be read."""
+        host, _, port = self.address.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=self.timeout)
+        try:
+            connection.request(
+                method, path, _encode(body), self._headers(body, headers or {})
+            )
+            return ReplyStream(connection, connection.getresponse())
+        except BaseException:
+            connection.close()
+            raise
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Send a request and return the whole answer."""
+        with self.open(method, path, body, headers) as stream:
+            return Reply(stream.status, stream.headers, stream.read())
+
+    def get(self, path: str, headers: dict[str, str] | None = None) -> Reply:
+        """Send a GET."""
+        return self.request("GET", path, None, headers)
+
+    def post(
+        self, path: str, body: Any = None, headers: dict[str, str] | None = None
+    ) -> Reply:
+        """Send a POST with a JSON body."""
+        return self.request("POST", path, body, headers)
+
+    def _headers(self, body: Any, headers: dict[str, str]) -> dict[str, str]:
+        base = {"Connection": "close"}
+        if self.token:
+            base["Authorization"] = f"Bearer {self.token}"
+        if body is not None and not isinstance(body, bytes):
+            base["Content-Type"] = "application/json"
+        return base | headers
+
+    def chat(
+        self,
+        model: str,
+        prompt: str,
+        max_tokens: int = 16,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Ask a model for one whole answer."""
+        body = chat_body(model, prompt, max_tokens, stream=False)
+        return self.post("/v1/chat/completions", body, headers)
+
+    def chat_stream(
+        self,
+        model: str,
+        prompt: str,
+        max_tokens: int = 16,
+        headers: dict[str, str] | None = None,
+    ) -> ReplyStream:
+        """Ask a model for a streamed answer."""
+        body = chat_body(model, prompt, max_tokens, stream=True)
+        return self.open("POST", "/v1/chat/completions", body, headers)
+
+    def call_service(
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        key: str = "",
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Call a plain service, with an idempotency key where one is given."""
+        extra = dict(headers or {})
+        if key:
+            extra["Idempotency-Key"] = key
+        return self.request(method, f"/v1/services/{entry}{path}", body, extra)
+
+
+def _encode(body: Any) -> bytes | None:
+    if body is None or isinstance(body, bytes):
+        return body
+    return json.dumps(body).encode()
+
+
+def chat_body(model: str, prompt: str, max_tokens: int, stream: bool) -> dict[str, Any]:
+    """Return a request by the chat-completions convention."""
+    return {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": max_tokens,
+        "stream": stream,
+    }
+
+
+def new_key() -> str:
+    """Return a fresh idempotency key (UUIDv7)."""
+    return str(uuid_utils.uuid7())
+
+
+def new_nonce() -> str:
+    """Return a string that appears in no other request."""
+    return uuid.uuid4().hex
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/experiments/_caller.py
@@ -0,0 +1,106 @@
+"""Callers that send their requests at the drawn moments, answered or not."""
+
+import time
+
+import curio
+import msgspec
+
+from bronzepoint_common.http import HttpClient, HttpError
+from bronzepoint_emulator.deployment import Deployment
+from bronzepoint_emulator.experiments._arrivals import Arrival
+from bronzepoint_emulator.experiments._outcome import Outcome
+
+_ENTRY = "chat"
+_FIRST = b"data: "
+_LAST = b"data: [DONE]"
+_PATIENCE = 10.0
+"""Seconds after the deadline within which a caller takes an answer for lost."""
+
+
+class Callers:
+    """Sends requests to a deployment, each in a task of its own.
+
+    The moment of sending does not depend on earlier answers: callers who wait for an
+    answer before they ask again would hide the very delays that are to be measured.
+
+    Args:
+        deployment: Where to send.
+        client: Connections, kept between runs.
+        deadline: Seconds within which a first token is worth having.
+    """
+
+    def __init__(
+        self, deployment: Deployment, client: HttpClient, deadline: float
+    ) -> None:
+        self._deployment = deployment
+        self._client = client
+        self._deadline = deadline
+        self._tokens = {
+            (caller.owner, caller.home): caller.token
+            for caller in deployment.layout.callers
+        }
+
+    async def send_all(self, arrivals: list[Arrival]) -> list[Outcome]:
+        """Send all requests at their moments and return what became of them."""
+        start = time.monotonic()
+        async with curio.TaskGroup() as tasks:
+            for arrival in arrivals:
+                wait = start + arrival.at - time.monotonic()
+                if wait > 0:
+                    await curio.sleep(wait)
+                await tasks.spawn(self._send, arrival, start + arrival.at)
+        return list(tasks.results)
+
+    async def _send(self, arrival: Arrival, due: float) -> Outcome:
+        outcome = Outcome(arrival.at, arrival.home, arrival.owner, arrival.worth)
+        body = msgspec.json.encode(
+            {
+                "model": _ENTRY,
+                "messages": [{"role": "user", "content": arrival.prompt}],
+                "max_tokens": arrival.max_tokens,
+                "stream": True,
+            }
+        )
+        try:
+            await self._exchange(arrival, due, body, outcome)
+        except HttpError as exc:
+            outcome.refusal = type(exc).__name__
+        return outcome
+
+    async def _exchange(
+        self, arrival: Arrival, due: float, body: bytes, outcome: Outcome
+    ) -> None:
+        async with self._client.stream(
+            self._host(arrival),
+            "POST",
+            "/v1/chat/completions",
+            self._headers(arrival),
+            body,
+            self._deadline + _PATIENCE,
+        ) as answer:
+            outcome.served_in = answer.headers.get("bronzepoint-region", "")
+            tail = b""
+            async for chunk in answer.chunks():
+                tail = (tail + chunk)[-200:] if answer.status == 200 else tail + chunk
+                if outcome.first_token is None and _FIRST in tail:
+                    outcome.first_token = time.monotonic() - due
+            outcome.answered = answer.status == 200 and _LAST in tail
+            if answer.status != 200:
+                outcome.refusal = msgspec.json.decode(tail)["error"]["kind"]
+
+    def _host(self, arrival: Arrival) -> str:
+        hosts = self._deployment.layout.region_hosts(arrival.home)
+        host = hosts[int(arrival.host * len(hosts))]
+        return self._deployment.address(host.name)
+
+    def _headers(self, arrival: Arrival) -> dict[str, str]:
+        token = self._tokens[arrival.owner, arrival.home]
+        return {
+            "authorization": f"Bearer {token}",
+            "content-type": "application/json",
+            "bronzepoint-deadline": f"{self._deadline:g}",
+            "bronzepoint-worth": f"{arrival.worth:g}",
+        }
+
+
+__all__ = ["Callers"]
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/fault_proxy/__main__.py
@@ -0,0 +1,19 @@
+"""``python -m bronzepoint_emulator.fault_proxy PLAN``: carry the links of a plan."""
+
+from pathlib import Path
+
+import msgspec
+import typer
+
+from bronzepoint_emulator._serving import serve
+from bronzepoint_emulator.fault_proxy._proxy import FaultProxy
+from bronzepoint_schema.generated.emulator import ProxyPlan
+
+
+def main(plan: Path) -> None:
+    """Carry the links that the JSON file PLAN lists until a signal comes."""
+    serve(FaultProxy(msgspec.json.decode(plan.read_bytes(), type=ProxyPlan)))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/_agreement_plan.py
@@ -0,0 +1,94 @@
+"""What one measurement of the agreed catalogue runs, and what it gives."""
+
+from msgspec import Struct
+
+from bronzepoint_common.settings import cluster_key
+from bronzepoint_schema.generated.settings import (
+    AgreementSection,
+    ClusterSection,
+    HostSection,
+    ListenSection,
+    PeerSection,
+    Settings,
+)
+from bronzepoint_schema.ids import DataCenterName, HostName, RegionName
+
+_KEY = "5" * 64
+_REGION = RegionName("r0")
+_ELSEWHERE = RegionName("r1")
+MEASURED = HostName("measured")
+_SLOW = 3.0
+"""Election timeout of the other voters, so that a measured voter leads."""
+
+
+class AgreementPlan(Struct):
+    """Hosts, sizes and times of one measurement.
+
+    Attributes:
+        hosts: Peer address of each host; voters are ``voter-number``, hosts that learn
+            from the measured one ``child-number``.
+        folder: Where voters keep their state.
+        leads: Whether the measured host is a voter and leads; else it is a relay.
+        items: Items in the catalogue.
+        targets: Targets of the model whose changes are measured; 0: owners change.
+        rate: Changes a second.
+        warm_up: Seconds before it counts.
+        seconds: For which it counts.
+    """
+
+    hosts: dict[HostName, str]
+    folder: str
+    leads: bool
+    items: int = 50
+    targets: int = 0
+    rate: float = 0.0
+    warm_up: float = 3.0
+    seconds: float = 10.0
+
+    def is_voter(self, name: HostName) -> bool:
+        """Tell whether a host votes."""
+        return name.startswith("voter") or (name == MEASURED and self.leads)
+
+    def settings(self, name: HostName) -> Settings:
+        """Return the settings of one host."""
+        folder = f"{self.folder}/{name}" if self.is_voter(name) else ""
+        section = AgreementSection()
+        if name != MEASURED:
+            section.election_timeout = _SLOW
+        return Settings(
+            HostSection(
+                name, self._region(name), DataCenterName("d"), folder, bool(folder)
+            ),
+            ListenSection("127.0.0.1:0", self.hosts[name]),
+            ClusterSection(_KEY),
+            agreement=section,
+            peers={host: self._peer(host) for host in self.hosts if host != name},
+        )
+
+    def key(self) -> bytes:
+        """Return the cluster key."""
+        return cluster_key(self.settings(MEASURED))
+
+    def _region(self, name: HostName) -> RegionName:
+        return _ELSEWHERE if name.startswith("voter") else _REGION
+
+    def _peer(self, host: HostName) -> PeerSection:
+        return PeerSection(
+            self._region(host),
+            DataCenterName("d"),
+            "127.0.0.1:9",
+            self.hosts[host],
+            self.is_voter(host),
+        )
+
+
+class AgreementFigures(Struct):
+    """What the measured host spent, a second, and holds."""
+
+    messages: float
+    sent_bytes: float
+    received_bytes: float
+    processor_ms: float
+    memory_mb: float
+    changes: float
+    leads: bool
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/agreement.py
@@ -0,0 +1,195 @@
+"""``python -m bronzepoint_emulator.slopes.agreement``: cost of the agreed catalogue.
+
+One host runs alone in a process and is measured; voters and the hosts that learn from
+it run in this process and talk to it over the real links. Rows: children of a relay,
+children of the leader, voters, changes a second, items, targets of the changed entry,
+and, in this process, the length of the log.
+"""
+
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import curio
+import msgspec
+import uuid_utils
+from msgspec import Struct
+
+from bronzepoint_emulator.slopes._agreement_feeder import Feeder
+from bronzepoint_emulator.slopes._agreement_plan import (
+    MEASURED,
+    AgreementFigures,
+    AgreementPlan,
+)
+from bronzepoint_emulator.slopes.membership import free_addresses
+from bronzepoint_node.agreement._machine import Machine
+from bronzepoint_node.agreement._voter_log import VoterLog
+from bronzepoint_schema.generated.agreement import Change, ChangeBody, LogEntry, Put
+from bronzepoint_schema.generated.catalogue import Limits, OwnerItem
+from bronzepoint_schema.ids import (
+    ChangeId,
+    ClusterId,
+    HostName,
+    OperatorName,
+    OwnerName,
+    Term,
+)
+
+CHILDREN = [0, 4, 8, 16, 32]
+VOTERS = [3, 5, 7, 9]
+RATES = [0.0, 0.5, 1.0, 2.0, 4.0]
+ITEMS = [50, 500, 1500, 3000]
+TARGETS = [10, 100, 500, 1800]
+LOG_LENGTHS = [100, 1000, 5000, 20000]
+_HOST_MODULE = "bronzepoint_emulator.slopes._agreement_host"
+_LOG_ITEMS = 1000
+
+
+class Row(Struct):
+    """One measurement of a host."""
+
+    slope: str
+    leads: bool
+    voters: int
+    children: int
+    rate: float
+    items: int
+    targets: int
+    figures: AgreementFigures
+
+
+class LogRow(Struct):
+    """One measurement of the log, in milliseconds."""
+
+    slope: str
+    entries: int
+    append: float
+    reopen: float
+    replay: float
+    compact: float
+
+
+async def measure(
+    slope: str,
+    leads: bool,
+    voters: int = 5,
+    children: int = 8,
+    rate: float = 0.0,
+    items: int = 50,
+    targets: int = 0,
+) -> Row:
+    """Measure one size.
+
+    Args:
+        slope: What is varied.
+        leads: Whether the measured host leads; else it is a relay.
+        voters: Voters, the measured one included where it leads.
+        children: Hosts that learn from it.
+        rate: Changes a second.
+        items: Items in the catalogue.
+        targets: Targets of the changed entry; 0: owners change.
+    """
+    others = voters - 1 if leads else voters
+    names = [f"voter-{number}" for number in range(others)]
+    names += [f"child-{number}" for number in range(children)]
+    hosts = {HostName(n): a for n, a in free_addresses([MEASURED, *names]).items()}
+    with tempfile.TemporaryDirectory() as folder:
+        plan = AgreementPlan(hosts, folder, leads, items, targets, rate)
+        feeder = Feeder(plan)
+        await feeder.start()
+        try:
+            figures = await run_host(plan)
+        finally:
+            await feeder.close()
+    return Row(slope, leads, voters, children, rate, items, targets, figures)
+
+
+async def run_host(plan: AgreementPlan) -> AgreementFigures:
+    """Run the measured host as a process and return its figures."""
+    path = Path(plan.folder) / "plan.json"
+    path.write_bytes(msgspec.json.encode(plan))
+    command = [sys.executable, "-m", _HOST_MODULE, str(path)]
+    done = await curio.run_in_thread(
+        lambda: subprocess.run(command, stdout=subprocess.PIPE, check=True)
+    )
+    return msgspec.json.decode(done.stdout, type=AgreementFigures)
+
+
+async def measure_log(entries: int) -> LogRow:
+    """Measure appending to, reading back and compacting a log of this length."""
+    with tempfile.TemporaryDirectory() as folder:
+        log = VoterLog(Path(folder))
+        await log.open()
+        log_entries = [_entry(index) for index in range(1, entries + 1)]
+        await log.append(log_entries[: -_last(entries)])
+        started = time.perf_counter()
+        for entry in log_entries[-_last(entries) :]:
+            await log.append([entry])
+        append = (time.perf_counter() - started) / _last(entries)
+        await log.close()
+        log = VoterLog(Path(folder))
+        started = time.perf_counter()
+        await log.open()
+        reopen = time.perf_counter() - started
+        started = time.perf_counter()
+        machine = Machine(ClusterId("slopes"), [])
+        for entry in log_entries:
+            machine.apply(entry)
+        replay = time.perf_counter() - started
+        started = time.perf_counter()
+        await log.compact(machine.snapshot(), keep=0)
+        compact = time.perf_counter() - started
+        await log.close()
+    times = [round(1000 * seconds, 3) for seconds in (append, reopen, replay, compact)]
+    return LogRow("log length", entries, *times)
+
+
+def _last(entries: int) -> int:
+    return min(50, entries // 2)
+
+
+def _entry(index: int) -> LogEntry:
+    name = OwnerName(f"owner-{index % _LOG_ITEMS}")
+    item = OwnerItem(name, limits=Limits(rate=float(index)))
+    change_id = ChangeId(str(uuid_utils.uuid7()))
+    version = 1 + (index - (index % _LOG_ITEMS or _LOG_ITEMS)) // _LOG_ITEMS
+    change = Change(change_id, OperatorName("slopes"), version, Put(item))
+    return LogEntry(index, Term(1), 0.0, ChangeBody(change))
+
+
+async def measure_all() -> None:
+    """Measure every row, one after another, and print each."""
+    for entries in LOG_LENGTHS:
+        _print(await measure_log(entries))
+    for children in CHILDREN:
+        _print(await measure("children of a relay", False, children=children))
+    for children in CHILDREN:
+        row = await measure("children, changes", False, children=children, rate=2.0)
+        _print(row)
+    for children in CHILDREN:
+        _print(await measure("children of the leader", True, children=children))
+    for voters in VOTERS:
+        _print(await measure("voters", True, voters=voters))
+    for rate in RATES:
+        _print(await measure("changes", True, rate=rate))
+    for items in ITEMS:
+        _print(await measure("items", False, items=items))
+    for targets in TARGETS:
+        _print(await measure("targets, relay", False, rate=1.0, targets=targets))
+    for targets in TARGETS:
+        _print(await measure("targets, leader", True, rate=1.0, targets=targets))
+
+
+def _print(row: Row | LogRow) -> None:
+    print(msgspec.json.encode(row).decode(), flush=True)
+
+
+def main() -> None:
+    """Print one JSON line for each measurement."""
+    curio.run(measure_all)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/membership.py
@@ -0,0 +1,116 @@
+"""``python -m bronzepoint_emulator.slopes.membership``: cost of knowing the others.
+
+One host runs alone in a process and is measured; all others run in this process and
+talk to it over the real links. Rows: hosts of the region, regions, and targets.
+"""
+
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import curio
+import msgspec
+from msgspec import Struct
+
+from bronzepoint_emulator.slopes._membership_feeder import Feeder
+from bronzepoint_emulator.slopes._membership_plan import (
+    MEASURED_REGION,
+    Figures,
+    MembershipPlan,
+)
+from bronzepoint_node.membership import rendezvous_order
+
+HOSTS = [3, 8, 16, 30, 64, 100]
+REGIONS = [1, 3, 6, 12]
+TARGETS = [0, 8, 24, 48, 96]
+_REGION_HOSTS = 30
+_REMOTE_HOSTS = 6
+_HOST_MODULE = "bronzepoint_emulator.slopes._membership_host"
+
+
+class Row(Struct):
+    """One measurement."""
+
+    slope: str
+    hosts: int
+    regions: int
+    targets: int
+    figures: Figures
+
+
+async def measure(
+    slope: str, hosts: int, regions: int, targets: int, relay: bool
+) -> Row:
+    """Measure one size.
+
+    Args:
+        slope: What is varied.
+        hosts: Hosts of the measured region.
+        regions: Regions, the measured one included.
+        targets: Targets of the measured region.
+        relay: Whether the measured host is one of its region's relays.
+    """
+    names = [f"{MEASURED_REGION}-{number}" for number in range(hosts)]
+    order = rendezvous_order(f"relay {MEASURED_REGION}", names)
+    measured = order[0] if relay else order[-1]
+    for region in range(1, regions):
+        names += [f"r{region}-{number}" for number in range(_REMOTE_HOSTS)]
+    plan = MembershipPlan(free_addresses(names), measured)
+    feeder = Feeder(plan, targets)
+    await feeder.start()
+    try:
+        figures = await run_host(plan)
+    finally:
+        await feeder.close()
+    return Row(slope, hosts, regions, targets, figures)
+
+
+async def run_host(plan: MembershipPlan) -> Figures:
+    """Run the measured host as a process and return its figures."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "plan.json"
+        path.write_bytes(msgspec.json.encode(plan))
+        command = [sys.executable, "-m", _HOST_MODULE, str(path)]
+        done = await curio.run_in_thread(
+            lambda: subprocess.run(command, stdout=subprocess.PIPE, check=True)
+        )
+    return msgspec.json.decode(done.stdout, type=Figures)
+
+
+def free_addresses(names: list[str]) -> dict[str, str]:
+    """Return a free loopback address for each name."""
+    held = []
+    addresses = {}
+    for name in names:
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        held.append(sock)
+        addresses[name] = f"127.0.0.1:{sock.getsockname()[1]}"
+    for sock in held:
+        sock.close()
+    return addresses
+
+
+async def measure_all() -> list[Row]:
+    """Measure every row, one after another, and print each."""
+    rows = []
+    sizes = [("hosts", hosts, 1, 0, False) for hosts in HOSTS]
+    sizes += [("regions", _REGION_HOSTS, n, 0, False) for n in REGIONS]
+    sizes += [("regions, relay", _REGION_HOSTS, n, 0, True) for n in REGIONS]
+    sizes += [("targets", 3, 1, n, False) for n in TARGETS]
+    for size in sizes:
+        row = await measure(*size)
+        print(msgspec.json.encode(row).decode(), flush=True)
+        rows.append(row)
+    return rows
+
+
+def main() -> None:
+    """Print one JSON line for each measurement."""
+    curio.run(measure_all)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/system.py
@@ -0,0 +1,157 @@
+"""``python -m bronzepoint_emulator.slopes.system``: cost against a deployment's load.
+
+Nine daemons; the caller's host, a copy in its region and the leader are measured while
+one size grows: changes, requests, saved calls, organisations, entries.
+"""
+
+import time
+from collections.abc import Callable
+
+import msgspec
+from msgspec import Struct
+
+from bronzepoint_common.load import LoadCall
+from bronzepoint_emulator.deployment import Deployment, saphan
+from bronzepoint_emulator.slopes._meter import HostMeter, Usage
+from bronzepoint_emulator.slopes._system_loads import (
+    chats,
+    entry_items,
+    lookups,
+    owner_items,
+    saves,
+    send_changes,
+    send_load,
+)
+from bronzepoint_schema.generated.catalogue import CatalogueItem
+
+ENTRY_HOST = "bkk-3"
+OTHER_HOST = "bkk-2"
+IDLE_SECONDS = 10.0
+LOAD_SECONDS = 10.0
+SETTLE_SECONDS = 2.0
+REQUEST_RATES = [5.0, 10.0, 20.0, 40.0]
+CHANGE_RATES = [1.0, 2.0, 4.0, 8.0]
+ORGANISATIONS = [0, 500, 1000, 2000, 3000]
+ENTRIES = [0, 50, 100, 200, 400]
+
+
+class SystemRow(Struct):
+    """Use of one host at one size.
+
+    Attributes:
+        size: Rate a second, or number of items; see the slope.
+        count: Requests or changes that the use is for; 0 for a slope of items.
+        use: Above idle where there is a count, else while idle.
+    """
+
+    slope: str
+    role: str
+    size: float
+    count: int
+    use: Usage
+
+
+class System:
+    """Measures one deployment.
+
+    Args:
+        deployment: It runs and its catalogue is in force.
+        report: Told of each row.
+    """
+
+    def __init__(
+        self, deployment: Deployment, report: Callable[[SystemRow], None]
+    ) -> None:
+        self._deployment = deployment
+        self._report = report
+        leader = deployment.operator().status()["leader"]
+        roles = {"entry": ENTRY_HOST, "other": OTHER_HOST, "leader": leader}
+        self._meters = {
+            role: HostMeter(deployment, host) for role, host in roles.items()
+        }
+        self._idle: dict[str, Usage] = {}
+
+    def measure(self) -> None:
+        """Measure every slope."""
+        self._measure_idle()
+        for name, call in (("chat", chats), ("lookup", lookups), ("save", saves)):
+            for rate in REQUEST_RATES:
+                self._measure_load(name, call, rate)
+        for rate in CHANGE_RATES:
+            self._measure_changes(rate)
+        self._measure_items("organisations", ORGANISATIONS, owner_items)
+        self._measure_items("entries", ENTRIES, self._entries)
+
+    def _entries(self, first: int, last: int) -> list[CatalogueItem]:
+        return entry_items(self._deployment, first, last)
+
+    def _measure_idle(self) -> None:
+        for role, use in self._over(lambda: 0, IDLE_SECONDS).items():
+            self._idle[role] = use
+            self._report(SystemRow("idle", role, 0.0, 0, use))
+
+    def _measure_load(
+        self, name: str, call: Callable[[int], LoadCall], rate: float
+    ) -> None:
+        client = self._deployment.client(ENTRY_HOST)
+
+        def send() -> int:
+            result = send_load(client, call, rate, LOAD_SECONDS)
+            return result.outcomes["answered"]
+
+        self._report_above_idle(name, rate, send)
+
+    def _measure_changes(self, rate: float) -> None:
+        operator = self._deployment.operator(ENTRY_HOST)
+        self._report_above_idle(
+            "change", rate, lambda: send_changes(operator, rate, LOAD_SECONDS)
+        )
+
+    def _report_above_idle(self, slope: str, rate: float, work: Callable) -> None:
+        counted: list[int] = []
+        uses = self._over(lambda: counted.append(work()), SETTLE_SECONDS)
+        for role, use in uses.items():
+            above = use.above(self._idle[role])
+            self._report(SystemRow(slope, role, rate, counted[0], above))
+
+    def _measure_items(
+        self,
+        slope: str,
+        sizes: list[int],
+        items: Callable[[int, int], list[CatalogueItem]],
+    ) -> None:
+        """Declare more and more items, and measure the hosts while idle."""
+        operator = self._deployment.operator(ENTRY_HOST)
+        declared = 0
+        for size in sizes:
+            revision = 0
+            for item in items(declared, size):
+                revision = operator.put(item)
+            declared = size
+            self._deployment.wait_revision(revision)
+            for role, use in self._over(lambda: 0, IDLE_SECONDS).items():
+                self._report(SystemRow(slope, role, float(size), 0, use))
+
+    def _over(self, work: Callable[[], object], settle: float) -> dict[str, Usage]:
+        """Return each host's use during some work and a while after it."""
+        for meter in self._meters.values():
+            meter.begin()
+        work()
+        # Copies and logs trail behind the answers.
+        time.sleep(settle)
+        return {role: meter.end() for role, meter in self._meters.items()}
+
+
+def measure_system(report: Callable[[SystemRow], None]) -> None:
+    """Measure every slope on Saphan's deployment."""
+    with Deployment(saphan()) as deployment:
+        System(deployment, report).measure()
+
+
+def main() -> None:
+    """Print one JSON line for each measurement."""
+    measure_system(lambda row: print(msgspec.json.encode(row).decode(), flush=True))
+
+
+if __name__ == "__main__":
+    main()
