--- a/packages/common/src/bronzepoint_common/http/_answer.py
+++ b/packages/common/src/bronzepoint_common/http/_answer.py
@@ -1,6 +1,7 @@
 """Answers that a client gets: whole, or piece by piece."""
 
-import curio
+import time
+
 import h11
 from msgspec import Struct
 
@@ -11,6 +12,8 @@
 )
 from bronzepoint_common.http._wire import Wire
 
+LINE_END = b"\r\n"
+
 
 class Answer(Struct):
     """A whole answer; header names are lower-case."""
@@ -46,6 +49,10 @@
         self._wire = wire
         self._address = address
         self.timeout = timeout
+        self._chunked = "transfer-encoding" in headers
+        self._unparsed = True
+        self._waiting_since = 0.0
+        self._stalled = False
 
     def chunks(self) -> "ClientAnswer":
         """Iterate over the body; each piece is all that one read brought.
@@ -68,13 +75,17 @@
 
     async def read(self) -> bytes:
         """Read the next piece; b"" at the end of the whole answer."""
-        while not self.complete:
+        piece = self._parsed() if self._unparsed else b""
+        while not piece and not self.complete:
+            self._conn.receive_data(await self._receive())
             piece = self._parsed()
-            if piece:
-                return piece
-            if not self.complete:
-                self._conn.receive_data(await self._receive())
-        return b""
+        return piece
+
+    def stall(self, now: float) -> None:
+        """End the connection if an awaited piece is overdue; for `StallWatch`."""
+        if self._waiting_since and now - self._waiting_since > self.timeout:
+            self._stalled = True
+            self._wire.shut()
 
     def _parsed(self) -> bytes:
         """Join what h11 can parse of the bytes read so far."""
@@ -90,7 +101,16 @@
                 self.complete = True
                 break
             parts.append(event.data)
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+            if self._chunked and self._is_parsed(event):
+                break
+        self._unparsed = False
+        return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
+
+    def _is_parsed(self, event: h11.Data) -> bool:
+        # Saves h11 a fruitless attempt for each event of a stream: between two
+        # chunks only the line end of the last one can be left.
+        left = self._conn.trailing_data[0]
+        return event.chunk_end and len(left) <= len(LINE_END)
 
     def _broken(self, exc: h11.RemoteProtocolError) -> AnswerCut | AnswerMalformed:
         if self._conn.trailing_data[1]:
@@ -98,9 +118,15 @@
         return AnswerMalformed(self._address, str(exc))
 
     async def _receive(self) -> bytes:
+        self._waiting_since = time.monotonic()
         try:
-            return await self._wire.receive(self.timeout)
-        except curio.TaskTimeout:
-            raise AnswerTimeout(self._address, self.timeout) from None
+            data = await self._wire.receive_next()
         except OSError:
-            raise AnswerCut(self._address) from None
+            data = b""
+        finally:
+            self._waiting_since = 0.0
+        if data:
+            return data
+        if self._stalled:
+            raise AnswerTimeout(self._address, self.timeout)
+        return b""
--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -19,6 +19,7 @@
 from bronzepoint_common.http._limits import HttpLimits
 from bronzepoint_common.http._pool import ConnectionPool
 from bronzepoint_common.http._request import headers_of
+from bronzepoint_common.http._stall_watch import StallWatch
 from bronzepoint_common.http._wire import Wire
 
 BODYLESS_STATUSES = (204, 304)
@@ -34,6 +35,7 @@
         # Shorter than the server's own time, so that it is seldom the server
         # that closes, perhaps just as the next request is on its way.
         self._pool = ConnectionPool(limits.idle_timeout / 2)
+        self._watch = StallWatch()
 
     def stream(
         self,
@@ -127,7 +129,8 @@
         return Answer(answer.status, answer.headers, b"".join(parts))
 
     async def close(self) -> None:
-        """Close the kept connections."""
+        """Close the kept connections and stop looking after answers."""
+        await self._watch.close()
         await self._pool.close()
 
     def _pairs(self, address: str, headers: dict[str, str], body: bytes) -> Pairs:
@@ -167,12 +170,14 @@
         try:
             await self._send()
             self._answer = await self._read_head()
+            await self._client._watch.add(self._answer)
         except BaseException:
             await self._wire.close()
             raise
         return self._answer
 
     async def __aexit__(self, *exc_info: object) -> None:
+        self._client._watch.remove(self._answer)
         if self._answer.complete:
             await self._client._pool.put(self._address, self._conn, self._wire)
             return
--- a/packages/common/src/bronzepoint_common/http/_exchange.py
+++ b/packages/common/src/bronzepoint_common/http/_exchange.py
@@ -149,8 +149,13 @@
         Raises:
             Disconnected: The caller left, or read nothing for write_timeout.
         """
-        if chunk and self.request.method != "HEAD":
-            await self._write(h11.Data(data=chunk))
+        if not chunk or self.request.method == "HEAD":
+            return
+        if self.aborted:
+            raise Disconnected("its answer was cut")
+        data = self._conn.send(h11.Data(data=chunk))
+        if not self._wire.send_now(data):
+            await self._write_rest()
 
     async def end(self) -> None:
         """End a stream as whole."""
@@ -196,8 +201,12 @@
         if self.aborted:
             raise Disconnected("its answer was cut")
         data = b"".join([self._conn.send(event) or b"" for event in events])
+        if not self._wire.send_now(data):
+            await self._write_rest()
+
+    async def _write_rest(self) -> None:
         try:
-            await self._wire.send(data, self._limits.write_timeout)
+            await self._wire.send_rest(self._limits.write_timeout)
         except curio.TaskTimeout:
             self.aborted = True
             stalled = self._limits.write_timeout
--- a/packages/common/src/bronzepoint_common/http/_wire.py
+++ b/packages/common/src/bronzepoint_common/http/_wire.py
@@ -30,6 +30,7 @@
         self._ready_reads = 0
         self.closed = False
         self.sent = 0
+        self._rest = memoryview(b"")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     async def receive(self, timeout: float) -> bytes:
@@ -60,25 +61,61 @@
                 except BlockingIOError:
                     continue
 
+    async def receive_next(self) -> bytes:
+        """Wait for what comes next, b"" at the end, without a time limit.
+
+        For the pieces of an answer in progress, of which each read mostly brings
+        one: nothing is tried before the wait, and no timer is set. `StallWatch`
+        looks after connections on which nothing comes.
+
+        Raises:
+            OSError: The connection broke.
+        """
+        while True:
+            await _read_wait(self._fd)
+            try:
+                return self._recv(READ_SIZE)
+            except BlockingIOError:
+                continue
+
     async def send(self, data: bytes, timeout: float) -> None:
-        """Write all of it; raises curio.TaskTimeout when the reader stalls."""
-        sent = self._send_some(data)
-        if sent == len(data):
-            return
-        rest = memoryview(data)[sent:]
-        while rest:
-            # For each piece: a slow reader is served, one that stalls is not.
-            async with curio.timeout_after(timeout):
-                await _write_wait(self._fd)
-            rest = rest[self._send_some(rest) :]
+        """Write all of it.
 
-    def _send_some(self, data: bytes | memoryview) -> int:
+        Raises:
+            curio.TaskTimeout: The reader stalls.
+            OSError: The connection broke.
+        """
+        if not self.send_now(data):
+            await self.send_rest(timeout)
+
+    def send_now(self, data: bytes) -> bool:
+        """Write what can be written without a wait.
+
+        Returns:
+            False where some is left, or an error came: `send_rest` goes on with it.
+        """
         try:
             sent = self._send(data)
-        except BlockingIOError:
-            return 0
+        except OSError:
+            sent = 0
         self.sent += sent
-        return sent
+        if sent == len(data):
+            return True
+        self._rest = memoryview(data)[sent:]
+        return False
+
+    async def send_rest(self, timeout: float) -> None:
+        """Write what `send_now` left; raises as `send`."""
+        while self._rest:
+            # For each piece: a slow reader is served, one that stalls is not.
+            async with curio.timeout_after(timeout):
+                await _write_wait(self._fd)
+            try:
+                sent = self._send(self._rest)
+            except BlockingIOError:
+                sent = 0
+            self.sent += sent
+            self._rest = self._rest[sent:]
 
     def poll(self) -> bytes | None:
         """Read without waiting: None where nothing is there, b"" at the end."""
@@ -97,6 +134,13 @@
         """Let the task that waits to read see the end, once it has read the rest."""
         self._shutdown(socket.SHUT_RD)
 
+    def shut(self) -> None:
+        """End both directions and leave the descriptor open until ``close``.
+
+        A task that waits to read from it wakes and sees the end.
+        """
+        self._shutdown(socket.SHUT_RDWR)
+
     def _shutdown(self, how: int) -> None:
         try:
             self._sock._socket.shutdown(how)
