Claim idempotency keys by a majority of the region's copies

Cause: a caller that lost its answer resends, through the same host or another, and the request must not run twice; nothing recorded who had run what. Weighed: one owner with backups (an owner cut off in silence and its successor both say yes), the agreed catalogue log (a write through the leader for each request, which may be in another region), and one register a key agreed by a majority of a few hosts of the region. Chosen: the register, by prepare and accept rounds with a change function. Conclusion: the interface stands for the entry code; the property test, the loss of copies and real processes come next.

--- /dev/null
+++ b/tests/test_run_once_claims.py
@@ -0,0 +1,285 @@
+"""Claims, outcomes and refusals over a faked network."""
+
+import time
+import unittest
+import uuid
+
+import curio
+from nose2.tools import params
+
+from bronzepoint_node.run_once import (
+    MAX_STORED_BODY,
+    Claimed,
+    Done,
+    Expired,
+    InProgress,
+    InvalidKey,
+    KeyAhead,
+    Mismatch,
+    StoredAnswer,
+    Unavailable,
+    Unknown,
+)
+from tests._run_once_network import DIGEST, Region
+
+ANSWER = StoredAnswer(status=201, body=b"saved", headers={"content-type": "text/plain"})
+
+
+def key_at(seconds: float = 0.0) -> str:
+    """Return a UUIDv7 made `seconds` from now."""
+    made = round((time.time() + seconds) * 1000).to_bytes(6, "big")
+    tail = bytearray(uuid.uuid4().bytes[6:])
+    tail[0] = 0x70 | tail[0] & 0x0F
+    return str(uuid.UUID(bytes=made + bytes(tail)))
+
+
+async def claim(region, host, key, digest=DIGEST):
+    return await region.hosts[host].claim(key, digest, f"{host}.1")
+
+
+class ClaimTest(unittest.TestCase):
+    def test_resend_elsewhere_gets_the_first_answer(self):
+        """The caller lost the answer and resends through another host.
+
+        Sequence: a runs the request and records the answer; the caller never sees it
+        and asks b. Without the agreed record b would run it again.
+        """
+
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                first = await claim(region, "a", key)
+                self.assertIsInstance(first, Claimed)
+                self.assertTrue(await region.hosts["a"].confirm(first.token))
+                self.assertTrue(await region.hosts["a"].finish(first.token, ANSWER))
+                for host in "abc":
+                    self.assertEqual(await claim(region, host, key), Done(ANSWER))
+
+        curio.run(main)
+
+    def test_resend_during_the_first_is_told_to_come_back(self):
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                first = await claim(region, "a", key)
+                self.assertIsInstance(await claim(region, "b", key), InProgress)
+                self.assertIsInstance(await claim(region, "a", key), InProgress)
+                await region.hosts["a"].finish(first.token, None)
+                self.assertEqual(await claim(region, "b", key), Unknown())
+
+        curio.run(main)
+
+    def test_released_key_is_claimed_anew(self):
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                first = await claim(region, "a", key)
+                self.assertTrue(await region.hosts["a"].release(first.token))
+                self.assertFalse(await region.hosts["a"].confirm(first.token))
+                second = await claim(region, "b", key)
+                self.assertIsInstance(second, Claimed)
+
+        curio.run(main)
+
+    def test_of_many_at_once_one_claims(self):
+        """The caller's resends reach all hosts at the same moment."""
+
+        async def main():
+            async with Region("abcde", copies=5) as region:
+                key = key_at()
+                async with curio.TaskGroup() as group:
+                    for host in "abcde" * 4:
+                        await group.spawn(claim, region, host, key)
+                kinds = [type(result) for result in group.results]
+                self.assertEqual(kinds.count(Claimed), 1)
+
+        curio.run(main)
+
+    def test_other_request_with_the_same_key_is_refused(self):
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                first = await claim(region, "a", key)
+                self.assertEqual(await claim(region, "b", key, b"other"), Mismatch())
+                await region.hosts["a"].finish(first.token, ANSWER)
+                self.assertEqual(await claim(region, "b", key, b"other"), Mismatch())
+
+        curio.run(main)
+
+    @params(("", InvalidKey), (str(uuid.uuid4()), InvalidKey), ("\0" * 99, InvalidKey))
+    def test_key_that_is_no_uuid7(self, key, error):
+        async def main():
+            async with Region("a", copies=1) as region:
+                with self.assertRaisesRegex(error, "UUIDv7"):
+                    await claim(region, "a", key)
+
+        curio.run(main)
+
+    def test_key_of_the_future_is_refused(self):
+        async def main():
+            async with Region("a", copies=1) as region:
+                with self.assertRaisesRegex(KeyAhead, "clock"):
+                    await claim(region, "a", key_at(60))
+
+        curio.run(main)
+
+    def test_resend_past_the_lifetime_is_refused_not_run(self):
+        """The record of a request that ran is gone, and the caller resends it.
+
+        Sequence: the request runs; its lifetime passes; every copy drops the record.
+        A claim that found no record would run it a second time.
+        """
+
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                first = await claim(region, "a", key)
+                await region.hosts["a"].finish(first.token, ANSWER)
+                for clock in region.clocks.values():
+                    clock.wall_shift = region.section.lifetime + 1
+                await region.wait(
+                    lambda: all(not host.registers for host in region.hosts.values())
+                )
+                self.assertEqual(await claim(region, "b", key), Expired())
+
+        curio.run(main)
+
+    def test_answer_too_large_keeps_its_status(self):
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                first = await claim(region, "a", key)
+                large = StoredAnswer(status=200, body=b"x" * (MAX_STORED_BODY + 1))
+                await region.hosts["a"].finish(first.token, large)
+                again = await claim(region, "b", key)
+                self.assertEqual(again.answer, StoredAnswer(200, b"", complete=False))
+
+        curio.run(main)
+
+
+class FailureTest(unittest.TestCase):
+    def test_restarted_claimant_makes_the_outcome_unknown(self):
+        """The host that took the request was killed and came back.
+
+        Sequence: a claims and may have dispatched; it restarts without memory; the
+        caller resends through b. b must neither run it nor say it is in progress.
+        """
+
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                await claim(region, "a", key)
+                await region.kill("a")
+                await region.boot("a")
+                await region.wait(lambda: region.hosts["a"].ready)
+                self.assertEqual(await claim(region, "b", key), Unknown())
+
+        curio.run(main)
+
+    def test_silent_claimant_is_given_up_after_a_bounded_time(self):
+        """The host that took the request died and stays away."""
+
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                await claim(region, "a", key)
+                await region.kill("a")
+                early = await claim(region, "b", key)
+                self.assertIsInstance(early, InProgress)
+                self.assertLess(early.retry_after, 10)
+                for clock in region.clocks.values():
+                    clock.wall_shift = 10
+                self.assertEqual(await claim(region, "b", key), Unknown())
+                self.assertEqual(await claim(region, "c", key), Unknown())
+
+        curio.run(main)
+
+    def test_claimant_that_was_cut_off_records_its_answer_later(self):
+        """The answer came after others had given the claimant up."""
+
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                first = await claim(region, "a", key)
+                region.network.isolate("a")
+                for clock in region.clocks.values():
+                    clock.wall_shift = 10
+                self.assertEqual(await claim(region, "b", key), Unknown())
+                self.assertFalse(await region.hosts["a"].finish(first.token, ANSWER))
+                region.network.cut.clear()
+
+                async def known():
+                    return await claim(region, "b", key) == Done(ANSWER)
+
+                await region.wait(known)
+
+        curio.run(main)
+
+    @params((False,), (True,))
+    def test_host_that_wakes_up_confirms_its_claim(self, given_up):
+        """A host was stopped between its claim and the dispatch.
+
+        Sequence: a claims and is stopped for longer than others wait; b tells the
+        caller that the outcome is unknown; a wakes up and would dispatch. Its claim
+        no longer stands, so it must not. Where nobody asked, it still stands.
+        """
+
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                first = await claim(region, "a", key)
+                region.clocks["a"].elapsed_shift = 10
+                if given_up:
+                    region.network.isolate("a")
+                    region.clocks["b"].wall_shift = 10
+                    self.assertEqual(await claim(region, "b", key), Unknown())
+                    region.network.cut.clear()
+                confirmed = await region.hosts["a"].confirm(first.token)
+                self.assertEqual(confirmed, not given_up)
+
+        curio.run(main)
+
+    def test_minority_refuses_and_the_key_stays_free(self):
+        """A host is cut off from the other copies.
+
+        The refusal says that the request was not run; once the cut heals the same
+        key must be free, though one copy had stored the claim.
+        """
+
+        async def main():
+            async with Region() as region:
+                region.network.isolate("a")
+                key = key_at()
+                self.assertIsInstance(await claim(region, "a", key), Unavailable)
+                second = await claim(region, "b", key)
+                self.assertIsInstance(second, Claimed)
+                await region.hosts["b"].finish(second.token, ANSWER)
+                region.network.cut.clear()
+                self.assertEqual(await claim(region, "a", key), Done(ANSWER))
+
+        curio.run(main)
+
+    def test_claim_whose_votes_were_lost_is_released(self):
+        """All copies stored the claim, but no vote came back.
+
+        The claimant refuses the request as not run. Nobody else may take the claim
+        for one at work: it would block the key for its whole lifetime.
+        """
+
+        async def main():
+            async with Region() as region:
+                key = key_at()
+                stored = {"kind": "vote", "phase": "accept"}
+                region.network.held = lambda source, target, message: (
+                    target == "a" and stored.items() <= message.items()
+                )
+                self.assertIsInstance(await claim(region, "a", key), Unavailable)
+                self.assertGreaterEqual(len(region.network.in_hand), 2)
+                region.network.held = lambda *_: False
+
+                async def claimed():
+                    return isinstance(await claim(region, "b", key), Claimed)
+
+                await region.wait(claimed)
+
+        curio.run(main)
