Watch a bounded part of the targets and believe any word that one leaves

Cause: a host must know its targets' load, health, caches and departures without hearing of all 5,400. Weighed for leaving: the newest word of any source (a list that lags but is read often wins over the target itself) and a majority; taken was that each source keeps its own newest word by its own time and any one of them suffices, with an answer's header dated beyond the reports' lag, and words passed on by gossip so that one host's reading serves the region. Weighed for the subset: the first 24 targets by rendezvous for each host (8 chances in 100 that a target of 112 is seen by no host of 30), against giving each target to the hosts that come first for it; the latter was taken. Failing or slow targets are ejected, at most a third of an entry at once, and come back one by one, one request at a time at first; so do those that left or were unreachable. Before: nothing watched targets. Sixteen mechanisms of targets and directory were switched off in memory one at a time: the test of each failed. One passed at first, newest word of any source; its test now asserts the state itself.

--- a/packages/node/src/bronzepoint_node/membership/_host_table.py
+++ b/packages/node/src/bronzepoint_node/membership/_host_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Container, Iterable
 from math import log2
+from typing import NamedTuple
 
 import msgspec
 
@@ -37,6 +38,13 @@
     heard_at: float | None = None
 
 
+class _Bounds(NamedTuple):
+    """Seconds of silence after which a host is suspect, and dead."""
+
+    suspect: float
+    dead: float
+
+
 class HostTable:
     """Merges what is heard of hosts and judges which of them are alive.
 
@@ -52,6 +60,10 @@
         dead_after: Seconds of silence after which it counts as dead.
         forget_after: Seconds of silence after which a host that the settings don't
             name is no longer listed.
+
+    Attributes:
+        own: This host's record.
+        version: Grows with each change.
     """
 
     def __init__(
@@ -75,6 +87,8 @@
         self._names: dict[HostId, HostName] = {}
         self._seeds: set[HostName] = set()
         self._forgotten: dict[HostName, KnownHost] = {}
+        self._heard_count = 0
+        self.version = 0
         self._put(own)
         self.beat(0.0, 0, PulseFlag.NONE)
 
@@ -90,6 +104,7 @@
         known = self._hosts[self.own.name]
         known.pulse = make_pulse(known.host_id, self._counter, revision, load, flags)
         known.heard_at = self._clock.now()
+        self.version += 1
 
     def supersede(self, incarnation: int) -> None:
         """Take a higher incarnation than one that others hold of this host.
@@ -127,6 +142,8 @@
             if known.pulse is None or pulse.counter > known.pulse.counter:
                 known.pulse = pulse
                 known.heard_at = now
+                self.version += 1
+        self._recount()
         return wanted
 
     def fresh_pulses(self) -> list[Pulse]:
@@ -193,7 +210,7 @@
         logarithm of their number. Below 2 + log2(n) rounds, hosts that are well would
         be suspected now and then.
         """
-        rounds = 2 + log2(max(2, self._count_heard()))
+        rounds = 2 + log2(max(2, self._heard_count))
         return max(self._suspect_after, rounds * self._interval * self.round_factor)
 
     @property
@@ -204,17 +221,20 @@
     @property
     def round_factor(self) -> float:
         """How much longer a round takes than in a small region, see `round_factor`."""
-        return round_factor(self._count_heard())
+        return round_factor(self._heard_count)
 
     def infos(self) -> list[HostInfo]:
         """Return all hosts of the region, in the order of their names."""
-        now = self._clock.now()
-        return [self._info(self._hosts[name], now) for name in sorted(self._hosts)]
+        now, bounds = self._clock.now(), self._bounds()
+        hosts = sorted(self._hosts.items())
+        return [self._info(known, now, bounds) for _, known in hosts]
 
     def info(self, name: HostName) -> HostInfo | None:
         """Return one host."""
         known = self._hosts.get(name)
-        return None if known is None else self._info(known, self._clock.now())
+        if known is None:
+            return None
+        return self._info(known, self._clock.now(), self._bounds())
 
     def silence(self, name: HostName) -> float:
         """Return the seconds since news of a host came last."""
@@ -239,10 +259,13 @@
             known = self._hosts.pop(name)
             self._names.pop(known.host_id, None)
             self._forgotten[name] = known
+            self.version += 1
+        self._recount()
         return old
 
-    def _count_heard(self) -> int:
-        return sum(1 for known in self._hosts.values() if known.heard_at is not None)
+    def _recount(self) -> None:
+        heard = [known for known in self._hosts.values() if known.heard_at is not None]
+        self._heard_count = len(heard)
 
     def _put(self, record: HostRecord) -> KnownHost:
         host_id = make_host_id(record.name, record.incarnation)
@@ -252,6 +275,7 @@
             self._names.pop(former.host_id, None)
         self._hosts[record.name] = known
         self._names[host_id] = record.name
+        self.version += 1
         return known
 
     def _merge_record(self, record: HostRecord) -> bool:
@@ -281,7 +305,10 @@
             return True
         return False
 
-    def _info(self, known: KnownHost, now: float) -> HostInfo:
+    def _bounds(self) -> _Bounds:
+        return _Bounds(self.suspect_after, self.dead_after)
+
+    def _info(self, known: KnownHost, now: float, bounds: _Bounds) -> HostInfo:
         record = known.record
         pulse = known.pulse
         heard_at = known.heard_at if known.heard_at is not None else self._started_at
@@ -291,7 +318,7 @@
             region=record.region,
             data_center=record.data_center,
             http=record.http,
-            state=self._state(known, silent_for),
+            state=self._state(known, silent_for, bounds),
             incarnation=record.incarnation,
             load=0.0 if pulse is None else pulse.load_share,
             revision=0 if pulse is None else pulse.revision,
@@ -300,18 +327,18 @@
             silent_for=silent_for,
         )
 
-    def _state(self, known: KnownHost, silent_for: float) -> HostState:
+    def _state(self, known: KnownHost, silent_for: float, bounds: _Bounds) -> HostState:
         own = known.record.name == self.own.name
         flags = PulseFlag.NONE if known.pulse is None else known.pulse.flags
         if PulseFlag.LEFT in flags:
             return HostState.dead
-        if silent_for > self.dead_after and not own:
+        if silent_for > bounds.dead and not own:
             return HostState.dead
         if PulseFlag.DRAINING in flags:
             return HostState.draining
         if own:
             return HostState.live
-        if known.heard_at is None or silent_for > self.suspect_after:
+        if known.heard_at is None or silent_for > bounds.suspect:
             return HostState.suspect
         return HostState.live
 
--- a/packages/node/src/bronzepoint_node/membership/_membership.py
+++ b/packages/node/src/bronzepoint_node/membership/_membership.py
@@ -38,6 +38,7 @@
 _FORGET_LIFETIMES = 2
 """Run-once records outlive the list's memory of a host, so twice their lifetime."""
 _LEAVE_TIMEOUT = 0.5
+_CACHE_LIFETIME = 0.1
 _log = get_logger("membership")
 
 
@@ -80,7 +81,12 @@
         self._relay = Relay(peers, self._hosts, self._regions, self._clock, metrics)
         self._load = LoadSummary()
         self._flags = PulseFlag.NONE
+        self._told: set[HostName] = set()
+        self._forgotten_callbacks: list[Callable[[], None]] = []
         self._tasks = curio.TaskGroup()
+        self._cached: list[HostInfo] = []
+        self._cached_version = -1
+        self._cached_until = 0.0
         self._add_seeds()
 
     async def start(self) -> None:
@@ -121,8 +127,16 @@
         return None
 
     def region_hosts(self) -> list[HostInfo]:
-        """Return all known hosts of this host's region, live or not, with itself."""
-        return [self._complete(info) for info in self._hosts.infos()]
+        """Return all known hosts of this host's region, live or not, with itself.
+
+        Each request asks; what it gets may be `_CACHE_LIFETIME` old.
+        """
+        now = self._clock.now()
+        if self._cached_version != self._hosts.version or now >= self._cached_until:
+            self._cached = [self._complete(info) for info in self._hosts.infos()]
+            self._cached_version = self._hosts.version
+            self._cached_until = now + _CACHE_LIFETIME
+        return list(self._cached)
 
     def live(self, region: RegionName | None = None) -> list[HostInfo]:
         """Return the live hosts of one region, by default of this host's own."""
@@ -175,13 +189,16 @@
             True where every host that isn't dead has answered since.
         """
         self.set_draining()
-        told: set[HostName] = set()
         async with curio.ignore_after(timeout):
-            while missing := [n for n in self._reachable() if n not in told]:
-                told.update(await self._exchange_with(missing, self._interval))
+            while not await self._tell_draining():
+                pass
             return True
         return False
 
+    def on_forgotten(self, callback: Callable[[], None]) -> None:
+        """Call back once when, after `set_draining`, no directory names this host."""
+        self._forgotten_callbacks.append(callback)
+
     def tell_notice(self, notice: TargetNotice) -> None:
         """Pass on word of a target to the hosts of the region."""
         self._gossip.take_notices([notice])
@@ -213,6 +230,8 @@
             started = time.monotonic()
             self._beat()
             await self._gossip.round(interval)
+            if self.draining:
+                await self._tell_draining()
             self._notices.drop_old()
             for name in self._hosts.forget_dead():
                 _log.info("Host forgotten", forgotten=name)
@@ -226,6 +245,17 @@
             due = started + self._relay.interval
             await curio.sleep(max(0.0, due - time.monotonic()))
 
+    async def _tell_draining(self) -> bool:
+        """Tell the hosts that haven't heard it yet; True where all have."""
+        missing = [name for name in self._reachable() if name not in self._told]
+        self._told |= await self._exchange_with(missing, self._interval)
+        if any(name not in self._told for name in self._reachable()):
+            return False
+        callbacks, self._forgotten_callbacks = self._forgotten_callbacks, []
+        for callback in callbacks:
+            callback()
+        return True
+
     def _beat(self) -> None:
         load = self._load
         flags = self._flags
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/targets/_targets.py
@@ -0,0 +1,350 @@
+"""The targets of this host's region, as this host sees them."""
+
+import time
+from collections.abc import Mapping
+from operator import is_
+from typing import Protocol
+
+import curio
+
+from bronzepoint_common.http import HttpClient
+from bronzepoint_common.logs import get_logger
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_node.membership import HostState, Membership
+from bronzepoint_node.policy import TargetState, TargetView
+from bronzepoint_node.targets._byte_budget import ByteBudget
+from bronzepoint_node.targets._ejection import find_ejections, find_return
+from bronzepoint_node.targets._host_list import HostListReader
+from bronzepoint_node.targets._poller import Poller
+from bronzepoint_node.targets._subset import choose_subset
+from bronzepoint_node.targets._tracked_target import TrackedTarget
+from bronzepoint_schema.generated.admin import TargetStatus
+from bronzepoint_schema.generated.catalogue import (
+    CatalogueItem,
+    ModelEntry,
+    ServiceEntry,
+    Target,
+)
+from bronzepoint_schema.generated.decisions import TryResult
+from bronzepoint_schema.generated.membership import EntryShare, TargetNotice, WordSource
+from bronzepoint_schema.generated.platform import ListedHost, ListedState
+from bronzepoint_schema.generated.settings import Settings
+from bronzepoint_schema.ids import EntryName, HostName, TargetName
+
+LEAVING_HEADER = "x-leaving"
+MOST_BLOCKS = 40_000
+"""Prompt blocks remembered over all targets, about 8 MB."""
+_MOST_BLOCKS_EACH = 4000
+_LEAST_BLOCKS_EACH = 200
+_POLLS_A_SECOND = 8.0
+"""Polls of loads over all targets; with more targets each is polled less often."""
+_EVENT_BYTES_A_SECOND = 2000.0
+_SETTLE_INTERVAL = 0.25
+_NOT_LEAVING = ("", "0")
+Entry = ModelEntry | ServiceEntry
+_log = get_logger("targets")
+
+
+class Catalogue(Protocol):
+    """What is read of the catalogue."""
+
+    def items(self) -> list[CatalogueItem]:
+        """Return all items."""
+
+
+class Targets:
+    """Watches a bounded part of the region's targets and counts what is sent there.
+
+    Args:
+        settings: Region, platform services and the time between polls.
+        catalogue: Names the targets.
+        membership: Hosts that share the targets, and their notices.
+        http: Connections to targets and to the host list.
+        metrics: Counts polls, ejections and returns.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        catalogue: Catalogue,
+        membership: Membership,
+        http: HttpClient,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._catalogue = catalogue
+        self._membership = membership
+        self._http = http
+        self._metrics = metrics
+        self._tracked: dict[TargetName, TrackedTarget] = {}
+        self._entries: dict[EntryName, list[TargetName]] = {}
+        self._region_sizes: dict[EntryName, int] = {}
+        self._pollers: dict[TargetName, Poller] = {}
+        self._events = ByteBudget(_EVENT_BYTES_A_SECOND)
+        self._chosen_hosts: list[HostName] = []
+        self._chosen_entries: list[Entry] = []
+        self._tasks = curio.TaskGroup()
+        membership.on_notice(self._hear_notice)
+
+    async def start(self) -> None:
+        """Begin to watch."""
+        await self._tasks.spawn(self._run)
+        platform = self._settings.platform
+        if platform.host_list:
+            reader = HostListReader(
+                platform.host_list,
+                self._http,
+                platform.poll,
+                self._hear_list,
+                self._metrics,
+            )
+            await self._tasks.spawn(reader.run)
+
+    async def close(self) -> None:
+        """Stop watching."""
+        await self._tasks.cancel_remaining()
+        for poller in self._pollers.values():
+            await poller.close()
+        self._pollers.clear()
+
+    def views(
+        self, entry: EntryName, prefix_hashes: list[str] | None = None
+    ) -> list[TargetView]:
+        """Return this host's targets of an entry, as they are now.
+
+        Args:
+            entry: The entry.
+            prefix_hashes: Hashes of the prompt's blocks, see `prefix`.
+        """
+        hashes = prefix_hashes or []
+        now, unix_time = time.monotonic(), time.time()
+        tracked = self._siblings(entry)
+        views = [each.view(hashes, now, unix_time) for each in tracked]
+        if views and all(view.state is TargetState.unknown for view in views):
+            # With no connection to any of them the fault may be the polls' own; a
+            # try tells, and one that can't connect has not run.
+            for view in views:
+                view.state = TargetState.ready
+        return views
+
+    def begin(self, name: TargetName, prefix_hashes: list[str] | None = None) -> None:
+        """Count a request that is about to be sent; call it before any await."""
+        tracked = self._tracked.get(name)
+        if tracked is None:
+            return
+        tracked.in_flight.change(1, time.time())
+        if prefix_hashes:
+            tracked.memory.note_sent(prefix_hashes, time.monotonic())
+
+    def finish(self, name: TargetName, result: TryResult, seconds: float) -> None:
+        """Count the end of a request.
+
+        Args:
+            name: The target.
+            result: How the try ended.
+            seconds: From the sending to the first byte of the answer.
+        """
+        tracked = self._tracked.get(name)
+        if tracked is None:
+            return
+        tracked.in_flight.change(-1, time.time())
+        tracked.health.note(result, seconds)
+        self._eject(name)
+
+    def note_answer(self, name: TargetName, headers: Mapping[str, str]) -> None:
+        """Take a target's own word from the headers of any of its answers."""
+        tracked = self._tracked.get(name)
+        if tracked is None:
+            return
+        if headers.get(LEAVING_HEADER, "") not in _NOT_LEAVING:
+            tracked.leaving.hear_header(tracked.target_now(time.time()))
+            self._after_word(tracked)
+
+    def shares(self) -> list[EntryShare]:
+        """Return this host's part of each entry's load, for `Membership.publish`.
+
+        The slots are those of the whole region, estimated from the part that this
+        host watches; the requests are this host's own, without any that it queues.
+        """
+        shares = []
+        for entry in self._entries:
+            tracked = self._siblings(entry)
+            ready = [each for each in tracked if each.state is TargetState.ready]
+            scale = self._region_sizes[entry] / max(1, len(tracked))
+            costs = [each.target.cost for each in ready]
+            shares.append(
+                EntryShare(
+                    entry=entry,
+                    slots=round(scale * sum(each.slots for each in ready)),
+                    in_progress=sum(each.in_flight.count for each in tracked),
+                    cost=sum(costs) / len(costs) if costs else 1.0,
+                )
+            )
+        return shares
+
+    def statuses(self) -> list[TargetStatus]:
+        """Return all targets that this host watches, for operators."""
+        unix_time = time.time()
+        return [
+            _make_status(entry, each, unix_time)
+            for entry in sorted(self._entries)
+            for each in self._siblings(entry)
+        ]
+
+    async def _run(self) -> None:
+        while True:
+            await self._follow_catalogue()
+            self._settle()
+            await curio.sleep(_SETTLE_INTERVAL)
+
+    async def _follow_catalogue(self) -> None:
+        """Watch the targets that the catalogue names now, as far as they are ours."""
+        items = self._catalogue.items()
+        entries = [i for i in items if isinstance(i, Entry)]
+        hosts = self._sharing_hosts()
+        if hosts == self._chosen_hosts and _are_same(entries, self._chosen_entries):
+            return
+        self._chosen_hosts, self._chosen_entries = hosts, entries
+        wanted: dict[TargetName, Target] = {}
+        polled: set[TargetName] = set()
+        self._entries = {}
+        for entry in entries:
+            targets = self._choose(entry, hosts)
+            self._entries[entry.name] = [target.name for target in targets]
+            wanted.update({target.name: target for target in targets})
+            if isinstance(entry, ModelEntry):
+                polled.update(target.name for target in targets)
+        self._watch(wanted)
+        await self._poll(polled)
+
+    def _choose(self, entry: Entry, hosts: list[HostName]) -> list[Target]:
+        own_region = self._settings.host.region
+        targets = {t.name: t for t in entry.targets if t.region == own_region}
+        self._region_sizes[entry.name] = len(targets)
+        chosen = choose_subset(self._settings.host.name, hosts, sorted(targets))
+        return [targets[name] for name in chosen]
+
+    def _sharing_hosts(self) -> list[HostName]:
+        """Return the hosts of the region that share its targets, with this one."""
+        own = self._settings.host.name
+        gone = (HostState.dead, HostState.draining)
+        infos = self._membership.region_hosts()
+        return [i.name for i in infos if i.state not in gone or i.name == own]
+
+    def _watch(self, wanted: dict[TargetName, Target]) -> None:
+        each = MOST_BLOCKS // max(1, len(wanted))
+        blocks = min(_MOST_BLOCKS_EACH, max(_LEAST_BLOCKS_EACH, each))
+        for name, target in wanted.items():
+            tracked = self._tracked.get(name)
+            if tracked is None or tracked.update(target):
+                tracked = TrackedTarget(target, blocks)
+                tracked.update(target)
+                self._tracked[name] = tracked
+                self._recall_notices(tracked)
+            tracked.memory.most_blocks = blocks
+        for name in list(self._tracked):
+            # A request in progress still ends in `finish`, which needs the count.
+            if name not in wanted and self._tracked[name].in_flight.count == 0:
+                del self._tracked[name]
+
+    async def _poll(self, names: set[TargetName]) -> None:
+        for name in list(self._pollers):
+            current = self._tracked.get(name)
+            if name not in names or current is not self._pollers[name].tracked:
+                await self._pollers.pop(name).close()
+        for name in names - self._pollers.keys():
+            poller = Poller(
+                self._tracked[name],
+                self._http,
+                self._poll_interval,
+                self._events,
+                self._after_word,
+                self._metrics,
+            )
+            self._pollers[name] = poller
+            await poller.start()
+
+    def _poll_interval(self) -> float:
+        return max(self._settings.platform.poll, len(self._pollers) / _POLLS_A_SECOND)
+
+    def _siblings(self, entry: EntryName) -> list[TrackedTarget]:
+        return [self._tracked[name] for name in self._entries.get(entry, ())]
+
+    def _settle(self) -> None:
+        now = time.monotonic()
+        for tracked in self._tracked.values():
+            tracked.settle(now)
+        for entry in self._entries:
+            due = find_return([t.health for t in self._siblings(entry)], now)
+            if due is not None:
+                due.begin_return(now)
+                self._metrics.incr("targets.returned")
+
+    def _eject(self, name: TargetName) -> None:
+        now = time.monotonic()
+        for entry, names in self._entries.items():
+            if name not in names:
+                continue
+            tracked = self._siblings(entry)
+            for health in find_ejections([each.health for each in tracked]):
+                failing = next(t for t in tracked if t.health is health)
+                _log.warning(
+                    "Target ejected",
+                    target=failing.target.name,
+                    failures=health.failures,
+                    first_byte=round(health.seconds, 3),
+                )
+                health.eject(now)
+                self._metrics.incr("targets.ejected")
+
+    def _hear_list(self, lines: list[ListedHost]) -> None:
+        for line in lines:
+            tracked = self._tracked.get(line.name)
+            leaving = line.state is ListedState.leaving
+            if tracked is not None:
+                tracked.leaving.hear(WordSource.host_list, leaving, line.as_of)
+                self._after_word(tracked)
+
+    def _hear_notice(self, notice: TargetNotice) -> None:
+        tracked = self._tracked.get(notice.target)
+        if tracked is not None:
+            tracked.leaving.hear_notice(notice)
+            tracked.settle(time.monotonic())
+
+    def _recall_notices(self, tracked: TrackedTarget) -> None:
+        for notice in self._membership.notices():
+            if notice.target == tracked.target.name:
+                tracked.leaving.hear_notice(notice)
+
+    def _after_word(self, tracked: TrackedTarget) -> None:
+        tracked.settle(time.monotonic())
+        for notice in tracked.leaving.untold():
+            _log.info(
+                "Target leaving" if notice.leaving else "Target stays",
+                target=notice.target,
+                source=notice.source,
+            )
+            self._membership.tell_notice(notice)
+
+
+def _are_same(first: list[Entry], second: list[Entry]) -> bool:
+    """Return whether two lists hold the same objects; items are never changed."""
+    return len(first) == len(second) and all(map(is_, first, second))
+
+
+def _make_status(
+    entry: EntryName, tracked: TrackedTarget, unix_time: float
+) -> TargetStatus:
+    status = TargetStatus(
+        entry=entry,
+        name=tracked.target.name,
+        region=tracked.target.region,
+        state=tracked.state,
+        in_flight=tracked.in_flight.count,
+        leaving_by=tracked.leaving.sources,
+    )
+    if tracked.report is not None:
+        status.running = tracked.report.running
+        status.waiting = tracked.report.waiting
+        status.age = max(0.0, unix_time - tracked.report.as_of)
+    return status
--- /dev/null
+++ b/tests/test_targets_leaving.py
@@ -0,0 +1,275 @@
+"""A target that leaves, by three sources that lag and disagree."""
+
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+
+import curio
+import msgspec
+from nose2.tools import params
+
+from bronzepoint_common.http import Answer, ConnectFailed
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_node.policy import TargetState
+from bronzepoint_node.targets import Targets
+from bronzepoint_node.targets._leaving import LAG_BOUND, Leaving
+from bronzepoint_schema.generated.catalogue import ModelEntry, Route, ServiceEntry
+from bronzepoint_schema.generated.catalogue import Target as CatalogueTarget
+from bronzepoint_schema.generated.membership import TargetNotice, WordSource
+from bronzepoint_schema.generated.platform import (
+    CacheEvents,
+    HostList,
+    ListedHost,
+    ListedState,
+    LoadReport,
+)
+from bronzepoint_schema.generated.settings import PlatformSection
+from tests._membership_net import Group, make_settings, until
+
+HOST_LIST = "list:1"
+LAG = 5.0
+
+
+class FakeHttp:
+    """Answers polls as engines and the host list do, with their lag."""
+
+    def __init__(self) -> None:
+        self.leaving: set[str] = set()
+        self.down: set[str] = set()
+        self.listed: dict[str, ListedState] = {}
+        self.lag = LAG
+
+    async def fetch(
+        self, address: str, method: str, path: str, *rest: object
+    ) -> Answer:
+        if address in self.down:
+            raise ConnectFailed(address, "refused")
+        as_of = time.time() - self.lag
+        match path.split("?")[0]:
+            case "/hosts":
+                lines = [ListedHost(n, s, as_of) for n, s in self.listed.items()]
+                body = msgspec.json.encode(HostList(lines))
+            case "/load":
+                report = LoadReport(2, 1, 8, as_of, address in self.leaving)
+                body = msgspec.json.encode(report)
+            case _:
+                body = msgspec.json.encode(CacheEvents([], as_of))
+        return Answer(200, {}, body)
+
+
+class FakeCatalogue:
+    """A model with three targets and a service with two."""
+
+    def __init__(self) -> None:
+        self.model = ModelEntry("m", "o", targets=make_targets("e", 3))
+        route = Route("GET", "/")
+        self.service = ServiceEntry(
+            "s", "o", routes=[route], targets=make_targets("s", 2)
+        )
+
+    def items(self) -> list[ModelEntry | ServiceEntry]:
+        return [self.model, self.service]
+
+    def set_leaving(self, leaving: bool) -> None:
+        targets = make_targets("e", 3)
+        targets[0].leaving = leaving
+        self.model = msgspec.structs.replace(self.model, targets=targets)
+
+
+def make_targets(prefix: str, count: int) -> list[CatalogueTarget]:
+    return [
+        CatalogueTarget(f"{prefix}{i}", "bkk", "dc", f"{prefix}{i}:1")
+        for i in range(count)
+    ]
+
+
+class Hosts:
+    """Targets of three hosts that share one platform."""
+
+    def __init__(self) -> None:
+        self.http = FakeHttp()
+        self.catalogue = FakeCatalogue()
+        self.group = Group(["bkk-0", "bkk-1", "bkk-2"])
+        self.targets = {name: self.make(name) for name in self.group.members}
+
+    def make(self, name: str) -> Targets:
+        settings = make_settings(name, list(self.group.members))
+        settings.platform = PlatformSection(host_list=HOST_LIST, poll=0.05)
+        member = self.group.members[name]
+        return Targets(settings, self.catalogue, member, self.http, Metrics())
+
+    def states(self, target: str, entry: str = "m") -> set[str]:
+        views = [t.views(entry) for t in self.targets.values()]
+        return {v.state for each in views for v in each if v.name == target}
+
+    def sources(self, target: str) -> set[tuple[str, ...]]:
+        tracked = [t._tracked[target] for t in self.targets.values()]
+        return {tuple(each.leaving.sources) for each in tracked}
+
+    async def become(self, state: TargetState, target: str, entry: str = "m") -> None:
+        await until(lambda: self.states(target, entry) == {state})
+
+    def run(self, scenario: Callable[["Hosts"], Awaitable[None]]) -> None:
+        async def main() -> None:
+            await self.group.start()
+            for targets in self.targets.values():
+                await targets.start()
+            try:
+                await self.become(TargetState.ready, "e0")
+                await self.become(TargetState.ready, "s0", "s")
+                await scenario(self)
+            finally:
+                for targets in self.targets.values():
+                    await targets.close()
+                await self.group.close()
+
+        curio.run(main)
+
+
+class TestThreeSources(unittest.TestCase):
+    """Each source alone takes a target out on every host.
+
+    Symptom: a target that is shut down cuts requests that came after it had said so.
+    Sequence: the operator, the platform or the target itself says that it leaves; the
+    other two sources lag and still say that it stays. Cause: taking the newest or the
+    most frequent word in place of each source's own newest word.
+    """
+
+    def test_by_operator(self) -> None:
+        async def scenario(hosts: Hosts) -> None:
+            hosts.http.listed["e0"] = ListedState.live
+            hosts.catalogue.set_leaving(True)
+            await hosts.become(TargetState.leaving, "e0")
+            hosts.catalogue.set_leaving(False)
+            await hosts.become(TargetState.ready, "e0")
+
+        Hosts().run(scenario)
+
+    def test_by_host_list(self) -> None:
+        async def scenario(hosts: Hosts) -> None:
+            hosts.http.listed["e0"] = ListedState.leaving
+            await hosts.become(TargetState.leaving, "e0")
+            hosts.http.listed["e0"] = ListedState.live
+            await hosts.become(TargetState.ready, "e0")
+
+        Hosts().run(scenario)
+
+    def test_by_own_report(self) -> None:
+        async def scenario(hosts: Hosts) -> None:
+            hosts.http.listed["e0"] = ListedState.live
+            hosts.http.leaving.add("e0:1")
+            await hosts.become(TargetState.leaving, "e0")
+            hosts.http.leaving.clear()
+            await hosts.become(TargetState.ready, "e0")
+
+        Hosts().run(scenario)
+
+    def test_by_header_seen_by_one_host_while_lists_lag(self) -> None:
+        async def scenario(hosts: Hosts) -> None:
+            hosts.http.listed["s0"] = ListedState.live
+            hosts.targets["bkk-1"].note_answer("s0", {"x-leaving": "1"})
+            await hosts.become(TargetState.leaving, "s0", "s")
+            for _ in range(5):
+                await curio.sleep(0.05)
+                self.assertEqual(hosts.states("s0", "s"), {TargetState.leaving})
+            # The list sees it leave, and then return: only then is it back.
+            hosts.http.listed["s0"] = ListedState.leaving
+            await until(lambda: hosts.sources("s0") == {("target", "host_list")})
+            hosts.http.listed["s0"] = ListedState.live
+            await hosts.become(TargetState.ready, "s0", "s")
+
+        Hosts().run(scenario)
+
+    def test_returning_target_gets_one_request_at_a_time_first(self) -> None:
+        """A target comes back and all hosts learn of it together.
+
+        Symptom: it falls over at once, for its cache is cold. Cause: every host gives
+        it a whole share of the load in the same second.
+        """
+
+        async def scenario(hosts: Hosts) -> None:
+            hosts.catalogue.set_leaving(True)
+            await hosts.become(TargetState.leaving, "e0")
+            hosts.catalogue.set_leaving(False)
+            await hosts.become(TargetState.ready, "e0")
+            view = hosts.targets["bkk-0"].views("m")[0]
+            self.assertEqual((view.name, view.allowed), ("e0", 1))
+
+        Hosts().run(scenario)
+
+    def test_unreachable_target_gets_nothing_and_its_siblings_do(self) -> None:
+        async def scenario(hosts: Hosts) -> None:
+            hosts.http.down.add("e1:1")
+            await hosts.become(TargetState.unknown, "e1")
+            self.assertEqual(hosts.states("e2"), {TargetState.ready})
+            hosts.http.down.clear()
+            await hosts.become(TargetState.ready, "e1")
+
+        Hosts().run(scenario)
+
+    def test_load_report_with_its_age(self) -> None:
+        async def scenario(hosts: Hosts) -> None:
+            targets = hosts.targets["bkk-0"]
+            targets.begin("e2", ["a", "b"])
+            view = next(v for v in targets.views("m", ["a", "b"]) if v.name == "e2")
+            self.assertEqual((view.running, view.waiting, view.in_flight), (2, 1, 1))
+            self.assertEqual(view.in_flight_at_report, 0)
+            self.assertGreaterEqual(view.report_age, LAG)
+            self.assertEqual(view.cached_tokens, 32)
+
+        Hosts().run(scenario)
+
+
+class TestLeaving(unittest.TestCase):
+    def setUp(self) -> None:
+        self.leaving = Leaving("t")
+        self.leaving.reports = True
+
+    def test_late_report_does_not_undo_the_header(self) -> None:
+        """Reports are five seconds late.
+
+        Symptom: the target gets requests again a second after it said in an answer
+        that it leaves. Sequence: the header; then a report of the time before it.
+        Cause: comparing when words arrive, not which time they speak of.
+        """
+        self.leaving.hear(WordSource.target, False, 100.0)
+        self.leaving.hear_header(101.0)
+        self.leaving.hear(WordSource.target, False, 102.0)
+        self.assertTrue(self.leaving.leaving)
+        self.leaving.hear(WordSource.target, False, 102.0 + LAG_BOUND)
+        self.assertFalse(self.leaving.leaving)
+
+    @params((99.0, True), (101.0, False))
+    def test_notice_of_another_host(self, as_of: float, stays: bool) -> None:
+        self.leaving.hear(WordSource.target, False, 100.0)
+        self.leaving.hear_notice(TargetNotice("t", True, as_of))
+        self.assertIs(self.leaving.leaving, not stays)
+
+    def test_stale_list_does_not_bring_back(self) -> None:
+        self.leaving.reports = False
+        self.leaving.hear_header(100.0)
+        self.leaving.hear(WordSource.host_list, False, 500.0)
+        self.assertTrue(self.leaving.leaving)
+        self.assertEqual(self.leaving.sources, ["target"])
+        self.leaving.hear(WordSource.host_list, True, 501.0)
+        self.leaving.hear(WordSource.host_list, False, 502.0)
+        self.assertFalse(self.leaving.leaving)
+
+    def test_sources_are_named_in_one_order(self) -> None:
+        self.leaving.hear(WordSource.host_list, True, 100.0)
+        self.leaving.hear(WordSource.target, True, 100.0)
+        self.leaving.by_operator = True
+        self.assertEqual(self.leaving.sources, ["operator", "target", "host_list"])
+
+    def test_each_word_is_told_once_and_renewed(self) -> None:
+        self.leaving.hear(WordSource.target, False, 100.0)
+        self.assertEqual(self.leaving.untold(), [])
+        self.leaving.hear(WordSource.target, True, 101.0)
+        self.assertEqual(len(self.leaving.untold()), 1)
+        self.leaving.hear(WordSource.target, True, 102.0)
+        self.assertEqual(self.leaving.untold(), [])
+        self.leaving.hear(WordSource.target, True, 170.0)
+        self.assertEqual(len(self.leaving.untold()), 1)
+        self.leaving.hear(WordSource.target, False, 171.0)
+        [notice] = self.leaving.untold()
+        self.assertFalse(notice.leaving)
