Add bronzepoint load; mend what a live deployment showed of the command line

Cause: operators want to see what a caller sees under load. The first run of all commands against nine daemons also showed that change ids without dashes are refused, that remedies ran into the sentence before them, and that `hosts` showed 0 and "no" for what a host does not know of other regions. Change: `bronzepoint load` over bronzepoint_common.load with a progress bar, counts and a latency table; change ids with dashes; remedies on a line of their own; blanks for what is not known. The test runner shows at most 40,000 characters of a failed module, since one that failed in a loop had printed 209,000 lines.

--- a/packages/cli/src/bronzepoint_cli/_app.py
+++ b/packages/cli/src/bronzepoint_cli/_app.py
@@ -13,6 +13,7 @@
     config,
     counters,
     hosts,
+    load,
     send,
     targets,
     why,
@@ -34,6 +35,7 @@
 app.command(name="targets")(targets.targets)
 app.command(name="counters")(counters.counters)
 app.command(name="send")(send.send)
+app.command(name="load")(load.load)
 
 
 def _print_version(wanted: bool) -> None:
--- a/packages/cli/src/bronzepoint_cli/_chat.py
+++ b/packages/cli/src/bronzepoint_cli/_chat.py
@@ -29,6 +29,18 @@
     choices: list[Choice] = msgspec.field(default_factory=list)
 
 
+def chat_body(entry: str, prompt: str, max_tokens: int) -> bytes:
+    """Return the body of a chat completion that is streamed."""
+    return msgspec.json.encode(
+        {
+            "model": entry,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+    )
+
+
 class ChatCall:
     """A prompt whose answer is printed while it comes.
 
@@ -43,14 +55,7 @@
         self, entry: str, prompt: str, max_tokens: int, headers: dict[str, str]
     ) -> None:
         self._headers = headers
-        self._body = msgspec.json.encode(
-            {
-                "model": entry,
-                "messages": [{"role": "user", "content": prompt}],
-                "max_tokens": max_tokens,
-                "stream": True,
-            }
-        )
+        self._body = chat_body(entry, prompt, max_tokens)
         self._printed = False
 
     async def run(self, gateway: Gateway) -> None:
@@ -126,4 +131,4 @@
                 print(choice.delta.content, end="", flush=True)
 
 
-__all__ = ["ChatCall"]
+__all__ = ["ChatCall", "chat_body"]
--- a/packages/cli/src/bronzepoint_cli/_errors.py
+++ b/packages/cli/src/bronzepoint_cli/_errors.py
@@ -80,7 +80,7 @@
 
 
 def _describe(refusal: Refusal) -> str:
-    lines = [f"refused ({refusal.kind}): {refusal.message}; {refusal.remedy}"]
+    lines = [f"refused ({refusal.kind}): {refusal.message}", f"  {refusal.remedy}"]
     match refusal.ran:
         case Ran.no:
             lines.append("  the request did not run")
--- a/packages/cli/src/bronzepoint_cli/_gateway.py
+++ b/packages/cli/src/bronzepoint_cli/_gateway.py
@@ -23,6 +23,9 @@
 SHORTEST_WAIT = 0.2
 """Seconds between two rounds over the hosts where none says how long to wait."""
 
+READING = frozenset({"GET", "HEAD", "OPTIONS"})
+"""Methods that change nothing, so they carry no idempotency key."""
+
 ELSEWHERE = frozenset(
     {
         RefusalKind.draining,
@@ -99,10 +102,11 @@
             raise refused
         return decode(answer, answer_type)
 
-    async def follow_directory(self) -> None:
+    async def follow_directory(self) -> DirectoryAnswer:
         """Ask which hosts to use, and try these from then on."""
         directory = await self.get("/v1/hosts", DirectoryAnswer)
         self.prefer([host.address for host in directory.hosts])
+        return directory
 
     async def post(self, path: str, body: bytes, answer_type: type[T]) -> T:
         """Send something that may be sent again until a host has answered it."""
--- a/packages/cli/src/bronzepoint_cli/_output.py
+++ b/packages/cli/src/bronzepoint_cli/_output.py
@@ -11,6 +11,9 @@
 PIPE_WIDTH = 200
 """Columns where the output is no terminal: wide, so that no cell is cut."""
 
+WHOLE_FROM = 100
+"""Numbers from here on are shown without a fraction."""
+
 
 def console() -> Console:
     """Return a console on standard output."""
@@ -56,7 +59,7 @@
         case bool():
             return "yes" if value else "no"
         case float():
-            return f"{value:.3g}"
+            return f"{value:.0f}" if abs(value) >= WHOLE_FROM else f"{value:.3g}"
         case None:
             return ""
         case _:
--- a/packages/cli/src/bronzepoint_cli/commands/catalogue.py
+++ b/packages/cli/src/bronzepoint_cli/commands/catalogue.py
@@ -243,7 +243,7 @@
 
 def new_change_id() -> str:
     """Return a UUIDv7, by whose time part hosts know how old a change is."""
-    return uuid_utils.uuid7().hex
+    return str(uuid_utils.uuid7())
 
 
 def _same(old: CatalogueItem, new: CatalogueItem) -> bool:
--- a/packages/cli/src/bronzepoint_cli/commands/cluster.py
+++ b/packages/cli/src/bronzepoint_cli/commands/cluster.py
@@ -10,7 +10,7 @@
 from bronzepoint_cli._output import print_json, print_table
 from bronzepoint_cli._running import run_with_gateway
 from bronzepoint_common.http import HttpError
-from bronzepoint_schema.generated.admin import StatusAnswer
+from bronzepoint_schema.generated.admin import StatusAnswer, VoterState
 
 app = typer.Typer(
     help="Form the cluster and see its state.",
@@ -25,11 +25,13 @@
     "READY",
     "REVISION",
     "CONFIRMED",
+    "IN BOUND",
     "ROLE",
     "TERM",
     "LEADER",
     "IN PROGRESS",
 )
+VOTER_COLUMNS = ("VOTER", "DISK", "LOG INDEX", "HEARD")
 
 
 @app.command("init")
@@ -60,6 +62,8 @@
 ) -> None:
     """Show what hosts say of themselves and of the agreement.
 
+    IN BOUND says whether the host can know that no newer catalogue is in force.
+
     Example: bronzepoint cluster status --each
     """
 
@@ -72,7 +76,7 @@
     if json:
         print_json(answers)
     else:
-        print_table(COLUMNS, (status_row(answer) for answer in answers))
+        print_statuses(answers)
     if problems:
         error = CliError("\n  ".join(["not every host answered", *problems]))
         error.code = ExitCode.FAILED if answers else ExitCode.UNREACHABLE
@@ -93,6 +97,25 @@
 STATUS_PATH = "/v1/admin/status"
 
 
+def print_statuses(answers: list[StatusAnswer]) -> None:
+    """Print the hosts, then the voters as the leader sees them, then failures."""
+    print_table(COLUMNS, map(status_row, answers))
+    for answer in answers:
+        if answer.voter_states:
+            print(f"\nvoters as {answer.host} sees them")
+            print_table(VOTER_COLUMNS, map(voter_row, answer.voter_states))
+    for answer in answers:
+        if answer.failure:
+            print(f"\n{answer.host}: {answer.failure}")
+
+
+def voter_row(voter: VoterState) -> tuple[object, ...]:
+    """Return the row of one voter; its order is that of VOTER_COLUMNS."""
+    heard = f"{voter.silent:.1f} s ago" if voter.silent >= 0 else "never"
+    lost = voter.found not in ("", voter.storage)
+    return voter.host, "lost" if lost else "same", voter.index, heard
+
+
 def status_row(answer: StatusAnswer) -> tuple[object, ...]:
     """Return the row of one host; its order is that of COLUMNS."""
     known = answer.confirmed_age >= 0
@@ -103,6 +126,7 @@
         answer.ready,
         answer.revision,
         f"{answer.confirmed_age:.1f} s ago" if known else "never",
+        answer.within_bound,
         answer.role,
         answer.term,
         answer.leader,
--- a/packages/cli/src/bronzepoint_cli/commands/hosts.py
+++ b/packages/cli/src/bronzepoint_cli/commands/hosts.py
@@ -9,7 +9,7 @@
 from bronzepoint_cli._options import JsonOption
 from bronzepoint_cli._output import print_json, print_table
 from bronzepoint_cli._running import run_with_gateway
-from bronzepoint_schema.generated.admin import DrainAnswer, HostsAnswer
+from bronzepoint_schema.generated.admin import DrainAnswer, HostsAnswer, HostStatus
 
 COLUMNS = (
     "HOST",
@@ -26,6 +26,9 @@
 def hosts(context: typer.Context, json: JsonOption = False) -> None:
     """Show the hosts that the answering host knows.
 
+    Of other regions a host knows less: load, catalogue revision and whether a host
+    keeps run-once records are shown for its own region only.
+
     Example: bronzepoint hosts --json
     """
     answer = run_with_gateway(
@@ -34,23 +37,21 @@
     if json:
         print_json(answer)
         return
-    rows = (
-        (
-            host.name,
-            host.region,
-            host.data_center,
-            host.http,
-            host.state,
-            host.load,
-            host.revision,
-            host.run_once_ready,
-        )
-        for host in sorted(answer.hosts, key=lambda host: (host.region, host.name))
-    )
+    own = {host.region for host in answer.hosts if host.name == answer.host}
+    ordered = sorted(answer.hosts, key=lambda host: (host.region, host.name))
+    rows = (_host_row(host, host.region in own) for host in ordered)
     print_table(COLUMNS, rows)
     print(f"as seen by {answer.host}")
 
 
+def _host_row(host: HostStatus, detailed: bool) -> tuple[object, ...]:
+    """Return one row; what a host knows only of its own region is left out else."""
+    row = (host.name, host.region, host.data_center, host.http, host.state)
+    if not detailed:
+        return (*row, "", "", "")
+    return (*row, host.load, host.revision, host.run_once_ready)
+
+
 def drain(
     context: typer.Context,
     host: Annotated[str, typer.Argument(help="Name of the host.")],
--- /dev/null
+++ b/packages/cli/src/bronzepoint_cli/commands/load.py
@@ -0,0 +1,224 @@
+"""``bronzepoint load``: a bounded load, and the latencies that a caller sees."""
+
+import sys
+from typing import Annotated
+
+import msgspec
+import typer
+import uuid_utils
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
+
+from bronzepoint_cli._chat import PATH as CHAT_PATH
+from bronzepoint_cli._chat import chat_body
+from bronzepoint_cli._errors import CliError, UsageFault
+from bronzepoint_cli._gateway import READING, Gateway, path_part
+from bronzepoint_cli._options import JsonOption
+from bronzepoint_cli._output import print_json, print_table
+from bronzepoint_cli._running import run_with_gateway
+from bronzepoint_common.load import (
+    Latency,
+    Load,
+    LoadCall,
+    LoadLimits,
+    LoadResult,
+    OutcomeKind,
+    arrival_times,
+)
+from bronzepoint_schema.generated.admin import DirectoryAnswer
+
+PERCENTILES = (50.0, 95.0, 99.0, 100.0)
+
+
+class LatencyRow(msgspec.Struct):
+    """One measured time; all in milliseconds."""
+
+    name: str
+    count: int
+    mean: float
+    percentiles: dict[str, float]
+
+
+class LoadReport(msgspec.Struct):
+    """What `--json` prints."""
+
+    sent: int
+    seconds: float
+    outcomes: dict[str, int]
+    refusals: dict[str, int]
+    regions: dict[str, int]
+    retries: dict[str, int]
+    latencies: list[LatencyRow]
+
+
+class NothingAnswered(CliError):
+    """Not one request of the load was answered."""
+
+
+def load(
+    context: typer.Context,
+    entry: Annotated[str, typer.Argument(help="Catalogue entry.")],
+    text: Annotated[
+        str, typer.Argument(help="Prompt; for a service, the body to send.")
+    ] = "Where is the pharmacy?",
+    rate: Annotated[
+        float, typer.Option(min=0.01, max=10_000, help="Requests a second.")
+    ] = 5.0,
+    duration: Annotated[
+        float, typer.Option(min=0.1, max=3600, help="Seconds to send for.")
+    ] = 10.0,
+    seed: Annotated[int, typer.Option(help="Same seed, same arrivals.")] = 1,
+    in_progress: Annotated[
+        int, typer.Option(min=1, max=10_000, help="Most requests at once.")
+    ] = 100,
+    max_tokens: Annotated[
+        int, typer.Option(min=1, help="Most tokens to generate for each.")
+    ] = 64,
+    path: Annotated[
+        str, typer.Option(help="Path of a plain service, such as /phrases.")
+    ] = "",
+    method: Annotated[str, typer.Option(help="Method for a plain service.")] = "GET",
+    json: JsonOption = False,
+) -> None:
+    """Send requests at random moments, and show what a caller sees.
+
+    Times run from the moment a request was due, so that a slow answer can't hide the
+    waiting of those behind it. The requests go in turn to the hosts of the region that
+    the directory names first.
+
+    Example: bronzepoint load phrasebook --rate 20 --duration 30
+    """
+    if path and not path.startswith("/"):
+        raise UsageFault(f"--path {path!r} must begin with /")
+    maker = CallMaker(entry, text, max_tokens, path, method.upper())
+    times = list(arrival_times(rate, duration, seed))
+    limits = LoadLimits(in_progress=in_progress)
+
+    async def act(gateway: Gateway) -> LoadResult:
+        hosts = _nearest_hosts(await gateway.follow_directory())
+        token = gateway.profile.token
+        engine = Load(gateway.http, hosts or gateway.hosts, token, limits)
+        with LoadProgress(len(times)) as progress:
+            return await engine.run(times, maker.make, progress.show)
+
+    result = run_with_gateway(context, act)
+    if json:
+        print_json(report_of(result))
+    else:
+        print_report(report_of(result))
+    if result.sent and not result.outcomes[OutcomeKind.answered]:
+        raise NothingAnswered("not one request was answered; see the outcomes above")
+
+
+def _nearest_hosts(directory: DirectoryAnswer) -> list[str]:
+    regions = {host.region for host in directory.hosts[:1]}
+    return [host.address for host in directory.hosts if host.region in regions]
+
+
+class CallMaker:
+    """Makes the calls of a load, all alike but for their keys."""
+
+    def __init__(
+        self, entry: str, text: str, max_tokens: int, path: str, method: str
+    ) -> None:
+        self._service = bool(path)
+        self._method = method if path else "POST"
+        self._path = f"/v1/services/{path_part(entry)}{path}" if path else CHAT_PATH
+        self._body = text.encode() if path else chat_body(entry, text, max_tokens)
+        if path and method in READING:
+            self._body = b""
+
+    def make(self, number: int) -> LoadCall:
+        """Return the call of a number."""
+        headers = {"Content-Type": "application/json"}
+        changes = self._service and self._method not in READING
+        if changes:
+            headers["idempotency-key"] = str(uuid_utils.uuid7())
+        return LoadCall(
+            self._method,
+            self._path,
+            self._body,
+            headers,
+            stream=not self._service,
+            idempotent=not changes,
+        )
+
+
+class LoadProgress:
+    """A bar on standard error, where that is a terminal."""
+
+    def __init__(self, total: int) -> None:
+        self._progress = Progress(
+            TextColumn("{task.completed}/{task.total} ended"),
+            BarColumn(),
+            TimeRemainingColumn(),
+            TextColumn("{task.fields[refused]} refused"),
+            console=Console(stderr=True),
+            transient=True,
+            disable=not sys.stderr.isatty(),
+        )
+        self._task = self._progress.add_task("load", total=total, refused=0)
+
+    def __enter__(self) -> "LoadProgress":
+        self._progress.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._progress.stop()
+
+    def show(self, result: LoadResult) -> None:
+        """Show how far the load is."""
+        refused = result.outcomes[OutcomeKind.refused]
+        self._progress.update(self._task, completed=result.sent, refused=refused)
+
+
+def report_of(result: LoadResult) -> LoadReport:
+    """Return the figures of a result."""
+    return LoadReport(
+        result.sent,
+        round(result.seconds, 3),
+        _sorted(result.outcomes),
+        _sorted(result.refusals),
+        _sorted(result.regions),
+        _sorted(result.retries),
+        [
+            _latency_row("first piece", result.first),
+            _latency_row("between pieces", result.between),
+            _latency_row("whole answer", result.total),
+        ],
+    )
+
+
+def print_report(report: LoadReport) -> None:
+    """Print the counts and the table of latencies."""
+    print(f"sent {report.sent} requests in {report.seconds:.1f} s")
+    for name in ("outcomes", "refusals", "regions", "retries"):
+        counts = getattr(report, name)
+        if counts:
+            shown = ", ".join(f"{kind} {count}" for kind, count in counts.items())
+            print(f"{name}: {shown}")
+    heads = [_percentile_name(percent) for percent in PERCENTILES]
+    rows = [
+        (row.name, row.count, row.mean, *row.percentiles.values())
+        for row in report.latencies
+    ]
+    print_table(("LATENCY (ms)", "COUNT", "MEAN", *heads), rows)
+
+
+def _latency_row(name: str, latency: Latency) -> LatencyRow:
+    percentiles = {
+        _percentile_name(percent): round(latency.percentile(percent) * 1000, 1)
+        for percent in PERCENTILES
+    }
+    return LatencyRow(name, latency.count, round(latency.mean() * 1000, 1), percentiles)
+
+
+def _percentile_name(percent: float) -> str:
+    return "MAX" if percent == 100 else f"P{percent:g}"
+
+
+def _sorted(counts: dict[str, int]) -> dict[str, int]:
+    return {str(name): counts[name] for name in sorted(counts)}
+
+
+__all__ = ["load"]
--- a/packages/cli/src/bronzepoint_cli/commands/send.py
+++ b/packages/cli/src/bronzepoint_cli/commands/send.py
@@ -9,14 +9,11 @@
 
 from bronzepoint_cli._chat import ChatCall
 from bronzepoint_cli._errors import CliError, NoHostReachable, UsageFault
-from bronzepoint_cli._gateway import Gateway, path_part
+from bronzepoint_cli._gateway import READING, Gateway, path_part
 from bronzepoint_cli._output import print_origin
 from bronzepoint_cli._running import run_with_gateway
 from bronzepoint_common.http import Answer
 
-READING = frozenset({"GET", "HEAD", "OPTIONS"})
-"""Methods that change nothing, so they carry no idempotency key."""
-
 
 class TargetError(CliError):
     """The target itself answered with an error; its body was printed."""
--- a/packages/cli/src/bronzepoint_cli/commands/why.py
+++ b/packages/cli/src/bronzepoint_cli/commands/why.py
@@ -80,7 +80,8 @@
 
 
 def _print_refusal(refusal: Refusal) -> None:
-    print(f"  refused: {refusal.kind}: {refusal.message}; {refusal.remedy}")
+    print(f"  refused: {refusal.kind}: {refusal.message}")
+    print(f"  remedy: {refusal.remedy}")
     print(f"  ran: {refusal.ran}")
     if refusal.retry_after > 0:
         print(f"  come back in: {refusal.retry_after:g} s")
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -35,6 +35,9 @@
 LEFTOVER_WAIT = 10.0
 """Seconds that processes may take to end after their module has."""
 POLL = 0.05
+SHOWN = 20_000
+"""Characters of a failed module's output at its start and as many at its end: a
+process that fails in a loop would fill the log of CI."""
 
 
 @dataclass
@@ -202,7 +205,14 @@
     total = len(run.outcomes)
     print(f"{word:6} {run.name}: {total} tests in {seconds:.1f} s", flush=True)
     if failed:
-        print(run.output_path.read_text(errors="replace"), flush=True)
+        print(_shorten(run.output_path.read_text(errors="replace")), flush=True)
+
+
+def _shorten(text: str) -> str:
+    left_out = len(text) - 2 * SHOWN
+    if left_out <= 0:
+        return text
+    return f"{text[:SHOWN]}\n… {left_out} characters left out …\n{text[-SHOWN:]}"
 
 
 def find_modules() -> list[str]:
