--- a/tests/test_cli_golden.py
+++ b/tests/test_cli_golden.py
@@ -44,8 +44,13 @@
     ],
 )
 STATUS = admin.StatusAnswer(
-    "bkk-1", "bkk", "live", True, 7, 0.2, "leader", 4, "bkk-1", ["bkk-1"], 3
+    "bkk-1", "bkk", "live", True, 7, 0.2, "leader", 4, "bkk-1", ["bkk-1"], 3, True
 )
+STATUS.voter_states = [
+    admin.VoterState("bkk-1", "aa", "aa", 12, 0),
+    admin.VoterState("sgp-1", "bb", "cc", 3, 0.4),
+]
+STATUS.failure = "the disk of the log is full; free some space and restart"
 COUNTERS = admin.CountersAnswer(
     "bkk-1", {"retry.connect_failed": 2, "refusal.overloaded": 5}, {"in_progress": 3}
 )
--- a/tools/document_settings.py
+++ b/tools/document_settings.py
@@ -84,12 +84,12 @@
         else:
             section, reference = name, field
         definition = definitions[reference["$ref"].rsplit("/", 1)[-1]]
-        parts.append(write_section(section, definition))
+        parts.append(write_section(section, definition, definitions))
     parts.append(EXAMPLE)
     return "\n".join(parts)
 
 
-def write_section(section: str, definition: Schema) -> str:
+def write_section(section: str, definition: Schema, definitions: Schema) -> str:
     """Return the part about one section: a sentence and a table of its keys."""
     _, _, purpose = definition["description"].partition(": ")
     lines = [
@@ -101,6 +101,8 @@
         "| --- | --- | --- | --- |",
     ]
     for name, field in definition["properties"].items():
+        if "$ref" in field:
+            field = definitions[field["$ref"].rsplit("/", 1)[-1]] | field
         default = write_default(field, name in definition["required"])
         meaning = field.get("description", MEANINGS.get(name, "")).replace("|", "\\|")
         lines.append(f"| `{name}` | {write_type(field)} | {default} | {meaning} |")
@@ -138,10 +140,10 @@
             return "64 hex digits"
         case {"minLength": least}:
             return f"text of {least} characters or more"
-        case {"type": "integer", "minimum": least}:
-            return f"whole number from {least}"
-        case {"type": "number", "exclusiveMinimum": bound}:
-            return f"number above {bound}"
+        case {"type": "integer"}:
+            return f"whole number{write_bounds(field)}"
+        case {"type": "number"}:
+            return f"number{write_bounds(field)}"
         case {"type": "boolean"}:
             return "boolean"
         case {"type": "string"}:
@@ -151,6 +153,14 @@
     return "text"
 
 
+def write_bounds(field: Schema) -> str:
+    """Return the bounds of a number, in words."""
+    words = {"minimum": "from", "exclusiveMinimum": "above", "maximum": "to"}
+    return "".join(
+        f" {word} {field[key]}" for key, word in words.items() if key in field
+    )
+
+
 def main() -> int:
     """Write the page, or compare it with ``--check``."""
     page = write_page(json.loads(SCHEMA.read_text()))
