--- a/packages/common/src/bronzepoint_common/settings/_convert.py
+++ b/packages/common/src/bronzepoint_common/settings/_convert.py
@@ -1,6 +1,7 @@
 """Turn plain sections into the typed Settings, and collect every fault on the way."""
 
 import difflib
+import math
 import re
 from pathlib import Path
 from typing import Any, TypeVar
@@ -123,9 +124,9 @@
 
 def _convert_value(text: str, value_type: Any) -> Any:
     value = msgspec.convert(text, value_type, strict=False)
-    # "nan" passes every bound, since it compares false, and then no timeout made of
-    # it ever ends; "inf" does the same.
-    if isinstance(value, float) and value - value != 0:
+    # "inf" passes every lower bound, and a timeout made of it never ends: whoever
+    # waits for it hangs without a word.
+    if isinstance(value, float) and not math.isfinite(value):
         raise msgspec.ValidationError("Expected a finite number")
     return value
 
--- a/tests/test_settings_faults.py
+++ b/tests/test_settings_faults.py
@@ -89,6 +89,14 @@
     ("[caller", "[agreement]\nlease = 0\n[caller", "agreement", "lease", "'0'", "abov"),
     ("[caller", "[agreement]\nlease = nan\n[caller", "agreement", "lease", "nan", ""),
     ("[caller", "[agreement]\nlease = inf\n[caller", "agreement", "lease", "inf", ""),
+    (
+        "[caller",
+        "[http]\nidle_timeout = inf\n[caller",
+        "http",
+        "idle_timeout",
+        "inf",
+        "",
+    ),
     (
         "[caller",
         "[agreement]\nlease = 1.5\n[caller",
