--- a/packages/emulator/src/bronzepoint_emulator/slopes/_agreement_feeder.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/_agreement_feeder.py
@@ -1,10 +1,12 @@
 """The other hosts of a measurement, all in one process."""
 
+from typing import Any
+
 import curio
 import uuid_utils
 
 from bronzepoint_common.metrics import Metrics
-from bronzepoint_common.peers import Area, PeerError, Peers
+from bronzepoint_common.peers import Area, PeerError, Peers, PeerUnknown
 from bronzepoint_emulator.slopes._agreement_plan import MEASURED, AgreementPlan
 from bronzepoint_node.agreement import Agreement, AgreementError
 from bronzepoint_node.catalogue import Catalogue
@@ -16,6 +18,7 @@
     PollReply,
     PollRequest,
     Put,
+    VoteRequest,
 )
 from bronzepoint_schema.generated.catalogue import (
     CatalogueItem,
@@ -72,8 +75,9 @@
     async def _handle(self, peer: HostName, message: CatalogueMessage) -> None:
         if isinstance(message, DeltaNotice) and message.deltas:
             self._revision = max(self._revision, message.deltas[-1].revision)
-            notice = HeldNotice(self._cluster, self._revision)
-            self._peers.post(peer, Area.CATALOGUE, notice)
+            if message.copy_wanted:
+                notice = HeldNotice(self._cluster, self._revision)
+                self._peers.post(peer, Area.CATALOGUE, notice)
 
     async def _poll(self) -> None:
         while True:
@@ -88,6 +92,18 @@
             await curio.sleep(_POLL)
 
 
+class FollowingPeers(Peers):
+    """Links of a voter that never stands, so that the measured one leads."""
+
+    async def call(
+        self, peer: HostName, area: Area, message: Any, timeout: float
+    ) -> Any:
+        """Call as usual, but never ask for a vote."""
+        if isinstance(message, VoteRequest):
+            raise PeerUnknown(peer)
+        return await super().call(peer, area, message, timeout)
+
+
 class FeederVoter:
     """A voter beside the measured host.
 
@@ -99,7 +115,8 @@
     def __init__(self, name: HostName, plan: AgreementPlan) -> None:
         settings = plan.settings(name)
         metrics = Metrics()
-        self._peers = Peers(name, plan.hosts[name], plan.key(), metrics)
+        links = FollowingPeers if plan.leads else Peers
+        self._peers = links(name, plan.hosts[name], plan.key(), metrics)
         for host, address in plan.hosts.items():
             self._peers.set_address(host, address, fixed=True)
         self._catalogue = Catalogue(settings, self._peers, metrics, list)
--- a/packages/emulator/src/bronzepoint_emulator/slopes/_agreement_plan.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/_agreement_plan.py
@@ -4,7 +4,6 @@
 
 from bronzepoint_common.settings import cluster_key
 from bronzepoint_schema.generated.settings import (
-    AgreementSection,
     ClusterSection,
     HostSection,
     ListenSection,
@@ -17,8 +16,6 @@
 _REGION = RegionName("r0")
 _ELSEWHERE = RegionName("r1")
 MEASURED = HostName("measured")
-_SLOW = 3.0
-"""Election timeout of the other voters, so that a measured voter leads."""
 
 
 class AgreementPlan(Struct):
@@ -52,16 +49,12 @@
     def settings(self, name: HostName) -> Settings:
         """Return the settings of one host."""
         folder = f"{self.folder}/{name}" if self.is_voter(name) else ""
-        section = AgreementSection()
-        if name != MEASURED:
-            section.election_timeout = _SLOW
         return Settings(
             HostSection(
                 name, self._region(name), DataCenterName("d"), folder, bool(folder)
             ),
             ListenSection("127.0.0.1:0", self.hosts[name]),
             ClusterSection(_KEY),
-            agreement=section,
             peers={host: self._peer(host) for host in self.hosts if host != name},
         )
 
--- a/packages/node/src/bronzepoint_node/catalogue/_catalogue.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_catalogue.py
@@ -130,7 +130,7 @@
                 return False
             if self._held.revision > before:
                 self._note_held()
-                self._children.tell(self._held)
+                self._pass_on(before)
         return True
 
     async def replace(self, view: ViewSnapshot) -> None:
@@ -162,6 +162,17 @@
             foreign_cluster=self._foreign,
         )
 
+    def _pass_on(self, before: Revision) -> None:
+        """Tell the hosts that learn from this one, and those whose copy is wanted."""
+        wanted = self._exposure.is_waiting
+        # Voters get it from the log.
+        voters = self._source.voters() if self._source else []
+        self._children.tell(self._held, wanted, voters)
+        deltas = self._held.deltas_after(before) if wanted else None
+        for host in self._neighbours.seconds() if deltas else []:
+            notice = DeltaNotice(self._held.cluster, deltas, wanted)
+            self._peers.post(host, Area.CATALOGUE, notice)
+
     async def _join(self, cluster: ClusterId) -> bool:
         if not self._held.cluster:
             await self._held.join(cluster)
@@ -224,8 +235,8 @@
         match message:
             case PollRequest():
                 return self._on_poll(peer, message)
-            case DeltaNotice(cluster=cluster, deltas=deltas):
-                await self._on_notice(peer, cluster, deltas)
+            case DeltaNotice():
+                await self._on_notice(peer, message)
             case HeldNotice(cluster=cluster, revision=revision):
                 self._note_copy(peer, cluster, revision)
             case ViewRequest():
@@ -236,7 +247,8 @@
     def _on_poll(self, peer: HostName, request: PollRequest) -> PollReply:
         held = self._held
         self._children.note_poll(peer, request.revision)
-        self._note_copy(peer, request.cluster, request.revision)
+        if self._exposure.is_waiting:
+            self._note_copy(peer, request.cluster, request.revision)
         deltas = held.deltas_after(request.revision)
         if request.cluster not in ("", held.cluster):
             deltas = []
@@ -252,23 +264,21 @@
     def _note_copy(
         self, peer: HostName, cluster: ClusterId, revision: Revision
     ) -> None:
-        if not self._exposure.is_waiting or cluster != self._held.cluster:
-            return
-        if peer in self._neighbours.of_region():
+        if cluster == self._held.cluster and peer in self._neighbours.of_region():
             self._exposure.note_copy(revision)
             self._expose()
 
-    async def _on_notice(
-        self, peer: HostName, cluster: ClusterId, deltas: list[Delta]
-    ) -> None:
-        if cluster != self._held.cluster:
+    async def _on_notice(self, peer: HostName, notice: DeltaNotice) -> None:
+        if notice.cluster != self._held.cluster:
             return
-        if not await self.advance(cluster, deltas):
+        if notice.deltas:
+            self._note_copy(peer, notice.cluster, notice.deltas[-1].revision)
+        if not await self.advance(notice.cluster, notice.deltas):
             await self._behind.set()
             return
-        if deltas:
-            self._note_copy(peer, cluster, deltas[-1].revision)
-        self._peers.post(peer, Area.CATALOGUE, HeldNotice(cluster, self.held))
+        if notice.copy_wanted:
+            held = HeldNotice(notice.cluster, self.held)
+            self._peers.post(peer, Area.CATALOGUE, held)
 
     async def _follow(self) -> None:
         """Poll a parent, again and again."""
@@ -332,6 +342,7 @@
     ) -> None:
         if not reply.cluster:
             return
+        self._note_copy(host, reply.cluster, reply.revision)
         if reply.too_far:
             whole = await self._call(host, ViewRequest(), _VIEW_TIMEOUT)
             if isinstance(whole, ViewReply) and whole.state:
@@ -340,7 +351,6 @@
             await self.advance(reply.cluster, reply.deltas)
         if reply.cluster != self._held.cluster or self._held.revision < reply.revision:
             return
-        self._note_copy(host, reply.cluster, reply.revision)
         if reply.age >= 0:
             # The reply's age counts up to its sending; counting it from the request
             # can only make the view look older than it is.
--- a/packages/node/src/bronzepoint_node/catalogue/_children.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_children.py
@@ -1,5 +1,6 @@
 """The hosts that learn from this one."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from bronzepoint_common.clock import monotonic
@@ -47,13 +48,23 @@
         }
         return list(self._children)
 
-    def tell(self, held: HeldCatalogue) -> None:
-        """Send what they lack to hosts that polled lately."""
+    def tell(
+        self, held: HeldCatalogue, copy_wanted: bool, but: Collection[HostName]
+    ) -> None:
+        """Send what they lack to hosts that polled lately.
+
+        Args:
+            held: What this host holds.
+            copy_wanted: Whether this host waits for a second copy in the region.
+            but: Hosts that learn of it otherwise.
+        """
         for name in self.live():
+            if name in but:
+                continue
             child = self._children[name]
             deltas = held.deltas_after(child.revision)
             if not deltas:
                 continue
-            notice = DeltaNotice(held.cluster, deltas)
+            notice = DeltaNotice(held.cluster, deltas, copy_wanted)
             if self._peers.post(name, Area.CATALOGUE, notice):
                 child.revision = held.revision
--- a/packages/node/src/bronzepoint_node/catalogue/_neighbours.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_neighbours.py
@@ -7,11 +7,13 @@
 from bronzepoint_schema.generated.settings import Settings
 from bronzepoint_schema.ids import HostName
 
-from ._tree import LiveHost, parents
+from ._tree import LiveHost, parents, rank
 
 SKIP_FOR = 5.0
 """Seconds for which a parent that was silent or stale is not chosen again."""
 _LIVE = "live"
+_SECONDS = 2
+"""Hosts asked for a second copy, in case one of them is about to fail."""
 
 
 class Source(Protocol):
@@ -57,6 +59,11 @@
         """Return the other hosts of the region, from the settings and membership."""
         return sorted({*self._known, *self._live_of_region()} - {self._name})
 
+    def seconds(self) -> list[HostName]:
+        """Return the live hosts of the region to hold a second copy."""
+        others = [h for h in self._live_of_region() if h != self._name]
+        return rank(self._name, others)[:_SECONDS]
+
     def skip(self, host: HostName) -> None:
         """Leave a host out for a while: it was silent, or its knowledge too old."""
         self._skipped[host] = monotonic() + SKIP_FOR
