Break a deployment at random and check what callers saw

Cause: each proof brings about one fault that somebody thought of; faults that come together or twice have to be looked for. `make soak` draws kills, freezes, graceful ends, a wiped disk, cuts and failing targets from a seed, over nine daemons behind the fault proxy, while callers resend, two operators race for one entry and every host's view is watched. A checker compares the history with the targets' own counts. Weighed: a checker inside the daemons (it would share their faults) and full linearisability checking of the catalogue (one contested entry whose every change carries a value of its own tells the same with less).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Options of tools/run_tests.py, such as a module: make test TEST_OPTIONS=tests.test_logs
 TEST_OPTIONS ?=
 
-.PHONY: setup test demo lint format generate clean
+.PHONY: setup test demo bench soak lint format generate clean
 
 setup: $(STAMP)
 
@@ -37,5 +37,18 @@
 demo: setup
 	$(BIN)/python -m bronzepoint_emulator.demo
 
+# Measurements; each writes its table and data under docs/measurements/.
+SEEDS ?= 5
+bench: setup
+	mkdir -p docs/measurements
+	$(BIN)/python -m bronzepoint_emulator.bench.overhead docs/measurements/overhead.json
+	$(BIN)/python -m bronzepoint_emulator.experiments --seeds $(SEEDS)
+
+# Random faults over real processes: make soak SECONDS=300 SEED=7
+SECONDS ?= 60
+SEED ?= 1
+soak: setup
+	$(BIN)/python -m bronzepoint_emulator.soak --seconds $(SECONDS) --seed $(SEED)
+
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/tests/test_emulator_checker.py
@@ -0,0 +1,152 @@
+"""The soak's checker finds each kind of violation, and its schedules repeat."""
+
+import unittest
+
+from nose2.tools import params
+
+from bronzepoint_emulator.deployment import saphan
+from bronzepoint_emulator.soak import (
+    CallEvent,
+    CallKind,
+    ChangeEvent,
+    Ending,
+    FaultKind,
+    History,
+    ViewEvent,
+    check,
+    draw_schedule,
+)
+from bronzepoint_emulator.soak._history import FinalState
+
+NONCE = "n1"
+SERVICE, AWAY = "bkk-phrases", "sgp-phrases"
+REGIONS = {SERVICE: "bkk", AWAY: "sgp"}
+ONCE = {SERVICE: {NONCE: 1}}
+
+
+def call(**fields):
+    values = {
+        "began": 0.0,
+        "ended": 1.0,
+        "host": "bkk-1",
+        "home": "bkk",
+        "kind": CallKind.save,
+        "nonce": NONCE,
+        "key": "k1",
+        "ending": Ending.answered,
+        "echo": NONCE,
+        "whole": True,
+        "body": b"1",
+    }
+    return CallEvent(**(values | fields))
+
+
+def refused(ran):
+    return call(ending=Ending.refused, ran=ran, echo="", whole=False)
+
+
+def change(**fields):
+    values = {
+        "began": 0.0,
+        "ended": 1.0,
+        "operator": "anong",
+        "host": "bkk-1",
+        "change_id": "c1",
+        "version": 2,
+        "value": 7,
+        "ending": Ending.answered,
+        "revision": 9,
+    }
+    return ChangeEvent(**(values | fields))
+
+
+def view(**fields):
+    values = {
+        "began": 0.0,
+        "ended": 1.0,
+        "host": "bkk-1",
+        "revision": 9,
+        "version": 2,
+        "value": 7,
+    }
+    return ViewEvent(**(values | fields))
+
+
+def found(events, runs=None, versions=None, values=None):
+    history = History()
+    for event in events:
+        history.add(event)
+    final = FinalState(
+        runs=runs or {},
+        target_regions=REGIONS,
+        versions=versions or {},
+        values=values or {},
+    )
+    return [violation.rule for violation in check(history, final)]
+
+
+class CheckerTest(unittest.TestCase):
+    @params(
+        ([call()], ONCE, []),
+        ([call(ending=Ending.lost), call()], ONCE, []),
+        ([refused("unknown")], ONCE, []),
+        ([refused("no")], {}, []),
+        ([call()], {SERVICE: {NONCE: 2}}, ["at most once"]),
+        ([call(ending=Ending.lost)] * 2, {SERVICE: {NONCE: 2}}, ["at most once"]),
+        ([call()], {}, ["answers come from a run"]),
+        ([refused("no")], ONCE, ["refusals are true"]),
+        ([call()], {AWAY: {NONCE: 1}}, ["residency holds"]),
+        ([call(kind=CallKind.chat, key="")], {AWAY: {NONCE: 1}}, []),
+        ([call(echo="n2")], ONCE, ["answers go to their own callers"]),
+        ([call(whole=False)], ONCE, ["answers are whole"]),
+        ([call(), call(body=b"2")], ONCE, ["a key has one answer"]),
+    )
+    def test_calls(self, events, runs, rules):
+        self.assertEqual(found(events, runs), rules)
+
+    @params(
+        ([change(), change()], {"a": 2}, {"a": 7}, []),
+        ([change(), change(revision=10)], {}, {}, ["a change is applied once"]),
+        (
+            [change(), change(ending=Ending.refused)],
+            {},
+            {},
+            ["a change is answered as at first"],
+        ),
+        (
+            [change(), change(change_id="c2", value=8)],
+            {},
+            {},
+            ["one change for each version"],
+        ),
+        ([change()], {"a": 1}, {"a": 5}, ["accepted changes are never lost"]),
+        ([change()], {"a": 2}, {"a": 5}, ["accepted changes are never lost"]),
+        ([change()], {"a": 3}, {"a": 5}, []),
+        ([change(ending=Ending.lost)], {"a": 1}, {"a": 5}, []),
+        ([change(), view(value=8)], {}, {}, ["hosts show what was accepted"]),
+        ([view(), view(host="sgp-1", value=8)], {}, {}, ["hosts show the same"]),
+        (
+            [view(), view(revision=8, version=1, value=6)],
+            {},
+            {},
+            ["revisions never go back"],
+        ),
+        ([view(), view(host="sgp-1", revision=8, version=1, value=6)], {}, {}, []),
+    )
+    def test_changes_and_views(self, events, versions, values, rules):
+        self.assertEqual(found(events, {}, versions, values), rules)
+
+
+class ScheduleTest(unittest.TestCase):
+    def test_seed_repeats_the_schedule(self):
+        layout = saphan()
+        first = draw_schedule(layout, 60.0, 5)
+        self.assertEqual(first, draw_schedule(layout, 60.0, 5))
+        self.assertNotEqual(first, draw_schedule(layout, 60.0, 6))
+
+    def test_one_disk_is_wiped_at_a_time(self):
+        faults = draw_schedule(saphan(), 600.0, 1)
+        wipes = [fault for fault in faults if fault.kind is FaultKind.wipe]
+        self.assertGreater(len(wipes), 1)
+        for before, after in zip(wipes, wipes[1:], strict=False):
+            self.assertGreaterEqual(after.at - before.until, 45.0)
