Give item kinds and rendezvous hashing one place each

Cause: a review of the whole found the kind of a catalogue item decided in three packages (command line, daemon, harness) and the same rendezvous hash written in three of the daemon's. Two of them that drift apart would send hosts to different owners of a key without any error. Change: bronzepoint_common.items and bronzepoint_common.rendezvous; the command line uses the first. The other users change over with their owners. Conclusion: the shared modules are there; the doubled ones go as their areas land.

--- a/packages/cli/src/bronzepoint_cli/_app.py
+++ b/packages/cli/src/bronzepoint_cli/_app.py
@@ -14,6 +14,7 @@
     counters,
     hosts,
     load,
+    orders,
     send,
     targets,
     why,
@@ -33,6 +34,7 @@
 app.command(name="hosts")(hosts.hosts)
 app.command(name="drain")(hosts.drain)
 app.command(name="targets")(targets.targets)
+app.command(name="orders")(orders.orders)
 app.command(name="counters")(counters.counters)
 app.command(name="send")(send.send)
 app.command(name="load")(load.load)
--- a/packages/cli/src/bronzepoint_cli/_chat.py
+++ b/packages/cli/src/bronzepoint_cli/_chat.py
@@ -2,13 +2,20 @@
 
 import msgspec
 
-from bronzepoint_cli._errors import AnswerIncomplete, NoHostReachable, RefusedByHost
+from bronzepoint_cli._errors import (
+    AnswerIncomplete,
+    NoHostReachable,
+    RefusedByHost,
+    TargetError,
+)
 from bronzepoint_cli._event_stream import END, EventStream
-from bronzepoint_cli._gateway import ELSEWHERE, Gateway, read_refusal
+from bronzepoint_cli._gateway import ELSEWHERE, Gateway, Purpose, read_refusal
 from bronzepoint_cli._output import print_origin
 from bronzepoint_common.http import Answer, ClientAnswer, HttpError
 
 PATH = "/v1/chat/completions"
+MAX_ERROR_TEXT = 500
+"""Characters of a target's own error that are shown."""
 
 
 class Delta(msgspec.Struct):
@@ -103,9 +110,8 @@
             if answer.status >= 400:
                 body = b"".join([chunk async for chunk in answer.chunks()])
                 whole = Answer(answer.status, answer.headers, body)
-                refused = read_refusal(address, whole)
-                if refused is not None:
-                    raise refused
+                refused = read_refusal(address, whole, Purpose.call)
+                raise refused or _target_error(whole)
             await self._print(answer)
 
     async def _print(self, answer: ClientAnswer) -> None:
@@ -131,4 +137,9 @@
                 print(choice.delta.content, end="", flush=True)
 
 
+def _target_error(answer: Answer) -> TargetError:
+    text = answer.body.decode("utf-8", "replace")[:MAX_ERROR_TEXT]
+    return TargetError(f"the target answered with status {answer.status}: {text}")
+
+
 __all__ = ["ChatCall", "chat_body"]
--- a/packages/cli/src/bronzepoint_cli/_errors.py
+++ b/packages/cli/src/bronzepoint_cli/_errors.py
@@ -49,15 +49,15 @@
 class RefusedByHost(CliError):
     """A host refused.
 
-    Attributes:
+    Args:
         refusal: Its reason.
-        status: HTTP status.
+        question: True: the host was only asked something, so that there is nothing
+            that might have run.
     """
 
-    def __init__(self, refusal: Refusal, status: int) -> None:
+    def __init__(self, refusal: Refusal, question: bool = False) -> None:
         self.refusal = refusal
-        self.status = status
-        super().__init__(_describe(refusal))
+        super().__init__(_describe(refusal, question))
 
 
 class AnswerUnreadable(CliError):
@@ -70,6 +70,10 @@
         )
 
 
+class TargetError(CliError):
+    """The target itself answered with an error."""
+
+
 class AnswerIncomplete(CliError):
     """A streamed answer ended before its end."""
 
@@ -79,16 +83,18 @@
         super().__init__(f"the answer is not whole ({detail}); don't rely on it")
 
 
-def _describe(refusal: Refusal) -> str:
+def _describe(refusal: Refusal, question: bool) -> str:
     lines = [f"refused ({refusal.kind}): {refusal.message}", f"  {refusal.remedy}"]
     match refusal.ran:
+        case _ if question:
+            pass
         case Ran.no:
             lines.append("  the request did not run")
         case Ran.unknown:
             lines.append("  it is not known whether the request ran")
     if refusal.retry_after > 0:
         lines.append(f"  another try makes sense in {refusal.retry_after:g} s")
-    if refusal.request_id:
+    if refusal.request_id and not question:
         lines.append(f"  reasons: bronzepoint why {refusal.request_id}")
     return "\n".join(lines)
 
@@ -100,5 +106,6 @@
     "ExitCode",
     "NoHostReachable",
     "RefusedByHost",
+    "TargetError",
     "UsageFault",
 ]
--- a/packages/cli/src/bronzepoint_cli/_gateway.py
+++ b/packages/cli/src/bronzepoint_cli/_gateway.py
@@ -1,6 +1,7 @@
 """Requests to the hosts, with another host tried where one can't answer."""
 
 import time
+from enum import Enum, auto
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -23,6 +24,9 @@
 SHORTEST_WAIT = 0.2
 """Seconds between two rounds over the hosts where none says how long to wait."""
 
+REFUSAL_HEADER = "bronzepoint-refusal"
+"""Stands in a host's refusals; a target's own error has none."""
+
 READING = frozenset({"GET", "HEAD", "OPTIONS"})
 """Methods that change nothing, so they carry no idempotency key."""
 
@@ -39,6 +43,17 @@
 """Refusals that another host, or the same one later, may not give."""
 
 
+class Purpose(Enum):
+    """What a request is for, which says what its refusal means."""
+
+    question = auto()
+    """Reads something of a host; nothing can have run."""
+    change = auto()
+    """Changes something of the system."""
+    call = auto()
+    """Goes on to a target; an error may be the target's own."""
+
+
 class Gateway:
     """The hosts of one system, seen from outside.
 
@@ -86,7 +101,8 @@
 
     async def get(self, path: str, answer_type: type[T]) -> T:
         """Read something from the first host that answers."""
-        answer = await self.send("GET", path, self.headers(), b"")
+        headers = self.headers()
+        answer = await self.send("GET", path, headers, b"", Purpose.question)
         return decode(answer, answer_type)
 
     async def get_from(self, address: str, path: str, answer_type: type[T]) -> T:
@@ -97,7 +113,7 @@
             RefusedByHost: It refused.
         """
         answer = await self._try(address, "GET", path, self.headers(), b"")
-        refused = read_refusal(address, answer)
+        refused = read_refusal(address, answer, Purpose.question)
         if refused is not None:
             raise refused
         return decode(answer, answer_type)
@@ -111,7 +127,7 @@
     async def post(self, path: str, body: bytes, answer_type: type[T]) -> T:
         """Send something that may be sent again until a host has answered it."""
         headers = self.headers(Content_Type="application/json")
-        answer = await self.send("POST", path, headers, body)
+        answer = await self.send("POST", path, headers, body, Purpose.change)
         return decode(answer, answer_type)
 
     async def send(
@@ -120,7 +136,7 @@
         path: str,
         headers: dict[str, str],
         body: bytes,
-        relayed: bool = False,
+        purpose: Purpose,
     ) -> Answer:
         """Send to one host after another until one accepts.
 
@@ -129,8 +145,7 @@
             path: Path, with the query.
             headers: All headers.
             body: Whole body.
-            relayed: True: the answer is a target's; an error that is no refusal of
-                the host is returned like any other answer.
+            purpose: What the request is for.
 
         Raises:
             RefusedByHost: A refusal that no other host would lift, or that was still
@@ -145,7 +160,7 @@
                 except HttpError as exc:
                     problems.append(str(exc))
                     continue
-                refused = read_refusal(address, answer, relayed)
+                refused = read_refusal(address, answer, purpose)
                 if refused is None:
                     return answer
                 if refused.refusal.kind not in ELSEWHERE:
@@ -182,22 +197,24 @@
 
 
 def read_refusal(
-    address: str, answer: Answer, relayed: bool = False
+    address: str, answer: Answer, purpose: Purpose
 ) -> RefusedByHost | None:
     """Return the refusal of an answer; None where it is none.
 
+    An error of a call that is no refusal is the target's own answer.
+
     Raises:
         AnswerUnreadable: An error without a reason that can be read.
     """
     if answer.status < 400:
         return None
+    if purpose is Purpose.call and REFUSAL_HEADER not in answer.headers:
+        return None
     try:
         body = msgspec.json.decode(answer.body, type=ErrorBody)
     except msgspec.DecodeError as exc:
-        if relayed:
-            return None
         raise AnswerUnreadable(address, f"status {answer.status}, {exc}") from exc
-    return RefusedByHost(body.error, answer.status)
+    return RefusedByHost(body.error, purpose is Purpose.question)
 
 
 def decode(answer: Answer, answer_type: type[T]) -> T:
@@ -217,4 +234,4 @@
     return quote(text, safe="")
 
 
-__all__ = ["Gateway", "decode", "path_part", "read_refusal"]
+__all__ = ["Gateway", "Purpose", "decode", "path_part", "read_refusal"]
--- a/packages/cli/src/bronzepoint_cli/commands/catalogue.py
+++ b/packages/cli/src/bronzepoint_cli/commands/catalogue.py
@@ -14,6 +14,7 @@
 from bronzepoint_cli._options import JsonOption
 from bronzepoint_cli._output import print_json, print_table
 from bronzepoint_cli._running import run_with_gateway
+from bronzepoint_common.items import item_kind
 from bronzepoint_schema.generated.admin import CatalogueAnswer, ItemAnswer
 from bronzepoint_schema.generated.agreement import (
     Accepted,
@@ -24,9 +25,7 @@
 )
 from bronzepoint_schema.generated.catalogue import (
     CatalogueItem,
-    ClassItem,
     ModelEntry,
-    OwnerItem,
     ServiceEntry,
 )
 from bronzepoint_schema.generated.decisions import Ran
@@ -50,19 +49,6 @@
     changed: bool
 
 
-def item_kind(item: CatalogueItem) -> ItemKind:
-    """Return the kind of an item."""
-    match item:
-        case ModelEntry():
-            return ItemKind.model
-        case ServiceEntry():
-            return ItemKind.service
-        case OwnerItem():
-            return ItemKind.owner
-        case ClassItem():
-            return ItemKind.class_
-
-
 @app.command("apply")
 def apply_items(
     context: typer.Context,
--- a/packages/cli/src/bronzepoint_cli/commands/cluster.py
+++ b/packages/cli/src/bronzepoint_cli/commands/cluster.py
@@ -31,6 +31,9 @@
     "LEADER",
     "IN PROGRESS",
 )
+LEADER = "leader"
+"""Role of the host that hears from all voters."""
+
 VOTER_COLUMNS = ("VOTER", "DISK", "LOG INDEX", "HEARD")
 
 
@@ -101,7 +104,7 @@
     """Print the hosts, then the voters as the leader sees them, then failures."""
     print_table(COLUMNS, map(status_row, answers))
     for answer in answers:
-        if answer.voter_states:
+        if answer.role == LEADER:
             print(f"\nvoters as {answer.host} sees them")
             print_table(VOTER_COLUMNS, map(voter_row, answer.voter_states))
     for answer in answers:
--- a/packages/cli/src/bronzepoint_cli/commands/send.py
+++ b/packages/cli/src/bronzepoint_cli/commands/send.py
@@ -8,17 +8,13 @@
 import uuid_utils
 
 from bronzepoint_cli._chat import ChatCall
-from bronzepoint_cli._errors import CliError, NoHostReachable, UsageFault
-from bronzepoint_cli._gateway import READING, Gateway, path_part
+from bronzepoint_cli._errors import NoHostReachable, TargetError, UsageFault
+from bronzepoint_cli._gateway import READING, Gateway, Purpose, path_part
 from bronzepoint_cli._output import print_origin
 from bronzepoint_cli._running import run_with_gateway
 from bronzepoint_common.http import Answer
 
 
-class TargetError(CliError):
-    """The target itself answered with an error; its body was printed."""
-
-
 class RequestOptions(msgspec.Struct):
     """Headers by which a caller narrows what may be done."""
 
@@ -117,7 +113,7 @@
             headers["Idempotency-Key"] = self._key
         try:
             answer = await gateway.send(
-                self._method, self._path, headers, self._body, relayed=True
+                self._method, self._path, headers, self._body, Purpose.call
             )
         except NoHostReachable as exc:
             if not self._key:
--- /dev/null
+++ b/packages/common/src/bronzepoint_common/rendezvous.py
@@ -0,0 +1,27 @@
+"""Rendezvous hashing: who of many does what, without anyone being told."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+from xxhash import xxh64_intdigest
+
+Name = TypeVar("Name", bound=str)
+
+
+def rendezvous_order(key: str, names: Iterable[Name]) -> list[Name]:
+    """Return the names in the key's own order.
+
+    Every host that knows the same names finds the same order. A name that goes takes
+    only its own keys along; all others stay where they are.
+    """
+    return sorted(
+        names, key=lambda name: (rendezvous_weight(key, name), name), reverse=True
+    )
+
+
+def rendezvous_weight(key: str, name: str) -> int:
+    """Return the 64-bit weight of one name for a key."""
+    return xxh64_intdigest(f"{key}\0{name}".encode())
+
+
+__all__ = ["rendezvous_order", "rendezvous_weight"]
