Tell questions from calls in the command line's refusals

Cause: `bronzepoint why` of an unknown request ended with "the request did not run", which is about the question itself and reads as a statement about the request asked for. Weighed and ruled out: dropping the line everywhere (for a change or a call it is the most important one); a flag at each call site (three meanings were already told apart by two booleans). Change: a request says its purpose: question, change or call. Only the last two show whether something ran; only for a call may an error be the target's own answer. Conclusion: what a refusal says is about what was asked.

--- a/tests/test_cli_golden.py
+++ b/tests/test_cli_golden.py
@@ -11,7 +11,7 @@
 
 from nose2.tools import params
 
-from bronzepoint_schema.generated import admin, agreement, catalogue, decisions
+from bronzepoint_schema.generated import admin, agreement, catalogue, decisions, orders
 from tests._command_line import run_command
 from tests._fake_host import FakeHost, Reply
 
@@ -68,6 +68,21 @@
     "read it and apply version 5",
     decisions.Ran.no,
 )
+NOT_FOUND = decisions.Refusal(
+    decisions.RefusalKind.not_found,
+    "no host of bkk has a record of bkk-1.bkk.0193",
+    "check the id; records are kept for a bounded time",
+    decisions.Ran.no,
+)
+ORDERS = orders.OrdersStatus(
+    True,
+    5,
+    engines=[
+        orders.EngineProgress(
+            "engine-1", "bkk", orders.EnginePhase.loading, "2", "1", "since 3 s"
+        )
+    ],
+)
 WHY = decisions.WhyAnswer(
     "bkk-1.bkk.0192",
     [
@@ -150,6 +165,12 @@
     ("apply_twice", ["catalogue", "apply", "-"], f"[{ITEM}, {ITEM}]", {}),
     ("apply_no_file", ["catalogue", "apply", "none.json"], "", {}),
     ("why", ["why", "bkk-1.bkk.0192"], "", {}),
+    (
+        "why_unknown",
+        ["why", "bkk-1.bkk.0193"],
+        "",
+        {"GET /v1/why/bkk-1.bkk.0193": Reply(decisions.ErrorBody(NOT_FOUND), 404)},
+    ),
     ("why_json", ["why", "bkk-1.bkk.0192", "--json"], "", {}),
     (
         "send",
@@ -187,7 +208,14 @@
         "",
         {"GET /v1/services/saved/none": Reply({"no": "such phrase"}, 404)},
     ),
+    (
+        "send_target_error",
+        ["send", "phrasebook", "Where?"],
+        "",
+        {"POST /v1/chat/completions": Reply({"error": "out of memory"}, 500)},
+    ),
     ("send_no_prompt", ["send", "phrasebook"], "", {}),
+    ("orders", ["orders"], "", {"GET /v1/admin/orders": Reply(ORDERS)}),
     ("unreadable", ["hosts"], "", {"GET /v1/admin/hosts": Reply([1])}),
     ("error_page", ["hosts"], "", {"GET /v1/admin/hosts": Reply("oops", 502)}),
     ("unknown_option", ["hosts", "--nope"], "", {}),
@@ -195,6 +223,12 @@
 )
 
 
+def hosts_at(address: str) -> admin.HostsAnswer:
+    """Return an answer by which the leader is the prepared host itself."""
+    leader = admin.HostStatus("bkk-1", "bkk", "bkk-a", address, "live")
+    return admin.HostsAnswer("bkk-1", [leader])
+
+
 def mask(text: str, address: str) -> str:
     """Replace what differs between two runs."""
     text = text.replace(address, "10.0.0.1:8080")
@@ -210,6 +244,8 @@
         prepared |= {route: [reply] for route, reply in replies.items()}
         host = FakeHost(prepared).start()
         self.addCleanup(host.close)
+        if name == "orders":
+            prepared["GET /v1/admin/hosts"] = [Reply(hosts_at(host.address))]
         done = run_command(*arguments, hosts=host.address, given=given)
         shown = f"$ bronzepoint {' '.join(arguments)}\n{done.out}"
         if done.err:
