--- a/packages/common/src/bronzepoint_common/http/_address.py
+++ b/packages/common/src/bronzepoint_common/http/_address.py
@@ -1,18 +1,15 @@
 """Addresses as ``host:port``."""
 
 from bronzepoint_common.http._errors import BadAddress
-
-MAX_PORT = 65535
+from bronzepoint_common.settings import AddressError, split_address
 
 
 def parse_address(address: str) -> tuple[str, int]:
     """Split ``host:port``; raises BadAddress."""
-    host, colon, port = address.rpartition(":")
-    if not colon or not host or not port.isascii() or not port.isdigit():
-        raise BadAddress(address)
-    if int(port) > MAX_PORT:
-        raise BadAddress(address)
-    return host.strip("[]"), int(port)
+    try:
+        return split_address(address)
+    except AddressError as exc:
+        raise BadAddress(str(exc)) from exc
 
 
 def format_address(host: str, port: int) -> str:
--- a/packages/common/src/bronzepoint_common/http/_errors.py
+++ b/packages/common/src/bronzepoint_common/http/_errors.py
@@ -12,13 +12,7 @@
 
 
 class BadAddress(HttpError):
-    """An address isn't ``host:port``."""
-
-    def __init__(self, address: str) -> None:
-        super().__init__(
-            f"address {address!r} is not usable: give it as IP:port, "
-            "for instance 127.0.0.1:8080"
-        )
+    """An address isn't ``host:port``; the message names the remedy."""
 
 
 class BadRequest(HttpError):
--- a/packages/common/src/bronzepoint_common/http/_server_connection.py
+++ b/packages/common/src/bronzepoint_common/http/_server_connection.py
@@ -25,6 +25,7 @@
 HEAD_TOO_LARGE = 431
 IDLE_GRACE = 0.5
 """Seconds for which a closing server still takes a request on a kept connection."""
+LINE_EXTRA = len(b": \r\n")
 LINGER_TIME = 1.0
 LINGER_BYTES = 1 << 20
 
@@ -106,14 +107,16 @@
         try:
             await self._handler(exchange)
         except HttpError:
-            if not exchange.started:
+            if not exchange.started and not exchange.aborted:
                 raise
             await exchange.abort()
         except Exception:
             log.exception("handler failed", path=exchange.request.path)
-            if not exchange.started:
+            if not exchange.started and not exchange.aborted:
                 raise HandlerFailed from None
             await exchange.abort()
+        if exchange.aborted:
+            return
         if not exchange.started:
             log.error("handler gave no answer", path=exchange.request.path)
             raise HandlerFailed
@@ -144,6 +147,10 @@
             event = await self._rest_of_head()
         if not isinstance(event, h11.Request):
             return None
+        # h11 bounds a head only while it is incomplete: one that comes in a single
+        # read would be taken whatever its size.
+        if _head_size(event) > self._limits.max_head:
+            raise HeadTooLarge(self._limits.max_head)
         return request_of(event)
 
     async def _first_bytes(self) -> bytes:
@@ -206,3 +213,8 @@
                     size += len(data)
         except (curio.TaskTimeout, OSError):
             return
+
+
+def _head_size(event: h11.Request) -> int:
+    lines = sum(len(name) + len(value) + LINE_EXTRA for name, value in event.headers)
+    return len(event.target) + lines
--- a/packages/node/src/bronzepoint_node/_daemon.py
+++ b/packages/node/src/bronzepoint_node/_daemon.py
@@ -184,6 +184,7 @@
             run_once=self._run_once,
             decisions=self._decisions,
             agreement=self._agreement,
+            orders=self._orders,
             tokens=Tokens(self._settings),
             client=self._client,
             metrics=self._metrics,
--- a/packages/node/src/bronzepoint_node/entry/_admin.py
+++ b/packages/node/src/bronzepoint_node/entry/_admin.py
@@ -82,6 +82,8 @@
             case "POST", "init":
                 await self._initialise()
                 answer = self._status(state, in_progress)
+            case "GET", "orders":
+                answer = self._parts.orders.status()
             case "GET", "status":
                 answer = self._status(state, in_progress)
             case "GET", "counters":
--- a/packages/node/src/bronzepoint_node/entry/_collaborators.py
+++ b/packages/node/src/bronzepoint_node/entry/_collaborators.py
@@ -35,6 +35,7 @@
     TryResult,
     WhyAnswer,
 )
+from bronzepoint_schema.generated.orders import OrdersStatus
 from bronzepoint_schema.ids import (
     ClusterId,
     EntryName,
@@ -191,6 +192,13 @@
         """Return the state of the agreement on this host."""
 
 
+class OrdersLike(Protocol):
+    """Orders to engines; see `bronzepoint_node.orders`."""
+
+    def status(self) -> OrdersStatus:
+        """Return what operators see of the orders."""
+
+
 class Collaborators(Struct, frozen=True):
     """All parts that the request path uses.
 
@@ -206,6 +214,7 @@
     run_once: RunOnceLike
     decisions: DecisionsLike
     agreement: AgreementLike
+    orders: OrdersLike
     tokens: Tokens
     client: HttpClient
     metrics: Metrics
--- a/packages/node/src/bronzepoint_node/entry/_dispatch_permit.py
+++ b/packages/node/src/bronzepoint_node/entry/_dispatch_permit.py
@@ -3,7 +3,9 @@
 import math
 
 from bronzepoint_common.clock import monotonic
+from bronzepoint_node.entry._collaborators import RunOnceLike
 from bronzepoint_node.entry._refusals import RequestRefused, refused
+from bronzepoint_node.run_once import ClaimToken
 from bronzepoint_schema.generated.decisions import RefusalKind
 
 PERMIT_TIME = 1.5
@@ -38,3 +40,14 @@
         "Send it again with the same key.",
         RETRY_AFTER,
     )
+
+
+async def permit_dispatch(
+    run_once: RunOnceLike, token: ClaimToken | None
+) -> DispatchPermit:
+    """Confirm a claim and return the permit; raises RequestRefused where it is lost."""
+    if token is None:
+        return DispatchPermit(bounded=False)
+    if await run_once.confirm(token):
+        return DispatchPermit(bounded=True)
+    raise claim_lost()
--- a/packages/node/src/bronzepoint_node/entry/_forward_context.py
+++ b/packages/node/src/bronzepoint_node/entry/_forward_context.py
@@ -8,7 +8,9 @@
 import msgspec
 from msgspec import Struct, field
 
+from bronzepoint_common.http import Request
 from bronzepoint_common.tokens import Caller
+from bronzepoint_node.entry._identity import Identity
 from bronzepoint_node.entry._refusals import refused
 from bronzepoint_schema.generated.decisions import RefusalKind
 from bronzepoint_schema.ids import HostName, RegionName, RequestId, Revision
@@ -76,6 +78,20 @@
     )
 
 
+def context_of(request: Request, identity: Identity) -> ForwardContext | None:
+    """Return what the forwarding host says; None: it comes from its caller.
+
+    Raises:
+        RequestRefused: No host of the system made it, or it has been here before.
+    """
+    text = request.headers.get(FORWARD_HEADER.lower())
+    if text is None:
+        return None
+    context = decode_context(text, identity.key)
+    check_no_loop(context, identity.host, identity.region)
+    return context
+
+
 def check_no_loop(context: ForwardContext, host: HostName, region: RegionName) -> None:
     """Refuse a request that has been here, or that has been passed on too often.
 
@@ -87,7 +103,7 @@
     been_here = any(
         visit.host == host or visit.region == region for visit in context.visited
     )
-    if not been_here and len(context.visited) <= MAX_VISITED:
+    if not been_here and 0 < len(context.visited) <= MAX_VISITED:
         return
     way = " - ".join(f"{visit.host} ({visit.region})" for visit in context.visited)
     raise refused(
--- a/packages/node/src/bronzepoint_node/entry/_forwarding.py
+++ b/packages/node/src/bronzepoint_node/entry/_forwarding.py
@@ -15,6 +15,7 @@
 from bronzepoint_node.entry._host_judge import HostJudge
 from bronzepoint_node.entry._identity import Identity
 from bronzepoint_node.entry._outcomes import Failed, Outcome, result_of
+from bronzepoint_node.entry._records import Records
 from bronzepoint_node.entry._served_request import ServedRequest
 from bronzepoint_node.entry._upstream import Upstream, UpstreamRequest
 from bronzepoint_node.membership import HostInfo, HostState
@@ -35,6 +36,7 @@
         membership: Which hosts there are.
         decisions: Keeps the record before the request leaves this host.
         upstream: Sends and relays.
+        records: Keeps it again when the answer is there.
     """
 
     def __init__(
@@ -43,11 +45,13 @@
         membership: MembershipLike,
         decisions: DecisionsLike,
         upstream: Upstream,
+        records: Records,
     ) -> None:
         self._identity = identity
         self._membership = membership
         self._decisions = decisions
         self._upstream = upstream
+        self._records = records
 
     async def forward(
         self,
@@ -75,12 +79,14 @@
             f"no host of region {region} is known to live",
             RetryReason.connect_failed,
             certain=True,
+            region=region,
         )
         context = self._context(request, revision, final, claimed)
         for host in hosts:
             outcome = await self._ask(request, host, context, check)
             if not isinstance(outcome, Failed):
                 return outcome
+            outcome.region = region
             if outcome.reason is not RetryReason.connect_failed:
                 return outcome
         return outcome
@@ -102,6 +108,11 @@
         own = own_headers(trace.request_id, identity.host, host.region)
         judge = HostJudge()
         outcome: Outcome = Failed(TryResult.cancelled, "")
+
+        async def finish(status: int) -> None:
+            trace.end_try(began, TryResult.answered, judge.served_by)
+            await self._records.answered(trace, status)
+
         try:
             outcome = await self._upstream.ask(
                 self._message(request, host, context, check),
@@ -109,6 +120,7 @@
                 trace,
                 judge,
                 own,
+                finish,
             )
         finally:
             detail = outcome.detail if isinstance(outcome, Failed) else judge.served_by
--- a/packages/node/src/bronzepoint_node/entry/_gateway.py
+++ b/packages/node/src/bronzepoint_node/entry/_gateway.py
@@ -9,9 +9,12 @@
 from bronzepoint_node.entry._answer_headers import own_headers
 from bronzepoint_node.entry._calls import Calls
 from bronzepoint_node.entry._collaborators import Collaborators
+from bronzepoint_node.entry._forward_context import context_of
 from bronzepoint_node.entry._http_errors import refusal_of_http_error
 from bronzepoint_node.entry._identity import Identity
 from bronzepoint_node.entry._information import Information
+from bronzepoint_node.entry._reading import Incoming
+from bronzepoint_node.entry._records import Records
 from bronzepoint_node.entry._refusals import (
     RequestRefused,
     refusal_answer,
@@ -66,7 +69,8 @@
             settings.agreement.in_force_bound,
         )
         self._parts = parts
-        self._calls = Calls(self._identity, parts)
+        self._records = Records(parts.decisions)
+        self._calls = Calls(self._identity, parts, self._records)
         self._information = Information(self._identity, parts)
         self._admin = Admin(self._identity, parts)
         self.state = EntryState.live
@@ -118,7 +122,7 @@
         return exc.status or 400, headers, body
 
     async def _call(self, exchange: Exchange, route: ChatRoute | ServiceRoute) -> None:
-        context = self._calls.context_of(exchange.request)
+        context = context_of(exchange.request, self._identity)
         if context is None:
             request_id = self._parts.decisions.new_request_id()
         else:
@@ -127,7 +131,7 @@
         try:
             if self.state is EntryState.closed:
                 raise _closed()
-            await self._calls.serve(exchange, route, context, trace)
+            await self._calls.serve(Incoming(exchange, route, context, trace))
             self._parts.metrics.incr("answered")
         except RequestRefused as exc:
             await self._refuse_call(exchange, exc.refusal, trace)
@@ -144,7 +148,7 @@
             _log.exception("Request failed", request_id=trace.request_id)
             await self._refuse_call(exchange, _internal(), trace)
         finally:
-            await self._parts.decisions.record(trace.record)
+            await self._records.keep(trace)
 
     async def _refuse_call(
         self, exchange: Exchange, refusal: Refusal, trace: RequestTrace
@@ -160,6 +164,7 @@
             self._parts.metrics.incr(f"refusal.{refusal.kind.value}")
             await exchange.abort()
             return
+        await self._records.keep(trace)
         identity = self._identity
         own = own_headers(trace.request_id, identity.host, identity.region)
         await self._refuse(exchange, refusal, own)
--- a/packages/node/src/bronzepoint_node/entry/_http_errors.py
+++ b/packages/node/src/bronzepoint_node/entry/_http_errors.py
@@ -14,7 +14,7 @@
 
 def refusal_of_http_error(exc: HttpError) -> Refusal:
     """Return the refusal that answers bad input."""
-    message, _, remedy = str(exc).partition(": ")
+    message, _, remedy = str(exc).rpartition(": ")
     match exc:
         case HeadTooLarge():
             return Refusal(RefusalKind.head_too_large, message, remedy, Ran.no)
--- a/packages/node/src/bronzepoint_node/entry/_outcomes.py
+++ b/packages/node/src/bronzepoint_node/entry/_outcomes.py
@@ -32,6 +32,7 @@
         certain: True: the request certainly did not run in this try.
         refusal: What another host, or the target, said about it.
         granted: True: the retry budget has already allowed another try.
+        region: Another region that it was sent to; empty: a target of this one.
         started: True: a part of the answer has reached the caller.
     """
 
@@ -42,6 +43,7 @@
     refusal: Refusal | None = None
     granted: bool = False
     started: bool = False
+    region: str = ""
     retry_after: float = 0.0
 
 
--- a/packages/node/src/bronzepoint_node/entry/_trace.py
+++ b/packages/node/src/bronzepoint_node/entry/_trace.py
@@ -25,6 +25,7 @@
         may_have_run: True once it isn't certain any more that no target ran it.
         first_attempt: True once it is certain that no earlier attempt with the same
             idempotency key has run it.
+        kept: True while the record is kept as it is.
         idempotent: whether the call is; None: not known yet.
     """
 
@@ -35,6 +36,7 @@
         self.may_have_run = False
         self.first_attempt = False
         self.idempotent: bool | None = None
+        self.kept = False
         self._began = time.monotonic()
 
     @property
@@ -98,6 +100,7 @@
         self._end(Outcome.cancelled, 0)
 
     def _end(self, outcome: Outcome, status: int) -> None:
+        self.kept = False
         self.record.outcome = outcome
         self.record.status = status
         self.record.duration = self.elapsed()
--- a/packages/node/src/bronzepoint_node/entry/_upstream.py
+++ b/packages/node/src/bronzepoint_node/entry/_upstream.py
@@ -20,7 +20,7 @@
 )
 from bronzepoint_node.entry._answer_headers import passed_headers
 from bronzepoint_node.entry._outcomes import Failed, Outcome
-from bronzepoint_node.entry._relay import collect, relay
+from bronzepoint_node.entry._relay import Finish, collect, relay
 from bronzepoint_node.entry._trace import RequestTrace
 from bronzepoint_schema.generated.decisions import RetryReason, TryResult
 
@@ -74,6 +74,7 @@
         trace: RequestTrace,
         judge: Judge,
         own: dict[str, str],
+        finish: Finish,
     ) -> Outcome:
         """Send a request; pass its answer on, or hold it where not repeatable.
 
@@ -83,6 +84,8 @@
             trace: Learns whether the request may have run.
             judge: Says of an answer's head whether the answer counts.
             own: Headers that this host adds.
+            finish: Awaited with the status, right before the answer's last byte is
+                passed on.
 
         Raises:
             Disconnected: The caller left.
@@ -97,7 +100,7 @@
             trace.may_have_run = True
 
         outcome = await self._ask(
-            request, exchange, trace.request_id, judge, own, before_send
+            request, exchange, trace.request_id, judge, own, before_send, finish
         )
         if isinstance(outcome, Failed) and outcome.certain:
             trace.may_have_run = before
@@ -111,6 +114,7 @@
         judge: Judge,
         own: dict[str, str],
         before_send: Callable[[], None],
+        finish: Finish,
     ) -> Outcome:
         sent = time.monotonic()
         try:
@@ -132,8 +136,8 @@
                 headers = passed_headers(answer.headers)
                 headers.update(own)
                 if request.repeatable:
-                    return await relay(answer, exchange, headers, sent)
-                return await collect(answer, headers, sent)
+                    return await relay(answer, exchange, headers, sent, finish)
+                return await collect(answer, headers, sent, request.address)
         except Disconnected:
             raise
         except HttpError as exc:
--- a/tests/_entry_site.py
+++ b/tests/_entry_site.py
@@ -374,6 +374,7 @@
             run_once,
             decisions,
             None,
+            None,
             Tokens(cfg),
             client,
             metrics,
--- a/tests/test_entry_forwarding.py
+++ b/tests/test_entry_forwarding.py
@@ -252,6 +252,7 @@
                 await site.hosts["sgp-1"].server.close(0.0)
                 site.hosts["bkk-1"].policy.away = ["bkk"]
                 refusal = told(site, await site.ask("bkk-1", body=chat()))
+                self.assertEqual(refusal.refusal.kind, "region_unreachable")
                 self.assertEqual(refusal.refusal.ran, "no")
                 record = await site.record("bkk-1")
                 self.assertEqual(record.tries[0].result, TryResult.not_sent)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -122,6 +122,44 @@
 
         run(main)
 
+    def test_a_stream_that_stops_in_the_middle_times_out(self) -> None:
+        """Symptom: an answer hangs for ever, and holds a slot of its target.
+
+        The server sends a part and then nothing; its connection stays open. Each
+        wait for a further piece is bounded, not the whole answer.
+        """
+
+        async def main() -> None:
+            part = CHUNKED + b"4\r\npart\r\n"
+            async with Script([part], silent=True) as script:
+                async with script.client.stream(
+                    script.address, "GET", "/", {}, b"", 20.0
+                ) as answer:
+                    self.assertEqual(await answer.read(), b"part")
+                    answer.timeout = 0.01
+                    with self.assertRaises(AnswerTimeout):
+                        await answer.read()
+                await script.left.wait()
+
+        run(main)
+
+    @params(
+        (b"HTTP/1.1 204 No Content\r\n\r\n", 204),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE, 200),
+        (b"HTTP/1.1 200 OK\r\nX-Name: \xe9\r\nContent-Length: 0\r\n\r\n", 200),
+    )
+    def test_unusual_but_whole_answers(self, answer, status) -> None:
+        async def main() -> None:
+            async with Script([answer, WHOLE], silent=True) as script:
+                got = await script.client.fetch(
+                    script.address, "GET", "/", {"X-Name": "\xe9"}, b"", 20.0
+                )
+                self.assertEqual(got.status, status)
+                self.assertEqual(await script.fetch(), b"whole")
+                self.assertEqual(script.accepted, 1)
+
+        run(main)
+
     def test_nobody_listening_is_certainly_not_sent(self) -> None:
         async def main() -> None:
             with socket.socket() as sock:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -113,6 +113,11 @@
         (b"GET http:// HTTP/1.1\r\nHost: x\r\n\r\n", b"400", b"BadRequest"),
         (b"GET /%ff HTTP/1.1\r\nHost: x\r\n\r\n", b"400", b"BadRequest"),
         (b"GET /" + b"a" * 4000, b"431", b"HeadTooLarge"),
+        (
+            b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 4000 + b"\r\n\r\n",
+            b"431",
+            b"HeadTooLarge",
+        ),
         (post(b"a" * 2000), b"413", b"BodyTooLarge"),
         (post(b"", length=10**9), b"413", b"BodyTooLarge"),
         (
@@ -187,6 +192,20 @@
 
         run(main)
 
+    def test_an_answer_without_a_body_keeps_the_connection(self) -> None:
+        async def handler(exchange: Exchange) -> None:
+            await exchange.respond(204, {"X-Name": "\xe9"})
+
+        async def main() -> None:
+            async with Site(handler) as site:
+                sock = await site.caller(GET)
+                for _ in range(2):
+                    answer = await read_until(sock, b"\r\n\r\n")
+                    self.assertTrue(answer.startswith(b"HTTP/1.1 204"), answer)
+                    await sock.sendall(GET)
+
+        run(main)
+
     def test_head_and_continue(self) -> None:
         async def main() -> None:
             async with Site() as site:
@@ -301,6 +320,17 @@
 
         run(main)
 
+    def test_an_abort_before_the_answer_cuts_the_connection(self) -> None:
+        async def handler(exchange: Exchange) -> None:
+            await exchange.abort()
+
+        async def main() -> None:
+            async with Site(handler) as site:
+                with self.assertRaises(ConnectionResetError):
+                    await read_all(await site.caller(GET))
+
+        run(main)
+
 
 class ClosingTest(unittest.TestCase):
     def test_closing_finishes_what_is_in_progress(self) -> None:
