--- /dev/null
+++ b/tests/test_entry_processes.py
@@ -0,0 +1,237 @@
+"""Whole answers, residency and truthful refusals, with real daemons and stand-ins."""
+
+import http.client
+import threading
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+
+from bronzepoint_emulator.deployment import (
+    Deployment,
+    Reply,
+    chat_body,
+    new_key,
+    new_nonce,
+    next_version,
+    saphan,
+    wait_until,
+)
+from bronzepoint_schema.generated.admin import ItemAnswer
+from bronzepoint_schema.generated.catalogue import Residency, ResidencyRule
+
+HOSTS = ("bkk-1", "sgp-1", "cnx-1")
+ENGINES = ("bkk-engine-1", "bkk-engine-2")
+CUT = (http.client.IncompleteRead, ConnectionResetError)
+FAULTLESS = {"hang": False, "crossed": False, "refuse": False, "down": False}
+
+
+class EntryCase(unittest.TestCase):
+    """One deployment for all tests of a class; each leaves it as it was."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.deployment = Deployment(saphan(hosts_per_region=1), proxied=True)
+        cls.addClassCleanup(cls.deployment.close)
+        cls.deployment.start()
+
+    def faults(self, targets, **faults) -> None:
+        """Bring faults onto targets until the end of the test."""
+        for target in targets:
+            self.deployment.set_faults(target, **faults)
+            calm = {"cut_after": -1, "slow": 1.0, **FAULTLESS}
+            self.addCleanup(self.deployment.set_faults, target, **calm)
+
+    def assert_true(self, reply: Reply) -> dict:
+        """A refusal that says "not run" is what the targets counted."""
+        refusal = reply.refusal
+        if refusal["ran"] == "no":
+            self.assertEqual(self.deployment.runs(reply.request_id), {}, refusal)
+        return refusal
+
+    def cancelled(self) -> int:
+        counts = self.deployment.targets.counts
+        return sum(counts(target).cancelled for target in ENGINES)
+
+    def put(self, name: str, **changes) -> int:
+        """Change an entry; returns its revision."""
+        operator = self.deployment.operator()
+        reply = operator.client.get(f"/v1/admin/catalogue/model/{name}")
+        entry = msgspec.json.decode(reply.body, type=ItemAnswer).item
+        changed = msgspec.structs.replace(next_version(entry), **changes)
+        return operator.put(changed)
+
+
+class AnswerTest(EntryCase):
+    def test_each_caller_gets_the_answer_to_its_own_request(self) -> None:
+        """Symptom: a traveller reads the answer to somebody else's question.
+
+        Many callers ask at once through every host, over kept connections to the
+        engines, while one engine answers with ids of other requests. Nothing that it
+        answers can be told to be one's own, so nothing of it may be passed on.
+        """
+        self.faults(ENGINES[:1], crossed=True)
+        tried = set()
+
+        def ask(number: int) -> None:
+            host, nonce = HOSTS[number % len(HOSTS)], new_nonce()
+            reply = self.deployment.client(host).chat("phrasebook", nonce, 3)
+            if reply.status != 200:
+                self.assert_true(reply)
+                return
+            self.assertIn(nonce, reply.body.decode())
+            for record in self.deployment.operator().why(reply.request_id)["records"]:
+                results = {one["target"]: one["result"] for one in record["tries"]}
+                tried.update(results)
+                self.assertNotEqual(results.get(ENGINES[0]), "answered")
+
+        with ThreadPoolExecutor(12) as pool:
+            list(pool.map(ask, range(90)))
+        self.assertIn(ENGINES[0], tried)
+
+    def test_a_stream_cut_at_the_engine_is_cut_at_the_caller(self) -> None:
+        """Symptom: half a translation is read as if it were all."""
+        self.faults(ENGINES, cut_after=3)
+        with self.deployment.client("bkk-1").chat_stream("clinic", "a b", 20) as answer:
+            with self.assertRaises(CUT):
+                list(answer.events())
+        refusal = self.deployment.operator().why(answer.request_id)["records"][0]
+        self.assertEqual(refusal["refusal"]["kind"], "answer_cut")
+        self.assertEqual(refusal["refusal"]["ran"], "unknown")
+
+    def test_a_forwarded_stream_is_cut_with_the_other_host(self) -> None:
+        """The same, between two hosts: the one that serves it is killed."""
+        self.faults(("sgp-engine-1", "sgp-engine-2"), slow=20.0)
+        client = self.deployment.client("bkk-1", region="sgp")
+        with client.chat_stream("clinic", new_nonce(), 50) as answer:
+            self.assertEqual(answer.headers["bronzepoint-region"], "sgp")
+            events = answer.events()
+            next(events)
+            self.deployment.kill("sgp-1")
+            self.addCleanup(self.deployment.restart, "sgp-1")
+            with self.assertRaises(CUT):
+                list(events)
+
+    def test_a_caller_that_leaves_stops_the_engine(self) -> None:
+        """Symptom: engines work on for travellers who have left the wifi.
+
+        The answer isn't streamed, so nothing is written to the caller, and no write
+        can fail, until the engine has done all the work.
+        """
+        self.faults(ENGINES, slow=100.0)
+        before, nonce = self.cancelled(), new_nonce()
+        address, _, port = self.deployment.address("bkk-1").partition(":")
+        caller = http.client.HTTPConnection(address, int(port))
+        token = self.deployment.client("bkk-1").token
+        body = msgspec.json.encode(chat_body("clinic", nonce, 60, stream=False))
+        headers = {
+            "Authorization": f"Bearer {token}",
+            "Bronzepoint-Deadline": "600",
+        }
+        caller.request("POST", "/v1/chat/completions", body, headers)
+        wait_until(lambda: self.deployment.nonce_runs(nonce), "an engine has it")
+        caller.close()
+        wait_until(lambda: self.cancelled() > before, "the engine was told to stop")
+
+    def test_a_slow_reader_gets_its_whole_answer(self) -> None:
+        """Symptom: a reader that pauses for a moment loses a part of its answer."""
+        client = self.deployment.client("bkk-1")
+        with client.chat_stream("clinic", new_nonce(), 300) as answer:
+            others = [client.chat("clinic", new_nonce(), 2) for _ in range(20)]
+            self.assertEqual({reply.status for reply in others}, {200})
+            events = list(answer.events())
+        self.assertEqual(events[-1], "[DONE]")
+        self.assertEqual(len(events), 301)
+
+
+class RefusalTest(EntryCase):
+    def test_not_run_is_what_the_targets_counted(self) -> None:
+        """Symptom: "not run" of a request that ran; the caller sends it again."""
+        asked = ("clinic", "a b", 2, {"Bronzepoint-Deadline": "1"})
+        seen = {}
+        for fault in ("refuse", "crossed", "hang", "down"):
+            with self.subTest(fault):
+                self.faults(ENGINES, **{fault: True})
+                reply = self.deployment.client("bkk-1").chat(*asked)
+                refusal = self.assert_true(reply)
+                seen[fault] = refusal["ran"]
+                for target in ENGINES:
+                    self.deployment.set_faults(target, **FAULTLESS)
+        self.assertEqual(seen["refuse"], "no")
+        self.assertEqual(seen["crossed"], "unknown")
+        self.assertEqual(seen["hang"], "unknown")
+
+    def test_an_order_whose_answer_is_lost_runs_once(self) -> None:
+        """Symptom: a phrase is saved twice.
+
+        The service has run the call and its answer is cut. The caller resends, here
+        and through another region.
+        """
+        self.faults(("bkk-phrases",), cut_after=0)
+        key, nonce = new_key(), new_nonce()
+
+        def save(host: str) -> Reply:
+            client = self.deployment.client(host, region="bkk")
+            body = {"nonce": nonce}
+            return client.call_service("phrases", "POST", "/saved", body, key)
+
+        self.assertEqual(self.assert_true(save("bkk-1"))["ran"], "unknown")
+        for host in ("bkk-1", "sgp-1"):
+            self.assertEqual(self.assert_true(save(host))["kind"], "run_unknown")
+        self.assertEqual(self.deployment.nonce_runs(nonce), {"bkk-phrases": 1})
+
+
+class ResidencyTest(EntryCase):
+    def test_residency_holds_while_it_changes(self) -> None:
+        """Symptom: a request is served in a region that its entry forbids.
+
+        An entry is bound to its callers' home and freed again, over and over, while
+        callers of bkk ask everywhere, so the hosts' views differ all the time. Each
+        answer's region must be allowed by a revision between the one that its host
+        decided on and the newest.
+        """
+        everywhere = {"bkk", "sgp", "cnx"}
+        rules = [everywhere]  # in the order in which they were sent
+        revisions = {0: 0}  # revision to place in the order
+        done = threading.Event()
+        served: list[tuple[str, str, int]] = []
+
+        def ask(host: str) -> None:
+            while not done.is_set():
+                client = self.deployment.client(host, region="bkk")
+                reply = client.chat("phrasebook", "a b", 1)
+                if reply.status == 200:
+                    region = reply.headers["bronzepoint-region"]
+                    served.append((reply.request_id, region, len(rules)))
+                else:
+                    self.assert_true(reply)
+
+        with ThreadPoolExecutor(len(HOSTS)) as pool:
+            asking = [pool.submit(ask, host) for host in HOSTS]
+            try:
+                for rule in (ResidencyRule.home, ResidencyRule.any) * 3:
+                    rules.append({"bkk"} if rule is ResidencyRule.home else everywhere)
+                    revision = self.put("phrasebook", residency=Residency(rule))
+                    revisions[revision] = len(rules) - 1
+                    self.deployment.wait_revision(revision)
+                    self.wait_served(served, len(served) + 10)
+            finally:
+                done.set()
+            for asked in asking:
+                asked.result()
+        for request_id, region, sent in served:
+            why = self.deployment.operator().why(request_id)
+            began = min(record["revision"] for record in why["records"])
+            first = revisions[max(known for known in revisions if known <= began)]
+            self.assertIn(region, set().union(*rules[first:sent]), why)
+        self.assertIn("sgp", {region for _, region, _ in served})
+
+    def wait_served(self, served: list, count: int) -> None:
+        wait_until(lambda: len(served) >= count, "requests were served meanwhile")
+
+    def test_a_home_bound_entry_is_refused_rather_than_sent_away(self) -> None:
+        self.faults(ENGINES, refuse=True)
+        reply = self.deployment.client("bkk-1").chat("clinic", new_nonce(), 1)
+        self.assertEqual(self.assert_true(reply)["ran"], "no")
+        record = self.deployment.operator().why(reply.request_id)["records"][0]
+        self.assertEqual({one["region"] for one in record["tries"]}, {"bkk"})
