--- a/packages/node/src/bronzepoint_node/membership/__init__.py
+++ b/packages/node/src/bronzepoint_node/membership/__init__.py
@@ -2,7 +2,6 @@
 
 from bronzepoint_node.membership._membership import Membership
 from bronzepoint_node.membership._notice_table import supersedes
-from bronzepoint_node.membership._rendezvous import rendezvous_order
 from bronzepoint_node.membership._running_clock import RunningClock
 from bronzepoint_node.membership._views import (
     HostInfo,
@@ -18,6 +17,5 @@
     "Membership",
     "RegionSummary",
     "RunningClock",
-    "rendezvous_order",
     "supersedes",
 ]
--- a/packages/node/src/bronzepoint_node/membership/_gossip.py
+++ b/packages/node/src/bronzepoint_node/membership/_gossip.py
@@ -13,6 +13,7 @@
 from bronzepoint_node.membership._pulse import Pulse, pack_pulses, unpack_pulses
 from bronzepoint_node.membership._region_table import RegionTable
 from bronzepoint_node.membership._running_clock import RunningClock
+from bronzepoint_node.membership._views import HostState
 from bronzepoint_schema.generated.membership import (
     Exchange,
     HostRecord,
@@ -69,9 +70,7 @@
         others = [i for i in self._hosts.infos() if i.name != self._hosts.own.name]
         since = self._clock.now() - _RUMOR_ROUNDS * interval
         self._new_notices = [new for new in self._new_notices if new[0] >= since]
-        async with curio.TaskGroup() as group:
-            for name in self._partners.next(others, interval):
-                await group.spawn(self.exchange, name, interval)
+        await self.exchange_with(self._partners.next(others, interval), interval)
 
     async def exchange(self, partner: HostName, timeout: float) -> bool:
         """Exchange with one host; False where it did not reply in time."""
@@ -91,6 +90,27 @@
             self._peers.post(partner, Area.MEMBERSHIP, answer)
         return True
 
+    async def exchange_with(
+        self, names: list[HostName], timeout: float
+    ) -> set[HostName]:
+        """Exchange with several hosts at once; return those that replied."""
+        replied: set[HostName] = set()
+
+        async def exchange(name: HostName) -> None:
+            if await self.exchange(name, timeout):
+                replied.add(name)
+
+        async with curio.TaskGroup() as group:
+            for name in names:
+                await group.spawn(exchange, name)
+        return replied
+
+    def reachable(self) -> list[HostName]:
+        """Return the other hosts of the region that aren't dead."""
+        own = self._hosts.own.name
+        infos = self._hosts.infos()
+        return [i.name for i in infos if i.name != own and i.state != HostState.dead]
+
     def answer(self, opening: Exchange) -> Exchange:
         """Merge an opening and return the reply."""
         wanted = self.merge(opening)
--- a/packages/node/src/bronzepoint_node/membership/_host_table.py
+++ b/packages/node/src/bronzepoint_node/membership/_host_table.py
@@ -1,7 +1,7 @@
 """The hosts of this host's own region: records, pulses and states."""
 
 from collections.abc import Container, Iterable
-from math import log2
+from math import log2, sqrt
 from typing import NamedTuple
 
 import msgspec
@@ -343,14 +343,15 @@
         return HostState.live
 
 
-SMALL_REGION = 24
+SMALL_REGION = 16
 """Hosts up to which the rounds keep the interval of the settings."""
 
 
 def round_factor(hosts: int) -> float:
     """Return how much longer a round takes with this many hosts in the region.
 
-    A pulse of each host is in each exchange. Longer rounds in larger regions keep the
-    bytes a second of a host the same, at the price of later detection.
+    A pulse of each host is in each exchange, and news of each takes time to handle.
+    With longer rounds, what a host spends a second grows with the root of the number,
+    and so does the time until a silent host is noticed.
     """
-    return max(1.0, hosts / SMALL_REGION)
+    return max(1.0, sqrt(hosts / SMALL_REGION))
--- a/packages/node/src/bronzepoint_node/membership/_pulse.py
+++ b/packages/node/src/bronzepoint_node/membership/_pulse.py
@@ -28,6 +28,9 @@
     RUN_ONCE_READY = 4
 
 
+_FLAGS = [PulseFlag(bits) for bits in range(8)]
+
+
 class Pulse(NamedTuple):
     """What one host said last, 12 bytes on the wire.
 
@@ -76,7 +79,7 @@
     if len(data) % _PACKED.size:
         raise ValueError("pulses are cut short; the sender runs another version")
     return [
-        Pulse(host_id, counter, revision, load, PulseFlag(flags & 0x07))
+        Pulse(host_id, counter, revision, load, _FLAGS[flags % len(_FLAGS)])
         for host_id, counter, revision, load, flags in _PACKED.iter_unpack(data)
     ]
 
--- a/packages/node/src/bronzepoint_node/membership/_region_table.py
+++ b/packages/node/src/bronzepoint_node/membership/_region_table.py
@@ -7,8 +7,6 @@
 from bronzepoint_schema.generated.membership import HostRecord, RegionReport
 from bronzepoint_schema.ids import RegionName
 
-_REPORT_INTERVAL = 1.0
-_REGIONS_A_SECOND = 3
 _MISSED_REPORTS = 2
 INCOMPLETE = 0
 """Told in place of a sequence number where the list of hosts is missing."""
@@ -16,15 +14,6 @@
 """Sequence number of the list in a region's report to itself, which has none."""
 
 
-def report_interval(regions: int) -> float:
-    """Return the seconds between two reports of a region to each other one.
-
-    What a region hears grows with the number of regions, so they report less often
-    where there are many.
-    """
-    return max(_REPORT_INTERVAL, regions / _REGIONS_A_SECOND)
-
-
 class _Stored(msgspec.Struct):
     report: RegionReport
     heard_at: float
@@ -99,7 +88,7 @@
         if stored is None:
             return RegionSummary(region, reachable=False, live=0)
         age = self._clock.now() - stored.heard_at
-        missed = _MISSED_REPORTS * report_interval(len(self._stored))
+        missed = _MISSED_REPORTS * stored.report.interval
         return RegionSummary(
             name=region,
             reachable=age < self._silent_after + missed,
--- a/packages/node/src/bronzepoint_node/membership/_relay.py
+++ b/packages/node/src/bronzepoint_node/membership/_relay.py
@@ -7,16 +7,15 @@
 
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area, PeerError, Peers
+from bronzepoint_common.rendezvous import rendezvous_order
 from bronzepoint_node.membership._host_table import HostTable
 from bronzepoint_node.membership._load_shares import LoadShares
 from bronzepoint_node.membership._region_table import (
     INCOMPLETE,
     NO_HOSTS,
     RegionTable,
-    report_interval,
     trim_hosts,
 )
-from bronzepoint_node.membership._rendezvous import rendezvous_order
 from bronzepoint_node.membership._running_clock import RunningClock
 from bronzepoint_node.membership._views import HostState, LoadSummary
 from bronzepoint_schema.generated.membership import (
@@ -34,7 +33,12 @@
 """Hosts that a region names to another one for forwarded requests."""
 _SHARE_LIFETIMES = 3
 _TRIP_WEIGHT = 0.3
-_CALL_TIMEOUT = 2.0
+_CALL_TIMEOUT = 1.0
+_LEAST_INTERVAL = 1.0
+_REGIONS_A_SECOND = 3
+_SHARES_A_SECOND = 8
+_SEED_TURNS = 4
+"""Every so many turns a host of the settings gets the report."""
 
 
 class Relay:
@@ -78,17 +82,13 @@
     @property
     def interval(self) -> float:
         """Seconds between two reports."""
-        return report_interval(len(self.other_regions()) + 1)
+        return report_interval(len(self.other_regions()) + 1, len(self._usable()))
 
     def other_regions(self) -> list[RegionName]:
         """Return the regions that are known, without this one."""
         known = {*self._seeds, *self._regions.regions()}
         return sorted(known - {self._hosts.own.region})
 
-    def contacts(self, region: RegionName) -> list[HostRecord]:
-        """Return the hosts that another region named, else those of the settings."""
-        return self._regions.hosts(region) or self._seeds.get(region, [])
-
     def seeds(self, region: RegionName) -> list[HostRecord]:
         """Return the hosts of another region that the settings name."""
         return self._seeds.get(region, [])
@@ -139,6 +139,7 @@
             live=len(self._usable()),
             hosts_sequence=NO_HOSTS,
             entries=self._sum_load(),
+            interval=self.interval,
         )
 
     def _sum_load(self) -> dict[EntryName, EntryLoad]:
@@ -147,7 +148,7 @@
     async def _report_to(
         self, region: RegionName, own_report: RegionReport, rank: int
     ) -> None:
-        contacts = self.contacts(region)
+        contacts = self._contacts_of_turn(region)
         if not contacts:
             return
         contact = contacts[(self._turn + rank) % len(contacts)].name
@@ -185,6 +186,8 @@
             report = self._make_own_report()
             report.sequence = sequence + 1
             self._regions.merge(report)
+            # Lists that were numbered below it would count as known over there.
+            self._listed.clear()
 
     def _list_hosts(
         self, region: RegionName, sequence: int
@@ -202,9 +205,31 @@
             self._listed[region] = (sequence, hosts)
         return self._listed[region]
 
+    def _contacts_of_turn(self, region: RegionName) -> list[HostRecord]:
+        """Return the hosts to choose the receiver of this turn's report from.
+
+        The hosts that a region named may all have been replaced during a long cut, on
+        both sides; then neither side's reports would ever arrive. The settings are
+        what an operator can mend, so they are tried now and then.
+        """
+        named = self._regions.hosts(region)
+        seeds = self._seeds.get(region, [])
+        if seeds and (not named or self._turn % _SEED_TURNS == 0):
+            return seeds
+        return named
+
     def _note_trip(self, region: RegionName, seconds: float) -> None:
         former = self._trips.get(region, seconds)
         self._trips[region] = former + _TRIP_WEIGHT * (seconds - former)
 
     def _usable(self) -> list[HostName]:
         return [i.name for i in self._hosts.infos() if i.state is HostState.live]
+
+
+def report_interval(regions: int, hosts: int) -> float:
+    """Return the seconds between two reports of a region.
+
+    What a host hears grows with the number of regions, and what a relay adds up with
+    the hosts of its own, so both make the reports rarer.
+    """
+    return max(_LEAST_INTERVAL, regions / _REGIONS_A_SECOND, hosts / _SHARES_A_SECOND)
--- a/packages/node/src/bronzepoint_node/targets/_poller.py
+++ b/packages/node/src/bronzepoint_node/targets/_poller.py
@@ -1,5 +1,6 @@
 """Polls of one target: its load, and the events of its cache."""
 
+import itertools
 import random
 import time
 from collections.abc import Callable
@@ -14,8 +15,10 @@
 from bronzepoint_schema.generated.platform import CacheEvents, LoadReport
 
 _TIMEOUT = 2.0
-_KEPT_INTERVAL = 2.0
+_KEPT_INTERVAL = 4.0
 """Below this interval a connection is kept from one poll to the next."""
+_LOADS_FOR_EVENTS = 2
+"""Polls of the load for each one of the cache's events."""
 _load_decoder = msgspec.json.Decoder(LoadReport)
 _events_decoder = msgspec.json.Decoder(CacheEvents)
 
@@ -70,12 +73,16 @@
         # All hosts learn of a new target at once; from here on their polls of it
         # must not come at once too.
         await curio.sleep(random.random() * self._interval())
-        while True:
+        for number in itertools.count():
             await self._poll_load()
-            if self._events.wait(time.monotonic()) == 0:
+            if self._events_are_due(number):
                 await self._poll_events()
             await curio.sleep(self._interval())
 
+    def _events_are_due(self, number: int) -> bool:
+        due = number % _LOADS_FOR_EVENTS == 0
+        return due and self._events.wait(time.monotonic()) == 0
+
     async def _poll_load(self) -> None:
         body = await self._get("/load")
         if body is None:
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/targets/_pollers.py
@@ -0,0 +1,68 @@
+"""One poller for each target whose load this host watches."""
+
+from collections.abc import Callable, Iterable
+
+from bronzepoint_common.http import HttpClient
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_node.targets._byte_budget import ByteBudget
+from bronzepoint_node.targets._poller import Poller
+from bronzepoint_node.targets._tracked_target import TrackedTarget
+from bronzepoint_schema.ids import TargetName
+
+_POLLS_A_SECOND = 4.0
+"""Polls of loads over all targets; with more targets each is polled less often."""
+_EVENT_BYTES_A_SECOND = 2000.0
+
+
+class Pollers:
+    """Starts and closes pollers as targets come and go.
+
+    Args:
+        http: Connections to targets.
+        least_interval: Seconds between two polls of one target, where they are few.
+        heard: Called after each report.
+        metrics: Counts polls.
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        least_interval: float,
+        heard: Callable[[TrackedTarget], None],
+        metrics: Metrics,
+    ) -> None:
+        self._http = http
+        self._least_interval = least_interval
+        self._heard = heard
+        self._metrics = metrics
+        self._events = ByteBudget(_EVENT_BYTES_A_SECOND)
+        self._pollers: dict[TargetName, Poller] = {}
+
+    async def follow(self, targets: Iterable[TrackedTarget]) -> None:
+        """Poll these targets and no others."""
+        wanted = {tracked.target.name: tracked for tracked in targets}
+        for name, poller in list(self._pollers.items()):
+            if wanted.get(name) is not poller.tracked:
+                del self._pollers[name]
+                await poller.close()
+        for name, tracked in wanted.items():
+            if name not in self._pollers:
+                self._pollers[name] = self._make(tracked)
+                await self._pollers[name].start()
+
+    async def close(self) -> None:
+        """Close all pollers."""
+        await self.follow([])
+
+    def _make(self, tracked: TrackedTarget) -> Poller:
+        return Poller(
+            tracked,
+            self._http,
+            self._interval,
+            self._events,
+            self._heard,
+            self._metrics,
+        )
+
+    def _interval(self) -> float:
+        return max(self._least_interval, len(self._pollers) / _POLLS_A_SECOND)
--- a/packages/node/src/bronzepoint_node/targets/_subset.py
+++ b/packages/node/src/bronzepoint_node/targets/_subset.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from math import ceil
 
-from bronzepoint_node.membership import rendezvous_order
+from bronzepoint_common.rendezvous import rendezvous_order
 from bronzepoint_schema.ids import HostName, TargetName
 
 SUBSET_SIZE = 24
--- a/packages/node/src/bronzepoint_node/targets/_targets.py
+++ b/packages/node/src/bronzepoint_node/targets/_targets.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Mapping
-from operator import is_
 from typing import Protocol
 
 import curio
@@ -12,10 +11,9 @@
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_node.membership import HostState, Membership
 from bronzepoint_node.policy import TargetState, TargetView
-from bronzepoint_node.targets._byte_budget import ByteBudget
 from bronzepoint_node.targets._ejection import find_ejections, find_return
 from bronzepoint_node.targets._host_list import HostListReader
-from bronzepoint_node.targets._poller import Poller
+from bronzepoint_node.targets._pollers import Pollers
 from bronzepoint_node.targets._subset import choose_subset
 from bronzepoint_node.targets._tracked_target import TrackedTarget
 from bronzepoint_schema.generated.admin import TargetStatus
@@ -29,17 +27,14 @@
 from bronzepoint_schema.generated.membership import EntryShare, TargetNotice, WordSource
 from bronzepoint_schema.generated.platform import ListedHost, ListedState
 from bronzepoint_schema.generated.settings import Settings
-from bronzepoint_schema.ids import EntryName, HostName, TargetName
+from bronzepoint_schema.ids import EntryName, HostName, Revision, TargetName
 
 LEAVING_HEADER = "x-leaving"
 MOST_BLOCKS = 40_000
 """Prompt blocks remembered over all targets, about 8 MB."""
 _MOST_BLOCKS_EACH = 4000
 _LEAST_BLOCKS_EACH = 200
-_POLLS_A_SECOND = 8.0
-"""Polls of loads over all targets; with more targets each is polled less often."""
-_EVENT_BYTES_A_SECOND = 2000.0
-_SETTLE_INTERVAL = 0.25
+_SETTLE_INTERVAL = 0.5
 _NOT_LEAVING = ("", "0")
 Entry = ModelEntry | ServiceEntry
 _log = get_logger("targets")
@@ -48,6 +43,8 @@
 class Catalogue(Protocol):
     """What is read of the catalogue."""
 
+    revision: Revision
+
     def items(self) -> list[CatalogueItem]:
         """Return all items."""
 
@@ -79,10 +76,9 @@
         self._tracked: dict[TargetName, TrackedTarget] = {}
         self._entries: dict[EntryName, list[TargetName]] = {}
         self._region_sizes: dict[EntryName, int] = {}
-        self._pollers: dict[TargetName, Poller] = {}
-        self._events = ByteBudget(_EVENT_BYTES_A_SECOND)
+        self._pollers = Pollers(http, settings.platform.poll, self._after_word, metrics)
         self._chosen_hosts: list[HostName] = []
-        self._chosen_entries: list[Entry] = []
+        self._chosen_revision: Revision | None = None
         self._tasks = curio.TaskGroup()
         membership.on_notice(self._hear_notice)
 
@@ -103,9 +99,7 @@
     async def close(self) -> None:
         """Stop watching."""
         await self._tasks.cancel_remaining()
-        for poller in self._pollers.values():
-            await poller.close()
-        self._pollers.clear()
+        await self._pollers.close()
 
     def views(
         self, entry: EntryName, prefix_hashes: list[str] | None = None
@@ -199,12 +193,11 @@
 
     async def _follow_catalogue(self) -> None:
         """Watch the targets that the catalogue names now, as far as they are ours."""
-        items = self._catalogue.items()
-        entries = [i for i in items if isinstance(i, Entry)]
-        hosts = self._sharing_hosts()
-        if hosts == self._chosen_hosts and _are_same(entries, self._chosen_entries):
+        hosts, revision = self._sharing_hosts(), self._catalogue.revision
+        if hosts == self._chosen_hosts and revision == self._chosen_revision:
             return
-        self._chosen_hosts, self._chosen_entries = hosts, entries
+        self._chosen_hosts, self._chosen_revision = hosts, revision
+        entries = [i for i in self._catalogue.items() if isinstance(i, Entry)]
         wanted: dict[TargetName, Target] = {}
         polled: set[TargetName] = set()
         self._entries = {}
@@ -215,7 +208,7 @@
             if isinstance(entry, ModelEntry):
                 polled.update(target.name for target in targets)
         self._watch(wanted)
-        await self._poll(polled)
+        await self._pollers.follow(self._tracked[name] for name in polled)
 
     def _choose(self, entry: Entry, hosts: list[HostName]) -> list[Target]:
         own_region = self._settings.host.region
@@ -247,26 +240,6 @@
             if name not in wanted and self._tracked[name].in_flight.count == 0:
                 del self._tracked[name]
 
-    async def _poll(self, names: set[TargetName]) -> None:
-        for name in list(self._pollers):
-            current = self._tracked.get(name)
-            if name not in names or current is not self._pollers[name].tracked:
-                await self._pollers.pop(name).close()
-        for name in names - self._pollers.keys():
-            poller = Poller(
-                self._tracked[name],
-                self._http,
-                self._poll_interval,
-                self._events,
-                self._after_word,
-                self._metrics,
-            )
-            self._pollers[name] = poller
-            await poller.start()
-
-    def _poll_interval(self) -> float:
-        return max(self._settings.platform.poll, len(self._pollers) / _POLLS_A_SECOND)
-
     def _siblings(self, entry: EntryName) -> list[TrackedTarget]:
         return [self._tracked[name] for name in self._entries.get(entry, ())]
 
@@ -327,11 +300,6 @@
             self._membership.tell_notice(notice)
 
 
-def _are_same(first: list[Entry], second: list[Entry]) -> bool:
-    """Return whether two lists hold the same objects; items are never changed."""
-    return len(first) == len(second) and all(map(is_, first, second))
-
-
 def _make_status(
     entry: EntryName, tracked: TrackedTarget, unix_time: float
 ) -> TargetStatus:
--- a/packages/node/src/bronzepoint_node/targets/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/targets/_tracked_target.py
@@ -74,7 +74,7 @@
     @property
     def slots(self) -> int:
         """Requests that it works on at once, by its own word where there is one."""
-        return self.target.slots if self.report is None else self.report.slots
+        return self.target.slots if self.report is None else max(1, self.report.slots)
 
     @property
     def reachable(self) -> bool:
--- a/tests/test_membership_gossip.py
+++ b/tests/test_membership_gossip.py
@@ -5,7 +5,12 @@
 from bisect import insort
 
 from bronzepoint_node.membership import HostState, LoadSummary
-from bronzepoint_schema.generated.membership import EntryShare, TargetNotice
+from bronzepoint_schema.generated.membership import (
+    EntryShare,
+    HostRecord,
+    RegionReport,
+    TargetNotice,
+)
 from tests._membership_net import Group, run_group, until
 
 REGION = ["bkk-0", "bkk-1", "bkk-2"]
@@ -75,7 +80,22 @@
     def test_draining_host_is_known_everywhere_before_the_wait_ends(self) -> None:
         async def scenario(group: Group) -> None:
             await until(lambda: all_live(group, REGION))
-            self.assertTrue(await group.members["bkk-0"].wait_forgotten(30.0))
+            forgotten: list[bool] = []
+            member = group.members["bkk-0"]
+            member.on_forgotten(lambda: forgotten.append(True))
+            self.assertTrue(await member.wait_forgotten(30.0))
+            self.assertEqual(forgotten, [True])
+            self.assertEqual(set(group.states("bkk-0").values()), {HostState.draining})
+
+        run_group(Group(REGION), scenario)
+
+    def test_host_that_drains_by_order_learns_when_it_is_forgotten(self) -> None:
+        async def scenario(group: Group) -> None:
+            await until(lambda: all_live(group, REGION))
+            forgotten: list[bool] = []
+            group.members["bkk-0"].on_forgotten(lambda: forgotten.append(True))
+            group.members["bkk-0"].set_draining()
+            await until(lambda: bool(forgotten))
             self.assertEqual(set(group.states("bkk-0").values()), {HostState.draining})
 
         run_group(Group(REGION), scenario)
@@ -151,3 +171,35 @@
             await until(lambda: reachable(True))
 
         run_group(Group(TWO_REGIONS), scenario)
+
+    def test_regions_meet_again_though_all_listed_hosts_were_replaced(self) -> None:
+        """A long cut, during which both regions replaced the hosts they had named.
+
+        Symptom: the regions never hear of each other again. Sequence: each holds a
+        list of the other's hosts that are gone; reports are sent to those only. Cause:
+        the list wins over the settings, and only a report could bring a newer list.
+        """
+
+        async def scenario(group: Group) -> None:
+            here, there = group.members["bkk-0"], group.members["sgp-0"]
+            gone = {"bkk": make_gone("bkk"), "sgp": make_gone("sgp")}
+            for member, region in ((here, "sgp"), (there, "bkk")):
+                report = RegionReport(region, 2**40, 1, 2**40, gone[region])
+                member._regions.merge(report)
+
+            def met() -> bool:
+                lists = [here._regions.hosts("sgp"), there._regions.hosts("bkk")]
+                return [record.name for each in lists for record in each] == [
+                    "sgp-0",
+                    "bkk-0",
+                ]
+
+            await until(met)
+
+        run_group(Group(["bkk-0", "sgp-0"]), scenario)
+
+
+def make_gone(region: str) -> list[HostRecord]:
+    """Return the list of a region whose only listed host exists no more."""
+    name = f"{region}-gone"
+    return [HostRecord(name, region, "dc", f"{name}:80", f"{name}:90", 1)]
--- a/tests/test_membership_tables.py
+++ b/tests/test_membership_tables.py
@@ -5,7 +5,8 @@
 
 from nose2.tools import params
 
-from bronzepoint_node.membership import HostState, RunningClock, rendezvous_order
+from bronzepoint_common.rendezvous import rendezvous_order
+from bronzepoint_node.membership import HostState, RunningClock
 from bronzepoint_node.membership._host_table import HostTable
 from bronzepoint_node.membership._notice_table import NOTICE_LIFETIME, NoticeTable
 from bronzepoint_node.membership._pulse import (
--- a/tests/test_targets_leaving.py
+++ b/tests/test_targets_leaving.py
@@ -61,6 +61,7 @@
     """A model with three targets and a service with two."""
 
     def __init__(self) -> None:
+        self.revision = 1
         self.model = ModelEntry("m", "o", targets=make_targets("e", 3))
         route = Route("GET", "/")
         self.service = ServiceEntry(
@@ -74,6 +75,7 @@
         targets = make_targets("e", 3)
         targets[0].leaving = leaving
         self.model = msgspec.structs.replace(self.model, targets=targets)
+        self.revision += 1
 
 
 def make_targets(prefix: str, count: int) -> list[CatalogueTarget]:
