--- a/packages/cli/src/bronzepoint_cli/__init__.py
+++ b/packages/cli/src/bronzepoint_cli/__init__.py
@@ -1,4 +1,4 @@
-"""The ``bronzepoint`` command line, for operators and callers."""
+"""The ``bronzepoint`` program."""
 
 from bronzepoint_cli._app import app
 
--- a/packages/cli/src/bronzepoint_cli/commands/send.py
+++ b/packages/cli/src/bronzepoint_cli/commands/send.py
@@ -1,4 +1,4 @@
-"""``bronzepoint send``: one request as a caller."""
+"""``bronzepoint send``: a request with a caller's token."""
 
 import sys
 from typing import Annotated
@@ -62,7 +62,7 @@
         int, typer.Option(min=1, help="Most tokens to generate.")
     ] = 256,
 ) -> None:
-    """Send one request as a caller, and print the answer as it comes.
+    """Call a model or a plain service, and print the answer as it comes.
 
     A host that can't be reached is replaced by the next one of the directory. A call
     that may change something carries an idempotency key, so that it runs at most once
--- a/packages/cli/src/bronzepoint_cli/commands/why.py
+++ b/packages/cli/src/bronzepoint_cli/commands/why.py
@@ -25,7 +25,7 @@
     ],
     json: JsonOption = False,
 ) -> None:
-    """Show why a request went where it went, or was refused.
+    """Show the decision about one request: candidates, choice, tries, refusal.
 
     Any host can be asked.
 
--- a/tests/_fake_host.py
+++ b/tests/_fake_host.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bronzepoint_common.http import Exchange, HttpLimits, HttpServer
+from bronzepoint_schema.generated.decisions import ErrorBody
 
 
 @dataclass
@@ -70,6 +71,8 @@
             "Bronzepoint-Region": "bkk",
             "Bronzepoint-Request-Id": "bkk-1.bkk.0192",
         }
+        if isinstance(reply.body, ErrorBody):
+            headers["Bronzepoint-Refusal"] = reply.body.error.kind.value
         if reply.stream:
             await exchange.start_stream(200, headers)
             for chunk in reply.stream:
--- a/tests/test_tools_runner.py
+++ b/tests/test_tools_runner.py
@@ -1,8 +1,11 @@
 """The test runner reports hung, crashed and untidy modules as failed."""
 
+import os
+import subprocess
 import sys
 import tempfile
 import textwrap
+import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -79,6 +82,64 @@
         self.assertEqual(len(run.failed), 1)
 
 
+INTERRUPTED = """
+import signal, sys
+from pathlib import Path
+import run_tests
+
+signal.signal(signal.SIGTERM, run_tests._interrupt)
+folder = Path(sys.argv[1])
+try:
+    run_tests.TestRun(["test_sample"], folder, folder).run()
+except KeyboardInterrupt:
+    sys.exit(130)
+"""
+SLEEPER = """
+import subprocess, unittest
+from pathlib import Path
+
+class T(unittest.TestCase):
+    def test_a(self):
+        child = subprocess.Popen(["sleep", "600"])
+        Path("pid.new").write_text(str(child.pid))
+        Path("pid.new").rename("pid")
+        child.wait()
+"""
+PATIENCE = 30
+
+
+class Interrupted(unittest.TestCase):
+    def test_nothing_is_left_behind(self):
+        """Symptom: daemons of an interrupted run hold ports and processors for hours.
+
+        Sequence: CI ends the runner by SIGTERM while a test has processes running.
+        Cause: the processes of a test don't end with the runner by themselves.
+        """
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        (Path(folder.name) / "test_sample.py").write_text(SLEEPER)
+        runner = subprocess.Popen(
+            [sys.executable, "-c", INTERRUPTED, folder.name],
+            env={**os.environ, "PYTHONPATH": str(ROOT / "tools")},
+        )
+        self.addCleanup(runner.kill)
+        pid = self.wait_for(lambda: self.read_pid(Path(folder.name) / "pid"))
+        runner.terminate()
+        self.assertEqual(runner.wait(PATIENCE), 130)
+        self.wait_for(lambda: not Path(f"/proc/{pid}").exists())
+
+    def read_pid(self, path: Path) -> int:
+        return int(path.read_text()) if path.exists() else 0
+
+    def wait_for(self, observe):
+        deadline = time.monotonic() + PATIENCE
+        while time.monotonic() < deadline:
+            if seen := observe():
+                return seen
+            time.sleep(0.02)
+        self.fail("not observed in time")
+
+
 class KnownRedFile(unittest.TestCase):
     def read(self, text: str):
         with tempfile.TemporaryDirectory() as folder:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -24,9 +24,12 @@
 
 HEAVY_MARK = "bronzepoint_emulator.deployment"
 """Modules that import this start a whole deployment of processes."""
-SLOTS = int(os.environ.get("BRONZEPOINT_TEST_SLOTS", "6"))
+CORES = os.cpu_count() or 1
+SLOTS = int(os.environ.get("BRONZEPOINT_TEST_SLOTS", min(max(CORES - 2, 3), 10)))
+"""Modules at once, where each is light."""
 HEAVY_SLOTS = 3
-"""Slots of a heavy module: two deployments at once, else timeouts fire from load."""
+"""Slots of a heavy module: with more deployments at once, or fewer cores for each,
+timeouts would fire from load alone."""
 
 TEST_TIMEOUT = 180.0
 """Seconds for one test."""
@@ -131,6 +134,8 @@
         """Return whether all processes of the group end by themselves."""
         deadline = time.monotonic() + LEFTOVER_WAIT
         while time.monotonic() < deadline:
+            # An ended worker that nobody has asked for still counts as a member.
+            self.process.poll()
             try:
                 os.killpg(self.process.pid, 0)
             except ProcessLookupError:
@@ -145,10 +150,13 @@
     Args:
         modules: Dotted names of the test modules.
         folder: Where the output of the modules is kept while it runs.
+        root: Folder from which the modules are imported.
     """
 
-    def __init__(self, modules: list[str], folder: Path) -> None:
-        runs = [ModuleRun(name, _count_slots(name), folder) for name in modules]
+    def __init__(self, modules: list[str], folder: Path, root: Path = ROOT) -> None:
+        runs = [
+            ModuleRun(name, _count_slots(root, name), folder, root) for name in modules
+        ]
         # The long ones first, so that none is left to run alone at the end.
         self._waiting = sorted(runs, key=lambda run: (-run.slots, run.name))
         self._running: list[ModuleRun] = []
@@ -191,8 +199,8 @@
                 run.kill()
 
 
-def _count_slots(module: str) -> int:
-    source = ROOT.joinpath(*module.split(".")).with_suffix(".py")
+def _count_slots(root: Path, module: str) -> int:
+    source = root.joinpath(*module.split(".")).with_suffix(".py")
     if source.exists() and HEAVY_MARK in source.read_text():
         return min(HEAVY_SLOTS, SLOTS)
     return 1
