--- a/tools/document_settings.py
+++ b/tools/document_settings.py
@@ -1,4 +1,4 @@
-"""Write docs/CONFIGURATION.md from the schema of the settings.
+"""Write the page about the settings from their schema.
 
 With ``--check`` nothing is written: the exit status is 1 where the page is not what
 the schema gives.
