Prove at most once with real processes that are killed, frozen, wiped and cut off

Cause: the faked network shows the protocol, not the daemon: what the entry code does with a claim, restarts, real cuts and the target's own count were not covered. Change: tests.test_run_once_processes, ten cases over five daemons, three of which keep the records: lost answer, caller that left, cut answer, killed host, frozen host, cut link, isolated region, copies lost in turn, two at once, resend past the lifetime. Conclusion: each way to lose the record or its host is refused or answered, never run again. A freeze exactly between claim and dispatch is shown over the faked network only.

--- a/packages/node/src/bronzepoint_node/run_once/_knowledge.py
+++ b/packages/node/src/bronzepoint_node/run_once/_knowledge.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from bronzepoint_node.run_once._keys import KeyWindow, key_time
-from bronzepoint_node.run_once._owners import Owners, fingerprint, majority
+from bronzepoint_node.run_once._owners import Owners, majority
 from bronzepoint_schema.generated.run_once import Identity
 from bronzepoint_schema.ids import HostName
 
@@ -108,7 +108,7 @@
         if newly_mine or self._newcomer:
             # The former owners could agree without this host until they all place
             # the key by the list that names it.
-            switched = self._switched.get(fingerprint(self._owners.hosts))
+            switched = self._switched.get(self._owners.fingerprint)
             return switched is not None and made > max(switched, self.floor)
         if not self._majority_heard and len(self._owners.hosts) > 1:
             return False
@@ -129,11 +129,9 @@
         self._newcomer |= self.floor > 0 and heard.reader_since > 0
         if not self.has_read_all():
             return False
-        switched = max(self._window.switched(said.since) for said in agreeing.values())
-        self._switched = {fingerprint(self._owners.hosts): switched}
-        return self._lower_floor(
-            switched, max(said.floor for said in agreeing.values())
-        )
+        switched = max(self._window.switched(said.since) for said in agreeing)
+        self._switched = {self._owners.fingerprint: switched}
+        return self._lower_floor(switched, max(said.floor for said in agreeing))
 
     def _lower_floor(self, switched: int, unknown: int) -> bool:
         before = self.floor
@@ -146,11 +144,11 @@
 
     def must_read(self, host: HostName) -> bool:
         """Tell whether another host was not read yet, or not since it changed."""
-        return host not in self._agreeing()
+        return not self._agrees(host)
 
     def may_gain(self, host: HostName) -> bool:
         """Tell whether another host, itself without memory then, may know more now."""
-        return self._window.in_use(self._agreeing()[host].floor)
+        return self._window.in_use(self.heard[host].floor)
 
     def readable_floor(self) -> int:
         """Return the key time (ms) above which a reader may rely on this copy."""
@@ -159,24 +157,23 @@
     def has_read_all(self) -> bool:
         """Tell whether every other host of the region was read in its present life."""
         return all(
-            host == self._name or host in self._agreeing()
-            for host in self._owners.hosts
+            host == self._name or self._agrees(host) for host in self._owners.hosts
+        )
+
+    def _agrees(self, host: HostName) -> bool:
+        """Tell whether a host was read in its present life and has our list."""
+        heard = self.heard.get(host)
+        return (
+            heard is not None
+            and heard.hosts == self._owners.fingerprint
+            and heard.incarnation >= self.seen.get(host, 0)
         )
 
-    def _agreeing(self) -> dict[HostName, Heard]:
-        """Return what was heard from hosts with our list, in their present life."""
-        mine = fingerprint(self._owners.hosts)
-        return {
-            host: heard
-            for host, heard in self.heard.items()
-            if heard.hosts == mine and heard.incarnation >= self.seen.get(host, 0)
-        }
+    def _agreeing(self) -> list[Heard]:
+        return [heard for host, heard in self.heard.items() if self._agrees(host)]
 
     def _has_read_enough(self, made: int, owners: Sequence[HostName]) -> bool:
-        agreeing = self._agreeing()
-        read = 0
-        for host in owners:
-            heard = agreeing.get(host)
-            if heard is not None and heard.floor < made:
-                read += 1
+        read = sum(
+            self._agrees(host) and self.heard[host].floor < made for host in owners
+        )
         return read >= len(owners) - majority(len(owners)) + 1
--- a/packages/node/src/bronzepoint_node/run_once/_owners.py
+++ b/packages/node/src/bronzepoint_node/run_once/_owners.py
@@ -49,6 +49,10 @@
         copies: Owners of each key.
         window: Which keys are in use.
         clock: Tells the wall time.
+
+    Attributes:
+        history: Lists of the region's hosts, newest last.
+        fingerprint: Fingerprint of the newest.
     """
 
     def __init__(
@@ -64,8 +68,14 @@
         self._copies = copies
         self._window = window
         self._clock = clock
-        first = sorted({name, *region_hosts()})
+        self.history = [HostList(hosts=[name], since=0)]
+        self.fingerprint = fingerprint([name])
+
+    def begin(self) -> None:
+        """Take the first list, which counts as the one that always was."""
+        first = sorted({self._name, *self._region_hosts()})
         self.history = [HostList(hosts=first, since=0)]
+        self.fingerprint = fingerprint(first)
 
     @property
     def hosts(self) -> list[HostName]:
@@ -86,6 +96,7 @@
         """Take the lists that this host used before it restarted."""
         listed = self.hosts
         self.history = history
+        self.fingerprint = fingerprint(self.hosts)
         self.add(listed)
 
     def refresh(self) -> bool:
@@ -99,6 +110,7 @@
             return False
         merged = sorted(known.union(hosts))
         self.history.append(HostList(hosts=merged, since=self._clock.wall_ms()))
+        self.fingerprint = fingerprint(merged)
         return True
 
     def prune(self) -> None:
--- a/packages/node/src/bronzepoint_node/run_once/_recovery.py
+++ b/packages/node/src/bronzepoint_node/run_once/_recovery.py
@@ -1,6 +1,7 @@
 """Reads the registers of the other hosts, after a loss of memory or a new host."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import curio
 
@@ -9,7 +10,6 @@
 from bronzepoint_common.peers import PeerError
 from bronzepoint_node.run_once._copy import Copy
 from bronzepoint_node.run_once._copy_log import CopyLog
-from bronzepoint_node.run_once._keys import KeyWindow
 from bronzepoint_node.run_once._knowledge import Heard, Knowledge
 from bronzepoint_node.run_once._owners import Owners, fingerprint
 from bronzepoint_schema.generated.run_once import Page, PeerIncarnation, Read
@@ -21,14 +21,27 @@
 """About how large one page is: short enough not to hold up votes behind it."""
 INTERVAL = 0.25
 """Seconds between two looks at whether there is something to read."""
-PROBE_INTERVAL = 5.0
+FIRST_PROBE = 5.0
 """Seconds until a host that did not know everything itself is asked whether it does."""
+LAST_PROBE = 160.0
+"""Longest time (s) between two such questions; it doubles from the first on.
+
+After a start of the whole region no host ever knows more about the time before, and
+each would ask every other one until the last of the old keys has expired."""
 PAST_ALL_KEYS = b"\xff" * 16
 """A cursor that no key follows: the page says how much its sender knows, no more."""
 
 _log = get_logger("run_once")
 
 
+@dataclass(frozen=True)
+class _Probe:
+    """When a host is asked again (s on curio's clock), after which pause (s)."""
+
+    due: float
+    pause: float
+
+
 class Recovery:
     """Keeps what a copy knows complete: reads others, and lets them read it.
 
@@ -37,7 +50,6 @@
         copy: Its registers.
         knowledge: What it remembers.
         owners: The region's hosts.
-        window: Which keys are in use.
         log: Where changes are kept.
         call: Asks another host for a page.
         metrics: Counts pages.
@@ -49,7 +61,6 @@
         copy: Copy,
         knowledge: Knowledge,
         owners: Owners,
-        window: KeyWindow,
         log: CopyLog,
         call: Call,
         metrics: Metrics,
@@ -58,11 +69,10 @@
         self._copy = copy
         self._knowledge = knowledge
         self._owners = owners
-        self._window = window
         self._log = log
         self._call = call
         self._metrics = metrics
-        self._probe_at: dict[HostName, float] = {}
+        self._probes: dict[HostName, _Probe] = {}
 
     async def run(self) -> None:
         """Read what is missing, as long as this host may vote."""
@@ -111,10 +121,20 @@
                     continue
                 if knowledge.must_read(host):
                     await group.spawn(self._read_host, host)
-                elif knowledge.may_gain(host) and now > self._probe_at.get(host, 0):
-                    self._probe_at[host] = now + PROBE_INTERVAL
+                elif knowledge.may_gain(host) and self._is_probe_due(host, now):
                     await group.spawn(self._probe, host)
 
+    def _is_probe_due(self, host: HostName, now: float) -> bool:
+        probe = self._probes.get(host)
+        if probe is None:
+            self._probes[host] = _Probe(now + FIRST_PROBE, FIRST_PROBE)
+            return False
+        if now < probe.due:
+            return False
+        pause = min(2 * probe.pause, LAST_PROBE)
+        self._probes[host] = _Probe(now + pause, pause)
+        return True
+
     async def _probe(self, host: HostName) -> None:
         """Read a host again if it has recovered more than it knew at the last read."""
         message = Read(self._knowledge.incarnation, self._owners.hosts, PAST_ALL_KEYS)
@@ -147,6 +167,7 @@
                 return
             heard = said
             if page.last:
+                self._probes.pop(host, None)
                 await self._finish_read(host, said)
                 return
             cursor = page.registers[-1].key
@@ -170,7 +191,7 @@
     async def _finish_read(self, host: HostName, said: Heard) -> None:
         if not self._knowledge.take(host, said):
             return
-        self._metrics.incr("run_once.recovered")
+        self._metrics.incr("run_once.recoveries")
         _log.info("registers recovered", registers=len(self._copy.registers))
         await self._keep_identity()
 
--- a/packages/node/src/bronzepoint_node/run_once/_states.py
+++ b/packages/node/src/bronzepoint_node/run_once/_states.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable
 
 from bronzepoint_schema.generated.run_once import Claimed, Done, Released, Unknown
+from bronzepoint_schema.ids import HostName, RequestId
 
 State = Claimed | Done | Unknown | Released
+Outcome = Done | Unknown | Released
 Change = Callable[[State | None], State | None]
 
 
@@ -40,7 +42,7 @@
     return change
 
 
-def conclude(attempt: bytes, outcome: Done | Unknown | Released) -> Change:
+def conclude(attempt: bytes, outcome: Outcome) -> Change:
     """Record the outcome of one's own attempt.
 
     Others may have taken its host for gone and recorded the outcome as unknown; the
@@ -60,3 +62,8 @@
 def is_claim_of(attempt: bytes, state: State | None) -> bool:
     """Tell whether the register holds the claim of this attempt."""
     return isinstance(state, Claimed) and state.attempt == attempt
+
+
+def identity(state: Claimed) -> tuple[bytes, HostName, bytes, RequestId]:
+    """Return the fields that every state of an attempt begins with."""
+    return (state.attempt, state.host, state.digest, state.request_id)
--- /dev/null
+++ b/tests/test_run_once_processes.py
@@ -0,0 +1,255 @@
+"""At most once with real processes: hosts killed, frozen, wiped and cut off."""
+
+import threading
+import unittest
+
+import msgspec
+
+from bronzepoint_emulator.deployment import (
+    Deployment,
+    new_key,
+    new_nonce,
+    wait_until,
+)
+from tests import _golden_site
+
+REGION = ["bkk-1", "bkk-2", "bkk-3"]
+SERVICE = "bkk-steady"
+ENTRY = "notes"
+SLOW = 400.0
+"""Factor on the service's 5 ms: a call takes 2 s."""
+STUCK = 1e6
+
+
+class Call:
+    """One non-idempotent call and its resends: one key, one nonce."""
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._key = new_key()
+        self._nonce = new_nonce()
+
+    def send(self, host, timeout=30.0):
+        client = self._deployment.client(host, owner="saphan", region="bkk")
+        client.timeout = timeout
+        body = {"nonce": self._nonce}
+        return client.call_service(ENTRY, "POST", "/saved", body, self._key)
+
+    def send_beside(self, host):
+        """Send from a thread whose answer may never come."""
+        replies = []
+
+        def work():
+            try:
+                replies.append(self.send(host))
+            except OSError:
+                return
+
+        threading.Thread(target=work, daemon=True).start()
+        return replies
+
+    def runs(self):
+        return sum(self._deployment.nonce_runs(self._nonce).values())
+
+    def wait_running(self):
+        wait_until(lambda: self.runs() == 1, "the call runs at the service")
+
+    def wait_refused(self, host, kind):
+        def refused():
+            reply = self.send(host)
+            return reply.status != 200 and reply.refusal["kind"] == kind
+
+        wait_until(refused, f"{host} refuses with {kind}")
+
+    def wait_answered(self, host):
+        def answered():
+            reply = self.send(host)
+            return reply if reply.status == 200 else None
+
+        return wait_until(answered, f"{host} has the answer")
+
+
+def target_state(deployment, host):
+    """Return what a host thinks of the service."""
+    targets = deployment.operator(host).targets()["targets"]
+    return next(
+        (target["state"] for target in targets if target["name"] == SERVICE), None
+    )
+
+
+class ProcessTest(unittest.TestCase):
+    def deploy(self, proxied=False, **run_once):
+        layout = _golden_site.layout()
+        texts = {name: str(value) for name, value in run_once.items()}
+        layout = msgspec.structs.replace(
+            layout, settings={**layout.settings, "run_once": texts}
+        )
+        deployment = Deployment(layout, proxied=proxied)
+        self.addCleanup(deployment.close)
+        deployment.start()
+        self.wait_copies(deployment)
+        for host in REGION:
+            wait_until(
+                lambda host=host: target_state(deployment, host) == "ready",
+                f"{host} knows the service",
+            )
+        return deployment
+
+    def wait_copies(self, deployment, hosts=REGION):
+        """Wait until the copies of these hosts know all that the others know."""
+
+        def recovered():
+            return all(
+                deployment.operator(host).counters()["gauges"]["run_once.recovered"]
+                for host in hosts
+            )
+
+        wait_until(recovered, "the run-once copies have recovered")
+
+    def test_lost_answer(self):
+        """The caller lost the answer: it resends, to the same host and to another."""
+        deployment = self.deploy()
+        call = Call(deployment)
+        first = call.send("bkk-1")
+        self.assertEqual(first.status, 200, first.body)
+        for host in ["bkk-1", "bkk-2", "bkk-3"]:
+            again = call.send(host)
+            self.assertEqual((again.status, again.body), (200, first.body))
+        self.assertEqual(call.runs(), 1)
+
+    def test_caller_left(self):
+        """The caller gave up waiting, over a weak network, and sends again."""
+        deployment = self.deploy()
+        deployment.set_faults(SERVICE, slow=SLOW)
+        call = Call(deployment)
+        with self.assertRaises(TimeoutError):
+            call.send("bkk-1", timeout=0.5)
+        call.wait_running()
+        again = call.send("bkk-2")
+        self.assertEqual(again.refusal["kind"], "run_in_progress")
+        call.wait_answered("bkk-2")
+        self.assertEqual(call.runs(), 1)
+
+    def test_cut_answer_is_not_run_again(self):
+        """The service ran the call, and its answer was cut on the way."""
+        deployment = self.deploy()
+        deployment.set_faults(SERVICE, cut_after=0)
+        call = Call(deployment)
+        self.assertNotEqual(call.send("bkk-1").status, 200)
+        deployment.set_faults(SERVICE, cut_after=-1)
+        for host in REGION:
+            again = call.send(host)
+            self.assertEqual(again.refusal["kind"], "run_unknown")
+            self.assertEqual(again.refusal["ran"], "unknown")
+        self.assertEqual(call.runs(), 1)
+
+    def test_killed_host(self):
+        """The host dies while the call runs; the caller resends through others.
+
+        Whether the call ran is unknown to them: they say so and don't run it, before
+        and after the host comes back without memory of it.
+        """
+        deployment = self.deploy()
+        deployment.set_faults(SERVICE, slow=STUCK)
+        call = Call(deployment)
+        call.send_beside("bkk-2")
+        call.wait_running()
+        deployment.kill("bkk-2")
+        deployment.set_faults(SERVICE, slow=1.0)
+        self.assertEqual(call.send("bkk-1").refusal["kind"], "run_in_progress")
+        call.wait_refused("bkk-3", "run_unknown")
+        deployment.restart("bkk-2")
+        call.wait_refused("bkk-2", "run_unknown")
+        self.assertEqual(call.runs(), 1)
+
+    def test_frozen_host(self):
+        """The host is stopped while the call runs, and wakes after it was given up."""
+        deployment = self.deploy()
+        deployment.set_faults(SERVICE, slow=SLOW)
+        call = Call(deployment)
+        call.send_beside("bkk-2")
+        call.wait_running()
+        deployment.freeze("bkk-2")
+        call.wait_refused("bkk-1", "run_unknown")
+        deployment.thaw("bkk-2")
+        call.wait_answered("bkk-3")
+        self.assertEqual(call.runs(), 1)
+
+    def test_cut_link(self):
+        """The host that takes the call is cut off from all other copies.
+
+        It refuses at once and nothing runs; the same key goes through another host,
+        and once the cut heals the first host has the answer too.
+        """
+        deployment = self.deploy(proxied=True)
+        deployment.isolate_host("bkk-1")
+        call = Call(deployment)
+        refused = call.send("bkk-1")
+        self.assertEqual(refused.refusal["kind"], "run_records_unavailable")
+        self.assertEqual(call.runs(), 0)
+        call.wait_answered("bkk-2")
+        deployment.heal()
+        call.wait_answered("bkk-1")
+        self.assertEqual(call.runs(), 1)
+
+    def test_isolated_region(self):
+        """The region loses all others: its callers' calls and resends still work."""
+        deployment = self.deploy(proxied=True)
+        deployment.isolate_region("bkk")
+        call = Call(deployment)
+        for host in REGION:
+            reply = call.send(host)
+            self.assertEqual(reply.status, 200, reply.body)
+        self.assertEqual(call.runs(), 1)
+
+    def test_copies_lost_in_turn(self):
+        """Every copy of the record is lost, one after the other has recovered."""
+        deployment = self.deploy()
+        call = Call(deployment)
+        first = call.send("bkk-1")
+        self.assertEqual(first.status, 200, first.body)
+        for host in REGION:
+            deployment.wipe(host)
+            deployment.restart(host)
+            self.wait_copies(deployment)
+        for host in REGION:
+            self.assertEqual(call.wait_answered(host).body, first.body)
+        self.assertEqual(call.runs(), 1)
+
+    def test_second_copy_lost_before_the_first_recovered(self):
+        """Two of three copies are lost at once: nobody knows whether the call ran."""
+        deployment = self.deploy()
+        call = Call(deployment)
+        self.assertEqual(call.send("bkk-1").status, 200)
+        for host in ["bkk-1", "bkk-2"]:
+            deployment.wipe(host)
+        for host in ["bkk-1", "bkk-2"]:
+            deployment.restart(host)
+        self.wait_copies(deployment)
+        for host in REGION:
+            refused = call.send(host)
+            self.assertEqual(refused.refusal["kind"], "run_records_unavailable")
+        self.assertEqual(call.runs(), 1)
+        fresh = Call(deployment)
+        fresh.wait_answered("bkk-3")
+        self.assertEqual(fresh.runs(), 1)
+
+    def test_resend_past_the_lifetime(self):
+        """The record has expired everywhere; a resend is refused, not run."""
+        deployment = self.deploy(lifetime=3)
+        call = Call(deployment)
+        self.assertEqual(call.send("bkk-1").status, 200)
+        for host in REGION:
+            call.wait_refused(host, "key_expired")
+
+        def dropped():
+            return all(
+                deployment.operator(host).counters()["gauges"]["run_once.registers"]
+                == 0
+                for host in REGION
+            )
+
+        wait_until(dropped, "the copies have dropped the record")
+        for host in REGION:
+            call.wait_refused(host, "key_expired")
+        self.assertEqual(call.runs(), 1)
