--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/_spread_hosts.py
@@ -0,0 +1,176 @@
+"""Many hosts in one process, with the trips between regions taking their time."""
+
+from pathlib import Path
+from typing import Any
+
+import curio
+from msgspec import Struct
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.peers import Peers
+from bronzepoint_common.settings import cluster_key
+from bronzepoint_emulator.slopes.membership import free_addresses
+from bronzepoint_node.agreement import Agreement
+from bronzepoint_node.catalogue import Catalogue
+from bronzepoint_schema.generated.settings import (
+    ClusterSection,
+    HostSection,
+    ListenSection,
+    PeerSection,
+    Settings,
+)
+from bronzepoint_schema.ids import DataCenterName, HostName, RegionName
+
+_KEY = "5" * 64
+_VOTERS_PER_REGION = (2, 2, 1)
+_BATCH = 6
+_PAUSE = 0.3
+
+
+class LiveName(Struct):
+    """A live host, as membership would give it."""
+
+    name: HostName
+    region: RegionName
+    state: str = "live"
+
+
+class DelayedPeers(Peers):
+    """Links whose messages to other regions arrive after a trip.
+
+    Args:
+        settings: The host's settings.
+        metrics: Counters.
+        regions: Region of each host.
+        trip: Seconds of a one-way trip between regions.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        metrics: Metrics,
+        regions: dict[HostName, RegionName],
+        trip: float,
+    ) -> None:
+        name = settings.host.name
+        super().__init__(name, settings.listen.peer, cluster_key(settings), metrics)
+        self._regions = regions
+        self._own_region = settings.host.region
+        self._trip = trip
+        self._on_the_way: curio.UniversalQueue = curio.UniversalQueue()
+
+    async def start(self) -> None:
+        """Listen, and carry messages to other regions."""
+        await super().start()
+        await self._tasks.spawn(self._carry)
+
+    def _send_payload(self, peer: HostName, *frame: Any) -> bool:
+        if self._regions[peer] == self._own_region or not self._trip:
+            return super()._send_payload(peer, *frame)
+        self._on_the_way.put((monotonic() + self._trip, peer, frame))
+        return True
+
+    async def _carry(self) -> None:
+        while True:
+            due, peer, frame = await self._on_the_way.get()
+            await curio.sleep(max(0.0, due - monotonic()))
+            super()._send_payload(peer, *frame)
+
+
+class SpreadHost:
+    """One host: its catalogue and agreement.
+
+    Args:
+        settings: Its settings.
+        site: All hosts.
+    """
+
+    def __init__(self, settings: Settings, site: "SpreadSite") -> None:
+        self.metrics = Metrics()
+        self.is_voter = settings.host.voter
+        self.peers = DelayedPeers(settings, self.metrics, site.regions, site.trip)
+        for name, address in site.addresses.items():
+            self.peers.set_address(name, address, fixed=True)
+        self.catalogue = Catalogue(
+            settings, self.peers, self.metrics, lambda: site.live
+        )
+        self.agreement = Agreement(settings, self.peers, self.catalogue, self.metrics)
+
+    async def start(self) -> None:
+        """Start the host."""
+        await self.peers.start()
+        await self.catalogue.start()
+        await self.agreement.start()
+
+    async def close(self) -> None:
+        """Stop the host."""
+        await self.agreement.close()
+        await self.catalogue.close()
+        await self.peers.close()
+
+
+class SpreadSite:
+    """All hosts of a measurement.
+
+    Args:
+        hosts: How many.
+        regions: Over how many regions.
+        trip: Seconds of a one-way trip between regions.
+        folder: Where voters keep their state.
+    """
+
+    def __init__(self, hosts: int, regions: int, trip: float, folder: Path) -> None:
+        names = [f"r{number % regions}-{number // regions}" for number in range(hosts)]
+        self.trip = trip
+        self.addresses = {HostName(n): a for n, a in free_addresses(names).items()}
+        self.regions = {name: RegionName(name.split("-")[0]) for name in self.addresses}
+        self.live = [LiveName(name, region) for name, region in self.regions.items()]
+        self._folder = folder
+        self._voters = {
+            HostName(f"r{region}-{number}")
+            for region, count in enumerate(_VOTERS_PER_REGION)
+            for number in range(count)
+        }
+        self._sections = {name: self._peer(name) for name in self.addresses}
+        self.hosts = [SpreadHost(self._settings(n), self) for n in self.addresses]
+
+    async def start(self) -> None:
+        """Begin the cluster and start the hosts, a few at a time.
+
+        Each host that starts asks its whole region; all at once in one process would
+        measure that process and not the hosts.
+        """
+        voters = [host for host in self.hosts if host.is_voter]
+        others = [host for host in self.hosts if not host.is_voter]
+        for host in voters:
+            await host.start()
+        await voters[0].agreement.initialise()
+        for start in range(0, len(others), _BATCH):
+            for host in others[start : start + _BATCH]:
+                await host.start()
+            await curio.sleep(_PAUSE)
+
+    async def close(self) -> None:
+        """Stop all hosts."""
+        for host in self.hosts:
+            await host.close()
+
+    def _settings(self, name: HostName) -> Settings:
+        folder = str(self._folder / name) if name in self._voters else ""
+        region, data_center = self.regions[name], DataCenterName("d")
+        return Settings(
+            HostSection(name, region, data_center, folder, bool(folder)),
+            ListenSection("127.0.0.1:0", self.addresses[name]),
+            ClusterSection(_KEY),
+            peers=self._sections,
+        )
+
+    def _peer(self, name: HostName) -> PeerSection:
+        return PeerSection(
+            self.regions[name],
+            DataCenterName("d"),
+            "127.0.0.1:9",
+            self.addresses[name],
+            name in self._voters,
+        )
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/agreement/_ballot.py
@@ -0,0 +1,62 @@
+"""Giving votes to candidates, and withholding them."""
+
+from typing import TYPE_CHECKING
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_schema.generated.agreement import VoteReply, VoteRequest
+from bronzepoint_schema.ids import StorageId
+
+if TYPE_CHECKING:
+    from ._voter import Voter
+
+
+class Ballot:
+    """The votes of one voter.
+
+    Args:
+        voter: The voter.
+    """
+
+    def __init__(self, voter: "Voter") -> None:
+        self._voter = voter
+
+    def withholds_votes(self) -> bool:
+        """Tell whether a leader may still hold a lease on this voter's word."""
+        voter = self._voter
+        now = monotonic()
+        if now < voter.heard_at + voter.section.election_timeout:
+            return True
+        return now < (voter.lease_until() or 0.0)
+
+    async def answer(self, request: VoteRequest) -> VoteReply | None:
+        """Answer a candidate; callers hold the voter's lock. None: drop it."""
+        voter = self._voter
+        log = voter.log
+        if not voter.is_own_cluster(request.cluster):
+            return None
+        if not voter.may_vote() or self.withholds_votes():
+            # The term of such a candidate isn't adopted either: a voter back from a
+            # partition would depose a healthy leader with it.
+            voter.metrics.incr("agreement.vote_withheld")
+            return self._reply(False)
+        newer = (request.last_term, request.last_index) >= (
+            log.last_term,
+            log.last_index,
+        )
+        if request.trial:
+            return self._reply(newer and request.term > log.term)
+        if request.term > log.term:
+            await voter.step_down(log.term)
+            voted_for = request.storage if newer else StorageId("")
+            await log.save_vote(request.term, voted_for)
+            return self._reply(newer)
+        if request.term < log.term or not newer:
+            return self._reply(False)
+        if not log.voted_for:
+            await log.save_vote(request.term, request.storage)
+        return self._reply(log.voted_for == request.storage)
+
+    def _reply(self, granted: bool) -> VoteReply:
+        log = self._voter.log
+        known = log.identity
+        return VoteReply(known.cluster, log.term, known.storage, granted)
--- a/packages/node/src/bronzepoint_node/agreement/_election.py
+++ b/packages/node/src/bronzepoint_node/agreement/_election.py
@@ -60,7 +60,7 @@
         async with voter.lock:
             # A leader may have been heard while the answers came in; this voter's
             # own vote is withheld then like any other.
-            if voter.withholds_votes() or not voter.may_vote():
+            if voter.ballot.withholds_votes() or not voter.may_vote():
                 return None
             term = Term(voter.log.term + 1)
             await voter.log.save_vote(term, voter.log.identity.storage)
--- a/packages/node/src/bronzepoint_node/agreement/_machine.py
+++ b/packages/node/src/bronzepoint_node/agreement/_machine.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from bronzepoint_node.catalogue import ItemKey, item_key, item_kind, make_delta
+from bronzepoint_common.items import item_kind
+from bronzepoint_node.catalogue import ItemKey, item_key, make_delta
 from bronzepoint_schema.generated.agreement import (
     Accepted,
     Change,
--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -1,11 +1,9 @@
 """One voter: its durable log, its votes, and what it applies."""
 
-import zlib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import curio
-import msgspec
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
@@ -35,17 +33,18 @@
 from bronzepoint_schema.generated.settings import AgreementSection
 from bronzepoint_schema.ids import ClusterId, FencingNumber, HostName, StorageId, Term
 
+from ._ballot import Ballot
 from ._election import Election
 from ._genesis import cluster_of
 from ._leadership import Leadership
 from ._machine import Machine
 from ._quorum import VoterSets
+from ._receiver import Receiver
 from ._status import AgreementStatus, Role, VoterStatus
 from ._voter_log import VoterLog
 
 Deliver = Callable[[HostName, ProposeReply], Awaitable[None]]
 
-_snapshot_decoder = msgspec.msgpack.Decoder(MachineSnapshot)
 _log = get_logger("agreement")
 
 
@@ -66,6 +65,7 @@
         lock: Held by whoever changes the log, the term or the role.
         commit_index: Last position known to be durable on a quorum.
         leader: Leader of the present term; empty: not known.
+        ballot: Its votes.
         role: What this voter is in the present term.
         heard_at: When a leader was heard last, by the own monotonic clock.
         failure: Why this voter has stopped; empty: it hasn't.
@@ -93,6 +93,8 @@
         self.commit_index = 0
         self.leader = HostName("")
         self.role = Role.follower
+        self.ballot = Ballot(self)
+        self._receiver = Receiver(self)
         self._expected = expected
         self._catalogue = catalogue
         self._leadership: Leadership | None = None
@@ -142,7 +144,7 @@
         until = self.lease_until()
         if until is None or monotonic() >= until:
             return None
-        return FencingNumber(self.log.term)
+        return FencingNumber(self._leadership.term)
 
     def voter_sets(self) -> VoterSets:
         """Return the voters; the former ones too until a change of them is durable."""
@@ -192,11 +194,11 @@
             async with self.lock:
                 match message:
                     case VoteRequest():
-                        return await self._on_vote_request(message)
+                        return await self.ballot.answer(message)
                     case AppendRequest():
-                        return await self._on_append(peer, message)
+                        return await self._receiver.on_append(peer, message)
                     case SnapshotInstall():
-                        return await self._on_snapshot(peer, message)
+                        return await self._receiver.on_snapshot(peer, message)
         except StorageError as exc:
             await self.fail(exc)
         return None
@@ -288,114 +290,20 @@
         own = VoterId(self.name, self.log.identity.storage)
         return any(own in voters for voters in self.voter_sets())
 
-    def withholds_votes(self) -> bool:
-        """Tell whether a leader may still hold a lease on this voter's word."""
-        now = monotonic()
-        if now < self.heard_at + self.section.election_timeout:
-            return True
-        return self.is_leader and now < self._leadership.lease_until()
-
-    async def _on_vote_request(self, request: VoteRequest) -> VoteReply | None:
-        log = self.log
-        if not self._is_own_cluster(request.cluster):
-            return None
-        if not self.may_vote() or self.withholds_votes():
-            # The term of such a candidate isn't adopted either: a voter back from a
-            # partition would depose a healthy leader with it.
-            self.metrics.incr("agreement.vote_withheld")
-            return self._vote_reply(False)
-        newer = (request.last_term, request.last_index) >= (
-            log.last_term,
-            log.last_index,
-        )
-        if request.trial:
-            return self._vote_reply(newer and request.term > log.term)
-        if request.term > log.term:
-            await self.step_down(log.term)
-            voted_for = request.storage if newer else StorageId("")
-            await log.save_vote(request.term, voted_for)
-            return self._vote_reply(newer)
-        if request.term < log.term or not newer:
-            return self._vote_reply(False)
-        if not log.voted_for:
-            await log.save_vote(request.term, request.storage)
-        return self._vote_reply(log.voted_for == request.storage)
-
-    def _vote_reply(self, granted: bool) -> VoteReply:
-        known = self.log.identity
-        return VoteReply(known.cluster, self.log.term, known.storage, granted)
-
-    def _append_reply(self, accepted: bool, index: int) -> AppendReply:
-        known = self.log.identity
-        return AppendReply(known.cluster, self.log.term, known.storage, accepted, index)
-
-    def _is_own_cluster(self, cluster: ClusterId) -> bool:
+    def is_own_cluster(self, cluster: ClusterId) -> bool:
+        """Tell whether a message is of this voter's cluster, and count it if not."""
         if cluster == self.log.identity.cluster and cluster:
             return True
         self.metrics.incr("agreement.other_cluster")
         return False
 
-    async def _follow(
-        self, peer: HostName, request: AppendRequest | SnapshotInstall
-    ) -> bool:
-        """Accept the sender as leader; False where its term is over."""
-        if request.term < self.log.term:
-            return False
-        if request.term > self.log.term or self.role is not Role.follower:
-            await self.step_down(self.log.term)
-        if request.term > self.log.term:
-            await self.log.save_vote(request.term, request.storage)
-        self.leader = peer
-        self.heard_at = monotonic()
-        return True
-
-    async def _on_append(
-        self, peer: HostName, request: AppendRequest
-    ) -> AppendReply | None:
-        log = self.log
-        if not log.identity.cluster:
-            return self._append_reply(False, 0)
-        if not self._is_own_cluster(request.cluster):
-            return None
-        if not await self._follow(peer, request):
-            return self._append_reply(False, log.last_index)
-        entries = [e for e in request.entries if e.index > log.base_index]
-        previous = max(request.previous_index, log.base_index)
-        if request.previous_index >= log.base_index:
-            if log.term_at(previous) != request.previous_term:
-                go_on = min(log.last_index, request.previous_index - 1)
-                return self._append_reply(False, max(go_on, self.commit_index))
-        last = previous + len(entries)
-        await log.append(self._unknown_entries(entries))
-        await self.commit(min(request.commit, last))
-        return self._append_reply(True, last)
-
-    def _unknown_entries(self, entries: list[LogEntry]) -> list[LogEntry]:
-        """Return the entries from the first one that the log doesn't hold.
-
-        A late duplicate must not cut off entries that were acknowledged after it.
-        """
-        for position, entry in enumerate(entries):
-            if self.log.term_at(entry.index) != entry.term:
-                return entries[position:]
-        return []
-
-    async def _on_snapshot(
-        self, peer: HostName, request: SnapshotInstall
-    ) -> AppendReply | None:
-        blank = not self.log.identity.cluster
-        if not blank and not self._is_own_cluster(request.cluster):
-            return None
-        if not await self._follow(peer, request):
-            return self._append_reply(False, self.log.last_index)
-        if request.index > self.commit_index or blank:
-            state = _snapshot_decoder.decode(zlib.decompress(request.state))
-            await self.log.install(state)
-            self._restore_machine()
-            self._deltas.clear()
-            await self._applied.set()
-            self.metrics.incr("agreement.snapshot_installed")
-        return self._append_reply(True, request.index)
+    async def take_snapshot(self, state: MachineSnapshot) -> None:
+        """Replace the state by a leader's snapshot; callers hold the lock."""
+        await self.log.install(state)
+        self._restore_machine()
+        self._deltas.clear()
+        await self._applied.set()
+        self.metrics.incr("agreement.snapshot_installed")
 
     def lead(self, term: Term) -> Leadership:
         """Become the leader; callers hold the lock."""
@@ -430,8 +338,9 @@
             if not self.log.identity.cluster:
                 continue
             deltas, self._deltas = self._deltas, []
-            cluster = self.machine.cluster
-            if not await self._catalogue.advance(cluster, deltas):
+            cluster, revision = self.machine.cluster, self.machine.revision
+            known = await self._catalogue.advance(cluster, deltas)
+            if not known or self._catalogue.held < revision:
                 await self._catalogue.replace(self.machine.view())
 
     async def _take_part(self) -> None:
--- a/packages/node/src/bronzepoint_node/catalogue/__init__.py
+++ b/packages/node/src/bronzepoint_node/catalogue/__init__.py
@@ -1,7 +1,9 @@
 """The catalogue on each host: what it serves on and how it learns of changes."""
 
+from bronzepoint_common.items import item_kind
+
 from ._catalogue import Catalogue
-from ._items import ItemKey, apply_delta, item_key, item_kind, make_delta
+from ._items import ItemKey, apply_delta, item_key, make_delta
 from ._neighbours import Source
 from ._status import CatalogueStatus
 from ._tree import LiveHost
--- a/packages/node/src/bronzepoint_node/catalogue/_catalogue.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_catalogue.py
@@ -8,7 +8,7 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
-from bronzepoint_common.peers import Area, PeerError, Peers
+from bronzepoint_common.peers import Area, Peers
 from bronzepoint_schema.generated.agreement import (
     CatalogueMessage,
     Delta,
@@ -25,8 +25,9 @@
 
 from ._children import Children
 from ._exposure import Exposure
-from ._held import HeldCatalogue, decode_view
+from ._held import HeldCatalogue
 from ._neighbours import Neighbours, Source
+from ._poller import Poller
 from ._status import CatalogueStatus
 from ._tree import LiveHost
 from ._view import CatalogueView
@@ -35,8 +36,6 @@
 """Polls of the parent within the bound: three hops of one interval each, and slack."""
 _STALE_SHARE = 0.6
 """Share of the bound above which a parent's knowledge is too old to be of use."""
-_POLL_TIMEOUT = 0.6
-_VIEW_TIMEOUT = 10.0
 _LEADER_PATIENCE = 1.5
 """Seconds that a restarted host waits for the leader's word before its region's."""
 _REGION_PATIENCE = 3.0
@@ -74,6 +73,7 @@
         self._metrics = metrics
         self._neighbours = Neighbours(settings, live_hosts)
         self._children = Children(peers)
+        self._poller = Poller(host.name, peers, self)
         self._held = HeldCatalogue(Path(host.data_folder) if host.data_folder else None)
         self._exposure = Exposure()
         self._source: Source | None = None
@@ -111,7 +111,7 @@
         self._started_at = monotonic()
         if self._recovered:
             self._note_held()
-        await self._tasks.spawn(self._read_region)
+        await self._tasks.spawn(self._become_current)
         await self._tasks.spawn(self._follow)
         await self._tasks.spawn(self._watch)
 
@@ -211,7 +211,7 @@
         self._metrics.incr(f"catalogue.ready.{reason}")
         _log.info("catalogue ready", revision=self.view.revision, reason=reason)
 
-    def _confirm(self, at: float) -> None:
+    def confirm(self, at: float) -> None:
         """Note that what is held was current at a time.
 
         A view confirmed for a time after this process started is no older than any
@@ -238,7 +238,7 @@
             case DeltaNotice():
                 await self._on_notice(peer, message)
             case HeldNotice(cluster=cluster, revision=revision):
-                self._note_copy(peer, cluster, revision)
+                self.note_copy(peer, cluster, revision)
             case ViewRequest():
                 known = bool(self._held.cluster)
                 return ViewReply(self._held.encoded_view() if known else b"")
@@ -248,7 +248,7 @@
         held = self._held
         self._children.note_poll(peer, request.revision)
         if self._exposure.is_waiting:
-            self._note_copy(peer, request.cluster, request.revision)
+            self.note_copy(peer, request.cluster, request.revision)
         deltas = held.deltas_after(request.revision)
         if request.cluster not in ("", held.cluster):
             deltas = []
@@ -261,9 +261,8 @@
             too_far=deltas is None,
         )
 
-    def _note_copy(
-        self, peer: HostName, cluster: ClusterId, revision: Revision
-    ) -> None:
+    def note_copy(self, peer: HostName, cluster: ClusterId, revision: Revision) -> None:
+        """Note that another host holds a revision; it counts if it is of the region."""
         if cluster == self._held.cluster and peer in self._neighbours.of_region():
             self._exposure.note_copy(revision)
             self._expose()
@@ -272,7 +271,7 @@
         if notice.cluster != self._held.cluster:
             return
         if notice.deltas:
-            self._note_copy(peer, notice.cluster, notice.deltas[-1].revision)
+            self.note_copy(peer, notice.cluster, notice.deltas[-1].revision)
         if not await self.advance(notice.cluster, notice.deltas):
             await self._behind.set()
             return
@@ -285,7 +284,10 @@
         interval = self._bound / _POLLS_PER_BOUND
         while True:
             for host in self._to_ask():
-                if not await self._poll(host, _POLL_TIMEOUT):
+                reply = await self._poller.ask(host)
+                if reply is None:
+                    self._metrics.incr("catalogue.parent_silent")
+                if reply is None or not 0 <= reply.age <= self._bound * _STALE_SHARE:
                     self._neighbours.skip(host)
             async with curio.ignore_after(interval):
                 await self._behind.wait()
@@ -305,7 +307,7 @@
         while True:
             leader_age = self._source.leader_age() if self._source else None
             if leader_age is not None:
-                self._confirm(monotonic() - leader_age)
+                self.confirm(monotonic() - leader_age)
             self._expose()
             age = self.view.confirmed_age()
             if age != float("inf"):
@@ -318,59 +320,26 @@
             self._metrics.gauge("catalogue.within_bound", int(within))
             await curio.sleep(interval)
 
-    async def _poll(self, host: HostName, timeout: float) -> bool:
-        """Ask one host what is new; False where it is silent or of no use."""
-        request = PollRequest(self._held.cluster, self._held.revision)
-        sent_at = monotonic()
-        reply = await self._call(host, request, timeout)
-        if not isinstance(reply, PollReply):
-            self._metrics.incr("catalogue.parent_silent")
-            return False
-        await self._take_reply(host, reply, sent_at)
-        return 0 <= reply.age <= self._bound * _STALE_SHARE
-
-    async def _call(
-        self, host: HostName, request: PollRequest | ViewRequest, timeout: float
-    ) -> object:
-        try:
-            return await self._peers.call(host, Area.CATALOGUE, request, timeout)
-        except PeerError:
-            return None
-
-    async def _take_reply(
-        self, host: HostName, reply: PollReply, sent_at: float
-    ) -> None:
-        if not reply.cluster:
-            return
-        self._note_copy(host, reply.cluster, reply.revision)
-        if reply.too_far:
-            whole = await self._call(host, ViewRequest(), _VIEW_TIMEOUT)
-            if isinstance(whole, ViewReply) and whole.state:
-                await self.replace(decode_view(whole.state))
-        else:
-            await self.advance(reply.cluster, reply.deltas)
-        if reply.cluster != self._held.cluster or self._held.revision < reply.revision:
-            return
-        if reply.age >= 0:
-            # The reply's age counts up to its sending; counting it from the request
-            # can only make the view look older than it is.
-            self._confirm(sent_at - reply.age)
-
-    async def _read_region(self) -> None:
-        """Catch up with the region before serving, until the view is ready.
-
-        Another host of the region may have served on a newer view than this one kept.
-        Ready once each of them has answered, or has had its time to, and one of the
-        answers or the own disk holds a view that was served on. A host with neither
-        waits for the leader's word; the others give it a little time to come first,
-        for a whole region may have been away.
+    async def _become_current(self) -> None:
+        """Catch up before serving, until the view is ready.
+
+        The voters are asked first, all of them: the leader's own answer is the only
+        one that is certainly younger than this process. Where it doesn't come, the
+        region is asked: another host of it may have served on a newer view than this
+        one kept. Ready once each of them has answered, or has had its time to, and
+        one of the answers or the own disk holds a view that was served on. A host
+        with neither waits for the leader's word; the others give it a little time to
+        come first, for a whole region may have been away.
         """
         after = self._started_at + _LEADER_PATIENCE
         deadline = self._started_at + _REGION_PATIENCE
         pause = _FIRST_PAUSE
         while not self.view.ready:
-            answers = await self._read_hosts(self._neighbours.of_region())
-            answered = all(answer is not None for answer in answers)
+            await self._poller.ask_all(self._source.voters() if self._source else [])
+            if self.view.ready:
+                return
+            answers = await self._poller.ask_all(self._neighbours.of_region())
+            answered = all(a is not None and self._has_all(a) for a in answers)
             served = self._recovered or any(a is not None and a.ready for a in answers)
             enough = after if answered else deadline
             if served and monotonic() >= enough:
@@ -382,18 +351,6 @@
             await curio.sleep(pause)
             pause = min(2 * pause, self._bound / _POLLS_PER_BOUND)
 
-    async def _read_hosts(self, hosts: list[HostName]) -> list[PollReply | None]:
-        async with curio.TaskGroup() as group:
-            tasks = [await group.spawn(self._read, host) for host in hosts]
-            await group.join()
-            return [task.result for task in tasks]
-
-    async def _read(self, host: HostName) -> PollReply | None:
-        request = PollRequest(self._held.cluster, self._held.revision)
-        sent_at = monotonic()
-        reply = await self._call(host, request, _POLL_TIMEOUT)
-        if not isinstance(reply, PollReply):
-            return None
-        await self._take_reply(host, reply, sent_at)
-        behind = reply.cluster and self._held.revision < reply.revision
-        return None if behind else reply
+    def _has_all(self, reply: PollReply) -> bool:
+        """Tell whether all that another host said it holds is held here."""
+        return not reply.cluster or self._held.revision >= reply.revision
--- a/packages/node/src/bronzepoint_node/catalogue/_held.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_held.py
@@ -2,12 +2,14 @@
 
 import zlib
 from collections import deque
+from collections.abc import Callable
 from pathlib import Path
 
 import curio
 import msgspec
 
-from bronzepoint_common.storage import RecordLog, SnapshotFile
+from bronzepoint_common.logs import get_logger
+from bronzepoint_common.storage import RecordLog, SnapshotFile, StorageError
 from bronzepoint_schema.generated.agreement import Delta, ViewSnapshot
 from bronzepoint_schema.generated.catalogue import CatalogueItem
 from bronzepoint_schema.ids import ClusterId, Revision
@@ -21,6 +23,7 @@
 _COMPACT_EVERY = 500
 """Deltas in the file after which the whole view is written instead."""
 _encoder = msgspec.msgpack.Encoder()
+_log = get_logger("catalogue")
 _delta_decoder = msgspec.msgpack.Decoder(Delta)
 _view_decoder = msgspec.msgpack.Decoder(ViewSnapshot)
 
@@ -35,7 +38,7 @@
         cluster: The cluster it belongs to; empty: none yet.
         revision: Its newest revision.
         items: Its items; replaced, never changed in place.
-        durable: True where a restart finds it again.
+        durable: True where a restart finds it again; False once the disk failed.
     """
 
     def __init__(self, folder: Path | None) -> None:
@@ -84,21 +87,19 @@
         if new[0].revision != self.revision + 1:
             return False
         async with curio.disable_cancellation():
-            if self._log is not None:
-                records = [_encoder.encode(delta) for delta in new]
-                await curio.run_in_thread(self._log.append, records)
-                self._logged += len(records)
+            records = [_encoder.encode(delta) for delta in new]
+            await self._keep(lambda: self._append(records))
             for delta in new:
                 self._apply(delta)
-            if self._log is not None and self._logged >= _COMPACT_EVERY:
-                await self._write_whole(self._as_view())
+            if self._logged >= _COMPACT_EVERY:
+                view = self._as_view()
+                await self._keep(lambda: self._write_whole(view))
         return True
 
     async def replace(self, view: ViewSnapshot) -> None:
         """Take a whole view that is newer."""
         async with curio.disable_cancellation():
-            if self._log is not None:
-                await self._write_whole(view)
+            await self._keep(lambda: self._write_whole(view))
             self._take(view)
             self._deltas.clear()
 
@@ -130,9 +131,28 @@
         self.cluster, self.revision = view.cluster, view.revision
         self.items = {item_key(item): item for item in view.items}
 
-    async def _write_whole(self, view: ViewSnapshot) -> None:
-        await curio.run_in_thread(self._snapshot.save, _encoder.encode(view))
-        await curio.run_in_thread(self._log.rewrite, [])
+    async def _keep(self, write: Callable[[], None]) -> None:
+        """Write to the disk, where there is one that works.
+
+        With a failed disk the host goes on like one without: it could serve no
+        change any more otherwise. What the disk holds is old from then on; the next
+        start asks the region before it serves on that.
+        """
+        if not self.durable:
+            return
+        try:
+            await curio.run_in_thread(write)
+        except StorageError as exc:
+            _log.error("catalogue goes on without its disk", reason=str(exc))
+            self.durable = False
+
+    def _append(self, records: list[bytes]) -> None:
+        self._log.append(records)
+        self._logged += len(records)
+
+    def _write_whole(self, view: ViewSnapshot) -> None:
+        self._snapshot.save(_encoder.encode(view))
+        self._log.rewrite([])
         self._logged = 0
 
 
--- a/packages/node/src/bronzepoint_node/catalogue/_items.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_items.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bronzepoint_common.items import item_kind
 from bronzepoint_schema.generated.agreement import (
     Delta,
     ItemKind,
@@ -41,19 +42,6 @@
         return cls(_SPACES[kind], str(name))
 
 
-def item_kind(item: CatalogueItem) -> ItemKind:
-    """Return the kind of an item."""
-    match item:
-        case ModelEntry():
-            return ItemKind.model
-        case ServiceEntry():
-            return ItemKind.service
-        case OwnerItem():
-            return ItemKind.owner
-        case ClassItem():
-            return ItemKind.class_
-
-
 def item_key(item: CatalogueItem) -> ItemKey:
     """Return the key of an item."""
     return ItemKey.of(item_kind(item), item.name)
--- a/packages/node/src/bronzepoint_node/catalogue/_neighbours.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_neighbours.py
@@ -4,10 +4,11 @@
 from typing import Protocol
 
 from bronzepoint_common.clock import monotonic
+from bronzepoint_common.rendezvous import rendezvous_order
 from bronzepoint_schema.generated.settings import Settings
 from bronzepoint_schema.ids import HostName
 
-from ._tree import LiveHost, parents, rank
+from ._tree import LiveHost, parents
 
 SKIP_FOR = 5.0
 """Seconds for which a parent that was silent or stale is not chosen again."""
@@ -62,7 +63,7 @@
     def seconds(self) -> list[HostName]:
         """Return the live hosts of the region to hold a second copy."""
         others = [h for h in self._live_of_region() if h != self._name]
-        return rank(self._name, others)[:_SECONDS]
+        return rendezvous_order(self._name, others)[:_SECONDS]
 
     def skip(self, host: HostName) -> None:
         """Leave a host out for a while: it was silent, or its knowledge too old."""
--- a/packages/node/src/bronzepoint_node/catalogue/_tree.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_tree.py
@@ -8,8 +8,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Protocol
 
-import xxhash
-
+from bronzepoint_common.rendezvous import rendezvous_order
 from bronzepoint_schema.ids import HostName, RegionName
 
 _FEW = 8
@@ -27,14 +26,6 @@
     state: str
 
 
-def rank(chooser: str, names: Iterable[HostName]) -> list[HostName]:
-    """Order names for one chooser by rendezvous hash, the same on every host.
-
-    When a name goes, only those that had it first choose another.
-    """
-    return sorted(names, key=lambda name: _score(chooser, name))
-
-
 def relays(
     region: RegionName, hosts: Sequence[HostName], voters: Iterable[HostName]
 ) -> list[HostName]:
@@ -44,7 +35,7 @@
     if voting and len(others) <= _FEW:
         return voting
     count = max(_MIN_RELAYS, -(-len(others) // _CHILDREN))
-    return rank(region, others)[:count]
+    return rendezvous_order(region, others)[:count]
 
 
 def parents(
@@ -63,15 +54,11 @@
         voters: All voters.
         leader: The leader, if known; voters ask it first.
     """
-    others = [voter for voter in rank(host, voters) if voter != host]
+    others = [voter for voter in rendezvous_order(host, voters) if voter != host]
     if host in voters:
         return sorted(others, key=lambda voter: voter != leader)
     region_relays = relays(region, region_hosts, voters)
     if host in region_relays:
         return others
-    first = rank(host, region_relays)
+    first = rendezvous_order(host, region_relays)
     return first + [voter for voter in others if voter not in first]
-
-
-def _score(chooser: str, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{chooser}|{name}".encode())
--- a/tests/test_agreement_spread.py
+++ b/tests/test_agreement_spread.py
@@ -2,10 +2,12 @@
 
 import unittest
 from collections import Counter
+from unittest import mock
 
 import curio
 from nose2.tools import params
 
+from bronzepoint_common.storage import StorageFailed
 from bronzepoint_node.catalogue._exposure import PATIENCE, Exposure
 from bronzepoint_node.catalogue._tree import parents
 from tests.agreement_cluster import Cluster, remove_owner, run, until
@@ -162,6 +164,26 @@
         run(scenario, THREE, "ist1 ist2")
 
 
+class TestDisk(unittest.TestCase):
+    def test_host_with_a_failed_disk_goes_on_without(self):
+        """A full disk on one host: changes are in force everywhere but there."""
+
+        async def scenario(cluster):
+            host = cluster["ist1"]
+            await cluster.in_force(0)
+            failed = StorageFailed(host.folder, "no space left")
+            log = host.catalogue._held._log
+            with mock.patch.object(log, "append", side_effect=failed):
+                accepted = await cluster["bkk1"].propose("item")
+                await cluster.in_force(accepted.revision)
+            self.assertFalse(host.catalogue._held.durable)
+            cluster.isolate("ist1", "ist2")
+            await host.restart()
+            await cluster.in_force(accepted.revision, "ist1")
+
+        run(scenario, THREE, "ist1 ist2", "ist1")
+
+
 class TestParents(unittest.TestCase):
     def test_silent_parent_is_replaced(self):
         async def scenario(cluster):
