--- a/packages/emulator/src/bronzepoint_emulator/demo/__init__.py
+++ b/packages/emulator/src/bronzepoint_emulator/demo/__init__.py
@@ -1,4 +1,4 @@
-"""The main job on Saphan's deployment, shown in under a minute."""
+"""A tour of Saphan's deployment that takes less than a minute."""
 
 from bronzepoint_emulator.demo._demo import run_demo
 
--- a/packages/emulator/src/bronzepoint_emulator/deployment/_deployment.py
+++ b/packages/emulator/src/bronzepoint_emulator/deployment/_deployment.py
@@ -18,17 +18,23 @@
 from bronzepoint_emulator.deployment._process import ManagedProcess
 from bronzepoint_emulator.deployment._targets import Targets, stand_in
 from bronzepoint_emulator.deployment._waiting import PATIENCE, wait_until
-from bronzepoint_schema.generated.catalogue import CatalogueItem
+from bronzepoint_schema.generated.catalogue import (
+    CatalogueItem,
+    ModelEntry,
+    ServiceEntry,
+)
 from bronzepoint_schema.ids import HostName
 
 CLOSE_TIMEOUT = 5.0
+SURELY_SEEN = 16
+"""Targets that a host sees at least, where its region has more."""
 
 
 class Deployment:
     """Daemons and stand-ins of a layout, as processes; a context manager.
 
     Entering it starts everything, forms the cluster, declares the layout's catalogue
-    and waits until it is in force on every host. Whatever happens to this process,
+    and waits until all hosts serve on it. Whatever happens to this process,
     none of the others outlives it.
 
     Args:
@@ -186,13 +192,29 @@
         )
 
     def wait_targets(self, host: str) -> None:
-        """Wait until a host has heard from every target of its region."""
+        """Wait until a host finds every target of its region ready.
 
-        def states() -> bool:
-            known = self.operator(host).targets()["targets"]
-            return all(target["state"] == "ready" for target in known)
+        A list that is still empty or partial must not pass: the first call would be
+        refused for want of a target.
+        """
+        wanted = self._local_targets(host)
 
-        wait_until(states, f"{host} has heard from its targets")
+        def ready() -> bool:
+            known = self.operator(host).targets()["targets"]
+            found = {t["name"] for t in known if t["state"] == "ready"}
+            return len(found & wanted) >= min(len(wanted), SURELY_SEEN)
+
+        wait_until(ready, f"{host} finds {', '.join(sorted(wanted))} ready")
+
+    def _local_targets(self, host: str) -> set[str]:
+        region = self.layout.host(host).region
+        return {
+            target.name
+            for item in self.catalogue()
+            if isinstance(item, ModelEntry | ServiceEntry)
+            for target in item.targets
+            if target.region == region and not target.leaving
+        }
 
     # Faults of hosts
 
--- a/packages/emulator/src/bronzepoint_emulator/deployment/_layout.py
+++ b/packages/emulator/src/bronzepoint_emulator/deployment/_layout.py
@@ -68,7 +68,7 @@
     operators: list[OperatorSpec]
     catalogue: CatalogueBuilder
     region_delay: float = 0.0
-    """Seconds of a one-way trip between regions; takes effect behind fault proxies."""
+    """Seconds from one region to another; takes effect behind fault proxies."""
     settings: dict[str, dict[str, str]] = field(default_factory=dict)
     """Keys of the INI files by section, over the harness's defaults."""
 
--- a/packages/emulator/src/bronzepoint_emulator/deployment/_process.py
+++ b/packages/emulator/src/bronzepoint_emulator/deployment/_process.py
@@ -76,6 +76,8 @@
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
+                # A crash inside a library leaves a stack in the log, not silence.
+                env=os.environ | {"PYTHONFAULTHANDLER": "1"},
                 preexec_fn=die_with(os.getpid()),
             )
         self._frozen = False
