Name in `bronzepoint targets` who says that a target leaves

Weighed and ruled out: a column of its own, which would be empty in nearly all rows. Conclusion: the table answers the first question that an operator has.

--- a/packages/cli/src/bronzepoint_cli/_errors.py
+++ b/packages/cli/src/bronzepoint_cli/_errors.py
@@ -15,6 +15,8 @@
     """The command line, the client file or an input file is wrong."""
     UNREACHABLE = 3
     """No host could be reached, or none gave a whole answer."""
+    INTERRUPTED = 130
+    """Ended by Ctrl-C, as shells have it."""
 
 
 class CliError(Exception):
@@ -53,11 +55,14 @@
         refusal: Its reason.
         question: True: the host was only asked something, so that there is nothing
             that might have run.
+        advice: How to send it again, where it is not known whether it ran.
     """
 
-    def __init__(self, refusal: Refusal, question: bool = False) -> None:
+    def __init__(
+        self, refusal: Refusal, question: bool = False, advice: str = ""
+    ) -> None:
         self.refusal = refusal
-        super().__init__(_describe(refusal, question))
+        super().__init__(_describe(refusal, question, advice))
 
 
 class AnswerUnreadable(CliError):
@@ -70,6 +75,15 @@
         )
 
 
+class Interrupted(CliError):
+    """Ended by Ctrl-C while a request was on its way."""
+
+    code = ExitCode.INTERRUPTED
+
+    def __init__(self, advice: str) -> None:
+        super().__init__(f"interrupted; {advice}" if advice else "interrupted")
+
+
 class TargetError(CliError):
     """The target itself answered with an error."""
 
@@ -83,7 +97,7 @@
         super().__init__(f"the answer is not whole ({detail}); don't rely on it")
 
 
-def _describe(refusal: Refusal, question: bool) -> str:
+def _describe(refusal: Refusal, question: bool, advice: str) -> str:
     lines = [f"refused ({refusal.kind}): {refusal.message}", f"  {refusal.remedy}"]
     match refusal.ran:
         case _ if question:
@@ -92,6 +106,7 @@
             lines.append("  the request did not run")
         case Ran.unknown:
             lines.append("  it is not known whether the request ran")
+            lines += [f"  {advice}"] if advice else []
     if refusal.retry_after > 0:
         lines.append(f"  another try makes sense in {refusal.retry_after:g} s")
     if refusal.request_id and not question:
@@ -104,6 +119,7 @@
     "AnswerUnreadable",
     "CliError",
     "ExitCode",
+    "Interrupted",
     "NoHostReachable",
     "RefusedByHost",
     "TargetError",
--- a/packages/cli/src/bronzepoint_cli/_gateway.py
+++ b/packages/cli/src/bronzepoint_cli/_gateway.py
@@ -63,10 +63,15 @@
 
     Args:
         profile: Hosts, token and time.
+
+    Attributes:
+        advice: How to send the request that is on its way again; empty: there is none,
+            or sending it again needs no care.
     """
 
     def __init__(self, profile: Profile) -> None:
         self.profile = profile.require()
+        self.advice = ""
         limits = HttpLimits(max_body=MAX_ANSWER)
         self.http = HttpClient(limits, CONNECT_TIMEOUT)
         self._hosts = list(profile.hosts)
@@ -124,10 +129,12 @@
         self.prefer([host.address for host in directory.hosts])
         return directory
 
-    async def post(self, path: str, body: bytes, answer_type: type[T]) -> T:
+    async def post(
+        self, path: str, body: bytes, answer_type: type[T], advice: str = ""
+    ) -> T:
         """Send something that may be sent again until a host has answered it."""
         headers = self.headers(Content_Type="application/json")
-        answer = await self.send("POST", path, headers, body, Purpose.change)
+        answer = await self.send("POST", path, headers, body, Purpose.change, advice)
         return decode(answer, answer_type)
 
     async def send(
@@ -137,6 +144,7 @@
         headers: dict[str, str],
         body: bytes,
         purpose: Purpose,
+        advice: str = "",
     ) -> Answer:
         """Send to one host after another until one accepts.
 
@@ -146,12 +154,15 @@
             headers: All headers.
             body: Whole body.
             purpose: What the request is for.
+            advice: How to send it again in another run of the command; shown where its
+                outcome stays unknown.
 
         Raises:
             RefusedByHost: A refusal that no other host would lift, or that was still
                 given when the time ran out.
             NoHostReachable: No host gave a whole answer in time.
         """
+        self.advice = advice
         while True:
             refusal, problems = None, []
             for address in self._hosts:
@@ -160,8 +171,9 @@
                 except HttpError as exc:
                     problems.append(str(exc))
                     continue
-                refused = read_refusal(address, answer, purpose)
+                refused = read_refusal(address, answer, purpose, advice)
                 if refused is None:
+                    self.advice = ""
                     return answer
                 if refused.refusal.kind not in ELSEWHERE:
                     raise refused
@@ -193,11 +205,11 @@
             return
         if refused:
             raise refused
-        raise NoHostReachable(problems)
+        raise NoHostReachable(problems, self.advice)
 
 
 def read_refusal(
-    address: str, answer: Answer, purpose: Purpose
+    address: str, answer: Answer, purpose: Purpose, advice: str = ""
 ) -> RefusedByHost | None:
     """Return the refusal of an answer; None where it is none.
 
@@ -214,7 +226,7 @@
         body = msgspec.json.decode(answer.body, type=ErrorBody)
     except msgspec.DecodeError as exc:
         raise AnswerUnreadable(address, f"status {answer.status}, {exc}") from exc
-    return RefusedByHost(body.error, purpose is Purpose.question)
+    return RefusedByHost(body.error, purpose is Purpose.question, advice)
 
 
 def decode(answer: Answer, answer_type: type[T]) -> T:
--- a/packages/cli/src/bronzepoint_cli/_running.py
+++ b/packages/cli/src/bronzepoint_cli/_running.py
@@ -6,6 +6,7 @@
 import curio
 import typer
 
+from bronzepoint_cli._errors import Interrupted
 from bronzepoint_cli._gateway import Gateway
 from bronzepoint_cli._profile import Profile
 
@@ -15,17 +16,25 @@
 def run_with_gateway(
     context: typer.Context, act: Callable[[Gateway], Awaitable[T]]
 ) -> T:
-    """Run `act` with the gateway of this command, and close it afterwards."""
+    """Run `act` with the gateway of this command, and close it afterwards.
+
+    Raises:
+        Interrupted: By Ctrl-C; the message says how to send again what was on its way.
+    """
+
+    profile: Profile = context.obj
+    gateway = Gateway(profile)
 
     async def run() -> T:
-        profile: Profile = context.obj
-        gateway = Gateway(profile)
         try:
             return await act(gateway)
         finally:
             await gateway.close()
 
-    return curio.run(run)
+    try:
+        return curio.run(run)
+    except KeyboardInterrupt:
+        raise Interrupted(gateway.advice) from None
 
 
 __all__ = ["run_with_gateway"]
--- a/packages/cli/src/bronzepoint_cli/commands/catalogue.py
+++ b/packages/cli/src/bronzepoint_cli/commands/catalogue.py
@@ -9,7 +9,7 @@
 import typer
 import uuid_utils
 
-from bronzepoint_cli._errors import CliError, NoHostReachable, RefusedByHost, UsageFault
+from bronzepoint_cli._errors import UsageFault
 from bronzepoint_cli._gateway import Gateway, path_part
 from bronzepoint_cli._options import JsonOption
 from bronzepoint_cli._output import print_json, print_table
@@ -28,7 +28,6 @@
     ModelEntry,
     ServiceEntry,
 )
-from bronzepoint_schema.generated.decisions import Ran
 from bronzepoint_schema.ids import ChangeId, OperatorName
 
 app = typer.Typer(
@@ -210,21 +209,7 @@
     """
     body = msgspec.json.encode(change)
     advice = f"apply again with --change-id {change.change_id}: it can't apply twice"
-    try:
-        return await gateway.post("/v1/admin/changes", body, Accepted)
-    except NoHostReachable as exc:
-        raise NoHostReachable(exc.problems, advice) from exc
-    except RefusedByHost as exc:
-        if exc.refusal.ran is Ran.no:
-            raise
-        raise ChangeUnknown(exc, advice) from exc
-
-
-class ChangeUnknown(CliError):
-    """A change that was refused, but may have been applied all the same."""
-
-    def __init__(self, refused: RefusedByHost, advice: str) -> None:
-        super().__init__(f"{refused}\n  {advice}")
+    return await gateway.post("/v1/admin/changes", body, Accepted, advice)
 
 
 def new_change_id() -> str:
--- a/packages/cli/src/bronzepoint_cli/commands/load.py
+++ b/packages/cli/src/bronzepoint_cli/commands/load.py
@@ -1,6 +1,7 @@
 """``bronzepoint load``: a bounded load, and the latencies that a caller sees."""
 
 import sys
+import time
 from typing import Annotated
 
 import msgspec
@@ -11,7 +12,7 @@
 
 from bronzepoint_cli._chat import PATH as CHAT_PATH
 from bronzepoint_cli._chat import chat_body
-from bronzepoint_cli._errors import CliError, UsageFault
+from bronzepoint_cli._errors import CliError, Interrupted, UsageFault
 from bronzepoint_cli._gateway import READING, Gateway, path_part
 from bronzepoint_cli._options import JsonOption
 from bronzepoint_cli._output import print_json, print_table
@@ -94,18 +95,26 @@
     times = list(arrival_times(rate, duration, seed))
     limits = LoadLimits(in_progress=in_progress)
 
-    async def act(gateway: Gateway) -> LoadResult:
+    result = LoadResult()
+
+    async def act(gateway: Gateway) -> None:
         hosts = _nearest_hosts(await gateway.follow_directory())
         token = gateway.profile.token
         engine = Load(gateway.http, hosts or gateway.hosts, token, limits)
+        engine.result = result
         with LoadProgress(len(times)) as progress:
-            return await engine.run(times, maker.make, progress.show)
-
-    result = run_with_gateway(context, act)
-    if json:
-        print_json(report_of(result))
-    else:
-        print_report(report_of(result))
+            await engine.run(times, maker.make, progress.show)
+
+    show = print_json if json else print_report
+    began = time.monotonic()
+    try:
+        run_with_gateway(context, act)
+    except Interrupted:
+        # What was measured until then is worth seeing.
+        result.seconds = time.monotonic() - began
+        show(report_of(result))
+        raise
+    show(report_of(result))
     if result.sent and not result.outcomes[OutcomeKind.answered]:
         raise NothingAnswered("not one request was answered; see the outcomes above")
 
--- a/packages/cli/src/bronzepoint_cli/commands/send.py
+++ b/packages/cli/src/bronzepoint_cli/commands/send.py
@@ -8,7 +8,7 @@
 import uuid_utils
 
 from bronzepoint_cli._chat import ChatCall
-from bronzepoint_cli._errors import NoHostReachable, TargetError, UsageFault
+from bronzepoint_cli._errors import TargetError, UsageFault
 from bronzepoint_cli._gateway import READING, Gateway, Purpose, path_part
 from bronzepoint_cli._output import print_origin
 from bronzepoint_cli._running import run_with_gateway
@@ -109,17 +109,13 @@
         """Send it until it is answered, with the same key each time."""
         await gateway.follow_directory()
         headers = gateway.headers() | self._options.headers()
+        advice = ""
         if self._key:
             headers["Idempotency-Key"] = self._key
-        try:
-            answer = await gateway.send(
-                self._method, self._path, headers, self._body, Purpose.call
-            )
-        except NoHostReachable as exc:
-            if not self._key:
-                raise
             advice = f"send again with --key {self._key}: it runs at most once"
-            raise NoHostReachable(exc.problems, advice) from exc
+        answer = await gateway.send(
+            self._method, self._path, headers, self._body, Purpose.call, advice
+        )
         self._print(answer)
 
     def _print(self, answer: Answer) -> None:
--- a/packages/cli/src/bronzepoint_cli/commands/targets.py
+++ b/packages/cli/src/bronzepoint_cli/commands/targets.py
@@ -7,7 +7,7 @@
 from bronzepoint_cli._options import JsonOption
 from bronzepoint_cli._output import print_json, print_table
 from bronzepoint_cli._running import run_with_gateway
-from bronzepoint_schema.generated.admin import TargetsAnswer
+from bronzepoint_schema.generated.admin import TargetsAnswer, TargetStatus
 
 COLUMNS = (
     "ENTRY",
@@ -28,8 +28,9 @@
 ) -> None:
     """Show the targets that the answering host chooses from.
 
-    IN FLIGHT counts that host's own requests; RUNNING and WAITING are what the target
-    itself reported, that many seconds ago.
+    STATE of a leaving target names who says so. IN FLIGHT counts that host's own
+    requests; RUNNING and WAITING are what the target itself reported, that many
+    seconds ago.
 
     Example: bronzepoint targets --entry phrasebook
     """
@@ -46,7 +47,7 @@
             one.entry,
             one.name,
             one.region,
-            one.state,
+            _state(one),
             one.in_flight,
             one.running,
             one.waiting,
@@ -58,4 +59,10 @@
     print(f"as seen by {answer.host}")
 
 
+def _state(target: TargetStatus) -> str:
+    if not target.leaving_by:
+        return target.state
+    return f"{target.state} ({', '.join(target.leaving_by)})"
+
+
 __all__ = ["targets"]
--- a/tests/test_cli_golden.py
+++ b/tests/test_cli_golden.py
@@ -39,7 +39,9 @@
 TARGETS = admin.TargetsAnswer(
     "bkk-1",
     [
-        admin.TargetStatus("saved", "store-1", "bkk", "leaving"),
+        admin.TargetStatus(
+            "saved", "store-1", "bkk", "leaving", leaving_by=["operator", "host_list"]
+        ),
         admin.TargetStatus("phrasebook", "engine-1", "bkk", "ready", 2, 5, 1, 0.84),
     ],
 )
