--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Options of tools/run_tests.py, such as a module: make test TEST_OPTIONS=tests.test_logs
 TEST_OPTIONS ?=
 
-.PHONY: setup test demo bench soak lint format generate clean
+.PHONY: setup test demo bench slopes soak lint format generate clean
 
 setup: $(STAMP)
 
@@ -44,6 +44,16 @@
 	$(BIN)/python -m bronzepoint_emulator.bench.overhead docs/measurements/overhead.json
 	$(BIN)/python -m bronzepoint_emulator.experiments --seeds $(SEEDS)
 
+# Cost against size, for docs/CAPACITY.md; one file for each part that is measured.
+SLOPES := agreement decisions membership run_once spread
+slopes: setup
+	mkdir -p docs/measurements/slopes
+	set -e; for part in $(SLOPES); do \
+		$(BIN)/python -m bronzepoint_emulator.slopes.$$part \
+			> docs/measurements/slopes/$$part.jsonl; \
+	done
+	$(BIN)/python -m bronzepoint_emulator.slopes.system --out docs/measurements/slopes
+
 # Random faults over real processes: make soak SECONDS=300 SEED=7
 SECONDS ?= 60
 SEED ?= 1
--- a/packages/emulator/src/bronzepoint_emulator/host_list/__init__.py
+++ b/packages/emulator/src/bronzepoint_emulator/host_list/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's list of live and leaving target hosts."""
+"""Stand-in for the platform's host list."""
 
 from bronzepoint_emulator.host_list._host_list import StandInHostList
 
--- a/packages/emulator/src/bronzepoint_emulator/service/__init__.py
+++ b/packages/emulator/src/bronzepoint_emulator/service/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-in for a plain service that counts what it runs."""
+"""Stand-in for a plain service; it keeps count of its runs."""
 
 from bronzepoint_emulator.service._service import PlainService
 
--- a/packages/emulator/src/bronzepoint_emulator/slopes/system.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/system.py
@@ -4,11 +4,14 @@
 one size grows: changes, requests, saved calls, organisations, entries.
 """
 
+import os
 import time
 from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated
 
 import msgspec
-from msgspec import Struct
+import typer
 
 from bronzepoint_common.load import LoadCall
 from bronzepoint_emulator.deployment import Deployment, saphan
@@ -22,6 +25,8 @@
     send_changes,
     send_load,
 )
+from bronzepoint_emulator.slopes._system_rows import SystemRow
+from bronzepoint_emulator.slopes._system_table import system_table
 from bronzepoint_schema.generated.catalogue import CatalogueItem
 
 ENTRY_HOST = "bkk-3"
@@ -35,22 +40,6 @@
 ENTRIES = [0, 50, 100, 200, 400]
 
 
-class SystemRow(Struct):
-    """Use of one host at one size.
-
-    Attributes:
-        size: Rate a second, or number of items; see the slope.
-        count: Requests or changes that the use is for; 0 for a slope of items.
-        use: Above idle where there is a count, else while idle.
-    """
-
-    slope: str
-    role: str
-    size: float
-    count: int
-    use: Usage
-
-
 class System:
     """Measures one deployment.
 
@@ -148,10 +137,29 @@
         System(deployment, report).measure()
 
 
-def main() -> None:
-    """Print one JSON line for each measurement."""
-    measure_system(lambda row: print(msgspec.json.encode(row).decode(), flush=True))
+def main(
+    out: Annotated[Path, typer.Option(help="Folder for the table and the data.")] = (
+        Path("docs/measurements")
+    ),
+) -> None:
+    """Measure and write the table and the rows."""
+    rows: list[SystemRow] = []
+
+    def report(row: SystemRow) -> None:
+        rows.append(row)
+        typer.echo(msgspec.json.encode(row).decode())
+
+    load = os.getloadavg()[0]
+    measure_system(report)
+    out.mkdir(parents=True, exist_ok=True)
+    packed = msgspec.json.format(msgspec.json.encode(rows), indent=1)
+    (out / "system.json").write_bytes(packed + b"\n")
+    title = "# Cost of a deployment of nine hosts against its load\n\n"
+    ran = f"`make slopes`; load average at the start {load:.1f} on {os.cpu_count()}"
+    text = f"{title}{ran} cores.\n\n{system_table(rows)}"
+    (out / "system.md").write_text(text)
+    typer.echo(text)
 
 
 if __name__ == "__main__":
-    main()
+    typer.run(main)
--- a/packages/emulator/src/bronzepoint_emulator/soak/__main__.py
+++ b/packages/emulator/src/bronzepoint_emulator/soak/__main__.py
@@ -1,6 +1,7 @@
 """``python -m bronzepoint_emulator.soak``: exit status 1 where a rule was broken."""
 
 import sys
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -21,10 +22,13 @@
 def main(
     seconds: Annotated[float, typer.Option(min=1.0, help="Seconds of faults.")] = 60.0,
     seed: Annotated[int, typer.Option(help="Seed of the faults.")] = 1,
+    logs: Annotated[
+        Path | None, typer.Option(help="Folder for the processes' logs.")
+    ] = None,
 ) -> None:
     """Break a deployment at random for a while and check what callers saw."""
     console = Console(width=140)
-    report = run_soak(saphan(), seconds, seed)
+    report = run_soak(saphan(), seconds, seed, logs)
     show_report(console, report)
     sys.exit(1 if report.violations else 0)
 
--- a/packages/emulator/src/bronzepoint_emulator/soak/_run.py
+++ b/packages/emulator/src/bronzepoint_emulator/soak/_run.py
@@ -1,8 +1,10 @@
 """One run: a deployment, its callers and operators, and the faults."""
 
+import shutil
 import threading
 from collections import Counter
 from collections.abc import Callable
+from pathlib import Path
 from typing import Protocol
 
 from msgspec import Struct
@@ -13,7 +15,7 @@
     Layout,
     wait_until,
 )
-from bronzepoint_emulator.soak._callers import Caller
+from bronzepoint_emulator.soak._callers import LOST, Caller
 from bronzepoint_emulator.soak._checker import Violation, check
 from bronzepoint_emulator.soak._faults import FaultDriver
 from bronzepoint_emulator.soak._history import (
@@ -67,11 +69,19 @@
         return sum(1 for _ in self.history.of(ViewEvent))
 
 
-def run_soak(layout: Layout, seconds: float, seed: int) -> SoakReport:
+def run_soak(
+    layout: Layout, seconds: float, seed: int, logs: Path | None = None
+) -> SoakReport:
     """Run faults and load over a deployment, then check the history.
 
     The seed gives the schedule of the faults and each worker's choices; how they
     interleave is up to the machine.
+
+    Args:
+        layout: What runs.
+        seconds: For how long faults come.
+        seed: Seed of everything that is drawn.
+        logs: Folder that the processes' logs are copied to in the end.
     """
     schedule = draw_schedule(layout, seconds, seed)
     with Deployment(layout, proxied=True) as deployment:
@@ -87,10 +97,18 @@
             thread.join(JOIN_TIMEOUT)
         driver.end_all()
         final = _settle(deployment, history)
+        if logs is not None:
+            _copy_logs(deployment, logs)
     violations = check(history, final)
     return SoakReport(seed, seconds, schedule, history, final, violations)
 
 
+def _copy_logs(deployment: Deployment, folder: Path) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for process in deployment.processes():
+        shutil.copy(process.log, folder)
+
+
 def _workers(
     deployment: Deployment, history: History, stop: threading.Event, seed: int
 ) -> list[_Worker]:
@@ -128,6 +146,7 @@
         wait_until(_agree(observers, final), "all hosts show the same", SETTLE_TIMEOUT)
     except DeploymentError as exc:
         final.unsettled.append(str(exc))
+        final.unsettled += _statuses(deployment)
     for name in deployment.targets.names():
         final.runs[name] = deployment.targets.counts(name).nonces
     layout = deployment.layout
@@ -137,6 +156,18 @@
     return final
 
 
+def _statuses(deployment: Deployment) -> list[str]:
+    """Return what each host says of itself, to see who is stuck and how."""
+    lines = []
+    for host in deployment.host_names():
+        try:
+            lines.append(f"{host}: {deployment.operator(host).status()}")
+        except (*LOST, DeploymentError) as exc:
+            ended = deployment.process(host).exit_status
+            lines.append(f"{host}: {exc!r}, exit status {ended}")
+    return lines
+
+
 def _agree(observers: dict[str, Observer], final: FinalState) -> Callable[[], bool]:
     def agree() -> bool:
         for host, observer in observers.items():
