--- a/packages/node/src/bronzepoint_node/entry/_away_tries.py
+++ b/packages/node/src/bronzepoint_node/entry/_away_tries.py
@@ -68,4 +68,5 @@
             check,
             final=True,
             claimed=token is not None,
+            patience=placed.patience if request.call.idempotent else 0.0,
         )
--- a/packages/node/src/bronzepoint_node/entry/_forwarding.py
+++ b/packages/node/src/bronzepoint_node/entry/_forwarding.py
@@ -62,6 +62,7 @@
         *,
         final: bool,
         claimed: bool,
+        patience: float = 0.0,
     ) -> Outcome:
         """Send a request to some host of a region and bring its answer back.
 
@@ -72,6 +73,8 @@
             check: Called right before each send; may raise RequestRefused.
             final: True: it is served there or refused.
             claimed: True: this host holds the claim on its idempotency key.
+            patience: Seconds to wait for the head of the answer; 0: until the
+                request's deadline.
         """
         hosts = self._hosts(region)[:MAX_HOSTS]
         outcome: Outcome = Failed(
@@ -83,7 +86,10 @@
         )
         context = self._context(request, revision, final, claimed)
         for host in hosts:
-            outcome = await self._ask(request, host, context, check)
+            timeout = request.deadline_left()
+            if patience:
+                timeout = min(timeout, patience)
+            outcome = await self._ask(request, host, context, check, timeout)
             if not isinstance(outcome, Failed):
                 return outcome
             outcome.region = region
@@ -97,6 +103,7 @@
         host: HostInfo,
         context: ForwardContext,
         check: Callable[[], None],
+        timeout: float,
     ) -> Outcome:
         trace = request.trace
         began = trace.begin_try(host.name, host.region)
@@ -115,7 +122,7 @@
 
         try:
             outcome = await self._upstream.ask(
-                self._message(request, host, context, check),
+                self._message(request, host, context, check, timeout),
                 request.exchange,
                 trace,
                 judge,
@@ -148,6 +155,7 @@
         host: HostInfo,
         context: ForwardContext,
         check: Callable[[], None],
+        timeout: float,
     ) -> UpstreamRequest:
         call = request.call
         headers = dict(call.headers)
@@ -163,7 +171,7 @@
             path=path,
             headers=headers,
             body=call.body,
-            timeout=request.deadline_left(),
+            timeout=timeout,
             echo=REQUEST_ID_HEADER.lower(),
             repeatable=call.idempotent,
             check=check,
--- a/tests/test_entry_forwarding.py
+++ b/tests/test_entry_forwarding.py
@@ -17,6 +17,7 @@
 from bronzepoint_schema.generated.catalogue import Residency, ResidencyRule
 from bronzepoint_schema.generated.decisions import Outcome, TryResult
 from tests._entry_site import CHAT, Site, chat, run, told
+from tests.test_entry_relay import silent
 
 KEY = b"k" * 32
 
@@ -246,6 +247,26 @@
 
         run(main)
 
+    def test_a_silent_region_is_given_up_for_another(self) -> None:
+        """Symptom: in a partition every request sent away fails at its deadline.
+
+        The link is cut in silence: the connection opens, or is a kept one, and nothing
+        comes back. The policy says how long the head of an answer may take.
+        """
+
+        async def main() -> None:
+            async with Site("bkk", "sgp", "cnx") as site:
+                policy = site.hosts["bkk-1"].policy
+                policy.away, policy.patience = ["bkk"], 0.05
+                site.targets["cnx-t1"].script = silent
+                answer = await site.ask("bkk-1", body=chat())
+                self.assertEqual(answer.body, f"sgp:{site.last_id}".encode())
+                results = [one.result for one in (await site.record("bkk-1")).tries]
+                self.assertEqual(results, [TryResult.timeout, TryResult.answered])
+                await site.targets["cnx-t1"].left.wait()
+
+        run(main)
+
     def test_an_unreachable_region_has_not_run_it(self) -> None:
         async def main() -> None:
             async with Site("bkk", "sgp") as site:
