Tell the key of a call whose outcome the command line leaves unknown

Cause: a call or change that was interrupted by Ctrl-C, or refused with an unknown outcome, was made under a key that nobody ever saw. Weighed and ruled out: writing keys to a file in the home folder (it would have to be cleaned up, and two users share machines); printing the key of every call (noise, since the command resends by itself). Ctrl-C ends with status 130. Conclusion: whatever the command line can't tell the outcome of, it says how to resend.

--- a/tests/_command_line.py
+++ b/tests/_command_line.py
@@ -18,15 +18,25 @@
     err: str
 
 
+def command(*arguments: str) -> list[str]:
+    """Return the command line."""
+    return [sys.executable, "-m", "bronzepoint_cli", *arguments]
+
+
+def environment(hosts: str, token: str) -> dict[str, str]:
+    """Return an environment in which output looks the same everywhere."""
+    kept = {k: v for k, v in os.environ.items() if not k.startswith("BRONZEPOINT_")}
+    kept |= {"BRONZEPOINT_HOSTS": hosts, "BRONZEPOINT_TOKEN": token}
+    return kept | {"COLUMNS": "80", "PYTHONUTF8": "1"}
+
+
 def run_command(
     *arguments: str, hosts: str = "", token: str = "a-token", given: str = ""
 ) -> Finished:
     """Run one command line; `given` is its standard input."""
-    kept = {k: v for k, v in os.environ.items() if not k.startswith("BRONZEPOINT_")}
-    environment = kept | {"BRONZEPOINT_HOSTS": hosts, "BRONZEPOINT_TOKEN": token}
     done = subprocess.run(
-        [sys.executable, "-m", "bronzepoint_cli", *arguments],
-        env=environment | {"COLUMNS": "80", "PYTHONUTF8": "1"},
+        command(*arguments),
+        env=environment(hosts, token),
         input=given,
         capture_output=True,
         text=True,
--- a/tests/_fake_host.py
+++ b/tests/_fake_host.py
@@ -12,11 +12,15 @@
 
 @dataclass
 class Reply:
-    """One prepared answer; `cut` takes the request and hangs up without a word."""
+    """One prepared answer.
+
+    `cut` takes the request and closes the connection without one; `hang` never answers.
+    """
 
     body: object = None
     status: int = 200
     cut: bool = False
+    hang: bool = False
     stream: list[bytes] = field(default_factory=list)
 
 
@@ -77,7 +81,9 @@
             await exchange.start_stream(200, headers)
             for chunk in reply.stream:
                 await exchange.send(chunk)
-        if reply.cut:
+        if reply.hang:
+            await exchange.wait_disconnect()
+        if reply.cut or reply.hang:
             await exchange.abort()
         elif reply.stream:
             await exchange.end()
--- a/tests/test_cli_resend.py
+++ b/tests/test_cli_resend.py
@@ -1,11 +1,14 @@
 """What the command line does when a host is gone or an answer is lost."""
 
+import signal
+import subprocess
+import time
 import unittest
 
 import msgspec
 
 from bronzepoint_schema.generated import admin, agreement, decisions
-from tests._command_line import run_command
+from tests._command_line import PATIENCE, command, environment, run_command
 from tests._fake_host import FakeHost, Reply
 
 GONE = "127.0.0.1:1"
@@ -22,6 +25,13 @@
     0.05,
 )
 
+UNKNOWN = decisions.Refusal(
+    decisions.RefusalKind.target_failed,
+    "the target cut its answer",
+    "send it again with the same key",
+    decisions.Ran.unknown,
+)
+
 
 class Resend(unittest.TestCase):
     def start(self, **routes: list[Reply]) -> FakeHost:
@@ -99,6 +109,41 @@
         self.assertEqual(len({head["idempotency-key"] for head, _ in sent}), 1)
         self.assertEqual(len(sent), 3)
 
+    def test_interrupted_call_tells_its_key(self):
+        """Symptom: a phrase is saved twice, though nobody meant to send it anew.
+
+        Sequence: a call takes long, its sender ends the command by Ctrl-C and types it
+        again.
+        Cause: the second command makes a new key, as nobody knows the first one.
+        """
+        host = self.start(save=[Reply(hang=True)])
+        arguments = ("send", "saved", "{}", "--path", "/phrases", "--method", "POST")
+        process = subprocess.Popen(
+            command(*arguments),
+            env=environment(host.address, "a-token"),
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.kill)
+        deadline = time.monotonic() + PATIENCE
+        while not host.sent(SAVE) and time.monotonic() < deadline:
+            time.sleep(0.02)
+        process.send_signal(signal.SIGINT)
+        _, shown = process.communicate(timeout=PATIENCE)
+        self.assertEqual(process.returncode, 130)
+        ((head, _),) = host.sent(SAVE)
+        self.assertIn(f"--key {head['idempotency-key']}", shown)
+
+    def test_unknown_outcome_of_a_call_tells_its_key(self):
+        refusal = decisions.ErrorBody(UNKNOWN)
+        host = self.start(save=[Reply(refusal, 502)])
+        arguments = ("send", "saved", "{}", "--path", "/phrases", "--method", "POST")
+        done = run_command(*arguments, hosts=host.address)
+        self.assertEqual(done.status, 1)
+        ((head, _),) = host.sent(SAVE)
+        self.assertIn(f"--key {head['idempotency-key']}", done.err)
+
     def test_reading_call_has_no_key(self):
         host = self.start()
         run_command("send", "saved", "--path", "/phrases", hosts=host.address)
