Deliver the last bytes of a connection that the fault proxy carried whole

Cause: at the end of every connection, also of one whose both ends had come and had been passed on, the proxy closed with a reset, and the kernel drops what it still holds for a slow reader. test_bytes_pass_both_ways_and_the_end_too failed for that in two of three runs on a busy machine (ConnectionResetError). Ruled out: unread bytes in the proxy's receive buffer, since it reads to the end on both sides before it closes. Change: a connection carried whole is closed in the ordinary way; only one that wasn't is reset.

--- a/packages/emulator/src/bronzepoint_emulator/fault_proxy/_link.py
+++ b/packages/emulator/src/bronzepoint_emulator/fault_proxy/_link.py
@@ -92,21 +92,24 @@
 
     async def _carry(self, near: Socket) -> None:
         far = None
+        end = _reset
         try:
             if self.fault.mode is LinkMode.reset:
                 return
             await self._pass(Direction.forward)
             far = await _connect(self.spec.connect)
             await self._carry_both(near, far)
-            await near.shutdown(socket.SHUT_RDWR)
+            # Both ends came and were passed on. A reset now would drop the last bytes
+            # that the kernel still holds for a slow reader.
+            end = _close
         except (OSError, LinkReset):
             return
         finally:
             # A connection that isn't carried to its end is reset on both sides, so
             # that neither takes a cut stream for a whole one.
-            await _reset(near)
+            await end(near)
             if far is not None:
-                await _reset(far)
+                await end(far)
             self._connections.discard(await curio.current_task())
 
     async def _carry_both(self, near: Socket, far: Socket) -> None:
@@ -191,6 +194,11 @@
     return sock
 
 
+async def _close(sock: Socket) -> None:
+    """Close a socket; bytes still on their way are delivered."""
+    await sock.close()
+
+
 async def _reset(sock: Socket) -> None:
     """Close a socket; bytes still on their way are dropped with a reset."""
     try:
--- a/tests/test_emulator_fault_proxy.py
+++ b/tests/test_emulator_fault_proxy.py
@@ -15,6 +15,7 @@
     Client,
     ManagedProcess,
     PortBlock,
+    wait_until,
 )
 from bronzepoint_emulator.deployment._targets import stand_in
 from bronzepoint_schema.generated.emulator import (
@@ -85,9 +86,17 @@
         sock.settimeout(10)
 
     def test_bytes_pass_both_ways_and_the_end_too(self):
+        """A reader that is slow loses the end of what was sent to it.
+
+        Sequence: the server sends all and closes, the proxy passes the end on and
+        closes too, while its kernel still holds the last bytes. Cause: a reset at the
+        end of a connection that was carried whole.
+        """
         sock = self.connect()
         sock.sendall(b"x" * 300000)
         sock.shutdown(socket.SHUT_WR)
+        # Only read once the server has sent everything, so that bytes do wait.
+        wait_until(lambda: len(self.server.received) == 300000, "all came")
         received = b""
         while data := sock.recv(65536):
             received += data
