Log each change of a host's state, and use the field's terms for notices

Weighed: logging in the host table (it is read many times a round, and would log from within reads).

--- a/packages/emulator/src/bronzepoint_emulator/slopes/_membership_host.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/_membership_host.py
@@ -18,7 +18,7 @@
 from bronzepoint_node.membership import Membership
 from bronzepoint_node.targets import Targets
 from bronzepoint_schema.generated.catalogue import ModelEntry
-from bronzepoint_schema.ids import HostName
+from bronzepoint_schema.ids import HostName, Revision
 
 _PATIENCE = 60.0
 _HEAD_BYTES = 150
@@ -38,7 +38,9 @@
 
 
 class PlanCatalogue:
-    """The entries of the plan, always the same objects."""
+    """The entries of the plan; they never change."""
+
+    revision = Revision(1)
 
     def __init__(self, plan: MembershipPlan) -> None:
         self._entries = plan.entries()
--- a/packages/emulator/src/bronzepoint_emulator/slopes/_membership_plan.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/_membership_plan.py
@@ -41,7 +41,7 @@
     hosts: dict[str, str]
     measured: str
     targets: list[str] = field(default_factory=list)
-    warm_up: float = 5.0
+    warm_up: float = 4.0
     seconds: float = 15.0
 
     def settings(self, name: str) -> Settings:
--- a/packages/emulator/src/bronzepoint_emulator/slopes/membership.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/membership.py
@@ -1,7 +1,8 @@
 """``python -m bronzepoint_emulator.slopes.membership``: cost of knowing the others.
 
 One host runs alone in a process and is measured; all others run in this process and
-talk to it over the real links. Rows: hosts of the region, regions, and targets.
+talk to it over the real links. Slopes: hosts (of the region), regions, relay (a relay
+host against the regions), targets. Arguments name some of them.
 """
 
 import socket
@@ -14,17 +15,17 @@
 import msgspec
 from msgspec import Struct
 
+from bronzepoint_common.rendezvous import rendezvous_order
 from bronzepoint_emulator.slopes._membership_feeder import Feeder
 from bronzepoint_emulator.slopes._membership_plan import (
     MEASURED_REGION,
     Figures,
     MembershipPlan,
 )
-from bronzepoint_node.membership import rendezvous_order
 
 HOSTS = [3, 8, 16, 30, 64, 100]
 REGIONS = [1, 3, 6, 12]
-TARGETS = [0, 8, 24, 48, 96]
+TARGETS = [0, 2, 8, 24, 96]
 _REGION_HOSTS = 30
 _REMOTE_HOSTS = 6
 _HOST_MODULE = "bronzepoint_emulator.slopes._membership_host"
@@ -93,23 +94,22 @@
     return addresses
 
 
-async def measure_all() -> list[Row]:
-    """Measure every row, one after another, and print each."""
-    rows = []
+async def measure_all(slopes: list[str]) -> None:
+    """Measure the rows of some slopes (all by default) and print each."""
     sizes = [("hosts", hosts, 1, 0, False) for hosts in HOSTS]
     sizes += [("regions", _REGION_HOSTS, n, 0, False) for n in REGIONS]
-    sizes += [("regions, relay", _REGION_HOSTS, n, 0, True) for n in REGIONS]
+    sizes += [("relay", _REGION_HOSTS, n, 0, True) for n in REGIONS]
     sizes += [("targets", 3, 1, n, False) for n in TARGETS]
     for size in sizes:
+        if slopes and size[0] not in slopes:
+            continue
         row = await measure(*size)
         print(msgspec.json.encode(row).decode(), flush=True)
-        rows.append(row)
-    return rows
 
 
 def main() -> None:
     """Print one JSON line for each measurement."""
-    curio.run(measure_all)
+    curio.run(measure_all, sys.argv[1:])
 
 
 if __name__ == "__main__":
--- a/packages/node/src/bronzepoint_node/directory/_directory.py
+++ b/packages/node/src/bronzepoint_node/directory/_directory.py
@@ -53,7 +53,7 @@
 
         Distances are measured from this host's region. Of a region that isn't
         reachable, the hosts are not named, though a caller might reach them: who
-        trusts this host's word would wait for connections that never open.
+        trusts this answer would wait for connections that never open.
         """
         own = self._membership.region
         reachable = [s for s in summaries.values() if s.reachable or s.name == own]
--- a/packages/node/src/bronzepoint_node/membership/_draining.py
+++ b/packages/node/src/bronzepoint_node/membership/_draining.py
@@ -1,4 +1,4 @@
-"""Telling the region that this host is leaving, before it closes its door."""
+"""Telling the region that this host is leaving, before it stops accepting."""
 
 from collections.abc import Callable
 
@@ -9,7 +9,7 @@
 class Draining:
     """Tells each host of the region once that this one is draining.
 
-    Without this, a host that closes its door at once is still named to callers by
+    Without this, a host that stops accepting at once is still named to callers by
     those that have not heard of it: the callers' connections are refused.
 
     Args:
--- a/packages/node/src/bronzepoint_node/membership/_host_table.py
+++ b/packages/node/src/bronzepoint_node/membership/_host_table.py
@@ -109,8 +109,8 @@
     def supersede(self, incarnation: int) -> None:
         """Take a higher incarnation than one that others hold of this host.
 
-        Its clock may have been set back between two lives. The others would go on
-        believing the former life, see no heartbeat of it and call the host dead.
+        Its clock may have been set back between two starts. The others would go on
+        believing the earlier incarnation, see no heartbeat and call the host dead.
         """
         self.own = msgspec.structs.replace(
             self.own, incarnation=incarnation + _RESTART_MARGIN
--- a/packages/node/src/bronzepoint_node/membership/_host_views.py
+++ b/packages/node/src/bronzepoint_node/membership/_host_views.py
@@ -89,7 +89,7 @@
         """Return the address of the settings, where they name the host.
 
         How a host is reached can differ from where it listens, and from one host to
-        the next; the operator's word on it goes before the host's own.
+        the next; what the operator wrote goes before what the host says.
         """
         listed = self._peers.get(name)
         return gossiped if listed is None else listed.http
--- a/packages/node/src/bronzepoint_node/membership/_membership.py
+++ b/packages/node/src/bronzepoint_node/membership/_membership.py
@@ -19,6 +19,7 @@
 from bronzepoint_node.membership._relay import Relay
 from bronzepoint_node.membership._running_clock import RunningClock
 from bronzepoint_node.membership._seeds import make_own_record, make_seed_records
+from bronzepoint_node.membership._state_report import StateReport
 from bronzepoint_node.membership._views import (
     HostInfo,
     HostState,
@@ -80,6 +81,7 @@
             peers, self._hosts, self._regions, self._notices, self._clock, metrics
         )
         self._relay = Relay(peers, self._hosts, self._regions, self._clock, metrics)
+        self._state_report = StateReport(metrics)
         self._load = LoadSummary()
         self._flags = PulseFlag.NONE
         self._draining = Draining(self._gossip, cfg.interval)
@@ -181,11 +183,11 @@
         self._draining.on_forgotten(callback)
 
     def tell_notice(self, notice: TargetNotice) -> None:
-        """Pass on word of a target to the hosts of the region."""
+        """Pass a notice of a target on to the hosts of the region."""
         self._gossip.take_notices([notice])
 
     def notices(self) -> list[TargetNotice]:
-        """Return all word of targets that counts still."""
+        """Return all notices of targets that are in force."""
         return self._notices.all()
 
     def on_notice(self, callback: Callable[[TargetNotice], None]) -> None:
@@ -216,7 +218,8 @@
             self._notices.drop_old()
             for name in self._hosts.forget_dead():
                 _log.info("Host forgotten", forgotten=name)
-            self._update_gauges()
+            self._state_report.update(self.region_hosts())
+            self._metrics.gauge("membership.own_stops", self._clock.gaps)
             await curio.sleep(max(0.0, started + interval - time.monotonic()))
 
     async def _run_relay(self) -> None:
@@ -246,11 +249,3 @@
                 self._hosts.add_seed(record)
             else:
                 self._relay.add_seed(record)
-
-    def _update_gauges(self) -> None:
-        counts = dict.fromkeys(HostState, 0)
-        for info in self.region_hosts():
-            counts[info.state] += 1
-        for state, count in counts.items():
-            self._metrics.gauge(f"membership.{state}", count)
-        self._metrics.gauge("membership.own_stops", self._clock.gaps)
--- a/packages/node/src/bronzepoint_node/membership/_notice_table.py
+++ b/packages/node/src/bronzepoint_node/membership/_notice_table.py
@@ -1,4 +1,4 @@
-"""Word of leaving targets, passed on between the hosts of a region."""
+"""Notices of leaving targets, passed on between the hosts of a region."""
 
 import time
 from collections.abc import Callable, Iterable
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from bronzepoint_schema.generated.membership import TargetNotice, WordSource
+from bronzepoint_schema.generated.membership import NoticeSource, TargetNotice
 from bronzepoint_schema.ids import TargetName
 
 NOTICE_LIFETIME = 300.0
@@ -16,7 +16,7 @@
 said before it returned. Who goes on polling a leaving target renews its notice.
 """
 
-_Key = tuple[TargetName, WordSource]
+_Key = tuple[TargetName, NoticeSource]
 
 
 class NoticeTable:
--- a/packages/node/src/bronzepoint_node/targets/_host_list.py
+++ b/packages/node/src/bronzepoint_node/targets/_host_list.py
@@ -1,4 +1,4 @@
-"""Reads the platform's list of live and leaving target hosts."""
+"""Reads which target hosts the platform lists as live and which as leaving."""
 
 import time
 from collections.abc import Callable
--- a/packages/node/src/bronzepoint_node/targets/_leaving.py
+++ b/packages/node/src/bronzepoint_node/targets/_leaving.py
@@ -1,7 +1,7 @@
 """Whether a target is leaving, from three sources that lag and disagree."""
 
 from bronzepoint_node.membership import supersedes
-from bronzepoint_schema.generated.membership import TargetNotice, WordSource
+from bronzepoint_schema.generated.membership import NoticeSource, TargetNotice
 from bronzepoint_schema.ids import TargetName
 
 LAG_BOUND = 10.0
@@ -10,11 +10,11 @@
 
 
 class Leaving:
-    """Merges the operator's, the host list's and the target's own word.
+    """Merges the notices of the operator, the host list and the target itself.
 
-    Any one of them makes the target leaving. Within one source the newest word counts,
-    by that source's own time; no source overrules another: a host list that still
-    says "live" does not bring back a target that said itself that it leaves.
+    Any one of them makes the target leaving. Within one source the newest notice
+    counts, by that source's own time; no source overrules another: a host list that
+    still says "live" does not bring back a target that said itself that it leaves.
 
     Args:
         target: The target.
@@ -22,25 +22,25 @@
 
     def __init__(self, target: TargetName) -> None:
         self._target = target
-        self._words: dict[WordSource, TargetNotice] = {}
-        self._told: dict[WordSource, TargetNotice] = {}
+        self._notices: dict[NoticeSource, TargetNotice] = {}
+        self._told: dict[NoticeSource, TargetNotice] = {}
         self.by_operator = False
         self.reports = False
 
     @property
     def leaving(self) -> bool:
         """True where it should get no new work."""
-        return self.by_operator or any(w.leaving for w in self._words.values())
+        return self.by_operator or any(n.leaving for n in self._notices.values())
 
     @property
     def sources(self) -> list[str]:
         """Who says that it leaves, always in the same order."""
-        words = [self._words.get(source) for source in WordSource]
-        said = [word.source.value for word in words if word and word.leaving]
+        notices = [self._notices.get(source) for source in NoticeSource]
+        said = [n.source.value for n in notices if n and n.leaving]
         return ["operator", *said] if self.by_operator else said
 
-    def hear(self, source: WordSource, leaving: bool, as_of: float) -> None:
-        """Take one word, unless a newer one of its source is known.
+    def hear(self, source: NoticeSource, leaving: bool, as_of: float) -> None:
+        """Take one notice, unless a newer one of its source is known.
 
         Args:
             source: Who said it.
@@ -50,55 +50,56 @@
         self._merge(TargetNotice(self._target, leaving, as_of, source))
 
     def hear_notice(self, notice: TargetNotice) -> None:
-        """Take the word that another host heard; it needs no telling again."""
+        """Take the notice that another host heard; it needs no telling again."""
         if self._merge(notice):
             self._told[notice.source] = notice
 
     def hear_header(self, target_now: float) -> None:
-        """Take the word of an answer's header: the target is leaving now.
+        """Take the notice of an answer's header: the target is leaving now.
 
-        Reports lag, so those that are on their way still say that it stays. The word
-        gets a time beyond them: taken as of now, the next late report would undo it,
-        and the target would get work until its reports had caught up.
+        Reports lag, so those that are on their way still say that it stays. The
+        notice gets a time beyond them: taken as of now, the next late report would
+        undo it, and the target would get work until its reports had caught up.
 
         Args:
             target_now: Unix time by the target's clock, as far as it is known.
         """
-        self.hear(WordSource.target, True, target_now + LAG_BOUND)
+        self.hear(NoticeSource.target, True, target_now + LAG_BOUND)
 
     def untold(self) -> list[TargetNotice]:
-        """Return the words that other hosts should be told, each once and renewed.
+        """Return the notices that other hosts should be told, each once and renewed.
 
         Nobody needs to be told that a target stays where none said that it leaves.
         """
-        notices = []
-        for source, word in self._words.items():
+        untold = []
+        for source, notice in self._notices.items():
             told = self._told.get(source)
-            if told is None and not word.leaving:
+            if told is None and not notice.leaving:
                 continue
-            renew = word.leaving and word.as_of - (told or word).as_of > _RENEW_AFTER
-            if told is None or told.leaving != word.leaving or renew:
-                self._told[source] = word
-                notices.append(word)
-        return notices
-
-    def _merge(self, word: TargetNotice) -> bool:
-        known = self._words.get(word.source)
-        if known is not None and not supersedes(word, known):
+            age = notice.as_of - (told or notice).as_of
+            renew = notice.leaving and age > _RENEW_AFTER
+            if told is None or told.leaving != notice.leaving or renew:
+                self._told[source] = notice
+                untold.append(notice)
+        return untold
+
+    def _merge(self, notice: TargetNotice) -> bool:
+        known = self._notices.get(notice.source)
+        if known is not None and not supersedes(notice, known):
             return False
-        self._words[word.source] = word
-        if word.source is WordSource.host_list:
-            self._end_own_word(known, word)
+        self._notices[notice.source] = notice
+        if notice.source is NoticeSource.host_list:
+            self._end_own_notice(known, notice)
         return True
 
-    def _end_own_word(self, known: TargetNotice | None, word: TargetNotice) -> None:
-        """Let the list end the own word of a target that gives no reports.
+    def _end_own_notice(self, known: TargetNotice | None, notice: TargetNotice) -> None:
+        """Let the list end the own notice of a target that gives no reports.
 
         A plain service speaks only in its answers, and gets no request while it
         leaves: it could never say that it is back. A list that has shown it leaving
         and then shows it live has seen both; one that never noticed has not.
         """
         was_leaving = known is not None and known.leaving
-        if was_leaving and not word.leaving and not self.reports:
-            self._words.pop(WordSource.target, None)
-            self._told.pop(WordSource.target, None)
+        if was_leaving and not notice.leaving and not self.reports:
+            self._notices.pop(NoticeSource.target, None)
+            self._told.pop(NoticeSource.target, None)
--- a/packages/node/src/bronzepoint_node/targets/_targets.py
+++ b/packages/node/src/bronzepoint_node/targets/_targets.py
@@ -24,14 +24,18 @@
     Target,
 )
 from bronzepoint_schema.generated.decisions import TryResult
-from bronzepoint_schema.generated.membership import EntryShare, TargetNotice, WordSource
+from bronzepoint_schema.generated.membership import (
+    EntryShare,
+    NoticeSource,
+    TargetNotice,
+)
 from bronzepoint_schema.generated.platform import ListedHost, ListedState
 from bronzepoint_schema.generated.settings import Settings
 from bronzepoint_schema.ids import EntryName, HostName, Revision, TargetName
 
 LEAVING_HEADER = "x-leaving"
 MOST_BLOCKS = 40_000
-"""Prompt blocks remembered over all targets, about 8 MB."""
+"""Prompt blocks remembered over all targets, about 5 MB."""
 _MOST_BLOCKS_EACH = 4000
 _LEAST_BLOCKS_EACH = 200
 _SETTLE_INTERVAL = 0.5
@@ -76,7 +80,9 @@
         self._tracked: dict[TargetName, TrackedTarget] = {}
         self._entries: dict[EntryName, list[TargetName]] = {}
         self._region_sizes: dict[EntryName, int] = {}
-        self._pollers = Pollers(http, settings.platform.poll, self._after_word, metrics)
+        self._pollers = Pollers(
+            http, settings.platform.poll, self._after_notice, metrics
+        )
         self._chosen_hosts: list[HostName] = []
         self._chosen_revision: Revision | None = None
         self._tasks = curio.TaskGroup()
@@ -146,13 +152,13 @@
         self._eject(name)
 
     def note_answer(self, name: TargetName, headers: Mapping[str, str]) -> None:
-        """Take a target's own word from the headers of any of its answers."""
+        """Take a target's own notice from the headers of any of its answers."""
         tracked = self._tracked.get(name)
         if tracked is None:
             return
         if headers.get(LEAVING_HEADER, "") not in _NOT_LEAVING:
             tracked.leaving.hear_header(tracked.target_now(time.time()))
-            self._after_word(tracked)
+            self._after_notice(tracked)
 
     def shares(self) -> list[EntryShare]:
         """Return this host's part of each entry's load, for `Membership.publish`.
@@ -275,8 +281,8 @@
             tracked = self._tracked.get(line.name)
             leaving = line.state is ListedState.leaving
             if tracked is not None:
-                tracked.leaving.hear(WordSource.host_list, leaving, line.as_of)
-                self._after_word(tracked)
+                tracked.leaving.hear(NoticeSource.host_list, leaving, line.as_of)
+                self._after_notice(tracked)
 
     def _hear_notice(self, notice: TargetNotice) -> None:
         tracked = self._tracked.get(notice.target)
@@ -289,7 +295,7 @@
             if notice.target == tracked.target.name:
                 tracked.leaving.hear_notice(notice)
 
-    def _after_word(self, tracked: TrackedTarget) -> None:
+    def _after_notice(self, tracked: TrackedTarget) -> None:
         tracked.settle(time.monotonic())
         for notice in tracked.leaving.untold():
             _log.info(
--- a/packages/node/src/bronzepoint_node/targets/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/targets/_tracked_target.py
@@ -8,7 +8,7 @@
 from bronzepoint_node.targets._leaving import Leaving
 from bronzepoint_node.targets._prefix_memory import PrefixMemory
 from bronzepoint_schema.generated.catalogue import Target
-from bronzepoint_schema.generated.membership import WordSource
+from bronzepoint_schema.generated.membership import NoticeSource
 from bronzepoint_schema.generated.platform import LoadReport
 
 UNREACHABLE_POLLS = 3
@@ -45,7 +45,7 @@
         """Take a load report, unless a later one is known."""
         self.failed_polls = 0
         self.leaving.reports = True
-        self.leaving.hear(WordSource.target, report.leaving, report.as_of)
+        self.leaving.hear(NoticeSource.target, report.leaving, report.as_of)
         if self.report is None or report.as_of >= self.report.as_of:
             self.report = report
             self._reported_at = unix_time
@@ -73,7 +73,7 @@
 
     @property
     def slots(self) -> int:
-        """Requests that it works on at once, by its own word where there is one."""
+        """Requests that it works on at once, by its own report where there is one."""
         return self.target.slots if self.report is None else max(1, self.report.slots)
 
     @property
