--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -103,7 +103,7 @@
             self.outcomes[f"{self.name} (ended with status {status})"] = "failed"
         if not self.outcomes:
             self.outcomes[f"{self.name} (has no test)"] = "failed"
-        if not self._group_ends():
+        if not self.group_ends():
             self.kill()
             self.outcomes[f"{self.name} (left processes behind)"] = "failed"
 
@@ -119,18 +119,7 @@
         except ProcessLookupError:
             return
 
-    def _read_outcomes(self) -> None:
-        if not self.outcomes_path.exists():
-            return
-        for line in self.outcomes_path.read_text().splitlines():
-            outcome, name = json.loads(line)
-            if outcome == "start":
-                # Stays so where the worker dies in this test: not passed.
-                self.outcomes.setdefault(name, "hung or crashed")
-            elif self.outcomes.get(name) in (None, "hung or crashed", "passed"):
-                self.outcomes[name] = outcome
-
-    def _group_ends(self) -> bool:
+    def group_ends(self) -> bool:
         """Return whether all processes of the group end by themselves."""
         deadline = time.monotonic() + LEFTOVER_WAIT
         while time.monotonic() < deadline:
@@ -143,6 +132,17 @@
             time.sleep(POLL)
         return False
 
+    def _read_outcomes(self) -> None:
+        if not self.outcomes_path.exists():
+            return
+        for line in self.outcomes_path.read_text().splitlines():
+            outcome, name = json.loads(line)
+            if outcome == "start":
+                # Stays so where the worker dies in this test: not passed.
+                self.outcomes.setdefault(name, "hung or crashed")
+            elif self.outcomes.get(name) in (None, "hung or crashed", "passed"):
+                self.outcomes[name] = outcome
+
 
 class TestRun:
     """All modules of one run.
@@ -195,7 +195,7 @@
         for run in self._running:
             run.kill(signal.SIGTERM)
         for run in self._running:
-            if not run._group_ends():
+            if not run.group_ends():
                 run.kill()
 
 
