Place prefixes by hash, leave slow targets alone, and don't hang on a cut link

Rare prefixes were computed at every target. One mistaken cache hit made a healthy target look slow, and a target that really was slow got whatever found no room elsewhere.

--- a/packages/emulator/src/bronzepoint_emulator/experiments/__main__.py
+++ b/packages/emulator/src/bronzepoint_emulator/experiments/__main__.py
@@ -14,6 +14,8 @@
 from bronzepoint_emulator.experiments._summary import Summary, summarise
 from bronzepoint_emulator.experiments._table import Results, result_table
 
+WARM_UP = "calm"
+
 
 def main(
     out: Annotated[Path, typer.Option(help="Folder for table, data and plot.")] = Path(
@@ -32,6 +34,8 @@
     results: Results = {name: {} for name in names}
     began = time.monotonic()
     with Runs(CONTENDERS, typer.echo) as runs:
+        # Not measured: caches and estimates are new, as they are on no ordinary day.
+        runs.run(WARM_UP, 0)
         for seed in range(1, seeds + 1):
             for name in names:
                 for cell in runs.run(name, seed):
--- a/packages/node/src/bronzepoint_node/policy/_backoff.py
+++ b/packages/node/src/bronzepoint_node/policy/_backoff.py
@@ -20,7 +20,7 @@
     until: float = 0.0
     pause: float = 0.0
 
-    def refused(self, now: float, rng: Random) -> None:
+    def refused(self, now: float, rng: Random, least: float = _FIRST) -> None:
         """Start a pause, or a longer one where the last has just ended.
 
         Refusals that arrive during a pause answer requests sent before it and count
@@ -30,7 +30,7 @@
             return
         if now - self.until > _FORGET_AFTER:
             self.pause = 0.0
-        self.pause = min(_LONGEST, max(_FIRST, 2 * self.pause))
+        self.pause = min(_LONGEST, max(least, 2 * self.pause))
         self.until = now + self.pause * rng.uniform(0.5, 1.0)
 
     def answered(self) -> None:
--- a/packages/node/src/bronzepoint_node/policy/_baselines.py
+++ b/packages/node/src/bronzepoint_node/policy/_baselines.py
@@ -6,11 +6,11 @@
 from itertools import count
 from random import Random
 
-from bronzepoint_node.policy._choose_region import region_excluded
+from bronzepoint_node.policy._choose_region import region_excluded, serves
 from bronzepoint_node.policy._choose_target import usable_state
 from bronzepoint_node.policy._inputs import RegionView, RequestView, TargetView
 from bronzepoint_node.policy._outputs import Away, Home, Placement
-from bronzepoint_node.policy._refusals import no_target
+from bronzepoint_node.policy._refusals import no_region, no_target
 from bronzepoint_schema.generated.decisions import Candidate
 from bronzepoint_schema.generated.settings import PolicyChoice
 from bronzepoint_schema.ids import RegionName
@@ -39,6 +39,8 @@
             region = self._random_region(request, regions)
             if region != self._region:
                 return Away(region, [Candidate(region, region)], "drawn at random")
+        if not serves(request, self._region):
+            return no_region(request, [])
         usable = [view for view in views if usable_state(view, request) is None]
         candidates = [Candidate(view.name, view.region) for view in views]
         if not usable:
--- a/packages/node/src/bronzepoint_node/policy/_choose_region.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_region.py
@@ -68,12 +68,17 @@
     return RegionTerms(view, delay, cost, sent_since, warm_share)
 
 
+def serves(request: RequestView, region: RegionName) -> bool:
+    """Return whether residency lets a region serve a request."""
+    allowed = request.allowed_regions
+    return allowed is None or region in allowed
+
+
 def region_excluded(
     view: RegionView, request: RequestView, home: RegionName
 ) -> ExclusionReason | None:
     """Return why a region may not be used at all, or None. Residency goes first."""
-    allowed = request.allowed_regions
-    if allowed is not None and view.name not in allowed:
+    if not serves(request, view.name):
         return ExclusionReason.residency
     if view.name in request.tried_regions:
         return ExclusionReason.tried
@@ -178,4 +183,5 @@
     "choose_region",
     "draw_region",
     "region_excluded",
+    "serves",
 ]
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -1,5 +1,6 @@
 """Choice of a target in this region."""
 
+import math
 from random import Random
 
 from msgspec import Struct
@@ -7,13 +8,25 @@
 from bronzepoint_node.policy._inputs import RequestView, TargetState, TargetView
 from bronzepoint_node.policy._load_estimate import estimate_loads
 from bronzepoint_node.policy._outputs import TargetChoice
+from bronzepoint_node.policy._rendezvous import ranked
 from bronzepoint_node.policy._service_times import ServiceTimes
 from bronzepoint_schema.generated.decisions import Candidate, ExclusionReason
+from bronzepoint_schema.ids import TargetName
 
 _SAMPLED = 2
 """Of many near-best targets, as many are compared, taken at random."""
 _AFFINITY_BOUND = 1.25
-"""A target above this multiple of the mean load gets no credit for its cache."""
+"""A target above this multiple of the mean load gets no credit for its cache,"""
+_AFFINITY_SLOTS = 0.75
+"""unless less than this part of its slots is in use."""
+_FIRST_CHOICE_CREDIT = 0.5
+"""Part of the uncached tokens' time that is forgiven the target that a new prefix
+belongs to: all hosts send it to the same one without a message."""
+_SECOND_COPY_COST = 0.1
+"""Part of a prompt's time that another target is charged, cached or not: a second copy
+of a prefix takes the place of a rare one."""
+_KEY_BLOCK = 3
+"""Block whose hash says where a prefix belongs; what follows is the request's own."""
 _BUSY_SHARE = 0.25
 """Share of the hold time that a full target is taken to cost over an idle one."""
 _NEAR = 0.05
@@ -88,6 +101,7 @@
     mean_load: float,
     request: RequestView,
     times: ServiceTimes,
+    first_choice: bool,
     now: float,
 ) -> TargetTerms:
     """Return the parts of one target's score.
@@ -97,19 +111,38 @@
     while others stand idle.
     """
     slowness = times.slowness(view.name, now)
-    drowned = load > _AFFINITY_BOUND * mean_load * view.slots + 1
-    cached = 0 if drowned else min(view.cached_tokens, request.prompt_tokens)
+    bound = max(_AFFINITY_SLOTS, _AFFINITY_BOUND * mean_load) * view.slots
+    cached = 0 if load > bound else min(view.cached_tokens, request.prompt_tokens)
+    uncached = request.prompt_tokens - cached
+    if first_choice and load <= bound:
+        uncached *= 1 - _FIRST_CHOICE_CREDIT
+    elif not first_choice:
+        uncached += _SECOND_COPY_COST * request.prompt_tokens
     over = max(0.0, load + 1 - view.slots)
     hold = times.hold * slowness
     return TargetTerms(
         load=load,
         wait=over * hold / view.slots,
-        first_token=times.first_token(request.prompt_tokens - cached, slowness),
+        first_token=times.first_token(uncached, slowness),
         busy=_BUSY_SHARE * hold * load / view.slots,
         cost=view.cost * hold,
     )
 
 
+def prefix_owner(request: RequestView, views: list[TargetView]) -> TargetName | None:
+    """Return the target that a prompt's prefix belongs to by rendezvous hash.
+
+    What is cached where is known late and with gaps. Left to that alone, each host
+    computes a rare prefix wherever it happens to send it, all targets hold the same
+    prefixes, and none holds the rare ones.
+    """
+    if not request.prefix_hashes:
+        return None
+    key = request.prefix_hashes[min(_KEY_BLOCK, len(request.prefix_hashes) - 1)]
+    ready = [view.name for view in views if usable_state(view, request) is None]
+    return ranked(key, ready)[0] if ready else None
+
+
 def choose_target(
     request: RequestView,
     views: list[TargetView],
@@ -134,9 +167,11 @@
         now: Monotonic seconds.
     """
     loads = estimate_loads(views, memory)
+    owner = prefix_owner(request, views)
     mean_load = sum(loads) / max(1, sum(view.slots for view in views))
     candidates: list[Candidate] = []
     open_targets: list[tuple[float, TargetView, TargetTerms, Candidate]] = []
+    least_if_full = math.inf
     usable = 0
     for view, load in zip(views, loads, strict=True):
         excluded = usable_state(view, request)
@@ -145,11 +180,13 @@
         if excluded is not None:
             continue
         usable += 1
-        terms = target_terms(view, load, mean_load, request, times, now)
+        is_first = view.name == owner
+        terms = target_terms(view, load, mean_load, request, times, is_first, now)
         candidate.score = round(terms.score(request), 4)
         candidate.detail = terms.detail()
         if not has_room(view, load, hosts):
             candidate.excluded = ExclusionReason.full
+            least_if_full = min(least_if_full, terms.score(request))
             continue
         open_targets.append((terms.score(request), view, terms, candidate))
     if not open_targets:
@@ -157,6 +194,9 @@
         return TargetChoice(None, candidates, reason, usable)
     best = min(score for score, *_ in open_targets)
     margin = _NEAR * request.latency_weight * times.hold
+    if least_if_full + margin < best:
+        # The only room is at a slow target: waiting for a slot elsewhere is sooner.
+        return TargetChoice(None, candidates, "a full target is sooner", usable)
     near = [item for item in open_targets if item[0] <= best + margin]
     drawn = rng.sample(near, min(_SAMPLED, len(near)))
     _, view, terms, chosen = min(drawn, key=lambda item: (item[0], rng.random()))
@@ -167,4 +207,11 @@
     return TargetChoice(view, candidates, reason, usable, terms.delay(), terms.wait)
 
 
-__all__ = ["TargetTerms", "choose_target", "has_room", "target_terms", "usable_state"]
+__all__ = [
+    "TargetTerms",
+    "choose_target",
+    "has_room",
+    "prefix_owner",
+    "target_terms",
+    "usable_state",
+]
--- a/packages/node/src/bronzepoint_node/policy/_limits.py
+++ b/packages/node/src/bronzepoint_node/policy/_limits.py
@@ -13,7 +13,7 @@
 from bronzepoint_node.policy._limit_holder import HeldLimit
 from bronzepoint_node.policy._local_limit import LimitKey, LocalLimit
 from bronzepoint_node.policy._outputs import Refused
-from bronzepoint_node.policy._rendezvous import ranked_hosts
+from bronzepoint_node.policy._rendezvous import ranked
 from bronzepoint_node.policy._token_bucket import TokenBucket
 from bronzepoint_schema.generated import catalogue
 from bronzepoint_schema.generated.catalogue import (
@@ -263,7 +263,7 @@
         self, local: LocalLimit, limits: catalogue.Limits, now: float
     ) -> None:
         """Go on with the equal part, until the holder is heard again."""
-        known = ranked_hosts(local.key.text(), self._hosts().known)
+        known = ranked(local.key.text(), self._hosts().known)
         count = max(1, len(known))
         extra = limits.in_progress % count
         rank = known.index(self._host) if self._host in known else count
@@ -276,8 +276,8 @@
         self._metrics.incr("limits.equal_part")
 
     def _holder(self, key: LimitKey) -> HostName:
-        live = ranked_hosts("limits", self._hosts().live)[: self._holders]
-        return ranked_hosts(key.text(), live or [self._host])[0]
+        live = ranked("limits", self._hosts().live)[: self._holders]
+        return ranked(key.text(), live or [self._host])[0]
 
     def _may_ask_early(self, key: LimitKey) -> bool:
         last = self._asked.get(self._holder(key), 0.0)
--- a/packages/node/src/bronzepoint_node/policy/_outputs.py
+++ b/packages/node/src/bronzepoint_node/policy/_outputs.py
@@ -49,12 +49,18 @@
 
 
 class Away(Struct):
-    """Forward it to a host of another region."""
+    """Forward it to a host of another region.
+
+    Attributes:
+        patience: seconds to wait for the head of the answer before the try is given
+            up; 0: until the deadline, for what may not run twice.
+    """
 
     region: RegionName
     candidates: list[Candidate]
     reason: str
     notes: list[str] = field(default_factory=list)
+    patience: float = 0.0
 
 
 class Refused(Struct):
--- a/packages/node/src/bronzepoint_node/policy/_policy.py
+++ b/packages/node/src/bronzepoint_node/policy/_policy.py
@@ -10,13 +10,11 @@
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
 from bronzepoint_node.policy._admission import Admission, Pool
-from bronzepoint_node.policy._backoff import RegionBackoff
 from bronzepoint_node.policy._baselines import Baseline
 from bronzepoint_node.policy._choose_region import (
     RegionTerms,
-    away_terms,
     choose_region,
-    region_excluded,
+    serves,
 )
 from bronzepoint_node.policy._choose_target import choose_target
 from bronzepoint_node.policy._inputs import RegionView, RequestView, TargetView
@@ -26,6 +24,7 @@
     LimitValues,
     RegionHosts,
 )
+from bronzepoint_node.policy._other_regions import OtherRegions
 from bronzepoint_node.policy._outputs import (
     Away,
     Home,
@@ -34,11 +33,9 @@
     TargetChoice,
 )
 from bronzepoint_node.policy._ramp import AwayRamp
-from bronzepoint_node.policy._refusals import no_target
+from bronzepoint_node.policy._refusals import no_region, no_target
 from bronzepoint_node.policy._retry_budget import RetryBudget, safe_to_retry
-from bronzepoint_node.policy._sent_away import SentAway
 from bronzepoint_node.policy._service_times import ServiceTimes
-from bronzepoint_node.policy._warm_prefixes import WarmPrefixes
 from bronzepoint_schema.generated.decisions import (
     Candidate,
     ExclusionReason,
@@ -54,6 +51,15 @@
 """Returns what is known of the entry in each region, this one included."""
 
 
+_LEAST_PATIENCE = 1.0
+_PATIENCE = 3.0
+"""Multiple of the expected time after which a forwarded request counts as lost. A cut
+link is silent: without this, requests that were sent over it before the region is seen
+to be unreachable would all hang until their deadlines."""
+_USABLE = (ExclusionReason.full, ExclusionReason.worse, ExclusionReason.tried)
+"""Exclusions of targets that do work, if not for this request."""
+
+
 class Ticket(Struct):
     """A request that has passed its limits.
 
@@ -62,6 +68,7 @@
         placed_at: monotonic seconds of the last placement.
         expected_wait: seconds in the target's own line expected at that moment.
         pool: targets that it waits for, or holds a slot of.
+        holds_slot: True from a placement at home until its try has ended.
     """
 
     request: RequestView
@@ -70,6 +77,7 @@
     placed_at: float = 0.0
     expected_wait: float = 0.0
     pool: Pool = frozenset()
+    holds_slot: bool = False
     notes: list[str] = field(default_factory=list)
 
 
@@ -78,7 +86,7 @@
 
     times: ServiceTimes
     ramp: AwayRamp
-    slots: int = 1
+    slots: float = 1.0
     pool: Pool = frozenset()
 
 
@@ -125,9 +133,7 @@
         if settings.choice is not PolicyChoice.policy:
             self._baseline = Baseline(settings.choice, region, self._rng)
         self._entries: dict[EntryName, _EntryState] = {}
-        self._backoffs: dict[tuple[EntryName, RegionName], RegionBackoff] = {}
-        self._sent = SentAway()
-        self._warm = WarmPrefixes()
+        self._others = OtherRegions(region, self._rng, metrics)
 
     async def start(self) -> None:
         """Begin to report demands to the holders of limits."""
@@ -198,24 +204,23 @@
         state = self._entry(request.entry)
         match placed:
             case Home(target):
+                if result is TryResult.timeout:
+                    # It took at least so long: the target is learned to be slow.
+                    first_token = now - ticket.placed_at
                 if first_token is not None:
                     cached = min(target.cached_tokens, request.prompt_tokens)
                     own = max(0.001, first_token - ticket.expected_wait)
                     uncached = request.prompt_tokens - cached
                     state.times.add_first_token(target.name, own, uncached, now)
                 if result is TryResult.answered:
-                    state.times.add_hold(now - ticket.placed_at)
+                    slowness = state.times.slowness(target.name, now)
+                    state.times.add_hold((now - ticket.placed_at) / slowness)
                     self._budget.answered(request.entry, self._region)
-                await self._admission.ended(ticket.pool, request.owner)
+                await self._free_slot(ticket)
             case Away(region):
-                backoff = self._backoff(request.entry, region)
                 if result is TryResult.answered:
-                    backoff.answered()
-                    self._warm.add(region, request.prefix_hashes, now)
                     self._budget.answered(request.entry, region)
-                else:
-                    backoff.refused(now, self._rng)
-                    self._metrics.incr("away.refused")
+                self._others.ended(request, region, result, now)
 
     def may_retry(
         self, ticket: Ticket, reason: RetryReason, region: RegionName | None = None
@@ -246,6 +251,13 @@
             tokens: Tokens that were generated.
         """
         self._limits.release(ticket.limits, tokens)
+        # A request that is cancelled during a try never reports the try's end.
+        await self._free_slot(ticket)
+
+    async def _free_slot(self, ticket: Ticket) -> None:
+        if ticket.holds_slot:
+            ticket.holds_slot = False
+            await self._admission.ended(ticket.pool, ticket.request.owner)
 
     def queued(self, entry: EntryName) -> int:
         """Return how many requests of an entry wait at this host."""
@@ -280,7 +292,9 @@
         if request.forwarded:
             return self._at_home(ticket, choice, ahead, [], "sent by its home region")
         here = self._here(ticket, ahead, state, choice, regions, views)
-        away, ruled_out = self._away(request, state, regions, now)
+        away, ruled_out = self._others.weigh(
+            request, regions, state.times, len(self._hosts().live), now
+        )
         decided = choose_region(
             request,
             left,
@@ -292,9 +306,18 @@
             now,
         )
         candidates = [*decided.candidates, *ruled_out]
-        if decided.region is None or decided.region == self._region:
+        if decided.region is None:
+            candidates += choice.candidates
+            if serves(request, self._region):
+                return no_target(request, candidates)
+            return no_region(request, candidates)
+        if decided.region == self._region:
             return self._at_home(ticket, choice, ahead, candidates, decided.reason)
-        return Away(decided.region, [*candidates, *choice.candidates], decided.reason)
+        candidates += choice.candidates
+        patience = max(_LEAST_PATIENCE, _PATIENCE * decided.expected)
+        if not request.idempotent:
+            patience = 0.0
+        return Away(decided.region, candidates, decided.reason, [], patience)
 
     def _at_home(
         self,
@@ -307,7 +330,8 @@
         candidates = [*regions, *choice.candidates]
         if choice.target is not None and ahead < 1:
             ticket.expected_wait = choice.wait
-            return Home(choice.target, candidates, f"{region_reason}; {choice.reason}")
+            reason = f"{region_reason}; {choice.reason}"
+            return Home(choice.target, candidates, reason)
         if choice.usable == 0:
             return no_target(ticket.request, candidates)
         return None
@@ -322,11 +346,10 @@
         views: list[TargetView],
     ) -> RegionTerms | None:
         request = ticket.request
-        allowed = request.allowed_regions
-        if choice.usable == 0 or (allowed is not None and self._region not in allowed):
+        if choice.usable == 0 or not serves(request, self._region):
             return None
         found = [view for view in regions if view.name == self._region]
-        view = found[0] if found else RegionView(self._region, slots=state.slots)
+        view = found[0] if found else RegionView(self._region, slots=round(state.slots))
         if choice.target is not None and ahead < 1:
             cost = choice.target.cost * state.times.hold
             return RegionTerms(view, choice.expected, cost)
@@ -335,51 +358,23 @@
         cost = min(target.cost for target in views) * state.times.hold
         return RegionTerms(view, delay, cost)
 
-    def _away(
-        self,
-        request: RequestView,
-        state: _EntryState,
-        regions: list[RegionView],
-        now: float,
-    ) -> tuple[list[RegionTerms], list[Candidate]]:
-        terms: list[RegionTerms] = []
-        ruled_out: list[Candidate] = []
-        hosts = len(self._hosts().live)
-        for view in regions:
-            if view.name == self._region:
-                continue
-            excluded = region_excluded(view, request, self._region)
-            if excluded is not None:
-                ruled_out.append(Candidate(view.name, view.name, excluded=excluded))
-                continue
-            backoff = self._backoffs.get((request.entry, view.name))
-            if backoff is not None and backoff.paused(now):
-                full = ExclusionReason.full
-                detail = "refused requests a moment ago"
-                candidate = Candidate(view.name, view.name, 0, full, detail)
-                ruled_out.append(candidate)
-                continue
-            sent = self._sent.since(request.entry, view.name, now - view.age)
-            warm = self._warm.warm_share(view.name, request.prefix_hashes, now)
-            terms.append(away_terms(view, request, state.times, sent * hosts, warm))
-        return terms, ruled_out
-
     def _count(self, ticket: Ticket, placed: Placement) -> None:
         request = ticket.request
         ticket.placed_at = time.monotonic()
         match placed:
             case Home():
+                ticket.holds_slot = True
                 self._admission.started(ticket.pool, request.owner)
                 self._metrics.incr("placed.home")
             case Away(region):
-                self._sent.add(request.entry, region, ticket.placed_at)
+                self._others.sent(request.entry, region, ticket.placed_at)
                 self._metrics.incr("placed.away")
             case Refused(kind):
                 self._metrics.incr(f"placed.refused.{kind}")
 
     def _drain(self, state: _EntryState) -> float:
         hosts = max(1, len(self._hosts().live))
-        return state.times.hold * hosts / max(1, state.slots)
+        return state.times.hold * hosts / state.slots
 
     def _service(self, ticket: Ticket) -> float:
         times = self._entry(ticket.request.entry).times
@@ -388,13 +383,19 @@
     def _note_slots(
         self, state: _EntryState, views: list[TargetView], choice: TargetChoice
     ) -> None:
-        if choice.usable:
-            usable = [
-                view.slots
-                for view, candidate in zip(views, choice.candidates, strict=True)
-                if candidate.score > 0 or candidate.excluded is None
-            ]
-            state.slots = max(1, sum(usable))
+        now = time.monotonic()
+        unusable = {
+            candidate.name
+            for candidate in choice.candidates
+            if candidate.excluded not in (None, *_USABLE)
+        }
+        slots = sum(
+            view.slots / state.times.slowness(view.name, now)
+            for view in views
+            if view.name not in unusable
+        )
+        if slots > 0:
+            state.slots = slots
 
     def _entry(self, entry: EntryName) -> _EntryState:
         state = self._entries.get(entry)
@@ -403,8 +404,5 @@
             state = self._entries[entry] = _EntryState(ServiceTimes(), ramp)
         return state
 
-    def _backoff(self, entry: EntryName, region: RegionName) -> RegionBackoff:
-        return self._backoffs.setdefault((entry, region), RegionBackoff())
-
 
 __all__ = ["Policy", "Regions", "Targets", "Ticket"]
--- a/packages/node/src/bronzepoint_node/policy/_refusals.py
+++ b/packages/node/src/bronzepoint_node/policy/_refusals.py
@@ -24,4 +24,22 @@
     )
 
 
-__all__ = ["no_target"]
+def no_region(request: RequestView, candidates: list[Candidate]) -> Refused:
+    """Return the refusal of a request whose allowed regions can't be reached."""
+    allowed = ", ".join(request.allowed_regions or [])
+    message = f"Residency allows only {allowed or 'no region'}, out of reach now."
+    remedy = (
+        f"Send it again after {_RETRY_NO_TARGET:.0f} s, or ask an operator for the "
+        f"residency of entry {request.entry!r}."
+    )
+    return Refused(
+        RefusalKind.region_unreachable,
+        message,
+        remedy,
+        _RETRY_NO_TARGET,
+        candidates,
+        "no allowed region can be reached",
+    )
+
+
+__all__ = ["no_region", "no_target"]
--- a/packages/node/src/bronzepoint_node/policy/_rendezvous.py
+++ b/packages/node/src/bronzepoint_node/policy/_rendezvous.py
@@ -1,22 +1,23 @@
-"""Choice of a host by hash, the same on every host that knows the same hosts."""
+"""Choice by hash, the same on every host that knows the same names."""
 
 from collections.abc import Iterable
+from typing import TypeVar
 
 from xxhash import xxh64_intdigest
 
-from bronzepoint_schema.ids import HostName
+Name = TypeVar("Name", bound=str)
 
 
-def ranked_hosts(key: str, hosts: Iterable[HostName]) -> list[HostName]:
-    """Return the hosts in the key's own order.
+def ranked(key: str, names: Iterable[Name]) -> list[Name]:
+    """Return the names in the key's own order.
 
-    A host that goes takes only its own keys along; the others stay where they are.
+    A name that goes takes only its own keys along; the others stay where they are.
     """
     return sorted(
-        hosts,
-        key=lambda host: (xxh64_intdigest(f"{key}\0{host}".encode()), host),
+        names,
+        key=lambda name: (xxh64_intdigest(f"{key}\0{name}".encode()), name),
         reverse=True,
     )
 
 
-__all__ = ["ranked_hosts"]
+__all__ = ["ranked"]
--- a/packages/node/src/bronzepoint_node/policy/_service_times.py
+++ b/packages/node/src/bronzepoint_node/policy/_service_times.py
@@ -1,12 +1,14 @@
 """How long requests of an entry take, and which of its targets are slow."""
 
+import math
+
 from msgspec import Struct, field
 
 from bronzepoint_schema.ids import TargetName
 
 _KEPT = 0.98
 """Weight that the older samples keep, at each new one."""
-_KEPT_BY_TARGET = 0.8
+_KEPT_BY_TARGET = 0.9
 _RIDGE = 1e-3
 _FIRST_BASE = 0.05
 _FIRST_HOLD = 1.0
@@ -14,6 +16,8 @@
 _HALF_LIFE = 20.0
 """Seconds in which half of a target's slowness is forgotten without new samples."""
 _SLOWEST = 50.0
+_NOISE = 2.0
+"""Ratio below which a target isn't taken to be slow."""
 
 
 class _TargetSpeed(Struct):
@@ -54,7 +58,9 @@
         if speed is None:
             return 1.0
         fastest = min(other.ratio for other in self.speeds.values())
-        ratio = max(1.0, speed.ratio / max(fastest, 1e-6))
+        ratio = speed.ratio / fastest
+        if ratio < _NOISE:
+            return 1.0
         faded = 0.5 ** ((now - speed.updated) / _HALF_LIFE)
         return min(_SLOWEST, 1.0 + (ratio - 1.0) * faded)
 
@@ -64,8 +70,11 @@
         """Take in one measured time to the first token, without the queue's part."""
         expected = max(1e-4, self.first_token(uncached))
         speed = self.speeds.setdefault(target, _TargetSpeed(updated=now))
-        ratio = min(_SLOWEST, seconds / expected)
-        speed.ratio = _KEPT_BY_TARGET * speed.ratio + (1 - _KEPT_BY_TARGET) * ratio
+        # By its logarithm: a prompt that was believed to be cached and isn't takes
+        # many times as long, and one such sample must not make a target look slow.
+        ratio = math.log(min(_SLOWEST, max(1 / _SLOWEST, seconds / expected)))
+        logarithm = _KEPT_BY_TARGET * math.log(speed.ratio)
+        speed.ratio = math.exp(logarithm + (1 - _KEPT_BY_TARGET) * ratio)
         speed.updated = now
         if self.slowness(target, now) < 1.5:
             self._fit(uncached, seconds)
