--- a/packages/node/src/bronzepoint_node/run_once/_copy.py
+++ b/packages/node/src/bronzepoint_node/run_once/_copy.py
@@ -168,6 +168,7 @@
         register.promised = message.following
         register.accepted = message.ballot
         register.state = message.state
+        self._metrics.incr("run_once.stored")
 
     def _refuse(
         self,
--- a/packages/node/src/bronzepoint_node/run_once/_copy_log.py
+++ b/packages/node/src/bronzepoint_node/run_once/_copy_log.py
@@ -23,6 +23,9 @@
 MIN_RECORDS_TO_COMPACT = 2000
 """Below this many records a log is not worth rewriting."""
 
+CLOSE_TIMEOUT = 2.0
+"""Seconds that a write in progress has to end when the log is closed."""
+
 _log = get_logger("run_once")
 
 
@@ -62,6 +65,7 @@
         self._compact_at = MIN_RECORDS_TO_COMPACT
         self._waiting: set[curio.Event] = set()
         self._failure: StorageFailed | None = None
+        self._closing = False
 
     @property
     def failed(self) -> bool:
@@ -95,6 +99,12 @@
     async def close(self) -> None:
         """Stop writing; what is pending was never answered."""
         if self._task is not None:
+            # A write in progress ends first: its thread can't be cancelled. A disk
+            # that hangs must not keep the process from ending.
+            self._closing = True
+            await self._wakeup.set()
+            async with curio.ignore_after(CLOSE_TIMEOUT):
+                await self._task.wait()
             await self._task.cancel()
             self._task = None
         if self._log is not None:
@@ -133,7 +143,7 @@
             raise self._failure
 
     async def _write_groups(self) -> None:
-        while True:
+        while not self._closing:
             await self._wakeup.wait()
             self._wakeup.clear()
             group, self._pending = self._pending, []
--- a/packages/node/src/bronzepoint_node/run_once/_knowledge.py
+++ b/packages/node/src/bronzepoint_node/run_once/_knowledge.py
@@ -60,15 +60,23 @@
         self.floor = 0
         self.seen: dict[HostName, int] = {}
         self.heard: dict[HostName, Heard] = {}
+        self._all_read = False
         self._majority_heard = False
         self._newcomer = False
         self._switched: dict[int, int] = {}
 
+    @property
+    def recovered(self) -> bool:
+        """Whether this copy knows all that the others can tell it."""
+        alone = len(self._owners.hosts) == 1
+        return self.floor == 0 or self._all_read or alone
+
     def forget(self, incarnation: int) -> None:
         """Begin a life without memory."""
         self.incarnation = incarnation
         self.floor = self._window.floor()
         self.heard.clear()
+        self._all_read = False
         self._newcomer = False
         self._switched.clear()
 
@@ -127,8 +135,9 @@
         # count it yet. More than half of the region can't all be as new as it is.
         self._majority_heard |= len(agreeing) + 1 >= needed
         self._newcomer |= self.floor > 0 and heard.reader_since > 0
-        if not self.has_read_all():
+        if not self._has_read_all():
             return False
+        self._all_read = True
         switched = max(self._window.switched(said.since) for said in agreeing)
         self._switched = {self._owners.fingerprint: switched}
         return self._lower_floor(switched, max(said.floor for said in agreeing))
@@ -143,8 +152,14 @@
         return self.floor < before
 
     def must_read(self, host: HostName) -> bool:
-        """Tell whether another host was not read yet, or not since it changed."""
-        return not self._agrees(host)
+        """Tell whether another host was not read yet, or not since it changed.
+
+        Once all were read, one that restarts without memory has nothing to tell.
+        """
+        heard = self.heard.get(host)
+        if heard is None or heard.hosts != self._owners.fingerprint:
+            return True
+        return not self._all_read and not self._agrees(host)
 
     def may_gain(self, host: HostName) -> bool:
         """Tell whether another host, itself without memory then, may know more now."""
@@ -154,7 +169,7 @@
         """Return the key time (ms) above which a reader may rely on this copy."""
         return max(self.floor, self._window.switched(self._owners.since))
 
-    def has_read_all(self) -> bool:
+    def _has_read_all(self) -> bool:
         """Tell whether every other host of the region was read in its present life."""
         return all(
             host == self._name or self._agrees(host) for host in self._owners.hosts
--- a/packages/node/src/bronzepoint_node/run_once/_proposer.py
+++ b/packages/node/src/bronzepoint_node/run_once/_proposer.py
@@ -172,7 +172,7 @@
 
     def _silence(self, current: Round) -> str:
         self._metrics.incr("run_once.round.timeout")
-        silent = ", ".join(current.missing())
+        silent = ", ".join(sorted(current.missing()))
         return f"no vote in time from {silent}"
 
 
--- a/packages/node/src/bronzepoint_node/run_once/_run_once.py
+++ b/packages/node/src/bronzepoint_node/run_once/_run_once.py
@@ -35,6 +35,11 @@
 from bronzepoint_schema.generated.settings import RunOnceSection
 from bronzepoint_schema.ids import HostName, IdempotencyKey, RequestId
 
+CALL_TIMEOUT = 1.0
+"""Seconds that another host has to tell of its attempt, or to give a page.
+
+A round waits for the fastest majority, but such a call for one host, which may be gone:
+it must be short also where the settings give rounds a long time."""
 EXPIRY_INTERVAL = 1.0
 """Seconds between two rounds of dropping expired registers."""
 
@@ -108,6 +113,7 @@
             metrics,
         )
         self._background = Background()
+        self._call_timeout = min(CALL_TIMEOUT, section.timeout)
 
     async def start(self) -> None:
         """Read the log, begin to vote and, where memory was lost, to recover it.
@@ -141,7 +147,7 @@
     @property
     def recovered(self) -> bool:
         """Whether this host knows all that the others can tell it."""
-        return self._knowledge.floor == 0 or self._knowledge.has_read_all()
+        return self._knowledge.recovered
 
     @property
     def registers(self) -> int:
@@ -222,7 +228,7 @@
                 other.host,
                 Area.RUN_ONCE,
                 messages.Ask(other.attempt),
-                self._section.timeout,
+                self._call_timeout,
             )
         except PeerError:
             self._metrics.incr("run_once.ask.silent")
@@ -237,9 +243,7 @@
             self._peers.post(host, Area.RUN_ONCE, message)
 
     async def _read(self, host: HostName, message: messages.Read) -> messages.Page:
-        return await self._peers.call(
-            host, Area.RUN_ONCE, message, self._section.timeout
-        )
+        return await self._peers.call(host, Area.RUN_ONCE, message, self._call_timeout)
 
     async def _handle(
         self, sender: HostName, message: RunOnceMessage
