Name the key and the remedy where an address can't be listened on

Cause: with [listen] peer in use the daemon ended with a traceback, and with [listen] http in use by a line that named no address (two failing rows of test_settings_daemon, written first). Ruled out: a check of the address before the parts start, which another process can overtake. Change: AddressUnusable with key, address, reason and remedy, raised from the error of the system; the daemon's start is one short function a step. Conclusion: each way in which a daemon can't start is one line now.

--- a/packages/node/src/bronzepoint_node/__main__.py
+++ b/packages/node/src/bronzepoint_node/__main__.py
@@ -11,6 +11,7 @@
 from bronzepoint_common.settings import SettingsErrorGroup, load_settings
 from bronzepoint_common.storage import StorageError
 from bronzepoint_node._daemon import run_daemon
+from bronzepoint_node._listening import AddressUnusable
 
 EXIT_SETTINGS = 2
 EXIT_START = 1
@@ -35,7 +36,7 @@
     try:
         setup_logs(cfg.log, cfg.host.name)
         curio.run(run_daemon, cfg)
-    except (OSError, StorageError, LogFileError) as exc:
+    except (AddressUnusable, OSError, StorageError, LogFileError) as exc:
         print(exc, file=sys.stderr)
         raise typer.Exit(EXIT_START) from None
 
--- a/packages/node/src/bronzepoint_node/_daemon.py
+++ b/packages/node/src/bronzepoint_node/_daemon.py
@@ -12,6 +12,7 @@
 from bronzepoint_common.settings import cluster_key
 from bronzepoint_common.signals import SignalWaiter
 from bronzepoint_common.tokens import Tokens
+from bronzepoint_node._listening import listening
 from bronzepoint_node._load_publisher import LoadPublisher
 from bronzepoint_node.agreement import Agreement
 from bronzepoint_node.catalogue import Catalogue
@@ -105,8 +106,6 @@
         )
         self._gateway = Gateway(settings, self._collaborators())
         self._parts: list[Part] = [
-            self._metrics,
-            self._peers,
             self._membership,
             self._catalogue,
             self._agreement,
@@ -132,10 +131,14 @@
             AddressUnusable: An address of [listen] can't be listened on.
             StorageCorrupt, StorageInUse: The data folder can't be used.
         """
+        listen = self._settings.listen
+        await self._start_part(self._metrics)
+        with listening("peer", listen.peer):
+            await self._start_part(self._peers)
         for part in self._parts:
-            await part.start()
-            self._started.append(part)
-        await self._server.start(self._settings.listen.http)
+            await self._start_part(part)
+        with listening("http", listen.http):
+            await self._server.start(listen.http)
         _log.info("started", http=self._server.address)
 
     async def close(self) -> None:
@@ -172,6 +175,10 @@
         if errors:
             raise ExceptionGroup("some parts could not be closed", errors)
 
+    async def _start_part(self, part: Part) -> None:
+        await part.start()
+        self._started.append(part)
+
     def _collaborators(self) -> Collaborators:
         return Collaborators(
             catalogue=self._catalogue.view,
