--- a/packages/emulator/src/bronzepoint_emulator/slopes/_spread_hosts.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/_spread_hosts.py
@@ -43,7 +43,7 @@
         settings: The host's settings.
         metrics: Counters.
         regions: Region of each host.
-        trip: Seconds of a one-way trip between regions.
+        trip: Seconds that a message takes between regions.
     """
 
     def __init__(
@@ -116,7 +116,7 @@
     Args:
         hosts: How many.
         regions: Over how many regions.
-        trip: Seconds of a one-way trip between regions.
+        trip: Seconds that a message takes between regions.
         folder: Where voters keep their state.
     """
 
--- a/packages/node/src/bronzepoint_node/agreement/_leadership.py
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -173,8 +173,8 @@
     async def _give_up_without_quorum(self) -> None:
         """Stop where no quorum has answered for an election timeout.
 
-        A leader cut off in silence would go on taking changes that it can't commit;
-        its callers would wait for an outcome instead of asking elsewhere.
+        A leader whose messages are swallowed would go on taking changes that it can't
+        commit; its callers would wait for an outcome instead of asking elsewhere.
         """
         contact = max(self._quorum_contact(), self._began)
         if monotonic() - contact > self._voter.section.election_timeout:
--- a/tests/test_agreement_changes.py
+++ b/tests/test_agreement_changes.py
@@ -8,7 +8,7 @@
 from bronzepoint_node.agreement import Conflict, Invalid, NotLeader
 from bronzepoint_schema.generated.agreement import Put
 from bronzepoint_schema.generated.catalogue import OwnerItem
-from tests.agreement_cluster import make_change, run, until
+from tests._agreement_cluster import make_change, run, until
 
 THREE = "bkk1 sgp1 cnx1"
 
--- a/tests/test_agreement_machine.py
+++ b/tests/test_agreement_machine.py
@@ -28,7 +28,7 @@
     Voter,
 )
 from bronzepoint_schema.generated.catalogue import ModelEntry, OwnerItem, Target
-from tests.agreement_cluster import make_change, remove_owner
+from tests._agreement_cluster import make_change, remove_owner
 
 
 class TestMachine(unittest.TestCase):
--- a/tests/test_agreement_repair.py
+++ b/tests/test_agreement_repair.py
@@ -10,7 +10,7 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_node.agreement import InitialiseRefused
 from bronzepoint_schema.generated.agreement import SnapshotInstall, VoteRequest
-from tests.agreement_cluster import run, until
+from tests._agreement_cluster import run, until
 
 THREE = "bkk1 sgp1 cnx1"
 
--- a/tests/test_agreement_spread.py
+++ b/tests/test_agreement_spread.py
@@ -10,7 +10,7 @@
 from bronzepoint_common.storage import StorageFailed
 from bronzepoint_node.catalogue._exposure import PATIENCE, Exposure
 from bronzepoint_node.catalogue._tree import parents
-from tests.agreement_cluster import Cluster, remove_owner, run, until
+from tests._agreement_cluster import Cluster, remove_owner, run, until
 
 THREE = "bkk1 sgp1 cnx1"
 OTHERS = "bkk2 sgp2 cnx2 ist1 ist2"
--- a/tests/test_agreement_validation.py
+++ b/tests/test_agreement_validation.py
@@ -16,7 +16,7 @@
     ServiceEntry,
     Target,
 )
-from tests.agreement_cluster import make_change
+from tests._agreement_cluster import make_change
 
 
 def target(name="t1", region="bkk", address="127.0.0.1:8000"):
--- a/tests/test_agreement_voting.py
+++ b/tests/test_agreement_voting.py
@@ -9,7 +9,7 @@
 from bronzepoint_common.peers import Area
 from bronzepoint_node.agreement import NoQuorum, NotLeader, SettingsUnsafe
 from bronzepoint_schema.generated.agreement import VoteRequest
-from tests.agreement_cluster import Cluster, run, until
+from tests._agreement_cluster import Cluster, run, until
 
 THREE = "bkk1 sgp1 cnx1"
 FIVE = "bkk1 bkk2 sgp1 sgp2 cnx1"
