Pack records, abridge their copies, and send the first one at once

Taken: fields by position and times as steps of 0.1 ms (145 bytes), copies that keep the choice and two more candidates (82), gathered for 1 s under load; after a quiet interval a copy leaves at once.

--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/_decisions_host.py
@@ -0,0 +1,232 @@
+"""The measured host of the decisions' slopes, in a process of its own.
+
+``python -m bronzepoint_emulator.slopes._decisions_host PLAN``: records at a rate, and
+keeps the copies that the other host sends, for the time that the JSON file PLAN says.
+"""
+
+import random
+import resource
+import sys
+import time
+from pathlib import Path
+
+import curio
+import msgspec
+from msgspec import Struct
+
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.peers import Area, Peers
+from bronzepoint_node.decisions import Decisions
+from bronzepoint_node.membership import HostInfo, HostState
+from bronzepoint_schema.generated.decisions import (
+    Candidate,
+    DecisionRecord,
+    ExclusionReason,
+    Outcome,
+    Try,
+    TryResult,
+)
+from bronzepoint_schema.generated.settings import DecisionsSection, HostSection
+from bronzepoint_schema.ids import DataCenterName, HostName, RegionName, RequestId
+
+KEY = bytes(32)
+REGION = RegionName("bkk")
+DATA_CENTER = DataCenterName("bkk-a")
+CANDIDATES = 8
+"""Regions and targets in one record; a deployment of six engines shows five."""
+TICK = 0.05
+"""Seconds between two bursts of records."""
+HELD_BATCH = 11
+"""Records of one copy at 22 requests a second, two copies a second."""
+LOOKUPS = 200
+
+
+class DecisionsPlan(Struct):
+    """One measurement of two hosts that back each other up.
+
+    Attributes:
+        name: The host that reads this plan.
+        addresses: Peer address of each host.
+        rate: Records a second on each host.
+        seconds: For which it counts.
+        held: Records put into the store before it counts.
+    """
+
+    name: str
+    addresses: dict[str, str]
+    rate: float
+    seconds: float
+    held: int = 0
+
+
+class DecisionsFigures(Struct):
+    """What the host spent, a second, and what it holds.
+
+    Attributes:
+        rate: Records a second that were made.
+        messages: Control messages sent a second; as many are received.
+        sent_bytes: Payload of these a second.
+        processor_ms: Processor time a second.
+        memory_mb: Resident memory at the end.
+        store_bytes: What the store counts for own records and copies.
+        records: Own records held.
+        find_ms: Time to find one record in the store.
+    """
+
+    rate: float
+    messages: float
+    sent_bytes: float
+    processor_ms: float
+    memory_mb: float
+    store_bytes: int
+    records: int
+    find_ms: float
+
+
+class CountingPeers(Peers):
+    """Counts the messages that are posted, and their bytes."""
+
+    messages = 0
+    sent_bytes = 0
+
+    def post(self, peer: HostName, area: Area, message: object) -> bool:
+        """Post, and count the payload."""
+        self.messages += 1
+        self.sent_bytes += len(msgspec.msgpack.encode(message))
+        return super().post(peer, area, message)
+
+
+class TwoHosts:
+    """A membership of the two hosts, both live."""
+
+    def __init__(self, names: list[str]) -> None:
+        self._hosts = {
+            HostName(name): HostInfo(
+                HostName(name), REGION, DATA_CENTER, "", HostState.live
+            )
+            for name in names
+        }
+
+    def hosts(self, region: RegionName | None = None) -> list[HostInfo]:
+        """Return both hosts."""
+        return list(self._hosts.values())
+
+    def host(self, name: HostName) -> HostInfo | None:
+        """Return one host."""
+        return self._hosts.get(name)
+
+
+def make_record(request_id: RequestId, host: str, rng: random.Random) -> DecisionRecord:
+    """Return a record as large as a model call's, with terms that vary."""
+    candidates = [
+        Candidate(
+            f"{REGION}-engine-{number}",
+            REGION,
+            round(rng.random(), 4),
+            ExclusionReason.worse if number else None,
+            f"load {rng.random():.1f}, wait {rng.random():.3f} s, first token "
+            f"{rng.random():.3f} s, cost 1.00",
+        )
+        for number in range(CANDIDATES)
+    ]
+    began = rng.random()
+    attempt = Try(
+        f"{REGION}-engine-0", REGION, began, TryResult.answered, began + rng.random()
+    )
+    return DecisionRecord(
+        request_id,
+        HostName(host),
+        REGION,
+        time.time(),
+        caller=f"caller-{rng.randrange(3000)}",
+        owner=f"owner-{rng.randrange(3000)}",
+        entry=f"entry-{rng.randrange(4)}",
+        revision=13000,
+        home=REGION,
+        candidates=candidates,
+        choice=f"{REGION}-engine-0",
+        reason="least expected loss at home; 2 within the margin, drawn at random",
+        tries=[attempt],
+        outcome=Outcome.answered,
+        status=200,
+        duration=rng.random(),
+    )
+
+
+async def run(plan: DecisionsPlan) -> DecisionsFigures:
+    """Run the host and return what it spent."""
+    rng = random.Random(plan.name)
+    peers = CountingPeers(
+        HostName(plan.name), plan.addresses[plan.name], KEY, Metrics()
+    )
+    for other, address in plan.addresses.items():
+        peers.set_address(HostName(other), address)
+    host = HostSection(HostName(plan.name), REGION, DATA_CENTER)
+    cfg = DecisionsSection(own_bytes=64_000_000, copy_bytes=64_000_000)
+    decisions = Decisions(host, peers, TwoHosts(list(plan.addresses)), Metrics(), cfg)
+    await peers.start()
+    await decisions.start()
+    await hold(decisions, plan, rng)
+    prepared = [
+        make_record(decisions.new_request_id(), plan.name, rng)
+        for _ in range(round(plan.rate * plan.seconds))
+    ]
+    await curio.sleep(1.0)
+    figures = await count(decisions, peers, plan, prepared)
+    await curio.sleep(1.0)
+    await peers.close()
+    return figures
+
+
+async def hold(decisions: Decisions, plan: DecisionsPlan, rng: random.Random) -> None:
+    """Fill the store to what is asked, in batches as they come in operation."""
+    for number in range(plan.held):
+        request_id = decisions.new_request_id()
+        decisions._store.add(make_record(request_id, plan.name, rng))
+        if number % HELD_BATCH == HELD_BATCH - 1:
+            decisions._store.seal_pending()
+
+
+async def count(
+    decisions: Decisions,
+    peers: CountingPeers,
+    plan: DecisionsPlan,
+    prepared: list[DecisionRecord],
+) -> DecisionsFigures:
+    """Record at the rate, and count."""
+    store = decisions._store
+    messages, sent = peers.messages, peers.sent_bytes
+    processor, began = time.process_time(), time.monotonic()
+    done = 0
+    while (spent := time.monotonic() - began) < plan.seconds:
+        due = min(len(prepared), round(plan.rate * spent))
+        for record in prepared[done:due]:
+            await decisions.record(record)
+        done = due
+        await curio.sleep(TICK)
+    processor = time.process_time() - processor
+    wanted = prepared[0].request_id if prepared else decisions.new_request_id()
+    looked = time.process_time()
+    for _ in range(LOOKUPS):
+        store.find(wanted)
+    looked = time.process_time() - looked
+    return DecisionsFigures(
+        rate=done / spent,
+        messages=(peers.messages - messages) / spent,
+        sent_bytes=(peers.sent_bytes - sent) / spent,
+        processor_ms=processor * 1000 / spent,
+        memory_mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
+        store_bytes=store.own.size + store.copies.size,
+        records=store.own.records,
+        find_ms=looked * 1000 / LOOKUPS,
+    )
+
+
+def main() -> None:
+    """Print the figures as one JSON line."""
+    plan = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=DecisionsPlan)
+    print(msgspec.json.encode(curio.run(run, plan)).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/node/src/bronzepoint_node/decisions/_backups.py
+++ b/packages/node/src/bronzepoint_node/decisions/_backups.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Protocol
 
-from bronzepoint_node.membership import rendezvous_order
+from bronzepoint_common.rendezvous import rendezvous_order
 from bronzepoint_schema.generated.settings import HostSection
 from bronzepoint_schema.ids import DataCenterName, HostName, RegionName
 
--- a/packages/node/src/bronzepoint_node/decisions/_copies.py
+++ b/packages/node/src/bronzepoint_node/decisions/_copies.py
@@ -3,7 +3,7 @@
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area, Peers
 from bronzepoint_node.decisions._backups import HostsView, choose_backups
-from bronzepoint_node.decisions._segment import Segment
+from bronzepoint_node.decisions._store import CopyBatch
 from bronzepoint_schema.generated.decision_records import CopySegment
 from bronzepoint_schema.generated.settings import HostSection
 from bronzepoint_schema.ids import HostName
@@ -13,7 +13,7 @@
 
 
 class CopySender:
-    """Sends each sealed segment to one backup host.
+    """Sends each batch to one backup host.
 
     A copy is posted, not acknowledged: it is lost only if the backup dies before
     others notice, and it matters only if this host dies too within the time for which
@@ -28,15 +28,16 @@
         self._hosts = hosts
         self._metrics = metrics
 
-    def send(self, segment: Segment, slot: int) -> HostName | None:
-        """Post a segment whose records all belong to one slot.
+    def send(self, batch: CopyBatch) -> HostName | None:
+        """Post a batch.
 
         Returns:
             The host that it was posted to, None where no host takes it.
         """
+        segment = batch.segment
         message = CopySegment(keys=segment.keys.tolist(), packed=segment.packed)
         hosts = self._hosts.hosts(self._recorder.region)
-        backups = choose_backups(hosts, self._recorder, slot)
+        backups = choose_backups(hosts, self._recorder, batch.slot)
         for backup in backups[:BACKUPS_TRIED]:
             if self._peers.post(backup.name, Area.DECISIONS, message):
                 self._metrics.incr("decisions.copied", len(segment.keys))
--- a/packages/node/src/bronzepoint_node/decisions/_decisions.py
+++ b/packages/node/src/bronzepoint_node/decisions/_decisions.py
@@ -1,5 +1,6 @@
 """This host's part in keeping decisions that can be asked for afterwards."""
 
+import math
 import time
 from typing import Any
 
@@ -51,6 +52,7 @@
         self._lookup = Lookup(
             host.name, self._store, peers, hosts, metrics, self._cfg.timeout
         )
+        self._copied_at = -math.inf
         self._task: curio.Task | None = None
 
     async def start(self) -> None:
@@ -85,11 +87,14 @@
         """Keep a record as it is now; the newest one of a request counts.
 
         This never waits for the network: a request must not be slower because its
-        record travels.
+        record travels. After a quiet interval the copy leaves at once; under load
+        records are gathered, and a host that is killed takes those of the present
+        interval along.
         """
         self._store.add(record)
         self._metrics.incr("decisions.recorded")
-        if self._store.batch_full:
+        quiet_for = time.monotonic() - self._copied_at
+        if self._store.batch_full or quiet_for >= self._cfg.copy_interval:
             self._copy_pending()
 
     async def why(self, request_id: RequestId) -> WhyAnswer:
@@ -122,8 +127,10 @@
     def _copy_pending(self) -> set[HostName]:
         """Seal and send the batch; return the hosts it was posted to."""
         backups = set()
-        for slot, segment in self._store.seal_pending():
-            backup = self._sender.send(segment, slot)
+        if self._store.has_pending:
+            self._copied_at = time.monotonic()
+        for batch in self._store.seal_pending():
+            backup = self._sender.send(batch)
             if backup is not None:
                 backups.add(backup)
         return backups
--- a/packages/node/src/bronzepoint_node/decisions/_lookup.py
+++ b/packages/node/src/bronzepoint_node/decisions/_lookup.py
@@ -10,8 +10,8 @@
 from bronzepoint_node.decisions._backups import STATE_DEAD, HostsView, backup_order
 from bronzepoint_node.decisions._copies import BACKUPS_TRIED
 from bronzepoint_node.decisions._errors import RecordNotFound, RecordUnreachable
+from bronzepoint_node.decisions._packed import unpack_record
 from bronzepoint_node.decisions._request_id import parse_request_id
-from bronzepoint_node.decisions._segment import decode_record
 from bronzepoint_node.decisions._store import RecordStore
 from bronzepoint_schema.generated.decision_records import FindRecords, FoundRecords
 from bronzepoint_schema.generated.decisions import (
@@ -166,8 +166,8 @@
         for reply in group.results:
             if reply.found is None:
                 continue
-            for encoded in reply.found.records:
-                _keep_newest(search.records, decode_record(encoded), request_id)
+            for packed in reply.found.records:
+                _keep_newest(search.records, unpack_record(packed), request_id)
 
     async def _ask(self, host: HostName, request_id: RequestId) -> _Reply:
         self._metrics.incr("decisions.asked")
--- a/packages/node/src/bronzepoint_node/decisions/_ring.py
+++ b/packages/node/src/bronzepoint_node/decisions/_ring.py
@@ -56,7 +56,7 @@
             self._drop_oldest()
 
     def find(self, key: int) -> list[bytes]:
-        """Return the encoded records with this key, oldest first."""
+        """Return the packed records with this key, oldest first."""
         found: list[bytes] = []
         for segment in self._segments:
             found += segment.find(key)
--- a/packages/node/src/bronzepoint_node/decisions/_segment.py
+++ b/packages/node/src/bronzepoint_node/decisions/_segment.py
@@ -13,17 +13,15 @@
 from xxhash import xxh64_intdigest
 
 from bronzepoint_schema.generated.decision_records import CopySegment
-from bronzepoint_schema.generated.decisions import DecisionRecord
 from bronzepoint_schema.ids import RequestId
 
-_COMPRESSION_LEVEL = 1
+_COMPRESSION_LEVEL = 6
 _OVERHEAD_BYTES = 300
 """Memory of the objects around the packed bytes, measured with sys.getsizeof."""
 _KEY_BYTES = 8
 
 _encoder = msgspec.msgpack.Encoder()
 _frames = msgspec.msgpack.Decoder(list[msgspec.Raw])
-_records = msgspec.msgpack.Decoder(DecisionRecord)
 
 
 def record_key(request_id: RequestId) -> int:
@@ -31,16 +29,6 @@
     return xxh64_intdigest(request_id.encode())
 
 
-def encode_record(record: DecisionRecord) -> bytes:
-    """Return a record in MessagePack."""
-    return _encoder.encode(record)
-
-
-def decode_record(encoded: bytes) -> DecisionRecord:
-    """Return the record of its MessagePack form."""
-    return _records.decode(encoded)
-
-
 @dataclass(slots=True)
 class Segment:
     """A sealed batch.
@@ -61,23 +49,21 @@
         return len(self.packed) + len(self.keys) * _KEY_BYTES + _OVERHEAD_BYTES
 
     def find(self, key: int) -> list[bytes]:
-        """Return the encoded records with this key, oldest first."""
+        """Return the packed records with this key, oldest first."""
         if key not in self.keys:
             return []
         frames = _frames.decode(zlib.decompress(self.packed))
         return [
             bytes(frame)
-            for own_key, frame in zip(self.keys, frames, strict=True)
-            if own_key == key
+            for frame_key, frame in zip(self.keys, frames, strict=True)
+            if frame_key == key
         ]
 
 
-def seal(entries: list[tuple[int, bytes]], now: float) -> Segment:
-    """Pack records, each with its key, into one segment."""
-    keys = array("Q", [key for key, _ in entries])
-    frames = [msgspec.Raw(encoded) for _, encoded in entries]
-    packed = zlib.compress(_encoder.encode(frames), _COMPRESSION_LEVEL)
-    return Segment(keys, packed, now)
+def seal(keys: list[int], records: list[bytes], now: float) -> Segment:
+    """Make one segment of packed records, each with its key."""
+    frames = _encoder.encode([msgspec.Raw(record) for record in records])
+    return Segment(array("Q", keys), zlib.compress(frames, _COMPRESSION_LEVEL), now)
 
 
 def segment_of_copy(message: CopySegment, now: float) -> Segment:
--- a/packages/node/src/bronzepoint_node/decisions/_store.py
+++ b/packages/node/src/bronzepoint_node/decisions/_store.py
@@ -3,14 +3,11 @@
 import time
 from dataclasses import dataclass
 
+from bronzepoint_node.decisions._abridged import abridge
+from bronzepoint_node.decisions._packed import pack_record
 from bronzepoint_node.decisions._request_id import parse_request_id
 from bronzepoint_node.decisions._ring import SegmentRing
-from bronzepoint_node.decisions._segment import (
-    Segment,
-    encode_record,
-    record_key,
-    seal,
-)
+from bronzepoint_node.decisions._segment import Segment, record_key, seal
 from bronzepoint_schema.generated.decisions import DecisionRecord
 from bronzepoint_schema.generated.settings import DecisionsSection
 from bronzepoint_schema.ids import HostName, RequestId
@@ -21,9 +18,17 @@
 
 @dataclass(slots=True)
 class _Pending:
-    slot: int
     key: int
-    encoded: bytes
+    whole: bytes
+    copy: bytes
+
+
+@dataclass(slots=True)
+class CopyBatch:
+    """Records of one slot, abridged, for the backup host."""
+
+    slot: int
+    segment: Segment
 
 
 class RecordStore:
@@ -38,9 +43,14 @@
         self._host = host
         self.own = SegmentRing(cfg.own_bytes, cfg.keep)
         self.copies = SegmentRing(cfg.copy_bytes, cfg.keep)
-        self._pending: list[_Pending] = []
+        self._pending: dict[int, list[_Pending]] = {}
         self._pending_bytes = 0
 
+    @property
+    def has_pending(self) -> bool:
+        """True where records wait to be sealed."""
+        return bool(self._pending)
+
     @property
     def batch_full(self) -> bool:
         """True where the batch should be sealed before its time."""
@@ -48,23 +58,26 @@
 
     def add(self, record: DecisionRecord) -> None:
         """Add a record as it is now; later changes to the object don't reach it."""
-        encoded = encode_record(record)
         slot = parse_request_id(record.request_id).slot
-        self._pending.append(_Pending(slot, record_key(record.request_id), encoded))
-        self._pending_bytes += len(encoded)
-
-    def seal_pending(self) -> list[tuple[int, Segment]]:
-        """Seal what came since the last time; one segment for each slot."""
-        by_slot: dict[int, list[tuple[int, bytes]]] = {}
-        for entry in self._pending:
-            by_slot.setdefault(entry.slot, []).append((entry.key, entry.encoded))
-        self._pending = []
-        self._pending_bytes = 0
+        whole = pack_record(record)
+        shorter = abridge(record)
+        copy = whole if shorter is record else pack_record(shorter)
+        entry = _Pending(record_key(record.request_id), whole, copy)
+        self._pending.setdefault(slot, []).append(entry)
+        self._pending_bytes += len(whole)
+
+    def seal_pending(self) -> list[CopyBatch]:
+        """Seal what came since the last time; return what is to be copied."""
+        batches = []
         now = time.monotonic()
-        sealed = [(slot, seal(entries, now)) for slot, entries in by_slot.items()]
-        for _, segment in sealed:
-            self.own.add(segment)
-        return sealed
+        for slot, entries in self._pending.items():
+            keys = [entry.key for entry in entries]
+            self.own.add(seal(keys, [entry.whole for entry in entries], now))
+            copy = seal(keys, [entry.copy for entry in entries], now)
+            batches.append(CopyBatch(slot, copy))
+        self._pending = {}
+        self._pending_bytes = 0
+        return batches
 
     def expire(self) -> None:
         """Drop what has reached its age."""
@@ -73,9 +86,11 @@
         self.copies.expire(now)
 
     def find(self, request_id: RequestId) -> list[bytes]:
-        """Return the encoded records of one id, oldest first, copies before own."""
+        """Return the packed records of one id, oldest first, copies before own."""
         key = record_key(request_id)
-        pending = [entry.encoded for entry in self._pending if entry.key == key]
+        slot = parse_request_id(request_id).slot
+        entries = self._pending.get(slot, [])
+        pending = [entry.whole for entry in entries if entry.key == key]
         return self.copies.find(key) + self.own.find(key) + pending
 
     def kept_since(self, recorder: HostName) -> float:
--- a/tests/test_decisions_lookup.py
+++ b/tests/test_decisions_lookup.py
@@ -261,6 +261,25 @@
 
         curio.run(main)
 
+    def test_copy_leaves_at_once_after_a_quiet_interval(self):
+        """Symptom: a host is killed right after a request, and nobody knows why.
+
+        Sequence: one request in a quiet time, then the kill. Cause: copies were sent
+        only when the interval had passed. Later ones of the interval are gathered.
+        """
+
+        async def main():
+            slow = DecisionsSection(copy_interval=600.0, timeout=5.0)
+            async with site(slow) as hosts:
+                first = await recorded(hosts.decisions["bkk-1"])
+                await hosts.wait_for_copy(first)
+                for _ in range(3):
+                    await recorded(hosts.decisions["bkk-1"])
+                counters = hosts.decisions["bkk-1"]._metrics.counters()
+                self.assertEqual(counters["decisions.copied"], 1)
+
+        curio.run(main)
+
     def test_last_records_survive_a_clean_shutdown(self):
         """Symptom: the newest records of a restarted host are missing.
 
@@ -271,6 +290,7 @@
         async def main():
             slow = DecisionsSection(copy_interval=600.0, timeout=5.0)
             async with site(slow) as hosts:
+                await recorded(hosts.decisions["bkk-1"])
                 request_id = await recorded(hosts.decisions["bkk-1"])
                 await hosts.decisions["bkk-1"].close()
                 await hosts.peers["bkk-1"].close()
--- a/tests/test_decisions_ring.py
+++ b/tests/test_decisions_ring.py
@@ -29,7 +29,7 @@
 def segment(key, now, size=2000):
     # Random-looking text, so that packing does not make the sizes meaningless.
     text = "".join(chr(33 + (key * 7919 + i * i * 31) % 90) for i in range(size))
-    return seal([(key, b"\xda" + size.to_bytes(2, "big") + text.encode())], now)
+    return seal([key], [b"\xda" + size.to_bytes(2, "big") + text.encode()], now)
 
 
 class RingTest(unittest.TestCase):
