Fuzz the port for control messages

Cause: control messages now come over connections that we frame ourselves, and nothing had sent bytes to that port that no host would send. Weighed and ruled out: feeding the buffer of frames alone (what matters is that the port still serves its peers afterwards). Change: tests/test_fuzz_wire.py sends random bytes, lengths and half frames, then has another host call and waits for the answer. Conclusion: bytes from strangers neither end the reader of other peers nor the process.

--- a/tests/test_fuzz_wire.py
+++ b/tests/test_fuzz_wire.py
@@ -4,11 +4,15 @@
 import socket
 import unittest
 
+import curio
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bronzepoint_cli._event_stream import EventStream
 from bronzepoint_common.http import Request
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.peers import Area, Peers
 from bronzepoint_common.peers._errors import FrameRejected
 from bronzepoint_common.peers._frame import decode_frame, encode_frame
 from bronzepoint_node.decisions import BadRequestId
@@ -23,6 +27,7 @@
 from bronzepoint_schema.generated.peers import Envelope, FrameKind
 from tests._fake_host import FakeHost, Reply
 from tests._fuzzing import fuzz
+from tests.test_peers import free_address
 
 KEY = bytes(32)
 HEADERS = st.dictionaries(
@@ -67,6 +72,15 @@
         b"\x00\xff",
     ]
 )
+PEER_PARTS = st.sampled_from(
+    [
+        b"\x00\x00\x00\x00",
+        b"\x00\x00\x00\x05hello",
+        b"\xff\xff\xff\xff",
+        b"\x00\x10\x00\x00",
+        b"GET / HTTP/1.1\r\n\r\n",
+    ]
+)
 SOCKET_TIMEOUT = 30
 """Seconds after which a server that neither answers nor hangs up counts as hung."""
 
@@ -157,6 +171,53 @@
         self.assertEqual(found, [text for text in data if text])
 
 
+class Ping(msgspec.Struct, tag="ping"):
+    """The one message of the peers' fuzz."""
+
+    number: int
+
+
+async def echo(_peer, message: Ping) -> Ping:
+    """Answer a ping by itself."""
+    return message
+
+
+class PeerBytesFuzz(unittest.TestCase):
+    def send(self, port: int, sent: bytes) -> None:
+        """Send bytes to the peers' port, and wait until it hangs up."""
+        with socket.create_connection(("127.0.0.1", port), SOCKET_TIMEOUT) as sock:
+            try:
+                sock.sendall(sent)
+                sock.shutdown(socket.SHUT_WR)
+                while sock.recv(65536):
+                    continue
+            except OSError:
+                return
+
+    @fuzz
+    @given(st.lists(PEER_PARTS | st.binary(max_size=40), max_size=6))
+    def test_any_bytes(self, parts):
+        async def run() -> Ping:
+            a_address, b_address = free_address(), free_address()
+            first = Peers("a", a_address, KEY, Metrics())
+            second = Peers("b", b_address, KEY, Metrics())
+            for peers in (first, second):
+                peers.register(Area.LIMITS, Ping, echo)
+            await first.start()
+            await second.start()
+            try:
+                port = int(b_address.rpartition(":")[2])
+                await curio.run_in_thread(self.send, port, b"".join(parts))
+                first.set_address("b", b_address)
+                second.set_address("a", a_address)
+                return await first.call("b", Area.LIMITS, Ping(7), SOCKET_TIMEOUT)
+            finally:
+                await first.close()
+                await second.close()
+
+        self.assertEqual(curio.run(run), Ping(7))
+
+
 class HttpBytesFuzz(unittest.TestCase):
     def setUp(self):
         self.host = FakeHost({"GET /x": [Reply("fine")], "POST /x": [Reply("fine")]})
