--- a/packages/node/src/bronzepoint_node/run_once/_attempts.py
+++ b/packages/node/src/bronzepoint_node/run_once/_attempts.py
@@ -22,7 +22,7 @@
 
     An attempt is marked as not run before anyone is told so, and is never dispatched
     after that: another host may claim the key on the strength of the answer. An
-    attempt that this host doesn't know is one of a former life of it.
+    attempt that this host doesn't know belongs to an earlier incarnation of it.
     """
 
     def __init__(self) -> None:
--- a/packages/node/src/bronzepoint_node/run_once/_copy.py
+++ b/packages/node/src/bronzepoint_node/run_once/_copy.py
@@ -61,8 +61,8 @@
         if refusal is not None:
             return self._refuse(message, owners, refusal), None
         register = self.registers.get(message.key)
-        if register is not None and self._is_outbid(message, register):
-            vote = self._refuse(message, owners, VoteResult.outbid)
+        if register is not None and self._is_preempted(message, register):
+            vote = self._refuse(message, owners, VoteResult.preempted)
             vote.promised = register.promised
             return vote, None
         if register is None:
@@ -154,7 +154,7 @@
             return VoteResult.abstained
         return None
 
-    def _is_outbid(self, message: Prepare | Accept, register: Register) -> bool:
+    def _is_preempted(self, message: Prepare | Accept, register: Register) -> bool:
         if rank(message.ballot) >= rank(register.promised):
             return False
         # Storing a state promises the following ballot. A repeated Accept, sent since
--- a/packages/node/src/bronzepoint_node/run_once/_knowledge.py
+++ b/packages/node/src/bronzepoint_node/run_once/_knowledge.py
@@ -40,13 +40,13 @@
     - when it has read enough other owners of the key that every majority which could
       have counted its former votes has a member among them.
 
-    Votes of its former life may still be on their way. Each life has a rising
-    incarnation, which the others record before they let themselves be read; a
+    Votes of an earlier incarnation may still be on their way. Incarnations have rising
+    numbers, which the others record before they let themselves be read; a
     proposer drops votes of an older incarnation than another voter knows
     (see `Round`).
 
     Attributes:
-        incarnation: Number of this copy's present life.
+        incarnation: Number of this copy's present incarnation.
         floor: Keys up to this time (ms) were forgotten; 0: nothing was.
         seen: Newest incarnation known of each other host.
         heard: What was read from each other host.
@@ -72,7 +72,7 @@
         return self.floor == 0 or self._all_read or alone
 
     def forget(self, incarnation: int) -> None:
-        """Begin a life without memory."""
+        """Begin an incarnation without memory."""
         self.incarnation = incarnation
         self.floor = self._window.floor()
         self.heard.clear()
@@ -81,12 +81,12 @@
         self._switched.clear()
 
     def restore(self, identity: Identity) -> None:
-        """Go on with the life that the log tells of."""
+        """Go on with the incarnation that the log tells of."""
         self.incarnation = identity.incarnation
         self.floor = identity.floor
 
     def identity(self) -> Identity:
-        """Return what the log must keep of this life."""
+        """Return what the log must keep of this incarnation."""
         return Identity(
             incarnation=self.incarnation,
             floor=self.floor,
@@ -170,13 +170,13 @@
         return max(self.floor, self._window.switched(self._owners.since))
 
     def _has_read_all(self) -> bool:
-        """Tell whether every other host of the region was read in its present life."""
+        """Tell whether every other host was read in its present incarnation."""
         return all(
             host == self._name or self._agrees(host) for host in self._owners.hosts
         )
 
     def _agrees(self, host: HostName) -> bool:
-        """Tell whether a host was read in its present life and has our list."""
+        """Tell whether a host was read in its present incarnation and has our list."""
         heard = self.heard.get(host)
         return (
             heard is not None
--- a/packages/node/src/bronzepoint_node/run_once/_owners.py
+++ b/packages/node/src/bronzepoint_node/run_once/_owners.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from bronzepoint_common.rendezvous import rendezvous_order
 from bronzepoint_node.run_once._clock import Clock
 from bronzepoint_node.run_once._keys import KeyWindow, key_time
 from bronzepoint_schema.generated.run_once import HostList
@@ -19,12 +20,7 @@
     key: bytes, hosts: Iterable[HostName], copies: int
 ) -> tuple[HostName, ...]:
     """Return the hosts that keep a key, by rendezvous hash, highest first."""
-    ranked = sorted(
-        hosts,
-        key=lambda host: (xxhash.xxh64_intdigest(key + host.encode()), host),
-        reverse=True,
-    )
-    return tuple(ranked[:copies])
+    return tuple(rendezvous_order(key.hex(), hosts)[:copies])
 
 
 def fingerprint(hosts: Iterable[HostName]) -> int:
--- a/packages/node/src/bronzepoint_node/run_once/_proposer.py
+++ b/packages/node/src/bronzepoint_node/run_once/_proposer.py
@@ -31,7 +31,7 @@
 RESENDS = 4
 """Times a message is sent again within the timeout to copies that are silent."""
 MAX_PAUSE = 0.02
-"""Longest pause (s) before a new round after a first one was outbid."""
+"""Longest pause (s) before a new round after a first one was preempted."""
 
 
 @dataclass(frozen=True)
@@ -107,13 +107,13 @@
                 counter = _next_counter(accepted, counter)
             else:
                 counter = _next_counter(prepared, counter)
-            self._metrics.incr("retry.run_once_outbid")
+            self._metrics.incr("retry.run_once_preempted")
             await curio.sleep(random.uniform(0, MAX_PAUSE))
 
     async def change_promised(
         self, key: bytes, ballot: Ballot, state: State, timeout: float
     ) -> bool:
-        """Store a state under a ballot promised before; False where it was outbid.
+        """Store a state under a ballot promised before; False where it was preempted.
 
         Raises:
             RoundFailed: No majority took part in time.
@@ -146,7 +146,7 @@
         deadline: float,
         stored: bool,
     ) -> Round:
-        """Send until a majority granted or one copy's promise outbid the round.
+        """Send until a majority granted or one copy's promise preempted the round.
 
         Raises:
             RoundFailed: The deadline passed, or too few copies may vote.
@@ -165,8 +165,8 @@
                     await current.decided.wait()
         finally:
             del self._rounds[round_id]
-        outbid = VoteResult.outbid in current.refusals()
-        if current.state() is RoundState.refused and not outbid:
+        preempted = VoteResult.preempted in current.refusals()
+        if current.state() is RoundState.refused and not preempted:
             raise RoundFailed(", ".join(sorted(set(current.refusals()))), stored)
         return current
 
@@ -180,6 +180,6 @@
     return (phase, ballot.nonce, ballot.counter)
 
 
-def _next_counter(outbid: Round, counter: int) -> int:
-    promise = outbid.highest_promise()
+def _next_counter(preempted: Round, counter: int) -> int:
+    promise = preempted.highest_promise()
     return max(counter, rank(promise)[0]) + 1
--- a/packages/node/src/bronzepoint_node/run_once/_recovery.py
+++ b/packages/node/src/bronzepoint_node/run_once/_recovery.py
@@ -86,9 +86,9 @@
     async def serve(self, reader: HostName, message: Read) -> Page:
         """Answer a copy that reads this one.
 
-        Its incarnation is recorded first. From then on the votes that it gave in a
-        former life don't count beside a vote of this copy, and those given beside
-        earlier votes are in what it reads.
+        Its incarnation is recorded first. From then on the votes of an earlier one
+        don't count beside a vote of this copy, and those given beside earlier votes
+        are in what it reads.
         """
         if self._owners.add([reader, *message.hosts]):
             await self._keep_identity()
@@ -157,7 +157,7 @@
                 self._metrics.incr("retry.run_once_read")
                 return
             if page.known_incarnation > message.incarnation:
-                await self._begin_life(page.known_incarnation + 1)
+                await self._raise_incarnation(page.known_incarnation + 1)
                 return
             await self._take_page(host, page)
             said = _heard(page)
@@ -180,7 +180,7 @@
         self._metrics.incr("run_once.registers_read", len(changed))
         await self._log.write(changed)
 
-    async def _begin_life(self, incarnation: int) -> None:
+    async def _raise_incarnation(self, incarnation: int) -> None:
         """Take a higher incarnation: the others knew one above this copy's own."""
         if incarnation <= self._knowledge.incarnation:
             return
--- a/packages/node/src/bronzepoint_node/run_once/_round.py
+++ b/packages/node/src/bronzepoint_node/run_once/_round.py
@@ -29,12 +29,12 @@
 class Round:
     """Collects votes until a majority granted, or none can any more.
 
-    A copy that restarted without memory may have votes of its former life on their
-    way. Such a vote counts for nothing: the copy no longer keeps what it says. The
-    sequence: it votes, loses its memory, reads a second copy before that one stores
-    the state, and then the second copy votes. Both votes arrive, one copy alone
-    knows. The second copy's vote tells that it was read by a newer incarnation, so
-    the older vote is dropped.
+    A copy that restarted without memory may have votes of an earlier incarnation on
+    their way. Such a vote counts for nothing: the copy no longer keeps what it says.
+    The sequence: it votes, loses its memory, reads a second copy before that one
+    stores the state, and then the second copy votes. Both votes arrive, one copy
+    alone knows. The second copy's vote tells that it was read by a newer incarnation,
+    so the older vote is dropped.
 
     Args:
         message: What the copies vote on.
@@ -76,7 +76,7 @@
         needed = majority(len(self._owners))
         if len(self.granted()) >= needed:
             return RoundState.granted
-        if VoteResult.outbid in self.refusals():
+        if VoteResult.preempted in self.refusals():
             return RoundState.refused
         refusals = sum(self._has_refused(host) for host in self._owners)
         if len(self._owners) - refusals < needed:
--- a/packages/node/src/bronzepoint_node/run_once/_run_once.py
+++ b/packages/node/src/bronzepoint_node/run_once/_run_once.py
@@ -277,7 +277,7 @@
             await self._log.submit([register], send_vote)
 
     async def _restore(self, records: list[LogRecord]) -> None:
-        """Go on where the log ends, or begin a life without memory."""
+        """Go on where the log ends, or begin an incarnation without memory."""
         identity: Identity | None = None
         for record in records:
             match record:
