Dial a peer only when there is a frame for it, and ask strangers for the key first

Cause: three finds of the review of the new transport. Every known address was dialled for good: with 360 hosts known and 90 lost that is some 180 attempts a second, more than the whole budget, and a run of 90 hosts in one process no longer got through. A listening address in IPv6, which the settings allow, could not be used. And the length that anybody writes had a host keep up to 64 MB before any MAC was looked at. Ruled out: longer waits between attempts alone, which only stretch the same work. Change: an outbox dials where a frame waits, closes after a minute without one, and waits at most 1 s between attempts; addresses go through split_address; a connection's first frame is bounded to 64 KB and 10 s, and 64 such connections at once. Conclusion: connections follow use, not knowledge.

--- a/packages/common/src/bronzepoint_common/peers/_listener.py
+++ b/packages/common/src/bronzepoint_common/peers/_listener.py
@@ -8,13 +8,23 @@
 from curio.traps import _read_wait
 
 from bronzepoint_common.peers._errors import FrameRejected
-from bronzepoint_common.peers._stream import FrameBuffer, prepare
+from bronzepoint_common.peers._stream import (
+    MAX_FRAME_BYTES,
+    FrameBuffer,
+    family,
+    prepare,
+)
+from bronzepoint_common.settings import split_address
 
 Receive = Callable[[bytes], Awaitable[None]]
 """Takes one frame; raises FrameRejected where the sender is none of ours."""
 
 _BACKLOG = 256
 _READ_BYTES = 65536
+_MAX_UNPROVED = 64
+"""Connections at once whose sender has not shown the cluster key yet."""
+_PROOF_TIMEOUT = 10.0
+"""Seconds in which it must."""
 _FULL_PAUSE = 0.1
 """Seconds to wait where this process has no descriptor left for a connection."""
 
@@ -37,6 +47,7 @@
         self._sock: socket.socket | None = None
         self._accepting: curio.Task | None = None
         self._readers: set[curio.Task] = set()
+        self._unproved = 0
 
     async def start(self) -> None:
         """Listen.
@@ -44,8 +55,10 @@
         Raises:
             OSError: The address can't be listened on.
         """
-        host, _, port = self._address.rpartition(":")
-        self._sock = socket.create_server((host, int(port)), backlog=_BACKLOG)
+        host, port = split_address(self._address)
+        self._sock = socket.create_server(
+            (host, port), family=family(host), backlog=_BACKLOG
+        )
         self._sock.setblocking(False)
         self._accepting = await curio.spawn(self._accept, self._sock, daemon=True)
 
@@ -71,24 +84,23 @@
                 if exc.errno in (errno.EMFILE, errno.ENFILE):
                     await curio.sleep(_FULL_PAUSE)
                 continue
+            if self._unproved >= _MAX_UNPROVED:
+                # Anybody can connect; who has no key must not use up our descriptors.
+                self._rejected("unproved")
+                sock.close()
+                continue
             sock.setblocking(False)
             reader = await curio.spawn(self._read, sock, daemon=True)
             self._readers.add(reader)
 
     async def _read(self, sock: socket.socket) -> None:
-        buffer = FrameBuffer()
         try:
             prepare(sock)
-            while True:
-                try:
-                    data = sock.recv(_READ_BYTES)
-                except BlockingIOError:
-                    await _read_wait(sock)
-                    continue
-                if not data:
-                    return
-                for frame in buffer.feed(data):
-                    await self._receive(frame)
+            buffer = FrameBuffer()
+            if await self._read_proof(sock, buffer):
+                buffer.max_bytes = MAX_FRAME_BYTES
+                while await self._read_frame(sock, buffer):
+                    pass
         except FrameRejected as exc:
             self._rejected(exc.reason)
         except OSError:
@@ -96,3 +108,28 @@
         finally:
             sock.close()
             self._readers.discard(await curio.current_task())
+
+    async def _read_proof(self, sock: socket.socket, buffer: FrameBuffer) -> bool:
+        """Read the first frame; True where its sender has the key."""
+        self._unproved += 1
+        try:
+            async with curio.ignore_after(_PROOF_TIMEOUT):
+                return await self._read_frame(sock, buffer)
+            self._rejected("unproved")
+            return False
+        finally:
+            self._unproved -= 1
+
+    async def _read_frame(self, sock: socket.socket, buffer: FrameBuffer) -> bool:
+        """Read one frame and hand it on; False at the end of the connection."""
+        while (frame := buffer.next_frame()) is None:
+            try:
+                data = sock.recv(_READ_BYTES)
+            except BlockingIOError:
+                await _read_wait(sock)
+                continue
+            if not data:
+                return False
+            buffer.feed(data)
+        await self._receive(frame)
+        return True
--- a/packages/common/src/bronzepoint_common/peers/_outbox.py
+++ b/packages/common/src/bronzepoint_common/peers/_outbox.py
@@ -14,12 +14,17 @@
 """Frames kept for a peer that is slow or away; beyond it the oldest are dropped."""
 _CONNECT_TIMEOUT = 2.0
 _RETRY_MIN = 0.05
-_RETRY_MAX = 0.5
+_RETRY_MAX = 1.0
 """Seconds between two attempts to connect."""
+_IDLE_TIMEOUT = 60.0
+"""Seconds without a frame after which the connection is closed."""
 
 
 class Outbox:
-    """Dials one peer, dials again after each loss, and sends it frames.
+    """Sends frames to one peer; dials it where there is one to send.
+
+    A host knows more peers than it talks to, and dead ones too: dialling all of them
+    for good would cost more than all of its messages.
 
     A frame goes straight to the socket where it takes all of it; what it does not take
     waits, and the task writes it as soon as the peer reads on.
@@ -35,18 +40,20 @@
         self._frames: deque[bytes] = deque()
         self._partial = b""
         self._sock: socket.socket | None = None
-        self._writable = curio.Event()
+        self._sent = 0
+        self._wanted = curio.Event()
         self._task: curio.Task | None = None
         self._closed = False
-        wake(self)
 
     def send(self, frame: bytes) -> bool:
         """Send one frame, or keep it; False where an older one was dropped for it."""
         self._frames.append(frame_head(frame) + frame)
-        if self._sock is None or self._partial:
+        self._sent += 1
+        if self._partial:
             return self._keep_bounded()
-        self._write(self._sock)
-        if self._frames or self._partial:
+        if self._sock is not None:
+            self._write(self._sock)
+        if self._has_waiting():
             self._wake(self)
         return self._keep_bounded()
 
@@ -63,7 +70,7 @@
         if self._task is None and not self._closed:
             self._task = await curio.spawn(self._run, daemon=True)
             return
-        await self._writable.set()
+        await self._wanted.set()
 
     async def cancel(self) -> None:
         """End the task and close the connection at once."""
@@ -74,44 +81,55 @@
     async def _run(self) -> None:
         delay = _RETRY_MIN
         while not self._closed:
-            sock = await connect(self.address, _CONNECT_TIMEOUT)
-            if sock is None:
-                await curio.sleep(delay)
-                delay = min(2 * delay, _RETRY_MAX)
+            if not self._has_waiting():
+                self._wanted.clear()
+                await self._wanted.wait()
                 continue
-            delay = _RETRY_MIN
-            await self._use(sock)
+            sock = await connect(self.address, _CONNECT_TIMEOUT)
+            if sock is not None:
+                delay = _RETRY_MIN
+                await self._use(sock)
             await curio.sleep(delay)
+            delay = min(2 * delay, _RETRY_MAX)
 
     async def _use(self, sock: socket.socket) -> None:
         """Send over one connection until it is lost."""
         self._sock = sock
-        # What the lost connection took of a frame is gone with it.
-        self._partial = b""
         writer = await curio.spawn(self._write_waiting, sock, daemon=True)
         try:
-            # The peer never sends anything here: readable means lost.
-            await _read_wait(sock)
+            await self._wait_lost(sock)
         finally:
             self._sock = None
+            # What the lost connection took of a frame is gone with it.
+            self._partial = b""
             # Nobody may wait for the descriptor when it is closed: its number is soon
             # that of another connection.
             await writer.cancel()
             sock.close()
 
+    async def _wait_lost(self, sock: socket.socket) -> None:
+        """Return when the connection is lost, or nothing was sent for a while."""
+        sent = -1
+        while sent != self._sent:
+            sent = self._sent
+            async with curio.ignore_after(_IDLE_TIMEOUT):
+                # The peer never sends anything here: readable means lost.
+                await _read_wait(sock)
+                return
+
     async def _write_waiting(self, sock: socket.socket) -> None:
         while True:
             self._write(sock)
-            if self._frames or self._partial:
+            if self._has_waiting():
                 await _write_wait(sock)
                 continue
-            self._writable.clear()
-            await self._writable.wait()
+            self._wanted.clear()
+            await self._wanted.wait()
 
     def _write(self, sock: socket.socket) -> None:
         """Write as much as the socket takes."""
         try:
-            while self._partial or self._frames:
+            while self._has_waiting():
                 data = self._partial or self._frames.popleft()
                 self._partial = data
                 sent = sock.send(data)
@@ -122,6 +140,9 @@
             # The task sees the loss too; until then nothing more is written here.
             _shut_down(sock)
 
+    def _has_waiting(self) -> bool:
+        return bool(self._frames or self._partial)
+
     def _keep_bounded(self) -> bool:
         if len(self._frames) <= _QUEUED_FRAMES:
             return True
--- a/packages/common/src/bronzepoint_common/peers/_stream.py
+++ b/packages/common/src/bronzepoint_common/peers/_stream.py
@@ -6,8 +6,11 @@
 from curio.traps import _write_wait
 
 from bronzepoint_common.peers._errors import FrameRejected
+from bronzepoint_common.settings import split_address
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+UNPROVED_BYTES = 64 * 1024
+"""Bound of a connection's first frame, before its sender has shown the cluster key."""
 _LENGTH_BYTES = 4
 _USER_TIMEOUT_MS = 4000
 """Time that sent bytes may stay unacknowledged before the connection is given up."""
@@ -16,46 +19,58 @@
 _KEEPALIVE_PROBES = 3
 
 
+def family(host: str) -> socket.AddressFamily:
+    """Return the address family of an IP number."""
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
 def frame_head(frame: bytes) -> bytes:
     """Return what goes before a frame."""
     return len(frame).to_bytes(_LENGTH_BYTES)
 
 
 class FrameBuffer:
-    """Cuts what comes from a connection into frames."""
+    """Cuts what comes from a connection into frames.
+
+    Attributes:
+        max_bytes: Bound of a frame; whoever writes a length has us keep that much.
+    """
 
     def __init__(self) -> None:
+        self.max_bytes = UNPROVED_BYTES
         self._data = bytearray()
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """Take bytes and return the frames that are whole now.
+    def feed(self, data: bytes) -> None:
+        """Take what came."""
+        self._data += data
+
+    def next_frame(self) -> bytes | None:
+        """Return the next frame that is whole; None: there is none yet.
 
         Raises:
-            FrameRejected: A frame longer than any of ours: whoever sends it is no
-                host, and would have us keep the bytes until memory ends.
+            FrameRejected: A frame longer than any of ours.
         """
-        self._data += data
-        frames = []
-        while len(self._data) >= _LENGTH_BYTES:
-            length = int.from_bytes(self._data[:_LENGTH_BYTES])
-            if length > MAX_FRAME_BYTES:
-                raise FrameRejected("length")
-            end = _LENGTH_BYTES + length
-            if len(self._data) < end:
-                break
-            frames.append(bytes(self._data[_LENGTH_BYTES:end]))
-            del self._data[:end]
-        return frames
+        if len(self._data) < _LENGTH_BYTES:
+            return None
+        length = int.from_bytes(self._data[:_LENGTH_BYTES])
+        if length > self.max_bytes:
+            raise FrameRejected("length")
+        end = _LENGTH_BYTES + length
+        if len(self._data) < end:
+            return None
+        frame = bytes(self._data[_LENGTH_BYTES:end])
+        del self._data[:end]
+        return frame
 
 
 async def connect(address: str, timeout: float) -> socket.socket | None:
     """Return a connection to ``host:port``; None where there is none in time."""
-    host, _, port = address.rpartition(":")
-    sock = socket.socket()
+    host, port = split_address(address)
+    sock = socket.socket(family(host))
     sock.setblocking(False)
     try:
         async with curio.ignore_after(timeout):
-            await _connect(sock, (host, int(port)))
+            await _connect(sock, (host, port))
             prepare(sock)
             return sock
     except OSError:
