--- a/packages/node/src/bronzepoint_node/catalogue/_catalogue.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_catalogue.py
@@ -37,7 +37,7 @@
 _STALE_SHARE = 0.6
 """Share of the bound above which a parent's knowledge is too old to be of use."""
 _LEADER_PATIENCE = 1.5
-"""Seconds that a restarted host waits for the leader's word before its region's."""
+"""Seconds that a restarted host waits for the leader before it asks its region."""
 _REGION_PATIENCE = 3.0
 """Seconds that a restarted host waits for hosts of its region that don't answer."""
 _FIRST_PAUSE = 0.1
@@ -328,8 +328,8 @@
         region is asked: another host of it may have served on a newer view than this
         one kept. Ready once each of them has answered, or has had its time to, and
         one of the answers or the own disk holds a view that was served on. A host
-        with neither waits for the leader's word; the others give it a little time to
-        come first, for a whole region may have been away.
+        with neither waits for the leader's confirmation; the others give that a
+        little time to come first, for a whole region may have been away.
         """
         after = self._started_at + _LEADER_PATIENCE
         deadline = self._started_at + _REGION_PATIENCE
