--- a/packages/node/src/bronzepoint_node/decisions/_lookup.py
+++ b/packages/node/src/bronzepoint_node/decisions/_lookup.py
@@ -11,7 +11,7 @@
 from bronzepoint_node.decisions._copies import BACKUPS_TRIED
 from bronzepoint_node.decisions._errors import RecordNotFound, RecordUnreachable
 from bronzepoint_node.decisions._packed import unpack_record
-from bronzepoint_node.decisions._request_id import parse_request_id
+from bronzepoint_node.decisions._request_id import RequestIdParts, parse_request_id
 from bronzepoint_node.decisions._store import RecordStore
 from bronzepoint_schema.generated.decision_records import FindRecords, FoundRecords
 from bronzepoint_schema.generated.decisions import (
@@ -109,20 +109,24 @@
             raise self._nothing_found(request_id, search)
         if origin.host not in search.records:
             answer.missing.append(_missing(origin, search))
-        seen = {origin.host, *search.records}
         answer.records += search.records.values()
+        await self._follow_forwards(answer, parts)
+        return answer
+
+    async def _follow_forwards(self, answer: WhyAnswer, parts: RequestIdParts) -> None:
+        """Add the records of the hosts that the request was forwarded to."""
+        seen = {parts.host, *(record.host for record in answer.records)}
         waiting = _forwards(answer.records, seen)
         while waiting and len(seen) <= MAX_FORWARDS:
             place = waiting.pop(0)
             seen.add(place.host)
-            search = await self._search(request_id, place, parts.slot)
+            search = await self._search(answer.request_id, place, parts.slot)
             record = search.records.get(place.host)
             if record is None:
                 answer.missing.append(_missing(place, search))
                 continue
             answer.records.append(record)
             waiting += _forwards([record], seen)
-        return answer
 
     def _nothing_found(
         self, request_id: RequestId, search: _Search
