--- a/packages/emulator/src/bronzepoint_emulator/soak/_run.py
+++ b/packages/emulator/src/bronzepoint_emulator/soak/_run.py
@@ -5,7 +5,6 @@
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
-from typing import Protocol
 
 from msgspec import Struct
 
@@ -28,16 +27,12 @@
 )
 from bronzepoint_emulator.soak._operators import Observer, RacingOperator
 from bronzepoint_emulator.soak._schedule import Fault, draw_schedule
+from bronzepoint_emulator.soak._worker_threads import Worker, WorkerThreads
 
 CALLERS = 6
-JOIN_TIMEOUT = 30.0
 SETTLE_TIMEOUT = 60.0
 
 
-class _Worker(Protocol):
-    def run(self) -> None: ...
-
-
 class SoakReport(Struct):
     """What a run did and found."""
 
@@ -88,15 +83,16 @@
         history = History()
         stop = threading.Event()
         driver = FaultDriver(deployment, schedule, history, stop)
-        threads = _start(_workers(deployment, history, stop, seed))
+        threads = WorkerThreads(_workers(deployment, history, stop, seed))
+        threads.start()
         try:
             driver.run(seconds)
         finally:
             stop.set()
-        for thread in threads:
-            thread.join(JOIN_TIMEOUT)
+        failures = threads.close()
         driver.end_all()
         final = _settle(deployment, history)
+        final.unsettled += failures
         if logs is not None:
             _copy_logs(deployment, logs)
     violations = check(history, final)
@@ -111,7 +107,7 @@
 
 def _workers(
     deployment: Deployment, history: History, stop: threading.Event, seed: int
-) -> list[_Worker]:
+) -> list[Worker]:
     callers = [
         Caller(deployment, history, stop, f"{seed} caller {number}")
         for number in range(CALLERS)
@@ -128,13 +124,6 @@
     return [*callers, *operators, *observers]
 
 
-def _start(workers: list[_Worker]) -> list[threading.Thread]:
-    threads = [threading.Thread(target=w.run, daemon=True) for w in workers]
-    for thread in threads:
-        thread.start()
-    return threads
-
-
 def _settle(deployment: Deployment, history: History) -> FinalState:
     """Wait until the hosts agree again and collect what is left."""
     final = FinalState()
--- a/tests/test_emulator_checker.py
+++ b/tests/test_emulator_checker.py
@@ -17,6 +17,7 @@
     draw_schedule,
 )
 from bronzepoint_emulator.soak._history import FinalState
+from bronzepoint_emulator.soak._worker_threads import WorkerThreads
 
 NONCE = "n1"
 SERVICE, AWAY = "bkk-phrases", "sgp-phrases"
@@ -137,6 +138,23 @@
         self.assertEqual(found(events, {}, versions, values), rules)
 
 
+class WorkerThreadsTest(unittest.TestCase):
+    def test_failed_worker_is_told(self):
+        """A run with most of its callers gone is reported as clean."""
+
+        class Failing:
+            def run(self):
+                raise KeyError("kind")
+
+        class Ending:
+            def run(self):
+                return
+
+        threads = WorkerThreads([Failing(), Ending()])
+        threads.start()
+        self.assertEqual(threads.close(), ["worker Failing failed: KeyError('kind')"])
+
+
 class ScheduleTest(unittest.TestCase):
     def test_seed_repeats_the_schedule(self):
         layout = saphan()
