--- a/packages/node/src/bronzepoint_node/targets/_pollers.py
+++ b/packages/node/src/bronzepoint_node/targets/_pollers.py
@@ -9,7 +9,7 @@
 from bronzepoint_node.targets._tracked_target import TrackedTarget
 from bronzepoint_schema.ids import TargetName
 
-_POLLS_A_SECOND = 4.0
+_POLLS_A_SECOND = 2.0
 """Polls of loads over all targets; with more targets each is polled less often."""
 _EVENT_BYTES_A_SECOND = 2000.0
 
