--- a/packages/emulator/src/bronzepoint_emulator/experiments/_cell.py
+++ b/packages/emulator/src/bronzepoint_emulator/experiments/_cell.py
@@ -23,6 +23,8 @@
     """What one run gave.
 
     Attributes:
+        outcomes: requests of the owners that are measured.
+        others: requests of the owners that are the disturbance.
         cost: slot seconds of all engines, each at its own cost.
         retries: repeated tries by reason, over all hosts.
     """
@@ -34,6 +36,7 @@
     outcomes: list[Outcome]
     cost: float
     retries: dict[str, int]
+    others: list[Outcome] = []
 
 
 def run_cell(
@@ -55,6 +58,7 @@
         outcomes=[one for one in outcomes if one.owner in scenario.measured],
         cost=engine_cost(deployment) - cost,
         retries=dict(retry_counts(deployment) - retries),
+        others=[one for one in outcomes if one.owner not in scenario.measured],
     )
 
 
--- a/packages/emulator/src/bronzepoint_emulator/experiments/_summary.py
+++ b/packages/emulator/src/bronzepoint_emulator/experiments/_summary.py
@@ -18,8 +18,8 @@
         p99_all: the same over all requests; one without an answer counts as the
             deadline, so that refusing doesn't look fast.
         in_time: share of requests answered with the first token before the deadline.
-        cost: cost per answered request.
-        worth: worth of the requests answered in time, per cost.
+        cost: cost per answered request, of all owners.
+        worth: worth of the requests answered in time, of all owners, per cost.
         away: share of answered requests that were served away from home.
         refusals: refused requests by kind.
         retries: repeated tries per request.
@@ -45,6 +45,10 @@
     delays = sorted(one.first_token or 0.0 for one in answered)
     everyone = sorted(waited(one) for one in outcomes)
     in_time = [one for one in answered if waited(one) < DEADLINE]
+    # The engines' cost can't be told apart by owner, so it is compared with what all
+    # owners got for it.
+    paid = [one for one in outcomes + cell.others if one.answered]
+    worth = sum(one.worth for one in paid if waited(one) < DEADLINE)
     away = sum(1 for one in answered if one.served_in != one.home)
     refusals = Counter(one.refusal or "cut" for one in outcomes if not one.answered)
     return Summary(
@@ -54,11 +58,11 @@
         p99=quantile(delays, 0.99),
         p99_all=quantile(everyone, 0.99),
         in_time=len(in_time) / max(1, len(outcomes)),
-        cost=cell.cost / max(1, len(answered)),
-        worth=sum(one.worth for one in in_time) / max(1e-9, cell.cost),
+        cost=cell.cost / max(1, len(paid)),
+        worth=worth / max(1e-9, cell.cost),
         away=away / max(1, len(answered)),
         refusals=dict(refusals),
-        retries=sum(cell.retries.values()) / max(1, len(outcomes)),
+        retries=sum(cell.retries.values()) / max(1, len(outcomes) + len(cell.others)),
     )
 
 
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -13,8 +13,6 @@
 from bronzepoint_schema.generated.decisions import Candidate, ExclusionReason
 from bronzepoint_schema.ids import TargetName
 
-_SAMPLED = 2
-"""Of many near-best targets, as many are compared, taken at random."""
 _AFFINITY_BOUND = 1.25
 """A target above this multiple of the mean load gets no credit for its cache,"""
 _AFFINITY_SLOTS = 0.75
@@ -154,8 +152,8 @@
 ) -> TargetChoice:
     """Choose a target with room, by the loss that it is expected to bring.
 
-    Where several are about as good, two of them are compared, drawn at random. Hosts
-    that decide on the same late reports would otherwise all choose the same one.
+    Where several are about as good, one of them is drawn at random. Hosts that decide
+    on the same late reports would otherwise all choose the same one.
 
     Args:
         request: What is to be placed.
@@ -198,8 +196,7 @@
         # The only room is at a slow target: waiting for a slot elsewhere is sooner.
         return TargetChoice(None, candidates, "a full target is sooner", usable)
     near = [item for item in open_targets if item[0] <= best + margin]
-    drawn = rng.sample(near, min(_SAMPLED, len(near)))
-    _, view, terms, chosen = min(drawn, key=lambda item: (item[0], rng.random()))
+    _, view, terms, chosen = rng.choice(near)
     for *_, candidate in open_targets:
         if candidate is not chosen:
             candidate.excluded = ExclusionReason.worse
--- a/packages/node/src/bronzepoint_node/policy/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/policy/_other_regions.py
@@ -82,6 +82,9 @@
     def sent(self, entry: EntryName, region: RegionName, now: float) -> None:
         """Note that a request was forwarded."""
         self._sent.add(entry, region, now)
+        backoff = self._backoffs.get((entry, region))
+        if backoff is not None:
+            backoff.sent(now)
 
     def ended(
         self, request: RequestView, region: RegionName, result: TryResult, now: float
--- a/packages/node/src/bronzepoint_node/policy/_policy.py
+++ b/packages/node/src/bronzepoint_node/policy/_policy.py
@@ -51,11 +51,10 @@
 """Returns what is known of the entry in each region, this one included."""
 
 
-_LEAST_PATIENCE = 1.0
-_PATIENCE = 3.0
-"""Multiple of the expected time after which a forwarded request counts as lost. A cut
-link is silent: without this, requests that were sent over it before the region is seen
-to be unreachable would all hang until their deadlines."""
+_PATIENCE = 1.0
+"""Seconds beyond the expected time after which a forwarded request counts as lost. A
+cut link is silent: without this, requests that were sent over it before the region is
+seen to be unreachable would all hang until their deadlines."""
 _USABLE = (ExclusionReason.full, ExclusionReason.worse, ExclusionReason.tried)
 """Exclusions of targets that do work, if not for this request."""
 
@@ -314,7 +313,7 @@
         if decided.region == self._region:
             return self._at_home(ticket, choice, ahead, candidates, decided.reason)
         candidates += choice.candidates
-        patience = max(_LEAST_PATIENCE, _PATIENCE * decided.expected)
+        patience = _PATIENCE + decided.expected
         if not request.idempotent:
             patience = 0.0
         return Away(decided.region, candidates, decided.reason, [], patience)
--- a/tests/test_policy_regions.py
+++ b/tests/test_policy_regions.py
@@ -129,6 +129,17 @@
         self.assertTrue(backoff.paused(backoff.until - 0.01))
         self.assertFalse(backoff.paused(backoff.until))
 
+    def test_one_probe_after_a_pause(self):
+        """At the end of each pause many requests hang on a link that is still cut."""
+        backoff, rng = RegionBackoff(), Random(1)
+        backoff.refused(0.0, rng, 2.0)
+        after = backoff.until
+        self.assertFalse(backoff.paused(after))
+        backoff.sent(after)
+        self.assertTrue(backoff.paused(after + 0.5))
+        backoff.answered()
+        self.assertFalse(backoff.paused(after + 0.5))
+
 
 class TestRamp(unittest.TestCase):
     def test_slope_is_bounded(self):
