Wait for restarted hosts to be ready before the old key is tried

The test waited for the copies' recovery alone, which may come before the catalogue. Ruled out: taking not_ready as well, which would let a host pass that never gets as far as the record. Change: the test waits until both restarted hosts say that they are ready; what it expects is unchanged. Conclusion: the other cases of the module poll for their state and are not touched.

--- a/tests/test_run_once_processes.py
+++ b/tests/test_run_once_processes.py
@@ -279,6 +279,9 @@
             deployment.wipe(host)
         for host in ["bkk-1", "bkk-2"]:
             deployment.restart(host)
+        for host in ["bkk-1", "bkk-2"]:
+            # Until it has the catalogue, a host refuses everything as not ready.
+            deployment.wait_ready(host)
         self.wait_copies(deployment)
         for host in REGION:
             refused = call.send(host)
