Let the demo kill a host only once its decision records are copied

That window is stated in the design of the records, so the demo is what asked for too much. Change: before the kill it waits until the region's hosts have copied and kept as many records as they recorded, by their counters. Ruled out: a pause of the interval's length (a measured time) and a new gauge of pending records (a change of the daemon for a demo). Conclusion: the step no longer depends on when the batch was sent.

--- a/packages/emulator/src/bronzepoint_emulator/demo/_demo.py
+++ b/packages/emulator/src/bronzepoint_emulator/demo/_demo.py
@@ -13,8 +13,10 @@
     new_key,
     new_nonce,
     saphan,
+    wait_until,
 )
 
+REGION = "bkk"
 REFUSED = 1
 WIDTH = 110
 
@@ -113,6 +115,7 @@
     def _kill(self) -> None:
         before = self._caller.run("send", "phrasebook", "Before", "--max-tokens", "4")
         _expect(before.status == 0, "a request is answered before")
+        self._wait_copied()
         self._deployment.kill("bkk-1")
         self._console.print("[bold]bkk-1 is killed (SIGKILL).[/]")
         after = self._caller.run("send", "phrasebook", "After", "--max-tokens", "4")
@@ -122,6 +125,27 @@
         self._why(self._elsewhere, before.request_id)
         self._why(self._elsewhere, after.request_id)
 
+    def _wait_copied(self) -> None:
+        """Wait until the region's decision records are on their backup hosts.
+
+        Copies are sent in batches, and a killed host takes along what it had not sent.
+        Killed right after the request, it would now and then leave no record of it.
+        """
+        hosts = [host.name for host in self._deployment.layout.region_hosts(REGION)]
+
+        def copied() -> bool:
+            counters = [self._deployment.operator(h).counters() for h in hosts]
+            recorded, sent, kept = (
+                sum(
+                    answer["counters"].get(f"decisions.{name}", 0)
+                    for answer in counters
+                )
+                for name in ("recorded", "copied", "copies_kept")
+            )
+            return recorded == sent == kept
+
+        wait_until(copied, "the region's decision records are copied")
+
     def _why(self, asker: CommandLine, request_id: str) -> None:
         told = asker.run("why", request_id)
         _expect(told.status == 0, "the reasons are found")
