--- a/packages/common/src/bronzepoint_common/peers/_calls.py
+++ b/packages/common/src/bronzepoint_common/peers/_calls.py
@@ -21,7 +21,7 @@
 class Calls:
     """Pairs replies with calls.
 
-    Identifiers start at a random number: a reply to a call of this host's former life
+    Identifiers start at a random number: a reply to a call of an earlier incarnation
     must not be taken for the reply to a call of the present one.
     """
 
--- a/packages/node/src/bronzepoint_node/entry/_records.py
+++ b/packages/node/src/bronzepoint_node/entry/_records.py
@@ -7,7 +7,7 @@
 class Records:
     """Keeps the record of a request before its caller has the whole answer.
 
-    Kept after it, a caller who asks at once why its request went where it went could
+    Kept after it, a caller who asks at once for the record of its request could
     be told that there is no such request.
 
     Args:
--- a/packages/node/src/bronzepoint_node/entry/_route.py
+++ b/packages/node/src/bronzepoint_node/entry/_route.py
@@ -24,7 +24,7 @@
 
 
 class WhyRoute(Struct, frozen=True):
-    """Why a request went where it went."""
+    """The decision records of a request."""
 
     request_id: RequestId
 
--- a/packages/node/src/bronzepoint_node/orders/__init__.py
+++ b/packages/node/src/bronzepoint_node/orders/__init__.py
@@ -1,4 +1,4 @@
-"""Orders to engines, given only by the host that holds the lease."""
+"""Orders to engines, given only by the lease holder."""
 
 from bronzepoint_node.orders._engine import EngineClient
 from bronzepoint_node.orders._errors import (
