Measure what the limits of a region cost one host

Cause: CAPACITY.md had no slope for the limits: what a host pays for the reports of demand and the grants was not known. Change: slopes/limits.py and _limits_host.py: one host in a process of its own over loopback links, 22 requests/s a host, limits of 10/s for each of 3,000 organisations.

--- /dev/null
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/limits.py
@@ -0,0 +1,147 @@
+"""``python -m bronzepoint_emulator.slopes.limits``: cost of limits over a region.
+
+One host runs alone in a process and is measured; the region's others run in this
+process and talk to it over real links. Slopes: organisations (active ones, at 30
+hosts, on a holder of limits), hosts (of the region, on a holder), hosts_plain (on a
+host that holds none), and limit (requests a second that an organisation may send, on a
+holder). Arguments name some of them.
+"""
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import curio
+import msgspec
+from msgspec import Struct
+
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_emulator.slopes._limits_host import (
+    LIMIT_RATE,
+    LimitsFigures,
+    LimitsPlan,
+    LoadedHost,
+    OwnerValues,
+)
+from bronzepoint_emulator.slopes._membership_feeder import FeederPeers
+from bronzepoint_emulator.slopes._membership_plan import MEASURED_REGION
+from bronzepoint_emulator.slopes.membership import free_addresses
+from bronzepoint_node.policy._rendezvous import ranked
+from bronzepoint_schema.ids import HostName
+
+ORGANISATIONS = [0, 250, 500, 1000, 3000]
+HOSTS = [3, 8, 16, 30]
+PLAIN_HOSTS = [30, 24, 16, 8]
+"""In the smallest region each host is a holder."""
+LIMIT_RATES = [60, 10, 30, 120]
+_REGION_HOSTS = 30
+_ACTIVE = 250
+_HOST_MODULE = "bronzepoint_emulator.slopes._limits_host"
+
+
+class Row(Struct):
+    """One measurement."""
+
+    slope: str
+    hosts: int
+    active: int
+    holder: bool
+    limit: float
+    figures: LimitsFigures
+
+
+class LimitsFeeder:
+    """Runs all hosts of a plan but the measured one.
+
+    Args:
+        plan: The measurement.
+    """
+
+    def __init__(self, plan: LimitsPlan) -> None:
+        self._plan = plan
+        self._values = OwnerValues(plan)
+        self._peers: dict[HostName, FeederPeers] = {}
+        self._hosts: list[LoadedHost] = []
+
+    async def start(self) -> None:
+        """Start the hosts."""
+        for name in map(HostName, self._plan.hosts):
+            if name != self._plan.measured:
+                await self._start_host(name)
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for host in self._hosts:
+            await host.close()
+        for peers in self._peers.values():
+            await peers.close()
+
+    async def _start_host(self, name: HostName) -> None:
+        measured = HostName(self._plan.measured)
+        peers = FeederPeers(self._plan, name, self._peers)
+        peers.set_address(measured, self._plan.hosts[measured])
+        host = LoadedHost(self._plan, name, peers, self._values, Metrics())
+        await peers.start()
+        await host.start()
+        self._hosts.append(host)
+
+
+async def measure(
+    slope: str, hosts: int, active: int, holder: bool, limit: float = LIMIT_RATE
+) -> Row:
+    """Measure one size.
+
+    Args:
+        slope: What is varied.
+        hosts: Hosts of the region.
+        active: Organisations that send requests.
+        holder: Whether the measured host is one of the holders of limits.
+        limit: Requests a second that an organisation may send.
+    """
+    names = [f"{MEASURED_REGION}-{number}" for number in range(hosts)]
+    order = ranked("limits", [HostName(name) for name in names])
+    measured = order[0] if holder else order[-1]
+    plan = LimitsPlan(free_addresses(names), measured, active=active, limit=limit)
+    feeder = LimitsFeeder(plan)
+    await feeder.start()
+    try:
+        figures = await run_host(plan)
+    finally:
+        await feeder.close()
+    return Row(slope, hosts, active, holder, limit, figures)
+
+
+async def run_host(plan: LimitsPlan) -> LimitsFigures:
+    """Run the measured host as a process and return its figures."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "plan.json"
+        path.write_bytes(msgspec.json.encode(plan))
+        command = [sys.executable, "-m", _HOST_MODULE, str(path)]
+        done = await curio.run_in_thread(
+            lambda: subprocess.run(command, stdout=subprocess.PIPE, check=True)
+        )
+    return msgspec.json.decode(done.stdout, type=LimitsFigures)
+
+
+async def measure_all(slopes: list[str]) -> None:
+    """Measure the rows of some slopes (all by default) and print each."""
+    rate = LIMIT_RATE
+    sizes = [("organisations", _REGION_HOSTS, n, True, rate) for n in ORGANISATIONS]
+    sizes += [("hosts", hosts, _ACTIVE, True, rate) for hosts in HOSTS]
+    sizes += [("hosts_plain", hosts, _ACTIVE, False, rate) for hosts in PLAIN_HOSTS]
+    sizes += [("limit", _REGION_HOSTS, _ACTIVE, True, n) for n in LIMIT_RATES]
+    for size in sizes:
+        if slopes and size[0] not in slopes:
+            continue
+        row = await measure(*size)
+        print(msgspec.json.encode(row).decode(), flush=True)
+
+
+def main() -> None:
+    """Print one JSON line for each measurement."""
+    curio.run(measure_all, sys.argv[1:])
+
+
+if __name__ == "__main__":
+    main()
