Wait for the healed voter's commit in its test, instead of reading it once

The catalogue's view may reach that host from another one before the leader's next message moves its commit index, so the verdict hung on which came first. Ruled out: a fault of the agreement: the term was unchanged and the change in force. Change: the test waits until the commit index has moved, with the deadline of all such waits, and then still asks for one and the same term on all hosts; a voter that never follows again fails it as before. Conclusion: the verdict no longer depends on the order of two messages.

--- a/tests/test_agreement_voting.py
+++ b/tests/test_agreement_voting.py
@@ -113,7 +113,8 @@
             before = other.status.commit_index
             accepted = await leader.propose("after")
             await cluster.in_force(accepted.revision)
-            self.assertGreater(other.status.commit_index, before)
+            # Its view may come from another host before the leader's next message.
+            await until(lambda: other.status.commit_index > before)
             self.assertEqual({h.status.term for h in cluster.hosts.values()}, {term})
 
         run(scenario, THREE)
