Let one function say what an address is

Cause: a reading of the whole change found host:port parsed twice: split_address for settings, HTTP and peers, and a twin in the catalogue's validation. Ruled out: keeping the stricter twin beside it; the fault belongs into the shared one. Change: split_address refuses brackets around IPv4 and ports of more than five digits; the validation calls it and asks besides for a port above 0. Nothing is taken now that was refused before. The fault proxy's plain splits stay: they get generated addresses. Conclusion: one check, at least as strict as either was.

--- a/packages/common/src/bronzepoint_common/settings/_address.py
+++ b/packages/common/src/bronzepoint_common/settings/_address.py
@@ -3,6 +3,7 @@
 import ipaddress
 
 MAX_PORT = 65535
+_PORT_DIGITS = 5
 
 
 class AddressError(ValueError):
@@ -20,19 +21,25 @@
     host, separator, port = text.rpartition(":")
     if not separator:
         raise AddressError(f"{text!r} has no port; write it as 10.0.0.1:8080")
-    if host.startswith("[") and host.endswith("]"):
+    bracketed = host.startswith("[") and host.endswith("]")
+    if bracketed:
         host = host[1:-1]
     elif ":" in host:
         raise AddressError(f"{text!r}: put an IPv6 number in brackets, [::1]:8080")
     try:
-        ipaddress.ip_address(host)
+        version = ipaddress.ip_address(host).version
     except ValueError:
         raise AddressError(
             f"{host!r} is not an IP number; names are not looked up, "
             "write it as 10.0.0.1:8080"
         ) from None
+    if bracketed and version != 6:
+        raise AddressError(
+            f"{text!r}: only an IPv6 number has brackets; leave them out"
+        )
     # isdecimal alone would let through digits of other scripts.
-    if not (port.isascii() and port.isdecimal() and int(port[:6]) <= MAX_PORT):
+    digits = port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS
+    if not (digits and int(port) <= MAX_PORT):
         raise AddressError(f"{port!r} is not a port; use a number up to {MAX_PORT}")
     return host, int(port)
 
--- a/packages/node/src/bronzepoint_node/catalogue/_validation.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_validation.py
@@ -1,9 +1,9 @@
 """Contradictions in a catalogue item, each with its remedy."""
 
-import ipaddress
 from collections import Counter
 from collections.abc import Iterator
 
+from bronzepoint_common.settings import AddressError, split_address
 from bronzepoint_schema.generated.catalogue import (
     CatalogueItem,
     ClassItem,
@@ -122,12 +122,9 @@
 
 def is_ip_address_and_port(address: str) -> bool:
     """Tell whether this is host:port with an IP number; IPv6 stands in brackets."""
-    host, separator, port = address.rpartition(":")
-    if not separator or not port.isascii() or not port.isdigit():
-        return False
-    bracketed = host.startswith("[") and host.endswith("]")
     try:
-        version = ipaddress.ip_address(host[1:-1] if bracketed else host).version
-    except ValueError:
+        _, port = split_address(address)
+    except AddressError:
         return False
-    return (version == 6) == bracketed and 0 < int(port) < 65536
+    # Settings may leave a port to the system; a target has one.
+    return port > 0
