--- a/packages/common/src/bronzepoint_common/http/_answer.py
+++ b/packages/common/src/bronzepoint_common/http/_answer.py
@@ -122,6 +122,10 @@
         try:
             data = await self._wire.receive_next()
         except OSError:
+            # Passed on as the end, a reset would make a part of an answer that ends
+            # with its connection look whole.
+            if not self._stalled:
+                raise AnswerCut(self._address) from None
             data = b""
         finally:
             self._waiting_since = 0.0
--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -47,6 +47,7 @@
         timeout: float,
         fresh: bool = False,
         before_send: BeforeSend | None = None,
+        unframed: bool = False,
     ) -> "ClientExchange":
         """Send a request; ``async with`` gives its answer in progress.
 
@@ -57,7 +58,8 @@
             address: ``host:port`` of the server.
             method: HTTP method.
             path: Path and query, as they are sent.
-            headers: Headers besides Host and Content-Length.
+            headers: Headers besides Content-Length; ``host`` where it isn't the
+                address.
             body: Whole body.
             timeout: Seconds to wait for the head, and for each further piece.
             fresh: True: open a new connection, so that a failure to connect
@@ -65,6 +67,8 @@
             before_send: Called when the connection is there, right before the first
                 byte is written; where it raises, nothing is sent. A check made
                 earlier may be out of date by now: connecting takes time.
+            unframed: True: take an answer without a length, which ends with its
+                connection; one that is reset counts as cut.
 
         Raises (on entering):
             ConnectFailed, NotSent, AnswerCut, AnswerTimeout, AnswerMalformed.
@@ -72,7 +76,9 @@
         request = h11.Request(
             method=method, target=path, headers=self._pairs(address, headers, body)
         )
-        return ClientExchange(self, address, request, body, timeout, fresh, before_send)
+        return ClientExchange(
+            self, address, request, body, timeout, fresh, before_send, unframed
+        )
 
     async def fetch(
         self,
@@ -134,7 +140,9 @@
         await self._pool.close()
 
     def _pairs(self, address: str, headers: dict[str, str], body: bytes) -> Pairs:
-        pairs = [(b"Host", address.encode("ascii")), *header_pairs(headers)]
+        pairs = header_pairs(headers)
+        if "host" not in headers:
+            pairs.insert(0, (b"Host", address.encode("ascii")))
         if body:
             pairs.append((b"Content-Length", b"%d" % len(body)))
         return pairs
@@ -152,6 +160,7 @@
         timeout: float,
         fresh: bool,
         before_send: BeforeSend | None,
+        unframed: bool = False,
     ) -> None:
         self._client = client
         self._address = address
@@ -160,6 +169,8 @@
         self._timeout = timeout
         self._fresh = fresh
         self._before_send = before_send
+        self._unframed = unframed
+        self._sender: curio.Task | None = None
         self._reused = False
         self._conn: h11.Connection
         self._wire: Wire
@@ -172,13 +183,15 @@
             self._answer = await self._read_head()
             await self._client._watch.add(self._answer)
         except BaseException:
+            await self._end_sending()
             await self._wire.close()
             raise
         return self._answer
 
     async def __aexit__(self, *exc_info: object) -> None:
         self._client._watch.remove(self._answer)
-        if self._answer.complete:
+        sent = await self._end_sending()
+        if self._answer.complete and sent:
             await self._client._pool.put(self._address, self._conn, self._wire)
             return
         await self._wire.close()
@@ -218,12 +231,26 @@
         data += self._conn.send(h11.EndOfMessage())
         if self._before_send is not None:
             self._before_send()
+        if not self._wire.send_now(data):
+            # A server may answer before it has read a long body, and read no more
+            # of it. Written to the end first, the request would wait for good, and
+            # its answer would lie unread.
+            self._sender = await curio.spawn(self._send_rest, daemon=True)
+
+    async def _send_rest(self) -> None:
         try:
-            await self._wire.send(data, self._timeout)
-        except curio.TaskTimeout:
-            raise AnswerTimeout(self._address, self._timeout) from None
-        except OSError:
-            raise self._unanswered() from None
+            await self._wire.send_rest(self._timeout)
+        except (curio.TaskTimeout, OSError):
+            # The reading side sees the end of the connection too.
+            self._wire.finish_sending()
+
+    async def _end_sending(self) -> bool:
+        """Stop sending; True where the whole request was sent."""
+        if self._sender is None:
+            return True
+        sent = not self._wire.unsent
+        await self._sender.cancel()
+        return sent
 
     def _unanswered(self) -> NotSent | AnswerCut:
         """Tell how much may have happened when no byte of an answer came."""
@@ -282,6 +309,8 @@
         # and cut: a part of it would be passed on as if it were all.
         if status in BODYLESS_STATUSES or self._request.method == b"HEAD":
             return
+        if self._unframed:
+            return
         if "content-length" in headers or "transfer-encoding" in headers:
             return
         raise AnswerMalformed(
--- a/packages/common/src/bronzepoint_common/http/_server.py
+++ b/packages/common/src/bronzepoint_common/http/_server.py
@@ -57,6 +57,7 @@
         self._accepting: curio.Task | None = None
         self._tasks: dict[ServerConnection, curio.Task] = {}
         self._refused = 0
+        self._leaving = False
         self._address = ""
 
     @property
@@ -99,6 +100,8 @@
             await sock.close()
             return
         conn = ServerConnection(wire, peer, self._handler, self._limits, self._on_error)
+        if self._leaving:
+            conn.close_when_done()
         if len(self._tasks) < self._limits.max_connections:
             task = await curio.spawn(self._serve, conn, daemon=True)
             self._tasks[conn] = task
@@ -120,6 +123,16 @@
         finally:
             self._refused -= 1
 
+    def ask_to_leave(self) -> None:
+        """Let each answer from now on say that its connection closes after it.
+
+        Callers move to other hosts at their own pace, while new connections are
+        still accepted; `close` follows once they have.
+        """
+        self._leaving = True
+        for conn in self._tasks:
+            conn.close_when_done()
+
     async def close(self, timeout: float) -> None:
         """Stop accepting, finish exchanges in progress, close idle connections.
 
--- a/packages/common/src/bronzepoint_common/http/_wire.py
+++ b/packages/common/src/bronzepoint_common/http/_wire.py
@@ -117,6 +117,11 @@
             self.sent += sent
             self._rest = self._rest[sent:]
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that `send_now` left and `send_rest` has not written yet."""
+        return len(self._rest)
+
     def poll(self) -> bytes | None:
         """Read without waiting: None where nothing is there, b"" at the end."""
         try:
--- a/packages/common/src/bronzepoint_common/peers/_area.py
+++ b/packages/common/src/bronzepoint_common/peers/_area.py
@@ -13,3 +13,4 @@
     LIMITS = 5
     ORDERS = 6
     CATALOGUE = 7
+    FLEET = 8
--- a/packages/common/src/bronzepoint_common/peers/_peers.py
+++ b/packages/common/src/bronzepoint_common/peers/_peers.py
@@ -47,14 +47,22 @@
         listen: ``host:port`` to listen on.
         key: The cluster key.
         metrics: Counts what is dropped.
+        resolve: Gives the address of a peer that nobody has named; None: there is
+            none. For hosts whose name tells their address.
     """
 
     def __init__(
-        self, name: HostName, listen: str, key: bytes, metrics: Metrics
+        self,
+        name: HostName,
+        listen: str,
+        key: bytes,
+        metrics: Metrics,
+        resolve: Callable[[HostName], str | None] | None = None,
     ) -> None:
         self._name = name
         self._key = key
         self._metrics = metrics
+        self._resolve = resolve
         self._calls = Calls()
         self._encoder = msgspec.msgpack.Encoder()
         self._addresses: dict[HostName, str] = {}
@@ -140,7 +148,7 @@
             PeerError: One of its subclasses; after PeerTimeout and PeerFailed it is
                 unknown whether the peer acted on the message.
         """
-        if peer not in self._outboxes:
+        if self._outbox(peer) is None:
             raise PeerUnknown(peer)
         call_id = self._calls.begin(peer)
         try:
@@ -170,7 +178,7 @@
     def _send_payload(
         self, peer: HostName, frame: FrameKind, area: int, call_id: int, payload: bytes
     ) -> bool:
-        outbox = self._outboxes.get(peer)
+        outbox = self._outbox(peer)
         if outbox is None:
             self._metrics.incr("peers.unknown")
             return False
@@ -182,6 +190,15 @@
         self._metrics.incr("peers.sent_bytes", len(data))
         return True
 
+    def _outbox(self, peer: HostName) -> Outbox | None:
+        outbox = self._outboxes.get(peer)
+        if outbox is None and self._resolve is not None and self._wake_fd >= 0:
+            address = self._resolve(peer)
+            if address is not None:
+                self.set_address(peer, address)
+                outbox = self._outboxes.get(peer)
+        return outbox
+
     def _dial(self, peer: HostName) -> None:
         self._outboxes[peer] = Outbox(self._addresses[peer], self._wake)
 
--- a/packages/common/src/bronzepoint_common/peers/_stream.py
+++ b/packages/common/src/bronzepoint_common/peers/_stream.py
@@ -12,7 +12,7 @@
 UNPROVED_BYTES = 64 * 1024
 """Bound of a connection's first frame, before its sender has shown the cluster key."""
 _LENGTH_BYTES = 4
-_USER_TIMEOUT_MS = 4000
+_USER_TIMEOUT_MS = 2500
 """Time that sent bytes may stay unacknowledged before the connection is given up."""
 _KEEPALIVE_IDLE = 10
 _KEEPALIVE_INTERVAL = 5
--- a/packages/node/src/bronzepoint_node/agreement/__init__.py
+++ b/packages/node/src/bronzepoint_node/agreement/__init__.py
@@ -12,6 +12,7 @@
     SettingsUnsafe,
     VoterWithoutDisk,
 )
+from ._seeded_agreement import SeededAgreement
 from ._status import AgreementStatus, Role, VoterStatus
 
 __all__ = [
@@ -25,6 +26,7 @@
     "NoQuorum",
     "NotLeader",
     "Role",
+    "SeededAgreement",
     "SettingsUnsafe",
     "VoterStatus",
     "VoterWithoutDisk",
--- a/packages/node/src/bronzepoint_node/agreement/_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_agreement.py
@@ -3,8 +3,6 @@
 import uuid
 from pathlib import Path
 
-import curio
-
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area, PeerError, Peers
@@ -28,12 +26,11 @@
 from bronzepoint_schema.ids import ClusterId, FencingNumber, HostName
 
 from ._errors import (
-    InitialiseRefused,
     Invalid,
     SettingsUnsafe,
     VoterWithoutDisk,
 )
-from ._genesis import choose_genesis, cluster_of
+from ._genesis import begin_cluster
 from ._proposer import Proposer
 from ._shorten import shorten
 from ._status import AgreementStatus, Role
@@ -172,27 +169,7 @@
         Raises:
             InitialiseRefused: Not every voter answered, or they disagree.
         """
-        answers: dict[HostName, IdentityReply | None] = {}
-        async with curio.TaskGroup() as group:
-            tasks = {}
-            for host in self._voters:
-                tasks[host] = await group.spawn(self._ask, host, IdentityRequest())
-            await group.join()
-            answers = {host: task.result for host, task in tasks.items()}
-        voters = choose_genesis(answers)
-        cluster = cluster_of(voters)
-        members = {voter.host: voter.storage for voter in voters}
-        for host, answer in answers.items():
-            if answer is None or answer.cluster or members.get(host) != answer.storage:
-                continue
-            reply = await self._ask(host, GenesisRequest(voters))
-            if reply is None or reply.cluster != cluster:
-                raise InitialiseRefused(
-                    f"voter {host} did not join cluster {cluster}",
-                    "check that its [peer …] voter keys name the same voters as here, "
-                    "then run it again",
-                )
-        return cluster
+        return await begin_cluster(self._voters, self._ask)
 
     async def _ask(
         self, host: HostName, request: IdentityRequest | GenesisRequest
--- a/packages/node/src/bronzepoint_node/agreement/_leadership.py
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -27,11 +27,12 @@
 from bronzepoint_schema.generated.agreement import (
     Voter as VoterId,
 )
-from bronzepoint_schema.ids import ChangeId, HostName, StorageId, Term
+from bronzepoint_schema.ids import ChangeId, HostName, RegionName, StorageId, Term
 
 from ._machine import find_voter, replace_storage
 from ._quorum import reached_by_quorum
 from ._status import VoterStatus
+from ._voter_choice import Candidate, choose_voters
 
 if TYPE_CHECKING:
     from ._voter import Voter
@@ -39,6 +40,8 @@
 _NEVER = float("-inf")
 _MAX_ENTRIES = 32
 _SNAPSHOT_TIMEOUT = 10.0
+_LEARNER_PATIENCE = 20.0
+"""Seconds of silence after which a host that doesn't vote is followed no more."""
 _encoder = msgspec.msgpack.Encoder()
 _log = get_logger("agreement")
 
@@ -54,6 +57,7 @@
         match_index: Last position that the storage is known to hold, synced.
         acked_at: When the newest request that it answered was sent.
         wake: Set when there is something to send.
+        dropped: True once nothing more is to be sent.
     """
 
     host: HostName
@@ -62,6 +66,7 @@
     match_index: int = 0
     acked_at: float = _NEVER
     wake: curio.Event = field(default_factory=curio.Event)
+    dropped: bool = False
 
 
 class Leadership:
@@ -82,25 +87,40 @@
         self._began = monotonic()
         self._first_index = voter.log.last_index + 1
         self._progress: dict[HostName, Progress] = {}
+        self._regions: dict[HostName, RegionName] = {}
+        self._group: curio.TaskGroup | None = None
         self._waiting: dict[ChangeId, set[HostName]] = {}
 
     async def run(self) -> None:
         """Lead until the term ends; returns once all its tasks have ended."""
         async with curio.TaskGroup() as group:
+            self._group = group
             await self._append(TermBody(self._voter.name))
             for voter in self._voter.known_voters():
-                if voter.host == self._voter.name:
-                    continue
-                next_index = self._voter.log.last_index
-                progress = Progress(voter.host, voter.storage, next_index)
-                self._progress[voter.host] = progress
-                await group.spawn(self._replicate, progress)
+                await self._follow_up(voter.host, voter.storage)
             while self.active:
                 await self._give_up_without_quorum()
                 await self._repair_one_voter()
+                await self._seat_learners()
+                self._forget_silent_learners()
                 await curio.sleep(self._voter.section.heartbeat)
             await group.cancel_remaining()
 
+    async def add_learner(
+        self, host: HostName, storage: StorageId, region: RegionName
+    ) -> None:
+        """Bring a host up to date that doesn't vote, so that it may be needed."""
+        self._regions[host] = region
+        if self.active and self._group is not None:
+            await self._follow_up(host, storage)
+
+    async def _follow_up(self, host: HostName, storage: StorageId) -> None:
+        if host == self._voter.name or host in self._progress:
+            return
+        progress = Progress(host, storage, self._voter.log.last_index)
+        self._progress[host] = progress
+        await self._group.spawn(self._replicate, progress)
+
     def stop(self) -> None:
         """End the term; callers hold the voter's lock."""
         self.active = False
@@ -207,7 +227,7 @@
             await self._voter.fail(exc)
 
     async def _replicate_until_stopped(self, progress: Progress) -> None:
-        while self.active:
+        while self.active and not progress.dropped:
             progress.wake.clear()
             sent_at = monotonic()
             request = self._next_request(progress)
@@ -318,6 +338,64 @@
             await self._append(VotersBody(voters, former))
             return
 
+    async def _seat_learners(self) -> None:
+        """Let caught-up learners vote where voters are missing or gone for good.
+
+        One change at a time, under the same conditions as a repair; see there.
+        """
+        voter = self._voter
+        wanted = voter.section.voters_wanted
+        if not wanted or not self.ready or len(voter.voter_sets()) > 1:
+            return
+        if monotonic() >= self.lease_until():
+            return
+        former = list(voter.machine.voters)
+        voters = choose_voters(
+            former, self._candidates(former), wanted, voter.section.replace_after
+        )
+        if voters is None:
+            return
+        _log.warning("voters change", voters=[v.host for v in voters])
+        voter.metrics.incr("agreement.voters_changed")
+        await self._append(VotersBody(voters, former))
+
+    def _candidates(self, voters: list[VoterId]) -> list[Candidate]:
+        own = self._voter.name
+        now = monotonic()
+        found = [
+            Candidate(
+                VoterId(own, self._voter.log.identity.storage),
+                self._voter.region,
+                silent=0.0,
+                caught_up=True,
+            )
+        ]
+        for progress in self._progress.values():
+            storage = progress.storage
+            agreed = find_voter(voters, progress.host)
+            if agreed is not None:
+                # A voter's changed storage is a repair, not a new seat.
+                storage = agreed.storage
+            found.append(
+                Candidate(
+                    VoterId(progress.host, storage),
+                    self._regions.get(progress.host, RegionName("")),
+                    silent=now - max(progress.acked_at, self._began),
+                    caught_up=self._is_caught_up(progress),
+                )
+            )
+        return found
+
+    def _forget_silent_learners(self) -> None:
+        """Stop sending to hosts that left for good; else they would cost forever."""
+        voters = {v.host for v in self._voter.known_voters()}
+        now = monotonic()
+        for host, progress in list(self._progress.items()):
+            silent = now - max(progress.acked_at, self._began)
+            if host not in voters and silent > _LEARNER_PATIENCE:
+                progress.dropped = True
+                del self._progress[host]
+
     def _is_caught_up(self, progress: Progress) -> bool:
         voter = self._voter
         fresh = monotonic() - progress.acked_at < voter.section.lease
--- a/packages/node/src/bronzepoint_node/agreement/_machine.py
+++ b/packages/node/src/bronzepoint_node/agreement/_machine.py
@@ -16,6 +16,7 @@
     Change,
     ChangeBody,
     ChangeResult,
+    CloseDataCenter,
     Conflicted,
     Delta,
     Expired,
@@ -25,6 +26,7 @@
     PatchTargets,
     Put,
     Remove,
+    ReplaceDocument,
     StoredVersion,
     TermBody,
     ViewSnapshot,
@@ -35,6 +37,7 @@
 from bronzepoint_schema.ids import (
     ChangeId,
     ClusterId,
+    DataCenterName,
     HostName,
     OperatorName,
     Revision,
@@ -70,6 +73,10 @@
     Args:
         cluster: The cluster.
         voters: The first set of voters.
+
+    Attributes:
+        document: Newest catalogue document; None: the catalogue is kept by item.
+        closed: Data centers whose targets get nothing.
     """
 
     def __init__(self, cluster: ClusterId, voters: list[Voter]) -> None:
@@ -78,6 +85,8 @@
         self.index = 0
         self.term = Term(0)
         self.revision = Revision(0)
+        self.document: ReplaceDocument | None = None
+        self.closed: frozenset[DataCenterName] = frozenset()
         self._items: dict[ItemKey, CatalogueItem] = {}
         self._versions: dict[ItemKey, StoredVersion] = {}
         self._removed: dict[ItemKey, None] = {}
@@ -101,6 +110,8 @@
         machine._results = {result.change_id: result for result in snapshot.results}
         machine._by_age = sorted(machine._results)
         machine._forgotten = snapshot.forgotten
+        machine.document = snapshot.document
+        machine.closed = frozenset(snapshot.closed)
         return machine
 
     def snapshot(self) -> MachineSnapshot:
@@ -117,6 +128,8 @@
             versions=present + removed,
             results=list(self._results.values()),
             forgotten=self._forgotten,
+            document=self.document,
+            closed=sorted(self.closed),
         )
 
     def view(self) -> ViewSnapshot:
@@ -157,6 +170,11 @@
         known = self.result(change.change_id)
         if known is not None:
             return Applied(known)
+        match change.op:
+            case ReplaceDocument() as op:
+                return self._replace_document(change, op)
+            case CloseDataCenter() as op:
+                return self._close_data_center(change, op)
         key = _change_key(change)
         held = self._versions.get(key)
         present = held.version if held is not None else 0
@@ -170,6 +188,31 @@
         self._remember(result)
         return Applied(result, delta)
 
+    def _replace_document(self, change: Change, op: ReplaceDocument) -> Applied:
+        """Take a document of a higher version; accept an overtaken one unchanged.
+
+        Two documents may come with the same number: the first in the log wins, and
+        the other is accepted like any overtaken one, since hosts may already serve
+        on the first.
+        """
+        if self.document is None or op.version > self.document.version:
+            self.document = op
+            self.revision = Revision(self.revision + 1)
+        return self._accept(change, op.version)
+
+    def _close_data_center(self, change: Change, op: CloseDataCenter) -> Applied:
+        names = {op.data_center}
+        closed = self.closed | names if op.closed else self.closed - names
+        if closed != self.closed:
+            self.closed = closed
+            self.revision = Revision(self.revision + 1)
+        return self._accept(change, change.version)
+
+    def _accept(self, change: Change, version: int) -> Applied:
+        result = Accepted(change.change_id, self.revision, version)
+        self._remember(result)
+        return Applied(result)
+
     def _has_meaning(self, change: Change, key: ItemKey) -> bool:
         """Tell whether there is something to remove."""
         return isinstance(change.op, Put) or key in self._items
--- a/packages/node/src/bronzepoint_node/agreement/_proposer.py
+++ b/packages/node/src/bronzepoint_node/agreement/_proposer.py
@@ -59,7 +59,7 @@
     ) -> None:
         self.leader = HostName("")
         self._name = name
-        self._voters = voters
+        self.voters = voters
         self._own = own
         self._peers = peers
         self._metrics = metrics
@@ -105,7 +105,7 @@
         target = self.leader
         while pending.result is None:
             if not target:
-                target = self._voters[turn % len(self._voters)] if self._voters else ""
+                target = self.voters[turn % len(self.voters)] if self.voters else ""
                 turn += 1
             if not target or not await self._ask(target, change, pending, unknown):
                 await curio.sleep(_PAUSE)
--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -31,7 +31,14 @@
     Voter as VoterId,
 )
 from bronzepoint_schema.generated.settings import AgreementSection
-from bronzepoint_schema.ids import ClusterId, FencingNumber, HostName, StorageId, Term
+from bronzepoint_schema.ids import (
+    ClusterId,
+    FencingNumber,
+    HostName,
+    RegionName,
+    StorageId,
+    Term,
+)
 
 from ._ballot import Ballot
 from ._election import Election
@@ -60,6 +67,7 @@
         catalogue: Takes what was agreed.
         metrics: Counters.
         deliver: Sends the outcome of a change to the host that proposed it.
+        region: Region of this host; empty: voters are not spread over regions.
 
     Attributes:
         lock: Held by whoever changes the log, the term or the role.
@@ -81,8 +89,10 @@
         catalogue: Catalogue,
         metrics: Metrics,
         deliver: Deliver,
+        region: RegionName | None = None,
     ) -> None:
         self.name = name
+        self.region = region or RegionName("")
         self.section = section
         self.peers = peers
         self.metrics = metrics
@@ -139,6 +149,15 @@
             return None
         return leadership.lease_until()
 
+    async def add_learner(
+        self, host: HostName, storage: StorageId, region: RegionName
+    ) -> bool:
+        """Follow up a host that would vote if needed; False: this isn't the leader."""
+        if not self.is_leader:
+            return False
+        await self._leadership.add_learner(host, storage, region)
+        return True
+
     def lease(self) -> FencingNumber | None:
         """Return the number to act under, if this host may act as leader right now."""
         until = self.lease_until()
--- a/packages/node/src/bronzepoint_node/agreement/_voter_log.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter_log.py
@@ -55,6 +55,10 @@
         self.base_term = Term(0)
         self._entries: list[LogEntry] = []
 
+    def exists(self) -> bool:
+        """Tell whether the folder holds a storage already."""
+        return self._log.path.exists() or self._snapshot_file.path.exists()
+
     async def open(self) -> None:
         """Read everything back; an empty folder gets a new storage id.
 
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/fleet/_core_hub.py
@@ -0,0 +1,126 @@
+"""What a host of the core tells entry hosts, and what the core tells itself."""
+
+import curio
+import msgspec
+
+from bronzepoint_common.logs import get_logger
+from bronzepoint_common.peers import Area, Peers
+from bronzepoint_node.agreement import SeededAgreement
+from bronzepoint_schema.generated.fleet import (
+    CoreHost,
+    CoreNotice,
+    EntryHost,
+    FleetMessage,
+    SyncReply,
+    SyncRequest,
+    TargetList,
+)
+from bronzepoint_schema.ids import HostName, RegionName
+
+from ._registry import Registry
+from ._target_reader import TargetReader
+
+NOTICE_INTERVAL = 0.5
+"""Seconds between two notices to the other hosts of the core."""
+
+_log = get_logger("core")
+
+
+class CoreHub:
+    """Answers entry hosts, and exchanges with the core what each has heard.
+
+    Args:
+        name: This host.
+        region: Its region.
+        agreement: The agreed document.
+        reader: The list of targets.
+        peers: Links to the other hosts.
+    """
+
+    def __init__(
+        self,
+        name: HostName,
+        region: RegionName,
+        agreement: SeededAgreement,
+        reader: TargetReader,
+        peers: Peers,
+    ) -> None:
+        self.registry = Registry()
+        self._name = name
+        self._region = region
+        self._agreement = agreement
+        self._reader = reader
+        self._peers = peers
+        self._own: set[HostName] = set()
+        self._task: curio.Task | None = None
+        peers.register(Area.FLEET, FleetMessage, self._handle)
+
+    async def start(self) -> None:
+        """Begin to exchange notices."""
+        self._task = await curio.spawn(self._notify, daemon=True)
+
+    async def close(self) -> None:
+        """Stop exchanging notices."""
+        if self._task is not None:
+            await self._task.cancel()
+
+    async def _handle(
+        self, peer: HostName, message: FleetMessage
+    ) -> FleetMessage | None:
+        match message:
+            case SyncRequest():
+                return self._answer(message)
+            case CoreNotice():
+                self.registry.hear_entries(message.hosts)
+                self.registry.hear_loads(message.loads)
+                self.registry.hear_core(message.core)
+        return None
+
+    def _answer(self, request: SyncRequest) -> SyncReply:
+        self._own.add(request.host.name)
+        self.registry.hear_entries([request.host])
+        self.registry.hear_loads(request.loads)
+        document = self._agreement.document
+        version = document.version if document is not None else -1
+        listed = self._reader.newest()
+        age = self._agreement.confirmed_age()
+        return SyncReply(
+            revision=self._agreement.revision,
+            confirmed_age_ms=-1 if age is None else int(age * 1000),
+            document_version=version,
+            document=document.content if version > request.document_version else None,
+            closed=sorted(self._agreement.closed),
+            targets=self._unknown_list(request, listed),
+            targets_age_ms=listed.age_ms if listed is not None else -1,
+            hosts=self.registry.entries(),
+            loads=self.registry.loads(),
+            core=self._core(),
+        )
+
+    def _unknown_list(
+        self, request: SyncRequest, listed: TargetList | None
+    ) -> TargetList | None:
+        if listed is None:
+            return None
+        known = (request.list_reader, request.list_number)
+        return listed if known != (listed.reader, listed.number) else None
+
+    def _core(self) -> list[CoreHost]:
+        self.registry.hear_core([CoreHost(self._name, self._region, 0)])
+        return self.registry.core()
+
+    async def _notify(self) -> None:
+        while True:
+            notice = CoreNotice(
+                self._own_entries(), self.registry.loads(), self._core()
+            )
+            hosts = {host.name for host in self.registry.core()}
+            for host in (hosts | self._agreement.known_hosts()) - {self._name}:
+                self._peers.post(host, Area.FLEET, notice)
+            await curio.sleep(NOTICE_INTERVAL)
+
+    def _own_entries(self) -> list[EntryHost]:
+        """Return the entry hosts that speak to this host: others tell of the rest."""
+        live = [host for host in self.registry.entries() if host.name in self._own]
+        self._own = {host.name for host in live}
+        return [msgspec.structs.replace(host) for host in live]
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -0,0 +1,179 @@
+"""An entry host's knowledge: what is in force, which targets there are, who lives."""
+
+import random
+from collections.abc import Callable
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.logs import get_logger
+from bronzepoint_common.peers import Area, PeerError, Peers
+from bronzepoint_schema.generated.fleet import (
+    CoreHost,
+    EntryHost,
+    FleetMessage,
+    RegionLoad,
+    SyncReply,
+    SyncRequest,
+    TargetList,
+)
+from bronzepoint_schema.ids import DataCenterName, HostName, RegionName
+
+from ._registry import Registry
+from ._served import ServedCatalogue
+
+SYNC_INTERVAL = 0.4
+"""Seconds between two questions; a change is in force within 4 s on every host."""
+SYNC_TIMEOUT = 0.7
+"""Seconds to wait for a host of the core: four of the longest trips there and back."""
+HOME_RETRY = 5.0
+"""Seconds after which a host of the own region is tried again that didn't answer."""
+
+_log = get_logger("follower")
+
+
+class Follower:
+    """Asks one host of the core after another, the own region's first.
+
+    Args:
+        describe: Tells what this host says of itself.
+        own_loads: Tells the load of this region's targets.
+        decode: Reads a catalogue document.
+        seeds: Hosts of the core to begin with.
+        peers: Links to the other hosts.
+
+    Attributes:
+        catalogue: What is in force; None: not known yet. Never goes back.
+        closed: Data centers whose targets get nothing.
+        targets: Newest list; None: not known yet.
+        registry: Who lives, and the loads of the regions.
+    """
+
+    def __init__(
+        self,
+        describe: Callable[[], EntryHost],
+        own_loads: Callable[[], list[RegionLoad]],
+        decode: Callable[[bytes], ServedCatalogue],
+        seeds: list[HostName],
+        peers: Peers,
+    ) -> None:
+        self.catalogue: ServedCatalogue | None = None
+        self.closed: frozenset[DataCenterName] = frozenset()
+        self.targets: TargetList | None = None
+        self.targets_read_at = 0.0
+        self.registry = Registry()
+        self._describe = describe
+        self._own_loads = own_loads
+        self._decode = decode
+        self._seeds = seeds
+        self._peers = peers
+        self._region: RegionName = describe().region
+        self._current: HostName | None = None
+        self._revision = 0
+        self._failed_at: dict[HostName, float] = {}
+        self._on_change: list[Callable[[], None]] = []
+        self._task: curio.Task | None = None
+        peers.register(Area.FLEET, FleetMessage, self._ignore)
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each answer that was taken."""
+        self._on_change.append(listener)
+
+    async def start(self) -> None:
+        """Begin to ask."""
+        self._task = await curio.spawn(self._run, daemon=True)
+
+    async def close(self) -> None:
+        """Stop asking."""
+        if self._task is not None:
+            await self._task.cancel()
+
+    async def tell_now(self) -> None:
+        """Tell the core at once what this host has become, such as leaving."""
+        await self._ask(self._choose())
+
+    async def _ignore(self, peer: HostName, message: FleetMessage) -> None:
+        """Entry hosts only ask; what comes unasked is for hosts of the core."""
+
+    async def _run(self) -> None:
+        while True:
+            began = monotonic()
+            answered = await self._ask(self._choose())
+            spent = monotonic() - began
+            pause = SYNC_INTERVAL if answered else SYNC_INTERVAL / 4
+            await curio.sleep(max(0.05, pause - spent))
+
+    def _choose(self) -> HostName:
+        """Return whom to ask: of the own region where one answers, else any."""
+        now = monotonic()
+        core = self.registry.core() or [
+            CoreHost(seed, RegionName(""), 0) for seed in self._seeds
+        ]
+        fit = [
+            host
+            for host in core
+            if now - self._failed_at.get(host.name, -HOME_RETRY) >= HOME_RETRY
+        ]
+        if not fit:
+            # All have failed lately, as in a cut: any may be the first back.
+            return random.choice([h.name for h in core] + list(self._seeds))
+        near = [host for host in fit if host.region == self._region]
+        names = sorted(host.name for host in near or fit)
+        if self._current not in names:
+            self._current = random.choice(names)
+        return self._current
+
+    async def _ask(self, core: HostName) -> bool:
+        request = SyncRequest(
+            host=self._describe(),
+            document_version=self.catalogue.version if self.catalogue else -1,
+            list_reader=self.targets.reader if self.targets else HostName(""),
+            list_number=self.targets.number if self.targets else 0,
+            loads=self._own_loads(),
+        )
+        try:
+            reply = await self._peers.call(core, Area.FLEET, request, SYNC_TIMEOUT)
+        except PeerError as exc:
+            self._failed_at[core] = monotonic()
+            if self._current == core:
+                self._current = None
+            _log.warning("core host lost", core=core, reason=str(exc))
+            return False
+        self._failed_at.pop(core, None)
+        self._take(core, reply)
+        return True
+
+    def _take(self, core: HostName, reply: SyncReply) -> None:
+        held = self.catalogue.version if self.catalogue else -1
+        if reply.document is not None and reply.document_version > held:
+            self.catalogue = self._decode(reply.document)
+            _log.info(
+                "catalogue in force",
+                version=self.catalogue.version,
+                core=core,
+                confirmed_age_ms=reply.confirmed_age_ms,
+            )
+        # A host of the core that is itself behind must not take closing back.
+        if reply.revision >= self._revision:
+            self._revision = reply.revision
+            closed = frozenset(reply.closed)
+            if closed != self.closed:
+                _log.info("closed data centers", closed=sorted(closed), core=core)
+            self.closed = closed
+        self._take_targets(reply)
+        self.registry.hear_entries(reply.hosts)
+        self.registry.hear_core(reply.core)
+        self.registry.hear_loads(reply.loads)
+        for listener in self._on_change:
+            listener()
+
+    def _take_targets(self, reply: SyncReply) -> None:
+        """Take a list that was read later than the one held, whoever read it."""
+        if reply.targets_age_ms < 0:
+            return
+        read_at = monotonic() - reply.targets_age_ms / 1000
+        if read_at <= self.targets_read_at:
+            return
+        if reply.targets is not None:
+            self.targets = reply.targets
+        self.targets_read_at = read_at
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/fleet/_served.py
@@ -0,0 +1,125 @@
+"""What is served: the routes and services of one catalogue document."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+from bronzepoint_schema.ids import RegionName
+
+
+class RouteKind(Enum):
+    """What may be repeated of the requests on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+class ServiceShare(Struct, frozen=True):
+    """A part of a route's requests.
+
+    Attributes:
+        weight: Share, against the sum of the weights of the route.
+    """
+
+    service: str
+    weight: float
+
+
+class ServedRoute(Struct, frozen=True):
+    """Requests of one host name and path prefix.
+
+    Attributes:
+        timeout: Seconds for which a caller may be kept waiting.
+        objective: Seconds within which an answer has its full worth.
+        priority: Rank; 0 goes first.
+        max_attempts: Targets that one request may be sent to.
+        resumable: A broken stream may go on at another target.
+        max_gap: Seconds between two events of a stream that is still in time; 0: any.
+        home_regions: Regions that may serve it; empty: all.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout: float
+    objective: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_attempts: int
+    resumable: bool = False
+    max_gap: float = 0.0
+    home_regions: tuple[RegionName, ...] = ()
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may be sent again though it may have run."""
+        return self.kind is RouteKind.IDEMPOTENT or (
+            self.kind is RouteKind.STREAM and self.resumable
+        )
+
+
+class EngineFacts(Struct, frozen=True):
+    """What is known beforehand of the engines of a service.
+
+    Attributes:
+        slots: Requests in one batch.
+        memory_tokens: Tokens of running requests and cached prompts.
+        backups: A run's memory may be copied to another engine as it grows.
+        moves: A run may be moved to another engine.
+        event_watchers: Calls for cache events that one engine keeps waiting.
+    """
+
+    slots: int
+    memory_tokens: int
+    backups: bool = False
+    moves: bool = False
+    event_watchers: int = 0
+
+
+class ServedService(Struct, frozen=True):
+    """Targets that answer the same requests.
+
+    Attributes:
+        health_path: Path of the health check.
+        max_connections: Connections that one target accepts.
+        cold_time: Seconds for which a started target is cold; 0: it never is.
+        cold_rate: Requests a second that a cold target stands.
+        engine: None: a plain service.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    cold_time: float = 0.0
+    cold_rate: float = 0.0
+    engine: EngineFacts | None = None
+
+
+class CallerLimits(Struct, frozen=True):
+    """What callers may send; sizes in bytes, times in seconds."""
+
+    max_head: int = 16384
+    max_body: int = 4194304
+    head_timeout: float = 10.0
+    idle_timeout: float = 60.0
+
+
+class ServedCatalogue(Struct, frozen=True):
+    """One whole catalogue document, checked."""
+
+    version: int
+    routes: tuple[ServedRoute, ...]
+    services: dict[str, ServedService]
+    limits: CallerLimits
+
+    def find_route(self, host: str, path: str) -> ServedRoute | None:
+        """Return the route of the host name with the longest prefix of the path."""
+        found = None
+        for route in self.routes:
+            if route.host != host or not path.startswith(route.prefix):
+                continue
+            if found is None or len(route.prefix) > len(found.prefix):
+                found = route
+        return found
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -0,0 +1,28 @@
+"""Where a request goes: targets and regions as one entry host knows them."""
+
+from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
+from ._cold_gate import ColdGate
+from ._placer import PlacementAsk, Placer, service_of
+from ._prober import Prober, ReportUnavailable
+from ._prompt import Prompt, PromptPart
+from ._retry_allowance import RetryAllowance
+from ._target_table import EngineReport, TargetTable
+
+__all__ = [
+    "AtHome",
+    "ColdGate",
+    "Elsewhere",
+    "EngineReport",
+    "Placement",
+    "PlacementAsk",
+    "Placer",
+    "Prober",
+    "Prompt",
+    "PromptPart",
+    "RejectReason",
+    "Rejected",
+    "ReportUnavailable",
+    "RetryAllowance",
+    "TargetTable",
+    "service_of",
+]
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -0,0 +1,59 @@
+"""What the placer answers."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from bronzepoint_schema.ids import RegionName
+
+from ._target_table import Tracked
+
+
+class RejectReason(StrEnum):
+    """Why a request is turned away unserved."""
+
+    NO_CATALOGUE = "no_catalogue"
+    NO_TARGET = "no_target"
+    NO_ROOM = "no_room"
+    HOME_UNREACHABLE = "home_unreachable"
+    RETRIES_USED_UP = "retries_used_up"
+    DEADLINE = "deadline"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True)
+class AtHome:
+    """Send it to this target of the own region.
+
+    Attributes:
+        delay: Seconds until its first answer, as expected.
+    """
+
+    target: Tracked
+    reason: str
+    delay: float = 0.0
+
+
+@dataclass(frozen=True)
+class Elsewhere:
+    """Forward it to an entry host of another region."""
+
+    region: RegionName
+    host: str
+    address: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class Rejected:
+    """Turn it away; it has not run.
+
+    Attributes:
+        retry_after: Seconds until there may be room.
+    """
+
+    reason: RejectReason
+    retry_after: float
+    detail: str = ""
+
+
+Placement = AtHome | Elsewhere | Rejected
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/placement/_prober.py
@@ -0,0 +1,83 @@
+"""Asking the engines of the region how busy they are."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.logs import get_logger
+
+from ._target_table import EngineReport, TargetTable, Tracked
+
+ReadReport = Callable[[str], Awaitable[EngineReport]]
+"""Asks the engine at an address; raises ReportUnavailable."""
+
+INTERVAL = 0.4
+"""Seconds between two questions to one engine. Its words are 0.2 s old anyway."""
+MOST_PER_ENGINE = 10.0
+"""Questions a second that one engine gets of all hosts of its region together."""
+
+_log = get_logger("targets")
+
+
+class ReportUnavailable(Exception):
+    """An engine doesn't say how busy it is; the message says why."""
+
+
+class Prober:
+    """Runs one task for each engine.
+
+    Args:
+        table: Targets of the region.
+        read: Asks one engine.
+        hosts: Gives the number of entry hosts that ask the same engines.
+    """
+
+    def __init__(
+        self, table: TargetTable, read: ReadReport, hosts: Callable[[], int]
+    ) -> None:
+        self._table = table
+        self._read = read
+        self._hosts = hosts
+        self._tasks: dict[str, curio.Task] = {}
+        self._run: curio.Task | None = None
+
+    async def start(self) -> None:
+        """Begin to ask."""
+        self._run = await curio.spawn(self._attend, daemon=True)
+
+    async def close(self) -> None:
+        """Stop asking."""
+        if self._run is not None:
+            await self._run.cancel()
+        for task in self._tasks.values():
+            await task.cancel()
+
+    async def _attend(self) -> None:
+        while True:
+            names = {t.info.incarnation for t in self._table.all() if t.engine}
+            for name in names - self._tasks.keys():
+                self._tasks[name] = await curio.spawn(self._follow, name, daemon=True)
+            for name in self._tasks.keys() - names:
+                await self._tasks.pop(name).cancel()
+            await curio.sleep(INTERVAL)
+
+    async def _follow(self, name: str) -> None:
+        while True:
+            tracked = self._table.get(name)
+            if tracked is not None:
+                await self._ask(tracked)
+            await curio.sleep(max(INTERVAL, self._hosts() / MOST_PER_ENGINE))
+
+    async def _ask(self, tracked: Tracked) -> None:
+        asked_at = monotonic()
+        runs = len(tracked.runs)
+        try:
+            report = await self._read(tracked.info.address)
+        except ReportUnavailable as exc:
+            if not tracked.failed_reports:
+                target = tracked.info.incarnation
+                _log.warning("no report", target=target, reason=str(exc))
+            tracked.note_silent(monotonic())
+            return
+        tracked.take_report(report, asked_at, runs)
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -0,0 +1,252 @@
+"""The targets of this region, as one entry host sees them."""
+
+from dataclasses import dataclass, field
+
+from msgspec import Struct
+
+from bronzepoint_common.logs import get_logger
+from bronzepoint_node.fleet import EngineFacts, ServedService
+from bronzepoint_node.targets import Health, HealthState, find_ejections, find_return
+from bronzepoint_schema.generated.decisions import TryResult
+from bronzepoint_schema.generated.fleet import TargetInfo
+from bronzepoint_schema.ids import DataCenterName
+
+from ._part_memory import PartMemory
+from ._prompt import Prompt
+
+REOPENED_COLD_MARGIN = 1.0
+"""Seconds added to a service's cold time where a data center is opened again: the
+list that tells of the cold targets lags."""
+
+_log = get_logger("targets")
+
+
+class EngineReport(Struct, frozen=True):
+    """What an engine says of its load, as of a moment ago."""
+
+    running: int
+    waiting: int
+    used_tokens: int
+    total_tokens: int
+
+
+@dataclass
+class OwnRun:
+    """A request of this host at a target.
+
+    Attributes:
+        tokens: Memory that it takes up.
+        uncached: Prompt tokens that the engine has to read.
+        started: True once the first event has come.
+    """
+
+    tokens: int
+    uncached: int
+    started: bool = False
+
+
+@dataclass
+class Tracked:
+    """One target: what the list says, and what this host has seen of it.
+
+    Attributes:
+        info: What the list says.
+        cold_until: Until when it is cold, by the own clock.
+        runs: This host's requests there.
+        report: What it said last; None: nothing yet.
+        report_at: When that was asked.
+        runs_at_report: This host's requests there at that moment.
+        tokens_at_report: Memory of those.
+        silent_since: When it last failed to say anything; 0: it answers.
+    """
+
+    info: TargetInfo
+    engine: EngineFacts | None
+    memory: PartMemory
+    health: Health
+    cold_until: float = 0.0
+    runs: dict[str, OwnRun] = field(default_factory=dict)
+    report: EngineReport | None = None
+    report_at: float = float("-inf")
+    runs_at_report: int = 0
+    tokens_at_report: int = 0
+    silent_since: float = 0.0
+    failed_reports: int = 0
+
+    @property
+    def slots(self) -> int:
+        """Requests that it works on at once."""
+        return self.engine.slots if self.engine else max(1, self.info.slots)
+
+    def own_tokens(self) -> int:
+        """Return the memory that this host's requests take up there."""
+        return sum(run.tokens for run in self.runs.values())
+
+    def unread_tokens(self) -> int:
+        """Return prompt tokens of this host's requests that are yet to be read."""
+        return sum(run.uncached for run in self.runs.values() if not run.started)
+
+    def free_tokens(self) -> float:
+        """Return the memory that running requests leave, as far as is known."""
+        if self.engine is None:
+            return float("inf")
+        others = 0
+        total = self.engine.memory_tokens
+        if self.report is not None:
+            total = self.report.total_tokens or total
+            others = max(0, self.report.used_tokens - self.tokens_at_report)
+        return total - others - self.own_tokens()
+
+    def begin(self, run_id: str, prompt: Prompt | None) -> None:
+        """Count a request that is sent there."""
+        if prompt is None:
+            self.runs[run_id] = OwnRun(0, 0)
+            return
+        cached = self.memory.cached_tokens(prompt)
+        self.runs[run_id] = OwnRun(prompt.memory_tokens, prompt.tokens - cached)
+        self.memory.note_used(prompt)
+
+    def note_started(self, run_id: str) -> None:
+        """Count a request whose first event has come."""
+        run = self.runs.get(run_id)
+        if run is not None:
+            run.started = True
+
+    def end(self, run_id: str) -> None:
+        """Count a request no more."""
+        self.runs.pop(run_id, None)
+
+    def take_report(self, report: EngineReport, asked_at: float, runs: int) -> None:
+        """Take in what the engine said.
+
+        Args:
+            report: Its words.
+            asked_at: When it was asked.
+            runs: This host's requests there at that moment.
+        """
+        self.report = report
+        self.report_at = asked_at
+        self.runs_at_report = runs
+        self.tokens_at_report = min(self.own_tokens(), report.used_tokens)
+        self.failed_reports = 0
+        self.silent_since = 0.0
+
+    def note_silent(self, now: float) -> None:
+        """Count a report that did not come."""
+        self.failed_reports += 1
+        if not self.silent_since:
+            self.silent_since = now
+
+
+class TargetTable:
+    """Keeps the targets of one region up to date with the list."""
+
+    def __init__(self) -> None:
+        self.closed: frozenset[DataCenterName] = frozenset()
+        self._targets: dict[str, Tracked] = {}
+        self._services: dict[str, ServedService] = {}
+
+    def update(
+        self,
+        listed: list[TargetInfo],
+        age: float,
+        services: dict[str, ServedService],
+        closed: frozenset[DataCenterName],
+        now: float,
+    ) -> None:
+        """Take in a reading of the list.
+
+        Args:
+            listed: Targets of this region.
+            age: Seconds since the reading.
+            services: What the catalogue says of their services.
+            closed: Data centers whose targets get nothing.
+            now: Monotonic seconds.
+        """
+        self._services = services
+        reopened = self.closed - closed
+        self.closed = closed
+        names = {info.incarnation for info in listed}
+        for name in [name for name in self._targets if name not in names]:
+            del self._targets[name]
+        for info in listed:
+            self._take(info, age, now)
+        for tracked in self._targets.values():
+            if tracked.info.data_center in reopened:
+                self._count_cold(tracked, now)
+
+    def _take(self, info: TargetInfo, age: float, now: float) -> None:
+        service = self._services.get(info.service)
+        tracked = self._targets.get(info.incarnation)
+        if tracked is None:
+            engine = service.engine if service else None
+            memory = PartMemory(engine.memory_tokens if engine else 0)
+            tracked = Tracked(info, engine, memory, Health())
+            self._targets[info.incarnation] = tracked
+        elif tracked.engine is None and service is not None and service.engine:
+            tracked.engine = service.engine
+            tracked.memory = PartMemory(service.engine.memory_tokens)
+        if info.leaving and not tracked.info.leaving:
+            _log.info("target leaves", target=info.incarnation, address=info.address)
+        tracked.info = info
+        if info.cold_ms > 0:
+            cold_until = now - age + info.cold_ms / 1000
+            tracked.cold_until = max(tracked.cold_until, cold_until)
+
+    def _count_cold(self, tracked: Tracked, now: float) -> None:
+        """Count a target as cold whose data center has just been opened again."""
+        service = self._services.get(tracked.info.service)
+        if service is not None and service.cold_time > 0:
+            until = now + service.cold_time + REOPENED_COLD_MARGIN
+            tracked.cold_until = max(tracked.cold_until, until)
+
+    def of_service(self, service: str) -> list[Tracked]:
+        """Return the targets of a service that may get work."""
+        return [
+            tracked
+            for tracked in self._targets.values()
+            if tracked.info.service == service
+            and not tracked.info.leaving
+            and tracked.info.data_center not in self.closed
+        ]
+
+    def all(self) -> list[Tracked]:
+        """Return all targets of the region."""
+        return list(self._targets.values())
+
+    def get(self, incarnation: str) -> Tracked | None:
+        """Return one target; None: it isn't listed any more."""
+        return self._targets.get(incarnation)
+
+    def service(self, name: str) -> ServedService | None:
+        """Return what the catalogue says of a service."""
+        return self._services.get(name)
+
+    def note_result(
+        self, tracked: Tracked, result: TryResult, seconds: float, now: float
+    ) -> None:
+        """Count how a try at a target ended, and eject those that do badly."""
+        tracked.health.note(result, seconds)
+        siblings = [
+            t.health
+            for t in self._targets.values()
+            if t.info.service == tracked.info.service
+        ]
+        for health in find_ejections(siblings):
+            health.eject(now)
+            _log.warning("target ejected", service=tracked.info.service)
+        tracked.health.settle(now, tracked.slots)
+
+    def let_return(self, service: str, now: float) -> None:
+        """Let an ejected target of a service come back, where one is due."""
+        siblings = [
+            t.health for t in self._targets.values() if t.info.service == service
+        ]
+        health = find_return(siblings, now)
+        if health is not None:
+            health.begin_return(now)
+
+
+def is_ejected(tracked: Tracked) -> bool:
+    """Tell whether a target gets nothing because it did badly."""
+    return tracked.health.state is HealthState.ejected
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -1,7 +1,11 @@
 """Where requests go: targets, regions, limits, admission and retries."""
 
 from bronzepoint_node.policy._admission import Admission
-from bronzepoint_node.policy._choose_region import choose_region
+from bronzepoint_node.policy._choose_region import (
+    away_terms,
+    choose_region,
+    draw_region,
+)
 from bronzepoint_node.policy._choose_target import choose_target
 from bronzepoint_node.policy._inputs import (
     RegionView,
@@ -13,6 +17,7 @@
 from bronzepoint_node.policy._outputs import Away, Home, Placement, Refused
 from bronzepoint_node.policy._policy import Policy, Ticket
 from bronzepoint_node.policy._retry_budget import RetryBudget
+from bronzepoint_node.policy._service_times import ServiceTimes
 
 __all__ = [
     "Admission",
@@ -26,9 +31,12 @@
     "RegionView",
     "RequestView",
     "RetryBudget",
+    "ServiceTimes",
     "TargetState",
     "TargetView",
     "Ticket",
+    "away_terms",
     "choose_region",
     "choose_target",
+    "draw_region",
 ]
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -80,13 +80,16 @@
     return None
 
 
-def has_room(view: TargetView, load: float, hosts: int) -> bool:
+def has_room(view: TargetView, load: float, hosts: int, memory_tokens: int = 0) -> bool:
     """Return whether one more request may start at a target.
 
     A host may always use its equal part of the slots. Were it bound by the estimate
     alone, a late report of others' requests would keep a host idle that has waiting
     callers.
     """
+    if memory_tokens > view.free_tokens:
+        # It would be rejected, or preempt others that then are read in again.
+        return False
     if view.allowed is not None and view.in_flight >= view.allowed:
         return False
     own_part = view.slots // max(1, hosts)
@@ -120,7 +123,7 @@
     hold = times.hold * slowness
     return TargetTerms(
         load=load,
-        wait=over * hold / view.slots,
+        wait=over * hold / view.slots + view.backlog * slowness,
         first_token=times.first_token(uncached, slowness),
         busy=_BUSY_SHARE * hold * load / view.slots,
         cost=view.cost * hold,
@@ -182,7 +185,7 @@
         terms = target_terms(view, load, mean_load, request, times, is_first, now)
         candidate.score = round(terms.score(request), 4)
         candidate.detail = terms.detail()
-        if not has_room(view, load, hosts):
+        if not has_room(view, load, hosts, request.memory_tokens):
             candidate.excluded = ExclusionReason.full
             least_if_full = min(least_if_full, terms.score(request))
             continue
--- a/packages/node/src/bronzepoint_node/policy/_inputs.py
+++ b/packages/node/src/bronzepoint_node/policy/_inputs.py
@@ -36,6 +36,8 @@
         cached_tokens: prompt tokens of this request believed to be cached there.
         allowed: most requests this host may have there; None: no bound. Set while a
             target comes back from ejection.
+        free_tokens: memory that running requests leave, in tokens.
+        backlog: seconds of prompts that are read there before a new one.
     """
 
     name: TargetName
@@ -51,6 +53,8 @@
     report_age: float = math.inf
     cached_tokens: int = 0
     allowed: int | None = None
+    free_tokens: float = math.inf
+    backlog: float = 0.0
 
 
 class RegionView(Struct):
@@ -94,6 +98,7 @@
         forwarded: True where another region sent it; it is then served here or not
             at all.
         tried: targets that were tried already.
+        memory_tokens: memory of an engine that it takes up at most.
         tried_regions: regions that refused it already.
     """
 
@@ -114,4 +119,5 @@
     allowed_regions: list[RegionName] | None = None
     forwarded: bool = False
     tried: list[TargetName] = field(default_factory=list)
+    memory_tokens: int = 0
     tried_regions: list[RegionName] = field(default_factory=list)
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -0,0 +1,94 @@
+"""One request on its way, and how its tries end."""
+
+from dataclasses import dataclass, field
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.http import Exchange
+from bronzepoint_node.fleet import ServedRoute
+
+from ._codec import CallerHead
+from ._events import EventSplitter
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """The request certainly did not run.
+
+    Attributes:
+        reason: For the log and the counters.
+        by_target: True where a target received it and turned it away.
+        retry_after: Seconds until it may be tried again; 0: not said.
+    """
+
+    reason: str
+    by_target: bool = False
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True)
+class MayHaveRun:
+    """No whole answer came, and the request may have run."""
+
+    reason: str
+    timed_out: bool = False
+
+
+@dataclass(frozen=True)
+class Answered:
+    """A whole answer came.
+
+    Attributes:
+        streamed: True where it was passed on already.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    streamed: bool = False
+
+
+TryOutcome = NotRun | MayHaveRun | Answered
+
+
+@dataclass
+class Call:
+    """One caller's request.
+
+    Attributes:
+        exchange: The caller's connection.
+        head: What the request says.
+        route: The route that it takes.
+        body: Its whole body.
+        arrived: When it was read.
+        until: When its final answer is due.
+        forwarded: Another region sent it.
+        events: What was passed on of its stream.
+        tried: Targets that it was sent to.
+        tried_hosts: Hosts of other regions that it was forwarded to.
+        sends: Times it was sent to a target or to another region.
+        first_event_at: When the first event was passed on; 0: none yet.
+        may_have_run: A try ended without a proof that it did not run.
+        last_outcome: How the last try ended.
+        notes: How each try ended, for the log.
+    """
+
+    exchange: Exchange
+    head: CallerHead
+    route: ServedRoute
+    body: bytes
+    arrived: float
+    until: float
+    forwarded: bool
+    events: EventSplitter
+    tried: set[str] = field(default_factory=set)
+    tried_hosts: set[str] = field(default_factory=set)
+    sends: int = 0
+    first_event_at: float = 0.0
+    may_have_run: bool = False
+    last_outcome: TryOutcome | None = None
+    notes: list[str] = field(default_factory=list)
+
+    @property
+    def left(self) -> float:
+        """Seconds until its final answer is due."""
+        return self.until - monotonic()
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -0,0 +1,425 @@
+"""The life of one request: read, placed, tried, answered."""
+
+from dataclasses import dataclass
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.http import BadRequest, Disconnected, Exchange, HttpClient
+from bronzepoint_common.logs import get_logger
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_node.fleet import Follower, ServedCatalogue
+from bronzepoint_node.placement import (
+    AtHome,
+    ColdGate,
+    Elsewhere,
+    PlacementAsk,
+    Placer,
+    Rejected,
+    RejectReason,
+    RetryAllowance,
+    TargetTable,
+    service_of,
+)
+from bronzepoint_schema.generated.decisions import TryResult
+from bronzepoint_schema.ids import RegionName
+
+from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
+from ._codec import CallerHead, Codec
+from ._events import EventSplitter
+from ._try import FORWARDED_HEADER, RAN_HEADER, Destination, Try
+
+CUT_MARGIN = 0.05
+"""Seconds before the caller's own deadline at which its final answer is given."""
+DEFAULT_DEADLINE = 30.0
+"""Seconds for a caller that doesn't say how long it waits."""
+WAIT_STEP = 0.03
+"""Seconds between two looks for room while a request waits here."""
+WAIT_SHARE = 0.5
+"""Part of the objective for which a request may wait here for room."""
+PATIENCE_SHARE = 0.45
+"""Part of the time left after which a request that may run twice is sent elsewhere."""
+RESUME_STALL = 1.0
+"""Seconds without an event after which a stream goes on at another target."""
+
+_log = get_logger("relay")
+
+
+@dataclass(frozen=True)
+class RelaySettings:
+    """What this host is."""
+
+    region: RegionName
+
+
+class Relay:
+    """Answers callers, and entry hosts of other regions.
+
+    Args:
+        settings: What this host is.
+        follower: What is in force.
+        table: Targets of this region.
+        placer: Chooses where requests go.
+        cold: Which host may send to cold targets.
+        allowance: How often requests may be sent again.
+        client: Connections to targets and hosts.
+        codec: Words of callers and targets.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        follower: Follower,
+        table: TargetTable,
+        placer: Placer,
+        cold: ColdGate,
+        allowance: RetryAllowance,
+        client: HttpClient,
+        codec: Codec,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._follower = follower
+        self._table = table
+        self._placer = placer
+        self._cold = cold
+        self._allowance = allowance
+        self._client = client
+        self._codec = codec
+        self._metrics = metrics
+        self._leaving = False
+        self.in_progress = 0
+
+    def refuse_new(self) -> None:
+        """Turn away what comes from now on: this host ends soon."""
+        self._leaving = True
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer a caller."""
+        await self._serve(exchange, forwarded=False)
+
+    async def serve_forwarded(self, exchange: Exchange) -> None:
+        """Answer an entry host of another region."""
+        await self._serve(exchange, forwarded=True)
+
+    async def _serve(self, exchange: Exchange, forwarded: bool) -> None:
+        arrived = monotonic()
+        try:
+            head = self._codec.read_request(exchange.request)
+        except BadRequest as exc:
+            await exchange.respond(400, {}, f"{exc}\n".encode())
+            return
+        catalogue = self._follower.catalogue
+        if catalogue is None:
+            await self._refuse(exchange, head, RejectReason.NO_CATALOGUE, 0.5)
+            return
+        body = await exchange.body()
+        call = self._call(exchange, head, catalogue, body, arrived, forwarded)
+        if call is None:
+            self._metrics.incr("refusal.no_route")
+            _log.info("no route", request=head.request_id, version=catalogue.version)
+            await exchange.respond(404, {}, b"no such route\n")
+            return
+        if self._leaving:
+            await self._refuse(exchange, head, RejectReason.LEAVING, 0.1)
+            return
+        await self._answer_while_wanted(call)
+
+    def _call(
+        self,
+        exchange: Exchange,
+        head: CallerHead,
+        catalogue: ServedCatalogue,
+        body: bytes,
+        arrived: float,
+        forwarded: bool,
+    ) -> Call | None:
+        path = exchange.request.raw_path.partition("?")[0]
+        route = catalogue.find_route(head.host, path)
+        if route is None:
+            return None
+        deadline = head.deadline if head.deadline is not None else DEFAULT_DEADLINE
+        until = arrived + min(deadline - CUT_MARGIN, route.timeout)
+        events = EventSplitter(head.last_event)
+        return Call(exchange, head, route, body, arrived, until, forwarded, events)
+
+    async def _answer_while_wanted(self, call: Call) -> None:
+        """Work on a request until it is answered or its caller has left.
+
+        The targets' work for a caller that has left is lost, and takes the room of
+        those who wait. It would be noticed as targets that are busy with nothing.
+        """
+        self.in_progress += 1
+        work = await curio.spawn(self._answer_in_time, call)
+        watch = await curio.spawn(call.exchange.wait_disconnect)
+        try:
+            async with curio.TaskGroup([work, watch], wait=any):
+                pass
+        finally:
+            self.in_progress -= 1
+        if not call.exchange.ended and not call.exchange.started:
+            self._note(call, "caller_left")
+            raise Disconnected("it closed its connection")
+        if work.exception is not None and not call.exchange.ended:
+            _log.warning(
+                "answer cut",
+                request=call.head.request_id,
+                reason=repr(work.exception),
+                tries=call.notes,
+            )
+            await call.exchange.abort()
+
+    async def _answer_in_time(self, call: Call) -> None:
+        async with curio.ignore_after(max(0.0, call.left)) as limit:
+            await self._answer(call)
+        if not limit.expired or call.exchange.ended:
+            return
+        self._metrics.incr("refusal.deadline")
+        self._note(call, "deadline")
+        if call.exchange.started:
+            await call.exchange.abort()
+        elif call.sends:
+            await call.exchange.respond(504, {}, b"no answer in time\n")
+        else:
+            headers = {RAN_HEADER: "no"} if call.forwarded else {}
+            await call.exchange.respond(503, headers, b"no room in time\n")
+
+    async def _answer(self, call: Call) -> None:
+        service = service_of(call.route, call.head.request_id)
+        if not call.forwarded:
+            self._allowance.note_request(service, monotonic())
+        waited_until = monotonic() + WAIT_SHARE * call.route.objective
+        while True:
+            placement = self._placer.place(self._ask(call), monotonic())
+            if isinstance(placement, Rejected):
+                waits = placement.reason is RejectReason.NO_ROOM
+                if waits and not call.forwarded and monotonic() < waited_until:
+                    await curio.sleep(WAIT_STEP)
+                    continue
+                await self._reject(call, placement)
+                return
+            if call.sends and not self._allowance.take(service, monotonic()):
+                await self._give_up(call, call.last_outcome)
+                return
+            outcome = await self._try(call, placement, service)
+            call.last_outcome = outcome
+            if await self._settled(call, outcome):
+                return
+
+    def _ask(self, call: Call) -> PlacementAsk:
+        return PlacementAsk(
+            call.head.request_id,
+            call.route,
+            call.head.prompt,
+            call.forwarded,
+            call.left,
+            call.tried,
+            call.tried_hosts,
+        )
+
+    async def _settled(self, call: Call, outcome: TryOutcome) -> bool:
+        """Answer the caller if the outcome is final; False: it is tried again."""
+        match outcome:
+            case Answered(streamed=True):
+                self._note(call, "answered")
+                return True
+            case Answered(status=status, headers=headers, body=body):
+                if status >= 500 and self._may_repeat(call):
+                    return False
+                self._note(call, f"answered_{status}")
+                await call.exchange.respond(status, headers, body)
+                return True
+            case NotRun():
+                if call.sends <= call.route.max_attempts:
+                    return False
+            case MayHaveRun():
+                if self._may_repeat(call):
+                    return False
+        await self._give_up(call, outcome)
+        return True
+
+    def _may_repeat(self, call: Call) -> bool:
+        if not call.route.repeatable or call.sends >= call.route.max_attempts:
+            return False
+        if call.exchange.started and call.events.last_id is None:
+            return False
+        return call.left > 0
+
+    async def _give_up(self, call: Call, outcome: TryOutcome | None) -> None:
+        """Give the final answer where no try brought one."""
+        exchange = call.exchange
+        if exchange.started:
+            self._note(call, "stream_broken")
+            await exchange.abort()
+            return
+        match outcome:
+            case Answered(status=status, headers=headers, body=body):
+                self._note(call, f"answered_{status}")
+                await exchange.respond(status, headers, body)
+            case NotRun(retry_after=retry_after) if not call.may_have_run:
+                wait = retry_after or 0.3
+                await self._refuse(
+                    exchange,
+                    call.head,
+                    RejectReason.RETRIES_USED_UP,
+                    wait,
+                    call,
+                )
+            case _:
+                self._metrics.incr("refusal.may_have_run")
+                self._note(call, "may_have_run")
+                await exchange.respond(502, {}, b"no whole answer\n")
+
+    async def _reject(self, call: Call, rejected: Rejected) -> None:
+        if call.may_have_run or call.exchange.started:
+            await self._give_up(call, call.last_outcome)
+            return
+        await self._refuse(
+            call.exchange, call.head, rejected.reason, rejected.retry_after, call
+        )
+
+    async def _refuse(
+        self,
+        exchange: Exchange,
+        head: CallerHead,
+        reason: RejectReason,
+        retry_after: float,
+        call: Call | None = None,
+    ) -> None:
+        """Answer that the request did not run and never will."""
+        self._metrics.incr(f"refusal.{reason}")
+        if call is not None:
+            self._note(call, f"refused_{reason}")
+        else:
+            _log.info("refused", request=head.request_id, reason=reason)
+        headers = {"Retry-After": f"{retry_after:.2f}", RAN_HEADER: "no"}
+        await exchange.respond(503, headers, f"{reason}\n".encode())
+
+    async def _try(
+        self, call: Call, placement: AtHome | Elsewhere, service: str
+    ) -> TryOutcome:
+        call.sends += 1
+        match placement:
+            case AtHome():
+                outcome = await self._try_target(call, placement, service)
+            case Elsewhere():
+                outcome = await self._try_region(call, placement, service)
+        if not isinstance(outcome, NotRun):
+            call.may_have_run = True
+        reason = getattr(outcome, "reason", "answered")
+        self._metrics.incr(f"try.{reason}")
+        return outcome
+
+    async def _try_target(
+        self, call: Call, placement: AtHome, service: str
+    ) -> TryOutcome:
+        target = placement.target
+        name = target.info.incarnation
+        now = monotonic()
+        if now < target.cold_until:
+            self._cold.note_sent(name, now)
+        call.tried.add(name)
+        call.notes.append(f"{name}@{target.info.address}: {placement.reason}")
+        run_id = f"{call.head.request_id}.{call.sends}"
+        times = self._placer.times(service)
+        target.begin(run_id, call.head.prompt)
+        uncached = target.runs[run_id].uncached
+
+        def started() -> None:
+            run = target.runs.get(run_id)
+            if run is None or run.started:
+                return
+            run.started = True
+            times.add_first_token(name, monotonic() - now, uncached, monotonic())
+
+        headers = self._codec.target_headers(
+            call.head,
+            call.left,
+            name,
+            call.route.priority,
+            call.events.last_id,
+        )
+        where = Destination(
+            target.info.address, headers, self._patience(call), self._stall(call)
+        )
+        result = TryResult.cancelled
+        try:
+            attempt = Try(self._client, self._codec, call, started)
+            outcome = await attempt.run(where)
+            result = _result_of(outcome)
+        finally:
+            target.end(run_id)
+            seconds = monotonic() - now
+            self._table.note_result(target, result, seconds, monotonic())
+        if result is TryResult.answered:
+            times.add_hold(seconds)
+        call.notes[-1] += f" -> {getattr(outcome, 'reason', 'answered')}"
+        return outcome
+
+    async def _try_region(
+        self, call: Call, placement: Elsewhere, service: str
+    ) -> TryOutcome:
+        call.tried_hosts.add(placement.host)
+        call.notes.append(f"{placement.region} {placement.host}: {placement.reason}")
+        self._placer.note_forwarded(placement.region, service, monotonic())
+        headers = self._codec.target_headers(
+            call.head, call.left, "", None, call.events.last_id
+        )
+        headers[FORWARDED_HEADER] = self._settings.region
+        where = Destination(
+            placement.address, headers, self._patience(call), self._stall(call)
+        )
+        attempt = Try(self._client, self._codec, call, _nothing)
+        outcome = await attempt.run(where)
+        call.notes[-1] += f" -> {getattr(outcome, 'reason', 'answered')}"
+        return outcome
+
+    def _patience(self, call: Call) -> float:
+        """Return how long the head of an answer is waited for."""
+        if call.route.repeatable and call.sends < call.route.max_attempts:
+            return max(0.2, PATIENCE_SHARE * call.left)
+        return max(0.05, call.left)
+
+    def _stall(self, call: Call) -> float:
+        """Return how long the next piece of an answer is waited for."""
+        if call.route.resumable and call.sends < call.route.max_attempts:
+            return RESUME_STALL
+        return max(0.05, call.left)
+
+    def _note(self, call: Call, outcome: str) -> None:
+        """Write the one line that tells a request's story on this host."""
+        self._metrics.incr(f"outcome.{outcome}")
+        now = monotonic()
+        first = call.first_event_at - call.arrived if call.first_event_at else None
+        _log.info(
+            "request",
+            request=call.head.request_id,
+            route=call.route.name,
+            outcome=outcome,
+            forwarded=call.forwarded,
+            sends=call.sends,
+            tries=call.notes,
+            seconds=round(now - call.arrived, 3),
+            first_event=round(first, 3) if first is not None else None,
+            left=round(call.left, 3),
+            list_age=round(now - self._follower.targets_read_at, 2),
+        )
+
+
+def _result_of(outcome: TryOutcome) -> TryResult:
+    match outcome:
+        case Answered(status=status):
+            return TryResult.failed if status >= 500 else TryResult.answered
+        case NotRun(by_target=True):
+            return TryResult.refused_by_target
+        case NotRun():
+            return TryResult.failed
+        case MayHaveRun(timed_out=True):
+            return TryResult.timeout
+        case MayHaveRun():
+            return TryResult.cut
+
+
+def _nothing() -> None:
+    """Take no measure of what other regions do."""
