--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -27,11 +27,23 @@
 
 
 class HttpClient:
-    """Sends requests over kept connections; one instance for a process."""
+    """Sends requests over kept connections; one instance for a process.
 
-    def __init__(self, limits: HttpLimits, connect_timeout: float) -> None:
+    Args:
+        limits: Bounds on sizes and times.
+        connect_timeout: Seconds to connect.
+        settle: Seconds to wait on a new connection before anything is written. A
+            server with too many connections accepts and resets at once; met after
+            the request was written, the reset proves nothing, and a request that
+            may not run twice is lost.
+    """
+
+    def __init__(
+        self, limits: HttpLimits, connect_timeout: float, settle: float = 0.0
+    ) -> None:
         self._limits = limits
         self._connect_timeout = connect_timeout
+        self._settle = settle
         # Shorter than the server's own time, so that it is seldom the server
         # that closes, perhaps just as the next request is on its way.
         self._pool = ConnectionPool(limits.idle_timeout / 2)
@@ -214,7 +226,7 @@
         try:
             async with curio.timeout_after(self._client._connect_timeout):
                 await sock.connect((host, port))
-            return Wire(sock)
+            return await self._settled(Wire(sock))
         except (OSError, curio.TaskTimeout) as exc:
             await sock.close()
             detail = getattr(exc, "strerror", None) or "no answer in time"
@@ -223,6 +235,13 @@
             await sock.close()
             raise
 
+    async def _settled(self, wire: Wire) -> Wire:
+        if self._client._settle:
+            await curio.sleep(self._client._settle)
+            if wire.poll() is not None:
+                raise ConnectionResetError(0, "reset before the request")
+        return wire
+
     async def _send(self) -> None:
         self._wire.sent = 0
         data = self._conn.send(self._request)
--- a/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
@@ -168,13 +168,17 @@
         return self._voter.leader or self._proposer.leader
 
     def confirmed_age(self) -> float | None:
-        """Return seconds since a leader was heard; None: never, or long ago."""
-        if not self._voter.log.identity.cluster:
-            return None
+        """Return seconds since a leader confirmed what is known here; None: it hasn't.
+
+        After a restart a voter holds entries of which it can't tell whether they were
+        agreed, so its document may be an old one. Each leader begins its term with an
+        entry of its own: once that is applied here, so is all that was agreed before.
+        """
         if self._voter.lease() is not None:
             return 0.0
-        age = monotonic() - self._voter.heard_at
-        return age if self._voter.leader else None
+        if not self._voter.leader or not self._voter.has_applied_term():
+            return None
+        return monotonic() - self._voter.heard_at
 
     async def replace_document(
         self, version: int, content: bytes, timeout: float
--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -172,6 +172,10 @@
             return [self.machine.voters] if self.machine.voters else []
         return [self.machine.voters, entry.body.voters]
 
+    def has_applied_term(self) -> bool:
+        """Tell whether an entry of the present term is applied here."""
+        return self.machine.index > 0 and self.machine.term == self.log.term
+
     def known_voters(self) -> list[VoterId]:
         """Return the voters of the newest set."""
         sets = self.voter_sets()
--- a/packages/node/src/bronzepoint_node/fleet/_core_hub.py
+++ b/packages/node/src/bronzepoint_node/fleet/_core_hub.py
@@ -80,10 +80,12 @@
         self._own.add(request.host.name)
         self.registry.hear_entries([request.host])
         self.registry.hear_loads(request.loads)
-        document = self._agreement.document
+        age = self._agreement.confirmed_age()
+        # Not confirmed, it may be older than what the asking host has served on
+        # before it was started anew, or than what other hosts serve on.
+        document = self._agreement.document if age is not None else None
         version = document.version if document is not None else -1
         listed = self._reader.newest()
-        age = self._agreement.confirmed_age()
         return SyncReply(
             revision=self._agreement.revision,
             confirmed_age_ms=-1 if age is None else int(age * 1000),
