Tell the region's hosts what is in progress at each engine, and rank what lies before

Ruled out: asking engines more often (each question is priced, and the answer lags).

Change: hosts of a region post changes of their load (LoadExchange); EngineLoad tells the prompt being read from those waiting, by rank; ReadingRate is fitted only where nothing lay before.

What is left late waits behind its own long prompt.

--- a/packages/common/src/bronzepoint_common/peers/_area.py
+++ b/packages/common/src/bronzepoint_common/peers/_area.py
@@ -14,3 +14,4 @@
     ORDERS = 6
     CATALOGUE = 7
     FLEET = 8
+    TARGET_LOADS = 9
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
 from ._cold_gate import ColdGate
+from ._load_exchange import LoadExchange
 from ._placer import PlacementAsk, Placer, service_of
 from ._prober import Prober, ReportUnavailable
 from ._prompt import Prompt, PromptPart
@@ -13,6 +14,7 @@
     "ColdGate",
     "Elsewhere",
     "EngineReport",
+    "LoadExchange",
     "Placement",
     "PlacementAsk",
     "Placer",
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -28,6 +28,7 @@
 from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
 from ._cold_gate import ColdGate
 from ._prompt import Prompt
+from ._reading_rate import ReadingRate
 from ._target_table import TargetTable, Tracked, is_ejected
 
 REPORT_MEMORY = 1.0
@@ -37,10 +38,12 @@
 AWAY_ADVANTAGE = 0.15
 """Seconds by which another region must be sooner: its caches are cold, and what
 crosses between regions is paid for."""
+LAST_RANK = 9
+"""Rank of a request before which everything goes."""
 SILENT_AFTER = 0.8
 """Seconds of failed reports after which an engine counts as gone."""
-BACKLOG_SHARE = 0.5
-"""Part of the other hosts' unread prompts that is taken to lie before a new one."""
+ENGINE_PER_TOKEN = 1 / 35_000
+"""Seconds to read a prompt token until it is measured."""
 
 
 class PlacementAsk(Struct):
@@ -90,11 +93,19 @@
         self._cold = cold
         self._rng = rng
         self._times: dict[str, ServiceTimes] = {}
+        self._rates: dict[str, ReadingRate] = {}
         self._sent_away: dict[tuple[RegionName, str], list[float]] = {}
 
     def times(self, service: str) -> ServiceTimes:
         """Return what is known of a service's durations."""
-        return self._times.setdefault(service, ServiceTimes())
+        times = self._times.get(service)
+        if times is None:
+            times = self._times[service] = ServiceTimes(per_token=ENGINE_PER_TOKEN)
+        return times
+
+    def rate(self, service: str) -> ReadingRate:
+        """Return how fast the engines of a service read prompts."""
+        return self._rates.setdefault(service, ReadingRate())
 
     def place(self, ask: PlacementAsk, now: float) -> Placement:
         """Choose a target here, a host of another region, or a refusal."""
@@ -139,7 +150,7 @@
     def _region_load(
         self, service: str, targets: list[Tracked], now: float
     ) -> RegionLoad:
-        views = [self._view(t, None, now) for t in targets]
+        views = [self._view(t, None, LAST_RANK, now) for t in targets]
         running = sum(max(v.in_flight, v.running + v.waiting) for v in views)
         slots = sum(v.slots for v in views)
         hold = self.times(service).hold
@@ -155,7 +166,8 @@
             return None
         self._table.let_return(service, now)
         targets = {t.info.incarnation: t for t in self._usable(service, now)}
-        views = [self._view(t, ask.prompt, now) for t in targets.values()]
+        rank = ask.route.priority
+        views = [self._view(t, ask.prompt, rank, now) for t in targets.values()]
         choice = choose_target(
             request,
             views,
@@ -185,28 +197,27 @@
         answering = [t for t in usable if not is_silent(t, now)]
         return answering or usable
 
-    def _view(self, tracked: Tracked, prompt: Prompt | None, now: float) -> TargetView:
+    def _view(
+        self, tracked: Tracked, prompt: Prompt | None, rank: int, now: float
+    ) -> TargetView:
         report = tracked.report
         cached = tracked.memory.cached_tokens(prompt) if prompt else 0
-        unread = tracked.unread_tokens()
-        if report is not None and report.waiting:
-            mean = prompt.tokens * BACKLOG_SHARE if prompt else 0
-            unread += report.waiting * mean
-        per_token = self.times(tracked.info.service).per_token
+        rate = self.rate(tracked.info.service).tokens_per_second
+        before = tracked.load.tokens_before(rank, rate, now)
         return TargetView(
             name=TargetName(tracked.info.incarnation),
             region=self._region,
             address=tracked.info.address,
             slots=tracked.slots,
             state=TargetState.ejected if is_ejected(tracked) else TargetState.ready,
-            in_flight=len(tracked.runs),
+            in_flight=tracked.load.in_flight(now),
             in_flight_at_report=tracked.runs_at_report,
             running=report.running if report else 0,
             waiting=report.waiting if report else 0,
             report_age=now - tracked.report_at,
             cached_tokens=cached,
-            free_tokens=tracked.free_tokens(),
-            backlog=per_token * unread,
+            free_tokens=tracked.free_tokens(now),
+            backlog=before / rate,
         )
 
     def _away(
--- a/packages/node/src/bronzepoint_node/placement/_prober.py
+++ b/packages/node/src/bronzepoint_node/placement/_prober.py
@@ -71,7 +71,7 @@
 
     async def _ask(self, tracked: Tracked) -> None:
         asked_at = monotonic()
-        runs = len(tracked.runs)
+        runs = tracked.load.in_flight(asked_at)
         try:
             report = await self._read(tracked.info.address)
         except ReportUnavailable as exc:
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -11,6 +11,7 @@
 from bronzepoint_schema.generated.fleet import TargetInfo
 from bronzepoint_schema.ids import DataCenterName
 
+from ._engine_load import EngineLoad, OwnRun
 from ._part_memory import PartMemory
 from ._prompt import Prompt
 
@@ -30,21 +31,6 @@
     total_tokens: int
 
 
-@dataclass
-class OwnRun:
-    """A request of this host at a target.
-
-    Attributes:
-        tokens: Memory that it takes up.
-        uncached: Prompt tokens that the engine has to read.
-        started: True once the first event has come.
-    """
-
-    tokens: int
-    uncached: int
-    started: bool = False
-
-
 @dataclass
 class Tracked:
     """One target: what the list says, and what this host has seen of it.
@@ -52,10 +38,10 @@
     Attributes:
         info: What the list says.
         cold_until: Until when it is cold, by the own clock.
-        runs: This host's requests there.
+        load: What all hosts have in progress there.
         report: What it said last; None: nothing yet.
         report_at: When that was asked.
-        runs_at_report: This host's requests there at that moment.
+        runs_at_report: Requests known to be there at that moment.
         tokens_at_report: Memory of those.
         silent_since: When it last failed to say anything; 0: it answers.
     """
@@ -65,7 +51,7 @@
     memory: PartMemory
     health: Health
     cold_until: float = 0.0
-    runs: dict[str, OwnRun] = field(default_factory=dict)
+    load: EngineLoad = field(default_factory=EngineLoad)
     report: EngineReport | None = None
     report_at: float = float("-inf")
     runs_at_report: int = 0
@@ -78,43 +64,25 @@
         """Requests that it works on at once."""
         return self.engine.slots if self.engine else max(1, self.info.slots)
 
-    def own_tokens(self) -> int:
-        """Return the memory that this host's requests take up there."""
-        return sum(run.tokens for run in self.runs.values())
-
-    def unread_tokens(self) -> int:
-        """Return prompt tokens of this host's requests that are yet to be read."""
-        return sum(run.uncached for run in self.runs.values() if not run.started)
-
-    def free_tokens(self) -> float:
+    def free_tokens(self, now: float) -> float:
         """Return the memory that running requests leave, as far as is known."""
         if self.engine is None:
             return float("inf")
-        others = 0
-        total = self.engine.memory_tokens
-        if self.report is not None:
-            total = self.report.total_tokens or total
-            others = max(0, self.report.used_tokens - self.tokens_at_report)
-        return total - others - self.own_tokens()
-
-    def begin(self, run_id: str, prompt: Prompt | None) -> None:
-        """Count a request that is sent there."""
-        if prompt is None:
-            self.runs[run_id] = OwnRun(0, 0)
-            return
-        cached = self.memory.cached_tokens(prompt)
-        self.runs[run_id] = OwnRun(prompt.memory_tokens, prompt.tokens - cached)
-        self.memory.note_used(prompt)
-
-    def note_started(self, run_id: str) -> None:
-        """Count a request whose first event has come."""
-        run = self.runs.get(run_id)
-        if run is not None:
-            run.started = True
-
-    def end(self, run_id: str) -> None:
-        """Count a request no more."""
-        self.runs.pop(run_id, None)
+        known = self.load.memory_tokens(now)
+        if self.report is None:
+            return self.engine.memory_tokens - known
+        unknown = max(0, self.report.used_tokens - self.tokens_at_report)
+        return (self.report.total_tokens or self.engine.memory_tokens) - known - unknown
+
+    def begin(self, run_id: str, prompt: Prompt | None, rank: int, now: float) -> int:
+        """Count a request that is sent there; return its uncached tokens."""
+        uncached = tokens = 0
+        if prompt is not None:
+            tokens = prompt.memory_tokens
+            uncached = prompt.tokens - self.memory.cached_tokens(prompt)
+            self.memory.note_used(prompt)
+        self.load.begin(run_id, OwnRun(tokens, uncached, rank, now))
+        return uncached
 
     def take_report(self, report: EngineReport, asked_at: float, runs: int) -> None:
         """Take in what the engine said.
@@ -122,12 +90,12 @@
         Args:
             report: Its words.
             asked_at: When it was asked.
-            runs: This host's requests there at that moment.
+            runs: Requests known to be there at that moment.
         """
         self.report = report
         self.report_at = asked_at
         self.runs_at_report = runs
-        self.tokens_at_report = min(self.own_tokens(), report.used_tokens)
+        self.tokens_at_report = self.load.memory_tokens(asked_at)
         self.failed_reports = 0
         self.silent_since = 0.0
 
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -39,6 +39,8 @@
 """Part of the objective for which a request may wait here for room."""
 PATIENCE_SHARE = 0.45
 """Part of the time left after which a request that may run twice is sent elsewhere."""
+MOST_BEFORE = 500
+"""Prompt tokens before a request up to which its time says how fast a target is."""
 RESUME_STALL = 1.0
 """Seconds without an event after which a stream goes on at another target."""
 
@@ -323,15 +325,20 @@
         call.notes.append(f"{name}@{target.info.address}: {placement.reason}")
         run_id = f"{call.head.request_id}.{call.sends}"
         times = self._placer.times(service)
-        target.begin(run_id, call.head.prompt)
-        uncached = target.runs[run_id].uncached
+        rank = call.route.priority
+        rate = self._placer.rate(service)
+        before = target.load.tokens_before(rank, rate.tokens_per_second, now)
+        uncached = target.begin(run_id, call.head.prompt, rank, now)
 
         def started() -> None:
-            run = target.runs.get(run_id)
+            run = target.load.runs.get(run_id)
             if run is None or run.started:
                 return
-            run.started = True
-            times.add_first_token(name, monotonic() - now, uncached, monotonic())
+            first = monotonic()
+            target.load.note_started(run_id, first)
+            if before < MOST_BEFORE:
+                times.add_first_token(name, first - now, uncached, first)
+                rate.add(uncached, first - now, before)
 
         headers = self._codec.target_headers(
             call.head,
@@ -349,7 +356,7 @@
             outcome = await attempt.run(where)
             result = _result_of(outcome)
         finally:
-            target.end(run_id)
+            target.load.end(run_id)
             seconds = monotonic() - now
             self._table.note_result(target, result, seconds, monotonic())
         if result is TryResult.answered:
