--- a/packages/node/src/bronzepoint_node/agreement/_leadership.py
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -225,6 +225,11 @@
             await self._replicate_until_stopped(progress)
         except StorageError as exc:
             await self._voter.fail(exc)
+        except Exception:
+            # Followed up anew when it asks to join: forgotten here, it would stay
+            # behind for the rest of the term and count as a voter all the same.
+            _log.exception("replication failed", voter=progress.host)
+            self._progress.pop(progress.host, None)
 
     async def _replicate_until_stopped(self, progress: Progress) -> None:
         while self.active and not progress.dropped:
--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -112,6 +112,7 @@
         self.failure = ""
         self._deltas: list[Delta] = []
         self._applied = curio.Event()
+        self._open = False
         self._tasks = curio.TaskGroup()
 
     async def start(self) -> None:
@@ -126,6 +127,10 @@
         # answered a heartbeat just before, and the leader counts on it. So the start
         # counts as hearing a leader.
         self.heard_at = monotonic()
+        # Messages come as soon as the links are up. Taken before the log is read, a
+        # leader's snapshot would be written over it under an empty identity; one would
+        # notice at the next start, as a damaged log.
+        self._open = True
         await self._applied.set()
         await self._tasks.spawn(self._take_part)
         await self._tasks.spawn(self._feed_catalogue)
@@ -202,8 +207,10 @@
             failure=self.failure,
         )
 
-    def identity(self) -> IdentityReply:
-        """Return who this voter is."""
+    def identity(self) -> IdentityReply | None:
+        """Return who this voter is; None: its log isn't read yet."""
+        if not self._open:
+            return None
         known = self.log.identity
         return IdentityReply(known.storage, known.cluster, known.voters)
 
@@ -211,7 +218,7 @@
         self, peer: HostName, message: VoteRequest | AppendRequest | SnapshotInstall
     ) -> VoteReply | AppendReply | None:
         """Answer a candidate or a leader; None: the message is dropped."""
-        if self.failure:
+        if self.failure or not self._open:
             return None
         try:
             async with self.lock:
@@ -232,6 +239,8 @@
         Returns:
             The outcome or whom to ask; None: the outcome will be delivered later.
         """
+        if not self._open:
+            return ProposeReply(request.change.change_id, HostName(""))
         try:
             async with self.lock:
                 if self.is_leader and not self.failure:
@@ -242,12 +251,14 @@
         leader = self.leader if self.leader != self.name else HostName("")
         return ProposeReply(request.change.change_id, leader)
 
-    async def begin_cluster(self, request: GenesisRequest) -> IdentityReply:
+    async def begin_cluster(self, request: GenesisRequest) -> IdentityReply | None:
         """Begin a cluster, if this storage is blank and one of its first voters.
 
         A storage begins one cluster in its life, so of two operators with different
         lists at most one gets a quorum; with the same list both get the same cluster.
         """
+        if not self._open:
+            return None
         async with self.lock:
             own = VoterId(self.name, self.log.identity.storage)
             hosts = sorted(voter.host for voter in request.voters)
--- a/packages/node/src/bronzepoint_node/agreement/_voter_log.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter_log.py
@@ -14,11 +14,12 @@
     LogEntry,
     MachineSnapshot,
     StoredRecord,
+    TermBody,
     Voter,
     VoteRecord,
     VotersBody,
 )
-from bronzepoint_schema.ids import ClusterId, StorageId, Term
+from bronzepoint_schema.ids import ClusterId, HostName, StorageId, Term
 
 _encoder = msgspec.msgpack.Encoder()
 _record_decoder = msgspec.msgpack.Decoder(StoredRecord)
@@ -163,7 +164,10 @@
         self._join_cluster_of(snapshot)
         self._entries = []
         self._take_snapshot(snapshot)
-        await self._rewrite([])
+        # Stands for the entry at the snapshot's position and is never applied. Without
+        # it the next start would take the entries behind for ones of an older log.
+        anchor = LogEntry(snapshot.index, snapshot.term, 0.0, TermBody(HostName("")))
+        await self._rewrite([anchor])
 
     async def _write(self, records: list[StoredRecord]) -> None:
         encoded = [_encoder.encode(record) for record in records]
