Count the cold time of a target from the list's answer, not from the question

A core host behind a cut asked for the list; the answer came up to a second late, when the cut healed, and says how long a target stays cold from then on. Counted from the question, it was warm 0.9 s too early.

Ruled out: two owners of the cold target (one host sent all seven).

Change: the time that the reading took is added; 0.3 s are added besides.

--- a/packages/node/src/bronzepoint_node/fleet/_target_reader.py
+++ b/packages/node/src/bronzepoint_node/fleet/_target_reader.py
@@ -65,7 +65,7 @@
             except ListUnavailable as exc:
                 _log.warning("list not read", reason=str(exc))
             else:
-                self._take(targets, began)
+                self._take(_cold_since(targets, monotonic() - began), began)
             # Spread, so that the hosts of the core don't ask at the same moment.
             await curio.sleep(READ_INTERVAL * random.uniform(0.9, 1.1))
 
@@ -73,9 +73,41 @@
         self._read_at = began
         if self._targets is None or _lasting(targets) != _lasting(self._targets):
             self._number += 1
-            _log.info("list changed", number=self._number, targets=len(targets))
+            self._tell_changes(targets)
         self._targets = targets
 
+    def _tell_changes(self, targets: list[TargetInfo]) -> None:
+        former = {t.incarnation: t for t in self._targets or []}
+        present = {t.incarnation: t for t in targets}
+        _log.info(
+            "list changed",
+            number=self._number,
+            targets=len(targets),
+            gone=sorted(former.keys() - present.keys()),
+            changed=[
+                f"{t.incarnation}@{t.address} {t.service}"
+                f"{' leaving' if t.leaving else ''} cold {t.cold_ms} ms"
+                for name, t in sorted(present.items())
+                if name not in former or _lasting([t]) != _lasting([former[name]])
+            ],
+        )
+
+
+def _cold_since(targets: list[TargetInfo], elapsed: float) -> list[TargetInfo]:
+    """Return the targets with their cold time counted from the asking.
+
+    The list says how long a target stays cold from its answer on. Counted from the
+    question, an answer that was held up on its way makes cold targets warm too early,
+    and they crash under what they then get.
+    """
+    late = int(elapsed * 1000)
+    return [
+        msgspec.structs.replace(target, cold_ms=target.cold_ms + late)
+        if target.cold_ms > 0
+        else target
+        for target in targets
+    ]
+
 
 def _lasting(targets: list[TargetInfo]) -> list[TargetInfo]:
     """Return the targets without what changes with time alone."""
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -15,6 +15,8 @@
 from ._part_memory import PartMemory
 from ._prompt import Prompt
 
+COLD_MARGIN = 0.3
+"""Seconds added to the time for which a target says that it stays cold."""
 REOPENED_COLD_MARGIN = 1.0
 """Seconds added to a service's cold time where a data center is opened again: the
 list that tells of the cold targets lags."""
@@ -161,7 +163,7 @@
             _log.info("target leaves", target=info.incarnation, address=info.address)
         tracked.info = info
         if info.cold_ms > 0:
-            cold_until = now - age + info.cold_ms / 1000
+            cold_until = now - age + info.cold_ms / 1000 + COLD_MARGIN
             tracked.cold_until = max(tracked.cold_until, cold_until)
 
     def _count_cold(self, tracked: Tracked, now: float) -> None:
