Hear of other regions through both halves of a cut core; keep connections; charge real repeats

Forwards that a region had refused counted as repeats at a target, and used up the allowance. Warm targets of a reopened data center counted as cold for 4 s.

Ruled out: telling every core host (grows with their number).

Change: each entry host asks a second, random core host every 0.6 s; hosts and loads up to 10 s old are a last resort; only sends that reached a target are charged; a list read after the opening overrules the assumed cold time; connections to targets are kept, for 0.8 s where the request may not run twice, and late answers to former requests are read past; refusals say what was known of the room.

--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -1,5 +1,6 @@
 """HTTP client with kept connections."""
 
+import math
 import socket
 from collections.abc import Callable
 
@@ -24,6 +25,7 @@
 
 BODYLESS_STATUSES = (204, 304)
 BeforeSend = Callable[[], None]
+Accept = Callable[[int, dict[str, str]], bool]
 
 
 class HttpClient:
@@ -60,6 +62,8 @@
         fresh: bool = False,
         before_send: BeforeSend | None = None,
         unframed: bool = False,
+        max_idle: float = math.inf,
+        accept: Accept | None = None,
     ) -> "ClientExchange":
         """Send a request; ``async with`` gives its answer in progress.
 
@@ -76,6 +80,11 @@
             timeout: Seconds to wait for the head, and for each further piece.
             fresh: True: open a new connection, so that a failure to connect
                 proves that nothing was sent.
+            max_idle: Seconds for which a kept connection may have been idle: the
+                longer, the likelier the server closes it just now.
+            accept: Tells by status and headers whether an answer is the one to this
+                request. One that isn't, on a kept connection, is a late or second
+                answer to a former request; it is read and dropped.
             before_send: Called when the connection is there, right before the first
                 byte is written; where it raises, nothing is sent. A check made
                 earlier may be out of date by now: connecting takes time.
@@ -89,7 +98,16 @@
             method=method, target=path, headers=self._pairs(address, headers, body)
         )
         return ClientExchange(
-            self, address, request, body, timeout, fresh, before_send, unframed
+            self,
+            address,
+            request,
+            body,
+            timeout,
+            fresh,
+            before_send,
+            unframed,
+            max_idle,
+            accept,
         )
 
     async def fetch(
@@ -173,6 +191,8 @@
         fresh: bool,
         before_send: BeforeSend | None,
         unframed: bool = False,
+        max_idle: float = math.inf,
+        accept: Accept | None = None,
     ) -> None:
         self._client = client
         self._address = address
@@ -182,6 +202,8 @@
         self._fresh = fresh
         self._before_send = before_send
         self._unframed = unframed
+        self._max_idle = max_idle
+        self._accept = accept
         self._sender: curio.Task | None = None
         self._reused = False
         self._conn: h11.Connection
@@ -193,6 +215,9 @@
         try:
             await self._send()
             self._answer = await self._read_head()
+            while not self._is_own(self._answer):
+                await self._skip()
+                self._answer = await self._read_head()
             await self._client._watch.add(self._answer)
         except BaseException:
             await self._end_sending()
@@ -210,7 +235,8 @@
 
     async def _connect(self) -> None:
         if not self._fresh:
-            kept = await self._client._pool.take(self._address)
+            pool = self._client._pool
+            kept = await pool.take(self._address, self._max_idle)
             if kept is not None:
                 self._conn, self._wire, self._reused = kept.conn, kept.wire, True
                 return
@@ -279,6 +305,30 @@
             return NotSent(self._address, certain=False)
         return AnswerCut(self._address)
 
+    def _is_own(self, answer: ClientAnswer) -> bool:
+        if self._accept is None or not self._reused:
+            return True
+        return self._accept(answer.status, answer.headers)
+
+    async def _skip(self) -> None:
+        """Read an answer that belongs to a former request, to its end.
+
+        h11 expects one answer to one request, so the next one is read by a connection
+        object that is told of the same request once more.
+        """
+        async for _ in self._answer.chunks():
+            continue
+        rest = self._conn.trailing_data[0]
+        self._conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._client._limits.max_head
+        )
+        self._conn.send(self._request)
+        if self._body:
+            self._conn.send(h11.Data(data=self._body))
+        self._conn.send(h11.EndOfMessage())
+        if rest:
+            self._conn.receive_data(rest)
+
     async def _read_head(self) -> ClientAnswer:
         received = False
         while True:
--- a/packages/common/src/bronzepoint_common/http/_pool.py
+++ b/packages/common/src/bronzepoint_common/http/_pool.py
@@ -1,5 +1,6 @@
 """Kept connections to servers."""
 
+import math
 import time
 from collections import deque
 
@@ -35,10 +36,14 @@
         self._next_prune = time.monotonic() + PRUNE_INTERVAL
         self._closed = False
 
-    async def take(self, address: str) -> KeptConnection | None:
-        """Take a usable connection; None where there is none."""
+    async def take(
+        self, address: str, max_idle: float = math.inf
+    ) -> KeptConnection | None:
+        """Take a connection that was idle for ``max_idle`` seconds at most."""
         kept = self._kept.get(address)
         while kept:
+            if time.monotonic() - kept[-1].since > max_idle:
+                return None
             connection = kept.pop()
             # Bytes on an idle connection belong to no request of ours: a late
             # or second answer. Reused, it would be taken for the answer to the
--- a/packages/node/src/bronzepoint_node/fleet/__init__.py
+++ b/packages/node/src/bronzepoint_node/fleet/__init__.py
@@ -2,7 +2,7 @@
 
 from ._core_hub import CoreHub
 from ._follower import Follower
-from ._registry import Registry
+from ._registry import ENTRY_EXPIRY, LAST_RESORT, LOAD_EXPIRY, Registry
 from ._served import (
     CallerLimits,
     EngineFacts,
@@ -15,6 +15,9 @@
 from ._target_reader import ListUnavailable, TargetReader
 
 __all__ = [
+    "ENTRY_EXPIRY",
+    "LAST_RESORT",
+    "LOAD_EXPIRY",
     "CallerLimits",
     "CoreHub",
     "EngineFacts",
--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -26,6 +26,9 @@
 """Seconds between two questions; a change is in force within 4 s on every host."""
 SYNC_TIMEOUT = 0.7
 """Seconds to wait for a host of the core: four of the longest trips there and back."""
+SECOND_INTERVAL = 0.6
+"""Seconds between two questions to some other host of the core. While the core is cut in
+two, its halves hear nothing of each other, but entry hosts reach both."""
 HOME_RETRY = 5.0
 """Seconds after which a host of the own region is tried again that didn't answer."""
 
@@ -73,6 +76,7 @@
         self._failed_at: dict[HostName, float] = {}
         self._on_change: list[Callable[[], None]] = []
         self._task: curio.Task | None = None
+        self._second: curio.Task | None = None
         peers.register(Area.FLEET, FleetMessage, self._ignore)
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -82,11 +86,13 @@
     async def start(self) -> None:
         """Begin to ask."""
         self._task = await curio.spawn(self._run, daemon=True)
+        self._second = await curio.spawn(self._ask_others, daemon=True)
 
     async def close(self) -> None:
         """Stop asking."""
-        if self._task is not None:
-            await self._task.cancel()
+        for task in (self._task, self._second):
+            if task is not None:
+                await task.cancel()
 
     async def tell_now(self) -> None:
         """Tell the core at once what this host has become, such as leaving."""
@@ -104,6 +110,13 @@
             pause = SYNC_INTERVAL if known else SYNC_INTERVAL / 4
             await curio.sleep(max(0.05, pause - spent))
 
+    async def _ask_others(self) -> None:
+        while True:
+            await curio.sleep(SECOND_INTERVAL)
+            others = [h.name for h in self.registry.core() if h.name != self._current]
+            if others:
+                await self._ask(random.choice(others))
+
     def _choose(self) -> HostName:
         """Return whom to ask: of the own region where one answers, else any."""
         now = monotonic()
--- a/packages/node/src/bronzepoint_node/fleet/_registry.py
+++ b/packages/node/src/bronzepoint_node/fleet/_registry.py
@@ -16,6 +16,9 @@
 """
 CORE_EXPIRY = 4.0
 LOAD_EXPIRY = 3.0
+LAST_RESORT = 10.0
+"""Seconds for which hosts and loads are kept beyond that: where nothing newer is
+known, an old word is better than a refusal."""
 
 
 class Registry:
@@ -59,15 +62,16 @@
             if known is None or at > known[0]:
                 self._loads[key] = (at, load)
 
-    def entries(self) -> list[EntryHost]:
-        """Return the entry hosts that live, with their present ages."""
+    def entries(self, expiry: float = ENTRY_EXPIRY) -> list[EntryHost]:
+        """Return the entry hosts heard of within ``expiry`` seconds."""
         now = monotonic()
         for name, (at, _) in list(self._entries.items()):
-            if now - at > ENTRY_EXPIRY:
+            if now - at > LAST_RESORT:
                 del self._entries[name]
         return [
             msgspec.structs.replace(host, age_ms=_ms(now - at))
             for at, host in self._entries.values()
+            if now - at <= expiry
         ]
 
     def core(self) -> list[CoreHost]:
@@ -81,15 +85,16 @@
             for name, (at, region) in self._core.items()
         ]
 
-    def loads(self) -> list[RegionLoad]:
-        """Return the loads that are not too old."""
+    def loads(self, expiry: float = LOAD_EXPIRY) -> list[RegionLoad]:
+        """Return the loads that are not older than ``expiry`` seconds."""
         now = monotonic()
         for key, (at, _) in list(self._loads.items()):
-            if now - at > LOAD_EXPIRY:
+            if now - at > LAST_RESORT:
                 del self._loads[key]
         return [
             msgspec.structs.replace(load, age_ms=_ms(now - at))
             for at, load in self._loads.values()
+            if now - at <= expiry
         ]
 
 
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -5,8 +5,15 @@
 from msgspec import Struct
 
 from bronzepoint_common.clock import monotonic
-from bronzepoint_node.fleet import Registry, ServedRoute
+from bronzepoint_node.fleet import (
+    ENTRY_EXPIRY,
+    LAST_RESORT,
+    LOAD_EXPIRY,
+    Registry,
+    ServedRoute,
+)
 from bronzepoint_node.policy import (
+    RegionTerms,
     RegionView,
     RequestView,
     ServiceTimes,
@@ -119,10 +126,10 @@
         request = self._request_view(ask)
         home = self._at_home(ask, service, request, now)
         if ask.forwarded:
-            return home or self._no_room(service)
+            return home or self._no_room(service, ask, now)
         away = self._away(ask, service, request, now)
         if away is None:
-            return home or self._no_room(service)
+            return home or self._no_room(service, ask, now)
         if home is None:
             return away[1]
         if away[0] + AWAY_ADVANTAGE < home.delay:
@@ -141,11 +148,13 @@
             for service, targets in by_service.items()
         ]
 
-    def entry_hosts(self, region: RegionName) -> list[EntryHost]:
+    def entry_hosts(
+        self, region: RegionName, expiry: float = ENTRY_EXPIRY
+    ) -> list[EntryHost]:
         """Return the entry hosts of a region that take requests."""
         return [
             host
-            for host in self._registry.entries()
+            for host in self._registry.entries(expiry)
             if host.region == region and host.state is EntryState.ready
         ]
 
@@ -234,8 +243,28 @@
         self, ask: PlacementAsk, service: str, request: RequestView, now: float
     ) -> tuple[float, Elsewhere] | None:
         """Return the best other region with the seconds until its first answer."""
+        known = self._away_terms(ask, service, request, LOAD_EXPIRY, now)
+        # As in a cut of the core: what was known before it is better than nothing.
+        terms = known or self._away_terms(ask, service, request, LAST_RESORT, now)
+        if not terms:
+            return None
+        chosen = draw_region(terms, request, self._rng)
+        host = self._rng.choice(self._fit_hosts(chosen.view.name, ask))
+        where = Elsewhere(
+            chosen.view.name, host.name, host.forward_address, chosen.detail()
+        )
+        return chosen.delay, where
+
+    def _away_terms(
+        self,
+        ask: PlacementAsk,
+        service: str,
+        request: RequestView,
+        expiry: float,
+        now: float,
+    ) -> list[RegionTerms]:
         terms = []
-        for load in self._registry.loads():
+        for load in self._registry.loads(expiry):
             if load.service != service or load.region == self._region:
                 continue
             if not _serves(ask.route, load.region) or load.slots <= 0:
@@ -256,17 +285,10 @@
             if load.in_progress + sent >= load.slots * 1.5:
                 continue
             terms.append(away_terms(view, request, self.times(service), sent, 0.5))
-        if not terms:
-            return None
-        chosen = draw_region(terms, request, self._rng)
-        host = self._rng.choice(self._fit_hosts(chosen.view.name, ask))
-        where = Elsewhere(
-            chosen.view.name, host.name, host.forward_address, chosen.detail()
-        )
-        return chosen.delay, where
+        return terms
 
     def _fit_hosts(self, region: RegionName, ask: PlacementAsk) -> list[EntryHost]:
-        hosts = self.entry_hosts(region)
+        hosts = self.entry_hosts(region) or self.entry_hosts(region, LAST_RESORT)
         now = monotonic()
         fit = [
             host
@@ -303,10 +325,33 @@
             memory_tokens=prompt.memory_tokens if prompt else 0,
         )
 
-    def _no_room(self, service: str) -> Rejected:
+    def _no_room(self, service: str, ask: PlacementAsk, now: float) -> Rejected:
         hold = self.times(service).hold
         wait = min(3.0, max(0.3, hold / 2))
-        return Rejected(RejectReason.NO_ROOM, wait * self._rng.uniform(0.7, 1.5))
+        return Rejected(
+            RejectReason.NO_ROOM,
+            wait * self._rng.uniform(0.7, 1.5),
+            self._known_room(service, ask, now),
+        )
+
+    def _known_room(self, service: str, ask: PlacementAsk, now: float) -> str:
+        """Return what is known of the room for a service, for the log."""
+        here = [
+            f"{t.info.incarnation} {t.load.in_flight(now)}/{t.slots}"
+            f"{' silent' if is_silent(t, now) else ''}"
+            f"{' ejected' if is_ejected(t) else ''}"
+            f"{' cold' if now < t.cold_until else ''}"
+            for t in self._table.of_service(service)
+        ]
+        there = [
+            f"{load.region} {load.in_progress}/{load.slots} {load.age_ms} ms old, "
+            f"{self._sent_since(load, now):.0f} sent since, "
+            f"{len(self._fit_hosts(load.region, ask))} hosts"
+            for load in self._registry.loads()
+            if load.service == service and load.region != self._region
+        ]
+        closed = sorted(self._table.closed)
+        return "; ".join([*here, *there, f"closed {closed}"])
 
 
 def service_of(route: ServedRoute, request_id: str) -> str:
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -47,6 +47,7 @@
         tokens_at_report: Memory of those.
         silent_since: When it first failed to answer, since it last did; 0: it does.
         failed_reports: Times that it didn't answer since.
+        reopened_at: When its data center was opened to it again.
         replaced: Another target answers at its address, though it is listed still.
     """
 
@@ -63,6 +64,7 @@
     silent_since: float = 0.0
     failed_reports: int = 0
     replaced: bool = False
+    reopened_at: float = float("-inf")
 
     @property
     def slots(self) -> int:
@@ -165,11 +167,15 @@
         if info.cold_ms > 0:
             cold_until = now - age + info.cold_ms / 1000 + COLD_MARGIN
             tracked.cold_until = max(tracked.cold_until, cold_until)
+        elif now - age > tracked.reopened_at + COLD_MARGIN:
+            # The list was read after the opening: it knows better.
+            tracked.cold_until = min(tracked.cold_until, now)
 
     def _count_cold(self, tracked: Tracked, now: float) -> None:
         """Count a target as cold whose data center has just been opened again."""
         service = self._services.get(tracked.info.service)
         if service is not None and service.cold_time > 0:
+            tracked.reopened_at = now
             until = now + service.cold_time + REOPENED_COLD_MARGIN
             tracked.cold_until = max(tracked.cold_until, until)
 
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -2,6 +2,7 @@
 
 from bronzepoint_node.policy._admission import Admission
 from bronzepoint_node.policy._choose_region import (
+    RegionTerms,
     away_terms,
     choose_region,
     draw_region,
@@ -28,6 +29,7 @@
     "Policy",
     "Refused",
     "RegionHosts",
+    "RegionTerms",
     "RegionView",
     "RequestView",
     "RetryBudget",
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -67,6 +67,7 @@
         tried_hosts: Hosts of other regions that it was forwarded to.
         sends: Times it was sent to a target or to another region.
         first_event_at: When the first event was passed on; 0: none yet.
+        arrivals: Times that a target received it, as far as is known.
         may_have_run: A try ended without a proof that it did not run.
         last_outcome: How the last try ended.
         notes: How each try ended, for the log.
@@ -84,6 +85,7 @@
     tried_hosts: set[str] = field(default_factory=set)
     sends: int = 0
     first_event_at: float = 0.0
+    arrivals: int = 0
     may_have_run: bool = False
     last_outcome: TryOutcome | None = None
     notes: list[str] = field(default_factory=list)
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -43,6 +43,13 @@
 """Part of the objective for which a request may wait here for room."""
 PATIENCE_SHARE = 0.45
 """Part of the time left after which a request that may run twice is sent elsewhere."""
+KEPT_REPEATABLE = 3.0
+"""Seconds for which a connection to a target may have been idle, for a request that may
+run twice,"""
+KEPT_ONCE = 0.8
+"""and for one that may not: a target that closes it just then loses the request."""
+KEPT_BETWEEN_HOSTS = 20.0
+"""Seconds for a connection to one of our hosts, which closes it after 60."""
 MOST_BEFORE = 500
 """Prompt tokens before a request up to which its time says how fast a target is."""
 RESUME_STALL = 1.0
@@ -222,7 +229,7 @@
                     continue
                 await self._reject(call, placement)
                 return
-            if call.sends and not self._allowance.take(service, monotonic()):
+            if call.arrivals and not self._allowance.take(service, monotonic()):
                 await self._give_up(call, call.last_outcome)
                 return
             outcome = await self._try(call, placement, service)
@@ -298,6 +305,7 @@
         if call.may_have_run or call.exchange.started:
             await self._give_up(call, call.last_outcome)
             return
+        call.notes.append(rejected.detail)
         await self._refuse(
             call.exchange, call.head, rejected.reason, rejected.retry_after, call
         )
@@ -330,6 +338,9 @@
                 outcome = await self._try_region(call, placement, service)
         if not isinstance(outcome, NotRun):
             call.may_have_run = True
+            call.arrivals += 1
+        elif outcome.by_target:
+            call.arrivals += 1
         reason = getattr(outcome, "reason", "answered")
         self._metrics.incr(f"try.{reason}")
         return outcome
@@ -369,7 +380,11 @@
             call.events.last_id,
         )
         where = Destination(
-            target.info.address, headers, self._patience(call), self._stall(call)
+            target.info.address,
+            headers,
+            self._patience(call),
+            self._stall(call),
+            KEPT_REPEATABLE if call.route.repeatable else KEPT_ONCE,
         )
         result = TryResult.cancelled
         try:
@@ -403,10 +418,14 @@
         )
         headers[FORWARDED_HEADER] = self._settings.region
         where = Destination(
-            placement.address, headers, self._patience(call), self._stall(call)
+            placement.address,
+            headers,
+            self._patience(call),
+            self._stall(call),
+            KEPT_BETWEEN_HOSTS,
         )
         attempt = Try(self._hosts, self._codec, call, _nothing)
-        outcome = await attempt.run(where, fresh=False)
+        outcome = await attempt.run(where)
         match outcome:
             case NotRun(reason="connect_failed"):
                 self._placer.note_lost_host(placement.host, monotonic())
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -32,12 +32,14 @@
         headers: Headers of the request.
         patience: Seconds to wait for the head of the answer.
         stall: Seconds to wait for each further piece.
+        max_idle: Seconds for which the connection may have been idle.
     """
 
     address: str
     headers: dict[str, str]
     patience: float
     stall: float
+    max_idle: float
 
 
 class Try:
@@ -56,13 +58,8 @@
         self._call = call
         self._started = started
 
-    async def run(self, where: Destination, fresh: bool = True) -> TryOutcome:
-        """Return how the try ended; raises Disconnected where the caller left.
-
-        Args:
-            where: Where it goes.
-            fresh: On a new connection.
-        """
+    async def run(self, where: Destination) -> TryOutcome:
+        """Return how the try ended; raises Disconnected where the caller left."""
         call = self._call
         request = call.exchange.request
         try:
@@ -73,8 +70,9 @@
                 where.headers,
                 call.body,
                 where.patience,
-                fresh=fresh,
                 unframed=True,
+                max_idle=where.max_idle,
+                accept=self._is_own,
             ) as answer:
                 answer.timeout = where.stall
                 return await self._take(answer)
@@ -89,6 +87,10 @@
         except AnswerMalformed:
             return MayHaveRun("malformed")
 
+    def _is_own(self, status: int, headers: dict[str, str]) -> bool:
+        verdict = self._codec.judge(self._call.head, status, headers)
+        return verdict is not TargetVerdict.OTHER_REQUEST
+
     async def _take(self, answer: ClientAnswer) -> TryOutcome:
         call = self._call
         if answer.headers.get(RAN_HEADER) == "no":
