--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -27,8 +27,8 @@
 SYNC_TIMEOUT = 0.7
 """Seconds to wait for a host of the core: four of the longest trips there and back."""
 SECOND_INTERVAL = 0.6
-"""Seconds between two questions to some other host of the core. While the core is cut in
-two, its halves hear nothing of each other, but entry hosts reach both."""
+"""Seconds between two questions to some other host of the core. While the core is cut
+in two, its halves hear nothing of each other, but entry hosts reach both."""
 HOME_RETRY = 5.0
 """Seconds after which a host of the own region is tried again that didn't answer."""
 
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -3,7 +3,7 @@
 from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
 from ._cold_gate import ColdGate
 from ._load_exchange import LoadExchange
-from ._placer import PlacementAsk, Placer, service_of
+from ._placer import PlacementAsk, Placer, is_silent, service_of
 from ._prober import Prober, ReportUnavailable
 from ._prompt import Prompt, PromptPart
 from ._retry_allowance import RetryAllowance
@@ -26,5 +26,6 @@
     "ReportUnavailable",
     "RetryAllowance",
     "TargetTable",
+    "is_silent",
     "service_of",
 ]
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -41,6 +41,7 @@
     host: str
     address: str
     reason: str
+    delay: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -46,6 +46,9 @@
 AWAY_ADVANTAGE = 0.15
 """Seconds by which another region must be sooner: its caches are cold, and what
 crosses between regions is paid for."""
+LOST_HOST_AGE = 3.0
+"""Seconds after which a host of which nothing is heard counts as lost for requests
+that it works on."""
 LOST_HOST_PAUSE = 2.0
 """Seconds for which a host that couldn't be reached gets nothing."""
 FRESH_HOST_MS = 1000
@@ -162,6 +165,12 @@
         """Count a host of another region as gone for a while: it can't be reached."""
         self._lost_hosts[host] = now
 
+    def lives(self, host: str) -> bool:
+        """Tell whether an entry host was heard of lately."""
+        return any(
+            known.name == host for known in self._registry.entries(LOST_HOST_AGE)
+        )
+
     def note_forwarded(self, region: RegionName, service: str, now: float) -> None:
         """Count a request that was sent to another region."""
         self._sent_away.setdefault((region, service), []).append(now)
@@ -251,7 +260,11 @@
         chosen = draw_region(terms, request, self._rng)
         host = self._rng.choice(self._fit_hosts(chosen.view.name, ask))
         where = Elsewhere(
-            chosen.view.name, host.name, host.forward_address, chosen.detail()
+            chosen.view.name,
+            host.name,
+            host.forward_address,
+            chosen.detail(),
+            chosen.delay,
         )
         return chosen.delay, where
 
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -67,8 +67,10 @@
         tried_hosts: Hosts of other regions that it was forwarded to.
         sends: Times it was sent to a target or to another region.
         first_event_at: When the first event was passed on; 0: none yet.
+        last_event_at: When the newest one was.
+        longest_gap: Longest time between two of them.
         arrivals: Times that a target received it, as far as is known.
-        may_have_run: A try ended without a proof that it did not run.
+        runs: Tries that ended without a proof that the request did not run.
         last_outcome: How the last try ended.
         notes: How each try ended, for the log.
     """
@@ -85,11 +87,25 @@
     tried_hosts: set[str] = field(default_factory=set)
     sends: int = 0
     first_event_at: float = 0.0
+    last_event_at: float = 0.0
+    longest_gap: float = 0.0
     arrivals: int = 0
-    may_have_run: bool = False
+    runs: int = 0
     last_outcome: TryOutcome | None = None
     notes: list[str] = field(default_factory=list)
 
+    def note_events(self, now: float) -> None:
+        """Count events that are passed on."""
+        if not self.first_event_at:
+            self.first_event_at = now
+        else:
+            self.longest_gap = max(self.longest_gap, now - self.last_event_at)
+        self.last_event_at = now
+
+    def is_flowing(self, now: float, pause: float) -> bool:
+        """Tell whether an event came within ``pause`` seconds."""
+        return now - self.last_event_at < pause
+
     @property
     def left(self) -> float:
         """Seconds until its final answer is due."""
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -1,5 +1,6 @@
 """The life of one request: read, placed, tried, answered."""
 
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
 import curio
@@ -19,6 +20,7 @@
     RejectReason,
     RetryAllowance,
     TargetTable,
+    is_silent,
     service_of,
 )
 from bronzepoint_schema.generated.decisions import TryResult
@@ -27,7 +29,7 @@
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import CallerHead, Codec
 from ._events import EventSplitter
-from ._try import FORWARDED_HEADER, RAN_HEADER, Destination, Try
+from ._try import FORWARDED_HEADER, RAN_HEADER, RUNS_HEADER, Destination, Try
 
 CUT_MARGIN = 0.05
 """Seconds before the caller's own deadline at which its final answer is given."""
@@ -41,8 +43,19 @@
 """but no more than this part of its deadline."""
 WAIT_SHARE = 0.5
 """Part of the objective for which a request may wait here for room."""
-PATIENCE_SHARE = 0.45
-"""Part of the time left after which a request that may run twice is sent elsewhere."""
+PATIENCE = 1.0
+"""Seconds for which the head of an answer is waited for where a request may run twice,"""
+PATIENCE_BY_DELAY = 2.5
+"""besides this multiple of what was expected. A busy engine is not left too soon:
+what it has read of a prompt would be lost, and read again elsewhere."""
+PATIENCE_SHARE = 0.6
+"""Part of the time left that is waited for at most."""
+MOST_SENDS = 4
+"""Times that a request is sent on where each time it certainly did not run."""
+LOOK_INTERVAL = 0.15
+"""Seconds between two looks whether a target has fallen silent."""
+STREAM_OVERTIME = 0.2
+"""Seconds past its route's timeout for which a stream that flows may go on."""
 KEPT_REPEATABLE = 3.0
 """Seconds for which a connection to a target may have been idle, for a request that may
 run twice,"""
@@ -172,7 +185,12 @@
         deadline = head.deadline if head.deadline is not None else DEFAULT_DEADLINE
         until = arrived + min(deadline - CUT_MARGIN, route.timeout)
         events = EventSplitter(head.last_event)
-        return Call(exchange, head, route, body, arrived, until, forwarded, events)
+        call = Call(exchange, head, route, body, arrived, until, forwarded, events)
+        if forwarded:
+            # The runs of both hosts count together against the route's bound.
+            runs = exchange.request.headers.get(RUNS_HEADER, "0")
+            call.runs = int(runs) if runs.isdigit() else 0
+        return call
 
     async def _answer_while_wanted(self, call: Call) -> None:
         """Work on a request until it is answered or its caller has left.
@@ -201,8 +219,17 @@
             await call.exchange.abort()
 
     async def _answer_in_time(self, call: Call) -> None:
-        async with curio.ignore_after(max(0.0, call.left)) as limit:
-            await self._answer(call)
+        work = await curio.spawn(self._answer, call)
+        try:
+            async with curio.ignore_after(max(0.0, call.left)) as limit:
+                await work.wait()
+            if limit.expired and call.exchange.started:
+                async with curio.ignore_after(STREAM_OVERTIME):
+                    await work.wait()
+        finally:
+            await work.cancel()
+        if work.exception is not None and not call.exchange.ended and not limit.expired:
+            raise work.exception
         if not limit.expired or call.exchange.ended:
             return
         self._metrics.incr("refusal.deadline")
@@ -261,7 +288,7 @@
                 await call.exchange.respond(status, headers, body)
                 return True
             case NotRun():
-                if call.sends <= call.route.max_attempts:
+                if call.sends < MOST_SENDS:
                     return False
             case MayHaveRun():
                 if self._may_repeat(call):
@@ -270,12 +297,16 @@
         return True
 
     def _may_repeat(self, call: Call) -> bool:
-        if not call.route.repeatable or call.sends >= call.route.max_attempts:
+        if not call.route.repeatable or call.runs >= call.route.max_attempts:
             return False
         if call.exchange.started and call.events.last_id is None:
             return False
         return call.left > 0
 
+    def _may_repeat_after(self, call: Call) -> bool:
+        """Tell whether the request may be sent again after the try in progress."""
+        return call.route.repeatable and call.runs + 1 < call.route.max_attempts
+
     async def _give_up(self, call: Call, outcome: TryOutcome | None) -> None:
         """Give the final answer where no try brought one."""
         exchange = call.exchange
@@ -287,7 +318,7 @@
             case Answered(status=status, headers=headers, body=body):
                 self._note(call, f"answered_{status}")
                 await exchange.respond(status, headers, body)
-            case NotRun(retry_after=retry_after) if not call.may_have_run:
+            case NotRun(retry_after=retry_after) if not call.runs:
                 wait = retry_after or 0.3
                 await self._refuse(
                     exchange,
@@ -302,7 +333,7 @@
                 await exchange.respond(502, {}, b"no whole answer\n")
 
     async def _reject(self, call: Call, rejected: Rejected) -> None:
-        if call.may_have_run or call.exchange.started:
+        if call.runs or call.exchange.started:
             await self._give_up(call, call.last_outcome)
             return
         call.notes.append(rejected.detail)
@@ -337,7 +368,7 @@
             case Elsewhere():
                 outcome = await self._try_region(call, placement, service)
         if not isinstance(outcome, NotRun):
-            call.may_have_run = True
+            call.runs += 1
             call.arrivals += 1
         elif outcome.by_target:
             call.arrivals += 1
@@ -382,14 +413,16 @@
         where = Destination(
             target.info.address,
             headers,
-            self._patience(call),
+            self._patience(call, placement.delay),
             self._stall(call),
             KEPT_REPEATABLE if call.route.repeatable else KEPT_ONCE,
         )
         result = TryResult.cancelled
         try:
             attempt = Try(self._client, self._codec, call, started)
-            outcome = await attempt.run(where)
+            outcome = await self._while_answering(
+                call, attempt.run(where), lambda: is_silent(target, monotonic())
+            )
             result = _result_of(outcome)
         finally:
             target.load.end(run_id)
@@ -417,30 +450,61 @@
             call.head, call.left, "", None, call.events.last_id
         )
         headers[FORWARDED_HEADER] = self._settings.region
+        headers[RUNS_HEADER] = str(call.runs)
         where = Destination(
             placement.address,
             headers,
-            self._patience(call),
+            self._patience(call, placement.delay),
             self._stall(call),
             KEPT_BETWEEN_HOSTS,
         )
         attempt = Try(self._hosts, self._codec, call, _nothing)
-        outcome = await attempt.run(where)
+        outcome = await self._while_answering(
+            call,
+            attempt.run(where),
+            lambda: not self._placer.lives(placement.host),
+        )
         match outcome:
             case NotRun(reason="connect_failed"):
                 self._placer.note_lost_host(placement.host, monotonic())
         call.notes[-1] += f" -> {getattr(outcome, 'reason', 'answered')}"
         return outcome
 
-    def _patience(self, call: Call) -> float:
+    async def _while_answering(
+        self, call: Call, run: Coroutine, lost: Callable[[], bool]
+    ) -> TryOutcome:
+        """Return how a try ends; give it up where its target is lost meanwhile.
+
+        A target behind a cut says nothing, and its connections look open: the request
+        would wait for its deadline, though another target could still answer in time.
+        """
+        if not self._may_repeat_after(call):
+            return await run
+        work = await curio.spawn(run)
+        try:
+            while True:
+                async with curio.ignore_after(LOOK_INTERVAL):
+                    await work.wait()
+                if work.terminated:
+                    break
+                if lost() and not call.is_flowing(monotonic(), LOOK_INTERVAL):
+                    return MayHaveRun("lost")
+        finally:
+            await work.cancel()
+        if work.exception is not None:
+            raise work.exception
+        return work.result
+
+    def _patience(self, call: Call, delay: float) -> float:
         """Return how long the head of an answer is waited for."""
-        if call.route.repeatable and call.sends < call.route.max_attempts:
-            return max(0.2, PATIENCE_SHARE * call.left)
+        if self._may_repeat_after(call):
+            patience = PATIENCE + PATIENCE_BY_DELAY * delay
+            return max(0.2, min(patience, PATIENCE_SHARE * call.left))
         return max(0.05, call.left)
 
     def _stall(self, call: Call) -> float:
         """Return how long the next piece of an answer is waited for."""
-        if call.route.resumable and call.sends < call.route.max_attempts:
+        if call.route.resumable and self._may_repeat_after(call):
             return RESUME_STALL
         return max(0.05, call.left)
 
@@ -459,6 +523,7 @@
             tries=call.notes,
             seconds=round(now - call.arrived, 3),
             first_event=round(first, 3) if first is not None else None,
+            gap=round(call.longest_gap, 3),
             left=round(call.left, 3),
             list_age=round(now - self._follower.targets_read_at, 2),
         )
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -19,6 +19,8 @@
 
 RAN_HEADER = "bronzepoint-ran"
 """Between our hosts: ``no`` says that the refusal is this project's own promise."""
+RUNS_HEADER = "bronzepoint-runs"
+"""Between our hosts: times that the request may have run before."""
 FORWARDED_HEADER = "bronzepoint-forwarded"
 """Between our hosts: region that a request comes from; it is never sent on."""
 
@@ -119,8 +121,7 @@
             events = call.events.feed(piece)
             if not events:
                 continue
-            if not call.first_event_at:
-                call.first_event_at = monotonic()
+            call.note_events(monotonic())
             self._started()
             if not exchange.started:
                 await exchange.start_stream(answer.status, headers)
