--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -6,10 +6,10 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.peers import Area, Peers
-from bronzepoint_schema.generated.target_loads import LoadNotice, TargetLoad
+from bronzepoint_schema.generated.target_loads import LoadNotice, PartUse, TargetLoad
 from bronzepoint_schema.ids import HostName
 
-from ._target_table import TargetTable
+from ._target_table import TargetTable, Tracked
 
 LEAST_INTERVAL = 0.02
 """Seconds between two notices: an engine reads 800 tokens in that time."""
@@ -58,6 +58,8 @@
             tracked = self._table.get(load.incarnation)
             if tracked is not None:
                 tracked.load.take_notice(peer, load, now)
+                for part in load.parts:
+                    tracked.memory.note_part(part.name, part.tokens)
 
     async def _run(self) -> None:
         while True:
@@ -68,10 +70,7 @@
 
     def _tell(self, others: list[HostName]) -> None:
         now = monotonic()
-        loads = [
-            tracked.load.notice(tracked.info.incarnation, now)
-            for tracked in self._table.all()
-        ]
+        loads = [self._load(tracked, now) for tracked in self._table.all()]
         if now - self._told_all_at > REFRESH:
             self._told_all_at = now
             changed = loads
@@ -84,9 +83,18 @@
         for host in others:
             self._peers.post(host, Area.TARGET_LOADS, notice)
 
+    def _load(self, tracked: Tracked, now: float) -> TargetLoad:
+        load = tracked.load.notice(tracked.info.incarnation, now)
+        # What others send there is in the engine's cache for this host's requests too.
+        load.parts = [PartUse(*part) for part in tracked.parts_sent.items()]
+        tracked.parts_sent.clear()
+        return load
+
     def _differs(self, load: TargetLoad) -> bool:
         """Tell whether a load has changed, but for the passing of time."""
         told = self._told.get(load.incarnation)
+        if load.parts:
+            return True
         if told is None:
             return load.in_flight > 0
         return (told.in_flight, told.unread) != (load.in_flight, load.unread)
--- a/packages/node/src/bronzepoint_node/placement/_part_memory.py
+++ b/packages/node/src/bronzepoint_node/placement/_part_memory.py
@@ -23,8 +23,12 @@
     def note_used(self, prompt: Prompt) -> None:
         """Count the parts of a prompt as cached."""
         for part in prompt.parts:
-            self._tokens += part.tokens - self._parts.pop(part.name, 0)
-            self._parts[part.name] = part.tokens
+            self.note_part(part.name, part.tokens)
+
+    def note_part(self, name: str, tokens: int) -> None:
+        """Count one part as cached."""
+        self._tokens += tokens - self._parts.pop(name, 0)
+        self._parts[name] = tokens
         while self._tokens > self._most and self._parts:
             _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -37,6 +37,7 @@
 from ._cold_gate import ColdGate
 from ._prompt import Prompt
 from ._reading_rate import ReadingRate
+from ._region_owner import weighted_owner
 from ._target_table import TargetTable, Tracked, is_ejected
 
 REPORT_MEMORY = 1.0
@@ -46,6 +47,11 @@
 AWAY_ADVANTAGE = 0.15
 """Seconds by which another region must be sooner: its caches are cold, and what
 crosses between regions is paid for."""
+LEAST_MISSING = 1500
+"""Tokens of shared parts that must be missing at home for a request to go where they
+are kept; fewer are read in less time than the trip takes."""
+OWNER_SHARE = 0.6
+"""Part of the objective within which its first answer must be expected there."""
 LOST_HOST_AGE = 3.0
 """Seconds after which a host of which nothing is heard counts as lost for requests
 that it works on."""
@@ -135,6 +141,9 @@
             return home or self._no_room(service, ask, now)
         if home is None:
             return away[1]
+        owner = self._to_owner(ask, service, request, home, now)
+        if owner is not None:
+            return owner
         if away[0] + AWAY_ADVANTAGE < home.delay:
             return away[1]
         return home
@@ -268,6 +277,45 @@
         )
         return chosen.delay, where
 
+    def _to_owner(
+        self,
+        ask: PlacementAsk,
+        service: str,
+        request: RequestView,
+        home: AtHome,
+        now: float,
+    ) -> Elsewhere | None:
+        """Return the region that keeps a prompt's shared part, where that is worth it.
+
+        Read in each region, a shared part takes the memory and the time of three
+        engines instead of one. Where the own region hasn't cached it and the answer
+        would still be early, the request goes to the region that has it.
+        """
+        prompt = ask.prompt
+        if prompt is None or not prompt.shared_key:
+            return None
+        cached = home.target.memory.cached_tokens(prompt)
+        missing = prompt.tokens - prompt.parts[-1].tokens - cached
+        if missing < LEAST_MISSING:
+            return None
+        terms = self._away_terms(ask, service, request, LOAD_EXPIRY, now)
+        weights = {term.view.name: float(term.view.slots) for term in terms}
+        weights[self._region] = sum(
+            t.slots for t in self._usable(service, now) if not is_ejected(t)
+        )
+        owner = weighted_owner(prompt.shared_key, weights)
+        for term in terms:
+            if term.view.name != owner:
+                continue
+            shared_time = self.times(service).per_token * missing / 2
+            delay = term.delay - shared_time
+            if delay > OWNER_SHARE * ask.route.objective:
+                return None
+            host = self._rng.choice(self._fit_hosts(owner, ask))
+            detail = f"holds the shared part, {term.detail()}"
+            return Elsewhere(owner, host.name, host.forward_address, detail, delay)
+        return None
+
     def _away_terms(
         self,
         ask: PlacementAsk,
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -41,6 +41,7 @@
         info: What the list says.
         cold_until: Until when it is cold, by the own clock.
         load: What all hosts have in progress there.
+        parts_sent: Shared parts that this host sent there since its last notice.
         report: What it said last; None: nothing yet.
         report_at: When that was asked.
         runs_at_report: Requests known to be there at that moment.
@@ -57,6 +58,7 @@
     health: Health
     cold_until: float = 0.0
     load: EngineLoad = field(default_factory=EngineLoad)
+    parts_sent: dict[str, int] = field(default_factory=dict)
     report: EngineReport | None = None
     report_at: float = float("-inf")
     runs_at_report: int = 0
@@ -88,6 +90,7 @@
             tokens = prompt.memory_tokens
             uncached = prompt.tokens - self.memory.cached_tokens(prompt)
             self.memory.note_used(prompt)
+            self.parts_sent.update({p.name: p.tokens for p in prompt.parts[:-1]})
         self.load.begin(run_id, OwnRun(tokens, uncached, rank, now))
         return uncached
 
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -44,7 +44,7 @@
 WAIT_SHARE = 0.5
 """Part of the objective for which a request may wait here for room."""
 PATIENCE = 1.0
-"""Seconds for which the head of an answer is waited for where a request may run twice,"""
+"""Seconds for which the head of an answer is waited for where it may run twice,"""
 PATIENCE_BY_DELAY = 2.5
 """besides this multiple of what was expected. A busy engine is not left too soon:
 what it has read of a prompt would be lost, and read again elsewhere."""
@@ -281,6 +281,10 @@
             case Answered(streamed=True):
                 self._note(call, "answered")
                 return True
+            case Answered() if call.exchange.started:
+                # A part of a stream was passed on: no other answer can follow it.
+                if self._may_repeat(call):
+                    return False
             case Answered(status=status, headers=headers, body=body):
                 if status >= 500 and self._may_repeat(call):
                     return False
