Prove forming, replacing and early elections of a seeded core

Change: choices of voters as a table; clusters of five hosts in one process, with cuts, wiped disks, hosts at other addresses, a kill of all, races of one number.

--- /dev/null
+++ b/tests/_seeded_cluster.py
@@ -0,0 +1,105 @@
+"""Hosts of a core that forms itself, in this process, on links that tests can cut."""
+
+import shutil
+import tempfile
+from pathlib import Path
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.peers import Peers
+from bronzepoint_emulator.deployment import PortBlock
+from bronzepoint_node.agreement import AgreementError, SeededAgreement
+from bronzepoint_schema.generated.settings import AgreementSection
+
+DEADLINE = 20.0
+TIMES = AgreementSection(voters_wanted=5, replace_after=1.0)
+
+
+class CuttablePeers(Peers):
+    """Peers whose messages are lost in silence where the test cuts a host off."""
+
+    cut: set = set()
+
+    def _send_payload(self, peer, frame, area, call_id, payload):
+        if self._name in self.cut or peer in self.cut:
+            return True
+        return super()._send_payload(peer, frame, area, call_id, payload)
+
+
+class SeededCluster:
+    """Hosts ``a1``, ``b1``, …; the letter is the region, the first three the seeds."""
+
+    def __init__(self, *names):
+        self.names = names
+        self.seeds = list(names[:3])
+        self.root = Path(tempfile.mkdtemp())
+        self.ports = PortBlock()
+        self.ports.start()
+        self.addresses = {}
+        self.running = {}
+        self.peers = {}
+        self.metrics = {}
+        CuttablePeers.cut = set()
+
+    async def __aenter__(self):
+        for name in self.names:
+            await self.start(name, first_start=True)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for name in list(self.running):
+            await self.stop(name)
+        self.ports.close()
+        shutil.rmtree(self.root)
+
+    async def start(self, name, first_start=False):
+        if name not in self.addresses:
+            self.addresses[name] = self.ports.address()
+        address = self.addresses[name]
+        self.metrics[name] = Metrics()
+        peers = CuttablePeers(
+            name, address, b"key", self.metrics[name], self.addresses.get
+        )
+        agreement = SeededAgreement(
+            name,
+            name[0],
+            self.root / name,
+            self.seeds,
+            first_start,
+            TIMES,
+            peers,
+            self.metrics[name],
+        )
+        await peers.start()
+        await agreement.start()
+        self.running[name], self.peers[name] = agreement, peers
+
+    async def stop(self, name):
+        await self.running.pop(name).close()
+        await self.peers.pop(name).close()
+
+    async def wipe(self, name):
+        await self.stop(name)
+        shutil.rmtree(self.root / name)
+
+    async def put(self, name, version, content=b"x"):
+        await self.running[name].replace_document(version, content, DEADLINE)
+
+    async def read(self, name, timeout=DEADLINE):
+        document = await self.running[name].read_newest(timeout)
+        return document and (document.version, document.content)
+
+    def voters(self, name):
+        return {v.host for v in self.running[name]._voter.known_voters()}
+
+    async def until(self, condition):
+        end = monotonic() + DEADLINE
+        while not condition():
+            if monotonic() > end:
+                raise AssertionError("the expected state was not observed")
+            await curio.sleep(0.02)
+
+
+__all__ = ["AgreementError", "CuttablePeers", "SeededCluster"]
--- /dev/null
+++ b/tests/test_agreement_seeded.py
@@ -0,0 +1,184 @@
+"""A core that forms from seeds, keeps one document, and replaces lost hosts."""
+
+import unittest
+
+import curio
+from nose2.tools import params
+
+from bronzepoint_node.agreement import AgreementError
+from bronzepoint_node.agreement._ballot import Ballot
+from bronzepoint_schema.generated.agreement import VoteRequest
+from tests._seeded_cluster import CuttablePeers, SeededCluster
+
+FIVE = ("a1", "b1", "c1", "a2", "b2")
+
+
+def with_cluster(*names):
+    """Run a test's coroutine with a cluster of these hosts."""
+
+    def decorate(test):
+        def run(self):
+            async def main():
+                async with SeededCluster(*names) as cluster:
+                    await test(self, cluster)
+
+            curio.run(main)
+
+        run.__name__, run.__doc__ = test.__name__, test.__doc__
+        return run
+
+    return decorate
+
+
+class TestFormation(unittest.TestCase):
+    @with_cluster(*FIVE)
+    async def test_all_hosts_with_disks_come_to_vote(self, cluster):
+        await cluster.put("b2", 3, b"three")
+        await cluster.until(lambda: cluster.voters("a1") == set(FIVE))
+        self.assertEqual(await cluster.read("c1"), (3, b"three"))
+
+    @with_cluster("a1", "b1", "c1")
+    async def test_wiped_seeds_never_form_a_second_cluster(self, cluster):
+        """Symptom: an accepted catalogue is gone, and an empty one is served.
+        Sequence: a majority of the disks is lost; the hosts start again, blank.
+        Cause: blank seeds took themselves for a system that starts for the first
+        time. They must wait instead for the disk that still knows."""
+        await cluster.put("a1", 1)
+        for name in ("a1", "b1"):
+            await cluster.wipe(name)
+        for name in ("a1", "b1"):
+            await cluster.start(name)
+        await curio.sleep(1.5)
+        with self.assertRaises(AgreementError):
+            await cluster.read("a1", timeout=0.5)
+        self.assertEqual(cluster.running["a1"]._voter.log.identity.cluster, "")
+
+    @with_cluster(*FIVE)
+    async def test_host_gone_for_good_is_replaced_at_another_address(self, cluster):
+        await cluster.put("a1", 1)
+        await cluster.until(lambda: cluster.voters("a1") == set(FIVE))
+        await cluster.stop("b1")
+        await cluster.start("b3")
+        expected = {"a1", "c1", "a2", "b2", "b3"}
+        await cluster.until(lambda: cluster.voters("a1") == expected)
+        await cluster.put("b3", 2)
+        self.assertEqual(await cluster.read("a2"), (2, b"x"))
+
+    @with_cluster(*FIVE)
+    async def test_wiped_host_is_counted_again_and_a_second_loss_is_survived(
+        self, cluster
+    ):
+        await cluster.put("a1", 1, b"kept")
+        await cluster.until(lambda: cluster.voters("a1") == set(FIVE))
+        await cluster.wipe("c1")
+        await cluster.start("c1")
+        joined = cluster.running["c1"]._voter
+        await cluster.until(lambda: joined.may_vote())
+        for name in ("a1", "b1"):
+            await cluster.stop(name)
+        self.assertEqual(await cluster.read("c1"), (1, b"kept"))
+
+
+class TestDocument(unittest.TestCase):
+    @params(
+        ((1, b"a"), (2, b"b"), (2, b"b")),  # the higher version is in force
+        ((5, b"a"), (4, b"b"), (5, b"a")),  # an overtaken one changes nothing
+        ((5, b"a"), (5, b"b"), (5, b"a")),  # nor does another of the same number
+    )
+    def test_highest_version_wins(self, first, second, expected):
+        async def main():
+            async with SeededCluster("a1", "b1", "c1") as cluster:
+                await cluster.put("a1", *first)
+                await cluster.put("b1", *second)
+                return [await cluster.read(name) for name in cluster.names]
+
+        self.assertEqual(curio.run(main), [expected] * 3)
+
+    @with_cluster("a1", "b1", "c1")
+    async def test_two_operators_with_one_number_get_one_document(self, cluster):
+        async with curio.TaskGroup() as group:
+            for number, name in enumerate(cluster.names):
+                await group.spawn(cluster.put, name, 7, b"%d" % number)
+        documents = {await cluster.read(name) for name in cluster.names}
+        self.assertEqual(len(documents), 1)
+
+    @with_cluster("a1", "b1", "c1")
+    async def test_host_that_is_cut_off_gives_no_old_document(self, cluster):
+        await cluster.put("a1", 1)
+        CuttablePeers.cut = {"c1"}
+        with self.assertRaises(AgreementError):
+            # The others may go on at any moment, also right now.
+            await curio.sleep(1.5)
+            await cluster.read("c1", timeout=0.8)
+        CuttablePeers.cut = set()
+        await cluster.put("a1", 2)
+        self.assertEqual(await cluster.read("c1"), (2, b"x"))
+
+    @with_cluster(*FIVE)
+    async def test_everything_is_there_after_all_hosts_were_killed(self, cluster):
+        """Symptom: after a kill of the whole core nothing was served any more.
+        Sequence: hosts join by the leader's snapshot, acknowledge changes, and all
+        hosts are started again at once.
+        Cause: see test_agreement_storage; the quorum had forgotten the changes."""
+        await cluster.until(lambda: cluster.voters("a1") == set(FIVE))
+        await cluster.put("a1", 9, b"nine")
+        await cluster.running["b1"].close_data_center("a-x", True, 10.0)
+        for name in FIVE:
+            await cluster.stop(name)
+        for name in FIVE:
+            await cluster.start(name)
+        self.assertEqual(await cluster.read("b2"), (9, b"nine"))
+        await cluster.until(lambda: cluster.running["c1"].closed == {"a-x"})
+
+    @with_cluster(*FIVE)
+    async def test_restarted_host_confirms_nothing_before_it_hears_a_leader(
+        self, cluster
+    ):
+        """Symptom: a route was refused with 404 though its change had been accepted.
+        Sequence: a host is restarted and reads its snapshot; an entry host asks it
+        before any leader has told which later entries were agreed.
+        Cause: the snapshot's document was given out as the newest."""
+        await cluster.put("a1", 1)
+        await cluster.stop("c1")
+        CuttablePeers.cut = {"c1"}
+        await cluster.start("c1")
+        await curio.sleep(0.3)
+        self.assertIsNone(cluster.running["c1"].confirmed_age())
+        CuttablePeers.cut = set()
+        await cluster.until(lambda: cluster.running["c1"].confirmed_age() is not None)
+        self.assertEqual(cluster.running["c1"].document.version, 1)
+
+
+class TestEarlyElection(unittest.TestCase):
+    @params((False, True, True), (True, True, False), (False, False, False))
+    def test_votes_that_are_not_withheld(self, has_heard, unled, granted):
+        """A restarted voter doesn't know what it has promised a leader. Only where
+        every voter says that none leads, and it has heard none, it votes at once."""
+
+        async def main():
+            async with SeededCluster("a1", "b1", "c1") as cluster:
+                await cluster.put("a1", 1)
+                for name in ("b1", "c1"):
+                    await cluster.stop(name)
+                voter = cluster.running["a1"]._voter
+                async with voter.lock:
+                    await voter.step_down(voter.log.term)
+                    voter.has_heard_leader = has_heard
+                    voter.heard_at = float("inf")
+                    log = voter.log
+                    request = VoteRequest(
+                        log.identity.cluster,
+                        log.term + 1,
+                        "other",
+                        log.last_index,
+                        log.last_term,
+                        False,
+                        unled,
+                    )
+                    return (await Ballot(voter).answer(request)).granted
+
+        self.assertEqual(curio.run(main), granted)
+
+
+if __name__ == "__main__":
+    unittest.main()
