Test the programs on the platform's stand-in, and each decision of placement

Change: a stand-in of the platform (list, targets that follow a script, settings files) before real processes of both programs; tables for placement, retries, cold targets, events, heads and manifests; the metrics' port is an argument.

--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,6 @@
-"""Tests of bronzepoint; run by nose2 from the root of the repository."""
+"""All tests; the platform's adapter is no installed package, so its folder is named."""
+
+import sys
+from pathlib import Path
+
+sys.path.append(str(Path(__file__).resolve().parent.parent / "platform"))
--- /dev/null
+++ b/tests/_platform_site.py
@@ -0,0 +1,285 @@
+"""The users' platform as a stand-in: list, targets, settings files and processes."""
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.http import HttpClient, HttpError, HttpLimits, HttpServer
+from bronzepoint_emulator.deployment import PortBlock
+
+ROOT = Path(__file__).resolve().parent.parent
+DEADLINE = 20.0
+SETTINGS = """
+node_name = "{name}"
+ip = "{ip}"
+zone = "{region}-a"
+region = "{region}"
+port_range = [{first},{last}]
+seeds = ["{core}:{control}"]
+bootstrap = true
+data_dir = "{data}"
+[zones]
+x-a = "x"
+y-a = "y"
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+directory = "{ip}:{control}"
+[bounds]
+grace_s = {grace}
+[cloud_api]
+address = "{list}"
+"""
+
+
+def manifest(version, **changes):
+    """Return a manifest with one route of each kind; ``changes`` go to the first."""
+
+    def route(prefix, kind, **more):
+        return {
+            "name": f"r{prefix}",
+            "host": "h.example",
+            "path_prefix": prefix,
+            "route_type": kind,
+            "timeout_ms": 4000,
+            "target_latency_ms": 1000,
+            "priority": 1,
+            "service": "s",
+            "max_attempts": 2,
+            **more,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            {**route("/safe/", "safe"), **changes},
+            route("/once/", "unsafe", max_attempts=1),
+            route("/stream/", "streaming", resumable=True),
+        ],
+        "services": [{"name": "s", "health_path": "/health", "max_conns": 50}],
+        "limits": {},
+    }
+
+
+class StandInTarget:
+    """A target: answers as its script says, and notes what reached it.
+
+    Attributes:
+        script: For each request in turn a name of an answer; then all are served.
+        seen: Head of each request that reached it.
+        cut: Requests whose caller left.
+    """
+
+    def __init__(self, name, ip, port):
+        self.name = name
+        self.address = f"{ip}:{port}"
+        self.script = []
+        self.seen = []
+        self.cut = 0
+        self.server = HttpServer(self._answer, HttpLimits())
+
+    async def _answer(self, exchange):
+        request = exchange.request
+        self.seen.append(request)
+        action = self.script.pop(0) if self.script else "serve"
+        headers = {
+            "X-Bronzepoint-Request-Id": request.headers.get(
+                "x-bronzepoint-request-id", ""
+            ),
+            "X-Bronzepoint-Response-Seal": self.name,
+        }
+        if request.headers.get("x-bronzepoint-expect-instance") != self.name:
+            action = "replaced"
+        match action:
+            case "serve" if request.path.startswith("/stream/"):
+                await self._stream(exchange, headers, 5)
+            case "break":
+                await self._stream(exchange, headers, 2)
+                await exchange.abort()
+            case "serve":
+                await exchange.respond(200, headers, await exchange.body() or b"ok")
+            case "full":
+                headers["X-Bronzepoint-Not-Executed"] = "1"
+                await exchange.respond(503, headers)
+            case "fail":
+                await exchange.respond(500, headers, b"no")
+            case "replaced":
+                await exchange.respond(421, {})
+            case "reset":
+                await exchange.abort()
+            case "hang":
+                await exchange.wait_disconnect()
+                self.cut += 1
+                await exchange.abort()
+            case "slow":
+                await curio.sleep(1.5)
+                await exchange.respond(200, headers, b"slow")
+
+    async def _stream(self, exchange, headers, count):
+        first = int(exchange.request.headers.get("last-event-id", "0")) + 1
+        await exchange.start_stream(200, headers)
+        for number in range(first, count + 1):
+            await exchange.send(f"id: {number}\ndata: {number}\n\n".encode())
+        if count == 5:
+            await exchange.end()
+            return
+        await exchange.send(b"id: 3\nda")
+
+    def listed(self, state="ready"):
+        return {
+            "id": self.name,
+            "service": "s",
+            "address": self.address,
+            "zone": "x-a",
+            "slots": 6,
+            "state": state,
+            "cold_left_ms": 0,
+        }
+
+
+class PlatformSite:
+    """One host of the core and one entry host, as processes, before two targets."""
+
+    def __init__(self, grace=8.0):
+        self.grace = grace
+        self.root = Path(tempfile.mkdtemp())
+        self.ports = PortBlock()
+        self.processes = {}
+        self.logs = {}
+        self.client = HttpClient(HttpLimits(), 1.0)
+        self.listed = []
+
+    async def __aenter__(self):
+        self.ports.start()
+        port = [int(self.ports.address().rpartition(":")[2]) for _ in range(10)]
+        self.metrics = port[9]
+        self.first, self.front, self.ready, self.control = port[0], *port[2:5]
+        self.list_server = HttpServer(self._list, HttpLimits())
+        await self.list_server.start(f"127.0.0.1:{port[5]}")
+        self.targets = [
+            StandInTarget(f"i-{n}", "127.0.0.1", port[5 + n]) for n in (1, 2)
+        ]
+        for target in self.targets:
+            await target.server.start(target.address)
+        self.listed = [target.listed() for target in self.targets]
+        self.start("core")
+        self.start("entry")
+        await self.until_put(manifest(1))
+        await self.until(self._is_ready)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        await self.client.close()
+        await self.list_server.close(0)
+        for target in self.targets:
+            await target.server.close(0)
+        self.ports.close()
+        shutil.rmtree(self.root)
+
+    def start(self, role):
+        ip = {"core": "127.0.0.2", "entry": "127.0.0.3"}[role]
+        data = self.root / "data"
+        data.mkdir(exist_ok=True)
+        path = self.root / f"{role}.toml"
+        text = SETTINGS.format(
+            name=role,
+            ip=ip,
+            region="x",
+            first=self.first,
+            last=self.first + 1,
+            core="127.0.0.2",
+            control=self.control,
+            front=self.front,
+            ready=self.ready,
+            data=data,
+            grace=self.grace,
+            list=self.list_server.address,
+        )
+        path.write_text(text)
+        log = open(self.root / f"{role}.log", "ab")
+        self.processes[role] = subprocess.Popen(
+            [
+                sys.executable,
+                str(ROOT / "platform" / "daemon.py"),
+                role,
+                str(self.metrics),
+            ],
+            env={**os.environ, "BRONZEPOINT_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def lines(self, role):
+        """Return what a process has logged."""
+        lines = (self.root / f"{role}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def signal(self, role, number=signal.SIGTERM):
+        self.processes[role].send_signal(number)
+
+    async def call(self, method, path, body=b"", address=None, headers=(), wait=8.0):
+        address = address or f"127.0.0.3:{self.front}"
+        headers = {"host": "h.example", **dict(headers)}
+        return await self.client.fetch(
+            address, method, path, headers, body, wait, fresh=True
+        )
+
+    async def ask(self, path, request_id="id-1", deadline_ms=4000, **more):
+        headers = {
+            "X-Bronzepoint-Request-Id": request_id,
+            "X-Bronzepoint-Deadline-Ms": str(deadline_ms),
+            **more,
+        }
+        return await self.call("POST", path, b"body", headers=headers)
+
+    async def control_call(self, method, path, body=b""):
+        address = f"127.0.0.2:{self.control}"
+        return await self.call(method, path, body, address)
+
+    async def put(self, document):
+        return await self.control_call(
+            "PUT", "/-/config", json.dumps(document).encode()
+        )
+
+    async def until_put(self, document):
+        async def accepted():
+            return (await self.put(document)).status == 200
+
+        await self.until(accepted)
+
+    async def until(self, condition):
+        end = monotonic() + DEADLINE
+        while True:
+            try:
+                if await condition():
+                    return
+            except HttpError:
+                pass
+            if monotonic() > end:
+                raise AssertionError("the expected state was not observed")
+            await curio.sleep(0.05)
+
+    async def _is_ready(self):
+        address = f"127.0.0.3:{self.ready}"
+        return (await self.call("GET", "/-/readiness", address=address)).status == 200
+
+    async def _list(self, exchange):
+        body = json.dumps({"instances": self.listed, "next_token": None}).encode()
+        await exchange.respond(200, {"Content-Type": "application/json"}, body)
+
+
+__all__ = ["PlatformSite", "manifest"]
--- /dev/null
+++ b/tests/test_placement_parts.py
@@ -0,0 +1,161 @@
+"""The smaller decisions of placement, one table each."""
+
+import unittest
+from collections import Counter
+
+from nose2.tools import params
+
+from bronzepoint_node.placement import ColdGate, Prompt, PromptPart, RetryAllowance
+from bronzepoint_node.placement._engine_load import EngineLoad, OwnRun
+from bronzepoint_node.placement._part_memory import PartMemory
+from bronzepoint_node.placement._reading_rate import FIRST_RATE, ReadingRate
+from bronzepoint_node.placement._region_owner import weighted_owner
+from bronzepoint_schema.generated.target_loads import TargetLoad
+
+RATE = 1000.0
+
+
+def prompt(*parts):
+    found = tuple(PromptPart(name, tokens) for name, tokens in parts)
+    return Prompt(found, sum(tokens for _, tokens in parts), 50)
+
+
+class TestRetryAllowance(unittest.TestCase):
+    @params((0, 1, 35), (0, 5, 7), (100, 5, 22), (100, 1, 50))
+    def test_repeats_in_one_window(self, requests, hosts, expected):
+        """0.75 of a fifth of the own requests, and a part of 0.7 of the slack."""
+        allowance = RetryAllowance(0.2, 50)
+        allowance.note_hosts(hosts)
+        for _ in range(requests):
+            allowance.note_request("s", 0.0)
+        taken = sum(allowance.take("s", 1.0) for _ in range(200))
+        self.assertEqual(taken, expected)
+
+    def test_host_that_is_cut_off_gets_no_larger_part(self):
+        """Symptom: more repeats than the platform grants, after a cut.
+        Sequence: a host hears of no other any more; it takes the whole slack, and so
+        do the hosts on the other side.
+        Cause: the slack was divided by the hosts that are heard of now."""
+        allowance = RetryAllowance(0.0, 50)
+        allowance.note_hosts(10)
+        allowance.note_hosts(1)
+        self.assertEqual(sum(allowance.take("s", 0.0) for _ in range(50)), 3)
+
+    def test_repeats_count_over_a_sliding_window(self):
+        allowance = RetryAllowance(0.0, 10)
+        first = sum(allowance.take("s", 0.0) for _ in range(20))
+        again = sum(allowance.take("s", 9.9) for _ in range(20))
+        later = sum(allowance.take("s", 10.1) for _ in range(20))
+        self.assertEqual((first, again, later), (7, 0, 7))
+
+
+class TestColdGate(unittest.TestCase):
+    def test_one_host_sends_and_keeps_the_rate(self):
+        hosts = ["h1", "h2", "h3"]
+        gates = {host: ColdGate(host) for host in hosts}
+        sent = Counter()
+        for step in range(1000):
+            now = step / 100
+            for host, gate in gates.items():
+                if gate.may_send("t", 2.0, hosts, now):
+                    gate.note_sent("t", now)
+                    sent[host] += 1
+        self.assertEqual(len(sent), 1)
+        self.assertLessEqual(sum(sent.values()), 15)
+
+    @params(([],), (["other"],))
+    def test_host_that_can_not_know_sends_none(self, hosts):
+        self.assertFalse(ColdGate("h").may_send("t", 2.0, hosts, 0.0))
+
+
+class TestPartMemory(unittest.TestCase):
+    @params(
+        ([("a", 10), ("b", 20), ("x", 5)], 30),
+        ([("b", 20), ("a", 10)], 30),
+        ([("a", 10), ("new", 20), ("b", 20)], 10),
+        ([("new", 5), ("a", 10)], 0),
+    )
+    def test_a_part_counts_where_all_before_it_are_cached(self, parts, cached):
+        memory = PartMemory(1000)
+        memory.note_used(prompt(("a", 10), ("b", 20), ("own", 5)))
+        self.assertEqual(memory.cached_tokens(prompt(*parts)), cached)
+
+    def test_parts_used_longest_ago_go_first(self):
+        memory = PartMemory(100)
+        for name in "abc":
+            memory.note_part(name, 40)
+        cached = [memory.cached_tokens(prompt((name, 40))) for name in "abc"]
+        self.assertEqual(cached, [0, 40, 40])
+
+
+class TestEngineLoad(unittest.TestCase):
+    @params(
+        # the prompt in progress is waited for, whatever its rank
+        ([(1, 1000, 0.0)], 0, 0.0, 1000),
+        ([(1, 1000, 0.0)], 0, 0.4, 600),
+        # those behind it only where they are as urgent
+        ([(1, 1000, 0.0), (1, 500, 0.1)], 0, 0.4, 600),
+        ([(1, 1000, 0.0), (1, 500, 0.1)], 1, 0.4, 1100),
+        ([(0, 1000, 0.0), (0, 500, 0.1)], 0, 0.4, 1100),
+        ([], 0, 0.0, 0),
+    )
+    def test_tokens_before_a_new_request(self, runs, rank, now, expected):
+        load = EngineLoad()
+        for number, (of_rank, tokens, at) in enumerate(runs):
+            load.begin(str(number), OwnRun(0, tokens, of_rank, at))
+        self.assertAlmostEqual(load.tokens_before(rank, RATE, now), expected)
+
+    def test_long_prompt_of_another_host_is_known_at_once(self):
+        """Symptom: short requests wait a second at an engine with few in progress.
+        Sequence: one host sends a prompt of 40,000 tokens; another, whose report of
+        the engine is 0.4 s old, sends its requests after it.
+        Cause: only the engine's late report told of it."""
+        load = EngineLoad()
+        notice = TargetLoad("t", 1, 40_000, [0, 40_000, 0, 0], 40_000, 1, 0)
+        load.take_notice("other", notice, 5.0)
+        self.assertEqual(load.tokens_before(0, RATE, 5.0), 40_000)
+        self.assertEqual(load.in_flight(5.0), 1)
+        self.assertEqual(load.in_flight(8.1), 0, "a dead host's word expires")
+
+    def test_started_request_is_read(self):
+        load = EngineLoad()
+        load.begin("1", OwnRun(0, 1000, 0, 0.0))
+        load.note_started("1", 0.9)
+        self.assertEqual(load.tokens_before(0, RATE, 1.0), 0)
+        self.assertEqual(load.in_flight(1.0), 1)
+
+
+class TestReadingRate(unittest.TestCase):
+    @params(
+        (2000, 0.1, 0, True),
+        (2000, 0.1, 5000, False),  # it waited
+        (100, 0.1, 0, False),  # too short to tell
+        (2000, 10.0, 0, False),  # not believable: it was believed cached
+    )
+    def test_what_counts(self, uncached, seconds, before, counts):
+        rate = ReadingRate()
+        rate.add(uncached, seconds, before)
+        self.assertEqual(rate.tokens_per_second != FIRST_RATE, counts)
+
+
+class TestWeightedOwner(unittest.TestCase):
+    def test_regions_keep_parts_by_their_slots(self):
+        weights = {"a": 192.0, "b": 128.0, "c": 64.0}
+        owners = Counter(weighted_owner(str(key), weights) for key in range(3000))
+        for region, weight in weights.items():
+            self.assertAlmostEqual(owners[region] / 3000, weight / 384, delta=0.04)
+
+    def test_a_region_that_goes_loses_only_its_own_parts(self):
+        before = {"a": 64.0, "b": 64.0, "c": 64.0}
+        after = {**before, "c": 0.0}
+        for key in map(str, range(300)):
+            owner = weighted_owner(key, before)
+            if owner != "c":
+                self.assertEqual(weighted_owner(key, after), owner)
+
+    def test_nobody_keeps_what_no_region_can(self):
+        self.assertIsNone(weighted_owner("k", {"a": 0.0}))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_placement_placer.py
@@ -0,0 +1,221 @@
+"""Home or away and at which target, from what one entry host knows."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_node.fleet import (
+    EngineFacts,
+    Registry,
+    RouteKind,
+    ServedRoute,
+    ServedService,
+    ServiceShare,
+)
+from bronzepoint_node.placement import (
+    AtHome,
+    ColdGate,
+    Elsewhere,
+    PlacementAsk,
+    Placer,
+    Prompt,
+    PromptPart,
+    Rejected,
+    TargetTable,
+)
+from bronzepoint_node.placement._region_owner import weighted_owner
+from bronzepoint_schema.generated.fleet import (
+    EntryHost,
+    EntryState,
+    RegionLoad,
+    TargetInfo,
+)
+
+ENGINE = ServedService("s", "/h", 100, 3.0, 2.0, EngineFacts(64, 200_000))
+PLAIN = ServedService("s", "/h", 100)
+
+
+def route(homes=(), priority=0):
+    shares = (ServiceShare("s", 1.0),)
+    return ServedRoute(
+        "r", "h", "/", RouteKind.STREAM, 5.0, 1.0, priority, shares, 2, True, 0.3, homes
+    )
+
+
+def info(name, zone="a-1", leaving=False, cold_ms=0):
+    return TargetInfo(name, "s", f"10.0.0.1:{name[1:]}", zone, 64, leaving, cold_ms)
+
+
+class Site:
+    """Region ``a`` with some targets, and regions ``b`` and ``c``."""
+
+    def __init__(self, *targets, service=ENGINE, closed=()):
+        self.now = monotonic()
+        self.table = TargetTable()
+        self.service = service
+        self.registry = Registry()
+        for region in "abc":
+            name = f"{region}1"
+            host = EntryHost(name, region, "z", name, name, EntryState.ready, 0)
+            self.registry.hear_entries([host])
+        self.update(targets, closed)
+        self.placer = Placer(
+            "a1", "a", self.table, self.registry, ColdGate("a1"), random.Random(1)
+        )
+
+    def update(self, targets, closed=(), age=0.0):
+        services = {"s": self.service}
+        self.table.update(list(targets), age, services, frozenset(closed), self.now)
+
+    def away(self, **in_progress):
+        for region, count in in_progress.items():
+            self.registry.hear_loads([RegionLoad(region, "s", 64, count, 0, 0)])
+
+    def place(self, of_route=None, prompt=None, forwarded=False, tried=()):
+        ask = PlacementAsk(
+            "id", of_route or route(), prompt, forwarded, 5.0, set(tried), set()
+        )
+        return self.placer.place(ask, self.now)
+
+
+class TestHomeOrAway(unittest.TestCase):
+    @params(
+        ([info("t1")], (), {"b": 0}, False, AtHome),
+        # what may get no work
+        ([info("t1", leaving=True)], (), {"b": 0}, False, Elsewhere),
+        ([info("t1")], ("a-1",), {"b": 0}, False, Elsewhere),
+        ([], (), {"b": 0}, False, Elsewhere),
+        # another region is full, or none is known
+        ([], (), {"b": 96}, False, Rejected),
+        ([], (), {}, False, Rejected),
+        # a forwarded request is never sent on
+        ([], (), {"b": 0}, True, Rejected),
+    )
+    def test_where(self, targets, closed, away, forwarded, expected):
+        site = Site(*targets, closed=closed)
+        site.away(**away)
+        self.assertIsInstance(site.place(forwarded=forwarded), expected)
+
+    @params((("b",), "b"), (("c",), "c"), (("a", "c"), "c"))
+    def test_home_bound_requests_go_only_where_they_may(self, homes, expected):
+        site = Site()
+        site.away(b=0, c=0)
+        for _ in range(20):
+            placement = site.place(route(homes))
+            self.assertEqual(placement.region, expected)
+
+    def test_home_bound_elsewhere_leaves_though_home_has_room(self):
+        site = Site(info("t1"))
+        site.away(b=0)
+        self.assertEqual(site.place(route(("b",))).region, "b")
+
+    def test_a_refusal_says_what_was_known(self):
+        site = Site(info("t1"), closed=("a-1",))
+        site.away(b=200)
+        refusal = site.place()
+        self.assertGreater(refusal.retry_after, 0)
+        for word in ("b 200/64", "closed ['a-1']"):
+            self.assertIn(word, refusal.detail)
+
+
+class TestTargets(unittest.TestCase):
+    def test_replaced_target_gets_nothing_until_the_list_is_read_again(self):
+        """Symptom: for a second every request is turned away with 421.
+        Sequence: a target is started anew at its address; the list still names the
+        former start; each request is sent there, and uses up a repeat.
+        Cause: what the first rejection said was not kept."""
+        site = Site(info("t1"), info("t2"))
+        site.table.get("t1").replaced = True
+        chosen = {site.place().target.info.incarnation for _ in range(20)}
+        self.assertEqual(chosen, {"t2"})
+
+    def test_silent_engine_is_left_while_another_answers(self):
+        site = Site(info("t1"), info("t2"))
+        silent = site.table.get("t1")
+        silent.note_silent(site.now - 1.0)
+        silent.note_silent(site.now - 0.5)
+        chosen = {site.place().target.info.incarnation for _ in range(20)}
+        self.assertEqual(chosen, {"t2"})
+
+    def test_engine_that_reads_a_long_prompt_is_left(self):
+        site = Site(info("t1"), info("t2"))
+        long = Prompt((PromptPart("own", 39_000),), 39_000, 50)
+        site.table.get("t1").begin("long", long, 1, site.now)
+        short = Prompt((PromptPart("p", 100), PromptPart("q", 600)), 700, 300)
+        chosen = {site.place(prompt=short).target.info.incarnation for _ in range(20)}
+        self.assertEqual(chosen, {"t2"})
+
+    def test_prompt_that_doesn_t_fit_into_the_memory_waits(self):
+        site = Site(info("t1"))
+        big = Prompt((PromptPart("own", 150_000),), 150_000, 50)
+        site.table.get("t1").begin("1", big, 1, site.now)
+        self.assertIsInstance(site.place(prompt=big), Rejected)
+
+    @params((0.0, 1), (2.0, 2), (10.0, 8))
+    def test_cold_target_gets_few_requests(self, seconds, most):
+        site = Site(info("t1", cold_ms=60_000))
+        sent = 0
+        for _ in range(int(seconds * 50) + 1):
+            site.now += 0.02
+            placement = site.place()
+            if isinstance(placement, AtHome):
+                site.placer._cold.note_sent("t1", site.now)
+                sent += 1
+        self.assertLessEqual(sent, 1 + seconds * 2.0 * 0.7)
+        self.assertGreaterEqual(sent, min(most, 1))
+
+    def test_reopened_data_center_counts_as_cold_until_a_later_list(self):
+        """Symptom: cold targets crash right after an evacuation is taken back.
+        Sequence: the data center is opened again; its targets were cold; the list
+        that says so comes a second later.
+        Cause: they were sent their whole load at once."""
+        site = Site(info("t1"), closed=("a-1",))
+        site.update([info("t1")], age=0.5)
+        tracked = site.table.get("t1")
+        self.assertGreater(tracked.cold_until, site.now + 3.0)
+        site.now += 0.5
+        site.update([info("t1")], age=0.7)  # read before the opening
+        self.assertGreater(tracked.cold_until, site.now)
+        site.now += 1.0
+        site.update([info("t1")], age=0.2)
+        self.assertLessEqual(tracked.cold_until, site.now)
+
+
+class TestSharedParts(unittest.TestCase):
+    def prompt_kept_by(self, region):
+        weights = {"a": 64.0, "b": 64.0, "c": 64.0}
+        for number in range(100):
+            name = f"part{number}"
+            if weighted_owner(name, weights) == region:
+                parts = (PromptPart(name, 6000), PromptPart("own", 1000))
+                return Prompt(parts, 7000, 50)
+        raise AssertionError("no part of that region")
+
+    @params(("a", None), ("b", "b"), ("c", "c"))
+    def test_a_part_that_is_missing_at_home_is_read_where_it_is_kept(
+        self, keeper, expected
+    ):
+        site = Site(info("t1"))
+        site.away(b=0, c=0)
+        placement = site.place(prompt=self.prompt_kept_by(keeper))
+        self.assertEqual(getattr(placement, "region", None), expected)
+
+    def test_a_part_that_is_cached_at_home_stays(self):
+        site = Site(info("t1"))
+        site.away(b=0, c=0)
+        prompt = self.prompt_kept_by("b")
+        site.table.get("t1").memory.note_used(prompt)
+        self.assertIsInstance(site.place(prompt=prompt), AtHome)
+
+    def test_a_busy_keeper_is_not_waited_for(self):
+        site = Site(info("t1"))
+        site.registry.hear_loads([RegionLoad("b", "s", 64, 10, 900, 0)])
+        site.away(c=0)
+        placement = site.place(prompt=self.prompt_kept_by("b"))
+        self.assertIsInstance(placement, AtHome)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,246 @@
+"""The programs on the users' platform: real processes before stand-in targets."""
+
+import json
+import signal
+import unittest
+
+import curio
+from nose2.tools import params
+
+from tests._platform_site import PlatformSite, manifest
+
+
+def on_site(test):
+    """Run a test's coroutine on a running site."""
+
+    def run(self, *arguments):
+        async def main():
+            async with PlatformSite() as site:
+                await test(self, site, *arguments)
+
+        curio.run(main)
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+def events(first, last):
+    return b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+class TestRequests(unittest.TestCase):
+    @params(
+        ("serve", "/safe/a", 200, b"body", 1),
+        ("serve", "/once/a", 200, b"body", 1),
+        ("serve", "/stream/a", 200, events(1, 5), 1),
+        ("fail", "/once/a", 500, b"no", 1),
+        ("reset", "/once/a", 502, b"no whole answer\n", 1),
+        ("serve", "/nowhere/a", 404, b"no such route\n", 0),
+    )
+    def test_what_is_sent_once(self, action, path, status, body, arrivals):
+        """What may have run, and may not run twice, is sent to no second target."""
+
+        async def main():
+            async with PlatformSite() as site:
+                for target in site.targets:
+                    target.script = [action]
+                answer = await site.ask(path)
+                return answer, sum(len(target.seen) for target in site.targets)
+
+        answer, seen = curio.run(main)
+        found = (answer.status, answer.body, seen)
+        self.assertEqual(found, (status, body, arrivals))
+
+    @params(
+        ("full", "/safe/a", 200, b"body"),
+        ("fail", "/safe/a", 200, b"body"),
+        ("reset", "/safe/a", 200, b"body"),
+        ("full", "/once/a", 200, b"body"),
+        ("replaced", "/once/a", 200, b"body"),
+        ("break", "/stream/a", 200, events(1, 5)),
+        ("full", "/stream/a", 200, events(1, 5)),
+    )
+    def test_the_other_target_answers(self, action, path, status, body):
+        async def main():
+            async with PlatformSite() as site:
+                bad, good = site.targets
+                bad.script = [action] * 20
+                answers = [await site.ask(path, f"id-{n}") for n in range(6)]
+                return answers, len(bad.seen), len(good.seen)
+
+        answers, bad, good = curio.run(main)
+        self.assertEqual({(a.status, a.body) for a in answers}, {(status, body)})
+        self.assertGreater(bad, 0)
+        self.assertGreater(good, 0)
+
+    @on_site
+    async def test_headers_that_are_the_system_s_to_set_are_not_passed_on(self, site):
+        await site.ask(
+            "/safe/a",
+            **{"Kv-From": "1.2.3.4:5/6", "X-Bronzepoint-Pin-Ms": "9", "X-Own": "kept"},
+        )
+        (request,) = [r for t in site.targets for r in t.seen]
+        self.assertNotIn("kv-from", request.headers)
+        self.assertNotIn("x-bronzepoint-pin-ms", request.headers)
+        self.assertEqual(request.headers["x-own"], "kept")
+        self.assertEqual(request.headers["host"], "h.example")
+        self.assertLess(int(request.headers["x-bronzepoint-deadline-ms"]), 4000)
+
+    @on_site
+    async def test_a_caller_that_leaves_ends_the_target_s_work(self, site):
+        for target in site.targets:
+            target.script = ["hang"]
+        task = await curio.spawn(site.ask, "/once/a")
+        await site.until(lambda: _any(t.seen for t in site.targets))
+        await task.cancel()
+        await site.until(lambda: _any(t.cut for t in site.targets))
+
+    @on_site
+    async def test_deadline_is_answered_in_time_and_not_as_a_refusal(self, site):
+        for target in site.targets:
+            target.script = ["hang"]
+        answer = await site.ask("/once/a", deadline_ms=700)
+        self.assertEqual(answer.status, 504)
+        (line,) = [x for x in site.lines("entry") if x.get("request") == "id-1"]
+        self.assertEqual((line["outcome"], line["sends"]), ("deadline", 1))
+
+    @on_site
+    async def test_leaving_targets_get_nothing_new(self, site):
+        first, second = site.targets
+        site.listed = [first.listed("draining"), second.listed()]
+        await site.until(lambda: _logged(site, "target leaves"))
+        for number in range(8):
+            await site.ask("/safe/a", f"id-{number}")
+        self.assertEqual((len(first.seen), len(second.seen)), (0, 8))
+
+
+class TestOperators(unittest.TestCase):
+    @params(
+        (b"{", "can't be read"),
+        (json.dumps(manifest(2, service="none")).encode(), "not declared"),
+        (json.dumps(manifest(2, path_prefix="/once/")).encode(), "share a host"),
+        (json.dumps(manifest(2, timeout_ms=0)).encode(), "above 0"),
+        (
+            json.dumps(
+                manifest(2, traffic_split=[{"service": "s", "weight": 0}])
+            ).encode(),
+            "add up to 0",
+        ),
+    )
+    def test_invalid_manifest_is_refused_and_changes_nothing(self, content, word):
+        async def main():
+            async with PlatformSite() as site:
+                refused = await site.control_call("PUT", "/-/config", content)
+                held = await site.control_call("GET", "/-/config")
+                return refused, held
+
+        refused, held = curio.run(main)
+        self.assertEqual(refused.status, 400)
+        self.assertIn(word, refused.body.decode())
+        self.assertEqual(json.loads(held.body), manifest(1))
+
+    @on_site
+    async def test_change_is_in_force_and_survives_a_kill_of_everything(self, site):
+        await site.until_put(manifest(5, path_prefix="/new/"))
+
+        async def served():
+            return (await site.ask("/new/a")).status == 200
+
+        await site.until(served)
+        self.assertEqual((await site.put(manifest(4))).status, 200)
+        for role in ("core", "entry"):
+            site.signal(role, signal.SIGKILL)
+            site.processes[role].wait()
+        for role in ("core", "entry"):
+            site.start(role)
+        await site.until(served)
+        held = await site.control_call("GET", "/-/config")
+        self.assertEqual(json.loads(held.body)["version"], 5)
+
+    @on_site
+    async def test_evacuated_data_center_gets_nothing_until_taken_back(self, site):
+        await site.control_call("POST", "/-/evacuations/x-a")
+
+        async def refused():
+            return (await site.ask("/safe/a")).status == 503
+
+        await site.until(refused)
+        answer = await site.ask("/safe/a", "id-refused")
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+        (line,) = [x for x in site.lines("entry") if x.get("request") == "id-refused"]
+        self.assertIn("closed ['x-a']", line["tries"][-1])
+        await site.control_call("DELETE", "/-/evacuations/x-a")
+
+        async def served():
+            return (await site.ask("/safe/a")).status == 200
+
+        await site.until(served)
+
+    @on_site
+    async def test_directory_names_the_hosts_that_are_ready(self, site):
+        path = "/-/lookup?name=h.example&region=y&zone=y-a"
+
+        async def named():
+            answer = await site.control_call("GET", path)
+            return answer.status == 200 and json.loads(answer.body)["addresses"] == [
+                f"127.0.0.3:{site.front}"
+            ]
+
+        await site.until(named)
+        site.signal("entry")
+
+        async def gone():
+            return (await site.control_call("GET", path)).status == 503
+
+        await site.until(gone)
+
+
+class TestSignals(unittest.TestCase):
+    @on_site
+    async def test_sigterm_cuts_no_request_in_progress(self, site):
+        for target in site.targets:
+            target.script = ["slow"]
+        task = await curio.spawn(site.ask, "/safe/a")
+        await site.until(lambda: _any(t.seen for t in site.targets))
+        site.signal("entry")
+        answer = await task.join()
+        self.assertEqual((answer.status, answer.body), (200, b"slow"))
+        self.assertEqual(answer.headers.get("connection"), "close")
+        self.assertEqual(site.processes["entry"].wait(timeout=20), 0)
+
+    @params("core", "entry")
+    def test_sighup_leaves_the_program_running(self, role):
+        """Symptom: processes end after a SIGHUP.
+        Sequence: the platform changes the settings and sends SIGHUP; the program reads
+        them and waits for the next signal.
+        Cause: a task was put into a second task group, which curio refuses."""
+
+        async def main():
+            async with PlatformSite() as site:
+                for _ in range(2):
+                    site.signal(role, signal.SIGHUP)
+                    await curio.sleep(0.2)
+                await site.until(lambda: _logged(site, "settings read again", role))
+                return site.processes[role].poll(), (await site.ask("/safe/a")).status
+
+        self.assertEqual(curio.run(main), (None, 200))
+
+    @on_site
+    async def test_metrics_and_lines_tell_of_each_outcome(self, site):
+        await site.ask("/safe/a", "id-7")
+        (line,) = [x for x in site.lines("entry") if x.get("request") == "id-7"]
+        self.assertEqual((line["outcome"], line["sends"]), ("answered_200", 1))
+        page = await site.call("GET", "/metrics", address=f"127.0.0.3:{site.metrics}")
+        self.assertIn("bronzepoint_outcome_answered_200 ", page.body.decode())
+
+
+async def _any(values):
+    return any(values)
+
+
+async def _logged(site, message, role="entry"):
+    return any(line["message"] == message for line in site.lines(role))
+
+
+if __name__ == "__main__":
+    unittest.main()
