--- /dev/null
+++ b/packages/node/src/bronzepoint_node/core/__init__.py
@@ -0,0 +1,6 @@
+"""What hosts of the core do for entry hosts: tell what is in force and listed."""
+
+from ._core_hub import CoreHub
+from ._target_reader import ListUnavailable, TargetReader
+
+__all__ = ["CoreHub", "ListUnavailable", "TargetReader"]
--- a/packages/node/src/bronzepoint_node/fleet/_core_hub.py
+++ b/packages/node/src/bronzepoint_node/core/_core_hub.py
@@ -6,6 +6,7 @@
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, Peers
 from bronzepoint_node.agreement import SeededAgreement
+from bronzepoint_node.fleet import Registry
 from bronzepoint_schema.generated.fleet import (
     CoreHost,
     CoreNotice,
@@ -17,7 +18,6 @@
 )
 from bronzepoint_schema.ids import HostName, RegionName
 
-from ._registry import Registry
 from ._target_reader import TargetReader
 
 NOTICE_INTERVAL = 0.5
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -412,7 +412,8 @@
             if load.service == service and load.region != self._region
         ]
         closed = sorted(self._table.closed)
-        return "; ".join([*here, *there, f"closed {closed}"])
+        homes = ", ".join(ask.route.home_regions) or "any"
+        return "; ".join([*here, *there, f"homes {homes}", f"closed {closed}"])
 
 
 def service_of(route: ServedRoute, request_id: str) -> str:
--- a/tests/test_fleet_target_reader.py
+++ b/tests/test_fleet_target_reader.py
@@ -6,7 +6,7 @@
 from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
-from bronzepoint_node.fleet import ListUnavailable, TargetReader
+from bronzepoint_node.core import ListUnavailable, TargetReader
 from bronzepoint_schema.generated.fleet import TargetInfo
 
 
