Write the pages for the platform: design, operations, measurements, proofs

Cause: the pages told only of the daemon with its own interface.

Change: design/platform.md with the ways weighed, OPERATIONS.md with real lines, tested against the code's reasons and lines; measurements/platform.md; a caller that leaves in the middle of a stream is told as such, a fault of ours as 'answer failed'.

Conclusion: the pages follow the code; CAPACITY.md doesn't speak of these programs yet.

--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -12,11 +12,8 @@
     """Why a request is turned away unserved."""
 
     NO_CATALOGUE = "no_catalogue"
-    NO_TARGET = "no_target"
     NO_ROOM = "no_room"
-    HOME_UNREACHABLE = "home_unreachable"
     RETRIES_USED_UP = "retries_used_up"
-    DEADLINE = "deadline"
     LEAVING = "leaving"
 
 
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -206,17 +206,20 @@
                 pass
         finally:
             self.in_progress -= 1
-        if not call.exchange.ended and not call.exchange.started:
-            self._note(call, "caller_left")
-            raise Disconnected("it closed its connection")
-        if work.exception is not None and not call.exchange.ended:
-            _log.warning(
-                "answer cut",
-                request=call.head.request_id,
-                reason=repr(work.exception),
-                tries=call.notes,
-            )
-            await call.exchange.abort()
+        if call.exchange.ended or call.exchange.aborted:
+            return
+        match work.exception:
+            case None | curio.TaskCancelled() | Disconnected():
+                self._note(call, "caller_left")
+                raise Disconnected("it closed its connection")
+            case exc:
+                _log.error(
+                    "answer failed",
+                    request=call.head.request_id,
+                    reason=repr(exc),
+                    tries=call.notes,
+                )
+                raise exc
 
     async def _answer_in_time(self, call: Call) -> None:
         work = await curio.spawn(self._answer, call)
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,46 @@
+"""The page for the engineer on call names what the code can say."""
+
+import re
+import unittest
+from pathlib import Path
+
+from nose2.tools import params
+
+from bronzepoint_node.placement import RejectReason
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
+SOURCES = ROOT / "packages" / "node" / "src" / "bronzepoint_node"
+REASON = re.compile(r"(?:NotRun|MayHaveRun)\(\s*f?\"([a-z_]+)")
+
+
+def reasons():
+    """Return the reasons that the relay gives for tries that brought no answer."""
+    found = set()
+    for path in (SOURCES / "relay").glob("*.py"):
+        found.update(REASON.findall(path.read_text()))
+    return sorted(found)
+
+
+class TestPage(unittest.TestCase):
+    @params(*RejectReason)
+    def test_each_refusal_is_named(self, reason):
+        self.assertIn(f"`refused_{reason}`", PAGE)
+
+    def test_each_end_of_a_try_is_named(self):
+        self.assertGreater(len(reasons()), 8)
+        missing = [r for r in reasons() if f"`{r}" not in PAGE]
+        self.assertEqual(missing, [])
+
+    @params("core", "fleet", "placement", "relay")
+    def test_each_belief_is_named(self, package):
+        lines = set()
+        for path in (SOURCES / package).glob("*.py"):
+            text = path.read_text()
+            lines.update(re.findall(r"_log\.(?:info|warning)\(\s*\"([^\"]+)\"", text))
+        missing = [line for line in lines if f"`{line}`" not in PAGE]
+        self.assertEqual(missing, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
