--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -59,6 +59,9 @@
 """Seconds for which a host that couldn't be reached gets nothing."""
 FRESH_HOST_MS = 1000
 """Age up to which word of a host counts as fresh: two of its messages."""
+TRIAL_INTERVAL = 1.0
+"""Seconds between two requests of one host to a target that is silent: without any, a
+target that nobody asks for reports would never be heard again."""
 LAST_RANK = 9
 """Rank of a request before which everything goes."""
 SILENT_AFTER = 0.25
@@ -231,8 +234,11 @@
                 if not self._cold.may_send(name, rate, hosts, now):
                     continue
             usable.append(tracked)
-        answering = [t for t in usable if not is_silent(t, now)]
-        return answering or usable
+        return [
+            tracked
+            for tracked in usable
+            if not is_silent(tracked, now) or now - tracked.trial_at > TRIAL_INTERVAL
+        ]
 
     def _view(
         self, tracked: Tracked, prompt: Prompt | None, rank: int, now: float
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -15,6 +15,8 @@
 from ._part_memory import PartMemory
 from ._prompt import Prompt
 
+HEARD = frozenset({TryResult.answered, TryResult.refused_by_target})
+"""Results that prove that a target can be reached."""
 COLD_MARGIN = 0.3
 """Seconds added to the time for which a target says that it stays cold."""
 REOPENED_COLD_MARGIN = 1.0
@@ -48,6 +50,7 @@
         tokens_at_report: Memory of those.
         silent_since: When it first failed to answer, since it last did; 0: it does.
         failed_reports: Times that it didn't answer since.
+        trial_at: When a request was last sent there though it was silent.
         reopened_at: When its data center was opened to it again.
         replaced: Another target answers at its address, though it is listed still.
     """
@@ -65,6 +68,7 @@
     tokens_at_report: int = 0
     silent_since: float = 0.0
     failed_reports: int = 0
+    trial_at: float = float("-inf")
     replaced: bool = False
     reopened_at: float = float("-inf")
 
@@ -106,11 +110,15 @@
         self.report_at = asked_at
         self.runs_at_report = runs
         self.tokens_at_report = self.load.memory_tokens(asked_at)
+        self.note_heard()
+
+    def note_heard(self) -> None:
+        """Count an answer of any kind: the target can be reached."""
         self.failed_reports = 0
         self.silent_since = 0.0
 
     def note_silent(self, now: float) -> None:
-        """Count a report that did not come."""
+        """Count a report that did not come, or a connection that was not made."""
         self.failed_reports += 1
         if not self.silent_since:
             self.silent_since = now
@@ -209,6 +217,8 @@
         self, tracked: Tracked, result: TryResult, seconds: float, now: float
     ) -> None:
         """Count how a try at a target ended, and eject those that do badly."""
+        if result in HEARD:
+            tracked.note_heard()
         tracked.health.note(result, seconds)
         siblings = [
             t.health
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -391,6 +391,8 @@
         now = monotonic()
         if now < target.cold_until:
             self._cold.note_sent(name, now)
+        if is_silent(target, now):
+            target.trial_at = now
         call.tried.add(name)
         call.notes.append(f"{name}@{target.info.address}: {placement.reason}")
         run_id = f"{call.head.request_id}.{call.sends}"
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -24,8 +24,10 @@
     PromptPart,
     Rejected,
     TargetTable,
+    is_silent,
 )
 from bronzepoint_node.placement._region_owner import weighted_owner
+from bronzepoint_schema.generated.decisions import TryResult
 from bronzepoint_schema.generated.fleet import (
     EntryHost,
     EntryState,
@@ -136,9 +138,39 @@
         silent = site.table.get("t1")
         silent.note_silent(site.now - 1.0)
         silent.note_silent(site.now - 0.5)
+        silent.trial_at = site.now
         chosen = {site.place().target.info.incarnation for _ in range(20)}
         self.assertEqual(chosen, {"t2"})
 
+    @params(False, True)
+    def test_lone_silent_target_is_tried_once_a_second(self, away):
+        """Symptom: requests for a plain service fail for seconds though another region
+        serves it.
+        Sequence: the only target of the region is lost; each request waits for a
+        connection to it, and uses up the sends that it has.
+        Cause: a silent target was used where the region has no other."""
+        site = Site(info("t1"), service=PLAIN)
+        if away:
+            site.away(b=0)
+        silent = site.table.get("t1")
+        silent.note_silent(site.now - 1.0)
+        silent.note_silent(site.now - 0.5)
+        first = site.place()
+        self.assertIsInstance(first, AtHome)
+        silent.trial_at = site.now
+        expected = Elsewhere if away else Rejected
+        self.assertIsInstance(site.place(), expected)
+        site.now += 1.1
+        self.assertIsInstance(site.place(), AtHome)
+
+    def test_any_answer_ends_the_silence(self):
+        site = Site(info("t1"), service=PLAIN)
+        target = site.table.get("t1")
+        target.note_silent(site.now - 1.0)
+        target.note_silent(site.now - 0.5)
+        site.table.note_result(target, TryResult.answered, 0.1, site.now)
+        self.assertFalse(is_silent(target, site.now))
+
     def test_engine_that_reads_a_long_prompt_is_left(self):
         site = Site(info("t1"), info("t2"))
         long = Prompt((PromptPart("own", 39_000),), 39_000, 50)
