--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -199,7 +199,7 @@
         those who wait. It would be noticed as targets that are busy with nothing.
         """
         self.in_progress += 1
-        work = await _spawn_quiet(self._answer_in_time, call)
+        work = await curio.spawn(self._answer_in_time, call)
         watch = await curio.spawn(call.exchange.wait_disconnect)
         try:
             async with curio.TaskGroup([work, watch], wait=any):
@@ -222,7 +222,7 @@
                 raise exc
 
     async def _answer_in_time(self, call: Call) -> None:
-        work = await _spawn_quiet(self._answer, call)
+        work = await curio.spawn(self._answer, call)
         try:
             async with curio.ignore_after(max(0.0, call.left)) as limit:
                 await work.wait()
@@ -489,7 +489,7 @@
         """
         if not self._may_repeat_after(call):
             return await run
-        work = await _spawn_quiet(run)
+        work = await curio.spawn(run)
         try:
             while True:
                 async with curio.ignore_after(LOOK_INTERVAL):
@@ -552,12 +552,5 @@
             return TryResult.cut
 
 
-async def _spawn_quiet(work: Callable | Coroutine, *arguments: object) -> curio.Task:
-    """Start a task whose error its starter takes; curio would print a trace of it too."""
-    task = await curio.spawn(work, *arguments)
-    task.report_crash = False
-    return task
-
-
 def _nothing() -> None:
     """Take no measure of what other regions do."""
