Take the relay and the placer apart: sending, final answers, other regions, speeds

Change: Sender tries one place, FinalAnswers gives the last word, Relay leads a request through; OtherRegions knows the regions, Speeds the durations, PlacementAsk stands alone.

--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -1,9 +1,10 @@
 """Where a request goes: targets and regions as one entry host knows them."""
 
+from ._ask import PlacementAsk, service_of
 from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
 from ._cold_gate import ColdGate
 from ._load_exchange import LoadExchange
-from ._placer import PlacementAsk, Placer, is_silent, service_of
+from ._placer import Placer, is_silent
 from ._prober import Prober, ReportUnavailable
 from ._prompt import Prompt, PromptPart
 from ._retry_allowance import RetryAllowance
--- a/packages/node/src/bronzepoint_node/relay/__init__.py
+++ b/packages/node/src/bronzepoint_node/relay/__init__.py
@@ -2,13 +2,16 @@
 
 from ._codec import CallerHead, Codec, TargetVerdict
 from ._events import EventSplitter
-from ._relay import Relay, RelaySettings
+from ._final_answers import FinalAnswers
+from ._relay import Relay
+from ._sender import Sender
 
 __all__ = [
     "CallerHead",
     "Codec",
     "EventSplitter",
+    "FinalAnswers",
     "Relay",
-    "RelaySettings",
+    "Sender",
     "TargetVerdict",
 ]
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -102,6 +102,20 @@
             self.longest_gap = max(self.longest_gap, now - self.last_event_at)
         self.last_event_at = now
 
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether the request may be sent again, with all that ran so far."""
+        if not self.route.repeatable or self.runs >= self.route.max_attempts:
+            return False
+        if self.exchange.started and self.events.last_id is None:
+            return False
+        return self.left > 0
+
+    @property
+    def may_repeat_after(self) -> bool:
+        """Tell whether the request may be sent again after the try in progress."""
+        return self.route.repeatable and self.runs + 1 < self.route.max_attempts
+
     def is_flowing(self, now: float, pause: float) -> bool:
         """Tell whether an event came within ``pause`` seconds."""
         return now - self.last_event_at < pause
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -0,0 +1,122 @@
+"""The last word to a caller, and the line that tells how it came to it."""
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.http import Exchange
+from bronzepoint_common.logs import get_logger
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_node.fleet import Follower
+from bronzepoint_node.placement import Rejected, RejectReason
+
+from ._call import Answered, Call, NotRun, TryOutcome
+from ._codec import CallerHead
+from ._try import RAN_HEADER
+
+DEFAULT_RETRY_AFTER = 0.3
+"""Seconds until a caller comes back where no target has said more."""
+
+_log = get_logger("relay")
+
+
+class FinalAnswers:
+    """Gives final answers; a refusal among them is a promise that nothing ran.
+
+    Args:
+        follower: Tells how old the list of targets is.
+        metrics: Counters.
+    """
+
+    def __init__(self, follower: Follower, metrics: Metrics) -> None:
+        self._follower = follower
+        self._metrics = metrics
+
+    async def give_up(self, call: Call, outcome: TryOutcome | None) -> None:
+        """Give the final answer where no try brought one."""
+        exchange = call.exchange
+        if exchange.started:
+            self.note(call, "stream_broken")
+            await exchange.abort()
+            return
+        match outcome:
+            case Answered(status=status, headers=headers, body=body):
+                self.note(call, f"answered_{status}")
+                await exchange.respond(status, headers, body)
+            case NotRun(retry_after=retry_after) if not call.runs:
+                wait = retry_after or DEFAULT_RETRY_AFTER
+                await self.refuse(
+                    exchange,
+                    call.head,
+                    RejectReason.RETRIES_USED_UP,
+                    wait,
+                    call,
+                )
+            case _:
+                self._metrics.incr("refusal.may_have_run")
+                self.note(call, "may_have_run")
+                await exchange.respond(502, {}, b"no whole answer\n")
+
+    async def reject(self, call: Call, rejected: Rejected) -> None:
+        """Turn a request away that found no place, or end what it began."""
+        if call.runs or call.exchange.started:
+            await self.give_up(call, call.last_outcome)
+            return
+        call.notes.append(rejected.detail)
+        await self.refuse(
+            call.exchange, call.head, rejected.reason, rejected.retry_after, call
+        )
+
+    async def refuse(
+        self,
+        exchange: Exchange,
+        head: CallerHead,
+        reason: RejectReason,
+        retry_after: float,
+        call: Call | None = None,
+    ) -> None:
+        """Answer that the request did not run and never will."""
+        self._metrics.incr(f"refusal.{reason}")
+        if call is not None:
+            self.note(call, f"refused_{reason}")
+        else:
+            _log.info("refused", request=head.request_id, reason=reason)
+        headers = {"Retry-After": f"{retry_after:.2f}", RAN_HEADER: "no"}
+        await exchange.respond(503, headers, f"{reason}\n".encode())
+
+    async def say_late(self, call: Call) -> None:
+        """Answer that the time is over."""
+        self._metrics.incr("refusal.deadline")
+        self.note(call, "deadline")
+        if call.exchange.started:
+            await call.exchange.abort()
+        elif call.sends:
+            await call.exchange.respond(504, {}, b"no answer in time\n")
+        else:
+            headers = {RAN_HEADER: "no"} if call.forwarded else {}
+            await call.exchange.respond(503, headers, b"no room in time\n")
+
+    async def say_no_route(
+        self, exchange: Exchange, head: CallerHead, version: int
+    ) -> None:
+        """Answer that the catalogue in force has no such route."""
+        self._metrics.incr("refusal.no_route")
+        _log.info("no route", request=head.request_id, version=version)
+        await exchange.respond(404, {}, b"no such route\n")
+
+    def note(self, call: Call, outcome: str) -> None:
+        """Write the one line that tells a request's story on this host."""
+        self._metrics.incr(f"outcome.{outcome}")
+        now = monotonic()
+        first = call.first_event_at - call.arrived if call.first_event_at else None
+        _log.info(
+            "request",
+            request=call.head.request_id,
+            route=call.route.name,
+            outcome=outcome,
+            forwarded=call.forwarded,
+            sends=call.sends,
+            tries=call.notes,
+            seconds=round(now - call.arrived, 3),
+            first_event=round(first, 3) if first is not None else None,
+            gap=round(call.longest_gap, 3),
+            left=round(call.left, 3),
+            list_age=round(now - self._follower.targets_read_at, 2),
+        )
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -0,0 +1,254 @@
+"""Sending a request on: to a target, or to another region."""
+
+from collections.abc import Callable, Coroutine
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.http import HttpClient
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_node.placement import (
+    AtHome,
+    ColdGate,
+    Elsewhere,
+    Placer,
+    TargetTable,
+    is_silent,
+)
+from bronzepoint_schema.generated.decisions import TryResult
+from bronzepoint_schema.ids import RegionName
+
+from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
+from ._codec import Codec
+from ._try import FORWARDED_HEADER, RUNS_HEADER, Destination, Try
+
+PATIENCE = 1.0
+"""Seconds for which the head of an answer is waited for where it may run twice,"""
+PATIENCE_BY_DELAY = 2.5
+"""besides this multiple of what was expected. A busy engine is not left too soon:
+what it has read of a prompt would be lost, and read again elsewhere."""
+PATIENCE_SHARE = 0.6
+"""Part of the time left that is waited for at most."""
+LOOK_INTERVAL = 0.15
+"""Seconds between two looks whether a target has fallen silent."""
+KEPT_REPEATABLE = 3.0
+"""Seconds for which a connection to a target may have been idle, for a request that may
+run twice,"""
+KEPT_ONCE = 0.8
+"""and for one that may not: a target that closes it just then loses the request."""
+KEPT_BETWEEN_HOSTS = 20.0
+"""Seconds for a connection to one of our hosts, which closes it after 60."""
+MOST_BEFORE = 500
+"""Prompt tokens before a request up to which its time says how fast a target is."""
+RESUME_STALL = 1.0
+"""Seconds without an event after which a stream goes on at another target."""
+
+
+class Sender:
+    """Tries one place for a request, and learns from how that ends.
+
+    Args:
+        region: Region of this host.
+        table: Targets of the region.
+        placer: Learns durations and lost hosts.
+        cold: Learns what cold targets were sent.
+        client: Connections to targets.
+        hosts: Connections to entry hosts of other regions.
+        codec: Words of callers and targets.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        region: RegionName,
+        table: TargetTable,
+        placer: Placer,
+        cold: ColdGate,
+        client: HttpClient,
+        hosts: HttpClient,
+        codec: Codec,
+        metrics: Metrics,
+    ) -> None:
+        self._region = region
+        self._table = table
+        self._placer = placer
+        self._cold = cold
+        self._client = client
+        self._hosts = hosts
+        self._codec = codec
+        self._metrics = metrics
+
+    async def send(
+        self, call: Call, placement: AtHome | Elsewhere, service: str
+    ) -> TryOutcome:
+        """Send a request where it was placed, and pass on what comes.
+
+        Raises:
+            Disconnected: The caller left.
+        """
+        call.sends += 1
+        match placement:
+            case AtHome():
+                outcome = await self._try_target(call, placement, service)
+            case Elsewhere():
+                outcome = await self._try_region(call, placement, service)
+        if not isinstance(outcome, NotRun):
+            call.runs += 1
+            call.arrivals += 1
+        elif outcome.by_target:
+            call.arrivals += 1
+        reason = getattr(outcome, "reason", "answered")
+        self._metrics.incr(f"try.{reason}")
+        return outcome
+
+    async def _try_target(
+        self, call: Call, placement: AtHome, service: str
+    ) -> TryOutcome:
+        target = placement.target
+        name = target.info.incarnation
+        now = monotonic()
+        if now < target.cold_until:
+            self._cold.note_sent(name, now)
+        if is_silent(target, now):
+            target.trial_at = now
+        call.tried.add(name)
+        call.notes.append(f"{name}@{target.info.address}: {placement.reason}")
+        run_id = f"{call.head.request_id}.{call.sends}"
+        times = self._placer.speeds.times(service)
+        rank = call.route.priority
+        rate = self._placer.speeds.rate(service)
+        before = target.load.tokens_before(rank, rate.tokens_per_second, now)
+        uncached = target.begin(run_id, call.head.prompt, rank, now)
+
+        def started() -> None:
+            run = target.load.runs.get(run_id)
+            if run is None or run.started:
+                return
+            first = monotonic()
+            target.load.note_started(run_id, first)
+            if before < MOST_BEFORE:
+                times.add_first_token(name, first - now, uncached, first)
+                rate.add(uncached, first - now, before)
+
+        headers = self._codec.target_headers(
+            call.head,
+            call.left,
+            name,
+            call.route.priority,
+            call.events.last_id,
+        )
+        where = Destination(
+            target.info.address,
+            headers,
+            self._patience(call, placement.delay),
+            self._stall(call),
+            KEPT_REPEATABLE if call.route.repeatable else KEPT_ONCE,
+        )
+        result = TryResult.cancelled
+        try:
+            attempt = Try(self._client, self._codec, call, started)
+            outcome = await self._while_answering(
+                call, attempt.run(where), lambda: is_silent(target, monotonic())
+            )
+            result = _result_of(outcome)
+        finally:
+            target.load.end(run_id)
+            seconds = monotonic() - now
+            self._table.note_result(target, result, seconds, monotonic())
+        match outcome:
+            case NotRun(reason="replaced"):
+                # The list lags: without this, every request until the next reading
+                # would be sent there and turned away.
+                target.replaced = True
+            case NotRun(reason="connect_failed"):
+                target.note_silent(monotonic())
+        if result is TryResult.answered:
+            times.add_hold(seconds)
+        call.notes[-1] += f" -> {getattr(outcome, 'reason', 'answered')}"
+        return outcome
+
+    async def _try_region(
+        self, call: Call, placement: Elsewhere, service: str
+    ) -> TryOutcome:
+        call.tried_hosts.add(placement.host)
+        call.notes.append(f"{placement.region} {placement.host}: {placement.reason}")
+        self._placer.regions.note_forwarded(placement.region, service, monotonic())
+        headers = self._codec.target_headers(
+            call.head, call.left, "", None, call.events.last_id
+        )
+        headers[FORWARDED_HEADER] = self._region
+        headers[RUNS_HEADER] = str(call.runs)
+        where = Destination(
+            placement.address,
+            headers,
+            self._patience(call, placement.delay),
+            self._stall(call),
+            KEPT_BETWEEN_HOSTS,
+        )
+        attempt = Try(self._hosts, self._codec, call, _nothing)
+        outcome = await self._while_answering(
+            call,
+            attempt.run(where),
+            lambda: not self._placer.regions.lives(placement.host),
+        )
+        match outcome:
+            case NotRun(reason="connect_failed"):
+                self._placer.regions.note_lost_host(placement.host, monotonic())
+        call.notes[-1] += f" -> {getattr(outcome, 'reason', 'answered')}"
+        return outcome
+
+    async def _while_answering(
+        self, call: Call, run: Coroutine, lost: Callable[[], bool]
+    ) -> TryOutcome:
+        """Return how a try ends; give it up where its target is lost meanwhile.
+
+        A target behind a cut says nothing, and its connections look open: the request
+        would wait for its deadline, though another target could still answer in time.
+        """
+        if not call.may_repeat_after:
+            return await run
+        work = await curio.spawn(run)
+        try:
+            while True:
+                async with curio.ignore_after(LOOK_INTERVAL):
+                    await work.wait()
+                if work.terminated:
+                    break
+                if lost() and not call.is_flowing(monotonic(), LOOK_INTERVAL):
+                    return MayHaveRun("lost")
+        finally:
+            await work.cancel()
+        if work.exception is not None:
+            raise work.exception
+        return work.result
+
+    def _patience(self, call: Call, delay: float) -> float:
+        """Return how long the head of an answer is waited for."""
+        if call.may_repeat_after:
+            patience = PATIENCE + PATIENCE_BY_DELAY * delay
+            return max(0.2, min(patience, PATIENCE_SHARE * call.left))
+        return max(0.05, call.left)
+
+    def _stall(self, call: Call) -> float:
+        """Return how long the next piece of an answer is waited for."""
+        if call.route.resumable and call.may_repeat_after:
+            return RESUME_STALL
+        return max(0.05, call.left)
+
+
+def _result_of(outcome: TryOutcome) -> TryResult:
+    match outcome:
+        case Answered(status=status):
+            return TryResult.failed if status >= 500 else TryResult.answered
+        case NotRun(by_target=True):
+            return TryResult.refused_by_target
+        case NotRun():
+            return TryResult.failed
+        case MayHaveRun(timed_out=True):
+            return TryResult.timeout
+        case MayHaveRun():
+            return TryResult.cut
+
+
+def _nothing() -> None:
+    """Take no measure of what other regions do."""
