--- a/tests/test_agreement_changes.py
+++ b/tests/test_agreement_changes.py
@@ -154,7 +154,7 @@
             await until(lambda: not cluster["bkk1"].agreement.leader())
             with self.assertRaises(NotLeader):
                 host = cluster["bkk1"]
-                host.agreement._proposer._voters = ["bkk1"]
+                host.agreement._proposer.voters = ["bkk1"]
                 await host.agreement.propose(host.put("item"), 0.5)
 
         run(scenario, THREE)
