Count runs in two regions together, also those that the other region repeated

Another region ran a request twice, both failed, and its 500 counted as one run here; a third followed.

Ruled out: the runs that are handed on with a forward (they were).

Change: an answer to another host says how often the request has run.

--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -47,6 +47,8 @@
     streamed: bool = False
 
 
+RUNS_HEADER = "bronzepoint-runs"
+"""Between our hosts: times that the request may have run before, or has by now."""
 TryOutcome = NotRun | MayHaveRun | Answered
 
 
@@ -102,6 +104,12 @@
             self.longest_gap = max(self.longest_gap, now - self.last_event_at)
         self.last_event_at = now
 
+    def answer_headers(self, headers: dict[str, str]) -> dict[str, str]:
+        """Return an answer's headers; another region is told how often it ran here."""
+        if not self.forwarded:
+            return headers
+        return {**headers, RUNS_HEADER: str(self.runs)}
+
     @property
     def may_repeat(self) -> bool:
         """Tell whether the request may be sent again, with all that ran so far."""
--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -39,7 +39,7 @@
         match outcome:
             case Answered(status=status, headers=headers, body=body):
                 self.note(call, f"answered_{status}")
-                await exchange.respond(status, headers, body)
+                await exchange.respond(status, call.answer_headers(headers), body)
             case NotRun(retry_after=retry_after) if not call.runs:
                 wait = retry_after or DEFAULT_RETRY_AFTER
                 await self.refuse(
@@ -52,7 +52,8 @@
             case _:
                 self._metrics.incr("refusal.may_have_run")
                 self.note(call, "may_have_run")
-                await exchange.respond(502, {}, b"no whole answer\n")
+                headers = call.answer_headers({})
+                await exchange.respond(502, headers, b"no whole answer\n")
 
     async def reject(self, call: Call, rejected: Rejected) -> None:
         """Turn a request away that found no place, or end what it began."""
@@ -88,7 +89,8 @@
         if call.exchange.started:
             await call.exchange.abort()
         elif call.sends:
-            await call.exchange.respond(504, {}, b"no answer in time\n")
+            headers = call.answer_headers({})
+            await call.exchange.respond(504, headers, b"no answer in time\n")
         else:
             headers = {RAN_HEADER: "no"} if call.forwarded else {}
             await call.exchange.respond(503, headers, b"no room in time\n")
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -15,12 +15,11 @@
     service_of,
 )
 
-from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
+from ._call import RUNS_HEADER, Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import CallerHead, Codec
 from ._events import EventSplitter
 from ._final_answers import FinalAnswers
 from ._sender import Sender
-from ._try import RUNS_HEADER
 
 CUT_MARGIN = 0.05
 """Seconds before the caller's own deadline at which its final answer is given."""
@@ -237,7 +236,7 @@
                 if status >= 500 and call.may_repeat:
                     return False
                 self._answers.note(call, f"answered_{status}")
-                await call.exchange.respond(status, headers, body)
+                await call.exchange.respond(status, call.answer_headers(headers), body)
                 return True
             case NotRun():
                 if call.sends < MOST_SENDS:
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -18,9 +18,9 @@
 from bronzepoint_schema.generated.decisions import TryResult
 from bronzepoint_schema.ids import RegionName
 
-from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
+from ._call import RUNS_HEADER, Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec
-from ._try import FORWARDED_HEADER, RUNS_HEADER, Destination, Try
+from ._try import FORWARDED_HEADER, Destination, Try
 
 PATIENCE = 1.0
 """Seconds for which the head of an answer is waited for where it may run twice,"""
@@ -194,6 +194,8 @@
         match outcome:
             case NotRun(reason="connect_failed"):
                 self._placer.regions.note_lost_host(placement.host, monotonic())
+            case Answered(headers=answered):
+                _count_runs(call, answered)
         call.notes[-1] += f" -> {getattr(outcome, 'reason', 'answered')}"
         return outcome
 
@@ -250,5 +252,15 @@
             return TryResult.cut
 
 
+def _count_runs(call: Call, headers: dict[str, str]) -> None:
+    """Take over how often a request ran in another region, but for the last time.
+
+    Counted as one, two failed runs there would let a third follow here.
+    """
+    runs = headers.pop(RUNS_HEADER, "")
+    if runs.isdigit():
+        call.runs = max(call.runs, int(runs) - 1)
+
+
 def _nothing() -> None:
     """Take no measure of what other regions do."""
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -19,8 +19,6 @@
 
 RAN_HEADER = "bronzepoint-ran"
 """Between our hosts: ``no`` says that the refusal is this project's own promise."""
-RUNS_HEADER = "bronzepoint-runs"
-"""Between our hosts: times that the request may have run before."""
 FORWARDED_HEADER = "bronzepoint-forwarded"
 """Between our hosts: region that a request comes from; it is never sent on."""
 
