Say what stood twice once: voter calls, the registry's tables, terms of other regions

Ruled out: taking the catalogue's unread fields away (backups, moves, the longest gap); the next work needs them.

--- a/packages/node/src/bronzepoint_node/agreement/_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_agreement.py
@@ -10,17 +10,13 @@
 from bronzepoint_schema.generated.agreement import (
     Accepted,
     AgreementMessage,
-    AppendRequest,
     Change,
     GenesisRequest,
     IdentityReply,
     IdentityRequest,
     PatchTargets,
     ProposeReply,
-    ProposeRequest,
     Put,
-    SnapshotInstall,
-    VoteRequest,
 )
 from bronzepoint_schema.generated.settings import Settings
 from bronzepoint_schema.ids import ClusterId, FencingNumber, HostName
@@ -35,6 +31,7 @@
 from ._shorten import shorten
 from ._status import AgreementStatus, Role
 from ._voter import Voter
+from ._voter_calls import answer_voter_call
 
 _ASK_TIMEOUT = 2.0
 _UUID7 = 7
@@ -190,24 +187,10 @@
         voter = self._voter
         if voter is None:
             return None
-        match message:
-            case VoteRequest() | AppendRequest() | SnapshotInstall():
-                return await voter.handle(peer, message)
-            case ProposeRequest():
-                reply = await voter.submit(message, peer)
-                if reply is not None:
-                    self._peers.post(peer, Area.AGREEMENT, reply)
-            case IdentityRequest():
-                return voter.identity()
-            case GenesisRequest():
-                return await voter.begin_cluster(message)
-        return None
+        return await answer_voter_call(voter, self._peers, peer, message)
 
     async def _deliver(self, host: HostName, reply: ProposeReply) -> None:
-        if host == self._name:
-            await self._proposer.on_reply(host, reply)
-        else:
-            self._peers.post(host, Area.AGREEMENT, reply)
+        await self._proposer.deliver(host, reply)
 
 
 def voter_hosts(settings: Settings) -> list[HostName]:
--- a/packages/node/src/bronzepoint_node/agreement/_proposer.py
+++ b/packages/node/src/bronzepoint_node/agreement/_proposer.py
@@ -98,6 +98,13 @@
                 pending.leader = reply.leader
             await pending.news.set()
 
+    async def deliver(self, host: HostName, reply: ProposeReply) -> None:
+        """Hand the outcome of a change to the host that waits for it."""
+        if host == self._name:
+            await self.on_reply(host, reply)
+        else:
+            self._peers.post(host, Area.AGREEMENT, reply)
+
     async def _try_voters(
         self, change: Change, pending: _Pending, unknown: list[bool]
     ) -> None:
--- a/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
@@ -12,7 +12,6 @@
 from bronzepoint_common.storage import SnapshotFile
 from bronzepoint_schema.generated.agreement import (
     AgreementMessage,
-    AppendRequest,
     Change,
     CloseDataCenter,
     Delta,
@@ -22,13 +21,10 @@
     JoinReply,
     JoinRequest,
     ProposeReply,
-    ProposeRequest,
     ReadReply,
     ReadRequest,
     ReplaceDocument,
-    SnapshotInstall,
     ViewSnapshot,
-    VoteRequest,
 )
 from bronzepoint_schema.generated.settings import AgreementSection
 from bronzepoint_schema.ids import (
@@ -45,11 +41,14 @@
 from ._genesis import begin_cluster
 from ._proposer import Proposer
 from ._voter import Voter
+from ._voter_calls import answer_voter_call
 
 _ASK_TIMEOUT = 0.6
 """Seconds to wait for one host: three of the longest trips there and back."""
 _FORM_INTERVAL = 0.2
 """Seconds between two attempts to form; hosts start within some tenths of a second."""
+_READ_INTERVAL = 0.1
+"""Seconds between two questions who leads, for a read of the newest document."""
 _JOIN_INTERVAL = 0.5
 """Seconds between two requests to be followed up by the leader."""
 _FIRST_START = "first-start"
@@ -215,7 +214,7 @@
                     return reply.document
                 if reply is not None and reply.leader:
                     self._proposer.leader = reply.leader
-                await curio.sleep(_FORM_INTERVAL / 2)
+                await curio.sleep(_READ_INTERVAL)
         raise NotLeader()
 
     async def _read_from(self, host: HostName) -> ReadReply | None:
@@ -267,10 +266,19 @@
         """Ask to be followed up while no leader does."""
         while True:
             await curio.sleep(_JOIN_INTERVAL)
-            silent = monotonic() - self._voter.heard_at > 2 * self._silence
-            if self._voter.is_leader or not (silent or not self._voter.may_vote()):
+            if self._is_followed_up():
                 continue
-            await self._ask_to_join(self._next_to_ask())
+            asked = self._next_to_ask()
+            reply = await self._ask_to_join(asked)
+            if reply is not None and reply.leader not in ("", asked):
+                await self._ask_to_join(reply.leader)
+
+    def _is_followed_up(self) -> bool:
+        """Tell whether a leader counts on this host, or it leads itself."""
+        if self._voter.is_leader:
+            return True
+        silent = monotonic() - self._voter.heard_at
+        return self._voter.may_vote() and silent <= 2 * self._silence
 
     def _next_to_ask(self) -> HostName:
         if self._voter.leader:
@@ -279,22 +287,16 @@
         self._turn += 1
         return hosts[self._turn % len(hosts)] if hosts else self._name
 
-    async def _ask_to_join(self, host: HostName) -> None:
+    async def _ask_to_join(self, host: HostName) -> JoinReply | None:
+        """Ask one host; the leader among them follows this one up."""
         if host == self._name:
-            return
+            return None
         request = JoinRequest(self._voter.log.identity.storage, self._region)
         try:
-            reply = await self._peers.call(host, Area.AGREEMENT, request, _ASK_TIMEOUT)
+            return await self._peers.call(host, Area.AGREEMENT, request, _ASK_TIMEOUT)
         except PeerError as exc:
             _log.debug("not joined", asked=host, reason=str(exc))
-            return
-        if isinstance(reply, JoinReply) and reply.leader not in ("", host, self._name):
-            try:
-                await self._peers.call(
-                    reply.leader, Area.AGREEMENT, request, _ASK_TIMEOUT
-                )
-            except PeerError as exc:
-                _log.debug("not joined", asked=reply.leader, reason=str(exc))
+            return None
 
     async def _ask(
         self, host: HostName, request: IdentityRequest | GenesisRequest
@@ -309,32 +311,19 @@
     async def _handle(
         self, peer: HostName, message: AgreementMessage
     ) -> AgreementMessage | None:
-        voter = self._voter
         match message:
-            case VoteRequest() | AppendRequest() | SnapshotInstall():
-                return await voter.handle(peer, message)
-            case ProposeRequest():
-                reply = await voter.submit(message, peer)
-                if reply is not None:
-                    self._peers.post(peer, Area.AGREEMENT, reply)
             case ProposeReply():
                 await self._proposer.on_reply(peer, message)
+                return None
             case ReadRequest():
                 return self._read()
             case JoinRequest(storage=storage, region=region):
-                await voter.add_learner(peer, storage, region)
-                return JoinReply(voter.leader, voter.known_voters())
-            case IdentityRequest():
-                return voter.identity()
-            case GenesisRequest():
-                return await voter.begin_cluster(message)
-        return None
+                await self._voter.add_learner(peer, storage, region)
+                return JoinReply(self._voter.leader, self._voter.known_voters())
+        return await answer_voter_call(self._voter, self._peers, peer, message)
 
     async def _deliver(self, host: HostName, reply: ProposeReply) -> None:
-        if host == self._name:
-            await self._proposer.on_reply(host, reply)
-        else:
-            self._peers.post(host, Area.AGREEMENT, reply)
+        await self._proposer.deliver(host, reply)
 
 
 class _NoFollowers:
--- a/packages/node/src/bronzepoint_node/core/_core_hub.py
+++ b/packages/node/src/bronzepoint_node/core/_core_hub.py
@@ -1,7 +1,6 @@
 """What a host of the core tells entry hosts, and what the core tells itself."""
 
 import curio
-import msgspec
 
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, Peers
@@ -125,4 +124,4 @@
         """Return the entry hosts that speak to this host: others tell of the rest."""
         live = [host for host in self.registry.entries() if host.name in self._own]
         self._own = {host.name for host in live}
-        return [msgspec.structs.replace(host) for host in live]
+        return live
--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -39,6 +39,7 @@
     """Asks one host of the core after another, the own region's first.
 
     Args:
+        region: Region of this host.
         describe: Tells what this host says of itself.
         own_loads: Tells the load of this region's targets.
         decode: Reads a catalogue document.
@@ -54,6 +55,7 @@
 
     def __init__(
         self,
+        region: RegionName,
         describe: Callable[[], EntryHost],
         own_loads: Callable[[], list[RegionLoad]],
         decode: Callable[[bytes], ServedCatalogue],
@@ -70,7 +72,7 @@
         self._decode = decode
         self._seeds = seeds
         self._peers = peers
-        self._region: RegionName = describe().region
+        self._region = region
         self._current: HostName | None = None
         self._revision = 0
         self._failed_at: dict[HostName, float] = {}
--- a/packages/node/src/bronzepoint_node/fleet/_registry.py
+++ b/packages/node/src/bronzepoint_node/fleet/_registry.py
@@ -1,6 +1,7 @@
 """Entry hosts and hosts of the core that were heard of lately."""
 
 from collections.abc import Iterable
+from typing import Generic, TypeVar
 
 import msgspec
 
@@ -20,6 +21,40 @@
 """Seconds for which hosts and loads are kept beyond that: where nothing newer is
 known, an old word is better than a refusal."""
 
+Key = TypeVar("Key")
+Word = TypeVar("Word", EntryHost, CoreHost, RegionLoad)
+
+
+class _Heard(Generic[Key, Word]):
+    """The newest word about each key, with the local time that it speaks of."""
+
+    def __init__(self) -> None:
+        self._words: dict[Key, tuple[float, Word]] = {}
+
+    def hear(self, key: Key, word: Word) -> None:
+        """Take a word, where it is newer than the one held."""
+        at = monotonic() - word.age_ms / 1000
+        known = self._words.get(key)
+        if known is None or at > known[0]:
+            self._words[key] = (at, word)
+
+    def get(self, key: Key) -> Word | None:
+        """Return the word held about a key, however old it is."""
+        known = self._words.get(key)
+        return known[1] if known is not None else None
+
+    def newer_than(self, expiry: float) -> list[Word]:
+        """Return the words of the last seconds with their present ages."""
+        now = monotonic()
+        for key, (at, _) in list(self._words.items()):
+            if now - at > LAST_RESORT:
+                del self._words[key]
+        return [
+            msgspec.structs.replace(word, age_ms=max(0, int((now - at) * 1000)))
+            for at, word in self._words.values()
+            if now - at <= expiry
+        ]
+
 
 class Registry:
     """Who lives and how busy the regions are, with the age of each word.
@@ -29,74 +64,36 @@
     """
 
     def __init__(self) -> None:
-        self._entries: dict[HostName, tuple[float, EntryHost]] = {}
-        self._core: dict[HostName, tuple[float, RegionName]] = {}
-        self._loads: dict[tuple[RegionName, str], tuple[float, RegionLoad]] = {}
+        self._entries: _Heard[HostName, EntryHost] = _Heard()
+        self._core: _Heard[HostName, CoreHost] = _Heard()
+        self._loads: _Heard[tuple[RegionName, str], RegionLoad] = _Heard()
 
     def hear_entries(self, hosts: Iterable[EntryHost]) -> None:
         """Take newer word of entry hosts."""
-        now = monotonic()
         for host in hosts:
-            at = now - host.age_ms / 1000
-            known = self._entries.get(host.name)
-            if known is None or at > known[0]:
-                self._entries[host.name] = (at, host)
+            self._entries.hear(host.name, host)
 
     def hear_core(self, hosts: Iterable[CoreHost]) -> None:
         """Take newer word of hosts of the core."""
-        now = monotonic()
         for host in hosts:
-            at = now - host.age_ms / 1000
             known = self._core.get(host.name)
-            if known is None or at > known[0]:
-                region = host.region or (known[1] if known else host.region)
-                self._core[host.name] = (at, region)
+            if known is not None and not host.region:
+                host = msgspec.structs.replace(host, region=known.region)
+            self._core.hear(host.name, host)
 
     def hear_loads(self, loads: Iterable[RegionLoad]) -> None:
         """Take newer word of loads."""
-        now = monotonic()
         for load in loads:
-            at = now - load.age_ms / 1000
-            key = (load.region, load.service)
-            known = self._loads.get(key)
-            if known is None or at > known[0]:
-                self._loads[key] = (at, load)
+            self._loads.hear((load.region, load.service), load)
 
     def entries(self, expiry: float = ENTRY_EXPIRY) -> list[EntryHost]:
         """Return the entry hosts heard of within ``expiry`` seconds."""
-        now = monotonic()
-        for name, (at, _) in list(self._entries.items()):
-            if now - at > LAST_RESORT:
-                del self._entries[name]
-        return [
-            msgspec.structs.replace(host, age_ms=_ms(now - at))
-            for at, host in self._entries.values()
-            if now - at <= expiry
-        ]
+        return self._entries.newer_than(expiry)
 
     def core(self) -> list[CoreHost]:
         """Return the hosts of the core that live."""
-        now = monotonic()
-        for name, (at, _) in list(self._core.items()):
-            if now - at > CORE_EXPIRY:
-                del self._core[name]
-        return [
-            CoreHost(name, region, _ms(now - at))
-            for name, (at, region) in self._core.items()
-        ]
+        return self._core.newer_than(CORE_EXPIRY)
 
     def loads(self, expiry: float = LOAD_EXPIRY) -> list[RegionLoad]:
         """Return the loads that are not older than ``expiry`` seconds."""
-        now = monotonic()
-        for key, (at, _) in list(self._loads.items()):
-            if now - at > LAST_RESORT:
-                del self._loads[key]
-        return [
-            msgspec.structs.replace(load, age_ms=_ms(now - at))
-            for at, load in self._loads.values()
-            if now - at <= expiry
-        ]
-
-
-def _ms(seconds: float) -> int:
-    return max(0, int(seconds * 1000))
+        return self._loads.newer_than(expiry)
--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -66,11 +66,21 @@
         self._lost_hosts: dict[str, float] = {}
         self._sent_away: dict[tuple[RegionName, str], list[float]] = {}
 
-    def best(
+    def fresh_terms(
         self, ask: PlacementAsk, service: str, request: RequestView, now: float
+    ) -> list[RegionTerms]:
+        """Return what each other region of which is heard would bring a request."""
+        return self._terms(ask, service, request, LOAD_EXPIRY, now)
+
+    def best(
+        self,
+        ask: PlacementAsk,
+        service: str,
+        request: RequestView,
+        known: list[RegionTerms],
+        now: float,
     ) -> Elsewhere | None:
         """Return the best other region that may serve it; None: there is none."""
-        known = self._terms(ask, service, request, LOAD_EXPIRY, now)
         # As in a cut of the core: what was known before it is better than nothing.
         terms = known or self._terms(ask, service, request, LAST_RESORT, now)
         if not terms:
@@ -106,10 +116,9 @@
         self,
         ask: PlacementAsk,
         service: str,
-        request: RequestView,
+        terms: list[RegionTerms],
         missing: int,
         own_slots: int,
-        now: float,
     ) -> Elsewhere | None:
         """Return the region that keeps a prompt's shared part, where that is worth it.
 
@@ -120,12 +129,10 @@
         Args:
             ask: The request.
             service: Its service.
-            request: What the policy is told of it.
+            terms: What each other region would bring it.
             missing: Tokens of shared parts that are not cached here.
             own_slots: Slots of the targets here.
-            now: Monotonic seconds.
         """
-        terms = self._terms(ask, service, request, LOAD_EXPIRY, now)
         weights = {term.view.name: float(term.view.slots) for term in terms}
         weights[self._region] = own_slots
         owner = weighted_owner(ask.prompt.shared_key, weights)
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -4,6 +4,7 @@
 
 from bronzepoint_node.fleet import Registry
 from bronzepoint_node.policy import (
+    RegionTerms,
     RequestView,
     TargetState,
     TargetView,
@@ -12,7 +13,6 @@
 from bronzepoint_schema.generated.fleet import RegionLoad
 from bronzepoint_schema.ids import (
     EntryName,
-    HostName,
     OwnerName,
     RegionName,
     RequestId,
@@ -48,8 +48,7 @@
     """Chooses by what this host knows; reads no socket and sends nothing.
 
     Args:
-        host: This host.
-        region: Its region.
+        region: Region of this host.
         table: Targets of the region.
         registry: Who lives, and the loads of the regions.
         cold: Which host may send to cold targets.
@@ -62,14 +61,12 @@
 
     def __init__(
         self,
-        host: HostName,
         region: RegionName,
         table: TargetTable,
         registry: Registry,
         cold: ColdGate,
         rng: random.Random,
     ) -> None:
-        self._host = host
         self._region = region
         self._table = table
         self._cold = cold
@@ -81,15 +78,17 @@
         """Choose a target here, a host of another region, or a refusal."""
         service = service_of(ask.route, ask.request_id)
         request = self._request_view(ask)
-        home = self._at_home(ask, service, request, now)
+        usable = self._usable(service, now)
+        home = self._at_home(ask, service, request, usable, now)
         if ask.forwarded:
             return home or self._no_room(service, ask, now)
-        away = self.regions.best(ask, service, request, now)
+        terms = self.regions.fresh_terms(ask, service, request, now)
+        away = self.regions.best(ask, service, request, terms, now)
         if away is None:
             return home or self._no_room(service, ask, now)
         if home is None:
             return away
-        keeper = self._keeper(ask, service, request, home, now)
+        keeper = self._keeper(ask, service, home, usable, terms)
         if keeper is not None:
             return keeper
         return away if away.delay + AWAY_ADVANTAGE < home.delay else home
@@ -98,10 +97,11 @@
         self,
         ask: PlacementAsk,
         service: str,
-        request: RequestView,
         home: AtHome,
-        now: float,
+        usable: list[Tracked],
+        terms: list[RegionTerms],
     ) -> Elsewhere | None:
+        """Return the region that keeps what of the prompt isn't cached at home."""
         prompt = ask.prompt
         if prompt is None or not prompt.shared_key:
             return None
@@ -109,20 +109,15 @@
         missing = prompt.tokens - prompt.parts[-1].tokens - cached
         if missing < LEAST_MISSING:
             return None
-        usable = self._usable(service, now)
         slots = sum(t.slots for t in usable if not is_ejected(t))
-        return self.regions.keeper(ask, service, request, missing, slots, now)
+        return self.regions.keeper(ask, service, terms, missing, slots)
 
     def region_loads(self, now: float) -> list[RegionLoad]:
         """Return how busy this region's targets are, for the other regions."""
-        by_service: dict[str, list[Tracked]] = {}
-        for tracked in self._table.all():
-            by_service.setdefault(tracked.info.service, [])
-        for service in by_service:
-            by_service[service] = self._usable(service, now)
+        services = dict.fromkeys(t.info.service for t in self._table.all())
         return [
-            self._region_load(service, targets, now)
-            for service, targets in by_service.items()
+            self._region_load(service, self._usable(service, now), now)
+            for service in services
         ]
 
     def _region_load(
@@ -138,12 +133,17 @@
         return RegionLoad(self._region, service, slots, running, int(wait * 1000), 0)
 
     def _at_home(
-        self, ask: PlacementAsk, service: str, request: RequestView, now: float
+        self,
+        ask: PlacementAsk,
+        service: str,
+        request: RequestView,
+        usable: list[Tracked],
+        now: float,
     ) -> AtHome | None:
         if not ask.may_go_to(self._region):
             return None
         self._table.let_return(service, now)
-        targets = {t.info.incarnation: t for t in self._usable(service, now)}
+        targets = {t.info.incarnation: t for t in usable}
         rank = ask.route.priority
         views = [self._view(t, ask.prompt, rank, now) for t in targets.values()]
         choice = choose_target(
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -46,6 +46,11 @@
     body: bytes
     streamed: bool = False
 
+    @property
+    def reason(self) -> str:
+        """How the try ended, in a word, as the other outcomes have it."""
+        return "answered"
+
 
 RUNS_HEADER = "bronzepoint-runs"
 """Between our hosts: times that the request may have run before, or has by now."""
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -97,8 +97,8 @@
             call.arrivals += 1
         elif outcome.by_target:
             call.arrivals += 1
-        reason = getattr(outcome, "reason", "answered")
-        self._metrics.incr(f"try.{reason}")
+        call.notes[-1] += f" -> {outcome.reason}"
+        self._metrics.incr(f"try.{outcome.reason}")
         return outcome
 
     async def _try_target(
@@ -164,7 +164,6 @@
                 target.note_silent(monotonic())
         if result is TryResult.answered:
             times.add_hold(seconds)
-        call.notes[-1] += f" -> {getattr(outcome, 'reason', 'answered')}"
         return outcome
 
     async def _try_region(
@@ -196,7 +195,6 @@
                 self._placer.regions.note_lost_host(placement.host, monotonic())
             case Answered(headers=answered):
                 _count_runs(call, answered)
-        call.notes[-1] += f" -> {getattr(outcome, 'reason', 'answered')}"
         return outcome
 
     async def _while_answering(
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -1,5 +1,6 @@
 """One try: a request sent to a target or to another region, and its answer."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bronzepoint_common.clock import monotonic
@@ -52,7 +53,9 @@
         started: Called at the first event or the head of the answer.
     """
 
-    def __init__(self, client: HttpClient, codec: Codec, call: Call, started) -> None:
+    def __init__(
+        self, client: HttpClient, codec: Codec, call: Call, started: Callable[[], None]
+    ) -> None:
         self._client = client
         self._codec = codec
         self._call = call
--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -154,7 +154,6 @@
         self.root = Path(tempfile.mkdtemp())
         self.ports = PortBlock()
         self.processes = {}
-        self.logs = {}
         self.client = HttpClient(HttpLimits(), 1.0)
         self.listed = []
 
--- /dev/null
+++ b/tests/test_fleet_knowledge.py
@@ -0,0 +1,182 @@
+"""What entry hosts and the core know of each other, and how it grows old."""
+
+import unittest
+from unittest import mock
+
+import curio
+from nose2.tools import params
+
+from bronzepoint_common.peers import PeerTimeout
+from bronzepoint_node.fleet import (
+    CallerLimits,
+    Follower,
+    Registry,
+    ServedCatalogue,
+)
+from bronzepoint_node.fleet import _registry as registry_module
+from bronzepoint_schema.generated.fleet import (
+    CoreHost,
+    EntryHost,
+    EntryState,
+    RegionLoad,
+    SyncReply,
+    TargetInfo,
+    TargetList,
+)
+
+READY = EntryState.ready
+
+
+def entry(name, age_ms=0, state=READY):
+    return EntryHost(name, "r", "z", "a", "f", state, age_ms)
+
+
+def listing(number=1, age_ms=0, reader="c1", name="t1"):
+    info = TargetInfo(name, "s", "10.0.0.1:80", "z", 4, False, 0)
+    return TargetList(number, reader, age_ms, [info])
+
+
+def reply(version=1, revision=1, confirmed=0, closed=(), targets=None, age=-1):
+    return SyncReply(
+        revision,
+        confirmed,
+        version,
+        b"%d" % version if version >= 0 else None,
+        list(closed),
+        targets,
+        targets.age_ms if targets else age,
+        [],
+        [],
+        [],
+    )
+
+
+def decode(content):
+    return ServedCatalogue(int(content), (), {}, CallerLimits())
+
+
+class TestRegistry(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        patch = mock.patch.object(registry_module, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.registry = Registry()
+
+    @params((0, 1.7, True), (0, 1.9, False), (1000, 0.7, True), (1000, 0.9, False))
+    def test_an_entry_host_is_forgotten_by_the_age_of_its_word(self, age, wait, live):
+        self.registry.hear_entries([entry("h", age)])
+        self.now += wait
+        self.assertEqual(bool(self.registry.entries()), live)
+
+    @params((9.0, True), (11.0, False))
+    def test_an_old_word_is_kept_for_the_last_resort(self, wait, kept):
+        self.registry.hear_entries([entry("h")])
+        self.now += wait
+        self.assertEqual(self.registry.entries(), [])
+        found = self.registry.entries(registry_module.LAST_RESORT)
+        self.assertEqual(bool(found), kept)
+
+    @params((0, 500, EntryState.leaving), (500, 0, READY))
+    def test_a_newer_word_is_not_replaced_by_an_older_one(self, first, second, state):
+        self.registry.hear_entries([entry("h", first, EntryState.leaving)])
+        self.registry.hear_entries([entry("h", second)])
+        self.assertIs(self.registry.entries()[0].state, state)
+
+    def test_the_region_of_a_host_of_the_core_is_kept(self):
+        """Seeds are named without their regions; a word without one must not take
+        away what another said."""
+        self.registry.hear_core([CoreHost("c", "r", 1000)])
+        self.registry.hear_core([CoreHost("c", "", 0)])
+        self.assertEqual(self.registry.core(), [CoreHost("c", "r", 0)])
+
+    def test_loads_carry_their_present_age(self):
+        self.registry.hear_loads([RegionLoad("r", "s", 4, 1, 0, 200)])
+        self.now += 1.0
+        (load,) = self.registry.loads()
+        self.assertAlmostEqual(load.age_ms, 1200, delta=2)
+
+
+class FakePeers:
+    """Answers each host's questions from a table; a missing host is silent."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.asked = []
+
+    def register(self, area, union, handler):
+        pass
+
+    async def call(self, peer, area, message, timeout):
+        self.asked.append(peer)
+        if peer not in self.answers:
+            raise PeerTimeout(peer, timeout)
+        return self.answers[peer]
+
+
+def follower(answers=(), seeds=("c1",)):
+    peers = FakePeers(dict(answers))
+    made = Follower("r", lambda: entry("h"), list, decode, list(seeds), peers)
+    return made, peers
+
+
+class TestFollower(unittest.TestCase):
+    @params(
+        ([reply(1), reply(2)], 2),
+        ([reply(2), reply(1)], 2),
+        ([reply(2), reply(-1)], 2),
+        ([reply(-1)], None),
+    )
+    def test_the_catalogue_never_goes_back(self, replies, expected):
+        made, _ = follower()
+        for one in replies:
+            made._take("c1", one)
+        held = made.catalogue.version if made.catalogue else None
+        self.assertEqual(held, expected)
+
+    @params(
+        ([reply(revision=1, closed=["z"]), reply(revision=2)], set()),
+        ([reply(revision=2, closed=["z"]), reply(revision=1)], {"z"}),
+        # A revision is agreed wherever it is known; only newer ones may be missing.
+        ([reply(revision=2, closed=["z"]), reply(revision=3, confirmed=-1)], set()),
+    )
+    def test_a_core_host_that_is_behind_opens_nothing_again(self, replies, closed):
+        """Symptom: targets of a closed data center get requests again.
+        Sequence: an entry host changes to a host of the core that hasn't heard of the
+        closing.
+        Cause: its set of closed data centers was taken over."""
+        made, _ = follower()
+        for one in replies:
+            made._take("c1", one)
+        self.assertEqual(made.closed, closed)
+
+    @params(
+        ([listing(1, 500, name="old"), listing(2, 0, name="new")], "new"),
+        ([listing(2, 0, name="new"), listing(9, 900, "c2", name="old")], "new"),
+    )
+    def test_the_list_that_was_read_later_counts(self, listings, expected):
+        made, _ = follower()
+        for one in listings:
+            made._take("c1", reply(targets=one))
+        self.assertEqual(made.targets.targets[0].incarnation, expected)
+
+    def test_a_silent_core_host_is_left_for_the_next(self):
+        made, peers = follower({"c2": reply(3)}, seeds=("c1", "c2"))
+
+        async def main():
+            for _ in range(6):
+                await made._ask(made._choose())
+
+        curio.run(main)
+        self.assertEqual(made.catalogue.version, 3)
+        self.assertEqual(peers.asked[-1], "c2")
+        self.assertLessEqual(peers.asked.count("c1"), 1)
+
+    def test_the_own_region_s_core_host_is_asked_first(self):
+        made, _ = follower()
+        made.registry.hear_core([CoreHost("c1", "far", 0), CoreHost("c2", "r", 0)])
+        self.assertEqual({made._choose() for _ in range(10)}, {"c2"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -64,7 +64,7 @@
             self.registry.hear_entries([host])
         self.update(targets, closed)
         self.placer = Placer(
-            "a1", "a", self.table, self.registry, ColdGate("a1"), random.Random(1)
+            "a", self.table, self.registry, ColdGate("a1"), random.Random(1)
         )
 
     def update(self, targets, closed=(), age=0.0):
