--- a/packages/emulator/src/bronzepoint_emulator/demo/_command_line.py
+++ b/packages/emulator/src/bronzepoint_emulator/demo/_command_line.py
@@ -11,7 +11,7 @@
 from rich.markup import escape
 
 from bronzepoint_emulator.demo._errors import StepFailed
-from bronzepoint_emulator.deployment import die_with
+from bronzepoint_emulator.deployment import spawn
 
 PROGRAM = Path(sys.executable).with_name("bronzepoint")
 TIMEOUT = 30.0
@@ -52,20 +52,23 @@
         """Run one command to its end."""
         shown = " ".join(_quoted(argument) for argument in arguments)
         self._console.print(f"[bold cyan]$ bronzepoint {escape(shown)}[/]")
-        ended = subprocess.run(
+        child = spawn(
             [str(PROGRAM), *arguments],
             env=os.environ | self._environment(),
             stdin=subprocess.DEVNULL,
-            capture_output=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
             text=True,
-            timeout=TIMEOUT,
-            # A demo that is killed takes the command along.
-            preexec_fn=die_with(os.getpid()),
         )
-        self._console.print(escape(ended.stdout.rstrip()), highlight=False)
-        if ended.stderr:
-            self._console.print(f"[dim]{escape(ended.stderr.rstrip())}[/]")
-        return CommandResult(ended.returncode, ended.stdout, ended.stderr)
+        with child:
+            try:
+                output, errors = child.communicate(timeout=TIMEOUT)
+            finally:
+                child.kill()
+        self._console.print(escape(output.rstrip()), highlight=False)
+        if errors:
+            self._console.print(f"[dim]{escape(errors.rstrip())}[/]")
+        return CommandResult(child.returncode, output, errors)
 
     def _environment(self) -> dict[str, str]:
         return {
--- a/packages/emulator/src/bronzepoint_emulator/deployment/__init__.py
+++ b/packages/emulator/src/bronzepoint_emulator/deployment/__init__.py
@@ -28,7 +28,7 @@
 from bronzepoint_emulator.deployment._links import Links, link_name
 from bronzepoint_emulator.deployment._operator import Operator, item_kind
 from bronzepoint_emulator.deployment._ports import PortBlock
-from bronzepoint_emulator.deployment._process import ManagedProcess, die_with
+from bronzepoint_emulator.deployment._process import ManagedProcess, spawn
 from bronzepoint_emulator.deployment._samples import karadeniz, saphan
 from bronzepoint_emulator.deployment._targets import Targets
 from bronzepoint_emulator.deployment._waiting import wait_until
@@ -53,7 +53,6 @@
     "RequestFailed",
     "Targets",
     "chat_body",
-    "die_with",
     "item_kind",
     "karadeniz",
     "link_name",
@@ -61,5 +60,6 @@
     "new_nonce",
     "next_version",
     "saphan",
+    "spawn",
     "wait_until",
 ]
--- a/packages/emulator/src/bronzepoint_emulator/deployment/_process.py
+++ b/packages/emulator/src/bronzepoint_emulator/deployment/_process.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import Any
 
 from bronzepoint_emulator.deployment._client import Client
 from bronzepoint_emulator.deployment._errors import ProcessEnded
@@ -38,6 +39,24 @@
     return prepare
 
 
+def spawn(command: list[str], **options: Any) -> subprocess.Popen:
+    """Start a child that ends with this process.
+
+    A child that runs Python code before its program makes the parent run the hooks of
+    ``os.register_at_fork``, and an exception raised there is only printed. A signal
+    handler that raises SystemExit in them would end nothing: an interrupted demo went
+    on and ended with 0. Handlers run on the main thread, so the child is started from
+    another one.
+
+    Args:
+        command: Program and arguments.
+        options: As of ``subprocess.Popen``.
+    """
+    prepare = die_with(os.getpid())
+    future = _SPAWNER.submit(subprocess.Popen, command, preexec_fn=prepare, **options)
+    return future.result()
+
+
 class ManagedProcess:
     """A child process with its log file; ``start`` may be called again after it ended.
 
@@ -66,11 +85,8 @@
 
     def start(self) -> None:
         """Start the child."""
-        _SPAWNER.submit(self._spawn).result()
-
-    def _spawn(self) -> None:
         with self.log.open("ab") as log:
-            self._child = subprocess.Popen(
+            self._child = spawn(
                 self.command,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
@@ -78,7 +94,6 @@
                 start_new_session=True,
                 # A crash inside a library leaves a stack in the log, not silence.
                 env=os.environ | {"PYTHONFAULTHANDLER": "1"},
-                preexec_fn=die_with(os.getpid()),
             )
         self._frozen = False
 
--- a/packages/node/src/bronzepoint_node/agreement/_ballot.py
+++ b/packages/node/src/bronzepoint_node/agreement/_ballot.py
@@ -10,8 +10,9 @@
     from ._voter import Voter
 
 EARLY_QUIET = 0.6
-"""Seconds after a vote in which a voter that has heard no leader since its start lets no
-other early candidate pass: two of the longest trips there and back, and two syncs."""
+"""Seconds after a vote in which a voter that has heard no leader since its start lets
+no other early candidate pass: two of the longest trips there and back, and two syncs.
+"""
 
 
 class Ballot:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -13,6 +13,16 @@
 
 COMMAND = [sys.executable, "-m", "bronzepoint_emulator.demo"]
 MARK = "BRONZEPOINT_TEST_MARK"
+SIGNALLED_IN_FORK = """
+import os, signal
+from rich.console import Console
+from bronzepoint_emulator.demo._command_line import CommandLine
+from bronzepoint_emulator.deployment._cleanup import watch
+
+watch(lambda: None)
+os.register_at_fork(after_in_parent=lambda: os.kill(os.getpid(), signal.SIGTERM))
+CommandLine(Console(quiet=True), [], "token").run("--help")
+"""
 PATIENCE = 120.0
 UNDER_WAY = "A streamed answer"
 
@@ -68,3 +78,16 @@
         demo.stdout.read()
         self.assertNotEqual(demo.wait(PATIENCE), 0)
         wait_until(lambda: not marked_processes(mark), "nothing is left")
+
+    def test_signal_is_not_lost_while_a_command_is_started(self):
+        """Symptom: an interrupted demo goes on, and ends with 0.
+
+        Sequence: SIGTERM comes while the demo forks for a command. Cause: its handler
+        raises SystemExit inside a hook of the fork, where exceptions are only printed.
+        """
+        demo = subprocess.run(
+            [sys.executable, "-c", SIGNALLED_IN_FORK],
+            capture_output=True,
+            timeout=PATIENCE,
+        )
+        self.assertEqual(demo.returncode, 128 + signal.SIGTERM, demo.stderr)
