Tell the load of a region's targets by way of one host

Cause: each entry host posted its part of the load of each target to each other host of its region: 23 hosts make 506 pairs, some 145 messages a second out of and into each host, 20,000 in the whole of the grown deployment. Ruled out: longer intervals (hosts then send to the same idle engine); a board for each target (as many messages as hosts times targets). Change: above five others a host tells a collector, chosen by rendezvous hash, which tells each member what all others have together (sum less the member's own part). A silent collector is left after 2.2 s and told once a second, so that a healed cut leaves one; a change of collector drops what the former said, so that nothing counts twice. Before and after, in the test that counts messages: a member sends as many at 24 hosts as at 12, the collector 2.2 times as many at most. Conclusion: kept; small sites (two others in a region) tell each other as before.

--- a/packages/node/src/bronzepoint_node/placement/_engine_load.py
+++ b/packages/node/src/bronzepoint_node/placement/_engine_load.py
@@ -69,6 +69,21 @@
         """Take in another host's part."""
         self._others[host] = (now, load)
 
+    def forget_others(self) -> None:
+        """Drop all words of other hosts, as they come by another way from now on."""
+        self._others.clear()
+
+    def words(
+        self, own_name: HostName, incarnation: str, now: float
+    ) -> dict[HostName, tuple[float, TargetLoad]]:
+        """Return each host's part that is known, this host's own among them."""
+        words = {
+            host: word
+            for host, word in self._others.items()
+            if now - word[0] < NOTICE_EXPIRY
+        }
+        return {**words, own_name: (now, self.notice(incarnation, now))}
+
     def notice(self, incarnation: str, now: float) -> TargetLoad:
         """Return this host's part, for the others."""
         unread = [0] * RANKS
--- /dev/null
+++ b/tests/test_placement_collector.py
@@ -0,0 +1,196 @@
+"""Telling the load of targets through one host of the region."""
+
+import unittest
+import unittest.mock
+from collections import Counter
+
+from nose2.tools import params
+
+from bronzepoint_node.placement import LoadExchange, TargetTable
+from bronzepoint_node.placement._collector_choice import MOST_DIRECT, CollectorChoice
+from bronzepoint_node.placement._engine_load import OwnRun
+from bronzepoint_schema.generated.fleet import TargetInfo
+
+TARGETS = ("t1", "t2")
+
+
+class Wire:
+    """Delivers notices between exchanges at once, but for hosts that are cut off."""
+
+    def __init__(self, names):
+        self.now = 100.0
+        self.cut = set()
+        self.sent = Counter()
+        self.known = {name: set(names) - {name} for name in names}
+        self.hosts = {name: Member(self, name) for name in names}
+
+    def step(self, seconds=0.1):
+        self.now += seconds
+        for host in self.hosts.values():
+            host.exchange._tell(sorted(self.known[host.name]), self.now)
+
+    def steps(self, count):
+        for _ in range(count):
+            self.step()
+
+
+class Member:
+    """One entry host; it is the peers that its exchange posts to."""
+
+    def __init__(self, wire, name):
+        self.wire = wire
+        self.name = name
+        self.table = TargetTable()
+        infos = [TargetInfo(t, "s", f"{t}:1", "z", 8, False, 0) for t in TARGETS]
+        self.table.update(infos, 0.0, {}, frozenset(), wire.now)
+        self.exchange = LoadExchange(name, self, self.table, lambda: [])
+
+    def register(self, area, union, handler):
+        self.handler = handler
+
+    def post(self, peer, area, message):
+        self.wire.sent[self.name] += 1
+        if not {self.name, peer} & self.wire.cut:
+            self.wire.hosts[peer].take(self.name, message)
+
+    def take(self, peer, message):
+        try:
+            self.handler(peer, message).send(None)
+        except StopIteration:
+            pass
+
+    def begin(self, target, rank=0, tokens=100):
+        tracked = self.table.get(target)
+        number = len(tracked.load.runs)
+        tracked.load.begin(f"{number}", OwnRun(tokens, tokens, rank, self.wire.now))
+
+    def in_flight(self, target):
+        return self.table.get(target).load.in_flight(self.wire.now)
+
+    @property
+    def collector(self):
+        return self.exchange._collector
+
+
+def names(count):
+    return [f"10.1.0.{number}" for number in range(count)]
+
+
+class TestCollector(unittest.TestCase):
+    def setUp(self):
+        # Words expire by the monotonic clock that handlers read.
+        patch = unittest.mock.patch(
+            "bronzepoint_node.placement._load_exchange.monotonic",
+            lambda: self.wire.now,
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def region(self, count):
+        self.wire = Wire(names(count))
+        self.hosts = list(self.wire.hosts.values())
+        self.wire.steps(12)
+
+    @params((2,), (MOST_DIRECT + 1,), (MOST_DIRECT + 2,), (23,))
+    def test_every_host_knows_what_all_have_in_progress(self, count):
+        self.region(count)
+        for host in self.hosts:
+            host.begin("t1")
+        self.hosts[0].begin("t2", tokens=40_000)
+        self.wire.steps(3)
+        self.assertEqual([h.in_flight("t1") for h in self.hosts], [count] * count)
+        self.assertEqual([h.in_flight("t2") for h in self.hosts], [1] * count)
+        for host in self.hosts[1:]:
+            before = host.table.get("t2").load.tokens_before(0, 1e-9, self.wire.now)
+            self.assertAlmostEqual(before, 40_000, delta=1)
+
+    @params((MOST_DIRECT + 1, None), (MOST_DIRECT + 2, 1), (23, 1))
+    def test_number_of_collectors(self, count, collectors):
+        self.region(count)
+        found = {host.collector for host in self.hosts}
+        self.assertEqual(found == {None}, collectors is None)
+        self.assertEqual(len(found), 1)
+
+    def test_messages_grow_with_the_hosts_and_not_with_their_square(self):
+        """Symptom: at 70 hosts a fifth of each one's processor went into notices.
+        Sequence: each request changes a load, and each host tells each other.
+        Cause: the messages of a region grow with the square of its hosts."""
+        most = {}
+        for count in (12, 24):
+            self.region(count)
+            self.wire.sent.clear()
+            for _ in range(10):
+                for host in self.hosts:
+                    host.begin("t1")
+                self.wire.step()
+            most[count] = sorted(self.wire.sent.values())
+        self.assertEqual(most[24][-2], most[12][-2], "a member sends no more")
+        self.assertLessEqual(most[24][-1], 2.2 * most[12][-1])
+
+    def test_dead_collector_is_left(self):
+        """Symptom: all hosts of a region send to the same target.
+        Sequence: the collector dies, but is known as a live host for a while.
+        Cause: its members hear nothing of each other any more."""
+        self.region(9)
+        former = self.hosts[0].collector
+        self.wire.cut.add(former)
+        self.wire.steps(26)
+        left = [host for host in self.hosts if host.name != former]
+        self.assertEqual(len({host.collector for host in left}), 1)
+        self.assertNotEqual(left[0].collector, former)
+        for host in left:
+            host.begin("t1")
+        self.wire.steps(3)
+        self.assertEqual([h.in_flight("t1") for h in left], [8] * 8)
+
+    def test_collector_that_is_heard_again_collects_again(self):
+        """Symptom: hosts of one region know the load of a half of it each, for good.
+        Sequence: a cut parts some hosts from the collector, and heals.
+        Cause: they go on with their second choice, which the others don't tell."""
+        self.region(9)
+        former = self.hosts[0].collector
+        self.wire.cut.add(former)
+        self.wire.steps(26)
+        self.wire.cut.clear()
+        self.wire.steps(25)
+        self.assertEqual({host.collector for host in self.hosts}, {former})
+        for host in self.hosts:
+            host.begin("t2")
+        self.wire.steps(3)
+        self.assertEqual([h.in_flight("t2") for h in self.hosts], [9] * 9)
+
+    def test_change_of_collector_counts_nothing_twice(self):
+        """Symptom: targets look twice as busy for 3 s, and requests are turned away.
+        Sequence: a host joins that becomes the collector.
+        Cause: the former collector's sum is kept beside the new one's."""
+        everyone = names(12)
+        joining = CollectorChoice(everyone[0]).order(everyone[1:])[0]
+        self.region(12)
+        for host in self.hosts:
+            self.wire.known[host.name].discard(joining)
+        self.wire.steps(40)
+        present = [host for host in self.hosts if host.name != joining]
+        for host in present:
+            host.begin("t1")
+        self.wire.steps(3)
+        for host in present:
+            self.wire.known[host.name].add(joining)
+        for _ in range(10):
+            self.wire.step()
+            self.assertLessEqual(max(h.in_flight("t1") for h in present), 11)
+        self.assertEqual({h.in_flight("t1") for h in present}, {11})
+
+
+class TestChoice(unittest.TestCase):
+    def test_host_that_comes_back_is_heard_out_anew(self):
+        first, *others = names(9)
+        *others, name = CollectorChoice(first).order(others)
+        choice = CollectorChoice(name)
+        first = choice.choose(others, 0.0)
+        self.assertNotEqual(choice.choose(others, 3.0), first)
+        choice.choose([name for name in others if name != first], 4.0)
+        self.assertEqual(choice.choose(others, 5.0), first)
+
+
+if __name__ == "__main__":
+    unittest.main()
