Tell only the targets whose load has changed, without comparing all of them

Change: a target's load notes that it has changed where a request begins, starts or ends. Conclusion: kept, since it is also less code.

--- a/packages/node/src/bronzepoint_node/placement/_engine_load.py
+++ b/packages/node/src/bronzepoint_node/placement/_engine_load.py
@@ -42,9 +42,11 @@
 
     Attributes:
         runs: This host's requests.
+        changed: This host's part isn't what the others were told last.
     """
 
     runs: dict[str, OwnRun] = field(default_factory=dict)
+    changed: bool = False
     _others: dict[HostName, tuple[float, TargetLoad]] = field(default_factory=dict)
     _began_at: float = 0.0
 
@@ -53,17 +55,20 @@
         if not self._unstarted():
             self._began_at = run.sent_at
         self.runs[run_id] = run
+        self.changed = True
 
     def note_started(self, run_id: str, now: float) -> None:
         """Count a request whose first event has come: the next prompt is read."""
         run = self.runs.get(run_id)
         if run is not None and not run.started:
             run.started = True
+            self.changed = True
             self._began_at = now
 
     def end(self, run_id: str) -> None:
         """Count a request no more."""
-        self.runs.pop(run_id, None)
+        if self.runs.pop(run_id, None) is not None:
+            self.changed = True
 
     def take_notice(self, host: HostName, load: TargetLoad, now: float) -> None:
         """Take in another host's part."""
--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -59,7 +59,6 @@
         self._peers = peers
         self._table = table
         self._others = others
-        self._told: dict[str, TargetLoad] = {}
         self._told_all_at = 0.0
         self._choice = CollectorChoice(name)
         self._collector: HostName | None = None
@@ -154,12 +153,14 @@
 
     def _changed(self, whole: bool, now: float) -> list[TargetLoad]:
         """Return this host's part at the targets where it isn't what was told last."""
-        loads = [self._load(tracked, now) for tracked in self._table.all()]
-        changed = loads if whole else [load for load in loads if self._differs(load)]
         if whole:
             self._told_all_at = now
-        self._told = {load.incarnation: load for load in loads}
-        return changed
+        loads = []
+        for tracked in self._table.all():
+            if whole or tracked.load.changed:
+                tracked.load.changed = False
+                loads.append(self._load(tracked, now))
+        return loads
 
     def _post(self, hosts: list[HostName], notice: LoadNotice) -> None:
         if notice.loads:
@@ -172,12 +173,3 @@
         load.parts = [PartUse(*part) for part in tracked.parts_sent.items()]
         tracked.parts_sent.clear()
         return load
-
-    def _differs(self, load: TargetLoad) -> bool:
-        """Tell whether a load has changed, but for the passing of time."""
-        told = self._told.get(load.incarnation)
-        if load.parts:
-            return True
-        if told is None:
-            return load.in_flight > 0
-        return (told.in_flight, told.unread) != (load.in_flight, load.unread)
