Say that a late request did not run where no byte of it was written

Cause: at a route's timeout every request that had been sent anywhere got 504, also where no target had taken the connection. Ruled out: requests in progress at another region or target stay in doubt, and 504. Change: a call notes the moment before the first byte is written; a try that proved not to have run clears it. Without a byte and a run the answer is 503 with Retry-After.

--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -77,6 +77,7 @@
         last_event_at: When the newest one was.
         longest_gap: Longest time between two of them.
         arrivals: Times that a target received it, as far as is known.
+        written: A byte of the try in progress may have left this host.
         runs: Tries that ended without a proof that the request did not run.
         last_outcome: How the last try ended.
         notes: How each try ended, for the log.
@@ -97,6 +98,7 @@
     last_event_at: float = 0.0
     longest_gap: float = 0.0
     arrivals: int = 0
+    written: bool = False
     runs: int = 0
     last_outcome: TryOutcome | None = None
     notes: list[str] = field(default_factory=list)
@@ -109,6 +111,15 @@
             self.longest_gap = max(self.longest_gap, now - self.last_event_at)
         self.last_event_at = now
 
+    def note_written(self) -> None:
+        """Count that the request is about to leave this host."""
+        self.written = True
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether there is no proof that it did not run."""
+        return self.written or self.runs > 0
+
     def answer_headers(self, headers: dict[str, str]) -> dict[str, str]:
         """Return an answer's headers; another region is told how often it ran here."""
         if not self.forwarded:
--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -78,20 +78,25 @@
             self.note(call, f"refused_{reason}")
         else:
             _log.info("refused", request=head.request_id, reason=reason)
-        headers = {"Retry-After": f"{retry_after:.2f}", RAN_HEADER: "no"}
+        headers = _refusal_headers(retry_after)
         await exchange.respond(503, headers, f"{reason}\n".encode())
 
     async def say_late(self, call: Call) -> None:
-        """Answer that the time is over."""
+        """Answer that the time is over.
+
+        The route's timeout is often shorter than the caller's own deadline. Told that
+        the request did not run, as where its target took no connection, the caller of
+        a request that may not run twice has the time to come back.
+        """
         self._metrics.incr("refusal.deadline")
         self.note(call, "deadline")
         if call.exchange.started:
             await call.exchange.abort()
-        elif call.sends:
+        elif call.may_have_run:
             headers = call.answer_headers({})
             await call.exchange.respond(504, headers, b"no answer in time\n")
         else:
-            headers = {RAN_HEADER: "no"} if call.forwarded else {}
+            headers = _refusal_headers(DEFAULT_RETRY_AFTER)
             await call.exchange.respond(503, headers, b"no room in time\n")
 
     async def say_no_route(
@@ -121,3 +126,7 @@
             left=round(call.left, 3),
             list_age=round(now - self._follower.targets_read_at, 2),
         )
+
+
+def _refusal_headers(retry_after: float) -> dict[str, str]:
+    return {"Retry-After": f"{retry_after:.2f}", RAN_HEADER: "no"}
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -87,6 +87,7 @@
             Disconnected: The caller left.
         """
         call.sends += 1
+        call.written = False
         match placement:
             case AtHome():
                 outcome = await self._try_target(call, placement, service)
@@ -95,8 +96,9 @@
         if not isinstance(outcome, NotRun):
             call.runs += 1
             call.arrivals += 1
-        elif outcome.by_target:
-            call.arrivals += 1
+        else:
+            call.written = False
+            call.arrivals += outcome.by_target
         call.notes[-1] += f" -> {outcome.reason}"
         self._metrics.incr(f"try.{outcome.reason}")
         return outcome
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -73,6 +73,7 @@
                 where.headers,
                 call.body,
                 where.patience,
+                before_send=call.note_written,
                 unframed=True,
                 max_idle=where.max_idle,
                 accept=self._is_own,
--- /dev/null
+++ b/tests/test_relay_deadline.py
@@ -0,0 +1,58 @@
+"""What a caller is told when the time for its request is over."""
+
+import unittest
+
+import curio
+from nose2.tools import params
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_node.fleet import RouteKind, ServedRoute
+from bronzepoint_node.relay._call import Call
+from bronzepoint_node.relay._codec import CallerHead
+from bronzepoint_node.relay._final_answers import FinalAnswers
+
+
+class FakeExchange:
+    started = False
+    answer = None
+
+    async def respond(self, status, headers, body):
+        self.answer = status, headers
+
+
+class FakeFollower:
+    targets_read_at = 0.0
+
+
+def late_call(written, runs, sends):
+    now = monotonic()
+    route = ServedRoute("r", "h", "/", RouteKind.NON_IDEMPOTENT, 2.0, 0.4, 0, (), 1)
+    head = CallerHead("id", "h", 4.0, None, None, {})
+    call = Call(FakeExchange(), head, route, b"", now - 2.0, now, False, None)
+    call.written, call.runs, call.sends = written, runs, sends
+    return call
+
+
+class TestLate(unittest.TestCase):
+    @params(
+        # written, runs, sends, status
+        (False, 0, 0, 503),
+        (False, 0, 2, 503),
+        (True, 0, 1, 504),
+        (False, 1, 1, 504),
+    )
+    def test_only_what_may_have_run_is_in_doubt(self, written, runs, sends, status):
+        """Symptom: orders fail for good that reached no target.
+        Sequence: two targets take no connection; the route's timeout comes with half
+        of the caller's time left, and the caller may not repeat after a 504.
+        Cause: every try counted as one that may have run."""
+        call = late_call(written, runs, sends)
+        curio.run(FinalAnswers(FakeFollower(), Metrics()).say_late, call)
+        found, headers = call.exchange.answer
+        self.assertEqual(found, status)
+        self.assertEqual("Retry-After" in headers, status == 503)
+
+
+if __name__ == "__main__":
+    unittest.main()
