Count no run of a target that has ended against a route's attempts

The platform doesn't count targets that ended. Ruled out: counting none that broke off; one that lives may go on working. Change: where the bound is reached, the entry host looks whether anything listens at the target's address. Refused, it has ended, and the run isn't counted, here and in the region that forwarded it. That it may have run is kept: no promise follows from it.

--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -164,6 +164,27 @@
                 parts.append(piece)
         return Answer(answer.status, answer.headers, b"".join(parts))
 
+    async def is_refused(self, address: str) -> bool:
+        """Tell whether nothing listens at an address: its server has ended.
+
+        Args:
+            address: ``host:port`` of the server.
+        """
+        host, port = parse_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
+        try:
+            async with curio.timeout_after(self._connect_timeout):
+                await sock.connect((host, port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, curio.TaskTimeout):
+            # It can't be told: no route, or no answer in time.
+            return False
+        finally:
+            await sock.close()
+        return False
+
     async def close(self) -> None:
         """Close the kept connections and stop looking after answers."""
         await self._watch.close()
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -79,6 +79,7 @@
         arrivals: Times that a target received it, as far as is known.
         written: A byte of the try in progress may have left this host.
         runs: Tries that ended without a proof that the request did not run.
+        ended_runs: Those of them whose target has ended since.
         last_outcome: How the last try ended.
         notes: How each try ended, for the log.
     """
@@ -100,6 +101,7 @@
     arrivals: int = 0
     written: bool = False
     runs: int = 0
+    ended_runs: int = 0
     last_outcome: TryOutcome | None = None
     notes: list[str] = field(default_factory=list)
 
@@ -124,12 +126,22 @@
         """Return an answer's headers; another region is told how often it ran here."""
         if not self.forwarded:
             return headers
-        return {**headers, RUNS_HEADER: str(self.runs)}
+        return {**headers, RUNS_HEADER: str(self.counted_runs)}
+
+    @property
+    def counted_runs(self) -> int:
+        """Runs that count against the route's bound.
+
+        It bounds how many targets work for one request. One that has crashed works for
+        nobody: where it counted, a stream that two crashes had cut was given up, though
+        others could have gone on with it.
+        """
+        return self.runs - self.ended_runs
 
     @property
     def may_repeat(self) -> bool:
         """Tell whether the request may be sent again, with all that ran so far."""
-        if not self.route.repeatable or self.runs >= self.route.max_attempts:
+        if not self.route.repeatable or self.counted_runs >= self.route.max_attempts:
             return False
         if self.exchange.started and self.events.last_id is None:
             return False
@@ -138,7 +150,7 @@
     @property
     def may_repeat_after(self) -> bool:
         """Tell whether the request may be sent again after the try in progress."""
-        return self.route.repeatable and self.runs + 1 < self.route.max_attempts
+        return self.route.repeatable and self.counted_runs + 1 < self.route.max_attempts
 
     def is_flowing(self, now: float, pause: float) -> bool:
         """Tell whether an event came within ``pause`` seconds."""
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -100,9 +100,20 @@
             call.written = False
             call.arrivals += outcome.by_target
         call.notes[-1] += f" -> {outcome.reason}"
+        if isinstance(outcome, MayHaveRun) and isinstance(placement, AtHome):
+            await self._look_whether_ended(call, placement.target.info.address)
         self._metrics.incr(f"try.{outcome.reason}")
         return outcome
 
+    async def _look_whether_ended(self, call: Call, address: str) -> None:
+        """Count a run no more whose target is gone, where the bound is reached."""
+        if not call.route.repeatable or call.counted_runs < call.route.max_attempts:
+            return
+        if await self._client.is_refused(address):
+            call.ended_runs += 1
+            call.notes[-1] += ", ended"
+            self._metrics.incr("try.target_ended")
+
     async def _try_target(
         self, call: Call, placement: AtHome, service: str
     ) -> TryOutcome:
@@ -178,7 +189,7 @@
             call.head, call.left, "", None, call.events.last_id
         )
         headers[FORWARDED_HEADER] = self._region
-        headers[RUNS_HEADER] = str(call.runs)
+        headers[RUNS_HEADER] = str(call.counted_runs)
         where = Destination(
             placement.address,
             headers,
--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -105,6 +105,10 @@
             case "break":
                 await self._stream(exchange, headers, 2)
                 await exchange.abort()
+            case "crash":
+                await self._stream(exchange, headers, 2)
+                await exchange.abort()
+                await curio.spawn(self.server.close, 0, daemon=True)
             case "serve":
                 await exchange.respond(200, headers, await exchange.body() or b"ok")
             case "full":
@@ -147,10 +151,11 @@
 
 
 class PlatformSite:
-    """One host of the core and one entry host, as processes, before two targets."""
+    """One host of the core and one entry host, as processes, before some targets."""
 
-    def __init__(self, grace=8.0):
+    def __init__(self, grace=8.0, targets=2):
         self.grace = grace
+        self.target_count = targets
         self.root = Path(tempfile.mkdtemp())
         self.ports = PortBlock()
         self.processes = {}
@@ -159,13 +164,14 @@
 
     async def __aenter__(self):
         self.ports.start()
-        port = [int(self.ports.address().rpartition(":")[2]) for _ in range(10)]
-        self.metrics = port[9]
+        port = [int(self.ports.address().rpartition(":")[2]) for _ in range(11)]
+        self.metrics = port[10]
         self.first, self.front, self.ready, self.control = port[0], *port[2:5]
         self.list_server = HttpServer(self._list, HttpLimits())
         await self.list_server.start(f"127.0.0.1:{port[5]}")
         self.targets = [
-            StandInTarget(f"i-{n}", "127.0.0.1", port[5 + n]) for n in (1, 2)
+            StandInTarget(f"i-{n}", "127.0.0.1", port[5 + n])
+            for n in range(1, self.target_count + 1)
         ]
         for target in self.targets:
             await target.server.start(target.address)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -7,6 +7,7 @@
 import curio
 from nose2.tools import params
 
+from bronzepoint_common.http import AnswerCut
 from tests._platform_site import PlatformSite, manifest
 
 
@@ -73,6 +74,27 @@
         self.assertGreater(bad, 0)
         self.assertGreater(good, 0)
 
+    @params(("crash", "whole", 3), ("break", "cut", 2))
+    def test_targets_that_ended_do_not_count_as_attempts(self, action, end, arrivals):
+        """Symptom: a stream that may go on elsewhere is cut for good.
+        Sequence: its target crashes, then the second one; the route allows two.
+        Cause: both counted, though neither works on it any more. Targets that live
+        and only broke off do count."""
+
+        async def main():
+            async with PlatformSite(targets=3) as site:
+                script = [action, action]
+                for target in site.targets:
+                    target.script = script
+                try:
+                    answer = await site.ask("/stream/a")
+                    found = "whole" if answer.body == events(1, 5) else answer.body
+                except AnswerCut:
+                    found = "cut"
+                return found, sum(len(target.seen) for target in site.targets)
+
+        self.assertEqual(curio.run(main), (end, arrivals))
+
     @on_site
     async def test_headers_that_are_the_system_s_to_set_are_not_passed_on(self, site):
         await site.ask(
