Break the platform's programs at random, and check what callers and operators see

Cause: the soak of the emulator knows our own interface only; faults on the programs of the users' platform were seen by their bench alone. Change: tests/_platform_soak.py runs three hosts of the core and two entry hosts as processes, kills, pauses, ends and wipes them by seed while callers ask and an operator sends manifests, and checks: whole and own answers, at most once, refusals that are true, reads never older than what was accepted, all of it back 25 s after the last fault.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Options of tools/run_tests.py, such as a module: make test TEST_OPTIONS=tests.test_logs
 TEST_OPTIONS ?=
 
-.PHONY: setup test demo bench slopes soak lint format generate clean
+.PHONY: setup test demo bench slopes soak soak-platform lint format generate clean
 
 setup: $(STAMP)
 
@@ -60,5 +60,11 @@
 soak: setup
 	$(BIN)/python -m bronzepoint_emulator.soak --seconds $(SECONDS) --seed $(SEED)
 
+# The same over the programs of the users' platform, a line for each seed:
+# make soak-platform SECONDS=12 SEEDS_OF_SOAK="1 2 3"
+SEEDS_OF_SOAK ?= $(SEED)
+soak-platform: setup
+	$(BIN)/python -m tests._platform_soak $(SECONDS) $(SEEDS_OF_SOAK)
+
 clean:
 	rm -rf $(VENV)
--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 import curio
@@ -17,14 +18,16 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 DEADLINE = 20.0
+ONE_OF_EACH = {"core": ("core", "127.0.0.2"), "entry": ("entry", "127.0.0.3")}
+"""Role and address of each host, by its name."""
 SETTINGS = """
 node_name = "{name}"
 ip = "{ip}"
 zone = "{region}-a"
 region = "{region}"
 port_range = [{first},{last}]
-seeds = ["{core}:{control}"]
-bootstrap = true
+seeds = {seeds}
+bootstrap = {first_start}
 data_dir = "{data}"
 [zones]
 x-a = "x"
@@ -76,6 +79,7 @@
     Attributes:
         script: For each request in turn a name of an answer; then all are served.
         seen: Head of each request that reached it.
+        ran: How often it began to work on each request, by its id.
         cut: Requests whose caller left.
     """
 
@@ -84,6 +88,7 @@
         self.address = f"{ip}:{port}"
         self.script = []
         self.seen = []
+        self.ran = Counter()
         self.cut = 0
         self.server = HttpServer(self._answer, HttpLimits())
 
@@ -99,6 +104,8 @@
         }
         if request.headers.get("x-bronzepoint-expect-instance") != self.name:
             action = "replaced"
+        if action not in ("full", "replaced"):
+            self.ran[headers["X-Bronzepoint-Request-Id"]] += 1
         match action:
             case "serve" if request.path.startswith("/stream/"):
                 await self._stream(exchange, headers, 5)
@@ -124,6 +131,9 @@
                 await exchange.wait_disconnect()
                 self.cut += 1
                 await exchange.abort()
+            case "slow" if request.path.startswith("/stream/"):
+                await curio.sleep(1.5)
+                await self._stream(exchange, headers, 5)
             case "slow":
                 await curio.sleep(1.5)
                 await exchange.respond(200, headers, b"slow")
@@ -151,9 +161,16 @@
 
 
 class PlatformSite:
-    """One host of the core and one entry host, as processes, before some targets."""
+    """Hosts of the core and entry hosts, as processes, before some targets.
+
+    Attributes:
+        hosts: Role and address of each host, by its name.
+        keep: The files and logs stay after the end.
+    """
 
-    def __init__(self, grace=8.0, targets=2):
+    def __init__(self, grace=8.0, targets=2, hosts=ONE_OF_EACH):
+        self.hosts = hosts
+        self.keep = False
         self.grace = grace
         self.target_count = targets
         self.root = Path(tempfile.mkdtemp())
@@ -176,8 +193,8 @@
         for target in self.targets:
             await target.server.start(target.address)
         self.listed = [target.listed() for target in self.targets]
-        self.start("core")
-        self.start("entry")
+        for name in self.hosts:
+            self.start(name, first=True)
         await self.until_put(manifest(1))
         await self.until(self._is_ready)
         return self
@@ -192,20 +209,24 @@
         for target in self.targets:
             await target.server.close(0)
         self.ports.close()
-        shutil.rmtree(self.root)
+        if not self.keep:
+            shutil.rmtree(self.root)
 
-    def start(self, role):
-        ip = {"core": "127.0.0.2", "entry": "127.0.0.3"}[role]
-        data = self.root / "data"
+    def start(self, name, first=True):
+        """Start a process; ``first``: the whole system starts for the first time."""
+        role, ip = self.hosts[name]
+        data = self.root / f"data-{name}"
         data.mkdir(exist_ok=True)
-        path = self.root / f"{role}.toml"
+        path = self.root / f"{name}.toml"
+        core = [host[1] for host in self.hosts.values() if host[0] == "core"]
         text = SETTINGS.format(
-            name=role,
+            name=name,
             ip=ip,
             region="x",
             first=self.first,
             last=self.first + 1,
-            core="127.0.0.2",
+            seeds=json.dumps([f"{address}:{self.control}" for address in core]),
+            first_start=json.dumps(first),
             control=self.control,
             front=self.front,
             ready=self.ready,
@@ -214,8 +235,8 @@
             list=self.list_server.address,
         )
         path.write_text(text)
-        log = open(self.root / f"{role}.log", "ab")
-        self.processes[role] = subprocess.Popen(
+        log = open(self.root / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
             [
                 sys.executable,
                 str(ROOT / "platform" / "daemon.py"),
@@ -251,18 +272,18 @@
         }
         return await self.call("POST", path, b"body", headers=headers)
 
-    async def control_call(self, method, path, body=b""):
-        address = f"127.0.0.2:{self.control}"
+    async def control_call(self, method, path, body=b"", name="core"):
+        address = f"{self.hosts[name][1]}:{self.control}"
         return await self.call(method, path, body, address)
 
-    async def put(self, document):
-        return await self.control_call(
-            "PUT", "/-/config", json.dumps(document).encode()
-        )
+    async def put(self, document, name="core"):
+        body = json.dumps(document).encode()
+        return await self.control_call("PUT", "/-/config", body, name)
 
     async def until_put(self, document):
         async def accepted():
-            return (await self.put(document)).status == 200
+            first = next(iter(self.hosts))
+            return (await self.put(document, first)).status == 200
 
         await self.until(accepted)
 
@@ -279,7 +300,8 @@
             await curio.sleep(0.05)
 
     async def _is_ready(self):
-        address = f"127.0.0.3:{self.ready}"
+        entry = next(ip for role, ip in self.hosts.values() if role == "entry")
+        address = f"{entry}:{self.ready}"
         return (await self.call("GET", "/-/readiness", address=address)).status == 200
 
     async def _list(self, exchange):
