Go on naming hosts of other regions that begin to leave

A host that forwards a request takes the other one for lost 3 s after it was named last, and would send a request that may run twice elsewhere, while the leaving host still works on it. Ruled out: streams that flow, which are never left for that. Change: hosts that leave stay among those named; six ready ones are named beside them.

--- a/packages/node/src/bronzepoint_node/core/_hosts_for.py
+++ b/packages/node/src/bronzepoint_node/core/_hosts_for.py
@@ -2,7 +2,7 @@
 
 from bronzepoint_common.rendezvous import rendezvous_order
 from bronzepoint_schema.generated.fleet import EntryHost, EntryState
-from bronzepoint_schema.ids import RegionName
+from bronzepoint_schema.ids import HostName, RegionName
 
 MOST_ELSEWHERE = 6
 """Ready hosts told of each other region: a request is forwarded four times at most, and
@@ -21,11 +21,24 @@
         live: All entry hosts that live.
     """
     told = [host for host in live if host.region == asking.region]
-    elsewhere: dict[RegionName, dict[str, EntryHost]] = {}
+    elsewhere: dict[RegionName, dict[HostName, EntryHost]] = {}
     for host in live:
-        if host.region != asking.region and host.state is EntryState.ready:
+        if host.region != asking.region:
             elsewhere.setdefault(host.region, {})[host.name] = host
     for hosts in elsewhere.values():
-        order = rendezvous_order(asking.name, hosts)
-        told += [hosts[name] for name in order[:MOST_ELSEWHERE]]
+        told += _first_ready([hosts[n] for n in rendezvous_order(asking.name, hosts)])
     return told
+
+
+def _first_ready(hosts: list[EntryHost]) -> list[EntryHost]:
+    """Return hosts up to the last of the wanted ready ones.
+
+    Those that leave stay among them: no longer named, a host counts as lost, and the
+    requests that it still works on would be sent elsewhere again.
+    """
+    ready = 0
+    for count, host in enumerate(hosts, start=1):
+        ready += host.state is EntryState.ready
+        if ready == MOST_ELSEWHERE:
+            return hosts[:count]
+    return hosts
