Let hosts without a vote find the next leader, and leave hosts of the core that are behind

Nine hosts of the core have five votes; the others are followed up by the leader that they asked. When that leader is lost, such a host went on asking it, by its name, for good. Ruled out: the time to agree (acknowledged after 0.35 s). Change: a host that hears no leader asks the others in turn. An entry host leaves a host of the core whose leader's confirmation is older than 2 s for another one, for a second. Before and after: test_host_without_a_vote_follows_the_next_leader never saw the change (20 s) and sees it now; test_core_host_that_is_behind_is_left_for_the_next, two rows, failed before.

--- a/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
@@ -277,11 +277,16 @@
         """Tell whether a leader counts on this host, or it leads itself."""
         if self._voter.is_leader:
             return True
-        silent = monotonic() - self._voter.heard_at
-        return self._voter.may_vote() and silent <= 2 * self._silence
+        return self._voter.may_vote() and self._hears_leader()
+
+    def _hears_leader(self) -> bool:
+        return monotonic() - self._voter.heard_at <= 2 * self._silence
 
     def _next_to_ask(self) -> HostName:
-        if self._voter.leader:
+        # A host without a vote keeps the name of a leader that is gone, and the next
+        # leader doesn't know of it. Asking only the former one, it would stay behind
+        # for good, and with it the entry hosts that ask it.
+        if self._voter.leader and self._hears_leader():
             return self._voter.leader
         hosts = sorted(self.known_hosts() - {self._name})
         self._turn += 1
--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -34,6 +34,11 @@
 any of them."""
 HOME_RETRY = 5.0
 """Seconds after which a host of the own region is tried again that didn't answer."""
+BEHIND_AGE_MS = 2000
+"""Age of the leader's confirmation from which on a host of the core counts as behind:
+eight heartbeats."""
+BEHIND_RETRY = 1.0
+"""Seconds after which such a host is tried again."""
 
 _log = get_logger("follower")
 
@@ -80,7 +85,7 @@
         self._region = region
         self._current: HostName | None = None
         self._revision = 0
-        self._failed_at: dict[HostName, float] = {}
+        self._avoided_until: dict[HostName, float] = {}
         self._on_change: list[Callable[[], None]] = []
         self._task: curio.Task | None = None
         self._second: curio.Task | None = None
@@ -130,11 +135,7 @@
         core = self.registry.core() or [
             CoreHost(seed, RegionName(""), 0) for seed in self._seeds
         ]
-        fit = [
-            host
-            for host in core
-            if now - self._failed_at.get(host.name, -HOME_RETRY) >= HOME_RETRY
-        ]
+        fit = [host for host in core if now >= self._avoided_until.get(host.name, 0.0)]
         if not fit:
             # All have failed lately, as in a cut: any may be the first back.
             return random.choice([h.name for h in core] + list(self._seeds))
@@ -155,15 +156,22 @@
         try:
             reply = await self._peers.call(core, Area.FLEET, request, SYNC_TIMEOUT)
         except PeerError as exc:
-            self._failed_at[core] = monotonic()
-            if self._current == core:
-                self._current = None
+            self._avoid(core, HOME_RETRY)
             _log.warning("core host lost", core=core, reason=str(exc))
             return False
-        self._failed_at.pop(core, None)
+        self._avoided_until.pop(core, None)
+        if not 0 <= reply.confirmed_age_ms <= BEHIND_AGE_MS:
+            # It answers, but hears of no change. Asked again and again, it would keep
+            # this host on an older catalogue.
+            self._avoid(core, BEHIND_RETRY)
         self._take(core, reply)
         return True
 
+    def _avoid(self, core: HostName, seconds: float) -> None:
+        self._avoided_until[core] = monotonic() + seconds
+        if self._current == core:
+            self._current = None
+
     def _take(self, core: HostName, reply: SyncReply) -> None:
         held = self.catalogue.version if self.catalogue else -1
         if reply.document is not None and reply.document_version > held:
--- a/tests/test_agreement_seeded.py
+++ b/tests/test_agreement_seeded.py
@@ -84,6 +84,22 @@
             await cluster.stop(name)
         self.assertEqual(await cluster.read("c1"), (1, b"kept"))
 
+    @with_cluster("a1", "b1", "c1", "a2")
+    async def test_host_without_a_vote_follows_the_next_leader(self, cluster):
+        """Symptom: entry hosts of one region serve an older catalogue for seconds.
+        Sequence: the leader is lost; a host that knew it and has no vote asks it to be
+        followed up, again and again; the next leader doesn't know of that host.
+        Cause: it asked nobody else while it remembered a leader. (Hunt of
+        karadeniz-grown, day hunt-64fc-7.)"""
+        await cluster.put("a1", 1)
+        learner = cluster.running["a2"]
+        await cluster.until(lambda: learner.document and learner.document.version == 1)
+        names = ("a1", "b1", "c1")
+        lost = next(n for n in names if cluster.running[n]._voter.is_leader)
+        await cluster.stop(lost)
+        await cluster.put(next(n for n in names if n != lost), 2)
+        await cluster.until(lambda: learner.document.version == 2)
+
 
 class TestDocument(unittest.TestCase):
     @params(
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -172,6 +172,26 @@
         self.assertEqual(peers.asked[-1], "c2")
         self.assertLessEqual(peers.asked.count("c1"), 1)
 
+    @params((-1,), (4000,))
+    def test_core_host_that_is_behind_is_left_for_the_next(self, confirmed):
+        """Symptom: requests on a new route get 404 four seconds after it was accepted.
+        Sequence: the core's host of the own region answers, but no leader follows it
+        up any more.
+        Cause: only hosts that didn't answer were left. (Hunt of karadeniz-grown, day
+        hunt-64fc-7.)"""
+        behind = reply(1, confirmed=confirmed)
+        made, peers = follower({"c1": behind, "c2": reply(3)})
+        core = [CoreHost("c1", "r", 0), CoreHost("c2", "far", 0)]
+
+        async def main():
+            for _ in range(4):
+                made.registry.hear_core(core)
+                await made._ask(made._choose())
+
+        curio.run(main)
+        self.assertEqual(peers.asked, ["c1", "c2", "c2", "c2"])
+        self.assertEqual(made.catalogue.version, 3)
+
     def test_the_own_region_s_core_host_is_asked_first(self):
         made, _ = follower()
         made.registry.hear_core([CoreHost("c1", "far", 0), CoreHost("c2", "r", 0)])
