--- a/tests/test_agreement_seeded.py
+++ b/tests/test_agreement_seeded.py
@@ -171,35 +171,49 @@
         self.assertEqual(cluster.running["c1"].document.version, 1)
 
 
+async def answer_candidate(set_up, storage="other", trial=True, unled=True):
+    """Return what a voter that has lost its leader answers to the next candidate.
+
+    Args:
+        set_up: Called with the voter and its ballot before the question.
+        storage: The candidate's.
+        trial: As of the request.
+        unled: As of the request.
+    """
+    async with SeededCluster("a1", "b1", "c1") as cluster:
+        await cluster.put("a1", 1)
+        for name in ("b1", "c1"):
+            await cluster.stop(name)
+        voter = cluster.running["a1"]._voter
+        async with voter.lock:
+            log = voter.log
+            await voter.step_down(log.term)
+            voter.heard_at = float("inf")
+            ballot = Ballot(voter)
+            set_up(voter, ballot)
+            request = VoteRequest(
+                log.identity.cluster,
+                log.term + 1,
+                storage,
+                log.last_index,
+                log.last_term,
+                trial,
+                unled,
+            )
+            return await ballot.answer(request)
+
+
 class TestEarlyElection(unittest.TestCase):
     @params((False, True, True), (True, True, False), (False, False, False))
     def test_votes_that_are_not_withheld(self, has_heard, unled, granted):
         """A restarted voter doesn't know what it has promised a leader. Only where
         every voter says that none leads, and it has heard none, it votes at once."""
 
-        async def main():
-            async with SeededCluster("a1", "b1", "c1") as cluster:
-                await cluster.put("a1", 1)
-                for name in ("b1", "c1"):
-                    await cluster.stop(name)
-                voter = cluster.running["a1"]._voter
-                async with voter.lock:
-                    await voter.step_down(voter.log.term)
-                    voter.has_heard_leader = has_heard
-                    voter.heard_at = float("inf")
-                    log = voter.log
-                    request = VoteRequest(
-                        log.identity.cluster,
-                        log.term + 1,
-                        "other",
-                        log.last_index,
-                        log.last_term,
-                        False,
-                        unled,
-                    )
-                    return (await Ballot(voter).answer(request)).granted
-
-        self.assertEqual(curio.run(main), granted)
+        def set_up(voter, ballot):
+            voter.has_heard_leader = has_heard
+
+        reply = curio.run(answer_candidate, set_up, "other", False, unled)
+        self.assertEqual(reply.granted, granted)
 
     @params(
         # gave a vote, seconds ago; stands itself; candidate's storage; granted, leads
@@ -217,34 +231,14 @@
         message is heard, another stands in the next term and deposes it.
         Cause: voters that had just voted, or stood themselves, voted again at once."""
 
-        async def main():
-            async with SeededCluster("a1", "b1", "c1") as cluster:
-                await cluster.put("a1", 1)
-                for name in ("b1", "c1"):
-                    await cluster.stop(name)
-                voter = cluster.running["a1"]._voter
-                async with voter.lock:
-                    await voter.step_down(voter.log.term)
-                    voter.has_heard_leader = False
-                    voter.heard_at = float("inf")
-                    voter.stands_early = stands
-                    ballot = Ballot(voter)
-                    if voted is not None:
-                        ballot.given_at = monotonic() - voted
-                    log = voter.log
-                    request = VoteRequest(
-                        log.identity.cluster,
-                        log.term + 1,
-                        candidate,
-                        log.last_index,
-                        log.last_term,
-                        True,
-                        True,
-                    )
-                    found = await ballot.answer(request)
-                    return found.granted, found.leads
-
-        self.assertEqual(curio.run(main), (granted, leads))
+        def set_up(voter, ballot):
+            voter.has_heard_leader = False
+            voter.stands_early = stands
+            if voted is not None:
+                ballot.given_at = monotonic() - voted
+
+        reply = curio.run(answer_candidate, set_up, candidate)
+        self.assertEqual((reply.granted, reply.leads), (granted, leads))
 
 
 if __name__ == "__main__":
