Let the stand-in engine know an order that comes again while it fetches weights

The stand-in looked up whether it knows an order, waited for the weight store, and carried it out; the resend, which a woken engine reads at the same moment, passed the look-up during that wait. Ruled out: the product, which sent the same identifier both times. Change: the stand-in looks again after the wait, as it does for the number. Conclusion: traced to the stand-in and mended; the test of the product is unchanged.

--- a/packages/emulator/src/bronzepoint_emulator/engine/_orders.py
+++ b/packages/emulator/src/bronzepoint_emulator/engine/_orders.py
@@ -73,9 +73,12 @@
                 headers = answer.headers if answer else {}
                 wait = headers.get("retry-after", DEFAULT_RETRY_AFTER)
                 return OrderOutcome(OrderResult.rate_limited, wait)
-            # A newer order may have come while this one waited for the store.
+            # A newer order, or this one sent again, may have come while it waited for
+            # the store.
             if not self._number_holds(order):
                 return OrderOutcome(OrderResult.fenced)
+            if order.order == self.state.order:
+                return OrderOutcome(OrderResult.repeated)
         await self._carry_out(order)
         return OrderOutcome(OrderResult.accepted)
 
