Read the list entry by entry, and know a target that starts again under its id

The page was decoded at once, so one damaged entry lost the page and all hosts went on with the list of before; missing fields had defaults; all that is known of a target was kept by its id; a report that couldn't be read counted as silence. Ruled out: defaults for missing fields, as an entry without them names no target to use; a field of its own in the fleet's messages for the time of start, since every table would need both as its key. Change: entries are decoded one by one, also from a page that is no whole document; what is wrong with one is logged once. A target's name inside holds its id and its start, so that load, cached parts, health, silence and cold time begin anew; of two starts under one id the newer counts; a report of another start takes the target out until the list names the new one; an unreadable report is logged once a reason and harms nothing.

--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -5,7 +5,12 @@
 from ._cold_gate import ColdGate
 from ._load_exchange import LoadExchange
 from ._placer import Placer
-from ._prober import Prober, ReportUnavailable
+from ._prober import (
+    Prober,
+    ReportOfOtherStart,
+    ReportUnavailable,
+    ReportUnreadable,
+)
 from ._prompt import Prompt, PromptPart
 from ._retry_allowance import RetryAllowance
 from ._target_table import EngineReport, TargetTable, is_silent
@@ -24,7 +29,9 @@
     "PromptPart",
     "RejectReason",
     "Rejected",
+    "ReportOfOtherStart",
     "ReportUnavailable",
+    "ReportUnreadable",
     "RetryAllowance",
     "TargetTable",
     "is_silent",
--- a/packages/node/src/bronzepoint_node/placement/_prober.py
+++ b/packages/node/src/bronzepoint_node/placement/_prober.py
@@ -9,8 +9,9 @@
 
 from ._target_table import EngineReport, TargetTable, Tracked
 
-ReadReport = Callable[[str], Awaitable[EngineReport]]
-"""Asks the engine at an address; raises ReportUnavailable."""
+ReadReport = Callable[[str, str], Awaitable[EngineReport]]
+"""Asks the engine at an address for the report of a named start of it; raises
+ReportUnavailable, ReportUnreadable or ReportOfOtherStart."""
 
 INTERVAL = 0.8
 """Seconds between two questions to one engine. What the region's hosts have in
@@ -27,6 +28,14 @@
     """An engine doesn't say how busy it is; the message says why."""
 
 
+class ReportUnreadable(Exception):
+    """An engine answers, but what it says can't be read; the message says why."""
+
+
+class ReportOfOtherStart(Exception):
+    """An engine has started anew under the id that it had; the message says when."""
+
+
 class Prober:
     """Runs one task for each engine.
 
@@ -44,6 +53,7 @@
         self._read = read
         self._hosts = hosts
         self._tasks: dict[str, curio.Task] = {}
+        self._unreadable: dict[str, str] = {}
         self._run: curio.Task | None = None
 
     async def start(self) -> None:
@@ -63,6 +73,7 @@
             for name in names - self._tasks.keys():
                 self._tasks[name] = await curio.spawn(self._follow, name, daemon=True)
             for name in self._tasks.keys() - names:
+                self._unreadable.pop(name, None)
                 await self._tasks.pop(name).cancel()
             await curio.sleep(INTERVAL)
 
@@ -80,12 +91,29 @@
     async def _ask(self, tracked: Tracked) -> None:
         asked_at = monotonic()
         runs = tracked.load.in_flight(asked_at)
+        name = tracked.info.incarnation
         try:
-            report = await self._read(tracked.info.address)
+            report = await self._read(tracked.info.address, name)
         except ReportUnavailable as exc:
             if not tracked.failed_reports:
-                target = tracked.info.incarnation
-                _log.warning("no report", target=target, reason=str(exc))
+                _log.warning("no report", target=name, reason=str(exc))
             tracked.note_silent(monotonic())
-            return
-        tracked.take_report(report, asked_at, runs)
+        except ReportUnreadable as exc:
+            # It answers, so it may get requests; nothing is learnt of its load.
+            self._tell_unreadable(name, str(exc))
+            tracked.note_heard(monotonic())
+        except ReportOfOtherStart as exc:
+            # The list lags. Until it names the new start, what is known of the former
+            # one would be taken for it.
+            if not tracked.replaced:
+                _log.warning("target started anew", target=name, reason=str(exc))
+            tracked.replaced = True
+        else:
+            self._unreadable.pop(name, None)
+            tracked.take_report(report, asked_at, runs)
+
+    def _tell_unreadable(self, name: str, reason: str) -> None:
+        """Log what is wrong with an engine's report, once for each reason."""
+        if self._unreadable.get(name) != reason:
+            self._unreadable[name] = reason
+            _log.warning("report not read", target=name, reason=reason)
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+import curio
 from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
@@ -18,11 +19,16 @@
     AtHome,
     ColdGate,
     Elsewhere,
+    EngineReport,
     PlacementAsk,
     Placer,
+    Prober,
     Prompt,
     PromptPart,
     Rejected,
+    ReportOfOtherStart,
+    ReportUnavailable,
+    ReportUnreadable,
     TargetTable,
     is_silent,
 )
@@ -47,7 +53,8 @@
 
 
 def info(name, zone="a-1", leaving=False, cold_ms=0):
-    return TargetInfo(name, "s", f"10.0.0.1:{name[1:]}", zone, 64, leaving, cold_ms)
+    port = name[1:].partition("~")[0]
+    return TargetInfo(name, "s", f"10.0.0.1:{port}", zone, 64, leaving, cold_ms)
 
 
 class Site:
@@ -253,3 +260,50 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TestProber(unittest.TestCase):
+    @params(
+        (ReportUnavailable("no answer"), 1, False),
+        (ReportUnreadable("running: expected int"), 0, False),
+        (ReportOfOtherStart("it was born at 6"), 0, True),
+        (EngineReport(1, 0, 5, 10), 0, False),
+    )
+    def test_what_a_report_teaches(self, word, failed, replaced):
+        """Symptom: an engine that answers gets nothing, or one that has started anew
+        gets prompts whose parts it no longer keeps.
+        Sequence: its report can't be read, or speaks of another start.
+        Cause: every report that couldn't be taken counted as silence."""
+        site = Site(info("t1"))
+
+        async def read(address, incarnation):
+            if isinstance(word, Exception):
+                raise word
+            return word
+
+        async def main():
+            prober = Prober(site.table, read, lambda: 1)
+            await prober.start()
+            await curio.sleep(0.05)
+            await prober.close()
+
+        curio.run(main)
+        tracked = site.table.get("t1")
+        self.assertEqual((tracked.failed_reports, tracked.replaced), (failed, replaced))
+
+    def test_new_start_under_the_same_id_begins_with_nothing(self):
+        """Symptom: after a restart under its id a target looks busy and warm.
+        Sequence: it has requests in progress and cached parts; it crashes, starts
+        again and is listed under its id with another time of start.
+        Cause: all that was known was kept by its id."""
+        site = Site(info("t1~5"))
+        prompt = Prompt((PromptPart("p", 500), PromptPart("o", 5)), 505, 5)
+        tracked = site.table.get("t1~5")
+        tracked.begin("r1", prompt, 0, site.now)
+        tracked.note_silent(site.now)
+        site.update([info("t1~9")])
+        anew = site.table.get("t1~9")
+        self.assertIsNone(site.table.get("t1~5"))
+        self.assertEqual(anew.load.in_flight(site.now), 0)
+        self.assertEqual(anew.memory.cached_tokens(prompt), 0)
+        self.assertEqual(anew.failed_reports, 0)
--- /dev/null
+++ b/tests/test_platform_list.py
@@ -0,0 +1,200 @@
+"""The platform's list and reports, read entry by entry."""
+
+import json
+import unittest
+from unittest import mock
+
+import curio
+from hypothesis import given
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from bronzepoint_common.http import HttpClient, HttpLimits, HttpServer
+from bronzepoint_emulator.deployment import PortBlock
+from bronzepoint_node.placement import (
+    EngineReport,
+    ReportOfOtherStart,
+    ReportUnavailable,
+    ReportUnreadable,
+)
+from bronzepoint_platform import _list
+from bronzepoint_platform._incarnation import incarnation_name, listed_id
+from bronzepoint_platform._list import ListClient
+from bronzepoint_platform._list_page import PageUnreadable, read_page
+from bronzepoint_platform._reports import ReportClient
+from tests._platform_site import StandInTarget
+
+REPORT = {"running": 2, "waiting": 1, "kv_used": 30, "kv_total": 90}
+
+
+def entry(name="i-1", **changes):
+    """Return an entry; a change to None takes the field away."""
+    listed = StandInTarget(name, "10.0.0.1", 80).listed()
+    fields = {**listed, "stage": "both", "models": [{"name": "m"}], **changes}
+    return {key: value for key, value in fields.items() if value is not None}
+
+
+def page(*entries, token=None):
+    """Return a page's bytes; an entry of bytes stands in it as it is."""
+    parts = [e if isinstance(e, bytes) else json.dumps(e).encode() for e in entries]
+    end = b'],"next_token":%s}' % json.dumps(token).encode()
+    return b'{"instances":[' + b",".join(parts) + end
+
+
+def names(found):
+    return [instance.id for instance in found.instances]
+
+
+DAMAGED = (
+    *(entry(**{key: None}) for key in ("id", "service", "address", "zone")),
+    *(entry(**{key: None}) for key in ("slots", "state", "cold_left_ms")),
+    entry(id=7),
+    entry(id=""),
+    entry(address="nowhere"),
+    entry(slots="6"),
+    entry(slots=0),
+    entry(state="resting"),
+    entry(cold_left_ms=-1),
+    entry(born=1.5),
+    entry(born="1"),
+    entry(zone=["x"]),
+    5,
+    None,
+    [],
+    "i-1",
+    b'{"id":"\xff\xfe"}',
+    # no whole value: the page is no document any more
+    b'{"id":"i-1","service":',
+    b"{]",
+    b'{"id":"i-1","slots":\x01}',
+    b"\xff\xff",
+)
+
+
+class TestPages(unittest.TestCase):
+    @params(*DAMAGED)
+    def test_damaged_entry_harms_no_other(self, damaged):
+        """Symptom: after one entry of another writer, targets that have ended still
+        get requests, and new ones get none.
+        Sequence: an entry lacks a field; the page isn't decoded; the list of before
+        stays in force.
+        Cause: a page was decoded at once."""
+        for whole in ([], [entry("i-2")], [entry("i-2"), entry("i-3")]):
+            expected = [e["id"] for e in whole]
+            for at in range(len(whole) + 1):
+                entries = [*whole[:at], damaged, *whole[at:]]
+                found = read_page(page(*entries, token="p-5"))
+                self.assertEqual((names(found), found.next_token), (expected, "p-5"))
+
+    @given(st.lists(st.none() | st.sampled_from(DAMAGED), max_size=8))
+    def test_any_page_gives_exactly_its_whole_entries(self, drawn):
+        entries = [
+            entry(f"i-{number}") if damaged is None else damaged
+            for number, damaged in enumerate(drawn)
+        ]
+        expected = [f"i-{n}" for n, damaged in enumerate(drawn) if damaged is None]
+        self.assertEqual(names(read_page(page(*entries))), expected)
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_give_a_page_or_an_error_that_says_so(self, body):
+        try:
+            found = read_page(body)
+        except PageUnreadable as exc:
+            self.assertTrue(str(exc))
+        else:
+            self.assertEqual(found.instances, [])
+
+    def test_what_is_wrong_is_named(self):
+        (found,) = read_page(page(entry(slots="6"))).unreadable
+        self.assertIn("slots", found.reason)
+        self.assertIn("i-1", found.text)
+
+
+class Answering:
+    """A server that gives the same answer to all."""
+
+    def __init__(self, body, status=200):
+        self.body, self.status = body, status
+        self.ports = PortBlock()
+        self.client = HttpClient(HttpLimits(), 1.0)
+
+    async def __aenter__(self):
+        self.ports.start()
+        self.address = self.ports.address()
+        self.server = HttpServer(self._answer, HttpLimits())
+        await self.server.start(self.address)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.client.close()
+        await self.server.close(0)
+        self.ports.close()
+
+    async def _answer(self, exchange):
+        await exchange.respond(self.status, {}, self.body)
+
+
+class TestListClient(unittest.TestCase):
+    @params(
+        (({"id": "i-1"},), ["i-1"]),
+        (({"id": "i-1", "born": 5},), ["i-1~5"]),
+        # it has crashed and is listed still, beside its new start
+        (({"id": "i-1", "born": 5}, {"id": "i-1", "born": 9}), ["i-1~9"]),
+        (({"id": "i-1", "born": 9}, {"id": "i-1", "born": 5}), ["i-1~9"]),
+        (({"id": "i-1", "born": 5}, {"id": "i-2", "born": 5}), ["i-1~5", "i-2~5"]),
+    )
+    def test_each_start_is_a_target_of_its_own(self, changes, expected):
+        async def main():
+            body = page(*(entry(**change) for change in changes))
+            async with Answering(body) as server:
+                return await ListClient(server.client, server.address).read()
+
+        found = curio.run(main)
+        self.assertEqual([target.incarnation for target in found], expected)
+
+    def test_damaged_entry_is_logged_once(self):
+        async def main():
+            async with Answering(page(entry(state="odd"), entry("i-2"))) as server:
+                reader = ListClient(server.client, server.address)
+                for _ in range(3):
+                    await reader.read()
+
+        with mock.patch.object(_list, "_log") as log:
+            curio.run(main)
+        (call,) = log.warning.call_args_list
+        self.assertIn("state", call.kwargs["reason"])
+
+    @params(("i-1", None), ("i-1", 0), ("i~1", 1767225600000))
+    def test_requests_name_the_listed_id(self, name, born):
+        self.assertEqual(listed_id(incarnation_name(name, born)), name)
+
+
+class TestReports(unittest.TestCase):
+    @params(
+        ("i-1~5", {**REPORT, "born": 5}, EngineReport(2, 1, 30, 90)),
+        ("i-1", {**REPORT, "born": 5}, EngineReport(2, 1, 30, 90)),
+        ("i-1~5", REPORT, EngineReport(2, 1, 30, 90)),
+        ("i-1~5", {**REPORT, "born": 6}, ReportOfOtherStart),
+        ("i-1~5", {**REPORT, "born": "5"}, ReportUnreadable),
+        ("i-1~5", {**REPORT, "running": None}, ReportUnreadable),
+        ("i-1~5", {"running": 1}, ReportUnreadable),
+        ("i-1~5", [], ReportUnreadable),
+    )
+    def test_of_which_start(self, incarnation, body, expected):
+        found = self._read(incarnation, json.dumps(body).encode(), 200)
+        self.assertEqual(found, expected)
+
+    @params(503, 404)
+    def test_refused_question(self, status):
+        self.assertEqual(self._read("i-1", b"{}", status), ReportUnavailable)
+
+    def _read(self, incarnation, body, status):
+        async def main():
+            async with Answering(body, status) as server:
+                reports = ReportClient(server.client)
+                return await reports.read(server.address, incarnation)
+
+        try:
+            return curio.run(main)
+        except (ReportUnavailable, ReportUnreadable, ReportOfOtherStart) as exc:
+            return type(exc)
