Tell other regions no room at cold, ejected and silent targets

Ruled out: the slots told late (they were 0.3 s old), and the estimate of what was sent since. Change: what is told to other regions leaves out targets that are cold, ejected or silent. Test: test_placement_placer, TestWhatOtherRegionsAreTold, fails in two rows before.

--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -118,10 +118,26 @@
         """Return how busy this region's targets are, for the other regions."""
         services = dict.fromkeys(t.info.service for t in self._table.all())
         return [
-            self._region_load(service, self._usable(service, now), now)
+            self._region_load(service, self._open_to_others(service, now), now)
             for service in services
         ]
 
+    def _open_to_others(self, service: str, now: float) -> list[Tracked]:
+        """Return the targets whose room other regions may count on.
+
+        A cold target stands two or three requests a second, which its own region's
+        callers use up. Told with all its slots, it drew hundreds of forwarded requests
+        a second that were each refused after a trip, while they could have waited at
+        home.
+        """
+        return [
+            tracked
+            for tracked in self._usable(service, now)
+            if now >= tracked.cold_until
+            and not is_ejected(tracked)
+            and not is_silent(tracked, now)
+        ]
+
     def _region_load(
         self, service: str, targets: list[Tracked], now: float
     ) -> RegionLoad:
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -307,3 +307,26 @@
         self.assertEqual(anew.load.in_flight(site.now), 0)
         self.assertEqual(anew.memory.cached_tokens(prompt), 0)
         self.assertEqual(anew.failed_reports, 0)
+
+
+class TestWhatOtherRegionsAreTold(unittest.TestCase):
+    @params(
+        ({}, 2),
+        ({"cold_ms": 3000}, 1),
+    )
+    def test_cold_targets_are_no_room_for_others(self, changes, targets):
+        """Symptom: hundreds of requests a second are forwarded to a region that
+        refuses each of them, and come back late to hosts whose line they then join.
+        Sequence: the region's engines come back cold; a cold one may be sent one
+        request just now; it counts with its 64 slots.
+        Cause: what may be sent to now was told as room."""
+        site = Site(info("t1"), info("t2", **changes))
+        (load,) = site.placer.region_loads(site.now)
+        self.assertEqual(load.slots, 64 * targets)
+
+    def test_silent_and_ejected_targets_are_no_room_for_others(self):
+        site = Site(info("t1"), info("t2"), info("t3"), info("t4"))
+        site.table.get("t1").told_silent = True
+        site.table.get("t2").health.eject(site.now)
+        (load,) = site.placer.region_loads(site.now)
+        self.assertEqual(load.slots, 2 * 64)
