Fetch shared parts from the target that keeps them instead of reading them again

Ruled out: more affinity (the weight of reading again is at 4 s already): a keeper that is full sends its prompts elsewhere, and an engine that comes back cold keeps nothing. Change: where a target of the region keeps more of a prompt than the chosen one, and copying takes less time than reading by the catalogue's bytes and link, the chosen one is told to fetch from it; what is fetched doesn't count as reading. Placement doesn't count on the fetch yet.

--- a/packages/node/src/bronzepoint_node/fleet/_served.py
+++ b/packages/node/src/bronzepoint_node/fleet/_served.py
@@ -1,5 +1,6 @@
 """What is served: the routes and services of one catalogue document."""
 
+import math
 from enum import Enum
 
 from msgspec import Struct
@@ -69,6 +70,8 @@
         backups: A run's memory may be copied to another engine as it grows.
         moves: A run may be moved to another engine.
         event_watchers: Calls for cache events that one engine keeps waiting.
+        token_bytes: Bytes of memory that one token takes up; 0: not said.
+        link_bytes: Bytes a second between two engines; 0: not said.
     """
 
     slots: int
@@ -76,6 +79,15 @@
     backups: bool = False
     moves: bool = False
     event_watchers: int = 0
+    token_bytes: float = 0.0
+    link_bytes: float = 0.0
+
+    @property
+    def seconds_to_copy(self) -> float:
+        """Return the seconds to copy a token to another engine; inf: not said."""
+        if self.token_bytes <= 0 or self.link_bytes <= 0:
+            return math.inf
+        return self.token_bytes / self.link_bytes
 
 
 class ServedService(Struct, frozen=True):
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -23,11 +23,13 @@
 
     Attributes:
         delay: Seconds until its first answer, as expected.
+        fetch_from: Target that keeps more of the prompt; None: none is asked for it.
     """
 
     target: Tracked
     reason: str
     delay: float = 0.0
+    fetch_from: Tracked | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -22,6 +22,7 @@
 from ._ask import PlacementAsk, service_of
 from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
 from ._cold_gate import ColdGate
+from ._fetch_source import fetch_source
 from ._other_regions import OtherRegions
 from ._prompt import Prompt
 from ._speeds import Speeds
@@ -176,7 +177,11 @@
         if choice.target is None:
             return None
         tracked = targets[choice.target.name]
-        return AtHome(tracked, choice.reason, choice.expected)
+        source = None
+        if ask.prompt is not None:
+            rate = self.speeds.rate(service).tokens_per_second
+            source = fetch_source(tracked, usable, ask.prompt, rate, now)
+        return AtHome(tracked, choice.reason, choice.expected, source)
 
     def _usable(self, service: str, now: float) -> list[Tracked]:
         """Return targets that may be sent to, the cold ones only where allowed."""
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -97,12 +97,30 @@
         unknown = max(0, self.report.used_tokens - self.tokens_at_report)
         return (self.report.total_tokens or self.engine.memory_tokens) - known - unknown
 
-    def begin(self, run_id: str, prompt: Prompt | None, rank: int, now: float) -> int:
-        """Count a request that is sent there; return its uncached tokens."""
+    def begin(
+        self,
+        run_id: str,
+        prompt: Prompt | None,
+        rank: int,
+        now: float,
+        source: "Tracked | None" = None,
+    ) -> int:
+        """Count a request that is sent there; return the tokens that are read for it.
+
+        Args:
+            run_id: Name of this try.
+            prompt: Its prompt; None: it has none.
+            rank: How urgent it is.
+            now: Monotonic seconds.
+            source: Target from which cached parts are fetched.
+        """
         uncached = tokens = 0
         if prompt is not None:
             tokens = prompt.memory_tokens
-            uncached = prompt.tokens - self.memory.cached_tokens(prompt)
+            keepers = [self] if source is None else [self, source]
+            uncached = prompt.tokens - max(
+                keeper.memory.cached_tokens(prompt) for keeper in keepers
+            )
             self.memory.note_used(prompt)
             self.parts_sent.update({p.name: p.tokens for p in prompt.parts[:-1]})
         self.load.begin(run_id, OwnRun(tokens, uncached, rank, now))
--- a/packages/node/src/bronzepoint_node/relay/__init__.py
+++ b/packages/node/src/bronzepoint_node/relay/__init__.py
@@ -1,6 +1,6 @@
 """Requests passed on as they came: from the caller to a target, and the answer back."""
 
-from ._codec import CallerHead, Codec, TargetVerdict
+from ._codec import CallerHead, Codec, Copies, TargetVerdict
 from ._events import EventSplitter
 from ._final_answers import FinalAnswers
 from ._relay import Relay
@@ -9,6 +9,7 @@
 __all__ = [
     "CallerHead",
     "Codec",
+    "Copies",
     "EventSplitter",
     "FinalAnswers",
     "Relay",
--- a/packages/node/src/bronzepoint_node/relay/_codec.py
+++ b/packages/node/src/bronzepoint_node/relay/_codec.py
@@ -38,6 +38,16 @@
     OTHER_REQUEST = "other_request"
 
 
+class Copies(Struct, frozen=True):
+    """What a target is to copy from or to others for one request.
+
+    Attributes:
+        fetch_from: Address of a target that keeps more of the prompt; empty: none.
+    """
+
+    fetch_from: str = ""
+
+
 class Codec(Protocol):
     """Translates heads; see the platform's adapter."""
 
@@ -51,6 +61,7 @@
         incarnation: str,
         priority: int | None,
         last_event: str | None,
+        copies: Copies | None = None,
     ) -> dict[str, str]:
         """Return the headers of the request for a target.
 
@@ -60,6 +71,7 @@
             incarnation: The only start of the target that may run it; empty: any.
             priority: Rank at the target; None: left out.
             last_event: Event after which the stream goes on.
+            copies: What the target is to copy; None: nothing.
         """
 
     def judge(
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -19,7 +19,7 @@
 from bronzepoint_schema.ids import RegionName
 
 from ._call import RUNS_HEADER, Answered, Call, MayHaveRun, NotRun, TryOutcome
-from ._codec import Codec
+from ._codec import Codec, Copies
 from ._try import FORWARDED_HEADER, Destination, Try
 
 PATIENCE = 1.0
@@ -131,7 +131,8 @@
         rank = call.route.priority
         rate = self._placer.speeds.rate(service)
         before = target.load.tokens_before(rank, rate.tokens_per_second, now)
-        uncached = target.begin(run_id, call.head.prompt, rank, now)
+        source = placement.fetch_from
+        uncached = target.begin(run_id, call.head.prompt, rank, now, source)
 
         def started() -> None:
             run = target.load.runs.get(run_id)
@@ -149,6 +150,7 @@
             name,
             call.route.priority,
             call.events.last_id,
+            Copies(fetch_from=source.info.address if source else ""),
         )
         where = Destination(
             target.info.address,
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -12,7 +12,7 @@
 from bronzepoint_common.http import BadRequest, Request
 from bronzepoint_node.fleet import RouteKind
 from bronzepoint_node.placement import PromptPart
-from bronzepoint_node.relay import TargetVerdict
+from bronzepoint_node.relay import Copies, TargetVerdict
 from bronzepoint_platform._codec import PlatformCodec
 from bronzepoint_platform._manifest import ManifestInvalid, read_manifest
 from bronzepoint_platform._settings import SettingsUnreadable, read_settings
@@ -123,3 +123,16 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TestCopies(unittest.TestCase):
+    @params(
+        (None, {}),
+        (Copies(), {}),
+        (Copies(fetch_from="10.0.0.2:80"), {"kv-fetch": "10.0.0.2:80"}),
+    )
+    def test_only_the_system_says_what_is_copied(self, copies, expected):
+        caller = head(kv_fetch="10.9.9.9:1", kv_from="10.9.9.9:1/x")
+        headers = CODEC.target_headers(caller, 1.0, "i-1", 0, None, copies)
+        found = {k: v for k, v in headers.items() if k.startswith("kv-")}
+        self.assertEqual(found, expected)
