Add up where requests are lost from the logs, and write down what binds

Change: a request's line names its objective, longest allowed pause and rank; tools/lost_worth.py classes the lines by cause, kind and second of arrival.

--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -123,6 +123,9 @@
             seconds=round(now - call.arrived, 3),
             first_event=round(first, 3) if first is not None else None,
             gap=round(call.longest_gap, 3),
+            objective=call.route.objective,
+            max_gap=call.route.max_gap,
+            rank=call.route.priority,
             left=round(call.left, 3),
             list_age=round(now - self._follower.targets_read_at, 2),
         )
--- /dev/null
+++ b/tools/lost_worth.py
@@ -0,0 +1,73 @@
+"""Adds up where requests were lost or late, from the logs that a run prints.
+
+    python tools/lost_worth.py LOG [LOG…]
+
+A log is what the bench prints with `--log`, or the standard output of entry hosts. Each
+request counts once, at the host that its caller asked, under the first cause that fits.
+"""
+
+import json
+import re
+import sys
+from collections import Counter
+from collections.abc import Iterator
+
+PLAIN = "-"
+"""Kind of requests that are no streams: they have no longest pause."""
+WINDOW = 4.0
+"""Seconds of a day that one column of the second table covers."""
+LINE = re.compile(r"^\s*(-?[\d.]+)?\s*(\S+ )?(\{.*\})\s*$")
+
+
+def lines(path: str) -> Iterator[tuple[float, dict]]:
+    """Return the lines that tell a request's end, with the time of the run."""
+    with open(path) as file:
+        for text in file:
+            match = LINE.match(text)
+            if match is None or '"message":"request"' not in text:
+                continue
+            yield float(match[1] or 0.0), json.loads(match[3])
+
+
+def cause(line: dict) -> str:
+    """Return why a request was not answered whole and in time; empty: it was."""
+    outcome, first = line["outcome"], line["first_event"]
+    if not outcome.startswith("answered"):
+        tries = line["tries"]
+        last = tries[-1].rpartition(" -> ")[2] if tries else "untried"
+        if outcome.startswith("refused"):
+            return outcome
+        return f"{outcome}, {last if ' ' not in last else 'at work'}"
+    if outcome not in ("answered", "answered_200"):
+        return outcome
+    if (first if first is not None else line["seconds"]) > line["objective"]:
+        return "late: first answer"
+    if line["max_gap"] and line["gap"] > line["max_gap"]:
+        return "late: pause"
+    return ""
+
+
+def main() -> None:
+    """Print both tables."""
+    kinds: dict[str, Counter] = {}
+    windows: dict[str, Counter] = {}
+    for path in sys.argv[1:]:
+        for at, line in lines(path):
+            if line["forwarded"]:
+                continue
+            kind = f"rank {line['rank']}" if line["max_gap"] else PLAIN
+            why = cause(line)
+            kinds.setdefault(why, Counter())[kind] += 1
+            begun = int((at - line["seconds"]) // WINDOW * WINDOW)
+            windows.setdefault(why, Counter())[begun] += 1
+    for title, table in (("by kind", kinds), ("by second of arrival", windows)):
+        columns = sorted({column for row in table.values() for column in row})
+        print(f"{title:40}", *(f"{column!s:>7}" for column in columns), "    all")
+        for why, row in sorted(table.items(), key=lambda item: -item[1].total()):
+            cells = (f"{row[column]:7}" for column in columns)
+            print(f"{why or 'in time':40}", *cells, f"{row.total():7}")
+        print()
+
+
+if __name__ == "__main__":
+    main()
