Try copies of running streams, pauses spared by placement, and streams that can't end

Also here, not measured yet: at a start entry hosts ask several hosts of the core at once, and the first connection to a host is tried for 0.4 s, not 2 s.

--- a/packages/common/src/bronzepoint_common/peers/_outbox.py
+++ b/packages/common/src/bronzepoint_common/peers/_outbox.py
@@ -12,6 +12,10 @@
 
 _QUEUED_FRAMES = 128
 """Frames kept for a peer that is slow or away; beyond it the oldest are dropped."""
+_CONNECT_FIRST = 0.4
+"""Seconds for the first connection: two of the longest trips there and back. A host
+without power drops the opening packet, and the kernel sends it again after a second:
+when all hosts start together, that second passed before they could elect a leader."""
 _CONNECT_TIMEOUT = 2.0
 _RETRY_MIN = 0.05
 _RETRY_MAX = 1.0
@@ -79,15 +83,16 @@
             await self._task.cancel()
 
     async def _run(self) -> None:
-        delay = _RETRY_MIN
+        delay, patience = _RETRY_MIN, _CONNECT_FIRST
         while not self._closed:
             if not self._has_waiting():
                 self._wanted.clear()
                 await self._wanted.wait()
                 continue
-            sock = await connect(self.address, _CONNECT_TIMEOUT)
+            sock = await connect(self.address, patience)
+            patience = min(2 * patience, _CONNECT_TIMEOUT)
             if sock is not None:
-                delay = _RETRY_MIN
+                delay, patience = _RETRY_MIN, _CONNECT_FIRST
                 await self._use(sock)
             await curio.sleep(delay)
             delay = min(2 * delay, _RETRY_MAX)
--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -26,6 +26,14 @@
 """Seconds between two questions; a change is in force within 4 s on every host."""
 SYNC_TIMEOUT = 0.7
 """Seconds to wait for a host of the core: four of the longest trips there and back."""
+START_ASKED = 3
+"""Hosts of the core that are asked at the same time while no catalogue is known,"""
+START_PAUSE = 0.1
+"""seconds between two such rounds,"""
+START_TIMEOUT = 0.4
+"""and seconds to wait for them. After a kill of everything some of the core are not up
+yet and others have no leader: asked one after another with the usual patience, the
+entry hosts served 0.3 to 0.8 s after the core could have answered."""
 SECOND_INTERVAL = 0.6
 """Seconds between two questions to some other host of the core. While the core is cut
 in two, its halves hear nothing of each other, but entry hosts reach both."""
@@ -114,14 +122,26 @@
         """Entry hosts only ask; what comes unasked is for hosts of the core."""
 
     async def _run(self) -> None:
+        while self.catalogue is None or self.targets is None:
+            await self._ask_several()
+        # Who didn't answer in time then may do so now.
+        self._avoided_until.clear()
         while True:
             began = monotonic()
             answered = await self._ask(self._choose())
             spent = monotonic() - began
-            known = answered and self.catalogue is not None
-            pause = SYNC_INTERVAL if known else SYNC_INTERVAL / 4
+            pause = SYNC_INTERVAL if answered else SYNC_INTERVAL / 4
             await curio.sleep(max(0.05, pause - spent))
 
+    async def _ask_several(self) -> None:
+        """Ask a few hosts of the core at once, as this host knows nothing yet."""
+        core = {host.name for host in self.registry.core()} | set(self._seeds)
+        asked = random.sample(sorted(core), min(START_ASKED, len(core)))
+        async with curio.TaskGroup() as group:
+            for name in asked:
+                await group.spawn(self._ask, name, START_TIMEOUT)
+            await group.spawn(curio.sleep, START_PAUSE)
+
     async def _ask_others(self) -> None:
         while True:
             await curio.sleep(SECOND_INTERVAL + SECOND_BY_HOST * self.entry_hosts)
@@ -145,7 +165,7 @@
             self._current = random.choice(names)
         return self._current
 
-    async def _ask(self, core: HostName) -> bool:
+    async def _ask(self, core: HostName, timeout: float = SYNC_TIMEOUT) -> bool:
         request = SyncRequest(
             host=self._describe(),
             document_version=self.catalogue.version if self.catalogue else -1,
@@ -154,7 +174,7 @@
             loads=self._own_loads(),
         )
         try:
-            reply = await self._peers.call(core, Area.FLEET, request, SYNC_TIMEOUT)
+            reply = await self._peers.call(core, Area.FLEET, request, timeout)
         except PeerError as exc:
             self._avoid(core, HOME_RETRY)
             _log.warning("core host lost", core=core, reason=str(exc))
--- a/packages/node/src/bronzepoint_node/fleet/_served.py
+++ b/packages/node/src/bronzepoint_node/fleet/_served.py
@@ -70,6 +70,7 @@
         backups: A run's memory may be copied to another engine as it grows.
         moves: A run may be moved to another engine.
         event_watchers: Calls for cache events that one engine keeps waiting.
+        event_tokens: Tokens in one event of a stream; 0: not said.
         token_bytes: Bytes of memory that one token takes up; 0: not said.
         link_bytes: Bytes a second between two engines; 0: not said.
     """
@@ -79,6 +80,7 @@
     backups: bool = False
     moves: bool = False
     event_watchers: int = 0
+    event_tokens: int = 0
     token_bytes: float = 0.0
     link_bytes: float = 0.0
 
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -1,5 +1,6 @@
 """Home or away, and at which target: the choice for one request."""
 
+import math
 import random
 
 from bronzepoint_node.fleet import Registry
@@ -22,6 +23,7 @@
 from ._ask import PlacementAsk, service_of
 from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
 from ._cold_gate import ColdGate
+from ._copy_policy import CopyPolicy
 from ._fetch_source import fetch_source
 from ._other_regions import OtherRegions
 from ._prompt import Prompt
@@ -43,6 +45,18 @@
 TRIAL_INTERVAL = 1.0
 """Seconds between two requests of one host to a target that is silent: without any, a
 target that nobody asks for reports would never be heard again."""
+TIME_USED = 1.6
+"""Part of the time left that a stream may be expected to take."""
+PACE_WAIT = 1.0
+"""Seconds after which a caller comes back where all targets write too slowly: so long
+takes the reading of the longest prompts, and the pace remembers little more."""
+LONG_PROMPT = 2500
+"""Tokens to read from which on a prompt makes a pause that streams feel: 30 to 65 ms of
+reading on the engines of today, seven times in an event."""
+PAUSE_SHARE = 0.95
+"""Part of the longest allowed pause at which an engine's pauses count as too long."""
+DISTURBED_STREAM = 0.1
+"""Seconds of delay that a request accepts for each stream that it would make late."""
 LAST_RANK = 9
 """Rank of a request before which everything goes."""
 
@@ -59,6 +73,7 @@
 
     Attributes:
         speeds: How long requests take.
+        copies: Which runs are copied as they grow.
         regions: The other regions.
     """
 
@@ -75,6 +90,7 @@
         self._cold = cold
         self._rng = rng
         self.speeds = Speeds()
+        self.copies = CopyPolicy()
         self.regions = OtherRegions(region, registry, self.speeds, rng)
 
     def place(self, ask: PlacementAsk, now: float) -> Placement:
@@ -82,13 +98,15 @@
         service = service_of(ask.route, ask.request_id)
         request = self._request_view(ask)
         usable = self._usable(service, now)
-        home = self._at_home(ask, service, request, usable, now)
+        in_time = [t for t in usable if self._ends_in_time(t, ask, now)]
+        home = self._at_home(ask, service, request, in_time, now)
+        late = bool(usable) and not in_time
         if ask.forwarded:
-            return home or self._no_room(service)
+            return home or self._reject(service, late)
         terms = self.regions.fresh_terms(ask, service, request, now)
         away = self.regions.best(ask, service, request, terms, now)
         if away is None:
-            return home or self._no_room(service)
+            return home or self._reject(service, late)
         if home is None:
             return away
         keeper = self._keeper(ask, service, home, usable, terms)
@@ -142,7 +160,7 @@
     def _region_load(
         self, service: str, targets: list[Tracked], now: float
     ) -> RegionLoad:
-        views = [self._view(t, None, LAST_RANK, now) for t in targets]
+        views = [self._view(t, None, LAST_RANK, 0.0, now) for t in targets]
         running = sum(max(v.in_flight, v.running + v.waiting) for v in views)
         slots = sum(v.slots for v in views)
         hold = self.speeds.times(service).hold
@@ -164,7 +182,10 @@
         self._table.let_return(service, now)
         targets = {t.info.incarnation: t for t in usable}
         rank = ask.route.priority
-        views = [self._view(t, ask.prompt, rank, now) for t in targets.values()]
+        max_gap = ask.route.max_gap
+        views = [
+            self._view(t, ask.prompt, rank, max_gap, now) for t in targets.values()
+        ]
         choice = choose_target(
             request,
             views,
@@ -181,7 +202,23 @@
         if ask.prompt is not None:
             rate = self.speeds.rate(service).tokens_per_second
             source = fetch_source(tracked, usable, ask.prompt, rate, now)
-        return AtHome(tracked, choice.reason, choice.expected, source)
+        backup = self.copies.backup_target(ask.route, ask.prompt, tracked, usable, now)
+        return AtHome(tracked, choice.reason, choice.expected, source, backup)
+
+    def go_on(
+        self, ask: PlacementAsk, target: Tracked, source: str, now: float
+    ) -> AtHome:
+        """Return the place of a run that goes on from a copy of its memory.
+
+        Args:
+            ask: Its request.
+            target: Target that holds the copy.
+            source: Name of the copy.
+            now: Monotonic seconds.
+        """
+        usable = self._usable(service_of(ask.route, ask.request_id), now)
+        backup = self.copies.backup_target(ask.route, ask.prompt, target, usable, now)
+        return AtHome(target, "goes on from its copy", 0.0, None, backup, source)
 
     def _usable(self, service: str, now: float) -> list[Tracked]:
         """Return targets that may be sent to, the cold ones only where allowed."""
@@ -202,7 +239,12 @@
         ]
 
     def _view(
-        self, tracked: Tracked, prompt: Prompt | None, rank: int, now: float
+        self,
+        tracked: Tracked,
+        prompt: Prompt | None,
+        rank: int,
+        max_gap: float,
+        now: float,
     ) -> TargetView:
         report = tracked.report
         cached = tracked.memory.cached_tokens(prompt) if prompt else 0
@@ -222,8 +264,29 @@
             cached_tokens=cached,
             free_tokens=tracked.free_tokens(now),
             backlog=before / rate,
+            disturbance=self._disturbance(tracked, prompt, cached, max_gap, now),
         )
 
+    def _disturbance(
+        self,
+        tracked: Tracked,
+        prompt: Prompt | None,
+        cached: int,
+        max_gap: float,
+        now: float,
+    ) -> float:
+        """Return what the streams at a target lose while it reads a prompt.
+
+        A slow engine pauses longer between two events than streams may, while it reads
+        a long prompt, and a fast one doesn't: on a bad day half of the streams of the
+        slowest engine of each region were late by that alone.
+        """
+        if prompt is None or not max_gap or prompt.tokens - cached < LONG_PROMPT:
+            return 0.0
+        if tracked.pace.longest_pause(now) < PAUSE_SHARE * max_gap:
+            return 0.0
+        return DISTURBED_STREAM * tracked.load.in_flight(now)
+
     def _request_view(self, ask: PlacementAsk) -> RequestView:
         prompt = ask.prompt
         key = prompt.shared_key if prompt else ""
@@ -241,8 +304,35 @@
             prefix_hashes=[key] if key else [],
             tried=[TargetName(name) for name in ask.tried],
             memory_tokens=prompt.memory_tokens if prompt else 0,
+            copy_seconds=self._copy_seconds(service_of(ask.route, ask.request_id)),
         )
 
+    def _copy_seconds(self, service: str) -> float:
+        known = self._table.service(service)
+        if known is None or known.engine is None:
+            return math.inf
+        return known.engine.seconds_to_copy
+
+    def _ends_in_time(self, target: Tracked, ask: PlacementAsk, now: float) -> bool:
+        """Tell whether a stream that begins at a target now ends by its deadline.
+
+        One that doesn't is lost with all that was read and written for it, and slows
+        down the others, which then run into their own deadlines.
+        """
+        prompt, engine = ask.prompt, target.engine
+        if prompt is None or engine is None or not engine.event_tokens:
+            return True
+        tokens = prompt.expected_output or prompt.max_output
+        events = tokens / engine.event_tokens
+        return events * target.pace.seconds_per_event(now) < TIME_USED * ask.left
+
+    def _reject(self, service: str, late: bool) -> Rejected:
+        """Return a refusal; ``late``: every target writes too slowly just now."""
+        if late:
+            wait = PACE_WAIT * self._rng.uniform(0.7, 1.5)
+            return Rejected(RejectReason.NO_TIME, wait)
+        return self._no_room(service)
+
     def _no_room(self, service: str) -> Rejected:
         hold = self.speeds.times(service).hold
         wait = min(3.0, max(0.3, hold / 2))
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -13,6 +13,7 @@
 from bronzepoint_schema.ids import DataCenterName
 
 from ._engine_load import EngineLoad, OwnRun
+from ._pace import Pace
 from ._part_memory import PartMemory
 from ._prompt import Prompt
 
@@ -49,6 +50,7 @@
         info: What the list says.
         cold_until: Until when it is cold, by the own clock.
         load: What all hosts have in progress there.
+        pace: How fast it writes.
         parts_sent: Shared parts that this host sent there since its last notice.
         report: What it said last; None: nothing yet.
         report_at: When that was asked.
@@ -69,6 +71,7 @@
     health: Health
     cold_until: float = 0.0
     load: EngineLoad = field(default_factory=EngineLoad)
+    pace: Pace = field(default_factory=Pace)
     parts_sent: dict[str, int] = field(default_factory=dict)
     report: EngineReport | None = None
     report_at: float = float("-inf")
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -27,6 +27,9 @@
 """Block whose hash says where a prefix belongs; what follows is the request's own."""
 _BUSY_SHARE = 0.25
 """Share of the hold time that a full target is taken to cost over an idle one."""
+_FETCH_PRICE = 0.2
+"""Price of copying a token against that of reading it: a fifth to a sixth on all of the
+users' sites."""
 _NEAR = 0.05
 """Scores this near, as a share of the hold time, differ by less than is known."""
 
@@ -40,6 +43,7 @@
         first_token: from the start to the first token, cold tokens included.
         busy: what company in the batch is estimated to cost.
         reread: what is lost where it reads again what another target keeps.
+        disturbance: what the streams lose that pause while its prompt is read.
         cost: of the slot, in the operator's unit.
     """
 
@@ -48,6 +52,7 @@
     first_token: float
     busy: float
     reread: float
+    disturbance: float
     cost: float
 
     def delay(self) -> float:
@@ -62,7 +67,8 @@
 
     def score(self, request: RequestView) -> float:
         """Return the loss of this request and of others; lower is better."""
-        return self.loss(request) + request.latency_weight * self.reread
+        others = self.reread + self.disturbance
+        return self.loss(request) + request.latency_weight * others
 
     def detail(self) -> str:
         """Return the terms for the decision record."""
@@ -144,8 +150,12 @@
     """
     slowness = times.slowness(view.name, now)
     cached = credited_cache(view, load, mean_load, request)
+    fetched, fetching = 0, 0.0
+    if request.copy_seconds < times.per_token:
+        fetched = max(0, most_cached - cached)
+        fetching = fetched * request.copy_seconds
     within_bound = load <= _affinity_bound(view, mean_load)
-    uncached = request.prompt_tokens - cached
+    uncached = request.prompt_tokens - cached - fetched
     if first_choice and within_bound:
         uncached *= 1 - _FIRST_CHOICE_CREDIT
     elif not first_choice:
@@ -155,9 +165,12 @@
     return TargetTerms(
         load=load,
         wait=over * hold / view.slots + view.backlog * slowness,
-        first_token=times.first_token(uncached, slowness),
+        first_token=fetching + times.first_token(uncached, slowness),
         busy=_BUSY_SHARE * hold * load / view.slots,
-        reread=request.reread_weight * times.per_token * (most_cached - cached),
+        reread=request.reread_weight
+        * times.per_token
+        * (_FETCH_PRICE * fetched + max(0, most_cached - cached - fetched)),
+        disturbance=view.disturbance,
         cost=view.cost * hold,
     )
 
--- a/packages/node/src/bronzepoint_node/policy/_inputs.py
+++ b/packages/node/src/bronzepoint_node/policy/_inputs.py
@@ -38,6 +38,8 @@
             target comes back from ejection.
         free_tokens: memory that running requests leave, in tokens.
         backlog: seconds of prompts that are read there before a new one.
+        disturbance: seconds of delay accepted to spare what runs there the pauses that
+            reading this request's prompt brings.
     """
 
     name: TargetName
@@ -55,6 +57,7 @@
     allowed: int | None = None
     free_tokens: float = math.inf
     backlog: float = 0.0
+    disturbance: float = 0.0
 
 
 class RegionView(Struct):
@@ -101,6 +104,8 @@
             at all.
         tried: targets that were tried already.
         memory_tokens: memory of an engine that it takes up at most.
+        copy_seconds: seconds to copy a cached token from one target to another; inf:
+            targets don't copy.
         tried_regions: regions that refused it already.
     """
 
@@ -123,4 +128,5 @@
     forwarded: bool = False
     tried: list[TargetName] = field(default_factory=list)
     memory_tokens: int = 0
+    copy_seconds: float = math.inf
     tried_regions: list[RegionName] = field(default_factory=list)
--- a/packages/node/src/bronzepoint_node/relay/_events.py
+++ b/packages/node/src/bronzepoint_node/relay/_events.py
@@ -14,10 +14,12 @@
 
     Attributes:
         last_id: Id of the newest event that was given on; None: none yet.
+        count: Whole events that were given on.
     """
 
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
+        self.count = 0
         self._rest = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -26,6 +28,7 @@
         end = 0
         for match in _END.finditer(self._rest):
             end = match.end()
+            self.count += 1
         whole, self._rest = self._rest[:end], self._rest[end:]
         for match in _ID.finditer(whole):
             self.last_id = match.group(1).decode("latin-1").strip()
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -50,16 +50,21 @@
         client: Connections to targets and hosts.
         codec: Words of callers and targets.
         call: The request.
-        started: Called at the first event or the head of the answer.
+        progressed: Called with the number of events that have come and the seconds
+            since the one before; with none at the end of an answer without events.
     """
 
     def __init__(
-        self, client: HttpClient, codec: Codec, call: Call, started: Callable[[], None]
+        self,
+        client: HttpClient,
+        codec: Codec,
+        call: Call,
+        progressed: Callable[[int, float], None],
     ) -> None:
         self._client = client
         self._codec = codec
         self._call = call
-        self._started = started
+        self._progressed = progressed
 
     async def run(self, where: Destination) -> TryOutcome:
         """Return how the try ended; raises Disconnected where the caller left."""
@@ -109,7 +114,7 @@
         if call.route.kind is RouteKind.STREAM and answer.status // 100 == 2:
             return await self._pass_on(answer)
         parts = [piece async for piece in answer.chunks()]
-        self._started()
+        self._progressed(0, 0.0)
         headers = self._codec.answer_headers(answer.headers)
         return Answered(answer.status, headers, b"".join(parts))
 
@@ -119,12 +124,16 @@
         exchange = call.exchange
         call.events.restart()
         headers = self._codec.answer_headers(answer.headers)
+        last = monotonic()
         async for piece in answer.chunks():
+            before = call.events.count
             events = call.events.feed(piece)
             if not events:
                 continue
-            call.note_events(monotonic())
-            self._started()
+            now = monotonic()
+            call.note_events(now)
+            self._progressed(call.events.count - before, now - last)
+            last = now
             if not exchange.started:
                 await exchange.start_stream(answer.status, headers)
             await exchange.send(events)
