Take back copies of running streams and pauses spared by placement

Change: both go, with their modules; fetches, placement that counts on them, the pace rule (at 1.6 times the time left) and the start stay. Conclusion: reverted. A copy in another region would need a request that goes on there.

--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -3,7 +3,6 @@
 from ._ask import PlacementAsk, service_of
 from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
 from ._cold_gate import ColdGate
-from ._copy_policy import CopyPolicy
 from ._load_exchange import LoadExchange
 from ._placer import Placer
 from ._prober import (
@@ -14,12 +13,11 @@
 )
 from ._prompt import Prompt, PromptPart
 from ._retry_allowance import RetryAllowance
-from ._target_table import EngineReport, TargetTable, Tracked, is_silent
+from ._target_table import EngineReport, TargetTable, is_silent
 
 __all__ = [
     "AtHome",
     "ColdGate",
-    "CopyPolicy",
     "Elsewhere",
     "EngineReport",
     "LoadExchange",
@@ -36,7 +34,6 @@
     "ReportUnreadable",
     "RetryAllowance",
     "TargetTable",
-    "Tracked",
     "is_silent",
     "service_of",
 ]
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -25,16 +25,12 @@
     Attributes:
         delay: Seconds until its first answer, as expected.
         fetch_from: Target that keeps more of the prompt; None: none is asked for it.
-        backup: Target that gets a copy of the run; None: none does.
-        go_on_from: Name of the memory that the run goes on from; empty: it begins.
     """
 
     target: Tracked
     reason: str
     delay: float = 0.0
     fetch_from: Tracked | None = None
-    backup: Tracked | None = None
-    go_on_from: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_pace.py
+++ b/packages/node/src/bronzepoint_node/placement/_pace.py
@@ -5,9 +5,6 @@
 MEMORY = 1.5
 """Seconds after which what was seen weighs a third: a prompt of 50,000 tokens is read
 in about one, and writing slows down four times meanwhile."""
-PAUSE_MEMORY = 20.0
-"""Seconds after which the longest pause counts a third: how long an engine pauses is a
-matter of its speed, but it may become faster, and its prompts shorter."""
 LEAST_EVENTS = 20.0
 """Events that must have been seen lately for the pace to say anything."""
 
@@ -24,20 +21,12 @@
         self._events = 0.0
         self._seconds = 0.0
         self._at = 0.0
-        self._pause = 0.0
-        self._pause_at = 0.0
 
     def note(self, events: int, seconds: float, now: float) -> None:
         """Count events of one stream that took so long since the one before."""
         self._fade(now)
         self._events += events
         self._seconds += seconds
-        if seconds > self.longest_pause(now):
-            self._pause, self._pause_at = seconds, now
-
-    def longest_pause(self, now: float) -> float:
-        """Return the longest time between two events seen lately, as it fades."""
-        return self._pause * math.exp(-(now - self._pause_at) / PAUSE_MEMORY)
 
     def seconds_per_event(self, now: float) -> float:
         """Return the mean time of an event; 0: not known."""
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -23,7 +23,6 @@
 from ._ask import PlacementAsk, service_of
 from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
 from ._cold_gate import ColdGate
-from ._copy_policy import CopyPolicy
 from ._fetch_source import fetch_source
 from ._other_regions import OtherRegions
 from ._prompt import Prompt
@@ -50,13 +49,6 @@
 PACE_WAIT = 1.0
 """Seconds after which a caller comes back where all targets write too slowly: so long
 takes the reading of the longest prompts, and the pace remembers little more."""
-LONG_PROMPT = 2500
-"""Tokens to read from which on a prompt makes a pause that streams feel: 30 to 65 ms of
-reading on the engines of today, seven times in an event."""
-PAUSE_SHARE = 0.95
-"""Part of the longest allowed pause at which an engine's pauses count as too long."""
-DISTURBED_STREAM = 0.1
-"""Seconds of delay that a request accepts for each stream that it would make late."""
 LAST_RANK = 9
 """Rank of a request before which everything goes."""
 
@@ -73,7 +65,6 @@
 
     Attributes:
         speeds: How long requests take.
-        copies: Which runs are copied as they grow.
         regions: The other regions.
     """
 
@@ -90,7 +81,6 @@
         self._cold = cold
         self._rng = rng
         self.speeds = Speeds()
-        self.copies = CopyPolicy()
         self.regions = OtherRegions(region, registry, self.speeds, rng)
 
     def place(self, ask: PlacementAsk, now: float) -> Placement:
@@ -160,7 +150,7 @@
     def _region_load(
         self, service: str, targets: list[Tracked], now: float
     ) -> RegionLoad:
-        views = [self._view(t, None, LAST_RANK, 0.0, now) for t in targets]
+        views = [self._view(t, None, LAST_RANK, now) for t in targets]
         running = sum(max(v.in_flight, v.running + v.waiting) for v in views)
         slots = sum(v.slots for v in views)
         hold = self.speeds.times(service).hold
@@ -182,10 +172,7 @@
         self._table.let_return(service, now)
         targets = {t.info.incarnation: t for t in usable}
         rank = ask.route.priority
-        max_gap = ask.route.max_gap
-        views = [
-            self._view(t, ask.prompt, rank, max_gap, now) for t in targets.values()
-        ]
+        views = [self._view(t, ask.prompt, rank, now) for t in targets.values()]
         choice = choose_target(
             request,
             views,
@@ -202,23 +189,7 @@
         if ask.prompt is not None:
             rate = self.speeds.rate(service).tokens_per_second
             source = fetch_source(tracked, usable, ask.prompt, rate, now)
-        backup = self.copies.backup_target(ask.route, ask.prompt, tracked, usable, now)
-        return AtHome(tracked, choice.reason, choice.expected, source, backup)
-
-    def go_on(
-        self, ask: PlacementAsk, target: Tracked, source: str, now: float
-    ) -> AtHome:
-        """Return the place of a run that goes on from a copy of its memory.
-
-        Args:
-            ask: Its request.
-            target: Target that holds the copy.
-            source: Name of the copy.
-            now: Monotonic seconds.
-        """
-        usable = self._usable(service_of(ask.route, ask.request_id), now)
-        backup = self.copies.backup_target(ask.route, ask.prompt, target, usable, now)
-        return AtHome(target, "goes on from its copy", 0.0, None, backup, source)
+        return AtHome(tracked, choice.reason, choice.expected, source)
 
     def _usable(self, service: str, now: float) -> list[Tracked]:
         """Return targets that may be sent to, the cold ones only where allowed."""
@@ -239,12 +210,7 @@
         ]
 
     def _view(
-        self,
-        tracked: Tracked,
-        prompt: Prompt | None,
-        rank: int,
-        max_gap: float,
-        now: float,
+        self, tracked: Tracked, prompt: Prompt | None, rank: int, now: float
     ) -> TargetView:
         report = tracked.report
         cached = tracked.memory.cached_tokens(prompt) if prompt else 0
@@ -264,29 +230,8 @@
             cached_tokens=cached,
             free_tokens=tracked.free_tokens(now),
             backlog=before / rate,
-            disturbance=self._disturbance(tracked, prompt, cached, max_gap, now),
         )
 
-    def _disturbance(
-        self,
-        tracked: Tracked,
-        prompt: Prompt | None,
-        cached: int,
-        max_gap: float,
-        now: float,
-    ) -> float:
-        """Return what the streams at a target lose while it reads a prompt.
-
-        A slow engine pauses longer between two events than streams may, while it reads
-        a long prompt, and a fast one doesn't: on a bad day half of the streams of the
-        slowest engine of each region were late by that alone.
-        """
-        if prompt is None or not max_gap or prompt.tokens - cached < LONG_PROMPT:
-            return 0.0
-        if tracked.pace.longest_pause(now) < PAUSE_SHARE * max_gap:
-            return 0.0
-        return DISTURBED_STREAM * tracked.load.in_flight(now)
-
     def _request_view(self, ask: PlacementAsk) -> RequestView:
         prompt = ask.prompt
         key = prompt.shared_key if prompt else ""
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -43,7 +43,6 @@
         first_token: from the start to the first token, cold tokens included.
         busy: what company in the batch is estimated to cost.
         reread: what is lost where it reads again what another target keeps.
-        disturbance: what the streams lose that pause while its prompt is read.
         cost: of the slot, in the operator's unit.
     """
 
@@ -52,7 +51,6 @@
     first_token: float
     busy: float
     reread: float
-    disturbance: float
     cost: float
 
     def delay(self) -> float:
@@ -67,8 +65,7 @@
 
     def score(self, request: RequestView) -> float:
         """Return the loss of this request and of others; lower is better."""
-        others = self.reread + self.disturbance
-        return self.loss(request) + request.latency_weight * others
+        return self.loss(request) + request.latency_weight * self.reread
 
     def detail(self) -> str:
         """Return the terms for the decision record."""
@@ -170,7 +167,6 @@
         reread=request.reread_weight
         * times.per_token
         * (_FETCH_PRICE * fetched + max(0, most_cached - cached - fetched)),
-        disturbance=view.disturbance,
         cost=view.cost * hold,
     )
 
--- a/packages/node/src/bronzepoint_node/policy/_inputs.py
+++ b/packages/node/src/bronzepoint_node/policy/_inputs.py
@@ -38,8 +38,6 @@
             target comes back from ejection.
         free_tokens: memory that running requests leave, in tokens.
         backlog: seconds of prompts that are read there before a new one.
-        disturbance: seconds of delay accepted to spare what runs there the pauses that
-            reading this request's prompt brings.
     """
 
     name: TargetName
@@ -57,7 +55,6 @@
     allowed: int | None = None
     free_tokens: float = math.inf
     backlog: float = 0.0
-    disturbance: float = 0.0
 
 
 class RegionView(Struct):
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -5,7 +5,6 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import Exchange
 from bronzepoint_node.fleet import ServedRoute
-from bronzepoint_node.placement import Tracked
 
 from ._codec import CallerHead
 from ._events import EventSplitter
@@ -58,19 +57,6 @@
 TryOutcome = NotRun | MayHaveRun | Answered
 
 
-@dataclass(frozen=True)
-class GoOn:
-    """Where a stream goes on that its target broke off.
-
-    Attributes:
-        target: Target that holds its memory.
-        source: Name of that memory, as the target is told it.
-    """
-
-    target: Tracked
-    source: str
-
-
 @dataclass
 class Call:
     """One caller's request.
@@ -95,7 +81,6 @@
         runs: Tries that ended without a proof that the request did not run.
         ended_runs: Those of them whose target has ended since.
         last_outcome: How the last try ended.
-        going_on: Where its broken stream goes on; None: nowhere.
         notes: How each try ended, for the log.
     """
 
@@ -118,7 +103,6 @@
     runs: int = 0
     ended_runs: int = 0
     last_outcome: TryOutcome | None = None
-    going_on: GoOn | None = None
     notes: list[str] = field(default_factory=list)
 
     def note_events(self, now: float) -> None:
--- a/packages/node/src/bronzepoint_node/relay/_codec.py
+++ b/packages/node/src/bronzepoint_node/relay/_codec.py
@@ -43,13 +43,9 @@
 
     Attributes:
         fetch_from: Address of a target that keeps more of the prompt; empty: none.
-        backup_at: Address of a target that gets a copy of the run as it grows.
-        go_on_from: Name of the memory that the run goes on from.
     """
 
     fetch_from: str = ""
-    backup_at: str = ""
-    go_on_from: str = ""
 
 
 class Codec(Protocol):
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -198,7 +198,7 @@
             self._allowance.note_request(service, monotonic())
         waited_until = monotonic() + WAIT_SHARE * call.route.objective
         while True:
-            placement = await self._next_place(call, service, waited_until)
+            placement = await self._find_place(call, service, waited_until)
             if isinstance(placement, Rejected):
                 call.notes.append(self._placer.known_room(self._ask(call), monotonic()))
                 await self._answers.reject(call, placement)
@@ -211,15 +211,6 @@
             if await self._settled(call, outcome):
                 return
 
-    async def _next_place(self, call: Call, service: str, until: float) -> Placement:
-        """Return where a request goes next, or where its broken stream goes on."""
-        if call.going_on is None:
-            return await self._find_place(call, service, until)
-        where, call.going_on = call.going_on, None
-        return self._placer.go_on(
-            self._ask(call), where.target, where.source, monotonic()
-        )
-
     async def _find_place(self, call: Call, service: str, until: float) -> Placement:
         """Return a place, or the refusal where there is none by ``until``."""
         placement = self._placer.place(self._ask(call), monotonic())
@@ -269,12 +260,10 @@
                 await call.exchange.respond(status, call.answer_headers(headers), body)
                 return True
             case NotRun():
-                # What may have run is not begun anew, though its copy was not there.
-                may_begin = not call.runs or call.may_repeat
-                if may_begin and call.sends < MOST_SENDS:
+                if call.sends < MOST_SENDS:
                     return False
             case MayHaveRun():
-                if call.may_repeat or call.going_on is not None:
+                if call.may_repeat:
                     return False
         await self._answers.give_up(call, outcome)
         return True
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -7,14 +7,12 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import HttpClient
 from bronzepoint_common.metrics import Metrics
-from bronzepoint_node.fleet import RouteKind
 from bronzepoint_node.placement import (
     AtHome,
     ColdGate,
     Elsewhere,
     Placer,
     TargetTable,
-    Tracked,
     is_silent,
 )
 from bronzepoint_schema.generated.decisions import TryResult
@@ -22,7 +20,6 @@
 
 from ._call import RUNS_HEADER, Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec, Copies
-from ._continuation import Continuation
 from ._try import FORWARDED_HEADER, Destination, Try
 
 PATIENCE = 1.0
@@ -43,9 +40,6 @@
 """Seconds for a connection to one of our hosts, which closes it after 60."""
 MOST_BEFORE = 500
 """Prompt tokens before a request up to which its time says how fast a target is."""
-DEADLINE_MARGIN = 0.15
-"""Seconds before its deadline in which a stream that ends was cut by it: a target stops
-by its own clock."""
 RESUME_STALL = 1.0
 """Seconds without an event after which a stream goes on at another target."""
 
@@ -61,7 +55,6 @@
         client: Connections to targets.
         hosts: Connections to entry hosts of other regions.
         codec: Words of callers and targets.
-        continuation: Finds out how broken streams go on.
         metrics: Counters.
     """
 
@@ -74,7 +67,6 @@
         client: HttpClient,
         hosts: HttpClient,
         codec: Codec,
-        continuation: Continuation,
         metrics: Metrics,
     ) -> None:
         self._region = region
@@ -84,7 +76,6 @@
         self._client = client
         self._hosts = hosts
         self._codec = codec
-        self._continuation = continuation
         self._metrics = metrics
 
     async def send(
@@ -103,8 +94,7 @@
             case Elsewhere():
                 outcome = await self._try_region(call, placement, service)
         if not isinstance(outcome, NotRun):
-            # A run that goes on from its copy is the same run.
-            call.runs += not (isinstance(placement, AtHome) and placement.go_on_from)
+            call.runs += 1
             call.arrivals += 1
         else:
             call.written = False
@@ -143,9 +133,6 @@
         before = target.load.tokens_before(rank, rate.tokens_per_second, now)
         source = placement.fetch_from
         uncached = target.begin(run_id, call.head.prompt, rank, now, source)
-        if placement.go_on_from:
-            # It reads only what the copy lacks, and says nothing of reading prompts.
-            target.load.note_started(run_id, now)
 
         def progressed(events: int, seconds: float) -> None:
             run = target.load.runs.get(run_id)
@@ -166,11 +153,7 @@
             name,
             call.route.priority,
             call.events.last_id,
-            Copies(
-                fetch_from=_address(source),
-                backup_at=_address(placement.backup),
-                go_on_from=placement.go_on_from,
-            ),
+            Copies(fetch_from=source.info.address if source else ""),
         )
         where = Destination(
             target.info.address,
@@ -183,10 +166,7 @@
         try:
             attempt = Try(self._client, self._codec, call, progressed)
             outcome = await self._while_answering(
-                call,
-                attempt.run(where),
-                lambda: is_silent(target, monotonic()),
-                watched=placement.backup is not None,
+                call, attempt.run(where), lambda: is_silent(target, monotonic())
             )
             result = _result_of(outcome)
         finally:
@@ -202,21 +182,8 @@
                 target.note_silent(monotonic())
         if result is TryResult.answered:
             times.add_hold(seconds)
-        self._note_stream_end(call, outcome)
-        if isinstance(outcome, MayHaveRun) and placement.backup is not None:
-            call.going_on = await self._continuation.find(
-                call, target, placement.backup
-            )
         return outcome
 
-    def _note_stream_end(self, call: Call, outcome: TryOutcome) -> None:
-        """Count how many streams their targets break off."""
-        if call.route.kind is not RouteKind.STREAM or call.left < DEADLINE_MARGIN:
-            return
-        if not isinstance(outcome, NotRun):
-            cut = isinstance(outcome, MayHaveRun)
-            self._placer.copies.note_end(cut, monotonic())
-
     async def _try_region(
         self, call: Call, placement: Elsewhere, service: str
     ) -> TryOutcome:
@@ -249,18 +216,14 @@
         return outcome
 
     async def _while_answering(
-        self,
-        call: Call,
-        run: Coroutine,
-        lost: Callable[[], bool],
-        watched: bool = False,
+        self, call: Call, run: Coroutine, lost: Callable[[], bool]
     ) -> TryOutcome:
         """Return how a try ends; give it up where its target is lost meanwhile.
 
         A target behind a cut says nothing, and its connections look open: the request
         would wait for its deadline, though another target could still answer in time.
         """
-        if not call.may_repeat_after and not watched:
+        if not call.may_repeat_after:
             return await run
         work = await curio.spawn(run)
         try:
@@ -291,10 +254,6 @@
         return max(0.05, call.left)
 
 
-def _address(target: Tracked | None) -> str:
-    return target.info.address if target is not None else ""
-
-
 def _result_of(outcome: TryOutcome) -> TryResult:
     match outcome:
         case Answered(status=status):
