Let late requests yield, begin no stream that can't end, and ask all seeds at a start

Before that, hosts that were up waited 0.3 to 0.8 s longer for a catalogue than the core needed: seeds were asked one after another, and a first opening packet that a dead host drops cost a second.

--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -26,14 +26,12 @@
 """Seconds between two questions; a change is in force within 4 s on every host."""
 SYNC_TIMEOUT = 0.7
 """Seconds to wait for a host of the core: four of the longest trips there and back."""
-START_ASKED = 3
-"""Hosts of the core that are asked at the same time while no catalogue is known,"""
 START_PAUSE = 0.1
-"""seconds between two such rounds,"""
+"""Seconds between two questions to each seed while nothing is known yet,"""
 START_TIMEOUT = 0.4
-"""and seconds to wait for them. After a kill of everything some of the core are not up
-yet and others have no leader: asked one after another with the usual patience, the
-entry hosts served 0.3 to 0.8 s after the core could have answered."""
+"""and seconds to wait for its answer. After a kill of everything some of the core are
+not up yet and others have no leader: asked one after another with the patience of a
+calm hour, entry hosts served 0.3 to 0.8 s after the core could have answered."""
 SECOND_INTERVAL = 0.6
 """Seconds between two questions to some other host of the core. While the core is cut
 in two, its halves hear nothing of each other, but entry hosts reach both."""
@@ -122,10 +120,7 @@
         """Entry hosts only ask; what comes unasked is for hosts of the core."""
 
     async def _run(self) -> None:
-        while self.catalogue is None or self.targets is None:
-            await self._ask_several()
-        # Who didn't answer in time then may do so now.
-        self._avoided_until.clear()
+        await self._ask_seeds()
         while True:
             began = monotonic()
             answered = await self._ask(self._choose())
@@ -133,14 +128,22 @@
             pause = SYNC_INTERVAL if answered else SYNC_INTERVAL / 4
             await curio.sleep(max(0.05, pause - spent))
 
-    async def _ask_several(self) -> None:
-        """Ask a few hosts of the core at once, as this host knows nothing yet."""
-        core = {host.name for host in self.registry.core()} | set(self._seeds)
-        asked = random.sample(sorted(core), min(START_ASKED, len(core)))
-        async with curio.TaskGroup() as group:
-            for name in asked:
-                await group.spawn(self._ask, name, START_TIMEOUT)
-            await group.spawn(curio.sleep, START_PAUSE)
+    async def _ask_seeds(self) -> None:
+        """Ask all seeds, each by itself, until one of them has told what is served."""
+
+        async def ask(seed: HostName) -> None:
+            while not self._knows_what_is_served():
+                await self._ask(seed, START_TIMEOUT)
+                await curio.sleep(START_PAUSE)
+
+        async with curio.TaskGroup(wait=any) as group:
+            for seed in self._seeds:
+                await group.spawn(ask, seed)
+        # Who didn't answer in time then may do so now.
+        self._avoided_until.clear()
+
+    def _knows_what_is_served(self) -> bool:
+        return self.catalogue is not None and self.targets is not None
 
     async def _ask_others(self) -> None:
         while True:
--- a/packages/node/src/bronzepoint_node/placement/_ask.py
+++ b/packages/node/src/bronzepoint_node/placement/_ask.py
@@ -18,6 +18,7 @@
         left: Seconds until its deadline.
         tried: Targets that it was sent to already.
         tried_hosts: Hosts of other regions that it was forwarded to already.
+        rank: How urgent it is now; 0 goes first.
     """
 
     request_id: str
@@ -27,6 +28,7 @@
     left: float
     tried: set[str]
     tried_hosts: set[str]
+    rank: int
 
     def may_go_to(self, region: RegionName) -> bool:
         """Tell whether the route's homes allow a region."""
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -171,7 +171,7 @@
             return None
         self._table.let_return(service, now)
         targets = {t.info.incarnation: t for t in usable}
-        rank = ask.route.priority
+        rank = ask.rank
         views = [self._view(t, ask.prompt, rank, now) for t in targets.values()]
         choice = choose_target(
             request,
@@ -267,9 +267,13 @@
         prompt, engine = ask.prompt, target.engine
         if prompt is None or engine is None or not engine.event_tokens:
             return True
+        rate = self.speeds.rate(target.info.service).tokens_per_second
+        unread = target.load.tokens_before(LAST_RANK, rate, now)
+        unread += prompt.tokens - target.memory.cached_tokens(prompt)
         tokens = prompt.expected_output or prompt.max_output
         events = tokens / engine.event_tokens
-        return events * target.pace.seconds_per_event(now) < TIME_USED * ask.left
+        writing = events * target.pace.seconds_per_event(now)
+        return unread / rate + writing < TIME_USED * ask.left
 
     def _reject(self, service: str, late: bool) -> Rejected:
         """Return a refusal; ``late``: every target writes too slowly just now."""
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -54,6 +54,9 @@
 
 RUNS_HEADER = "bronzepoint-runs"
 """Between our hosts: times that the request may have run before, or has by now."""
+LATE_RANKS = 4
+"""Ranks by which a request is put back that can't be answered in time any more: behind
+all kinds that can."""
 TryOutcome = NotRun | MayHaveRun | Answered
 
 
@@ -70,6 +73,7 @@
         until: When its final answer is due.
         forwarded: Another region sent it.
         events: What was passed on of its stream.
+        spent: Seconds that its caller had waited before it came here.
         tried: Targets that it was sent to.
         tried_hosts: Hosts of other regions that it was forwarded to.
         sends: Times it was sent to a target or to another region.
@@ -104,6 +108,7 @@
     ended_runs: int = 0
     last_outcome: TryOutcome | None = None
     notes: list[str] = field(default_factory=list)
+    spent: float = 0.0
 
     def note_events(self, now: float) -> None:
         """Count events that are passed on."""
@@ -117,6 +122,17 @@
         """Count that the request is about to leave this host."""
         self.written = True
 
+    def rank(self, now: float) -> int:
+        """Return how urgent it is at targets and in line; 0 goes first.
+
+        An answer that is late already earns less than one that can still be in time.
+        After a kill of everything those that come again stand in one crowd with those
+        that have just begun; served in order of arrival, all of them are late.
+        """
+        waited = self.spent + now - self.arrived
+        is_late = not self.first_event_at and waited > self.route.objective
+        return self.route.priority + LATE_RANKS * is_late
+
     @property
     def may_have_run(self) -> bool:
         """Tell whether there is no proof that it did not run."""
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -21,6 +21,7 @@
 from ._events import EventSplitter
 from ._final_answers import FinalAnswers
 from ._sender import Sender
+from ._usual_deadlines import UsualDeadlines
 from ._waiting_line import Waiter, WaitingLine
 
 CUT_MARGIN = 0.05
@@ -74,6 +75,7 @@
         self._answers = answers
         self._codec = codec
         self._leaving = False
+        self._usual = UsualDeadlines()
         self._lines: dict[str, WaitingLine] = {}
         self.in_progress = 0
 
@@ -141,6 +143,7 @@
         until = arrived + min(deadline - CUT_MARGIN, route.timeout)
         events = EventSplitter(head.last_event)
         call = Call(exchange, head, route, body, arrived, until, forwarded, events)
+        call.spent = self._usual.spent(route, deadline)
         if forwarded:
             # The runs of both hosts count together against the route's bound.
             runs = exchange.request.headers.get(RUNS_HEADER, "0")
@@ -217,7 +220,7 @@
         if not self._waits(call, placement):
             return placement
         line = self._lines.setdefault(service, WaitingLine())
-        waiter = Waiter(call.route.priority, call.arrived, until)
+        waiter = Waiter(call.rank(monotonic()), call.arrived, until)
         line.join(waiter)
         try:
             while self._waits(call, placement) and await line.wait(waiter):
@@ -241,6 +244,7 @@
             call.left,
             call.tried,
             call.tried_hosts,
+            call.rank(monotonic()),
         )
 
     async def _settled(self, call: Call, outcome: TryOutcome) -> bool:
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -128,7 +128,7 @@
         call.notes.append(f"{name}@{target.info.address}: {placement.reason}")
         run_id = f"{call.head.request_id}.{call.sends}"
         times = self._placer.speeds.times(service)
-        rank = call.route.priority
+        rank = call.rank(now)
         rate = self._placer.speeds.rate(service)
         before = target.load.tokens_before(rank, rate.tokens_per_second, now)
         source = placement.fetch_from
@@ -151,7 +151,7 @@
             call.head,
             call.left,
             name,
-            call.route.priority,
+            rank,
             call.events.last_id,
             Copies(fetch_from=source.info.address if source else ""),
         )
