Send no prompt to another region for a part that a neighbour keeps

Cause: whether a prompt goes to the region that keeps its shared part was decided by the cache of the chosen target alone; since targets fetch from their neighbours, what any target of the region keeps is as good, without the trip. Change: the cache of the target that is fetched from counts, too. Test: test_placement_fetch, test_region_that_keeps_a_part_fetches_it.

--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -5,6 +5,7 @@
 
 from bronzepoint_schema.ids import RegionName
 
+from ._prompt import Prompt
 from ._target_table import Tracked
 
 
@@ -32,6 +33,13 @@
     delay: float = 0.0
     fetch_from: Tracked | None = None
 
+    def cached_tokens(self, prompt: Prompt) -> int:
+        """Return the tokens of a prompt that needn't be read there."""
+        keepers = [self.target]
+        if self.fetch_from is not None:
+            keepers.append(self.fetch_from)
+        return max(keeper.memory.cached_tokens(prompt) for keeper in keepers)
+
 
 @dataclass(frozen=True)
 class Elsewhere:
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -45,7 +45,9 @@
 """Seconds between two requests of one host to a target that is silent: without any, a
 target that nobody asks for reports would never be heard again."""
 TIME_USED = 1.6
-"""Part of the time left that a stream may be expected to take."""
+"""Multiple of the time left that a stream may be expected to take. Above 1, since the
+callers' estimates of their answers are right at the median only: at 1, more callers
+were refused and came again than were spared a stream that doesn't end."""
 PACE_WAIT = 1.0
 """Seconds after which a caller comes back where all targets write too slowly: so long
 takes the reading of the longest prompts, and the pace remembers little more."""
@@ -112,11 +114,15 @@
         usable: list[Tracked],
         terms: list[RegionTerms],
     ) -> Elsewhere | None:
-        """Return the region that keeps what of the prompt isn't cached at home."""
+        """Return the region that keeps what of the prompt isn't cached at home.
+
+        What another target of this region keeps is fetched from there, for less than
+        the trip to another region and back.
+        """
         prompt = ask.prompt
         if prompt is None or not prompt.shared_key:
             return None
-        cached = home.target.memory.cached_tokens(prompt)
+        cached = home.cached_tokens(prompt)
         missing = prompt.tokens - prompt.parts[-1].tokens - cached
         if missing < LEAST_MISSING:
             return None
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -106,7 +106,7 @@
         prompt: Prompt | None,
         rank: int,
         now: float,
-        source: "Tracked | None" = None,
+        cached: int = 0,
     ) -> int:
         """Count a request that is sent there; return the tokens that are read for it.
 
@@ -115,15 +115,12 @@
             prompt: Its prompt; None: it has none.
             rank: How urgent it is.
             now: Monotonic seconds.
-            source: Target from which cached parts are fetched.
+            cached: Tokens of the prompt that needn't be read.
         """
         uncached = tokens = 0
         if prompt is not None:
             tokens = prompt.memory_tokens
-            keepers = [self] if source is None else [self, source]
-            uncached = prompt.tokens - max(
-                keeper.memory.cached_tokens(prompt) for keeper in keepers
-            )
+            uncached = prompt.tokens - cached
             self.memory.note_used(prompt)
             self.parts_sent.update({p.name: p.tokens for p in prompt.parts[:-1]})
         self.load.begin(run_id, OwnRun(tokens, uncached, rank, now))
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -131,8 +131,9 @@
         rank = call.rank(now)
         rate = self._placer.speeds.rate(service)
         before = target.load.tokens_before(rank, rate.tokens_per_second, now)
-        source = placement.fetch_from
-        uncached = target.begin(run_id, call.head.prompt, rank, now, source)
+        prompt, source = call.head.prompt, placement.fetch_from
+        cached = placement.cached_tokens(prompt) if prompt else 0
+        uncached = target.begin(run_id, prompt, rank, now, cached)
 
         def progressed(events: int, seconds: float) -> None:
             run = target.load.runs.get(run_id)
--- a/tests/test_placement_fetch.py
+++ b/tests/test_placement_fetch.py
@@ -5,8 +5,9 @@
 from nose2.tools import params
 
 from bronzepoint_node.fleet import EngineFacts, ServedService
-from bronzepoint_node.placement import Prompt, PromptPart
+from bronzepoint_node.placement import AtHome, Elsewhere, Prompt, PromptPart
 from bronzepoint_node.placement._fetch_source import LEAST_TOKENS, fetch_source
+from bronzepoint_node.placement._region_owner import weighted_owner
 from tests.test_placement_placer import Site, info
 
 RATE = 80_000.0
@@ -71,10 +72,37 @@
         where = site()
         where.table.get("t2").memory.note_part("guide", 5000)
         target = where.table.get("t1")
-        read = target.begin("r", prompt(), 0, where.now, where.table.get("t2"))
+        placed = AtHome(target, "", fetch_from=where.table.get("t2"))
+        cached = placed.cached_tokens(prompt())
+        read = target.begin("r", prompt(), 0, where.now, cached)
         self.assertEqual(read, 100)
         self.assertEqual(target.memory.cached_tokens(prompt()), 5100)
 
+    @params((True, AtHome), (False, Elsewhere))
+    def test_region_that_keeps_a_part_fetches_it(self, kept_here, expected):
+        """Symptom: prompts are forwarded to another region though a target beside the
+        chosen one keeps their shared part.
+        Sequence: the keeper in the own region is busy, so another target is chosen; the
+        region that the part belongs to by its hash is far away.
+        Cause: only the chosen target's cache was looked at."""
+        where = site()
+        where.away(b=0, c=0)
+        name = next(
+            f"guide-{number}"
+            for number in range(100)
+            if weighted_owner(f"guide-{number}", dict(a=192.0, b=64.0, c=64.0)) != "a"
+        )
+        asked = Prompt((PromptPart(name, 5000), PromptPart("own", 100)), 5100, 10)
+        if kept_here:
+            keeper = where.table.get("t2")
+            keeper.memory.note_part(name, 5000)
+            for number in range(60):
+                keeper.begin(f"busy-{number}", None, 0, where.now)
+        placed = where.place(prompt=asked)
+        self.assertIsInstance(placed, expected)
+        if kept_here:
+            self.assertEqual(placed.fetch_from, keeper)
+
     def test_load_of_one_shared_part_over_cold_engines(self):
         """Symptom: 14 % of all prompt tokens of a bad day are read again.
         Sequence: one engine keeps a part; a burst of prompts with it is spread over
@@ -86,8 +114,8 @@
         for number in range(60):
             asked = prompt(name=f"own-{number}")
             placed = where.placer.place(where.ask(prompt=asked), where.now)
-            target, keeper = placed.target, placed.fetch_from
-            read += target.begin(f"r{number}", asked, 0, where.now, keeper)
+            cached = placed.cached_tokens(asked)
+            read += placed.target.begin(f"r{number}", asked, 0, where.now, cached)
         used = [t for t in where.table.all() if t.load.in_flight(where.now)]
         self.assertGreater(len(used), 1)
         self.assertEqual(read, 60 * 100)
