Count requests no more that another region has answered

Ruled out: the regions' words (0.5 to 0.9 s old, as usual); their targets (0 to 2 of 6 slots). Change: a host counts what it has sent to a region and not got back; refused ones go on to count, as that region is full. Test: test_placement_placer, TestWhatWasSentAway, fails in one of two rows before.

--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -64,7 +64,7 @@
         self._speeds = speeds
         self._rng = rng
         self._lost_hosts: dict[str, float] = {}
-        self._sent_away: dict[tuple[RegionName, str], list[float]] = {}
+        self._sent_away: dict[tuple[RegionName, str], dict[str, float]] = {}
 
     def fresh_terms(
         self, ask: PlacementAsk, service: str, request: RequestView, now: float
@@ -108,9 +108,15 @@
             known.name == host for known in self._registry.entries(LOST_HOST_AGE)
         )
 
-    def note_forwarded(self, region: RegionName, service: str, now: float) -> None:
+    def note_forwarded(
+        self, region: RegionName, service: str, run_id: str, now: float
+    ) -> None:
         """Count a request that was sent to another region."""
-        self._sent_away.setdefault((region, service), []).append(now)
+        self._sent_away.setdefault((region, service), {})[run_id] = now
+
+    def note_returned(self, region: RegionName, service: str, run_id: str) -> None:
+        """Count a request no more that another region has answered."""
+        self._sent_away.get((region, service), {}).pop(run_id, None)
 
     def keeper(
         self,
@@ -211,9 +217,15 @@
         return [host for host in fit if host.age_ms < FRESH_HOST_MS] or fit
 
     def _sent_since(self, load: RegionLoad, now: float) -> float:
-        sent = self._sent_away.get((load.region, load.service), [])
+        """Return the requests that a region has got from this one beyond its word.
+
+        Those that it has answered don't count: with the region's own targets closed, a
+        plain service of 6 slots and 0.1 s a request looked full in regions that stood
+        idle, as all that was sent within 0.8 s of their last word was added up.
+        """
+        sent = self._sent_away.get((load.region, load.service), {})
         since = now - load.age_ms / 1000 - REGION_TRIP
-        recent = [at for at in sent if at > since]
+        recent = {run_id: at for run_id, at in sent.items() if at > since}
         if sent:
             self._sent_away[load.region, load.service] = recent
         return len(recent) * max(1, len(self.entry_hosts(self._region)))
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -190,7 +190,9 @@
     ) -> TryOutcome:
         call.tried_hosts.add(placement.host)
         call.notes.append(f"{placement.region} {placement.host}: {placement.reason}")
-        self._placer.regions.note_forwarded(placement.region, service, monotonic())
+        run_id = f"{call.head.request_id}.{call.sends}"
+        regions = self._placer.regions
+        regions.note_forwarded(placement.region, service, run_id, monotonic())
         headers = self._codec.target_headers(
             call.head, call.left, "", None, call.events.last_id
         )
@@ -204,14 +206,18 @@
             KEPT_BETWEEN_HOSTS,
         )
         attempt = Try(self._hosts, self._codec, call, _nothing)
-        outcome = await self._while_answering(
-            call,
-            attempt.run(where),
-            lambda: not self._placer.regions.lives(placement.host),
-        )
+        outcome: TryOutcome | None = None
+        try:
+            outcome = await self._while_answering(
+                call, attempt.run(where), lambda: not regions.lives(placement.host)
+            )
+        finally:
+            # One that was refused goes on to count: that region is full.
+            if not isinstance(outcome, NotRun):
+                regions.note_returned(placement.region, service, run_id)
         match outcome:
             case NotRun(reason="connect_failed"):
-                self._placer.regions.note_lost_host(placement.host, monotonic())
+                regions.note_lost_host(placement.host, monotonic())
             case Answered(headers=answered):
                 _count_runs(call, answered)
         return outcome
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -131,6 +131,24 @@
             self.assertIn(word, known)
 
 
+class TestWhatWasSentAway(unittest.TestCase):
+    @params((True, Elsewhere), (False, Rejected))
+    def test_answered_requests_leave_room(self, answered, expected):
+        """Symptom: with a region's targets closed, its calls of the plain service are
+        refused while both other regions stand idle.
+        Sequence: the other region's last word is 0.6 s old and says that nothing is in
+        progress; ten calls were sent there since, and are answered.
+        Cause: all that was sent since that word counted as in progress."""
+        site = Site(info("t1"), service=PLAIN, closed=("a-1",))
+        site.registry.hear_loads([RegionLoad("b", "s", 6, 0, 0, 600)])
+        regions = site.placer.regions
+        for number in range(10):
+            regions.note_forwarded("b", "s", str(number), site.now)
+            if answered:
+                regions.note_returned("b", "s", str(number))
+        self.assertIsInstance(site.place(), expected)
+
+
 class TestTargets(unittest.TestCase):
     def test_replaced_target_gets_nothing_until_the_list_is_read_again(self):
         """Symptom: for a second every request is turned away with 421.
