--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from unittest import mock
 
 import curio
 import msgspec
@@ -15,8 +16,10 @@
     Peers,
     PeerTimeout,
     PeerUnknown,
+    _outbox,
 )
 from bronzepoint_common.peers._frame import decode_frame, encode_frame
+from bronzepoint_common.peers._outbox import Outbox
 from bronzepoint_schema.generated.peers import Envelope, FrameKind
 from bronzepoint_schema.ids import HostName
 
@@ -183,3 +186,30 @@
         host.set_address(B, "127.0.0.1:1", fixed=True)
         host.set_address(B, "127.0.0.1:2")
         self.assertEqual(host._addresses[B], "127.0.0.1:1")
+
+
+class TestOutbox(unittest.TestCase):
+    def test_first_connections_are_given_up_soon(self):
+        """Symptom: after a loss of all power the core elects a leader a second late.
+        Sequence: all hosts start together; an opening packet reaches a host that has no
+        power yet and is dropped; the kernel sends it again after a second.
+        Cause: the connection was waited for as long as on a calm day."""
+        waited = []
+
+        async def connect(address, timeout):
+            waited.append(timeout)
+
+        async def main():
+            outbox = Outbox("127.0.0.1:1", lambda box: None)
+            outbox.send(b"x")
+            await outbox.attend()
+            while len(waited) < 5:
+                await curio.sleep(0.01)
+            await outbox.cancel()
+
+        with (
+            mock.patch.object(_outbox, "connect", connect),
+            mock.patch.object(_outbox, "_RETRY_MAX", 0.01),
+        ):
+            curio.run(main)
+        self.assertEqual(waited[:5], [0.4, 0.8, 1.6, 2.0, 2.0])
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -294,7 +294,13 @@
         Cause: every report that couldn't be taken counted as silence."""
         site = Site(info("t1"))
 
+        asked = []
+
         async def read(address, incarnation):
+            asked.append(incarnation)
+            if len(asked) > 1:
+                await again.set()
+                await curio.sleep(60.0)
             if isinstance(word, Exception):
                 raise word
             return word
@@ -302,9 +308,11 @@
         async def main():
             prober = Prober(site.table, read, lambda: 1)
             await prober.start()
-            await curio.sleep(0.05)
+            await again.wait()
             await prober.close()
 
+        again = curio.Event()
+
         curio.run(main)
         tracked = site.table.get("t1")
         self.assertEqual((tracked.failed_reports, tracked.replaced), (failed, replaced))
