Tell how late an answer between hosts came, its bytes, and what each catalogue cost to take

Cause: the logs of the incident can't tell a full link from a slow processor or a core that is behind: answers that come too late left a counter only, without size, age or subsystem. Ruled out: a log line for each message; only what was given up gets one. No change of logic.

--- a/packages/common/src/bronzepoint_common/peers/_outbox.py
+++ b/packages/common/src/bronzepoint_common/peers/_outbox.py
@@ -61,6 +61,11 @@
             self._wake(self)
         return self._keep_bounded()
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Return the bytes that the connection hasn't taken yet."""
+        return sum(map(len, self._frames)) + len(self._partial)
+
     def close(self) -> None:
         """Drop what is queued; the task ends and closes the connection."""
         self._closed = True
--- a/packages/common/src/bronzepoint_common/peers/_peers.py
+++ b/packages/common/src/bronzepoint_common/peers/_peers.py
@@ -74,6 +74,7 @@
         self._listener = Listener(listen, self._accept, self._count_rejected)
         self._wanting: list[Outbox] = []
         self._wake_fd = -1
+        self._waiting_bytes = 0
 
     async def start(self) -> None:
         """Listen for peers and dial them.
@@ -186,10 +187,22 @@
         data = encode_frame(envelope, self._key)
         if not outbox.send(data):
             self._metrics.incr("peers.queue_full")
+        self._note_waiting(outbox)
         self._metrics.incr("peers.sent")
         self._metrics.incr("peers.sent_bytes", len(data))
+        self._metrics.incr(f"peers.sent_bytes.{_area_name(area)}", len(data))
         return True
 
+    def _note_waiting(self, outbox: Outbox) -> None:
+        """Show what is kept for peers that read more slowly than we send."""
+        waiting = outbox.waiting_bytes
+        if waiting or self._waiting_bytes:
+            boxes = self._outboxes.values()
+            self._waiting_bytes = sum(box.waiting_bytes for box in boxes)
+            self._metrics.gauge("peers.waiting_bytes", self._waiting_bytes)
+            if waiting:
+                self._metrics.incr("peers.waited")
+
     def _outbox(self, peer: HostName) -> Outbox | None:
         outbox = self._outboxes.get(peer)
         if outbox is None and self._resolve is not None and self._wake_fd >= 0:
@@ -224,7 +237,7 @@
         envelope = decode_frame(data, self._key, self._name)
         if envelope.frame in (FrameKind.reply, FrameKind.failed):
             if not await self._calls.resolve(envelope):
-                self._metrics.incr("peers.late_reply")
+                self._note_late(envelope)
             return
         inbox = self._inboxes.get(envelope.sender)
         if inbox is None:
@@ -238,6 +251,23 @@
             return
         await inbox.put(envelope)
 
+    def _note_late(self, envelope: Envelope) -> None:
+        """Count an answer that nobody waits for: what it cost the link was for nothing.
+
+        A question that is asked again for it costs the same again, and an answer that
+        always takes longer than its timeout is asked for without end.
+        """
+        self._metrics.incr("peers.late_reply")
+        self._metrics.incr("peers.late_reply_bytes", len(envelope.payload))
+        age = self._calls.age_given_up(envelope.call_id)
+        _log.warning(
+            "late answer",
+            sender=envelope.sender,
+            area=_area_name(envelope.area),
+            bytes=len(envelope.payload),
+            seconds=round(age, 3) if age is not None else None,
+        )
+
     async def _serve(self, inbox: curio.Queue) -> None:
         while True:
             envelope = await inbox.get()
@@ -278,3 +308,11 @@
             envelope.call_id,
             reason.encode(),
         )
+
+
+def _area_name(area: int) -> str:
+    """Return the name of a subsystem; a later version may have ones unknown here."""
+    try:
+        return Area(area).name.lower()
+    except ValueError:
+        return str(area)
--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -1,6 +1,7 @@
 """An entry host's knowledge: what is in force, which targets there are, who lives."""
 
 import random
+import time
 from collections.abc import Callable
 
 import curio
@@ -176,18 +177,24 @@
             list_number=self.targets.number if self.targets else 0,
             loads=self._own_loads(),
         )
+        began = monotonic()
         try:
             reply = await self._peers.call(core, Area.FLEET, request, timeout)
         except PeerError as exc:
             self._avoid(core, HOME_RETRY)
-            _log.warning("core host lost", core=core, reason=str(exc))
+            _log.warning(
+                "core host lost",
+                core=core,
+                reason=str(exc),
+                held_version=request.document_version,
+            )
             return False
         self._avoided_until.pop(core, None)
         if not 0 <= reply.confirmed_age_ms <= BEHIND_AGE_MS:
             # It answers, but hears of no change. Asked again and again, it would keep
             # this host on an older catalogue.
             self._avoid(core, BEHIND_RETRY)
-        self._take(core, reply)
+        self._take(core, reply, monotonic() - began)
         return True
 
     def _avoid(self, core: HostName, seconds: float) -> None:
@@ -195,15 +202,22 @@
         if self._current == core:
             self._current = None
 
-    def _take(self, core: HostName, reply: SyncReply) -> None:
+    def _take(self, core: HostName, reply: SyncReply, seconds: float = 0.0) -> None:
         held = self.catalogue.version if self.catalogue else -1
         if reply.document is not None and reply.document_version > held:
+            began = time.process_time()
             self.catalogue = self._decode(reply.document)
+            used = time.process_time()
             _log.info(
                 "catalogue in force",
                 version=self.catalogue.version,
+                former=held,
                 core=core,
                 confirmed_age_ms=reply.confirmed_age_ms,
+                bytes=len(reply.document),
+                answer_seconds=round(seconds, 3),
+                decode_cpu_ms=round((used - began) * 1000, 1),
+                cpu_seconds=round(used, 3),
             )
         # A host of the core that is itself behind must not take closing back.
         if reply.revision >= self._revision:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,7 @@
 
 import curio
 import msgspec
+from logbook import TestHandler as LogCapture
 from nose2.tools import params
 
 from bronzepoint_common.metrics import Metrics
@@ -176,6 +177,35 @@
 
         curio.run(run_pair, use)
 
+    def test_late_answers_are_counted_with_their_bytes(self):
+        """An answer whose question was given up takes up the link for nothing, and
+        nothing told of its size or of how late it came."""
+        asked = curio.Event()
+
+        async def answer(sender, message):
+            await asked.wait()
+            return Pong("x" * 1000)
+
+        async def use(a, b):
+            for host in (a, b):
+                host.register(Area.AGREEMENT, Ping | Pong, answer)
+            with self.assertRaises(PeerTimeout):
+                await a.call(B, Area.AGREEMENT, Ping("x"), 0.05)
+            with LogCapture() as lines:
+                await asked.set()
+                async with curio.timeout_after(PATIENCE):
+                    while not a._metrics.counters().get("peers.late_reply"):
+                        await curio.sleep(0.01)
+            counters = a._metrics.counters()
+            self.assertGreater(counters["peers.late_reply_bytes"], 1000)
+            (line,) = lines.records
+            self.assertEqual((line.message, line.kwargs["sender"]), ("late answer", B))
+            self.assertGreaterEqual(line.kwargs["seconds"], 0.05)
+            sent = b._metrics.counters()["peers.sent_bytes.agreement"]
+            self.assertGreater(sent, 1000)
+
+        curio.run(run_pair, use)
+
     def test_an_address_of_the_settings_is_not_replaced(self):
         """Symptom: messages to a peer go past the address that the operator gave.
 
