--- a/tests/_seeded_cluster.py
+++ b/tests/_seeded_cluster.py
@@ -102,4 +102,21 @@
             await curio.sleep(0.02)
 
 
-__all__ = ["AgreementError", "CuttablePeers", "SeededCluster"]
+def with_cluster(*names):
+    """Run a test's coroutine with a cluster of these hosts."""
+
+    def decorate(test):
+        def run(self):
+            async def main():
+                async with SeededCluster(*names) as cluster:
+                    await test(self, cluster)
+
+            curio.run(main)
+
+        run.__name__, run.__doc__ = test.__name__, test.__doc__
+        return run
+
+    return decorate
+
+
+__all__ = ["AgreementError", "CuttablePeers", "SeededCluster", "with_cluster"]
--- a/tests/test_agreement_seeded.py
+++ b/tests/test_agreement_seeded.py
@@ -9,28 +9,11 @@
 from bronzepoint_node.agreement import AgreementError
 from bronzepoint_node.agreement._ballot import Ballot
 from bronzepoint_schema.generated.agreement import VoteRequest
-from tests._seeded_cluster import CuttablePeers, SeededCluster
+from tests._seeded_cluster import CuttablePeers, SeededCluster, with_cluster
 
 FIVE = ("a1", "b1", "c1", "a2", "b2")
 
 
-def with_cluster(*names):
-    """Run a test's coroutine with a cluster of these hosts."""
-
-    def decorate(test):
-        def run(self):
-            async def main():
-                async with SeededCluster(*names) as cluster:
-                    await test(self, cluster)
-
-            curio.run(main)
-
-        run.__name__, run.__doc__ = test.__name__, test.__doc__
-        return run
-
-    return decorate
-
-
 class TestFormation(unittest.TestCase):
     @with_cluster(*FIVE)
     async def test_all_hosts_with_disks_come_to_vote(self, cluster):
