Bound what waits for slow peers in bytes, too

Ruled out: fewer frames (small ones would be lost in an ordinary cut); dropping the newest (what waits first is what is out of date). Change: beside 128 frames, 512 KB behind the oldest are kept for a peer. Before and after: 79 peers that read nothing: 237 MB, now below the 64 MB that a host may use for control (test_peers; it fails without the change). 16 tests of the links pass.

--- a/packages/common/src/bronzepoint_common/peers/_outbox.py
+++ b/packages/common/src/bronzepoint_common/peers/_outbox.py
@@ -11,7 +11,10 @@
 from bronzepoint_common.peers._stream import connect, frame_head
 
 _QUEUED_FRAMES = 128
-"""Frames kept for a peer that is slow or away; beyond it the oldest are dropped."""
+"""Frames kept for a peer that is slow or away; beyond it the oldest are dropped,"""
+_QUEUED_BYTES = 512 * 1024
+"""and beyond this many bytes behind the oldest. Bounded by their number alone, large
+frames for 70 peers would fill the memory that a host has for control."""
 _CONNECT_FIRST = 0.4
 """Seconds for the first connection: two of the longest trips there and back. A host
 without power drops the opening packet, and the kernel sends it again after a second:
@@ -42,6 +45,7 @@
         self.address = address
         self._wake = wake
         self._frames: deque[bytes] = deque()
+        self._queued_bytes = 0
         self._partial = b""
         self._sock: socket.socket | None = None
         self._sent = 0
@@ -52,6 +56,7 @@
     def send(self, frame: bytes) -> bool:
         """Send one frame, or keep it; False where an older one was dropped for it."""
         self._frames.append(frame_head(frame) + frame)
+        self._queued_bytes += len(self._frames[-1])
         self._sent += 1
         if self._partial:
             return self._keep_bounded()
@@ -64,12 +69,13 @@
     @property
     def waiting_bytes(self) -> int:
         """Return the bytes that the connection hasn't taken yet."""
-        return sum(map(len, self._frames)) + len(self._partial)
+        return self._queued_bytes + len(self._partial)
 
     def close(self) -> None:
         """Drop what is queued; the task ends and closes the connection."""
         self._closed = True
         self._frames.clear()
+        self._queued_bytes = 0
         if self._sock is not None:
             _shut_down(self._sock)
         self._wake(self)
@@ -140,7 +146,7 @@
         """Write as much as the socket takes."""
         try:
             while self._has_waiting():
-                data = self._partial or self._frames.popleft()
+                data = self._partial or self._next_frame()
                 self._partial = data
                 sent = sock.send(data)
                 self._partial = data[sent:]
@@ -150,14 +156,28 @@
             # The task sees the loss too; until then nothing more is written here.
             _shut_down(sock)
 
+    def _next_frame(self) -> bytes:
+        frame = self._frames.popleft()
+        self._queued_bytes -= len(frame)
+        return frame
+
     def _has_waiting(self) -> bool:
         return bool(self._frames or self._partial)
 
     def _keep_bounded(self) -> bool:
-        if len(self._frames) <= _QUEUED_FRAMES:
-            return True
-        self._frames.popleft()
-        return False
+        dropped = False
+        while self._is_over_bound():
+            self._next_frame()
+            dropped = True
+        return not dropped
+
+    def _is_over_bound(self) -> bool:
+        if not self._frames:
+            return False
+        # The bytes behind the oldest frame count, so that small ones don't push out a
+        # snapshot that is larger than the bound.
+        behind = self._queued_bytes - len(self._frames[0])
+        return len(self._frames) > _QUEUED_FRAMES or behind > _QUEUED_BYTES
 
 
 def _shut_down(sock: socket.socket) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -28,6 +28,9 @@
 A = HostName("a")
 B = HostName("b")
 PATIENCE = 30.0
+PEERS = 79
+CONTROL_MEMORY = 64e6
+"""Bytes that a host may use for control."""
 
 
 class Ping(msgspec.Struct, tag="ping"):
@@ -219,6 +222,20 @@
 
 
 class TestOutbox(unittest.TestCase):
+    def test_what_waits_for_slow_peers_is_bounded_in_bytes(self):
+        """After a loss of power three hosts of the core grew by 40 MB a second, to
+        296 MB, and were killed, again and again: 70 starting hosts asked each of them
+        for the catalogue several times a second, over links that carried one answer of
+        300 KB in half a second. 128 frames were kept for each peer, whatever their
+        size."""
+        boxes = [Outbox("127.0.0.1:1", lambda _: None) for _ in range(PEERS)]
+        frame = bytes(300_000)
+        for box in boxes:
+            for _ in range(10):
+                box.send(frame)
+        self.assertLess(sum(box.waiting_bytes for box in boxes), CONTROL_MEMORY)
+        self.assertTrue(all(box.waiting_bytes >= len(frame) for box in boxes))
+
     def test_first_connections_are_given_up_soon(self):
         """Symptom: after a loss of all power the core elects a leader a second late.
         Sequence: all hosts start together; an opening packet reaches a host that has no
