Find routes by their host name

Ruled out: a tree of prefixes; a host name has few routes. Change: the routes of each host name are kept together, once for a catalogue.

--- a/packages/node/src/bronzepoint_node/fleet/_served.py
+++ b/packages/node/src/bronzepoint_node/fleet/_served.py
@@ -1,7 +1,10 @@
 """What is served: the routes and services of one catalogue document."""
 
 import math
+from collections import defaultdict
+from collections.abc import Sequence
 from enum import Enum
+from functools import cached_property
 
 from msgspec import Struct
 
@@ -120,7 +123,7 @@
     idle_timeout: float = 60.0
 
 
-class ServedCatalogue(Struct, frozen=True):
+class ServedCatalogue(Struct, frozen=True, dict=True):
     """One whole catalogue document, checked."""
 
     version: int
@@ -128,12 +131,18 @@
     services: dict[str, ServedService]
     limits: CallerLimits
 
+    def routes_of(self, host: str) -> Sequence[ServedRoute]:
+        """Return the routes of a host name."""
+        return self._by_host.get(host, ())
+
     def find_route(self, host: str, path: str) -> ServedRoute | None:
         """Return the route of the host name with the longest prefix of the path."""
-        found = None
+        fitting = [r for r in self.routes_of(host) if path.startswith(r.prefix)]
+        return max(fitting, key=lambda route: len(route.prefix), default=None)
+
+    @cached_property
+    def _by_host(self) -> dict[str, list[ServedRoute]]:
+        found = defaultdict(list)
         for route in self.routes:
-            if route.host != host or not path.startswith(route.prefix):
-                continue
-            if found is None or len(route.prefix) > len(found.prefix):
-                found = route
-        return found
+            found[route.host].append(route)
+        return dict(found)
