Send hosts that were away what they lack in batches of bounded size

Ruled out: longer timeouts, which hide a host that is lost; fewer entries, which make small ones slow. Change: `first_batch` bounds both by 64 KB, at least one; a host that follows polls on while there is more. Nobody has seen this one fail in operation: found by looking for the cause.

--- a/packages/node/src/bronzepoint_node/agreement/_leadership.py
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -8,6 +8,7 @@
 import curio
 import msgspec
 
+from bronzepoint_common.batches import first_batch
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, PeerError
@@ -274,7 +275,7 @@
             return SnapshotInstall(
                 cluster, self.term, storage, snapshot.index, snapshot.term, state
             )
-        entries = log.entries_after(previous, _MAX_ENTRIES)
+        entries = first_batch(log.entries_after(previous, _MAX_ENTRIES))
         commit = self._voter.commit_index
         return AppendRequest(
             cluster, self.term, storage, previous, previous_term, commit, entries
--- a/packages/node/src/bronzepoint_node/catalogue/_held.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_held.py
@@ -8,6 +8,7 @@
 import curio
 import msgspec
 
+from bronzepoint_common.batches import first_batch
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.storage import RecordLog, SnapshotFile, StorageError
 from bronzepoint_schema.generated.agreement import Delta, ViewSnapshot
@@ -104,13 +105,13 @@
             self._deltas.clear()
 
     def deltas_after(self, revision: Revision) -> list[Delta] | None:
-        """Return what follows a revision; None where that is too far back."""
+        """Return what follows a revision next; None where that is too far back."""
         if revision >= self.revision:
             return []
         missing = self.revision - revision
         if missing > min(len(self._deltas), _DELTAS_SENT):
             return None
-        return list(self._deltas)[-missing:]
+        return first_batch(list(self._deltas)[-missing:])
 
     def encoded_view(self) -> bytes:
         """Return the compressed whole view."""
--- a/packages/node/src/bronzepoint_node/catalogue/_poller.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_poller.py
@@ -38,19 +38,23 @@
         self._catalogue = catalogue
 
     async def ask(self, host: HostName) -> PollReply | None:
-        """Ask one host, and take in what it knows.
+        """Ask one host until nothing more is to be had, and take in what it knows.
 
         Returns:
-            Its answer; None where there was none.
+            Its last answer; None where there was none.
         """
-        request = PollRequest(self._catalogue.cluster, self._catalogue.held)
-        sent_at = monotonic()
-        reply = await self._call(host, request, _TIMEOUT)
-        if not isinstance(reply, PollReply):
-            return None
-        if reply.cluster:
-            await self._take(host, reply, sent_at)
-        return reply
+        while True:
+            before = self._catalogue.held
+            request = PollRequest(self._catalogue.cluster, before)
+            sent_at = monotonic()
+            reply = await self._call(host, request, _TIMEOUT)
+            if not isinstance(reply, PollReply):
+                return None
+            if reply.cluster:
+                await self._take(host, reply, sent_at)
+            # An answer holds a bounded batch: there may be more.
+            if not before < self._catalogue.held < reply.revision:
+                return reply
 
     async def ask_all(self, hosts: list[HostName]) -> list[PollReply | None]:
         """Ask several hosts at once; this one is left out."""
