--- a/packages/common/src/bronzepoint_common/documents/_delta.py
+++ b/packages/common/src/bronzepoint_common/documents/_delta.py
@@ -35,7 +35,7 @@
 ) -> DocumentDelta:
     """Return what leads from one version of a document to another.
 
-    Costs some 4 ms for 0.5 MB, and some 100 bytes for each changed route.
+    Costs some 5 ms and 250 bytes for a changed route or two among 1,700 of 0.5 MB.
 
     Args:
         version: Version of the new document.
--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -237,7 +237,9 @@
         return has_more
 
     def _take_document(self, core: HostName, reply: SyncReply, seconds: float) -> bool:
-        transfer = self._copy.transfer
+        transfer = (
+            self._copy.transfer
+        )  # The copy begins another one with the last part.
         if not self._copy.take(core, reply.document, seconds):
             return False
         held = self.catalogue.version if self.catalogue else NO_BASE
