Tell one request's story from the logs of several hosts

Ruled out: asking hosts (after a crash there is none to ask, and the users' runs end with their hosts); a store of traces. Change: `bronzepoint explain ID [FILE…]`: lines of the request on each host in the order of time, its tries and their ends, what these hosts came to believe shortly before and what any host said of the targets that were tried, a cause in the last line; `--json`. The meanings of refusals and ends are checked against the code's own.

--- a/packages/cli/src/bronzepoint_cli/_app.py
+++ b/packages/cli/src/bronzepoint_cli/_app.py
@@ -12,6 +12,7 @@
     cluster,
     config,
     counters,
+    explain,
     hosts,
     load,
     orders,
@@ -31,6 +32,7 @@
 app.add_typer(cluster.app, name="cluster")
 app.add_typer(config.app, name="config")
 app.command(name="why")(why.why)
+app.command(name="explain")(explain.explain)
 app.command(name="hosts")(hosts.hosts)
 app.command(name="drain")(hosts.drain)
 app.command(name="targets")(targets.targets)
--- /dev/null
+++ b/packages/cli/src/bronzepoint_cli/explain/_story.py
@@ -0,0 +1,102 @@
+"""What the logs say of one request, in the order of time."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from bronzepoint_cli.explain._log_lines import LogLine
+
+BEFORE = 3.0
+"""Seconds before a request came for which changes of belief are told."""
+MOST_BELIEFS = 12
+"""Changes of belief that are told, so that a story fits on one screen."""
+CATALOGUE = "catalogue in force"
+
+
+@dataclass
+class Story:
+    """Everything that is known of one request.
+
+    Attributes:
+        request_id: The request.
+        parts: Its own lines, one or more from each host that worked on it.
+        beliefs: What these hosts came to believe shortly before and meanwhile, and
+            what any host said of the targets that were tried.
+        left_out: Further changes of belief that are not among them.
+        newest: First line of any host on the newest catalogue when the request came.
+    """
+
+    request_id: str
+    parts: list[LogLine] = field(default_factory=list)
+    beliefs: list[LogLine] = field(default_factory=list)
+    left_out: int = 0
+    newest: LogLine | None = None
+
+    @property
+    def began(self) -> float:
+        """When the request came first, by the clocks of the hosts."""
+        return min((began_at(part) for part in self.parts), default=0.0)
+
+    @property
+    def last(self) -> LogLine | None:
+        """The line of the host that answered the caller; None: there is none."""
+        own = [part for part in self.parts if not part.fields.get("forwarded")]
+        return (own or self.parts or [None])[-1]
+
+    def catalogue_of(self, host: str) -> LogLine | None:
+        """Return the newest line on the catalogue that a host held when it came."""
+        held = [
+            line
+            for line in self.beliefs
+            if line.host == host and line.message == CATALOGUE and line.at <= self.began
+        ]
+        return held[-1] if held else None
+
+
+def began_at(part: LogLine) -> float:
+    """Return when a host began to work on a request."""
+    return part.at - float(part.fields.get("seconds") or 0.0)
+
+
+def tell_story(request_id: str, lines: Iterable[LogLine]) -> Story:
+    """Put together what belongs to a request."""
+    ordered = sorted(lines, key=lambda line: line.at)
+    story = Story(request_id)
+    story.parts = [line for line in ordered if line.request == request_id]
+    if not story.parts:
+        return story
+    others = [line for line in ordered if not line.request]
+    held = [b for b in others if b.message == CATALOGUE and b.at <= story.began]
+    if held:
+        newest = max(line.fields.get("version", -1) for line in held)
+        story.newest = next(b for b in held if b.fields.get("version") == newest)
+    story.beliefs, story.left_out = _choose(story, others, held)
+    return story
+
+
+def _choose(
+    story: Story, others: list[LogLine], held: list[LogLine]
+) -> tuple[list[LogLine], int]:
+    """Return the changes of belief that are told, and how many are not."""
+    hosts = {part.host for part in story.parts}
+    tried = " ".join(note for p in story.parts for note in p.fields.get("tries", ()))
+    ended = max(part.at for part in story.parts)
+    found = [
+        line
+        for line in others
+        if story.began - BEFORE <= line.at <= ended
+        and (line.host in hosts or _target_of(line) in tried)
+    ]
+    # What a host serves on counts however long ago it heard of it.
+    for host in sorted(hosts):
+        former = [line for line in held if line.host == host][-1:]
+        found += [line for line in former if line not in found]
+    found.sort(key=lambda line: line.at)
+    kept = [line for line in found if line.message == CATALOGUE][-MOST_BELIEFS:]
+    rest = [line for line in found if line not in kept]
+    kept += rest[len(rest) - max(0, MOST_BELIEFS - len(kept)) :]
+    return sorted(kept, key=lambda line: line.at), len(found) - len(kept)
+
+
+def _target_of(line: LogLine) -> str:
+    """Return the target that a line speaks of; a text that no try holds: none."""
+    return str(line.fields.get("target") or "\0")
--- /dev/null
+++ b/tests/test_cli_explain.py
@@ -0,0 +1,197 @@
+"""One request's story from the logs of several hosts."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from nose2.tools import params
+
+from bronzepoint_cli.explain import (
+    REFUSALS,
+    TRY_ENDS,
+    find_cause,
+    read_log_lines,
+    tell_story,
+)
+from bronzepoint_node.placement import RejectReason
+from tests._command_line import run_command
+from tests.test_operations_page import reasons
+
+ID = "2db2fad81d0b38bb"
+TARGET = "i-1@10.1.0.9:80: least expected loss"
+
+
+def line(at, host, message, **fields):
+    """Return a log line; ``at`` are seconds of one minute."""
+    values = {"time": f"2026-01-01T00:00:{at:06.3f}+00:00", "level": "info"}
+    return json.dumps({**values, "host": host, "message": message, **fields})
+
+
+def request(at, outcome, tries=(), host="a1", request=ID, **fields):
+    values = {"route": "r", "outcome": outcome, "sends": len(tries), "seconds": 0.5}
+    values |= {"objective": 1.0, "max_gap": 0.3, "first_event": 0.1, "gap": 0.1}
+    values |= {"forwarded": False, **fields}
+    return line(at, host, "request", request=request, tries=list(tries), **values)
+
+
+def catalogue(at, host, version):
+    return line(at, host, "catalogue in force", version=version)
+
+
+def cause(*lines):
+    return find_cause(tell_story(ID, read_log_lines(lines, ID)))
+
+
+class TestCause(unittest.TestCase):
+    @params(
+        ([], "no host wrote a line of it: it reached none of them, or its host was"),
+        ([request(9, "refused_no_room")], "not run: no target of its region and no ot"),
+        ([line(9, "a1", "refused", request=ID, reason="leaving")], "not run: the host"),
+        ([request(9, "deadline")], "its time was over before there was room for it"),
+        (
+            [request(9, "deadline", [f"{TARGET} -> timeout"])],
+            "its time was over before the answer was whole; before that, no answer",
+        ),
+        (
+            [request(9, "may_have_run", [f"{TARGET} -> cut, ended"])],
+            "the connection broke after it was sent, so it may have run; the route",
+        ),
+        (
+            [request(9, "answered", [f"{TARGET} -> answered"], first_event=1.4)],
+            "late: its first answer took 1.4 s of 1",
+        ),
+        (
+            [
+                request(
+                    9,
+                    "answered",
+                    [f"{TARGET} -> rejected_503"] * 2 + [f"{TARGET} -> answered"],
+                    gap=0.7,
+                )
+            ],
+            "late: a pause of 0.7 s, where 0.3 are allowed; before that, the target "
+            "turned it away (2 times)",
+        ),
+        ([request(9, "answered_500")], "the target answered 500"),
+        ([request(9, "answered")], "answered in time"),
+        ([request(9, "caller_left")], "the caller closed its connection"),
+        (
+            [line(9, "a1", "no route", request=ID, version=3)],
+            "version 3 has no such route, and no host had a newer one",
+        ),
+        (
+            [
+                catalogue(4, "a2", 5),
+                catalogue(6, "a3", 5),
+                line(9, "a1", "no route", request=ID, version=3),
+            ],
+            "the host served on version 3, while a2 had version 5 since 5.0 s before",
+        ),
+    )
+    def test_it_is_told_in_one_line(self, lines, expected):
+        found = cause(*lines)
+        self.assertTrue(found.startswith(expected), found)
+        self.assertNotIn("\n", found)
+
+    def test_the_host_that_answered_the_caller_counts(self):
+        found = cause(
+            request(9, "refused_no_room"),
+            request(8.9, "answered", host="b1", forwarded=True),
+        )
+        self.assertTrue(found.startswith("not run"), found)
+
+    @params(*RejectReason)
+    def test_each_refusal_has_its_meaning(self, reason):
+        self.assertIn(reason, REFUSALS)
+
+    def test_each_end_of_a_try_has_its_meaning(self):
+        self.assertEqual({r.rstrip("_") for r in reasons()} - set(TRY_ENDS), set())
+
+
+class TestStory(unittest.TestCase):
+    def tell(self, *lines):
+        return tell_story(ID, read_log_lines(lines, ID))
+
+    def test_other_requests_and_other_text_are_passed_over(self):
+        story = self.tell(
+            "not a log line",
+            '{"host": 1',
+            request(8.9, "answered", request="another"),
+            "  9.1 a1 " + request(9, "answered"),
+        )
+        self.assertEqual([part.host for part in story.parts], ["a1"])
+        self.assertEqual(story.beliefs, [])
+
+    def test_beliefs_of_its_hosts_and_of_its_targets_are_told(self):
+        story = self.tell(
+            catalogue(1, "a1", 2),
+            catalogue(1, "b1", 4),
+            line(8, "a1", "collector of loads", collector="a2"),
+            line(8, "b1", "collector of loads", collector="b2"),
+            line(8, "b1", "no report", target="i-1"),
+            line(8, "b1", "no report", target="i-2"),
+            line(9.5, "a1", "collector of loads", collector="a3"),
+            request(9, "answered", [f"{TARGET} -> answered"]),
+        )
+        told = [(b.message, b.host) for b in story.beliefs]
+        expected = [
+            ("catalogue in force", "a1"),
+            ("collector of loads", "a1"),
+            ("no report", "b1"),
+        ]
+        self.assertEqual(told, expected)
+        self.assertEqual(story.newest.fields["version"], 4)
+
+    def test_a_story_fits_on_a_screen(self):
+        many = [line(8 + n / 100, "a1", "no report", target="i-1") for n in range(50)]
+        story = self.tell(catalogue(1, "a1", 2), *many, request(9, "answered"))
+        self.assertEqual(len(story.beliefs) + story.left_out, 51)
+        self.assertLessEqual(len(story.beliefs), 12)
+        self.assertEqual(story.catalogue_of("a1").fields["version"], 2)
+
+
+class TestCommand(unittest.TestCase):
+    LINES = (
+        catalogue(1, "a1", 2),
+        request(9, "refused_no_room", ["i-1 0/6; closed ['x-a']"]),
+    )
+
+    def run_on(self, *arguments, lines=LINES):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "a1.log"
+            path.write_text("".join(f"{text}\n" for text in lines))
+            return run_command("explain", ID, *arguments, str(path))
+
+    def test_the_story_is_printed_with_its_cause_at_the_end(self):
+        done = self.run_on()
+        self.assertEqual(done.status, 0, done.err)
+        first, *_, last = done.out.splitlines()
+        self.assertTrue(first.startswith("TIME"), first)
+        self.assertIn("catalogue in force  version 2", done.out)
+        self.assertIn("try 1               i-1 0/6; closed ['x-a']", done.out)
+        self.assertTrue(last.startswith("cause: not run: no target"), last)
+
+    def test_standard_input_is_read_where_no_file_is_named(self):
+        given = "\n".join(self.LINES)
+        done = run_command("explain", ID, given=given)
+        self.assertEqual(done.out, self.run_on().out)
+
+    def test_json_holds_the_same(self):
+        found = json.loads(self.run_on("--json").out)
+        self.assertEqual(found["parts"][0]["fields"]["outcome"], "refused_no_room")
+        self.assertTrue(found["cause"].startswith("not run"))
+
+    def test_an_unknown_request_is_said_so(self):
+        done = self.run_on(lines=(catalogue(1, "a1", 2),))
+        self.assertEqual(done.status, 1)
+        self.assertIn("give the logs of all hosts", done.err)
+
+    def test_a_file_that_is_not_there_is_said_so(self):
+        done = run_command("explain", ID, "/nowhere.log")
+        self.assertEqual(done.status, 2)
+        self.assertIn("can't be read", done.err)
+
+
+if __name__ == "__main__":
+    unittest.main()
