Run the measured host of three slopes by one piece of code

Ruled out: the same for decisions and run_once, which start several hosts at once. Change: `_measured_process.py` has them; no measurement differs. No code of the product.

--- a/packages/emulator/src/bronzepoint_emulator/slopes/_run_once_region.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/_run_once_region.py
@@ -7,7 +7,7 @@
 
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
-from bronzepoint_emulator.slopes.membership import free_addresses
+from bronzepoint_emulator.slopes._measured_process import free_addresses
 from bronzepoint_node.run_once import RunOnce
 from bronzepoint_schema.generated.settings import RunOnceSection
 from bronzepoint_schema.ids import HostName
--- a/packages/emulator/src/bronzepoint_emulator/slopes/_spread_hosts.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/_spread_hosts.py
@@ -10,7 +10,7 @@
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
 from bronzepoint_common.settings import cluster_key
-from bronzepoint_emulator.slopes.membership import free_addresses
+from bronzepoint_emulator.slopes._measured_process import free_addresses
 from bronzepoint_node.agreement import Agreement
 from bronzepoint_node.catalogue import Catalogue
 from bronzepoint_schema.generated.settings import (
--- a/packages/emulator/src/bronzepoint_emulator/slopes/agreement.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/agreement.py
@@ -6,14 +6,11 @@
 and, in this process, the length of the log.
 """
 
-import subprocess
-import sys
 import tempfile
 import time
 from pathlib import Path
 
 import curio
-import msgspec
 import uuid_utils
 from msgspec import Struct
 
@@ -23,7 +20,11 @@
     AgreementFigures,
     AgreementPlan,
 )
-from bronzepoint_emulator.slopes.membership import free_addresses
+from bronzepoint_emulator.slopes._measured_process import (
+    free_addresses,
+    print_row,
+    run_host,
+)
 from bronzepoint_node.agreement._machine import Machine
 from bronzepoint_node.agreement._voter_log import VoterLog
 from bronzepoint_schema.generated.agreement import Change, ChangeBody, LogEntry, Put
@@ -100,23 +101,12 @@
         feeder = Feeder(plan)
         await feeder.start()
         try:
-            figures = await run_host(plan)
+            figures = await run_host(_HOST_MODULE, plan, AgreementFigures)
         finally:
             await feeder.close()
     return Row(slope, leads, voters, children, rate, items, targets, figures)
 
 
-async def run_host(plan: AgreementPlan) -> AgreementFigures:
-    """Run the measured host as a process and return its figures."""
-    path = Path(plan.folder) / "plan.json"
-    path.write_bytes(msgspec.json.encode(plan))
-    command = [sys.executable, "-m", _HOST_MODULE, str(path)]
-    done = await curio.run_in_thread(
-        lambda: subprocess.run(command, stdout=subprocess.PIPE, check=True)
-    )
-    return msgspec.json.decode(done.stdout, type=AgreementFigures)
-
-
 async def measure_log(entries: int) -> LogRow:
     """Measure appending to, reading back and compacting a log of this length."""
     with tempfile.TemporaryDirectory() as folder:
@@ -162,28 +152,24 @@
 async def measure_all() -> None:
     """Measure every row, one after another, and print each."""
     for entries in LOG_LENGTHS:
-        _print(await measure_log(entries))
+        print_row(await measure_log(entries))
     for children in CHILDREN:
-        _print(await measure("children of a relay", False, children=children))
+        print_row(await measure("children of a relay", False, children=children))
     for children in CHILDREN:
         row = await measure("children, changes", False, children=children, rate=2.0)
-        _print(row)
+        print_row(row)
     for children in CHILDREN:
-        _print(await measure("children of the leader", True, children=children))
+        print_row(await measure("children of the leader", True, children=children))
     for voters in VOTERS:
-        _print(await measure("voters", True, voters=voters))
+        print_row(await measure("voters", True, voters=voters))
     for rate in RATES:
-        _print(await measure("changes", True, rate=rate))
+        print_row(await measure("changes", True, rate=rate))
     for items in ITEMS:
-        _print(await measure("items", False, items=items))
+        print_row(await measure("items", False, items=items))
     for targets in TARGETS:
-        _print(await measure("targets, relay", False, rate=1.0, targets=targets))
+        print_row(await measure("targets, relay", False, rate=1.0, targets=targets))
     for targets in TARGETS:
-        _print(await measure("targets, leader", True, rate=1.0, targets=targets))
-
-
-def _print(row: Row | LogRow) -> None:
-    print(msgspec.json.encode(row).decode(), flush=True)
+        print_row(await measure("targets, leader", True, rate=1.0, targets=targets))
 
 
 def main() -> None:
--- a/packages/emulator/src/bronzepoint_emulator/slopes/decisions.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/decisions.py
@@ -14,7 +14,7 @@
 from msgspec import Struct
 
 from bronzepoint_emulator.slopes._decisions_host import DecisionsFigures, DecisionsPlan
-from bronzepoint_emulator.slopes.membership import free_addresses
+from bronzepoint_emulator.slopes._measured_process import free_addresses
 
 RATES = [0, 5, 11, 22, 44, 88, 176]
 HELD = [0, 5_000, 10_000, 20_000, 40_000]
--- a/packages/emulator/src/bronzepoint_emulator/slopes/limits.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/limits.py
@@ -7,13 +7,9 @@
 holder). Arguments name some of them.
 """
 
-import subprocess
 import sys
-import tempfile
-from pathlib import Path
 
 import curio
-import msgspec
 from msgspec import Struct
 
 from bronzepoint_common.metrics import Metrics
@@ -24,9 +20,13 @@
     LoadedHost,
     OwnerValues,
 )
+from bronzepoint_emulator.slopes._measured_process import (
+    free_addresses,
+    print_rows,
+    run_host,
+)
 from bronzepoint_emulator.slopes._membership_feeder import FeederPeers
 from bronzepoint_emulator.slopes._membership_plan import MEASURED_REGION
-from bronzepoint_emulator.slopes.membership import free_addresses
 from bronzepoint_node.policy._rendezvous import ranked
 from bronzepoint_schema.ids import HostName
 
@@ -106,24 +106,12 @@
     feeder = LimitsFeeder(plan)
     await feeder.start()
     try:
-        figures = await run_host(plan)
+        figures = await run_host(_HOST_MODULE, plan, LimitsFigures)
     finally:
         await feeder.close()
     return Row(slope, hosts, active, holder, limit, figures)
 
 
-async def run_host(plan: LimitsPlan) -> LimitsFigures:
-    """Run the measured host as a process and return its figures."""
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "plan.json"
-        path.write_bytes(msgspec.json.encode(plan))
-        command = [sys.executable, "-m", _HOST_MODULE, str(path)]
-        done = await curio.run_in_thread(
-            lambda: subprocess.run(command, stdout=subprocess.PIPE, check=True)
-        )
-    return msgspec.json.decode(done.stdout, type=LimitsFigures)
-
-
 async def measure_all(slopes: list[str]) -> None:
     """Measure the rows of some slopes (all by default) and print each."""
     rate = LIMIT_RATE
@@ -131,11 +119,7 @@
     sizes += [("hosts", hosts, _ACTIVE, True, rate) for hosts in HOSTS]
     sizes += [("hosts_plain", hosts, _ACTIVE, False, rate) for hosts in PLAIN_HOSTS]
     sizes += [("limit", _REGION_HOSTS, _ACTIVE, True, n) for n in LIMIT_RATES]
-    for size in sizes:
-        if slopes and size[0] not in slopes:
-            continue
-        row = await measure(*size)
-        print(msgspec.json.encode(row).decode(), flush=True)
+    await print_rows(sizes, slopes, measure)
 
 
 def main() -> None:
--- a/packages/emulator/src/bronzepoint_emulator/slopes/membership.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/membership.py
@@ -5,17 +5,17 @@
 host against the regions), targets. Arguments name some of them.
 """
 
-import socket
-import subprocess
 import sys
-import tempfile
-from pathlib import Path
 
 import curio
-import msgspec
 from msgspec import Struct
 
 from bronzepoint_common.rendezvous import rendezvous_order
+from bronzepoint_emulator.slopes._measured_process import (
+    free_addresses,
+    print_rows,
+    run_host,
+)
 from bronzepoint_emulator.slopes._membership_feeder import Feeder
 from bronzepoint_emulator.slopes._membership_plan import (
     MEASURED_REGION,
@@ -62,49 +62,19 @@
     feeder = Feeder(plan, targets)
     await feeder.start()
     try:
-        figures = await run_host(plan)
+        figures = await run_host(_HOST_MODULE, plan, Figures)
     finally:
         await feeder.close()
     return Row(slope, hosts, regions, targets, figures)
 
 
-async def run_host(plan: MembershipPlan) -> Figures:
-    """Run the measured host as a process and return its figures."""
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "plan.json"
-        path.write_bytes(msgspec.json.encode(plan))
-        command = [sys.executable, "-m", _HOST_MODULE, str(path)]
-        done = await curio.run_in_thread(
-            lambda: subprocess.run(command, stdout=subprocess.PIPE, check=True)
-        )
-    return msgspec.json.decode(done.stdout, type=Figures)
-
-
-def free_addresses(names: list[str]) -> dict[str, str]:
-    """Return a free loopback address for each name."""
-    held = []
-    addresses = {}
-    for name in names:
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        held.append(sock)
-        addresses[name] = f"127.0.0.1:{sock.getsockname()[1]}"
-    for sock in held:
-        sock.close()
-    return addresses
-
-
 async def measure_all(slopes: list[str]) -> None:
     """Measure the rows of some slopes (all by default) and print each."""
     sizes = [("hosts", hosts, 1, 0, False) for hosts in HOSTS]
     sizes += [("regions", _REGION_HOSTS, n, 0, False) for n in REGIONS]
     sizes += [("relay", _REGION_HOSTS, n, 0, True) for n in REGIONS]
     sizes += [("targets", 3, 1, n, False) for n in TARGETS]
-    for size in sizes:
-        if slopes and size[0] not in slopes:
-            continue
-        row = await measure(*size)
-        print(msgspec.json.encode(row).decode(), flush=True)
+    await print_rows(sizes, slopes, measure)
 
 
 def main() -> None:
--- a/packages/emulator/src/bronzepoint_emulator/slopes/orders.py
+++ b/packages/emulator/src/bronzepoint_emulator/slopes/orders.py
@@ -17,7 +17,7 @@
 from msgspec import Struct
 
 from bronzepoint_common.metrics import Metrics
-from bronzepoint_emulator.slopes.membership import free_addresses
+from bronzepoint_emulator.slopes._measured_process import free_addresses
 from bronzepoint_node.orders import EngineClient, Orders
 from bronzepoint_schema.generated.catalogue import (
     CatalogueItem,
