--- a/packages/cli/src/bronzepoint_cli/commands/explain.py
+++ b/packages/cli/src/bronzepoint_cli/commands/explain.py
@@ -20,6 +20,8 @@
     tell_story,
 )
 
+KNOWN_ROOM = "; homes "
+"""Stands in the note on the room that a refusing host knew of."""
 SHOWN_APART = ("request", "tries", "seconds", "forwarded")
 """Fields of a request's line that aren't listed with the others."""
 
@@ -88,8 +90,10 @@
     came = "came, forwarded" if part.fields.get("forwarded") else "came"
     rows = [(began_at(part) - story.began, part.host, came, "")]
     ended = part.at - story.began
-    for number, note in enumerate(part.fields.get("tries", ()), start=1):
-        rows.append((ended, part.host, f"try {number}", str(note)))
+    for number, note in enumerate(map(str, part.fields.get("tries", ())), start=1):
+        # A refusal ends with what was known of the room, in place of a try.
+        what = "known room" if KNOWN_ROOM in note else f"try {number}"
+        rows.append((ended, part.host, what, note))
     fields = {k: v for k, v in part.fields.items() if k not in SHOWN_APART}
     what = str(fields.pop("outcome", part.message))
     rows.append((ended, part.host, what, _listed(fields)))
--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -78,8 +78,9 @@
         case "deadline":
             return f"its time was over before the answer was whole{_after(ended)}"
         case "may_have_run" | "stream_broken":
-            last_end = TRY_ENDS.get(ended[-1], ended[-1]) if ended else "no try ended"
-            return f"{last_end}; the route allows no further run"
+            # After an answer without the rest, the try before it is the cause.
+            failed = [end for end in ended if end != "answered"] or ["unanswered"]
+            return f"{TRY_ENDS.get(failed[-1], failed[-1])}; no further run brought it"
     return _cause_of_answer(fields, outcome, ended)
 
 
