Let the soak run with a large catalogue, and look whether a change is in force everywhere

Cause: the incident's load, many routes and many changes, stood in no random run of ours; and the soak never asked whether entry hosts know what was accepted. Change: `ROUTES=1700 make soak-platform`; after the last fault a route is added, and every entry host must know it within the 4 s that are promised, tried for 25 s.

--- a/Makefile
+++ b/Makefile
@@ -61,10 +61,11 @@
 	$(BIN)/python -m bronzepoint_emulator.soak --seconds $(SECONDS) --seed $(SEED)
 
 # The same over the programs of the users' platform, a line for each seed:
-# make soak-platform SECONDS=12 SEEDS_OF_SOAK="1 2 3"
+# make soak-platform SECONDS=12 ROUTES=1700 SEEDS_OF_SOAK="1 2 3"
 SEEDS_OF_SOAK ?= $(SEED)
+ROUTES ?= 0
 soak-platform: setup
-	$(BIN)/python -m tests._platform_soak $(SECONDS) $(SEEDS_OF_SOAK)
+	$(BIN)/python -m tests._platform_soak $(SECONDS) $(ROUTES) $(SEEDS_OF_SOAK)
 
 clean:
 	rm -rf $(VENV)
--- a/tests/_platform_soak.py
+++ b/tests/_platform_soak.py
@@ -1,6 +1,7 @@
 """Random faults on the platform's programs, and what callers and operators see of them.
 
-``python -m tests._platform_soak SECONDS SEED...`` runs one seed after the other.
+``python -m tests._platform_soak SECONDS ROUTES SEED...`` runs one seed after the other,
+with so many routes more in the catalogue.
 """
 
 import itertools
@@ -16,6 +17,7 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import HttpError
+from tests._large_manifest import large_routes
 from tests._platform_site import PlatformSite, manifest
 
 HOSTS = {
@@ -29,6 +31,8 @@
 of one at once, and a host that comes back counts as lost until it has caught up."""
 RECOVERY = 25.0
 """Seconds after the last fault in which everything must work again."""
+IN_FORCE = 4.0
+"""Seconds within which an accepted change is in force everywhere."""
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 
 
@@ -54,18 +58,21 @@
     Args:
         seed: Decides the faults and the requests.
         seconds: How long faults go on.
+        routes: Routes of the catalogue that nobody asks for.
     """
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, routes: int = 0) -> None:
         # Faults have draws of their own: they don't depend on how fast requests go.
         self._faults = random.Random(f"{seed} faults")
         self._rng = random.Random(seed)
         self._seconds = seconds
+        self._routes = large_routes(routes)
         self._numbers = itertools.count()
         self._versions = itertools.count(2)
         self._core_fault_at = monotonic()
         self._down: set[str] = set()
         self._stop = False
+        self._operates = True
         self.found = Findings()
 
     async def run(self) -> Findings:
@@ -199,20 +206,30 @@
                 self.found.promised.add(request_id)
 
     async def _operate(self) -> None:
-        while not self._stop:
+        while self._operates:
             version = next(self._versions)
-            document = manifest(version, timeout_ms=3000 + version)
-            self.found.sent[version] = document
-            try:
-                answer = await self._site.put(document, self._core())
-                if answer.status == 200:
-                    self.found.accepted = max(self.found.accepted, version)
-                elif answer.status < 500:
-                    self._broken(f"version {version} was refused: {answer.status}")
-            except HttpError:
-                pass
+            await self._put(self._document(version))
             await curio.sleep(self._rng.uniform(0.1, 0.6))
 
+    def _document(self, version: int) -> dict:
+        document = manifest(version, timeout_ms=3000 + version)
+        document["routes"] += self._routes
+        return document
+
+    async def _put(self, document: dict) -> bool:
+        """Send a document to any host of the core; True: it was accepted."""
+        version = document["version"]
+        self.found.sent[version] = document
+        try:
+            answer = await self._site.put(document, self._core())
+        except HttpError:
+            return False
+        if answer.status == 200:
+            self.found.accepted = max(self.found.accepted, version)
+        elif answer.status < 500:
+            self._broken(f"version {version} was refused: {answer.status}")
+        return answer.status == 200
+
     async def _read(self) -> None:
         while not self._stop:
             await self._read_once()
@@ -245,6 +262,9 @@
             return self.found.served > served + 5
 
         await self._until(is_served, "requests are served again")
+        # The next document would take the new route away again.
+        self._operates = False
+        await self._until(self._is_in_force, "a new route is known everywhere")
         runs = Counter()
         for target in self._site.targets:
             runs += target.ran
@@ -255,6 +275,30 @@
             if runs[request_id]:
                 self._broken(f"{request_id} was refused, and ran")
 
+    async def _is_in_force(self) -> bool:
+        """Add a route, and tell whether each entry host knows it."""
+        version = next(self._versions)
+        document = self._document(version)
+        path = f"/new-{version}/"
+        document["routes"].append({**document["routes"][0], "path_prefix": path})
+        if not await self._put(document):
+            return False
+        end = monotonic() + IN_FORCE
+        waiting = {ip for role, ip in HOSTS.values() if role == "entry"}
+        while waiting and monotonic() < end:
+            for ip in sorted(waiting):
+                if await self._is_known(f"{ip}:{self._site.front}", f"{path}a"):
+                    waiting.discard(ip)
+            await curio.sleep(0.1)
+        return not waiting
+
+    async def _is_known(self, address: str, path: str) -> bool:
+        try:
+            answer = await self._site.call("POST", path, b"", address)
+        except HttpError:
+            return False
+        return answer.status not in (404, 503)
+
     async def _until(self, condition, what: str) -> None:
         end = monotonic() + RECOVERY
         while not await condition():
@@ -276,13 +320,14 @@
 
 def main(arguments: list[str]) -> int:
     """Run seeds and print a line for each; the status is 1 where a promise broke."""
-    seconds, *seeds = arguments
+    seconds, routes, *seeds = arguments
     broken = 0
     for seed in seeds:
-        found = curio.run(PlatformSoak(int(seed), float(seconds)).run)
+        found = curio.run(PlatformSoak(int(seed), float(seconds), int(routes)).run)
         broken += bool(found.broken)
         line = {
             "seed": int(seed),
+            "routes": int(routes),
             "faults": len(found.faults),
             "requests": {"served": found.served, "refused": found.refused},
             "accepted": found.accepted,
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -11,14 +11,14 @@
 
 
 class TestSoak(unittest.TestCase):
-    @params(1)
-    def test_no_promise_is_broken(self, seed):
+    @params((1, 0), (2, 1700))
+    def test_no_promise_is_broken(self, seed, routes):
         """Symptom: what no single test thought of.
         Sequence: hosts are killed, paused, ended and wiped, and targets fail, in an
         order that the seed decides, while callers ask and an operator changes the
         catalogue.
         Cause: open; the message says which promise broke."""
-        found = curio.run(PlatformSoak(seed, SECONDS).run)
+        found = curio.run(PlatformSoak(seed, SECONDS, routes).run)
         self.assertEqual(found.broken, [], found.logs)
         self.assertGreater(found.served, 0)
         self.assertGreater(found.accepted, 1)
