Answer entry hosts without a look at all others

Cause: at 200 hosts a host of the core spent 71% of its busy time on answers to entry hosts: each word it heard threw away the list of live hosts that the next answer needed, and each answer hashed and sorted the hosts of all other regions, so its cost grew with the square of the fleet. Ruled out: the document, which isn't sent while it doesn't change. Change: a word that says nothing new but its age leaves the kept list as it is; the order in which a host is told of others is kept until the hosts change. Tests for both failed on the former code.

--- a/packages/node/src/bronzepoint_node/core/_core_hub.py
+++ b/packages/node/src/bronzepoint_node/core/_core_hub.py
@@ -20,7 +20,7 @@
 from bronzepoint_schema.ids import HostName, RegionName
 
 from ._document_feed import DocumentFeed
-from ._hosts_for import hosts_for
+from ._hosts_for import HostOrders, hosts_for
 from ._target_reader import TargetReader
 
 NOTICE_INTERVAL = 0.5
@@ -55,6 +55,7 @@
         self._reader = reader
         self._peers = peers
         self._feed = DocumentFeed()
+        self._orders = HostOrders()
         self._own: set[HostName] = set()
         self._task: curio.Task | None = None
         peers.register(Area.FLEET, FleetMessage, self._handle)
@@ -98,7 +99,7 @@
             closed=sorted(self._agreement.closed),
             targets=self._unknown_list(request, listed),
             targets_age_ms=listed.age_ms if listed is not None else -1,
-            hosts=hosts_for(request.host, live),
+            hosts=hosts_for(request.host, live, self._orders),
             loads=self.registry.loads(),
             core=self._core(),
             entry_hosts=len(live),
--- a/packages/node/src/bronzepoint_node/fleet/_registry.py
+++ b/packages/node/src/bronzepoint_node/fleet/_registry.py
@@ -19,7 +19,7 @@
 LOAD_EXPIRY = 3.0
 KEPT_ANSWER = 0.05
 """Seconds for which the answer to one question is kept, as it is asked several times
-for each request: 0.2 ms each at 70 hosts. Ages are this much too low at most."""
+for each request. Ages are this much too high or too low at most."""
 LAST_RESORT = 10.0
 """Seconds for which hosts and loads are kept beyond that: where nothing newer is
 known, an old word is better than a refusal."""
@@ -39,8 +39,11 @@
         """Take a word, where it is newer than the one held."""
         at = monotonic() - word.age_ms / 1000
         known = self._words.get(key)
-        if known is None or at > known[0]:
-            self._words[key] = (at, word)
+        if known is not None and at <= known[0]:
+            return
+        self._words[key] = (at, word)
+        if known is None or _differ(known[1], word):
+            # An answer that is kept may lag in its ages, but not in what it says.
             self._answers.clear()
 
     def get(self, key: Key) -> Word | None:
@@ -67,6 +70,11 @@
         ]
 
 
+def _differ(one: Word, other: Word) -> bool:
+    """Tell whether two words of one key say other things, ages aside."""
+    return msgspec.structs.replace(one, age_ms=other.age_ms) != other
+
+
 class Registry:
     """Who lives and how busy the regions are, with the age of each word.
 
--- a/tests/test_core_hosts_for.py
+++ b/tests/test_core_hosts_for.py
@@ -2,10 +2,12 @@
 
 import unittest
 from collections import Counter
+from unittest import mock
 
 from nose2.tools import params
 
-from bronzepoint_node.core._hosts_for import MOST_ELSEWHERE, hosts_for
+from bronzepoint_node.core import _hosts_for
+from bronzepoint_node.core._hosts_for import MOST_ELSEWHERE, HostOrders, hosts_for
 from bronzepoint_schema.generated.fleet import EntryHost, EntryState
 
 
@@ -52,6 +54,22 @@
         left = {host.name for host in hosts_for(live[0], fewer)}
         self.assertGreaterEqual(left, set(first) - {"b7"})
 
+    def test_cost_of_an_answer_does_not_grow_with_the_fleet(self):
+        """Symptom: hosts of the core call one another lost where 200 entry hosts ask.
+        Sequence: each entry host asks 2.5 times a second, and is told a few hosts.
+        Cause: for each answer all hosts of other regions were hashed and sorted."""
+        live = entries(64)
+        orders = HostOrders()
+        first = hosts_for(live[0], live, orders)
+        with mock.patch.object(_hosts_for, "rendezvous_order") as hashed:
+            again = hosts_for(live[0], live, orders)
+            hashed.assert_not_called()
+        self.assertEqual(again, first)
+        fewer = [host for host in live if host.name != first[-1].name]
+        told = {host.name for host in hosts_for(live[0], fewer, orders)}
+        self.assertNotIn(first[-1].name, told)
+        self.assertEqual(len(told), len(first))
+
     def test_hosts_of_a_region_are_told_different_ones(self):
         live = entries(23)
         told = Counter(
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -99,6 +99,26 @@
         self.registry.hear_core([CoreHost("c", "", 0)])
         self.assertEqual(self.registry.core(), [CoreHost("c", "r", 0)])
 
+    def test_a_host_that_speaks_again_costs_no_look_at_all_others(self):
+        """Symptom: a host of the core takes the longer for an answer the more entry
+        hosts ask it.
+        Sequence: each of 200 speaks, and is then told who lives.
+        Cause: each word threw away the list that the next answer needed."""
+        for number in range(200):
+            self.registry.hear_entries([entry(f"h{number}")])
+        self.assertEqual(len(self.registry.entries()), 200)
+        self.now += 0.01
+        with mock.patch.object(registry_module.msgspec.structs, "replace") as made:
+            made.side_effect = lambda word, **_: word
+            for number in range(200):
+                self.registry.hear_entries([entry(f"h{number}")])
+                self.registry.entries()
+            self.assertLessEqual(made.call_count, 2 * 200)
+        self.now += 0.01
+        self.registry.hear_entries([entry("h7", state=EntryState.leaving)])
+        states = {host.name: host.state for host in self.registry.entries()}
+        self.assertIs(states["h7"], EntryState.leaving)
+
     def test_loads_carry_their_present_age(self):
         self.registry.hear_loads([RegionLoad("r", "s", 4, 1, 0, 200)])
         self.now += 1.0
