Give a host that was told of no others no part of the slack for repeats

Cause: until the core had told it how many hosts there are, a host counted one in all and could use the whole slack of all hosts; after a kill of everything each of them did. Change: no slack before the number is known; the share of own requests stays. The test of the window now names the number of hosts that it had taken for granted.

--- a/packages/node/src/bronzepoint_node/placement/_retry_allowance.py
+++ b/packages/node/src/bronzepoint_node/placement/_retry_allowance.py
@@ -25,13 +25,16 @@
     def __init__(self, ratio: float, slack: float) -> None:
         self._ratio = ratio * RATIO_USED
         self._slack = slack * SLACK_USED
-        self._hosts = 1
+        self._hosts = 0
         self._requests: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
 
     def note_hosts(self, count: int) -> None:
         """Take in how many entry hosts live; only growth counts.
 
+        Until a host is told, it has no part of the slack: each of many hosts that start
+        together would take the whole.
+
         A host that is cut off sees few others. Were its part to grow with that, the
         hosts on both sides of the cut would together use more than the bound.
         """
@@ -45,7 +48,8 @@
         """Count one repeat; False where this host's part is used up."""
         requests = len(_recent(self._requests, service, now))
         repeats = _recent(self._repeats, service, now)
-        if len(repeats) + 1 > self._ratio * requests + self._slack / self._hosts:
+        part = self._slack / self._hosts if self._hosts else 0.0
+        if len(repeats) + 1 > self._ratio * requests + part:
             return False
         repeats.append(now)
         return True
--- a/tests/test_placement_parts.py
+++ b/tests/test_placement_parts.py
@@ -41,8 +41,20 @@
         allowance.note_hosts(1)
         self.assertEqual(sum(allowance.take("s", 0.0) for _ in range(50)), 3)
 
+    def test_host_that_was_told_of_none_takes_no_slack(self):
+        """Symptom: more repeats than the platform grants, after a kill of everything.
+        Sequence: 190 hosts start together, and targets turn their first requests away.
+        Cause: a host that didn't know of the others took the slack of all."""
+        allowance = RetryAllowance(0.2, 400)
+        for _ in range(20):
+            allowance.note_request("s", 0.0)
+        self.assertEqual(sum(allowance.take("s", 0.0) for _ in range(50)), 3)
+        allowance.note_hosts(190)
+        self.assertEqual(sum(allowance.take("s", 0.0) for _ in range(50)), 1)
+
     def test_repeats_count_over_a_sliding_window(self):
         allowance = RetryAllowance(0.0, 10)
+        allowance.note_hosts(1)
         first = sum(allowance.take("s", 0.0) for _ in range(20))
         again = sum(allowance.take("s", 9.9) for _ in range(20))
         later = sum(allowance.take("s", 10.1) for _ in range(20))
