Tell another region how often it may run a forwarded request

Ruled out: that answers count the runs wrongly; they are right where they come. Change: a forward carries the number of runs that it may come to, one more than it had. What is lost counts as that one. A region that may run it once answers that it failed, and the caller's host goes on. The test's cases with a grant failed on the former code.

--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -54,6 +54,8 @@
 
 RUNS_HEADER = "bronzepoint-runs"
 """Between our hosts: times that the request may have run before, or has by now."""
+MOST_RUNS_HEADER = "bronzepoint-most-runs"
+"""Between our hosts: runs, counted together, up to which a forwarded request may go."""
 LATE_RANKS = 4
 """Ranks by which a request is put back that can't be answered in time any more: behind
 all kinds that can."""
@@ -83,6 +85,8 @@
         arrivals: Times that a target received it, as far as is known.
         written: A byte of the try in progress may have left this host.
         runs: Tries that ended without a proof that the request did not run.
+        granted_runs: Runs up to which the host that forwarded it allows; 0: it didn't
+            say, or no host forwarded it.
         ended_runs: Those of them whose target has ended since.
         last_outcome: How the last try ended.
         notes: How each try ended, for the log.
@@ -105,6 +109,7 @@
     arrivals: int = 0
     written: bool = False
     runs: int = 0
+    granted_runs: int = 0
     ended_runs: int = 0
     last_outcome: TryOutcome | None = None
     notes: list[str] = field(default_factory=list)
@@ -155,10 +160,17 @@
         """
         return self.runs - self.ended_runs
 
+    @property
+    def most_runs(self) -> int:
+        """Runs that this host may bring the request to."""
+        if self.granted_runs:
+            return min(self.granted_runs, self.route.max_attempts)
+        return self.route.max_attempts
+
     @property
     def may_repeat(self) -> bool:
         """Tell whether the request may be sent again, with all that ran so far."""
-        if not self.route.repeatable or self.counted_runs >= self.route.max_attempts:
+        if not self.route.repeatable or self.counted_runs >= self.most_runs:
             return False
         if self.exchange.started and self.events.last_id is None:
             return False
@@ -167,7 +179,7 @@
     @property
     def may_repeat_after(self) -> bool:
         """Tell whether the request may be sent again after the try in progress."""
-        return self.route.repeatable and self.counted_runs + 1 < self.route.max_attempts
+        return self.route.repeatable and self.counted_runs + 1 < self.most_runs
 
     def is_flowing(self, now: float, pause: float) -> bool:
         """Tell whether an event came within ``pause`` seconds."""
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -16,7 +16,15 @@
     service_of,
 )
 
-from ._call import RUNS_HEADER, Answered, Call, MayHaveRun, NotRun, TryOutcome
+from ._call import (
+    MOST_RUNS_HEADER,
+    RUNS_HEADER,
+    Answered,
+    Call,
+    MayHaveRun,
+    NotRun,
+    TryOutcome,
+)
 from ._codec import CallerHead, Codec
 from ._events import EventSplitter
 from ._final_answers import FinalAnswers
@@ -146,8 +154,9 @@
         call.spent = self._usual.spent(route, deadline)
         if forwarded:
             # The runs of both hosts count together against the route's bound.
-            runs = exchange.request.headers.get(RUNS_HEADER, "0")
-            call.runs = int(runs) if runs.isdigit() else 0
+            headers = exchange.request.headers
+            call.runs = _count(headers.get(RUNS_HEADER, ""))
+            call.granted_runs = _count(headers.get(MOST_RUNS_HEADER, ""))
         return call
 
     async def _answer_while_wanted(self, call: Call) -> None:
@@ -271,3 +280,7 @@
                     return False
         await self._answers.give_up(call, outcome)
         return True
+
+
+def _count(text: str) -> int:
+    return int(text) if text.isdigit() else 0
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -18,7 +18,15 @@
 from bronzepoint_schema.generated.decisions import TryResult
 from bronzepoint_schema.ids import RegionName
 
-from ._call import RUNS_HEADER, Answered, Call, MayHaveRun, NotRun, TryOutcome
+from ._call import (
+    MOST_RUNS_HEADER,
+    RUNS_HEADER,
+    Answered,
+    Call,
+    MayHaveRun,
+    NotRun,
+    TryOutcome,
+)
 from ._codec import Codec, Copies
 from ._try import FORWARDED_HEADER, Destination, Try
 
@@ -107,7 +115,7 @@
 
     async def _look_whether_ended(self, call: Call, address: str) -> None:
         """Count a run no more whose target is gone, where the bound is reached."""
-        if not call.route.repeatable or call.counted_runs < call.route.max_attempts:
+        if not call.route.repeatable or call.counted_runs < call.most_runs:
             return
         if await self._client.is_refused(address):
             call.ended_runs += 1
@@ -198,6 +206,8 @@
         )
         headers[FORWARDED_HEADER] = self._region
         headers[RUNS_HEADER] = str(call.counted_runs)
+        # Where its answer is lost, this host must know how often it ran there at most.
+        headers[MOST_RUNS_HEADER] = str(call.counted_runs + 1)
         where = Destination(
             placement.address,
             headers,
--- a/tests/test_relay_runs.py
+++ b/tests/test_relay_runs.py
@@ -4,9 +4,17 @@
 
 from nose2.tools import params
 
+from bronzepoint_common.clock import monotonic
+from bronzepoint_node.fleet import RouteKind, ServedRoute
 from bronzepoint_node.relay._call import RUNS_HEADER, Call
 from bronzepoint_node.relay._sender import _count_runs
 
+ROUTE = ServedRoute("r", "h", "/", RouteKind.IDEMPOTENT, 5.0, 1.0, 0, (), 3)
+
+
+class Exchange:
+    started = False
+
 
 def call(runs, forwarded=False):
     return Call(None, None, None, b"", 0.0, 0.0, forwarded, None, runs=runs)
@@ -26,6 +34,29 @@
         self.assertEqual(here.runs, expected)
         self.assertEqual(headers, {"x": "kept"})
 
+    @params(
+        # granted by the host that forwarded it, ran before, may it run here again
+        (1, 0, 0, False),
+        (2, 1, 0, False),
+        (2, 0, 1, True),
+        (0, 0, 1, True),
+        (9, 1, 0, True),
+    )
+    def test_forwarded_request_runs_as_often_as_granted(self, granted, ran, ended, may):
+        """Symptom: a request ran on three targets where its route allows two.
+        Sequence: another region runs it twice, both are cut, and so is its answer; here
+        that counts as one run, and it is sent to a third target.
+        Cause: the host that forwards a request can't know how often it runs there, if
+        no answer comes."""
+        there = call(ran, forwarded=True)
+        there.route = ROUTE
+        there.granted_runs = granted
+        there.runs += 1
+        there.ended_runs = ended
+        there.exchange = Exchange()
+        there.until = monotonic() + 5.0
+        self.assertEqual(there.may_repeat, may)
+
     @params((True, {RUNS_HEADER: "2"}), (False, {}))
     def test_only_another_host_is_told(self, forwarded, expected):
         self.assertEqual(call(2, forwarded).answer_headers({}), expected)
