--- a/packages/common/src/bronzepoint_common/peers/_area.py
+++ b/packages/common/src/bronzepoint_common/peers/_area.py
@@ -15,3 +15,4 @@
     CATALOGUE = 7
     FLEET = 8
     TARGET_LOADS = 9
+    SCHEDULING = 10
--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -39,8 +39,8 @@
 """Seconds between two questions to some other host of the core. While the core is cut
 in two, its halves hear nothing of each other, but entry hosts reach both."""
 SECOND_BY_HOST = 0.01
-"""Seconds added for each entry host: each word of a host reaches the other half through
-any of them."""
+"""Seconds added for each entry host, where this one has no loads to tell: each word of
+a host reaches the other half through any of them."""
 HOME_RETRY = 5.0
 """Seconds after which a host of the own region is tried again that didn't answer."""
 BEHIND_AGE_MS = 2000
@@ -151,7 +151,10 @@
 
     async def _ask_others(self) -> None:
         while True:
-            await curio.sleep(SECOND_INTERVAL + SECOND_BY_HOST * self.entry_hosts)
+            pause = SECOND_INTERVAL
+            if not self._own_loads():
+                pause += SECOND_BY_HOST * self.entry_hosts
+            await curio.sleep(pause)
             others = [h.name for h in self.registry.core() if h.name != self._current]
             if others:
                 await self._ask(random.choice(others))
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -1,7 +1,14 @@
 """Where a request goes: targets and regions as one entry host knows them."""
 
 from ._ask import PlacementAsk, service_of
-from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
+from ._choice import (
+    AtHome,
+    Elsewhere,
+    NoHome,
+    Placement,
+    Rejected,
+    RejectReason,
+)
 from ._cold_gate import ColdGate
 from ._load_exchange import LoadExchange
 from ._placer import Placer
@@ -13,7 +20,11 @@
 )
 from ._prompt import Prompt, PromptPart
 from ._retry_allowance import RetryAllowance
-from ._target_table import EngineReport, TargetTable, is_silent
+from ._scheduler import Scheduler
+from ._scheduler_client import SchedulerClient
+from ._speeds import Speeds
+from ._target_table import TargetTable
+from ._tracked import EngineReport, is_silent
 
 __all__ = [
     "AtHome",
@@ -21,6 +32,7 @@
     "Elsewhere",
     "EngineReport",
     "LoadExchange",
+    "NoHome",
     "Placement",
     "PlacementAsk",
     "Placer",
@@ -33,6 +45,9 @@
     "ReportUnavailable",
     "ReportUnreadable",
     "RetryAllowance",
+    "Scheduler",
+    "SchedulerClient",
+    "Speeds",
     "TargetTable",
     "is_silent",
     "service_of",
--- a/packages/node/src/bronzepoint_node/placement/_ask.py
+++ b/packages/node/src/bronzepoint_node/placement/_ask.py
@@ -19,6 +19,7 @@
         tried: Targets that it was sent to already.
         tried_hosts: Hosts of other regions that it was forwarded to already.
         rank: How urgent it is now; 0 goes first.
+        arrived: When it was read, by the monotonic clock.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     tried: set[str]
     tried_hosts: set[str]
     rank: int
+    arrived: float = 0.0
 
     def may_go_to(self, region: RegionName) -> bool:
         """Tell whether the route's homes allow a region."""
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -5,8 +5,7 @@
 
 from bronzepoint_schema.ids import RegionName
 
-from ._prompt import Prompt
-from ._target_table import Tracked
+from ._tracked import Tracked
 
 
 class RejectReason(StrEnum):
@@ -26,19 +25,27 @@
     Attributes:
         delay: Seconds until its first answer, as expected.
         fetch_from: Target that keeps more of the prompt; None: none is asked for it.
+        cached_tokens: Tokens of the prompt that needn't be read there.
+        tokens_before: Prompt tokens that are read there before its own.
     """
 
     target: Tracked
     reason: str
     delay: float = 0.0
     fetch_from: Tracked | None = None
+    cached_tokens: int = 0
+    tokens_before: float = 0.0
 
-    def cached_tokens(self, prompt: Prompt) -> int:
-        """Return the tokens of a prompt that needn't be read there."""
-        keepers = [self.target]
-        if self.fetch_from is not None:
-            keepers.append(self.fetch_from)
-        return max(keeper.memory.cached_tokens(prompt) for keeper in keepers)
+
+@dataclass(frozen=True)
+class NoHome:
+    """No target of the own region may get it now.
+
+    Attributes:
+        late: There is room, but it would not end by its deadline.
+    """
+
+    late: bool = False
 
 
 @dataclass(frozen=True)
@@ -64,4 +71,5 @@
     retry_after: float
 
 
+HomeAnswer = AtHome | NoHome
 Placement = AtHome | Elsewhere | Rejected
--- a/packages/node/src/bronzepoint_node/placement/_collector_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_collector_choice.py
@@ -4,8 +4,8 @@
 from bronzepoint_schema.ids import HostName
 
 MOST_DIRECT = 5
-"""Other hosts up to which each tells all others itself: at five, what one host hears a
-second is the same either way (`INTERVAL_BY_HOST`), and the direct way is one hop."""
+"""Other hosts up to which each tells all others itself: what one host hears a second is
+about the same either way, and the direct way is one hop."""
 SILENT_AFTER = 2.2
 """Seconds after which a collector that says nothing is left: two of its refreshes."""
 _KEY = "collector of target loads"
@@ -30,6 +30,10 @@
         """Count a word of a host that collects."""
         self._heard[host] = now
 
+    def note_silent(self, host: HostName) -> None:
+        """Pass over a host that doesn't answer, until it is heard again."""
+        self._heard[host] = float("-inf")
+
     def choose(self, others: list[HostName], now: float) -> HostName | None:
         """Return the collector, maybe this host; None: hosts tell each other."""
         if len(others) <= MOST_DIRECT:
--- a/packages/node/src/bronzepoint_node/placement/_fetch_source.py
+++ b/packages/node/src/bronzepoint_node/placement/_fetch_source.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable
 
 from ._prompt import Prompt
-from ._target_table import Tracked, is_ejected, is_silent
+from ._tracked import Tracked, is_ejected, is_silent
 
 SETUP = 0.004
-"""Seconds that a fetch takes besides the copying; 3.3 ms were measured."""
+"""Seconds that a fetch takes besides the copying."""
 LEAST_TOKENS = 64
 """Fewer tokens are read in the time that it takes to set a fetch up."""
 
@@ -17,9 +17,8 @@
     """Return the target to fetch from; None: reading is as good, or nobody keeps more.
 
     A part that was read once is copied in a fraction of the time and of the price of
-    reading it: on the engines of today 3 ms for a thousand tokens against 12, or 10
-    against 26. It binds when an engine has come back cold, or when the one that keeps
-    a part is full: each prompt placed elsewhere then takes the reading time of ten.
+    reading it. It binds when an engine has come back cold, or when the one that keeps
+    a part is full: each prompt placed elsewhere would read all of it again.
 
     Args:
         target: Where the request goes.
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/placement/_home_choice.py
@@ -0,0 +1,195 @@
+"""The choice of a target of this region for one request."""
+
+import math
+import random
+from collections.abc import Callable
+
+from bronzepoint_node.policy import (
+    RequestView,
+    TargetChoice,
+    TargetState,
+    TargetView,
+    choose_target,
+)
+from bronzepoint_schema.ids import (
+    EntryName,
+    HostName,
+    OwnerName,
+    RegionName,
+    RequestId,
+    TargetName,
+)
+
+from ._choice import AtHome, HomeAnswer, NoHome
+from ._cold_gate import ColdGate
+from ._fetch_source import fetch_source
+from ._home_ask import HomeAsk
+from ._prompt import Prompt
+from ._speeds import Speeds
+from ._target_table import TargetTable
+from ._tracked import TRIAL_INTERVAL, Tracked, is_ejected, is_silent
+
+REPORT_MEMORY = 1.0
+"""Seconds after which a report weighs a third of what it did."""
+REREAD_WEIGHT = 4.0
+"""Seconds of delay accepted to spare a second of reading what is kept elsewhere."""
+TIME_USED = 1.6
+"""Multiple of the time left that a stream may be expected to take. Above 1, since the
+callers' estimates of their answers are right at the median only."""
+LAST_RANK = 9
+"""Rank of a request before which everything goes."""
+
+
+class HomeChoice:
+    """Chooses by what this host knows; reads no socket and sends nothing.
+
+    Args:
+        region: Region of this host.
+        table: Targets of the region.
+        cold: How many requests cold targets get.
+        speeds: How long requests take.
+        hosts: Gives the entry hosts of the region.
+        choosers: Gives those of them that choose targets for themselves.
+        rng: Source of the random draws.
+    """
+
+    def __init__(
+        self,
+        region: RegionName,
+        table: TargetTable,
+        cold: ColdGate,
+        speeds: Speeds,
+        hosts: Callable[[], list[HostName]],
+        choosers: Callable[[], list[HostName]],
+        rng: random.Random,
+    ) -> None:
+        self._region = region
+        self._table = table
+        self._cold = cold
+        self._speeds = speeds
+        self._hosts = hosts
+        self._choosers = choosers
+        self._rng = rng
+
+    def choose(self, ask: HomeAsk, now: float) -> HomeAnswer:
+        """Return the target that a request goes to, where one may get it."""
+        usable = self.usable(ask.service, now)
+        in_time = [t for t in usable if self._ends_in_time(t, ask, now)]
+        self._table.let_return(ask.service, now)
+        targets = {t.info.incarnation: t for t in in_time}
+        choice = choose_target(
+            self.request_view(ask),
+            [self.view(t, ask.prompt, ask.rank, now) for t in in_time],
+            self._speeds.times(ask.service),
+            len(self._hosts()),
+            REPORT_MEMORY,
+            self._rng,
+            now,
+        )
+        if choice.target is None:
+            return NoHome(late=bool(usable) and not in_time)
+        target = targets[choice.target.name]
+        return self._at_home(ask, target, in_time, choice, now)
+
+    def _at_home(
+        self,
+        ask: HomeAsk,
+        target: Tracked,
+        usable: list[Tracked],
+        choice: TargetChoice,
+        now: float,
+    ) -> AtHome:
+        rate = self._speeds.rate(ask.service).tokens_per_second
+        before = target.load.tokens_before(ask.rank, rate, now)
+        if ask.prompt is None:
+            return AtHome(target, choice.reason, choice.expected, None, 0, before)
+        source = fetch_source(target, usable, ask.prompt, rate, now)
+        keepers = [target] if source is None else [target, source]
+        cached = max(keeper.memory.cached_tokens(ask.prompt) for keeper in keepers)
+        return AtHome(target, choice.reason, choice.expected, source, cached, before)
+
+    def usable(self, service: str, now: float) -> list[Tracked]:
+        """Return targets that may be sent to, the cold ones only where allowed."""
+        known = self._table.service(service)
+        choosers = self._choosers()
+        usable = []
+        for tracked in self._table.of_service(service):
+            if now < tracked.cold_until:
+                rate = known.cold_rate if known else 0.0
+                name = tracked.info.incarnation
+                if not self._cold.may_send(name, rate, choosers, now):
+                    continue
+            usable.append(tracked)
+        return [
+            tracked
+            for tracked in usable
+            if not is_silent(tracked, now) or now - tracked.trial_at > TRIAL_INTERVAL
+        ]
+
+    def view(
+        self, tracked: Tracked, prompt: Prompt | None, rank: int, now: float
+    ) -> TargetView:
+        """Return one target as the choice sees it."""
+        report = tracked.report
+        cached = tracked.memory.cached_tokens(prompt) if prompt else 0
+        rate = self._speeds.rate(tracked.info.service).tokens_per_second
+        before = tracked.load.tokens_before(rank, rate, now)
+        return TargetView(
+            name=TargetName(tracked.info.incarnation),
+            region=self._region,
+            address=tracked.info.address,
+            slots=tracked.slots,
+            state=TargetState.ejected if is_ejected(tracked) else TargetState.ready,
+            in_flight=tracked.load.in_flight(now),
+            in_flight_at_report=tracked.runs_at_report,
+            running=report.running if report else 0,
+            waiting=report.waiting if report else 0,
+            report_age=now - tracked.report_at,
+            cached_tokens=cached,
+            free_tokens=tracked.free_tokens(now),
+            backlog=before / rate,
+        )
+
+    def request_view(self, ask: HomeAsk) -> RequestView:
+        """Return a request as the choice sees it."""
+        prompt = ask.prompt
+        key = prompt.shared_key if prompt else ""
+        return RequestView(
+            request_id=RequestId(ask.request_id),
+            entry=EntryName(ask.service),
+            owner=OwnerName(""),
+            home=self._region,
+            latency_weight=1.0,
+            cost_weight=0.0,
+            reread_weight=REREAD_WEIGHT,
+            deadline_left=ask.left,
+            prompt_tokens=prompt.tokens if prompt else 0,
+            max_tokens=prompt.max_output if prompt else 0,
+            prefix_hashes=[key] if key else [],
+            tried=[TargetName(name) for name in ask.avoided],
+            memory_tokens=prompt.memory_tokens if prompt else 0,
+            copy_seconds=self._copy_seconds(ask.service),
+        )
+
+    def _copy_seconds(self, service: str) -> float:
+        known = self._table.service(service)
+        if known is None or known.engine is None:
+            return math.inf
+        return known.engine.seconds_to_copy
+
+    def _ends_in_time(self, target: Tracked, ask: HomeAsk, now: float) -> bool:
+        """Tell whether a stream that begins at a target now ends by its deadline.
+
+        One that doesn't is lost with all that was read and written for it, and slows
+        down the others, which then run into their own deadlines.
+        """
+        prompt, engine = ask.prompt, target.engine
+        if prompt is None or engine is None or not engine.event_tokens:
+            return True
+        rate = self._speeds.rate(target.info.service).tokens_per_second
+        unread = target.load.tokens_before(LAST_RANK, rate, now)
+        unread += prompt.tokens - target.memory.cached_tokens(prompt)
+        tokens = prompt.expected_output or prompt.max_output
+        events = tokens / engine.event_tokens
+        writing = events * target.pace.seconds_per_event(now)
+        return unread / rate + writing < TIME_USED * ask.left
--- a/packages/node/src/bronzepoint_node/placement/_load_collector.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_collector.py
@@ -1,7 +1,6 @@
 """What a collector knows of its members, and what it tells each of them."""
 
 from bronzepoint_schema.generated.target_loads import (
-    EngineWord,
     LoadNotice,
     NoticeKind,
     PartUse,
@@ -10,19 +9,24 @@
 from bronzepoint_schema.ids import HostName
 
 from ._load_total import add_up
-from ._target_table import TargetTable, Tracked
+from ._target_table import TargetTable
+from ._tracked import is_silent
 
 MEMBER_EXPIRY = 3.0
 """Seconds after which a member that says nothing is told nothing."""
+TELL_INTERVAL = 1.0
+"""Seconds between two notices to a member. It is told for the time without a collector,
+in which it chooses by itself; what is told at once is that an engine has gone silent or
+is heard again, as requests in progress there are given up then."""
 
 
 class LoadCollector:
     """Adds up what the hosts of a region have in progress at each target.
 
     Told by each host to each other, the load of a region takes a message for every two
-    hosts: at 23 hosts in a region, 145 a second in and as many out of every host. By
-    way of one of them a host sends and hears some ten a second. The collector alone
-    asks the engines how busy they are, and tells that too.
+    hosts. By way of one of them a host sends as many as its own load changes, and
+    hears one a second. The collector alone asks the engines how busy they are, and
+    tells that too.
 
     Args:
         name: This host.
@@ -33,9 +37,9 @@
         self._name = name
         self._table = table
         self._members: dict[HostName, float] = {}
-        self._changed_by: dict[str, set[HostName]] = {}
         self._parts: dict[str, dict[str, int]] = {}
-        self._told_words: dict[str, tuple[float, bool]] = {}
+        self._silent: set[str] = set()
+        self._told_at = float("-inf")
 
     def members(self, now: float) -> list[HostName]:
         """Return the hosts that report here."""
@@ -49,52 +53,36 @@
         if host != self._name:
             self._members[host] = now
         for load in loads:
-            self._changed_by.setdefault(load.incarnation, set()).add(host)
             if load.parts:
                 parts = self._parts.setdefault(load.incarnation, {})
                 parts.update({part.name: part.tokens for part in load.parts})
 
-    def notices(self, whole: bool, now: float) -> dict[HostName, LoadNotice]:
-        """Return what each member is to hear of the others; what it knows is left out.
+    def notices(self, now: float) -> dict[HostName, LoadNotice]:
+        """Return what each member is to hear of the others now."""
+        listed = {t.info.incarnation: t for t in self._table.all() if t.engine}
+        silent = {name for name, t in listed.items() if is_silent(t, now)}
+        turned = (silent ^ self._silent) & listed.keys()
+        self._silent = silent
+        if now - self._told_at >= TELL_INTERVAL:
+            self._told_at = now
+            return self._tell({t.info.incarnation for t in self._table.all()}, now)
+        return self._tell(turned, now) if turned else {}
 
-        Args:
-            whole: Tell of all targets, whatever has changed.
-            now: Monotonic seconds.
-        """
-        loads: dict[HostName, list[TargetLoad]] = {h: [] for h in self.members(now)}
-        for tracked in self._table.all():
-            incarnation = tracked.info.incarnation
-            changed_by = self._changed_by.get(incarnation, set())
-            word = self._new_word(tracked, whole, now)
-            if not changed_by and not word:
-                continue
+    def _tell(self, targets: set[str], now: float) -> dict[HostName, LoadNotice]:
+        told: dict[HostName, list[TargetLoad]] = {h: [] for h in self.members(now)}
+        for incarnation in targets:
+            tracked = self._table.get(incarnation)
             total = add_up(tracked.load.words(self._name, incarnation, now))
-            parts = [PartUse(*p) for p in self._parts.get(incarnation, {}).items()]
-            for host, told in loads.items():
-                if not word and changed_by == {host}:
-                    continue
+            # Nobody asks a plain service; each host goes by its own connections.
+            word = tracked.word(now) if tracked.engine is not None else None
+            parts = self._parts.pop(incarnation, {})
+            for host, loads in told.items():
                 load = total.without(host, incarnation, now)
-                load.parts = parts
+                load.parts = [PartUse(*part) for part in parts.items()]
                 load.word = word
-                told.append(load)
-        self._changed_by.clear()
-        self._parts.clear()
-        listed = {tracked.info.incarnation for tracked in self._table.all()}
-        self._told_words = {n: w for n, w in self._told_words.items() if n in listed}
+                loads.append(load)
         return {
-            host: LoadNotice(NoticeKind.of_others, told)
-            for host, told in loads.items()
-            if told
+            host: LoadNotice(NoticeKind.of_others, loads)
+            for host, loads in told.items()
+            if loads
         }
-
-    def _new_word(self, tracked: Tracked, whole: bool, now: float) -> EngineWord | None:
-        """Return what an engine said, where the members don't know it yet."""
-        if tracked.engine is None:
-            # Nobody asks a plain service; each host goes by its own connections.
-            return None
-        word = tracked.word(now)
-        said = (tracked.report_at, word.silent)
-        if not whole and self._told_words.get(tracked.info.incarnation) == said:
-            return None
-        self._told_words[tracked.info.incarnation] = said
-        return word
--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -7,27 +7,24 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, Peers
-from bronzepoint_schema.generated.target_loads import (
-    LoadNotice,
-    NoticeKind,
-    PartUse,
-    TargetLoad,
-)
+from bronzepoint_schema.generated.target_loads import LoadNotice, NoticeKind
 from bronzepoint_schema.ids import HostName
 
 from ._collector_choice import CollectorChoice
 from ._load_collector import LoadCollector
-from ._target_table import TargetTable, Tracked
+from ._speeds import Speeds
+from ._target_table import TargetTable
 
 _log = get_logger("targets")
 
 LEAST_INTERVAL = 0.02
-"""Seconds between two notices: an engine reads 800 tokens in that time."""
+"""Seconds between two notices where each host tells each other,"""
 INTERVAL_BY_HOST = 0.006
-"""Seconds added for each host that is told, so that what a host hears a second stays
-the same: some 170 notices."""
-REPORT_INTERVAL = 0.06
-"""Seconds between two notices to a collector: half of its own interval at 20 hosts."""
+"""and seconds added for each host that is told, so that what a host hears a second
+stays the same."""
+REPORT_INTERVAL = 0.04
+"""Seconds between two notices to a collector: in that time it counts what it has
+granted, but not what has ended."""
 REFRESH = 1.0
 """Seconds after which all is told again: a notice may be lost."""
 
@@ -39,12 +36,14 @@
     time several hosts send their prompts to the engine that was idle.
 
     A few hosts tell each other. In a larger region each tells one of them, the
-    collector, and that one tells each member what all others have together.
+    collector. It chooses targets for the requests of all, and tells each member now and
+    then what all others have together.
 
     Args:
         name: This host.
         peers: Links to the other hosts.
         table: Targets of the region.
+        speeds: What is measured of requests.
         others: Gives the other entry hosts of the region.
     """
 
@@ -53,12 +52,15 @@
         name: HostName,
         peers: Peers,
         table: TargetTable,
+        speeds: Speeds,
         others: Callable[[], list[HostName]],
     ) -> None:
         self._name = name
         self._peers = peers
         self._table = table
+        self._speeds = speeds
         self._others = others
+        self._settled: list[int] = []
         self._told_all_at = 0.0
         self._choice = CollectorChoice(name)
         self._collector: HostName | None = None
@@ -92,11 +94,34 @@
             case _:
                 return 0
 
+    @property
+    def scheduler(self) -> HostName | None:
+        """Return the other host that chooses targets; None: this one does itself."""
+        return None if self._collector == self._name else self._collector
+
+    def choosers(self, hosts: list[HostName]) -> list[HostName]:
+        """Return which hosts of the region choose targets without being asked.
+
+        Args:
+            hosts: Entry hosts of the region.
+        """
+        return [self._name] if self._collector == self._name else hosts
+
+    def leave(self, collector: HostName) -> None:
+        """Pass over a collector that doesn't answer, until it is heard again."""
+        self._choice.note_silent(collector)
+        self._follow(self._choice.choose(self._others(), monotonic()))
+
+    def note_settled(self, number: int) -> None:
+        """Count what was granted for an ask as this host's own part."""
+        self._settled.append(number)
+
     async def _take(self, peer: HostName, notice: LoadNotice) -> None:
         now = monotonic()
         match notice.kind:
             case NoticeKind.to_collect:
                 self._collected.take(peer, notice.loads, now)
+                self._learn(peer, notice, now)
             case NoticeKind.own if self._collector not in (None, self._name):
                 # The collector hears of that host, too, and tells of it.
                 return
@@ -108,11 +133,20 @@
         for load in notice.loads:
             tracked = self._table.get(load.incarnation)
             if tracked is not None:
-                tracked.load.take_notice(peer, load, now)
-                if load.word is not None:
-                    tracked.take_word(load.word, now)
-                for part in load.parts:
-                    tracked.memory.note_part(part.name, part.tokens)
+                tracked.take_load(peer, load, now)
+
+    def _learn(self, peer: HostName, notice: LoadNotice, now: float) -> None:
+        """Take in what a member has measured, and what its own part now holds."""
+        if notice.settled:
+            for tracked in self._table.all():
+                tracked.load.settle(peer, notice.settled)
+        for measured in notice.first_tokens:
+            tracked = self._table.get(measured.incarnation)
+            if tracked is not None:
+                service = tracked.info.service
+                self._speeds.learn_first_token(service, measured, now)
+        for hold in notice.holds:
+            self._speeds.learn_hold(hold)
 
     async def _run(self) -> None:
         while True:
@@ -122,22 +156,22 @@
         """Tell whom it concerns; return the seconds until the next time."""
         self._follow(self._choice.choose(others, now))
         whole = now - self._told_all_at > REFRESH
-        changed = self._changed(whole, now)
+        notice = self._notice(whole, now)
         members = self._collected.members(now)
         if members:
-            self._collected.take(self._name, changed, now)
-            for host, notice in self._collected.notices(whole, now).items():
-                self._peers.post(host, Area.TARGET_LOADS, notice)
+            self._collected.take(self._name, notice.loads, now)
+            for host, told in self._collected.notices(now).items():
+                self._peers.post(host, Area.TARGET_LOADS, told)
         collector = self._collector
         if collector is None:
-            self._post(others, LoadNotice(NoticeKind.own, changed))
+            notice.kind = NoticeKind.own
+            self._post(others, notice)
             return LEAST_INTERVAL + INTERVAL_BY_HOST * len(others)
         if whole:
             silent = self._choice.silent_before(collector, others)
-            self._post(silent, LoadNotice(NoticeKind.to_collect, changed))
-        if collector == self._name:
-            return LEAST_INTERVAL + INTERVAL_BY_HOST * len(members)
-        self._post([collector], LoadNotice(NoticeKind.to_collect, changed))
+            self._post(silent, notice)
+        if collector != self._name:
+            self._post([collector], notice)
         return REPORT_INTERVAL
 
     def _follow(self, collector: HostName | None) -> None:
@@ -151,25 +185,26 @@
             tracked.load.forget_others()
             tracked.told_silent = False
 
-    def _changed(self, whole: bool, now: float) -> list[TargetLoad]:
-        """Return this host's part at the targets where it isn't what was told last."""
+    def _notice(self, whole: bool, now: float) -> LoadNotice:
+        """Return what isn't told yet of this host's part and of what it measured."""
         if whole:
             self._told_all_at = now
-        loads = []
-        for tracked in self._table.all():
-            if whole or tracked.load.changed:
-                tracked.load.changed = False
-                loads.append(self._load(tracked, now))
-        return loads
+        speeds = self._speeds
+        notice = LoadNotice(
+            NoticeKind.to_collect,
+            [
+                tracked.tell_load(now)
+                for tracked in self._table.all()
+                if whole or tracked.load.changed
+            ],
+            self._settled,
+            speeds.first_tokens,
+            speeds.holds,
+        )
+        self._settled, speeds.first_tokens, speeds.holds = [], [], []
+        return notice
 
     def _post(self, hosts: list[HostName], notice: LoadNotice) -> None:
-        if notice.loads:
+        if notice.loads or notice.settled:
             for host in hosts:
                 self._peers.post(host, Area.TARGET_LOADS, notice)
-
-    def _load(self, tracked: Tracked, now: float) -> TargetLoad:
-        load = tracked.load.notice(tracked.info.incarnation, now)
-        # What others send there is in the engine's cache for this host's requests too.
-        load.parts = [PartUse(*part) for part in tracked.parts_sent.items()]
-        tracked.parts_sent.clear()
-        return load
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -1,58 +1,40 @@
 """Home or away, and at which target: the choice for one request."""
 
-import math
 import random
+from collections.abc import Callable
 
 from bronzepoint_node.fleet import Registry
-from bronzepoint_node.policy import (
-    RegionTerms,
-    RequestView,
-    TargetState,
-    TargetView,
-    choose_target,
-)
+from bronzepoint_node.policy import RegionTerms
 from bronzepoint_schema.generated.fleet import RegionLoad
-from bronzepoint_schema.ids import (
-    EntryName,
-    OwnerName,
-    RegionName,
-    RequestId,
-    TargetName,
-)
+from bronzepoint_schema.ids import HostName, RegionName
 
 from ._ask import PlacementAsk, service_of
-from ._choice import AtHome, Elsewhere, Placement, Rejected, RejectReason
+from ._choice import (
+    AtHome,
+    Elsewhere,
+    HomeAnswer,
+    NoHome,
+    Placement,
+    Rejected,
+    RejectReason,
+)
 from ._cold_gate import ColdGate
-from ._fetch_source import fetch_source
+from ._home_ask import HomeAsk
+from ._home_choice import LAST_RANK, HomeChoice
 from ._other_regions import OtherRegions
-from ._prompt import Prompt
 from ._speeds import Speeds
-from ._target_table import TargetTable, Tracked, is_ejected, is_silent
+from ._target_table import TargetTable
+from ._tracked import Tracked, is_ejected, is_silent
 
-REPORT_MEMORY = 1.0
-"""Seconds after which a report weighs a third of what it did."""
 AWAY_ADVANTAGE = 0.15
 """Seconds by which another region must be sooner: its caches are cold, and what
 crosses between regions is paid for."""
 LEAST_MISSING = 1500
 """Tokens of shared parts that must be missing at home for a request to go where they
 are kept; fewer are read in less time than the trip takes."""
-REREAD_WEIGHT = 4.0
-"""Seconds of delay accepted to spare a second of reading what is kept elsewhere. On
-saphan-phrase scale-1 one run each read 711, 669, 638 and 570 thousand tokens again at
-weights of 0, 1, 2 and 4; at 4 a prompt's usual shared part is worth 0.7 s."""
-TRIAL_INTERVAL = 1.0
-"""Seconds between two requests of one host to a target that is silent: without any, a
-target that nobody asks for reports would never be heard again."""
-TIME_USED = 1.6
-"""Multiple of the time left that a stream may be expected to take. Above 1, since the
-callers' estimates of their answers are right at the median only: at 1, more callers
-were refused and came again than were spared a stream that doesn't end."""
 PACE_WAIT = 1.0
 """Seconds after which a caller comes back where all targets write too slowly: so long
 takes the reading of the longest prompts, and the pace remembers little more."""
-LAST_RANK = 9
-"""Rank of a request before which everything goes."""
 
 
 class Placer:
@@ -64,10 +46,13 @@
         registry: Who lives, and the loads of the regions.
         cold: Which host may send to cold targets.
         rng: Source of the random draws.
+        choosers: Gives the entry hosts of the region that choose targets for
+            themselves; None: all of them do.
 
     Attributes:
         speeds: How long requests take.
         regions: The other regions.
+        home: Chooses targets of the own region.
     """
 
     def __init__(
@@ -77,31 +62,64 @@
         registry: Registry,
         cold: ColdGate,
         rng: random.Random,
+        choosers: Callable[[], list[HostName]] | None = None,
     ) -> None:
         self._region = region
         self._table = table
-        self._cold = cold
         self._rng = rng
         self.speeds = Speeds()
         self.regions = OtherRegions(region, registry, self.speeds, rng)
+        self.home = HomeChoice(
+            region, table, cold, self.speeds, self.hosts, choosers or self.hosts, rng
+        )
+
+    def hosts(self) -> list[HostName]:
+        """Return the entry hosts of the own region that take requests."""
+        return [host.name for host in self.regions.entry_hosts(self._region)]
+
+    def may_stay(self, ask: PlacementAsk) -> bool:
+        """Tell whether the own region may serve a request, and has targets for it."""
+        service = service_of(ask.route, ask.request_id)
+        return ask.may_go_to(self._region) and bool(self._table.of_service(service))
+
+    def home_ask(self, ask: PlacementAsk) -> HomeAsk:
+        """Return what a target of the own region is chosen by."""
+        return HomeAsk(
+            request_id=ask.request_id,
+            service=service_of(ask.route, ask.request_id),
+            prompt=ask.prompt,
+            left=ask.left,
+            rank=ask.rank,
+            arrived=ask.arrived,
+            avoided=ask.tried,
+        )
 
     def place(self, ask: PlacementAsk, now: float) -> Placement:
         """Choose a target here, a host of another region, or a refusal."""
+        if not self.may_stay(ask):
+            return self.decide(ask, NoHome(), now)
+        return self.decide(ask, self.home.choose(self.home_ask(ask), now), now)
+
+    def decide(self, ask: PlacementAsk, found: HomeAnswer, now: float) -> Placement:
+        """Choose between the own region and others.
+
+        Args:
+            ask: The request.
+            found: What was found in the own region.
+            now: Monotonic seconds.
+        """
+        home = found if isinstance(found, AtHome) else None
         service = service_of(ask.route, ask.request_id)
-        request = self._request_view(ask)
-        usable = self._usable(service, now)
-        in_time = [t for t in usable if self._ends_in_time(t, ask, now)]
-        home = self._at_home(ask, service, request, in_time, now)
-        late = bool(usable) and not in_time
         if ask.forwarded:
-            return home or self._reject(service, late)
+            return home or self._reject(service, found)
+        request = self.home.request_view(self.home_ask(ask))
         terms = self.regions.fresh_terms(ask, service, request, now)
         away = self.regions.best(ask, service, request, terms, now)
         if away is None:
-            return home or self._reject(service, late)
+            return home or self._reject(service, found)
         if home is None:
             return away
-        keeper = self._keeper(ask, service, home, usable, terms)
+        keeper = self._keeper(ask, service, home, terms, now)
         if keeper is not None:
             return keeper
         return away if away.delay + AWAY_ADVANTAGE < home.delay else home
@@ -111,8 +129,8 @@
         ask: PlacementAsk,
         service: str,
         home: AtHome,
-        usable: list[Tracked],
         terms: list[RegionTerms],
+        now: float,
     ) -> Elsewhere | None:
         """Return the region that keeps what of the prompt isn't cached at home.
 
@@ -122,11 +140,11 @@
         prompt = ask.prompt
         if prompt is None or not prompt.shared_key:
             return None
-        cached = home.cached_tokens(prompt)
-        missing = prompt.tokens - prompt.parts[-1].tokens - cached
+        missing = prompt.tokens - prompt.parts[-1].tokens - home.cached_tokens
         if missing < LEAST_MISSING:
             return None
-        slots = sum(t.slots for t in usable if not is_ejected(t))
+        usable = self.home.usable(service, now)
+        slots = sum(target.slots for target in usable if not is_ejected(target))
         return self.regions.keeper(ask, service, terms, missing, slots)
 
     def region_loads(self, now: float) -> list[RegionLoad]:
@@ -141,13 +159,12 @@
         """Return the targets whose room other regions may count on.
 
         A cold target stands two or three requests a second, which its own region's
-        callers use up. Told with all its slots, it drew 1,386 forwarded requests in
-        eleven seconds that were each refused after a trip, while they could have waited
-        at home.
+        callers use up. Told with all its slots, it would draw forwarded requests that
+        are each refused after a trip, while they could have waited at home.
         """
         return [
             tracked
-            for tracked in self._usable(service, now)
+            for tracked in self.home.usable(service, now)
             if now >= tracked.cold_until
             and not is_ejected(tracked)
             and not is_silent(tracked, now)
@@ -156,7 +173,7 @@
     def _region_load(
         self, service: str, targets: list[Tracked], now: float
     ) -> RegionLoad:
-        views = [self._view(t, None, LAST_RANK, now) for t in targets]
+        views = [self.home.view(t, None, LAST_RANK, now) for t in targets]
         running = sum(max(v.in_flight, v.running + v.waiting) for v in views)
         slots = sum(v.slots for v in views)
         hold = self.speeds.times(service).hold
@@ -165,125 +182,9 @@
             wait += hold * (running - slots + 1) / slots
         return RegionLoad(self._region, service, slots, running, int(wait * 1000), 0)
 
-    def _at_home(
-        self,
-        ask: PlacementAsk,
-        service: str,
-        request: RequestView,
-        usable: list[Tracked],
-        now: float,
-    ) -> AtHome | None:
-        if not ask.may_go_to(self._region):
-            return None
-        self._table.let_return(service, now)
-        targets = {t.info.incarnation: t for t in usable}
-        rank = ask.rank
-        views = [self._view(t, ask.prompt, rank, now) for t in targets.values()]
-        choice = choose_target(
-            request,
-            views,
-            self.speeds.times(service),
-            len(self.regions.entry_hosts(self._region)),
-            REPORT_MEMORY,
-            self._rng,
-            now,
-        )
-        if choice.target is None:
-            return None
-        tracked = targets[choice.target.name]
-        source = None
-        if ask.prompt is not None:
-            rate = self.speeds.rate(service).tokens_per_second
-            source = fetch_source(tracked, usable, ask.prompt, rate, now)
-        return AtHome(tracked, choice.reason, choice.expected, source)
-
-    def _usable(self, service: str, now: float) -> list[Tracked]:
-        """Return targets that may be sent to, the cold ones only where allowed."""
-        known = self._table.service(service)
-        hosts = [host.name for host in self.regions.entry_hosts(self._region)]
-        usable = []
-        for tracked in self._table.of_service(service):
-            if now < tracked.cold_until:
-                rate = known.cold_rate if known else 0.0
-                name = tracked.info.incarnation
-                if not self._cold.may_send(name, rate, hosts, now):
-                    continue
-            usable.append(tracked)
-        return [
-            tracked
-            for tracked in usable
-            if not is_silent(tracked, now) or now - tracked.trial_at > TRIAL_INTERVAL
-        ]
-
-    def _view(
-        self, tracked: Tracked, prompt: Prompt | None, rank: int, now: float
-    ) -> TargetView:
-        report = tracked.report
-        cached = tracked.memory.cached_tokens(prompt) if prompt else 0
-        rate = self.speeds.rate(tracked.info.service).tokens_per_second
-        before = tracked.load.tokens_before(rank, rate, now)
-        return TargetView(
-            name=TargetName(tracked.info.incarnation),
-            region=self._region,
-            address=tracked.info.address,
-            slots=tracked.slots,
-            state=TargetState.ejected if is_ejected(tracked) else TargetState.ready,
-            in_flight=tracked.load.in_flight(now),
-            in_flight_at_report=tracked.runs_at_report,
-            running=report.running if report else 0,
-            waiting=report.waiting if report else 0,
-            report_age=now - tracked.report_at,
-            cached_tokens=cached,
-            free_tokens=tracked.free_tokens(now),
-            backlog=before / rate,
-        )
-
-    def _request_view(self, ask: PlacementAsk) -> RequestView:
-        prompt = ask.prompt
-        key = prompt.shared_key if prompt else ""
-        return RequestView(
-            request_id=RequestId(ask.request_id),
-            entry=EntryName(ask.route.name),
-            owner=OwnerName(""),
-            home=self._region,
-            latency_weight=1.0,
-            cost_weight=0.0,
-            reread_weight=REREAD_WEIGHT,
-            deadline_left=ask.left,
-            prompt_tokens=prompt.tokens if prompt else 0,
-            max_tokens=prompt.max_output if prompt else 0,
-            prefix_hashes=[key] if key else [],
-            tried=[TargetName(name) for name in ask.tried],
-            memory_tokens=prompt.memory_tokens if prompt else 0,
-            copy_seconds=self._copy_seconds(service_of(ask.route, ask.request_id)),
-        )
-
-    def _copy_seconds(self, service: str) -> float:
-        known = self._table.service(service)
-        if known is None or known.engine is None:
-            return math.inf
-        return known.engine.seconds_to_copy
-
-    def _ends_in_time(self, target: Tracked, ask: PlacementAsk, now: float) -> bool:
-        """Tell whether a stream that begins at a target now ends by its deadline.
-
-        One that doesn't is lost with all that was read and written for it, and slows
-        down the others, which then run into their own deadlines.
-        """
-        prompt, engine = ask.prompt, target.engine
-        if prompt is None or engine is None or not engine.event_tokens:
-            return True
-        rate = self.speeds.rate(target.info.service).tokens_per_second
-        unread = target.load.tokens_before(LAST_RANK, rate, now)
-        unread += prompt.tokens - target.memory.cached_tokens(prompt)
-        tokens = prompt.expected_output or prompt.max_output
-        events = tokens / engine.event_tokens
-        writing = events * target.pace.seconds_per_event(now)
-        return unread / rate + writing < TIME_USED * ask.left
-
-    def _reject(self, service: str, late: bool) -> Rejected:
-        """Return a refusal; ``late``: every target writes too slowly just now."""
-        if late:
+    def _reject(self, service: str, found: HomeAnswer) -> Rejected:
+        """Return a refusal that says when to come back."""
+        if isinstance(found, NoHome) and found.late:
             wait = PACE_WAIT * self._rng.uniform(0.7, 1.5)
             return Rejected(RejectReason.NO_TIME, wait)
         return self._no_room(service)
--- a/packages/node/src/bronzepoint_node/placement/_prober.py
+++ b/packages/node/src/bronzepoint_node/placement/_prober.py
@@ -7,7 +7,8 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 
-from ._target_table import EngineReport, TargetTable, Tracked
+from ._target_table import TargetTable
+from ._tracked import EngineReport, Tracked
 
 ReadReport = Callable[[str, str], Awaitable[EngineReport]]
 """Asks the engine at an address for the report of a named start of it; raises
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -0,0 +1,180 @@
+"""Asking the scheduler of the region for targets."""
+
+import itertools
+import random
+from dataclasses import dataclass, field
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.logs import get_logger
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.peers import Area, Peers
+from bronzepoint_schema.generated.scheduling import (
+    NoTarget,
+    SchedulingMessage,
+    TargetAsk,
+    TargetGrant,
+)
+from bronzepoint_schema.ids import HostName
+
+from ._choice import AtHome, HomeAnswer, NoHome
+from ._home_ask import HomeAsk
+from ._load_exchange import LoadExchange
+from ._scheduler import Scheduler, make_ask
+from ._target_table import TargetTable
+from ._tracked import Tracked, is_ejected
+
+ANSWER_TIMEOUT = 0.15
+"""Seconds to wait for an answer, besides the time that a request may stand in line:
+many times the trip inside a region, and a fraction of any objective."""
+MOST_WAIT = 0.2
+"""Seconds for which a request stands in line before it looks elsewhere, too."""
+MOST_UNANSWERED = 2
+"""Asks in a row without an answer after which a scheduler counts as silent."""
+
+_log = get_logger("placement")
+
+
+@dataclass
+class _Open:
+    """An ask that waits for its answer."""
+
+    done: curio.Event = field(default_factory=curio.Event)
+    answer: TargetGrant | NoTarget | None = None
+
+
+class SchedulerClient:
+    """Finds targets: asks the region's scheduler, or chooses here where none answers.
+
+    Args:
+        peers: Links to the other hosts.
+        table: Targets of the region.
+        exchange: Knows who the scheduler is.
+        scheduler: Chooses on this host.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        table: TargetTable,
+        exchange: LoadExchange,
+        scheduler: Scheduler,
+        metrics: Metrics,
+    ) -> None:
+        self._peers = peers
+        self._table = table
+        self._exchange = exchange
+        self._scheduler = scheduler
+        self._metrics = metrics
+        # A host that was started anew must not settle what its former self was granted.
+        self._numbers = itertools.count(random.getrandbits(40))
+        self._open: dict[int, _Open] = {}
+        self._unanswered = 0
+        self._tasks = curio.TaskGroup()
+        peers.register(Area.SCHEDULING, SchedulingMessage, self._take)
+
+    async def close(self) -> None:
+        """Stop answering."""
+        await self._tasks.cancel_remaining()
+
+    async def find(self, ask: HomeAsk, wait: float) -> HomeAnswer:
+        """Return a target of the region, as soon as there is one.
+
+        Args:
+            ask: The request.
+            wait: Seconds for which it may stand in line; 0: it doesn't.
+        """
+        wait = min(wait, MOST_WAIT)
+        scheduler = self._exchange.scheduler
+        if scheduler is None:
+            return await self._scheduler.find(ask, wait)
+        answer = await self._ask(scheduler, ask, wait)
+        match answer:
+            case NoTarget(late=late):
+                return NoHome(late)
+            case TargetGrant():
+                target = self._table.get(answer.incarnation)
+                if target is not None:
+                    return self._at_home(target, answer)
+        # Nobody answers, or what was granted isn't known here yet.
+        self._metrics.incr("schedule.own_choice")
+        return await self._scheduler.find(ask, 0.0)
+
+    def _at_home(self, target: Tracked, grant: TargetGrant) -> AtHome:
+        return AtHome(
+            target,
+            grant.reason,
+            grant.delay_ms / 1000,
+            self._table.get(grant.fetch_from),
+            grant.cached_tokens,
+            grant.tokens_before,
+        )
+
+    async def _ask(
+        self, scheduler: HostName, ask: HomeAsk, wait: float
+    ) -> TargetGrant | NoTarget | None:
+        """Return the scheduler's answer; None: it didn't come."""
+        began = monotonic()
+        number = next(self._numbers)
+        asked = make_ask(ask, number, wait, began)
+        asked.avoided += self._unusable(ask.service, began)
+        opened = self._open[number] = _Open()
+        self._peers.post(scheduler, Area.SCHEDULING, asked)
+        try:
+            async with curio.ignore_after(wait + ANSWER_TIMEOUT):
+                await opened.done.wait()
+        finally:
+            del self._open[number]
+            if isinstance(opened.answer, TargetGrant):
+                # From its next notice on, this host's own part tells of the request.
+                self._exchange.note_settled(number)
+        self._metrics.timing("schedule.ask_ms", (monotonic() - began) * 1000)
+        if opened.answer is None:
+            self._note_unanswered(scheduler)
+        else:
+            self._unanswered = 0
+        return opened.answer
+
+    def _unusable(self, service: str, now: float) -> list[str]:
+        """Return the targets that this host can't use, though others may."""
+        self._table.let_return(service, now)
+        known = self._table.of_service(service)
+        return [
+            target.info.incarnation
+            for target in known
+            if is_ejected(target) or target.is_shunned_here(now)
+        ]
+
+    def _note_unanswered(self, scheduler: HostName) -> None:
+        self._metrics.incr("schedule.unanswered")
+        self._unanswered += 1
+        if self._unanswered >= MOST_UNANSWERED:
+            self._unanswered = 0
+            _log.warning("scheduler silent", scheduler=scheduler)
+            self._exchange.leave(scheduler)
+
+    async def _take(self, peer: HostName, message: SchedulingMessage) -> None:
+        match message:
+            case TargetAsk(wait_ms=0):
+                await self._answer(peer, message)
+            case TargetAsk():
+                # It stands in line: what else the peer says must not wait for it.
+                await self._tasks.spawn(self._answer, peer, message)
+            case TargetGrant() | NoTarget():
+                await self._resolve(message)
+
+    async def _answer(self, peer: HostName, asked: TargetAsk) -> None:
+        answer = await self._scheduler.answer(peer, asked)
+        self._peers.post(peer, Area.SCHEDULING, answer)
+
+    async def _resolve(self, answer: TargetGrant | NoTarget) -> None:
+        opened = self._open.get(answer.number)
+        if opened is not None:
+            opened.answer = answer
+            await opened.done.set()
+        elif isinstance(answer, TargetGrant):
+            # It came too late: what was granted isn't used.
+            self._metrics.incr("schedule.late_grant")
+            self._exchange.note_settled(answer.number)
--- a/packages/node/src/bronzepoint_node/placement/_waiting_line.py
+++ b/packages/node/src/bronzepoint_node/placement/_waiting_line.py
@@ -32,14 +32,18 @@
 
 
 class WaitingLine:
-    """The requests of one host that wait for room at one service.
+    """Requests that wait for room at one service.
 
-    To look for room costs some 2 ms. When every waiting request looked for itself, 33
-    times a second, a host with a dozen of them did nothing else, and its streams stood
-    still. So only the first few look, and whoever leaves lets the next one up.
+    When every waiting request looked for room by itself, a host with a dozen of them
+    did nothing else, and its streams stood still. So only the first few look, and
+    whoever leaves lets the next one up.
+
+    Attributes:
+        looked_at: When room was looked for last.
     """
 
     def __init__(self) -> None:
+        self.looked_at = float("-inf")
         self._waiters: list[Waiter] = []
 
     def __len__(self) -> int:
@@ -52,7 +56,7 @@
     async def leave(self, waiter: Waiter) -> None:
         """Give up the place; those behind move up."""
         self._waiters = [other for other in self._waiters if other is not waiter]
-        for other in self._waiters[:HEADS]:
+        for other in self.heads():
             await other.moved_up.set()
 
     async def wait(self, waiter: Waiter) -> bool:
@@ -61,12 +65,15 @@
         if left <= 0:
             return False
         if self._is_head(waiter):
-            await curio.sleep(min(LOOK_INTERVAL, left))
-            return True
+            left = min(LOOK_INTERVAL, left)
         waiter.moved_up.clear()
         async with curio.ignore_after(left):
             await waiter.moved_up.wait()
         return True
 
+    def heads(self) -> list[Waiter]:
+        """Return those that may look for room, in order."""
+        return self._waiters[:HEADS]
+
     def _is_head(self, waiter: Waiter) -> bool:
-        return any(other is waiter for other in self._waiters[:HEADS])
+        return any(other is waiter for other in self.heads())
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -15,7 +15,13 @@
     TargetView,
 )
 from bronzepoint_node.policy._limits import Limits, RegionHosts
-from bronzepoint_node.policy._outputs import Away, Home, Placement, Refused
+from bronzepoint_node.policy._outputs import (
+    Away,
+    Home,
+    Placement,
+    Refused,
+    TargetChoice,
+)
 from bronzepoint_node.policy._policy import Policy, Ticket
 from bronzepoint_node.policy._retry_budget import RetryBudget
 from bronzepoint_node.policy._service_times import ServiceTimes
@@ -34,6 +40,7 @@
     "RequestView",
     "RetryBudget",
     "ServiceTimes",
+    "TargetChoice",
     "TargetState",
     "TargetView",
     "Ticket",
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -132,8 +132,7 @@
 
         An answer that is late already earns less than one that can still be in time.
         After a kill of everything those that come again stand in one crowd with those
-        that have just begun; served in order of arrival, all of them are late: 119 in
-        a quarter of a second on one bad day.
+        that have just begun; served in order of arrival, all of them are late.
         """
         waited = self.spent + now - self.arrived
         is_late = not self.first_event_at and waited > self.route.objective
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -7,12 +7,14 @@
 from bronzepoint_common.logs import get_logger
 from bronzepoint_node.fleet import Follower, ServedCatalogue
 from bronzepoint_node.placement import (
+    NoHome,
     Placement,
     PlacementAsk,
     Placer,
     Rejected,
     RejectReason,
     RetryAllowance,
+    SchedulerClient,
     service_of,
 )
 
@@ -30,7 +32,6 @@
 from ._final_answers import FinalAnswers
 from ._sender import Sender
 from ._usual_deadlines import UsualDeadlines
-from ._waiting_line import Waiter, WaitingLine
 
 CUT_MARGIN = 0.05
 """Seconds before the caller's own deadline at which its final answer is given."""
@@ -44,6 +45,8 @@
 """but no more than this part of its deadline."""
 WAIT_SHARE = 0.5
 """Part of the objective for which a request may wait here for room."""
+LOOK_INTERVAL = 0.1
+"""Seconds between two looks for room in other regions, where only they may serve it."""
 MOST_SENDS = 4
 """Times that a request is sent on where each time it certainly did not run."""
 STREAM_OVERTIME = 0.2
@@ -57,7 +60,8 @@
 
     Args:
         follower: What is in force.
-        placer: Chooses where requests go.
+        placer: Chooses between the regions.
+        homes: Finds targets of the own region.
         allowance: How often requests may be sent again.
         sender: Sends them there.
         answers: Gives final answers.
@@ -71,6 +75,7 @@
         self,
         follower: Follower,
         placer: Placer,
+        homes: SchedulerClient,
         allowance: RetryAllowance,
         sender: Sender,
         answers: FinalAnswers,
@@ -78,13 +83,13 @@
     ) -> None:
         self._follower = follower
         self._placer = placer
+        self._homes = homes
         self._allowance = allowance
         self._sender = sender
         self._answers = answers
         self._codec = codec
         self._leaving = False
         self._usual = UsualDeadlines()
-        self._lines: dict[str, WaitingLine] = {}
         self.in_progress = 0
 
     def refuse_new(self) -> None:
@@ -210,7 +215,7 @@
             self._allowance.note_request(service, monotonic())
         waited_until = monotonic() + WAIT_SHARE * call.route.objective
         while True:
-            placement = await self._find_place(call, service, waited_until)
+            placement = await self._find_place(call, waited_until)
             if isinstance(placement, Rejected):
                 call.notes.append(self._placer.known_room(self._ask(call), monotonic()))
                 await self._answers.reject(call, placement)
@@ -223,20 +228,20 @@
             if await self._settled(call, outcome):
                 return
 
-    async def _find_place(self, call: Call, service: str, until: float) -> Placement:
+    async def _find_place(self, call: Call, until: float) -> Placement:
         """Return a place, or the refusal where there is none by ``until``."""
-        placement = self._placer.place(self._ask(call), monotonic())
-        if not self._waits(call, placement):
-            return placement
-        line = self._lines.setdefault(service, WaitingLine())
-        waiter = Waiter(call.rank(monotonic()), call.arrived, until)
-        line.join(waiter)
-        try:
-            while self._waits(call, placement) and await line.wait(waiter):
-                placement = self._placer.place(self._ask(call), monotonic())
-        finally:
-            await line.leave(waiter)
-        return placement
+        wait = 0.0
+        while True:
+            ask = self._ask(call)
+            found = NoHome()
+            if self._placer.may_stay(ask):
+                found = await self._homes.find(self._placer.home_ask(ask), wait)
+            placement = self._placer.decide(ask, found, monotonic())
+            wait = until - monotonic()
+            if wait <= 0 or not self._waits(call, placement):
+                return placement
+            if not self._placer.may_stay(ask):
+                await curio.sleep(min(wait, LOOK_INTERVAL))
 
     def _waits(self, call: Call, placement: Placement) -> bool:
         """Tell whether a request may wait here until there is room."""
@@ -254,6 +259,7 @@
             call.tried,
             call.tried_hosts,
             call.rank(monotonic()),
+            call.arrived,
         )
 
     async def _settled(self, call: Call, outcome: TryOutcome) -> bool:
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -16,6 +16,7 @@
     is_silent,
 )
 from bronzepoint_schema.generated.decisions import TryResult
+from bronzepoint_schema.generated.target_loads import FirstToken, Hold
 from bronzepoint_schema.ids import RegionName
 
 from ._call import (
@@ -46,8 +47,6 @@
 """and for one that may not: a target that closes it just then loses the request."""
 KEPT_BETWEEN_HOSTS = 20.0
 """Seconds for a connection to one of our hosts, which closes it after 60."""
-MOST_BEFORE = 500
-"""Prompt tokens before a request up to which its time says how fast a target is."""
 RESUME_STALL = 1.0
 """Seconds without an event after which a stream goes on at another target."""
 
@@ -135,26 +134,23 @@
         call.tried.add(name)
         call.notes.append(f"{name}@{target.info.address}: {placement.reason}")
         run_id = f"{call.head.request_id}.{call.sends}"
-        times = self._placer.speeds.times(service)
-        rank = call.rank(now)
-        rate = self._placer.speeds.rate(service)
-        before = target.load.tokens_before(rank, rate.tokens_per_second, now)
+        speeds, rank = self._placer.speeds, call.rank(now)
         prompt, source = call.head.prompt, placement.fetch_from
-        cached = placement.cached_tokens(prompt) if prompt else 0
-        uncached = target.begin(run_id, prompt, rank, now, cached)
+        uncached = target.begin(run_id, prompt, rank, now, placement.cached_tokens)
 
         def progressed(events: int, seconds: float) -> None:
             run = target.load.runs.get(run_id)
             if run is None:
                 return
             if run.started:
-                target.pace.note(events, seconds, monotonic())
+                target.note_events(events, seconds, monotonic())
                 return
             first = monotonic()
             target.load.note_started(run_id, first)
-            if before < MOST_BEFORE:
-                times.add_first_token(name, first - now, uncached, first)
-                rate.add(uncached, first - now, before)
+            spent = round((first - now) * 1000)
+            before = round(placement.tokens_before)
+            measured = FirstToken(name, uncached, spent, before)
+            speeds.note_first_token(service, measured, first)
 
         headers = self._codec.target_headers(
             call.head,
@@ -188,9 +184,9 @@
                 # would be sent there and turned away.
                 target.replaced = True
             case NotRun(reason="connect_failed"):
-                target.note_silent(monotonic())
+                target.note_unreached(monotonic())
         if result is TryResult.answered:
-            times.add_hold(seconds)
+            speeds.note_hold(Hold(service, round(seconds * 1000)))
         return outcome
 
     async def _try_region(
--- /dev/null
+++ b/tests/_scheduling_region.py
@@ -0,0 +1,153 @@
+"""The entry hosts of one region in one process, and the messages between them."""
+
+import random
+from collections import Counter
+
+import curio
+import msgspec
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_node.fleet import EngineFacts, Registry, ServedService
+from bronzepoint_node.placement import (
+    AtHome,
+    ColdGate,
+    LoadExchange,
+    Placer,
+    Prompt,
+    PromptPart,
+    Scheduler,
+    SchedulerClient,
+    TargetTable,
+)
+from bronzepoint_node.placement._home_ask import HomeAsk
+from bronzepoint_schema.generated.fleet import EntryHost, EntryState, TargetInfo
+
+SLOTS = 32
+STEP = 0.001
+"""Seconds that a message takes."""
+
+
+def prompt(tokens=100, name="own"):
+    return Prompt((PromptPart(name, tokens),), tokens, 50)
+
+
+class Region:
+    """Some hosts before some engines.
+
+    Attributes:
+        cut: Hosts that hear nothing and aren't heard.
+        sent_bytes: Bytes that each host has posted.
+    """
+
+    def __init__(self, hosts, targets, memory_tokens=10**9):
+        self.cut = set()
+        self.sent_bytes = Counter()
+        self.names = [f"10.1.0.{number}" for number in range(hosts)]
+        self.engine = ServedService(
+            "s", "/h", 100, engine=EngineFacts(SLOTS, memory_tokens)
+        )
+        self.targets = [f"t{number}" for number in range(targets)]
+        self._posted = []
+        self.hosts = {name: Host(self, name) for name in self.names}
+
+    async def __aenter__(self):
+        self._pump = await curio.spawn(self._deliver, daemon=True)
+        for host in self.hosts.values():
+            await host.exchange.start()
+        await curio.sleep(0.1)
+        return self
+
+    async def __aexit__(self, *failure):
+        await self._pump.cancel()
+        for host in self.hosts.values():
+            await host.exchange.close()
+            await host.client.close()
+
+    def post(self, sender, receiver, area, message):
+        self.sent_bytes[sender] += len(msgspec.msgpack.encode(message))
+        if not {sender, receiver} & self.cut:
+            self._posted.append((sender, receiver, area, message))
+
+    async def _deliver(self):
+        while True:
+            posted, self._posted = self._posted, []
+            for sender, receiver, area, message in posted:
+                await self.hosts[receiver].handlers[area](sender, message)
+            await curio.sleep(STEP)
+
+    @property
+    def scheduler(self):
+        """The host that chooses for all."""
+        (found,) = [h for h in self.hosts.values() if h.exchange.scheduler is None]
+        return found
+
+    @property
+    def members(self):
+        """The hosts that ask it."""
+        scheduler = self.scheduler
+        return [host for host in self.hosts.values() if host is not scheduler]
+
+    def in_flight(self):
+        """Return what is truly in progress at each target."""
+        counts = Counter()
+        for host in self.hosts.values():
+            for target in host.table.all():
+                counts[target.info.incarnation] += len(target.load.runs)
+        return counts
+
+
+class Host:
+    """One entry host; it is the peers that its parts post to."""
+
+    def __init__(self, region, name):
+        self.region = region
+        self.name = name
+        self.handlers = {}
+        self.metrics = Metrics()
+        self.table = TargetTable()
+        infos = [
+            TargetInfo(t, "s", "10.9.0.1:1", "z", SLOTS, False, 0)
+            for t in region.targets
+        ]
+        self.table.update(infos, 0.0, {"s": region.engine}, frozenset(), monotonic())
+        registry = Registry()
+        registry.hear_entries(
+            EntryHost(n, "r", "z", n, n, EntryState.ready, 0) for n in region.names
+        )
+        cold = ColdGate(name)
+        self.placer = Placer(
+            "r",
+            self.table,
+            registry,
+            cold,
+            random.Random(name),
+            lambda: self.exchange.choosers(region.names),
+        )
+        others = [other for other in region.names if other != name]
+        self.exchange = LoadExchange(
+            name, self, self.table, self.placer.speeds, lambda: others
+        )
+        scheduler = Scheduler(name, self.placer.home, cold)
+        self.client = SchedulerClient(
+            self, self.table, self.exchange, scheduler, self.metrics
+        )
+
+    def register(self, area, union, handler):
+        self.handlers[area] = handler
+
+    def post(self, peer, area, message):
+        self.region.post(self.name, peer, area, message)
+
+    def ask(self, rank=0, tokens=100, arrived=None, avoided=()):
+        now = monotonic()
+        at = now if arrived is None else arrived
+        return HomeAsk("id", "s", prompt(tokens), 5.0, rank, at, set(avoided))
+
+    async def send(self, run_id, wait=0.0, **options):
+        """Find a target and count a request there, as a sender does."""
+        ask = self.ask(**options)
+        found = await self.client.find(ask, wait)
+        if isinstance(found, AtHome):
+            found.target.begin(run_id, ask.prompt, ask.rank, monotonic())
+        return found
--- a/tests/test_placement_collector.py
+++ b/tests/test_placement_collector.py
@@ -10,13 +10,18 @@
 from bronzepoint_node.placement import (
     EngineReport,
     LoadExchange,
+    Speeds,
     TargetTable,
     is_silent,
 )
 from bronzepoint_node.placement._collector_choice import MOST_DIRECT, CollectorChoice
 from bronzepoint_node.placement._engine_load import OwnRun
+from bronzepoint_node.placement._load_collector import TELL_INTERVAL
 from bronzepoint_schema.generated.fleet import TargetInfo
 
+TOLD = round(TELL_INTERVAL / 0.1) + 2
+"""Steps within which members are told of one another: they choose by that only where
+the collector, which knows at once, doesn't answer."""
 TARGETS = ("t1", "t2")
 ENGINE = ServedService("s", "/h", 100, 3.0, 2.0, EngineFacts(64, 200_000))
 
@@ -50,7 +55,7 @@
         self.table = TargetTable()
         infos = [TargetInfo(t, "s", f"{t}:1", "z", 8, False, 0) for t in TARGETS]
         self.table.update(infos, 0.0, {"s": ENGINE}, frozenset(), wire.now)
-        self.exchange = LoadExchange(name, self, self.table, lambda: [])
+        self.exchange = LoadExchange(name, self, self.table, Speeds(), lambda: [])
 
     def register(self, area, union, handler):
         self.handler = handler
@@ -98,13 +103,20 @@
         self.hosts = list(self.wire.hosts.values())
         self.wire.steps(12)
 
+    def choosers(self):
+        """Return the hosts that choose targets for requests."""
+        return [h for h in self.hosts if h.exchange.scheduler is None]
+
     @params((2,), (MOST_DIRECT + 1,), (MOST_DIRECT + 2,), (23,))
     def test_every_host_knows_what_all_have_in_progress(self, count):
         self.region(count)
         for host in self.hosts:
             host.begin("t1")
         self.hosts[0].begin("t2", tokens=40_000)
-        self.wire.steps(3)
+        self.wire.step()
+        for host in self.choosers():
+            self.assertEqual(host.in_flight("t1"), count)
+        self.wire.steps(TOLD)
         self.assertEqual([h.in_flight("t1") for h in self.hosts], [count] * count)
         self.assertEqual([h.in_flight("t2") for h in self.hosts], [1] * count)
         for host in self.hosts[1:]:
@@ -147,7 +159,10 @@
         self.assertNotEqual(left[0].collector, former)
         for host in left:
             host.begin("t1")
-        self.wire.steps(3)
+        self.wire.step()
+        (chooser,) = [host for host in left if host.exchange.scheduler is None]
+        self.assertEqual(chooser.in_flight("t1"), 8)
+        self.wire.steps(TOLD)
         self.assertEqual([h.in_flight("t1") for h in left], [8] * 8)
 
     def test_collector_that_is_heard_again_collects_again(self):
@@ -163,7 +178,10 @@
         self.assertEqual({host.collector for host in self.hosts}, {former})
         for host in self.hosts:
             host.begin("t2")
-        self.wire.steps(3)
+        self.wire.step()
+        (chooser,) = self.choosers()
+        self.assertEqual(chooser.in_flight("t2"), 9)
+        self.wire.steps(TOLD)
         self.assertEqual([h.in_flight("t2") for h in self.hosts], [9] * 9)
 
     def test_change_of_collector_counts_nothing_twice(self):
@@ -179,10 +197,10 @@
         present = [host for host in self.hosts if host.name != joining]
         for host in present:
             host.begin("t1")
-        self.wire.steps(3)
+        self.wire.steps(TOLD)
         for host in present:
             self.wire.known[host.name].add(joining)
-        for _ in range(10):
+        for _ in range(2 * TOLD):
             self.wire.step()
             self.assertLessEqual(max(h.in_flight("t1") for h in present), 11)
         self.assertEqual({h.in_flight("t1") for h in present}, {11})
@@ -197,16 +215,17 @@
         self.assertEqual(asking[0].exchange.askers(9), 1)
         for host in self.hosts:
             host.begin("t1")
-        self.wire.steps(3)
+        self.wire.step()
         tracked = asking[0].table.get("t1")
         report = EngineReport(running=20, waiting=3, used_tokens=500, total_tokens=900)
         tracked.take_report(report, self.wire.now, 9)
-        self.wire.steps(2)
+        self.wire.steps(TOLD)
         for host in self.hosts:
             known = host.table.get("t1")
             self.assertEqual(known.report, report)
             self.assertEqual(known.runs_at_report, 9)
-            self.assertLess(self.wire.now - known.report_at, 0.3)
+            told_at = known.report_at
+            self.assertAlmostEqual(told_at, tracked.report_at, delta=0.01)
 
     @params((0.5, False), (5.0, True))
     def test_engine_that_is_silent_for_the_collector(self, heard_ago, silent):
--- a/tests/test_placement_fetch.py
+++ b/tests/test_placement_fetch.py
@@ -72,8 +72,10 @@
         where = site()
         where.table.get("t2").memory.note_part("guide", 5000)
         target = where.table.get("t1")
-        placed = AtHome(target, "", fetch_from=where.table.get("t2"))
-        cached = placed.cached_tokens(prompt())
+        placed = where.place(prompt=prompt(), tried=("t2",))
+        self.assertIs(placed.target, target)
+        self.assertIs(placed.fetch_from, where.table.get("t2"))
+        cached = placed.cached_tokens
         read = target.begin("r", prompt(), 0, where.now, cached)
         self.assertEqual(read, 100)
         self.assertEqual(target.memory.cached_tokens(prompt()), 5100)
@@ -114,7 +116,7 @@
         for number in range(60):
             asked = prompt(name=f"own-{number}")
             placed = where.placer.place(where.ask(prompt=asked), where.now)
-            cached = placed.cached_tokens(asked)
+            cached = placed.cached_tokens
             read += placed.target.begin(f"r{number}", asked, 0, where.now, cached)
         used = [t for t in where.table.all() if t.load.in_flight(where.now)]
         self.assertGreater(len(used), 1)
--- a/tests/test_relay_late_requests.py
+++ b/tests/test_relay_late_requests.py
@@ -7,9 +7,9 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_node.fleet import RouteKind, ServedRoute
+from bronzepoint_node.placement._waiting_line import Waiter, WaitingLine
 from bronzepoint_node.relay._call import LATE_RANKS, Call
 from bronzepoint_node.relay._usual_deadlines import UsualDeadlines
-from bronzepoint_node.relay._waiting_line import Waiter, WaitingLine
 
 ROUTE = ServedRoute("r", "h", "/", RouteKind.STREAM, 12.0, 1.2, 2, (), 2, True)
 FRESH = 12.0
--- a/tests/test_relay_waiting_line.py
+++ b/tests/test_relay_waiting_line.py
@@ -6,7 +6,7 @@
 from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
-from bronzepoint_node.relay._waiting_line import HEADS, Waiter, WaitingLine
+from bronzepoint_node.placement._waiting_line import HEADS, Waiter, WaitingLine
 
 
 async def looks(line, waiter, seconds):
