Let hosts of the core schedule their region

Ruled out: its processor. The cause is its link: 5 Mbit/s, which one prompt of 37 KB fills for 60 ms. Change: hosts of the core of the region schedule, in rendezvous order, before entry hosts. Their links are wide and they have no callers. They read the list and the catalogue anyway, ask the engines, and tell the region's load. A host that knows no targets yet doesn't answer; one that hears a member for the first time asks it to tell all. A choice costs half: the sum of what all hosts have at a target is kept until it changes, records of candidates are left out where nobody reads them. Members are told one after the other. A request's line names who was asked and how long that took.

--- a/packages/node/src/bronzepoint_node/core/__init__.py
+++ b/packages/node/src/bronzepoint_node/core/__init__.py
@@ -1,6 +1,7 @@
 """What hosts of the core do for entry hosts: tell what is in force and listed."""
 
 from ._core_hub import CoreHub
+from ._region_scheduler import RegionScheduler
 from ._target_reader import ListUnavailable, TargetReader
 
-__all__ = ["CoreHub", "ListUnavailable", "TargetReader"]
+__all__ = ["CoreHub", "ListUnavailable", "RegionScheduler", "TargetReader"]
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -14,6 +14,7 @@
 from ._placer import Placer
 from ._prober import (
     Prober,
+    ReadReport,
     ReportOfOtherStart,
     ReportUnavailable,
     ReportUnreadable,
@@ -39,6 +40,7 @@
     "Prober",
     "Prompt",
     "PromptPart",
+    "ReadReport",
     "RejectReason",
     "Rejected",
     "ReportOfOtherStart",
--- a/packages/node/src/bronzepoint_node/placement/_collector_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_collector_choice.py
@@ -1,5 +1,7 @@
 """Which host of a region adds up the loads that all of them report."""
 
+from collections.abc import Sequence
+
 from bronzepoint_common.rendezvous import rendezvous_order
 from bronzepoint_schema.ids import HostName
 
@@ -34,14 +36,23 @@
         """Pass over a host that doesn't answer, until it is heard again."""
         self._heard[host] = float("-inf")
 
-    def choose(self, others: list[HostName], now: float) -> HostName | None:
-        """Return the collector, maybe this host; None: hosts tell each other."""
+    def choose(
+        self, others: list[HostName], now: float, core: Sequence[HostName] = ()
+    ) -> HostName | None:
+        """Return the collector, maybe this host; None: hosts tell each other.
+
+        Args:
+            others: The other entry hosts of the region.
+            now: Monotonic seconds.
+            core: Hosts of the core there; they go first.
+        """
         if len(others) <= MOST_DIRECT:
             self._heard.clear()
             return None
         # A host that was gone and is back has said nothing yet, and is heard out anew.
-        self._heard = {h: at for h, at in self._heard.items() if h in set(others)}
-        for host in self.order(others):
+        present = {*others, *core}
+        self._heard = {h: at for h, at in self._heard.items() if h in present}
+        for host in self.order(others, core):
             if host == self._name:
                 break
             if now - self._heard.setdefault(host, now) <= SILENT_AFTER:
@@ -49,16 +60,22 @@
         return self._name
 
     def silent_before(
-        self, collector: HostName, others: list[HostName]
+        self,
+        collector: HostName,
+        others: list[HostName],
+        core: Sequence[HostName] = (),
     ) -> list[HostName]:
         """Return the silent hosts that would collect if they were heard again.
 
         They are told now and then, and answer once they can: else a cut that has healed
         would leave a region with two collectors, each with half of its hosts.
         """
-        order = self.order(others)
+        order = self.order(others, core)
         return order[: order.index(collector)]
 
-    def order(self, others: list[HostName]) -> list[HostName]:
+    def order(
+        self, others: list[HostName], core: Sequence[HostName] = ()
+    ) -> list[HostName]:
         """Return this host and others as they come to collect, the first one first."""
-        return rendezvous_order(_KEY, [self._name, *others])
+        first = rendezvous_order(_KEY, core)
+        return [*first, *rendezvous_order(_KEY, [self._name, *others])]
--- a/packages/node/src/bronzepoint_node/placement/_engine_load.py
+++ b/packages/node/src/bronzepoint_node/placement/_engine_load.py
@@ -51,8 +51,8 @@
     runs: dict[str, OwnRun] = field(default_factory=dict)
     changed: bool = False
     _others: dict[HostName, tuple[float, TargetLoad]] = field(default_factory=dict)
-    _others_sum: LoadSum | None = None
-    _sum_holds_until: float = 0.0
+    _total: LoadSum | None = None
+    _total_holds_until: float = 0.0
     _reserved: dict[tuple[HostName, int], OwnRun] = field(default_factory=dict)
     _began_at: float = 0.0
 
@@ -61,20 +61,20 @@
         if not self._unstarted():
             self._began_at = run.sent_at
         self.runs[run_id] = run
-        self.changed = True
+        self._note_changed()
 
     def note_started(self, run_id: str, now: float) -> None:
         """Count a request whose first event has come: the next prompt is read."""
         run = self.runs.get(run_id)
         if run is not None and not run.started:
             run.started = True
-            self.changed = True
             self._began_at = now
+            self._note_changed()
 
     def end(self, run_id: str) -> None:
         """Count a request no more."""
         if self.runs.pop(run_id, None) is not None:
-            self.changed = True
+            self._note_changed()
 
     def reserve(self, host: HostName, number: int, run: OwnRun) -> None:
         """Count a request that another host was told to send there.
@@ -85,28 +85,24 @@
             run: The request.
         """
         self._reserved[host, number] = run
+        self._total = None
 
     def settle(self, host: HostName, numbers: Iterable[int]) -> None:
         """Count what was reserved no more: its host's own part tells of it."""
         for number in numbers:
-            self._reserved.pop((host, number), None)
+            if self._reserved.pop((host, number), None) is not None:
+                self._total = None
 
     def take_notice(self, host: HostName, load: TargetLoad, now: float) -> None:
         """Take in another host's part."""
         self._others[host] = (now, load)
-        self._others_sum = None
+        self._total = None
 
     def forget_others(self) -> None:
         """Drop all words of other hosts, as they come by another way from now on."""
         self._others.clear()
         self._reserved.clear()
-        self._others_sum = None
-
-    def words(
-        self, own_name: HostName, incarnation: str, now: float
-    ) -> dict[HostName, tuple[float, TargetLoad]]:
-        """Return each host's part that is known, this host's own among them."""
-        return {**self._fresh(now), own_name: (now, self.notice(incarnation, now))}
+        self._total = None
 
     def notice(self, incarnation: str, now: float) -> TargetLoad:
         """Return this host's part, for the others."""
@@ -124,67 +120,83 @@
             head_age_ms=int((now - head.sent_at) * 1000) if head else 0,
         )
 
+    def notice_without(
+        self, host: HostName, incarnation: str, now: float
+    ) -> TargetLoad:
+        """Return what all but one host have there, in the form of one host's part."""
+        total = self.total(now)
+        nothing = TargetLoad(incarnation, 0, 0, [0] * RANKS, 0, 0, 0)
+        at, own = self._others.get(host, (now, nothing))
+        if now - at >= NOTICE_EXPIRY:
+            own = nothing
+        head = total.head
+        if head is not None and own.head_tokens:
+            own_sent_at = at - own.head_age_ms / 1000
+            if own_sent_at <= head.sent_at:
+                head = None
+        unread = zip(total.unread, own.unread, strict=True)
+        return TargetLoad(
+            incarnation=incarnation,
+            in_flight=max(0, total.in_flight - own.in_flight),
+            memory_tokens=max(0, total.memory_tokens - own.memory_tokens),
+            unread=[max(0, tokens - told) for tokens, told in unread],
+            head_tokens=head.tokens if head else 0,
+            head_rank=head.rank if head else 0,
+            head_age_ms=int((now - head.began_at) * 1000) if head else 0,
+        )
+
     def in_flight(self, now: float) -> int:
         """Return the requests in progress there."""
-        reserved = len(self._live_reserved(now))
-        return len(self.runs) + reserved + self._sum_of_others(now).in_flight
+        return self.total(now).in_flight
 
     def memory_tokens(self, now: float) -> int:
         """Return the memory that they take up."""
-        own = sum(run.tokens for run in self.runs.values())
-        own += sum(run.tokens for run in self._live_reserved(now))
-        return own + self._sum_of_others(now).memory_tokens
+        return self.total(now).memory_tokens
 
     def tokens_before(self, rank: int, rate: float, now: float) -> float:
-        """Return the prompt tokens that are read before a new request's own.
+        """Return the prompt tokens that are read before a new request's own."""
+        return self.total(now).tokens_before(rank, rate, now)
 
-        Args:
-            rank: Rank of the new request.
-            rate: Tokens that an engine reads in a second.
-            now: Monotonic seconds.
-        """
-        others = self._sum_of_others(now)
-        waiting = float(sum(others.unread[: min(rank, RANKS - 1) + 1]))
-        head, began = others.head, others.head.sent_at if others.head else now
-        for run in (*self._unstarted(), *self._live_reserved(now)):
-            if min(run.rank, RANKS - 1) <= min(rank, RANKS - 1):
-                waiting += run.uncached
-        own = min(self._unstarted(), key=lambda run: run.sent_at, default=None)
-        if own and own.uncached and (head is None or own.sent_at < head.sent_at):
-            head = ReadingHead(own.sent_at, own.uncached, own.rank)
-            began = max(own.sent_at, self._began_at)
-        if head is None:
-            return waiting
-        read = min(head.tokens, rate * (now - began))
-        if head.rank <= rank:
-            return waiting - read
-        return waiting + head.tokens - read
+    def total(self, now: float) -> LoadSum:
+        """Return what all hosts have there together.
 
-    def _unstarted(self) -> list[OwnRun]:
-        return [run for run in self.runs.values() if not run.started]
+        Every choice asks for it at every target, and few of them have changed since the
+        last one: it is kept until one does, or a word of it grows old.
+        """
+        if self._total is None or now >= self._total_holds_until:
+            self._total = self._add_up(now)
+        return self._total
 
-    def _live_reserved(self, now: float) -> list[OwnRun]:
-        if not self._reserved:
-            return []
+    def _add_up(self, now: float) -> LoadSum:
         self._reserved = {
             key: run
             for key, run in self._reserved.items()
             if now - run.sent_at < RESERVED_FOR
         }
-        return list(self._reserved.values())
-
-    def _sum_of_others(self, now: float) -> LoadSum:
-        """Return the sum of the other hosts' parts.
+        words = self._fresh(now).values()
+        until = [at + NOTICE_EXPIRY for at, _ in words]
+        until += [run.sent_at + RESERVED_FOR for run in self._reserved.values()]
+        self._total_holds_until = min(until, default=float("inf"))
+        total = LoadSum.of(words)
+        for run in (*self.runs.values(), *self._reserved.values()):
+            total.in_flight += 1
+            total.memory_tokens += run.tokens
+            if not run.started:
+                total.unread[min(run.rank, RANKS - 1)] += run.uncached
+        head = min(self._unstarted(), key=lambda run: run.sent_at, default=None)
+        if head is not None and head.uncached:
+            began_at = max(head.sent_at, self._began_at)
+            total.note_head(
+                ReadingHead(head.sent_at, began_at, head.uncached, head.rank)
+            )
+        return total
+
+    def _note_changed(self) -> None:
+        self.changed = True
+        self._total = None
 
-        A region's every choice asks for it at every target, and each time all hosts
-        were added up anew: it is kept until a word comes or grows old.
-        """
-        if self._others_sum is None or now >= self._sum_holds_until:
-            words = self._fresh(now).values()
-            self._others_sum = LoadSum.of(words)
-            oldest = min((at for at, _ in words), default=now)
-            self._sum_holds_until = oldest + NOTICE_EXPIRY
-        return self._others_sum
+    def _unstarted(self) -> list[OwnRun]:
+        return [run for run in self.runs.values() if not run.started]
 
     def _fresh(self, now: float) -> dict[HostName, tuple[float, TargetLoad]]:
         return {
--- a/packages/node/src/bronzepoint_node/placement/_home_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_home_choice.py
@@ -85,6 +85,7 @@
             REPORT_MEMORY,
             self._rng,
             now,
+            explain=False,
         )
         if choice.target is None:
             return NoHome(late=bool(usable) and not in_time)
@@ -111,13 +112,12 @@
     def usable(self, service: str, now: float) -> list[Tracked]:
         """Return targets that may be sent to, the cold ones only where allowed."""
         known = self._table.service(service)
-        choosers = self._choosers()
         usable = []
         for tracked in self._table.of_service(service):
             if now < tracked.cold_until:
                 rate = known.cold_rate if known else 0.0
                 name = tracked.info.incarnation
-                if not self._cold.may_send(name, rate, choosers, now):
+                if not self._cold.may_send(name, rate, self._choosers(), now):
                     continue
             usable.append(tracked)
         return [
--- a/packages/node/src/bronzepoint_node/placement/_load_collector.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_collector.py
@@ -8,9 +8,8 @@
 )
 from bronzepoint_schema.ids import HostName
 
-from ._load_total import add_up
 from ._target_table import TargetTable
-from ._tracked import is_silent
+from ._tracked import Tracked, is_silent
 
 MEMBER_EXPIRY = 3.0
 """Seconds after which a member that says nothing is told nothing."""
@@ -18,6 +17,8 @@
 """Seconds between two notices to a member. It is told for the time without a collector,
 in which it chooses by itself; what is told at once is that an engine has gone silent or
 is heard again, as requests in progress there are given up then."""
+PARTS_KEPT = 2 * TELL_INTERVAL
+"""Seconds for which it is remembered that a part was sent to a target."""
 
 
 class LoadCollector:
@@ -36,53 +37,79 @@
     def __init__(self, name: HostName, table: TargetTable) -> None:
         self._name = name
         self._table = table
-        self._members: dict[HostName, float] = {}
-        self._parts: dict[str, dict[str, int]] = {}
+        self._heard_at: dict[HostName, float] = {}
+        self._told_at: dict[HostName, float] = {}
+        self._parts: dict[str, dict[str, tuple[float, int]]] = {}
         self._silent: set[str] = set()
-        self._told_at = float("-inf")
 
     def members(self, now: float) -> list[HostName]:
         """Return the hosts that report here."""
-        for host, at in list(self._members.items()):
+        for host, at in list(self._heard_at.items()):
             if now - at > MEMBER_EXPIRY:
-                del self._members[host]
-        return list(self._members)
+                del self._heard_at[host]
+                self._told_at.pop(host, None)
+        return list(self._heard_at)
 
     def take(self, host: HostName, loads: list[TargetLoad], now: float) -> None:
         """Count what a member, or this host itself, has in progress."""
         if host != self._name:
-            self._members[host] = now
+            self._heard_at[host] = now
         for load in loads:
             if load.parts:
                 parts = self._parts.setdefault(load.incarnation, {})
-                parts.update({part.name: part.tokens for part in load.parts})
+                parts.update({part.name: (now, part.tokens) for part in load.parts})
 
     def notices(self, now: float) -> dict[HostName, LoadNotice]:
-        """Return what each member is to hear of the others now."""
-        listed = {t.info.incarnation: t for t in self._table.all() if t.engine}
-        silent = {name for name, t in listed.items() if is_silent(t, now)}
-        turned = (silent ^ self._silent) & listed.keys()
+        """Return what members are to hear of the others now.
+
+        Members come due one after the other: told all at once, they would keep those
+        waiting that ask this host for a target.
+        """
+        turned = self._turned(now)
+        told = {}
+        for host in self.members(now):
+            if now - self._told_at.get(host, float("-inf")) >= TELL_INTERVAL:
+                told[host] = self._notice(host, self._table.all(), now)
+                self._told_at[host] = now
+            elif turned:
+                told[host] = self._notice(host, turned, now)
+        self._forget_parts(now)
+        return told
+
+    def _turned(self, now: float) -> list[Tracked]:
+        """Return the engines that have gone silent, or are heard again."""
+        engines = {t.info.incarnation: t for t in self._table.all() if t.engine}
+        silent = {name for name, t in engines.items() if is_silent(t, now)}
+        turned = [engines[n] for n in silent ^ self._silent if n in engines]
         self._silent = silent
-        if now - self._told_at >= TELL_INTERVAL:
-            self._told_at = now
-            return self._tell({t.info.incarnation for t in self._table.all()}, now)
-        return self._tell(turned, now) if turned else {}
-
-    def _tell(self, targets: set[str], now: float) -> dict[HostName, LoadNotice]:
-        told: dict[HostName, list[TargetLoad]] = {h: [] for h in self.members(now)}
-        for incarnation in targets:
-            tracked = self._table.get(incarnation)
-            total = add_up(tracked.load.words(self._name, incarnation, now))
+        return turned
+
+    def _notice(self, host: HostName, targets: list[Tracked], now: float) -> LoadNotice:
+        since = self._told_at.get(host, float("-inf"))
+        loads = [self._load(host, tracked, since, now) for tracked in targets]
+        return LoadNotice(
+            NoticeKind.of_others, loads, tell_all=host not in self._told_at
+        )
+
+    def _load(
+        self, host: HostName, tracked: Tracked, since: float, now: float
+    ) -> TargetLoad:
+        """Return what all but one host have at a target: it knows its own better."""
+        incarnation = tracked.info.incarnation
+        load = tracked.load.notice_without(host, incarnation, now)
+        parts = self._parts.get(incarnation, {})
+        load.parts = [
+            PartUse(n, tokens) for n, (at, tokens) in parts.items() if at > since
+        ]
+        if tracked.engine is not None:
             # Nobody asks a plain service; each host goes by its own connections.
-            word = tracked.word(now) if tracked.engine is not None else None
-            parts = self._parts.pop(incarnation, {})
-            for host, loads in told.items():
-                load = total.without(host, incarnation, now)
-                load.parts = [PartUse(*part) for part in parts.items()]
-                load.word = word
-                loads.append(load)
-        return {
-            host: LoadNotice(NoticeKind.of_others, loads)
-            for host, loads in told.items()
-            if loads
-        }
+            load.word = tracked.word(now)
+        return load
+
+    def _forget_parts(self, now: float) -> None:
+        for incarnation, parts in list(self._parts.items()):
+            kept = {n: part for n, part in parts.items() if now - part[0] < PARTS_KEPT}
+            if kept:
+                self._parts[incarnation] = kept
+            else:
+                del self._parts[incarnation]
--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -45,6 +45,7 @@
         table: Targets of the region.
         speeds: What is measured of requests.
         others: Gives the other entry hosts of the region.
+        core: Gives the hosts of the core in the region, which collect before others.
     """
 
     def __init__(
@@ -54,12 +55,14 @@
         table: TargetTable,
         speeds: Speeds,
         others: Callable[[], list[HostName]],
+        core: Callable[[], list[HostName]] = list,
     ) -> None:
         self._name = name
         self._peers = peers
         self._table = table
         self._speeds = speeds
         self._others = others
+        self._core = core
         self._settled: list[int] = []
         self._told_all_at = 0.0
         self._choice = CollectorChoice(name)
@@ -99,6 +102,10 @@
         """Return the other host that chooses targets; None: this one does itself."""
         return None if self._collector == self._name else self._collector
 
+    def has_members(self, now: float) -> bool:
+        """Tell whether other hosts report to this one."""
+        return bool(self._collected.members(now))
+
     def choosers(self, hosts: list[HostName]) -> list[HostName]:
         """Return which hosts of the region choose targets without being asked.
 
@@ -110,7 +117,7 @@
     def leave(self, collector: HostName) -> None:
         """Pass over a collector that doesn't answer, until it is heard again."""
         self._choice.note_silent(collector)
-        self._follow(self._choice.choose(self._others(), monotonic()))
+        self._follow(self._choice.choose(self._others(), monotonic(), self._core()))
 
     def note_settled(self, number: int) -> None:
         """Count what was granted for an ask as this host's own part."""
@@ -127,6 +134,8 @@
                 return
             case NoticeKind.of_others:
                 self._choice.note_heard(peer, now)
+                if notice.tell_all:
+                    self._told_all_at = 0.0
                 if peer != self._collector:
                     # A former collector's sum holds what the present one tells.
                     return
@@ -154,7 +163,8 @@
 
     def _tell(self, others: list[HostName], now: float) -> float:
         """Tell whom it concerns; return the seconds until the next time."""
-        self._follow(self._choice.choose(others, now))
+        core = self._core()
+        self._follow(self._choice.choose(others, now, core))
         whole = now - self._told_all_at > REFRESH
         notice = self._notice(whole, now)
         members = self._collected.members(now)
@@ -168,7 +178,7 @@
             self._post(others, notice)
             return LEAST_INTERVAL + INTERVAL_BY_HOST * len(others)
         if whole:
-            silent = self._choice.silent_before(collector, others)
+            silent = self._choice.silent_before(collector, others, core)
             self._post(silent, notice)
         if collector != self._name:
             self._post([collector], notice)
--- a/packages/node/src/bronzepoint_node/placement/_load_sum.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_sum.py
@@ -16,11 +16,13 @@
 
     Attributes:
         sent_at: When it was sent, by the own monotonic clock.
+        began_at: When the engine began to read it, as far as is known.
         tokens: Prompt tokens that the engine reads for it.
         rank: How urgent it is.
     """
 
     sent_at: float
+    began_at: float
     tokens: int
     rank: int
 
@@ -51,9 +53,27 @@
                 total.unread[rank] += tokens
             if load.head_tokens:
                 sent_at = at - load.head_age_ms / 1000
-                total.note_head(ReadingHead(sent_at, load.head_tokens, load.head_rank))
+                tokens, rank = load.head_tokens, load.head_rank
+                total.note_head(ReadingHead(sent_at, sent_at, tokens, rank))
         return total
 
+    def tokens_before(self, rank: int, rate: float, now: float) -> float:
+        """Return the prompt tokens that are read before a new request's own.
+
+        Args:
+            rank: Rank of the new request.
+            rate: Tokens that an engine reads in a second.
+            now: Monotonic seconds.
+        """
+        waiting = float(sum(self.unread[: min(rank, RANKS - 1) + 1]))
+        head = self.head
+        if head is None:
+            return waiting
+        read = min(head.tokens, rate * (now - head.began_at))
+        if head.rank <= rank:
+            return waiting - read
+        return waiting + head.tokens - read
+
     def note_head(self, head: ReadingHead) -> None:
         """Keep a prompt where it was sent before the one held."""
         if self.head is None or head.sent_at < self.head.sent_at:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -1,8 +1,8 @@
 """Asking the scheduler of the region for targets."""
 
+import dataclasses
 import itertools
 import random
-from dataclasses import dataclass, field
 
 import curio
 
@@ -36,11 +36,11 @@
 _log = get_logger("placement")
 
 
-@dataclass
+@dataclasses.dataclass
 class _Open:
     """An ask that waits for its answer."""
 
-    done: curio.Event = field(default_factory=curio.Event)
+    done: curio.Event = dataclasses.field(default_factory=curio.Event)
     answer: TargetGrant | NoTarget | None = None
 
 
@@ -90,22 +90,28 @@
         scheduler = self._exchange.scheduler
         if scheduler is None:
             return await self._scheduler.find(ask, wait)
+        began = monotonic()
         answer = await self._ask(scheduler, ask, wait)
+        asked = f"asked {scheduler}, {(monotonic() - began) * 1000:.0f} ms"
         match answer:
             case NoTarget(late=late):
                 return NoHome(late)
             case TargetGrant():
                 target = self._table.get(answer.incarnation)
                 if target is not None:
-                    return self._at_home(target, answer)
+                    return self._at_home(target, answer, asked)
         # Nobody answers, or what was granted isn't known here yet.
         self._metrics.incr("schedule.own_choice")
-        return await self._scheduler.find(ask, 0.0)
+        found = await self._scheduler.find(ask, 0.0)
+        if isinstance(found, AtHome):
+            reason = f"{found.reason}; {asked}, own choice"
+            return dataclasses.replace(found, reason=reason)
+        return found
 
-    def _at_home(self, target: Tracked, grant: TargetGrant) -> AtHome:
+    def _at_home(self, target: Tracked, grant: TargetGrant, asked: str) -> AtHome:
         return AtHome(
             target,
-            grant.reason,
+            f"{grant.reason}; {asked}",
             grant.delay_ms / 1000,
             self._table.get(grant.fetch_from),
             grant.cached_tokens,
@@ -157,6 +163,11 @@
 
     async def _take(self, peer: HostName, message: SchedulingMessage) -> None:
         match message:
+            case TargetAsk(service=service) if not self._table.of_service(service):
+                # A host that was just started knows no targets yet. Told that there is
+                # none, the caller would be turned away; without an answer its host
+                # chooses by itself, and asks the next one.
+                self._metrics.incr("schedule.not_known")
             case TargetAsk(wait_ms=0):
                 await self._answer(peer, message)
             case TargetAsk():
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -172,7 +172,7 @@
 
 
 def prefix_owner(request: RequestView, views: list[TargetView]) -> TargetName | None:
-    """Return the target that a prompt's prefix belongs to by rendezvous hash.
+    """Return the one of usable targets that a prompt's prefix belongs to.
 
     What is cached where is known late and with gaps. Left to that alone, each host
     computes a rare prefix wherever it happens to send it, all targets hold the same
@@ -181,8 +181,8 @@
     if not request.prefix_hashes:
         return None
     key = request.prefix_hashes[min(_KEY_BLOCK, len(request.prefix_hashes) - 1)]
-    ready = [view.name for view in views if usable_state(view, request) is None]
-    return ranked(key, ready)[0] if ready else None
+    names = [view.name for view in views]
+    return ranked(key, names)[0] if names else None
 
 
 def choose_target(
@@ -193,6 +193,7 @@
     memory: float,
     rng: Random,
     now: float,
+    explain: bool = True,
 ) -> TargetChoice:
     """Choose a target with room, by the loss that it is expected to bring.
 
@@ -207,58 +208,69 @@
         memory: Seconds after which a report weighs a third of what it did.
         rng: Source of the random draws.
         now: Monotonic seconds.
+        explain: Give the score of each candidate, for a decision record.
     """
     loads = estimate_loads(views, memory)
-    owner = prefix_owner(request, views)
     mean_load = sum(loads) / max(1, sum(view.slots for view in views))
+    candidates: list[Candidate] = []
+    usable: list[tuple[TargetView, float, Candidate]] = []
+    for view, load in zip(views, loads, strict=True):
+        excluded = usable_state(view, request)
+        candidates.append(Candidate(view.name, view.region, excluded=excluded))
+        if excluded is None:
+            usable.append((view, load, candidates[-1]))
+    owner = prefix_owner(request, [view for view, *_ in usable])
     most_cached = max(
-        (
-            credited_cache(view, load, mean_load, request)
-            for view, load in zip(views, loads, strict=True)
-            if usable_state(view, request) is None
-        ),
+        (credited_cache(view, load, mean_load, request) for view, load, _ in usable),
         default=0,
     )
-    candidates: list[Candidate] = []
-    open_targets: list[tuple[float, TargetView, TargetTerms, Candidate]] = []
+    open_targets: list[_OpenTarget] = []
     least_if_full = math.inf
-    usable = 0
-    for view, load in zip(views, loads, strict=True):
-        excluded = usable_state(view, request)
-        candidate = Candidate(view.name, view.region, excluded=excluded)
-        candidates.append(candidate)
-        if excluded is not None:
-            continue
-        usable += 1
+    for view, load, candidate in usable:
         is_first = view.name == owner
         terms = target_terms(
             view, load, mean_load, most_cached, request, times, is_first, now
         )
-        candidate.score = round(terms.score(request), 4)
-        candidate.detail = terms.detail()
+        loss = terms.loss(request)
+        score = loss + request.latency_weight * terms.reread
+        if explain:
+            candidate.score = round(score, 4)
+            candidate.detail = terms.detail()
         if not has_room(view, load, hosts, request.memory_tokens):
             candidate.excluded = ExclusionReason.full
-            least_if_full = min(least_if_full, terms.loss(request))
+            least_if_full = min(least_if_full, loss)
             continue
-        open_targets.append((terms.score(request), view, terms, candidate))
+        open_targets.append(_OpenTarget(score, loss, view, terms, candidate))
     if not open_targets:
         reason = "no target has room" if usable else "no target may be used"
-        return TargetChoice(None, candidates, reason, usable)
-    best = min(score for score, *_ in open_targets)
+        return TargetChoice(None, candidates, reason, len(usable))
     margin = _NEAR * request.latency_weight * times.hold
-    least_loss = min(terms.loss(request) for _, _, terms, _ in open_targets)
+    least_loss = min(target.loss for target in open_targets)
     if least_if_full + margin < least_loss:
         # The only room is at a slow target: waiting for a slot elsewhere is sooner.
         # What a full target keeps doesn't count: requests would wait for it, and be
         # refused, beside idle targets.
-        return TargetChoice(None, candidates, "a full target is sooner", usable)
-    near = [item for item in open_targets if item[0] <= best + margin]
-    _, view, terms, chosen = rng.choice(near)
-    for *_, candidate in open_targets:
-        if candidate is not chosen:
-            candidate.excluded = ExclusionReason.worse
+        reason = "a full target is sooner"
+        return TargetChoice(None, candidates, reason, len(usable))
+    best = min(target.score for target in open_targets)
+    near = [target for target in open_targets if target.score <= best + margin]
+    chosen = rng.choice(near)
+    for target in open_targets:
+        if target is not chosen:
+            target.candidate.excluded = ExclusionReason.worse
     reason = f"least expected loss; {len(near)} within the margin, drawn at random"
-    return TargetChoice(view, candidates, reason, usable, terms.delay(), terms.wait)
+    delay, wait = chosen.terms.delay(), chosen.terms.wait
+    return TargetChoice(chosen.view, candidates, reason, len(usable), delay, wait)
+
+
+class _OpenTarget(Struct):
+    """A target with room, and what it is expected to bring."""
+
+    score: float
+    loss: float
+    view: TargetView
+    terms: TargetTerms
+    candidate: Candidate
 
 
 __all__ = [
--- a/packages/node/src/bronzepoint_node/policy/_service_times.py
+++ b/packages/node/src/bronzepoint_node/policy/_service_times.py
@@ -38,6 +38,7 @@
     base: float = _FIRST_BASE
     per_token: float = _FIRST_PER_TOKEN
     speeds: dict[TargetName, _TargetSpeed] = field(default_factory=dict)
+    fastest: float = 1.0
     samples: float = 0.0
     sum_x: float = 0.0
     sum_y: float = 0.0
@@ -57,8 +58,7 @@
         speed = self.speeds.get(target)
         if speed is None:
             return 1.0
-        fastest = min(other.ratio for other in self.speeds.values())
-        ratio = speed.ratio / fastest
+        ratio = speed.ratio / self.fastest
         if ratio < _NOISE:
             return 1.0
         faded = 0.5 ** ((now - speed.updated) / _HALF_LIFE)
@@ -76,6 +76,7 @@
         logarithm = _KEPT_BY_TARGET * math.log(speed.ratio)
         speed.ratio = math.exp(logarithm + (1 - _KEPT_BY_TARGET) * ratio)
         speed.updated = now
+        self._find_fastest()
         if self.slowness(target, now) < 1.5:
             self._fit(uncached, seconds)
 
@@ -87,6 +88,11 @@
         """Drop what is known of targets that the entry no longer has."""
         for name in [name for name in self.speeds if name not in targets]:
             del self.speeds[name]
+        self._find_fastest()
+
+    def _find_fastest(self) -> None:
+        ratios = (speed.ratio for speed in self.speeds.values())
+        self.fastest = min(ratios, default=1.0)
 
     def _fit(self, x: float, y: float) -> None:
         self.samples = _KEPT * self.samples + 1
--- a/tests/_scheduling_region.py
+++ b/tests/_scheduling_region.py
@@ -8,7 +8,14 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.metrics import Metrics
-from bronzepoint_node.fleet import EngineFacts, Registry, ServedService
+from bronzepoint_node.core import RegionScheduler
+from bronzepoint_node.fleet import (
+    CallerLimits,
+    EngineFacts,
+    Registry,
+    ServedCatalogue,
+    ServedService,
+)
 from bronzepoint_node.placement import (
     AtHome,
     ColdGate,
@@ -16,12 +23,18 @@
     Placer,
     Prompt,
     PromptPart,
+    ReportUnavailable,
     Scheduler,
     SchedulerClient,
     TargetTable,
 )
 from bronzepoint_node.placement._home_ask import HomeAsk
-from bronzepoint_schema.generated.fleet import EntryHost, EntryState, TargetInfo
+from bronzepoint_schema.generated.fleet import (
+    EntryHost,
+    EntryState,
+    TargetInfo,
+    TargetList,
+)
 
 SLOTS = 32
 STEP = 0.001
@@ -40,7 +53,7 @@
         sent_bytes: Bytes that each host has posted.
     """
 
-    def __init__(self, hosts, targets, memory_tokens=10**9):
+    def __init__(self, hosts, targets, memory_tokens=10**9, core=()):
         self.cut = set()
         self.sent_bytes = Counter()
         self.names = [f"10.1.0.{number}" for number in range(hosts)]
@@ -49,10 +62,14 @@
         )
         self.targets = [f"t{number}" for number in range(targets)]
         self._posted = []
+        self.core_names = list(core)
+        self.core = {name: CoreScheduler(self, name) for name in core}
         self.hosts = {name: Host(self, name) for name in self.names}
 
     async def __aenter__(self):
         self._pump = await curio.spawn(self._deliver, daemon=True)
+        for scheduler in self.core.values():
+            await scheduler.start()
         for host in self.hosts.values():
             await host.exchange.start()
         await curio.sleep(0.1)
@@ -60,6 +77,8 @@
 
     async def __aexit__(self, *failure):
         await self._pump.cancel()
+        for scheduler in self.core.values():
+            await scheduler.close()
         for host in self.hosts.values():
             await host.exchange.close()
             await host.client.close()
@@ -73,9 +92,18 @@
         while True:
             posted, self._posted = self._posted, []
             for sender, receiver, area, message in posted:
-                await self.hosts[receiver].handlers[area](sender, message)
+                host = self.hosts.get(receiver) or self.core[receiver]
+                await host.handlers[area](sender, message)
             await curio.sleep(STEP)
 
+    def infos(self):
+        return [
+            TargetInfo(t, "s", "10.9.0.1:1", "z", SLOTS, False, 0) for t in self.targets
+        ]
+
+    def catalogue(self):
+        return ServedCatalogue(1, (), {"s": self.engine}, CallerLimits())
+
     @property
     def scheduler(self):
         """The host that chooses for all."""
@@ -97,6 +125,44 @@
         return counts
 
 
+class CoreScheduler:
+    """The scheduler on a host of the core; it is the peers that its parts post to."""
+
+    def __init__(self, region, name):
+        self.region = region
+        self.name = name
+        self.handlers = {}
+        self.registry = Registry()
+        self.scheduler = RegionScheduler(
+            name,
+            "r",
+            {"z": "r"},
+            self,
+            self.registry,
+            lambda: TargetList(1, name, 0, region.infos()),
+            lambda: (region.catalogue(), frozenset()),
+            _no_report,
+            Metrics(),
+        )
+        self.table = self.scheduler._table
+
+    async def start(self):
+        await self.scheduler.start()
+
+    async def close(self):
+        await self.scheduler.close()
+
+    def register(self, area, union, handler):
+        self.handlers[area] = handler
+
+    def post(self, peer, area, message):
+        self.region.post(self.name, peer, area, message)
+
+
+async def _no_report(address, incarnation):
+    raise ReportUnavailable("no engine answers here")
+
+
 class Host:
     """One entry host; it is the peers that its parts post to."""
 
@@ -106,11 +172,8 @@
         self.handlers = {}
         self.metrics = Metrics()
         self.table = TargetTable()
-        infos = [
-            TargetInfo(t, "s", "10.9.0.1:1", "z", SLOTS, False, 0)
-            for t in region.targets
-        ]
-        self.table.update(infos, 0.0, {"s": region.engine}, frozenset(), monotonic())
+        services = region.catalogue().services
+        self.table.update(region.infos(), 0.0, services, frozenset(), monotonic())
         registry = Registry()
         registry.hear_entries(
             EntryHost(n, "r", "z", n, n, EntryState.ready, 0) for n in region.names
@@ -126,7 +189,12 @@
         )
         others = [other for other in region.names if other != name]
         self.exchange = LoadExchange(
-            name, self, self.table, self.placer.speeds, lambda: others
+            name,
+            self,
+            self.table,
+            self.placer.speeds,
+            lambda: others,
+            lambda: region.core_names,
         )
         scheduler = Scheduler(name, self.placer.home, cold)
         self.client = SchedulerClient(
--- a/tests/test_placement_collector.py
+++ b/tests/test_placement_collector.py
@@ -205,6 +205,25 @@
             self.assertLessEqual(max(h.in_flight("t1") for h in present), 11)
         self.assertEqual({h.in_flight("t1") for h in present}, {11})
 
+    def test_collector_that_was_started_anew_is_told_all(self):
+        """Symptom: targets are overrun for a second after the scheduler has restarted.
+        Sequence: it knows nothing of what its members have in progress, and they tell
+        what changes.
+        Cause: all was told again only once a second."""
+        self.region(9)
+        for host in self.hosts:
+            host.begin("t1")
+        self.wire.steps(12)
+        (former,) = self.choosers()
+        anew = self.wire.hosts[former.name] = Member(self.wire, former.name)
+        anew.exchange._choice = former.exchange._choice
+        for host in self.hosts:
+            if host is not former:
+                host.begin("t2")
+        self.wire.steps(3)
+        self.assertEqual(anew.in_flight("t1"), 8)
+        self.assertEqual(anew.in_flight("t2"), 8)
+
     def test_one_host_asks_the_engines_for_all(self):
         """Symptom: engines answer 10 questions a second each, and are paid for it.
         Sequence: each of 23 hosts asks each engine, the less often the more they are.
--- a/tests/test_placement_scheduler.py
+++ b/tests/test_placement_scheduler.py
@@ -112,6 +112,52 @@
         self.assertEqual(len(curio.run(main)), 1)
 
 
+class TestCoreScheduler(unittest.TestCase):
+    def test_hosts_of_the_core_choose_before_entry_hosts(self):
+        """Symptom: answers of the scheduler take 0.1 s, and a third of the
+        requests is placed without it.
+        Sequence: it is an entry host; callers' prompts fill its link.
+        Cause: who schedules was chosen among hosts with narrow links."""
+
+        async def main():
+            async with Region(9, 2, core=("10.1.9.1", "10.1.9.2")) as region:
+                hosts = list(region.hosts.values())
+                first = {host.exchange.scheduler for host in hosts}
+                for number, host in enumerate(hosts):
+                    await host.send(str(number))
+                (name,) = first
+                core = region.core[name]
+                await curio.sleep(3 * REPORT_INTERVAL)
+                known = sum(t.load.in_flight(monotonic()) for t in core.table.all())
+                await curio.sleep(0.3)
+                told = [load.in_progress for load in core.registry.loads()]
+                region.cut.add(name)
+                for host in hosts:
+                    for number in range(MOST_UNANSWERED):
+                        await host.send(f"{number}.")
+                second = {host.exchange.scheduler for host in hosts}
+                return first, known, told, second, set(region.core)
+
+        first, known, told, second, core = curio.run(main)
+        self.assertEqual((known, told), (9, [9]))
+        self.assertEqual(second, core - first)
+
+    def test_host_that_knows_no_targets_yet_refuses_nobody(self):
+        """Symptom: requests are turned away while all targets stand idle.
+        Sequence: the scheduler is started anew, and is asked before it has read the
+        list of targets.
+        Cause: it said that there is no target."""
+
+        async def main():
+            async with Region(9, 2, core=("10.1.9.1",)) as region:
+                region.core["10.1.9.1"].table._targets.clear()
+                region.core["10.1.9.1"].scheduler._listed = lambda: None
+                host = next(iter(region.hosts.values()))
+                return await host.send("x")
+
+        self.assertIsInstance(curio.run(main), AtHome)
+
+
 class TestReservations(unittest.TestCase):
     @params((0.0, True, 0), (0.0, False, 1), (RESERVED_FOR + 0.1, False, 0))
     def test_granted_request_counts_until_its_host_tells_of_it(
