Count the time of a body on its way to another region

A prompt of 37 KB takes a link of 5 Mbit/s for 60 ms each time it leaves a host or comes in, and only the trip of 0.16 s was counted. Change: the trip holds the body's bytes over the host's own link, twice. The test's row on the narrow link fails without it.

--- a/packages/node/src/bronzepoint_node/placement/_ask.py
+++ b/packages/node/src/bronzepoint_node/placement/_ask.py
@@ -20,6 +20,7 @@
         tried_hosts: Hosts of other regions that it was forwarded to already.
         rank: How urgent it is now; 0 goes first.
         arrived: When it was read, by the monotonic clock.
+        body_bytes: Size of its body.
     """
 
     request_id: str
@@ -31,6 +32,7 @@
     tried_hosts: set[str]
     rank: int
     arrived: float = 0.0
+    body_bytes: int = 0
 
     def may_go_to(self, region: RegionName) -> bool:
         """Tell whether the route's homes allow a region."""
--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -1,5 +1,6 @@
 """Other regions: what is known of them, and which of their hosts to forward to."""
 
+import math
 import random
 
 from bronzepoint_common.clock import monotonic
@@ -50,6 +51,7 @@
         registry: Who lives, and the loads of the regions.
         speeds: How long requests take.
         rng: Source of the random draws.
+        link_bytes: Bytes a second on the link of an entry host.
     """
 
     def __init__(
@@ -58,11 +60,13 @@
         registry: Registry,
         speeds: Speeds,
         rng: random.Random,
+        link_bytes: float = math.inf,
     ) -> None:
         self._region = region
         self._registry = registry
         self._speeds = speeds
         self._rng = rng
+        self._link_bytes = link_bytes
         self._lost_hosts: dict[str, float] = {}
         self._sent_away: dict[tuple[RegionName, str], dict[str, float]] = {}
 
@@ -194,7 +198,7 @@
                 slots=load.slots,
                 in_progress=load.in_progress,
                 expected_wait=load.wait_ms / 1000,
-                trip=REGION_TRIP,
+                trip=REGION_TRIP + self._body_time(ask),
                 age=load.age_ms / 1000,
                 hosts=len(hosts),
             )
@@ -204,6 +208,14 @@
             terms.append(away_terms(view, request, times, sent, WARM_SHARE))
         return terms
 
+    def _body_time(self, ask: PlacementAsk) -> float:
+        """Return the seconds in which a body leaves this host, and reaches another.
+
+        A long prompt takes a narrow link longer than the trip. Left out, requests would
+        be sent away that their own region answers sooner.
+        """
+        return 2 * ask.body_bytes / self._link_bytes
+
     def _fit_hosts(self, region: RegionName, ask: PlacementAsk) -> list[EntryHost]:
         hosts = self.entry_hosts(region) or self.entry_hosts(region, LAST_RESORT)
         now = monotonic()
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -1,5 +1,6 @@
 """Home or away, and at which target: the choice for one request."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -48,6 +49,7 @@
         rng: Source of the random draws.
         choosers: Gives the entry hosts of the region that choose targets for
             themselves; None: all of them do.
+        link_bytes: Bytes a second on the link of an entry host.
 
     Attributes:
         speeds: How long requests take.
@@ -63,12 +65,13 @@
         cold: ColdGate,
         rng: random.Random,
         choosers: Callable[[], list[HostName]] | None = None,
+        link_bytes: float = math.inf,
     ) -> None:
         self._region = region
         self._table = table
         self._rng = rng
         self.speeds = Speeds()
-        self.regions = OtherRegions(region, registry, self.speeds, rng)
+        self.regions = OtherRegions(region, registry, self.speeds, rng, link_bytes)
         self.home = HomeChoice(
             region, table, cold, self.speeds, self.hosts, choosers or self.hosts, rng
         )
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -260,6 +260,7 @@
             call.tried_hosts,
             call.rank(monotonic()),
             call.arrived,
+            len(call.body),
         )
 
     async def _settled(self, call: Call, outcome: TryOutcome) -> bool:
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -1,5 +1,6 @@
 """Home or away and at which target, from what one entry host knows."""
 
+import math
 import random
 import unittest
 
@@ -131,6 +132,22 @@
             self.assertIn(word, known)
 
 
+class TestLongPrompts(unittest.TestCase):
+    @params((0, math.inf, Elsewhere), (37_000, 6e5, AtHome), (37_000, 1e8, Elsewhere))
+    def test_body_that_takes_long_on_a_narrow_link_stays(self, size, link, expected):
+        """Symptom: nearly all answers that are late were sent to another region.
+        Sequence: the own region would answer within its objective; a prompt of 37 KB
+        leaves over a link of 5 Mbit/s, and comes in over another one.
+        Cause: the time of the body wasn't counted, only the trip."""
+        site = Site(info("t1"))
+        site.away(b=0)
+        site.placer.regions._link_bytes = link
+        home = AtHome(site.table.get("t1"), "", 0.38)
+        asked = site.ask()
+        asked.body_bytes = size
+        self.assertIsInstance(site.placer.decide(asked, home, site.now), expected)
+
+
 class TestWhatWasSentAway(unittest.TestCase):
     @params((True, Elsewhere), (False, Rejected))
     def test_answered_requests_leave_room(self, answered, expected):
