Turn away at once what a region won't begin in time, and ask once more at most

Cause: a request without room asked its scheduler every 0.2 s; in a burst of 500 a second that takes up the scheduler's processor, its answers are late, and hosts choose by themselves. Most of those that waited were turned away after half of their objective. Change: the second ask stands in line for the whole wait; one that the targets won't begin in that time, by the number before it and the time that requests hold a slot, is refused at once.

--- a/packages/node/src/bronzepoint_node/placement/_home_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_home_choice.py
@@ -109,6 +109,11 @@
         cached = max(keeper.memory.cached_tokens(ask.prompt) for keeper in keepers)
         return AtHome(target, choice.reason, choice.expected, source, cached, before)
 
+    def seconds_to_drain(self, service: str, waiting: int) -> float:
+        """Return in which time the targets of a service begin so many requests."""
+        slots = sum(target.slots for target in self._table.of_service(service))
+        return waiting * self._speeds.times(service).hold / max(1, slots)
+
     def usable(self, service: str, now: float) -> list[Tracked]:
         """Return targets that may be sent to, the cold ones only where allowed."""
         known = self._table.service(service)
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -104,6 +104,9 @@
         if wait <= 0 or not _lacks_room(found):
             return found
         line = self._lines.setdefault(ask.service, WaitingLine())
+        if self._home.seconds_to_drain(ask.service, len(line) + 1) > wait:
+            # It would be turned away at the end: its caller is told now.
+            return found
         until = monotonic() + wait
         waiter = _Waiting(ask.rank, ask.arrived, until, ask=ask, claim=claim)
         line.join(waiter)
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -28,8 +28,9 @@
 ANSWER_TIMEOUT = 0.15
 """Seconds to wait for an answer, besides the time that a request may stand in line:
 many times the trip inside a region, and a fraction of any objective."""
-MOST_WAIT = 0.2
-"""Seconds for which a request stands in line before it looks elsewhere, too."""
+MOST_WAIT = 1.0
+"""Seconds for which a request stands in line before it looks elsewhere, too: were each
+to ask again and again, a burst would take up the scheduler's processor."""
 MOST_UNANSWERED = 2
 """Asks in a row without an answer after which a scheduler counts as silent."""
 
