Tell the scheduler of targets that were replaced or can't be reached

The scheduler wasn't told, and goes on to grant what looks idle; after four such tries a request is refused. Ruled out: overfilled engines (no try ended as rejected for being full in the hosts looked at). The test fails without it.

--- a/packages/node/src/bronzepoint_node/placement/_load_collector.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_collector.py
@@ -101,6 +101,7 @@
         load.parts = [
             PartUse(n, tokens) for n, (at, tokens) in parts.items() if at > since
         ]
+        load.replaced = tracked.replaced
         if tracked.engine is not None:
             # Nobody asks a plain service; each host goes by its own connections.
             load.word = tracked.word(now)
--- a/packages/node/src/bronzepoint_node/placement/_prober.py
+++ b/packages/node/src/bronzepoint_node/placement/_prober.py
@@ -108,7 +108,7 @@
             # one would be taken for it.
             if not tracked.replaced:
                 _log.warning("target started anew", target=name, reason=str(exc))
-            tracked.replaced = True
+            tracked.note_replaced()
         else:
             self._unreadable.pop(name, None)
             tracked.take_report(report, asked_at, runs)
--- a/packages/node/src/bronzepoint_node/placement/_tracked.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked.py
@@ -206,6 +206,14 @@
         self.load.changed = True
         self.note_silent(now)
 
+    def note_replaced(self) -> None:
+        """Count it as gone until the list names the start that answers there now.
+
+        The others are told: it looks idle, and each of them would run into it once.
+        """
+        self.replaced = True
+        self.load.changed = True
+
     def is_silent_here(self, now: float) -> bool:
         """Tell whether it has failed to answer this host, and goes on to."""
         return self.failed_reports > 1 and now - self.silent_since > SILENT_AFTER
@@ -224,6 +232,7 @@
         if load.events:
             self.pace.note(load.events, load.event_ms / 1000, now)
             self.note_heard(now)
+        self.replaced = self.replaced or load.replaced
         for _ in range(load.unreached):
             self.note_silent(now)
 
@@ -233,7 +242,7 @@
         # What others send there is in the engine's cache for this host's requests too.
         load.parts = [PartUse(*part) for part in self.parts_sent.items()]
         load.events, load.event_ms = self.events, round(self.event_seconds * 1000)
-        load.unreached = self.unreached
+        load.unreached, load.replaced = self.unreached, self.replaced
         self.parts_sent.clear()
         self.events, self.event_seconds, self.unreached = 0, 0.0, 0
         self.load.changed = False
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -182,7 +182,7 @@
             case NotRun(reason="replaced"):
                 # The list lags: without this, every request until the next reading
                 # would be sent there and turned away.
-                target.replaced = True
+                target.note_replaced()
             case NotRun(reason="connect_failed"):
                 target.note_unreached(monotonic())
         if result is TryResult.answered:
--- a/tests/test_placement_scheduler.py
+++ b/tests/test_placement_scheduler.py
@@ -15,6 +15,7 @@
     ANSWER_TIMEOUT,
     MOST_UNANSWERED,
 )
+from bronzepoint_node.placement._tracked import SILENT_AFTER
 from bronzepoint_schema.generated.scheduling import TargetGrant
 from bronzepoint_schema.generated.target_loads import TargetLoad
 from tests._scheduling_region import SLOTS, Region
@@ -112,6 +113,34 @@
         self.assertEqual(len(curio.run(main)), 1)
 
 
+class TestSeenByOneHost(unittest.TestCase):
+    # A target that can't be reached is tried now and then.
+    @params(("note_replaced", 0), ("note_unreached", 1))
+    def test_what_one_host_runs_into_the_others_are_spared(self, seen, trials):
+        """Symptom: after a crash a third of all tries is turned away, and requests are
+        refused though there is room.
+        Sequence: an engine crashes and starts again at its address under another name;
+        the list still names the former one, which looks idle.
+        Cause: each of 64 hosts learnt it by itself, and the one that chooses for all
+        wasn't told."""
+
+        async def main():
+            async with Region(HOSTS, 2) as region:
+                for name in region.names[:3]:
+                    tracked = region.hosts[name].table.get("t0")
+                    for _ in range(2):
+                        if seen == "note_replaced":
+                            tracked.note_replaced()
+                        else:
+                            tracked.note_unreached(monotonic())
+                await curio.sleep(SILENT_AFTER + 3 * REPORT_INTERVAL)
+                found = [await h.send("x") for h in region.members[5:25]]
+                names = [each.target.info.incarnation for each in found]
+                return names.count("t0")
+
+        self.assertLessEqual(curio.run(main), trials)
+
+
 class TestCoreScheduler(unittest.TestCase):
     def test_hosts_of_the_core_choose_before_entry_hosts(self):
         """Symptom: answers of the scheduler take 0.1 s, and a third of the
@@ -284,6 +313,38 @@
 
         self.assertEqual(curio.run(main), order)
 
+    @params((3, True), (60, False))
+    def test_only_as_many_wait_as_can_be_served(self, waiting, served):
+        """Symptom: in a burst most requests wait for half of their objective and are
+        then turned away.
+        Sequence: a region is full, and more come than it ends in that time.
+        Cause: every request stood in line, whatever stood before it."""
+
+        async def main():
+            async with Region(9, 1) as region:
+                chooser = region.scheduler
+                load = chooser.table.get("t0").load
+                for number in range(SLOTS):
+                    load.begin(f"{number}", OwnRun(1, 0, 0, monotonic(), started=True))
+                took = []
+
+                async def wait(number):
+                    began = monotonic()
+                    await region.members[number % 8].send(f"w{number}", wait=0.8)
+                    took.append(monotonic() - began)
+
+                tasks = [await curio.spawn(wait, number) for number in range(waiting)]
+                await curio.sleep(0.3)
+                refused = len(took)
+                for task in tasks:
+                    await task.cancel()
+                return refused
+
+        refused = curio.run(main)
+        self.assertEqual(refused == 0, served)
+        # 32 slots that are held for a second begin 25 requests in 0.8 s.
+        self.assertLessEqual(waiting - refused, 25)
+
     def test_full_region_says_so(self):
         async def main():
             async with Region(9, 1) as region:
