--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -25,6 +25,8 @@
 REPORT_INTERVAL = 0.04
 """Seconds between two notices to a collector: in that time it counts what it has
 granted, but not what has ended."""
+IDLE_INTERVAL = 0.2
+"""Seconds between two looks whether there is anybody to tell."""
 REFRESH = 1.0
 """Seconds after which all is told again: a notice may be lost."""
 
@@ -176,6 +178,8 @@
         if collector is None:
             notice.kind = NoticeKind.own
             self._post(others, notice)
+            if not others:
+                return REPORT_INTERVAL if members else IDLE_INTERVAL
             return LEAST_INTERVAL + INTERVAL_BY_HOST * len(others)
         if whole:
             silent = self._choice.silent_before(collector, others, core)
