Let the scheduler look at the catalogue when it is asked for a service that it doesn't know

Entry hosts had the catalogue in force, and the scheduler looked at it five times a second only; it doesn't answer for a service that it doesn't know. Ruled out: the start of the core (it had given the catalogue out), the machine's load (alone as well). Change: asked for an unknown service, it brings its table up to date first.

--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -74,7 +74,7 @@
         self._prober = Prober(self._table, read, self._askers)
         scheduler = Scheduler(name, self._placer.home, cold)
         self._answers = SchedulerClient(
-            peers, self._table, self._exchange, scheduler, metrics
+            peers, self._table, self._exchange, scheduler, metrics, self._update
         )
         self._task: curio.Task | None = None
 
@@ -98,12 +98,13 @@
     async def _run(self) -> None:
         while True:
             now = monotonic()
-            self._update(now)
+            self._update()
             if self._exchange.has_members(now):
                 self._registry.hear_loads(self._placer.region_loads(now))
             await curio.sleep(UPDATE_INTERVAL)
 
-    def _update(self, now: float) -> None:
+    def _update(self) -> None:
+        now = monotonic()
         listed = self._listed()
         catalogue, closed = self._served()
         if listed is None or catalogue is None:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 import random
+from collections.abc import Callable
 
 import curio
 
@@ -54,6 +55,7 @@
         exchange: Knows who the scheduler is.
         scheduler: Chooses on this host.
         metrics: Counters.
+        update: Brings the table up to date, where that isn't done for each change.
     """
 
     def __init__(
@@ -63,12 +65,14 @@
         exchange: LoadExchange,
         scheduler: Scheduler,
         metrics: Metrics,
+        update: Callable[[], None] | None = None,
     ) -> None:
         self._peers = peers
         self._table = table
         self._exchange = exchange
         self._scheduler = scheduler
         self._metrics = metrics
+        self._update = update
         # A host that was started anew must not settle what its former self was granted.
         self._numbers = itertools.count(random.getrandbits(40))
         self._open: dict[int, _Open] = {}
@@ -164,7 +168,7 @@
 
     async def _take(self, peer: HostName, message: SchedulingMessage) -> None:
         match message:
-            case TargetAsk(service=service) if not self._table.of_service(service):
+            case TargetAsk(service=service) if not self._knows(service):
                 # A host that was just started knows no targets yet. Told that there is
                 # none, the caller would be turned away; without an answer its host
                 # chooses by itself, and asks the next one.
@@ -177,6 +181,12 @@
             case TargetGrant() | NoTarget():
                 await self._resolve(message)
 
+    def _knows(self, service: str) -> bool:
+        if self._update is not None and not self._table.of_service(service):
+            # The catalogue may have named it just now.
+            self._update()
+        return bool(self._table.of_service(service))
+
     async def _answer(self, peer: HostName, asked: TargetAsk) -> None:
         answer = await self._scheduler.answer(peer, asked)
         self._peers.post(peer, Area.SCHEDULING, answer)
