Say of the scheduler's parts what they do, for a newcomer

Cause: read again as a newcomer; one class asks and answers, and its first line named one half. Change: doc texts only.

--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -29,9 +29,8 @@
 class RegionScheduler:
     """Chooses targets for the entry hosts of a region that report to this host.
 
-    Entry hosts have narrow links, which callers' prompts fill for a tenth of a second
-    at a time: an answer of a scheduler among them waits behind that. Hosts of the core
-    have wide ones, and no callers.
+    Entry hosts may have narrow links, and callers' prompts fill these for a while: an
+    answer of a scheduler among them waits behind that. Hosts of the core have no callers.
 
     Args:
         name: This host.
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -41,9 +41,9 @@
 class Scheduler:
     """Places requests by what one host knows, the urgent ones first.
 
-    Each of 64 hosts that choose by a picture of a moment ago chooses the target that
-    was idle then: it is overrun, and rejects or preempts, while others stand idle.
-    Where one host chooses for all, each choice knows of those before it.
+    Many hosts that choose by what they knew a moment ago all choose the target that was
+    idle then: it is overrun, and rejects or preempts, while others stand idle. Where
+    one host chooses for all, each choice knows of those before it.
 
     Args:
         name: This host.
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -1,4 +1,4 @@
-"""Asking the scheduler of the region for targets."""
+"""Finding targets through the scheduler of the region, on either side of the asks."""
 
 import dataclasses
 import itertools
@@ -49,6 +49,9 @@
 class SchedulerClient:
     """Finds targets: asks the region's scheduler, or chooses here where none answers.
 
+    Other hosts' asks are answered by the scheduler of this one: it is asked only where
+    they take it for that of the region.
+
     Args:
         peers: Links to the other hosts.
         table: Targets of the region.
