--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -1,4 +1,4 @@
-"""Finding targets through the scheduler of the region, on either side of the asks."""
+"""Finding targets through the scheduler of the region: asks and their answers."""
 
 import dataclasses
 import itertools
