--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -30,7 +30,8 @@
     """Chooses targets for the entry hosts of a region that report to this host.
 
     Entry hosts may have narrow links, and callers' prompts fill these for a while: an
-    answer of a scheduler among them waits behind that. Hosts of the core have no callers.
+    answer of a scheduler among them waits behind that. Hosts of the core have no
+    callers.
 
     Args:
         name: This host.
