Serve as many of a region's line as there is room for

Change: a look serves all that find room, and stops after three that don't. The test fails without it.

--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -20,7 +20,7 @@
 from ._home_choice import HomeChoice
 from ._prompt import Prompt, PromptPart
 from ._tracked import is_silent
-from ._waiting_line import Waiter, WaitingLine
+from ._waiting_line import HEADS, Waiter, WaitingLine
 
 LEAST_PAUSE = 0.02
 """Seconds between two looks for room of one line."""
@@ -118,21 +118,27 @@
         return waiter.found
 
     async def _look(self, line: WaitingLine) -> None:
-        """Give what room there is to the first in line, whoever looks.
+        """Give what room there is to those in line, whoever looks.
 
-        One look serves all of them: were each to look when it moves up, a long line
-        whose requests come and go would use up the processor.
+        One look serves as many as there is room for. Were each to look when it moves
+        up, a long line would use up the processor; were only the first few served, it
+        would empty slowly though targets stand idle.
         """
         now = monotonic()
         if now < line.looked_at + LEAST_PAUSE:
             return
         line.looked_at = now
-        for waiter in line.heads():
+        failed = 0
+        for waiter in line.in_order():
             if not _lacks_room(waiter.found):
                 continue
             waiter.found = self._choose(waiter.ask, waiter.claim)
             if not _lacks_room(waiter.found):
                 await waiter.moved_up.set()
+                continue
+            failed += 1
+            if failed == HEADS:
+                return
 
     def _choose(self, ask: HomeAsk, claim: Claim) -> HomeAnswer:
         found = self._home.choose(ask, monotonic())
--- a/packages/node/src/bronzepoint_node/placement/_waiting_line.py
+++ b/packages/node/src/bronzepoint_node/placement/_waiting_line.py
@@ -71,6 +71,10 @@
             await waiter.moved_up.wait()
         return True
 
+    def in_order(self) -> list[Waiter]:
+        """Return all that wait."""
+        return list(self._waiters)
+
     def heads(self) -> list[Waiter]:
         """Return those that may look for room, in order."""
         return self._waiters[:HEADS]
--- a/tests/test_placement_scheduler.py
+++ b/tests/test_placement_scheduler.py
@@ -16,6 +16,7 @@
     MOST_UNANSWERED,
 )
 from bronzepoint_node.placement._tracked import SILENT_AFTER
+from bronzepoint_node.placement._waiting_line import LOOK_INTERVAL
 from bronzepoint_schema.generated.scheduling import TargetGrant
 from bronzepoint_schema.generated.target_loads import TargetLoad
 from tests._scheduling_region import SLOTS, Region
@@ -345,6 +346,35 @@
         # 32 slots that are held for a second begin 25 requests in 0.8 s.
         self.assertLessEqual(waiting - refused, 25)
 
+    def test_line_empties_as_fast_as_there_is_room(self):
+        """Symptom: requests wait for half of their objective, and are turned away,
+        beside idle targets.
+        Sequence: a region is full and 24 stand in line; its targets end all at once.
+        Cause: only the first three of a line got room at each look."""
+
+        async def main():
+            async with Region(9, 1) as region:
+                load = region.scheduler.table.get("t0").load
+                for number in range(SLOTS):
+                    load.begin(f"{number}", OwnRun(1, 0, 0, monotonic(), started=True))
+                found = []
+
+                async def wait(number):
+                    member = region.members[number % 8]
+                    found.append(await member.send(f"w{number}", wait=0.9))
+
+                tasks = [await curio.spawn(wait, number) for number in range(24)]
+                await curio.sleep(0.1)
+                for number in range(SLOTS):
+                    load.end(f"{number}")
+                await curio.sleep(3 * LOOK_INTERVAL)
+                served = len(found)
+                for task in tasks:
+                    await task.cancel()
+                return served
+
+        self.assertEqual(curio.run(main), 24)
+
     def test_full_region_says_so(self):
         async def main():
             async with Region(9, 1) as region:
