Take the ports of two tests from a block that nobody else uses

The test let the kernel pick a port and bound it later; it lies in the range of outgoing connections, so another process's connection took it in between. PortBlock was made for just that. Ruled out: a port that the test itself kept (each picks its own). Change: both tests that picked so use PortBlock. Conclusion: the cause is gone, not the symptom made rarer.

--- a/tests/test_decisions_lookup.py
+++ b/tests/test_decisions_lookup.py
@@ -1,6 +1,5 @@
 """Look-up of decision records between hosts linked by real sockets."""
 
-import socket
 import unittest
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -10,6 +9,7 @@
 
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
+from bronzepoint_emulator.deployment import PortBlock
 from bronzepoint_node.decisions import (
     BadRequestId,
     Decisions,
@@ -81,10 +81,19 @@
                 await curio.sleep(0.01)
 
 
-def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+PORTS = PortBlock()
+
+
+def setUpModule():
+    PORTS.start()
+
+
+def tearDownModule():
+    PORTS.close()
+
+
+def free_address() -> str:
+    return PORTS.address()
 
 
 @asynccontextmanager
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,5 @@
 """Control messages between hosts: exchange, rejection, and loss."""
 
-import socket
 import unittest
 from unittest import mock
 
@@ -21,6 +20,7 @@
 )
 from bronzepoint_common.peers._frame import decode_frame, encode_frame
 from bronzepoint_common.peers._outbox import Outbox
+from bronzepoint_emulator.deployment import PortBlock
 from bronzepoint_schema.generated.peers import Envelope, FrameKind
 from bronzepoint_schema.ids import HostName
 
@@ -45,10 +45,19 @@
     number: int
 
 
+PORTS = PortBlock()
+
+
+def setUpModule():
+    PORTS.start()
+
+
+def tearDownModule():
+    PORTS.close()
+
+
 def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    return PORTS.address()
 
 
 def envelope(**changes) -> Envelope:
