Let a request's deadline end before the wait for its answer

The wait for an answer that can't be repeated and the request's own deadline were set to the same moment, so whichever timer fired first decided. Ruled out: the scheduler (one host of the region, nobody is asked); a target that broke off (it hangs). Change: the wait ends 0.1 s past the deadline, which thus comes first. The new test fails without it.

--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -47,6 +47,9 @@
 """and for one that may not: a target that closes it just then loses the request."""
 KEPT_BETWEEN_HOSTS = 20.0
 """Seconds for a connection to one of our hosts, which closes it after 60."""
+DEADLINE_MARGIN = 0.1
+"""Seconds past a request's deadline for which its answer is waited for; the deadline
+ends the wait."""
 RESUME_STALL = 1.0
 """Seconds without an event after which a stream goes on at another target."""
 
@@ -258,13 +261,22 @@
         if call.may_repeat_after:
             patience = PATIENCE + PATIENCE_BY_DELAY * delay
             return max(0.2, min(patience, PATIENCE_SHARE * call.left))
-        return max(0.05, call.left)
+        return _past_deadline(call)
 
     def _stall(self, call: Call) -> float:
         """Return how long the next piece of an answer is waited for."""
         if call.route.resumable and call.may_repeat_after:
             return RESUME_STALL
-        return max(0.05, call.left)
+        return _past_deadline(call)
+
+
+def _past_deadline(call: Call) -> float:
+    """Return a time to wait that the request's own deadline comes before.
+
+    Were both to end at one moment, the caller would now be told that its time is over,
+    now that its target gave no whole answer.
+    """
+    return max(0.0, call.left) + DEADLINE_MARGIN
 
 
 def _result_of(outcome: TryOutcome) -> TryResult:
--- a/tests/test_relay_deadline.py
+++ b/tests/test_relay_deadline.py
@@ -11,6 +11,7 @@
 from bronzepoint_node.relay._call import Call
 from bronzepoint_node.relay._codec import CallerHead
 from bronzepoint_node.relay._final_answers import FinalAnswers
+from bronzepoint_node.relay._sender import Sender
 
 
 class FakeExchange:
@@ -53,6 +54,18 @@
         self.assertEqual(found, status)
         self.assertEqual("Retry-After" in headers, status == 503)
 
+    @params((0.65,), (0.0,), (-0.1,))
+    def test_deadline_comes_before_the_end_of_a_wait(self, left):
+        """Symptom: a caller whose time is over is told now 504, now 502.
+        Sequence: its target says nothing; the wait for the answer and the request's own
+        deadline end at the same moment.
+        Cause: whichever timer fired first decided what it was told."""
+        call = late_call(False, 0, 0)
+        call.until = monotonic() + left
+        sender = Sender(None, None, None, None, None, None, None, None)
+        for wait in (sender._patience(call, 0.0), sender._stall(call)):
+            self.assertGreater(wait, max(0.0, call.left))
+
 
 if __name__ == "__main__":
     unittest.main()
