--- a/tests/test_decisions_lookup.py
+++ b/tests/test_decisions_lookup.py
@@ -9,7 +9,6 @@
 
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
-from bronzepoint_emulator.deployment import PortBlock
 from bronzepoint_node.decisions import (
     BadRequestId,
     Decisions,
@@ -27,6 +26,7 @@
 )
 from bronzepoint_schema.generated.settings import DecisionsSection, HostSection
 from bronzepoint_schema.ids import DataCenterName, HostName, RegionName
+from tests._addresses import free_address
 
 KEY = bytes(32)
 DEADLINE = 30.0
@@ -81,21 +81,6 @@
                 await curio.sleep(0.01)
 
 
-PORTS = PortBlock()
-
-
-def setUpModule():
-    PORTS.start()
-
-
-def tearDownModule():
-    PORTS.close()
-
-
-def free_address() -> str:
-    return PORTS.address()
-
-
 @asynccontextmanager
 async def site(cfg=CFG, layout=LAYOUT):
     membership = FakeMembership()
--- a/tests/test_fuzz_wire.py
+++ b/tests/test_fuzz_wire.py
@@ -25,9 +25,9 @@
 from bronzepoint_node.run_once._keys import parse_key
 from bronzepoint_schema.generated.decisions import Ran
 from bronzepoint_schema.generated.peers import Envelope, FrameKind
+from tests._addresses import free_address
 from tests._fake_host import FakeHost, Reply
 from tests._fuzzing import fuzz
-from tests.test_peers import free_address
 
 KEY = bytes(32)
 HEADERS = st.dictionaries(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -20,9 +20,9 @@
 )
 from bronzepoint_common.peers._frame import decode_frame, encode_frame
 from bronzepoint_common.peers._outbox import Outbox
-from bronzepoint_emulator.deployment import PortBlock
 from bronzepoint_schema.generated.peers import Envelope, FrameKind
 from bronzepoint_schema.ids import HostName
+from tests._addresses import free_address
 
 KEY = b"k" * 32
 A = HostName("a")
@@ -45,21 +45,6 @@
     number: int
 
 
-PORTS = PortBlock()
-
-
-def setUpModule():
-    PORTS.start()
-
-
-def tearDownModule():
-    PORTS.close()
-
-
-def free_address() -> str:
-    return PORTS.address()
-
-
 def envelope(**changes) -> Envelope:
     base = Envelope(A, B, FrameKind.post, 1, 0, b"x")
     return msgspec.structs.replace(base, **changes)
