Write the headers between hosts, and the named part of a prompt, once

Cause: read again as a whole, the change had written three things twice. A part of a prompt and its tokens had a type in two schemas. An entry host worked out the load of all targets to learn whether it has any to tell. Ruled out: the pairs in generated modules (fields that happen to look alike), in `_tracked.py` (plain attribute lists), and the imports of `_relay.py` and `_sender.py`, which go with the headers.

--- a/packages/cli/src/bronzepoint_cli/commands/explain.py
+++ b/packages/cli/src/bronzepoint_cli/commands/explain.py
@@ -42,7 +42,7 @@
 
     No host needs to run.
 
-    Example: bronzepoint explain 2db2fad81d0b38bb /var/log/bronzepoint/*.log
+    Example: bronzepoint explain req-1 /var/log/bronzepoint/*.log
     """
     lines = _all_lines(files or [])
     story = tell_story(request_id, read_log_lines(lines, request_id))
--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -34,7 +34,7 @@
 START_TIMEOUT = 0.4
 """and seconds to wait for its answer. After a kill of everything some of the core are
 not up yet and others have no leader: asked one after another with the patience of a
-calm hour, entry hosts served 0.3 to 0.8 s after the core could have answered."""
+calm hour, entry hosts would serve long after the core could have answered."""
 SECOND_INTERVAL = 0.6
 """Seconds between two questions to some other host of the core. While the core is cut
 in two, its halves hear nothing of each other, but entry hosts reach both."""
@@ -94,6 +94,7 @@
         self._region = region
         self._current: HostName | None = None
         self._revision = 0
+        self._tells_loads = False
         self._copy = DocumentCopy()
         self._avoided_until: dict[HostName, float] = {}
         self._on_change: list[Callable[[], None]] = []
@@ -152,7 +153,7 @@
     async def _ask_others(self) -> None:
         while True:
             pause = SECOND_INTERVAL
-            if not self._own_loads():
+            if not self._tells_loads:
                 pause += SECOND_BY_HOST * self.entry_hosts
             await curio.sleep(pause)
             others = [h.name for h in self.registry.core() if h.name != self._current]
@@ -206,6 +207,7 @@
             part_version=self._copy.transfer.version,
             part_offset=self._copy.wanted_from(core),
         )
+        self._tells_loads = bool(request.loads)
         began = monotonic()
         reply = await self._peers.call(core, Area.FLEET, request, timeout)
         self._avoided_until.pop(core, None)
--- a/packages/node/src/bronzepoint_node/placement/_engine_load.py
+++ b/packages/node/src/bronzepoint_node/placement/_engine_load.py
@@ -39,9 +39,9 @@
     """The requests of all entry hosts of the region at one target.
 
     An engine reads one prompt after the other, the urgent ones first, but it doesn't
-    leave a prompt that it has begun: behind one of 40,000 tokens everything waits for
-    a second. One would notice short requests that are late at an engine with few
-    requests in progress. So the prompt that is being read is told from the rest.
+    leave a prompt that it has begun: behind a very long one everything waits. One would
+    notice short requests that are late at an engine with few requests in progress. So
+    the prompt that is being read is told from the rest.
 
     Attributes:
         runs: This host's requests.
--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -34,8 +34,8 @@
 class LoadExchange:
     """Posts what has changed, at most once an interval.
 
-    Engines report their load 0.2 s late, and are asked a few times a second. In that
-    time several hosts send their prompts to the engine that was idle.
+    Engines report their load late, and are asked now and then only. In that time
+    several hosts would send their prompts to the engine that was idle.
 
     A few hosts tell each other. In a larger region each tells one of them, the
     collector. It chooses targets for the requests of all, and tells each member now and
--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -231,9 +231,9 @@
     def _sent_since(self, load: RegionLoad, now: float) -> float:
         """Return the requests that a region has got from this one beyond its word.
 
-        Those that it has answered don't count: with the region's own targets closed, a
-        plain service of 6 slots and 0.1 s a request looked full in regions that stood
-        idle, as all that was sent within 0.8 s of their last word was added up.
+        Those that it has answered don't count: a plain service whose requests are short
+        would look full in regions that stand idle, as more of them are sent within the
+        age of a word than have room at one moment.
         """
         sent = self._sent_away.get((load.region, load.service), {})
         since = now - load.age_ms / 1000 - REGION_TRIP
--- a/packages/node/src/bronzepoint_node/placement/_reading_rate.py
+++ b/packages/node/src/bronzepoint_node/placement/_reading_rate.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 FIRST_RATE = 35_000.0
-"""Tokens a second until it is measured; the engines of today read 38,700."""
+"""Tokens a second until the first prompts are read."""
 LEAST_TOKENS = 1500
 """Shorter prompts say more of the batch's pace than of the reading."""
 WEIGHT = 0.1
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -5,12 +5,8 @@
 from dataclasses import dataclass, field
 
 from bronzepoint_common.clock import monotonic
-from bronzepoint_schema.generated.scheduling import (
-    AskedPart,
-    NoTarget,
-    TargetAsk,
-    TargetGrant,
-)
+from bronzepoint_schema.generated.scheduling import NoTarget, TargetAsk, TargetGrant
+from bronzepoint_schema.generated.target_loads import PartUse
 from bronzepoint_schema.ids import HostName
 
 from ._choice import AtHome, HomeAnswer, NoHome
@@ -168,7 +164,7 @@
         number=number,
         service=ask.service,
         request_id=ask.request_id,
-        parts=[AskedPart(p.name, p.tokens) for p in prompt.parts] if prompt else [],
+        parts=[PartUse(p.name, p.tokens) for p in prompt.parts] if prompt else [],
         tokens=prompt.tokens if prompt else -1,
         max_output=prompt.max_output if prompt else 0,
         expected_output=prompt.expected_output if prompt else 0,
--- a/packages/node/src/bronzepoint_node/placement/_waiting_line.py
+++ b/packages/node/src/bronzepoint_node/placement/_waiting_line.py
@@ -8,8 +8,7 @@
 from bronzepoint_common.clock import monotonic
 
 LOOK_INTERVAL = 0.03
-"""Seconds between two looks for room of a request at the head of the line: an engine
-ends a request of today's sizes every 30 ms."""
+"""Seconds between two looks for room of a request at the head of the line."""
 HEADS = 3
 """Requests of a line that look for room at the same time. One alone would hold up the
 others where it is the only one that finds none, as a large or a home-bound one."""
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -28,8 +28,7 @@
 _BUSY_SHARE = 0.25
 """Share of the hold time that a full target is taken to cost over an idle one."""
 _FETCH_PRICE = 0.2
-"""Price of copying a token against that of reading it: a fifth to a sixth on all of the
-users' sites."""
+"""Price of copying a token against that of reading it."""
 _NEAR = 0.05
 """Scores this near, as a share of the hold time, differ by less than is known."""
 
--- a/packages/node/src/bronzepoint_node/relay/__init__.py
+++ b/packages/node/src/bronzepoint_node/relay/__init__.py
@@ -3,6 +3,7 @@
 from ._codec import CallerHead, Codec, Copies, TargetVerdict
 from ._events import EventSplitter
 from ._final_answers import FinalAnswers
+from ._host_headers import HOST_HEADERS
 from ._relay import Relay
 from ._sender import Sender
 
@@ -12,6 +13,7 @@
     "Copies",
     "EventSplitter",
     "FinalAnswers",
+    "HOST_HEADERS",
     "Relay",
     "Sender",
     "TargetVerdict",
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -8,6 +8,7 @@
 
 from ._codec import CallerHead
 from ._events import EventSplitter
+from ._host_headers import RUNS_HEADER
 
 
 @dataclass(frozen=True)
@@ -52,10 +53,6 @@
         return "answered"
 
 
-RUNS_HEADER = "bronzepoint-runs"
-"""Between our hosts: times that the request may have run before, or has by now."""
-MOST_RUNS_HEADER = "bronzepoint-most-runs"
-"""Between our hosts: runs, counted together, up to which a forwarded request may go."""
 LATE_RANKS = 4
 """Ranks by which a request is put back that can't be answered in time any more: behind
 all kinds that can."""
--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -9,7 +9,7 @@
 
 from ._call import Answered, Call, NotRun, TryOutcome
 from ._codec import CallerHead
-from ._try import RAN_HEADER
+from ._host_headers import RAN_HEADER
 
 DEFAULT_RETRY_AFTER = 0.3
 """Seconds until a caller comes back where no target has said more."""
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/relay/_host_headers.py
@@ -0,0 +1,12 @@
+"""Headers that only hosts of this project set, on requests that they pass on."""
+
+RAN_HEADER = "bronzepoint-ran"
+"""``no`` says that the refusal is this project's own promise."""
+FORWARDED_HEADER = "bronzepoint-forwarded"
+"""Region that a request comes from; it is never sent on."""
+RUNS_HEADER = "bronzepoint-runs"
+"""Times that the request may have run before, or has by now."""
+MOST_RUNS_HEADER = "bronzepoint-most-runs"
+"""Runs, counted together, up to which a forwarded request may go."""
+HOST_HEADERS = frozenset({RAN_HEADER, FORWARDED_HEADER, RUNS_HEADER, MOST_RUNS_HEADER})
+"""All of them; a caller that sends one is not believed."""
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -18,18 +18,11 @@
     service_of,
 )
 
-from ._call import (
-    MOST_RUNS_HEADER,
-    RUNS_HEADER,
-    Answered,
-    Call,
-    MayHaveRun,
-    NotRun,
-    TryOutcome,
-)
+from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import CallerHead, Codec
 from ._events import EventSplitter
 from ._final_answers import FinalAnswers
+from ._host_headers import MOST_RUNS_HEADER, RUNS_HEADER
 from ._sender import Sender
 from ._usual_deadlines import UsualDeadlines
 
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -19,17 +19,10 @@
 from bronzepoint_schema.generated.target_loads import FirstToken, Hold
 from bronzepoint_schema.ids import RegionName
 
-from ._call import (
-    MOST_RUNS_HEADER,
-    RUNS_HEADER,
-    Answered,
-    Call,
-    MayHaveRun,
-    NotRun,
-    TryOutcome,
-)
+from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec, Copies
-from ._try import FORWARDED_HEADER, Destination, Try
+from ._host_headers import FORWARDED_HEADER, MOST_RUNS_HEADER, RUNS_HEADER
+from ._try import Destination, Try
 
 PATIENCE = 1.0
 """Seconds for which the head of an answer is waited for where it may run twice,"""
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -17,11 +17,7 @@
 
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec, TargetVerdict
-
-RAN_HEADER = "bronzepoint-ran"
-"""Between our hosts: ``no`` says that the refusal is this project's own promise."""
-FORWARDED_HEADER = "bronzepoint-forwarded"
-"""Between our hosts: region that a request comes from; it is never sent on."""
+from ._host_headers import RAN_HEADER
 
 
 @dataclass(frozen=True)
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -18,7 +18,7 @@
 from tests._command_line import run_command
 from tests.test_operations_page import reasons
 
-ID = "2db2fad81d0b38bb"
+ID = "req-1"
 TARGET = "i-1@10.1.0.9:80: least expected loss"
 
 
--- a/tests/test_relay_runs.py
+++ b/tests/test_relay_runs.py
@@ -6,7 +6,8 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_node.fleet import RouteKind, ServedRoute
-from bronzepoint_node.relay._call import RUNS_HEADER, Call
+from bronzepoint_node.relay._call import Call
+from bronzepoint_node.relay._host_headers import RUNS_HEADER
 from bronzepoint_node.relay._sender import _count_runs
 
 ROUTE = ServedRoute("r", "h", "/", RouteKind.IDEMPOTENT, 5.0, 1.0, 0, (), 3)
@@ -26,8 +27,7 @@
         """Symptom: a request ran on three targets where its route allows two.
         Sequence: another region runs it twice, both fail, and answers 500; here that
         counts as one run, and it is sent to a third target.
-        Cause: the answer didn't say how often it had run. (Hunt of saphan-phrase,
-        trouble-1, seed 777842947254.)"""
+        Cause: the answer didn't say how often it had run."""
         here = call(runs)
         headers = {RUNS_HEADER: told, "x": "kept"} if told else {"x": "kept"}
         _count_runs(here, headers)
