Say of each choice how old what it went by may have been, and bound it

Cause: that targets were overrun in large regions showed only as rejections; neither logs nor metrics said that hosts chose by an old picture, and the time of an ask, which the line had, isn't the age of what is known. Timings that were counted reached nobody where no statsd address is set, and were kept all the same. Ruled out: the age of the last word of each host, as a host that has nothing to tell is silent rightly. Change: a notice says since when its sender's changes were untold. A scheduler's picture is as old as the longest of these, or as a member that has missed telling all; a host that chooses by itself counts from when it was told of all. Words older than 3 s expire, so no age is above that. Samples are kept only for statsd.

--- a/packages/common/src/bronzepoint_common/metrics.py
+++ b/packages/common/src/bronzepoint_common/metrics.py
@@ -4,6 +4,7 @@
 from typing import Self
 
 import curio
+from hdrh.histogram import HdrHistogram
 from statsd import StatsClient
 
 from bronzepoint_common.settings import split_address
@@ -11,8 +12,14 @@
 
 MAX_PACKET = 1400
 """Bytes of one UDP packet: below the usual path limit, so that none is fragmented."""
+LONGEST_MS = 60_000
+"""Longer timings count as this in a histogram."""
+DIGITS = 2
+"""Significant digits of what a histogram tells."""
 MAX_SAMPLES = 2000
 """Timings of one name kept between two flushes; the oldest go first."""
+PERCENTILES = {"p50": 50.0, "p99": 99.0, "max": 100.0}
+"""Names of the percentiles that are given of each timing."""
 
 
 class Metrics:
@@ -36,6 +43,7 @@
         self._sent: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
         self._timings: dict[str, deque[float]] = {}
+        self._histograms: dict[str, HdrHistogram] = {}
         self._client: StatsClient | None = None
         self._task: curio.Task | None = None
 
@@ -49,6 +57,13 @@
 
     def timing(self, name: str, ms: float) -> None:
         """Add one timing, in milliseconds."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(1, LONGEST_MS, DIGITS)
+            self._histograms[name] = histogram
+        histogram.record_value(min(max(1, round(ms)), LONGEST_MS))
+        if not self._section.statsd:
+            return
         samples = self._timings.get(name)
         if samples is None:
             samples = self._timings[name] = deque(maxlen=MAX_SAMPLES)
@@ -62,6 +77,14 @@
         """Return a copy of all gauges."""
         return dict(self._gauges)
 
+    def percentiles(self) -> dict[str, float]:
+        """Return what half, 99 in 100 and all timings of each name didn't exceed."""
+        return {
+            f"{name}.{label}": histogram.get_value_at_percentile(percent)
+            for name, histogram in self._histograms.items()
+            for label, percent in PERCENTILES.items()
+        }
+
     async def start(self) -> Self:
         """Start to flush, where a statsd address is set."""
         if self._section.statsd:
@@ -89,7 +112,6 @@
     def flush(self) -> None:
         """Send what has changed since the last flush."""
         if self._client is None:
-            self._timings.clear()
             return
         with self._client.pipeline() as pipeline:
             for name, value in self._counters.items():
--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -72,7 +72,7 @@
             name, peers, self._table, self._placer.speeds, lambda: []
         )
         self._prober = Prober(self._table, read, self._askers)
-        scheduler = Scheduler(name, self._placer.home, cold)
+        scheduler = Scheduler(name, self._placer.home, cold, self._exchange.known_age)
         self._answers = SchedulerClient(
             peers, self._table, self._exchange, scheduler, metrics, self._update
         )
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -27,6 +27,7 @@
         fetch_from: Target that keeps more of the prompt; None: none is asked for it.
         cached_tokens: Tokens of the prompt that needn't be read there.
         tokens_before: Prompt tokens that are read there before its own.
+        known_age: Seconds that what the choice went by may be old.
     """
 
     target: Tracked
@@ -35,6 +36,7 @@
     fetch_from: Tracked | None = None
     cached_tokens: int = 0
     tokens_before: float = 0.0
+    known_age: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_load_collector.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_collector.py
@@ -70,6 +70,7 @@
         for host in self.members(now):
             if now - self._told_at.get(host, float("-inf")) >= TELL_INTERVAL:
                 told[host] = self._notice(host, self._table.all(), now)
+                told[host].span_ms = round(TELL_INTERVAL * 1000)
                 self._told_at[host] = now
             elif turned:
                 told[host] = self._notice(host, turned, now)
--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -12,6 +12,7 @@
 
 from ._collector_choice import CollectorChoice
 from ._load_collector import LoadCollector
+from ._picture_age import MOST_AGE, PictureAge
 from ._speeds import Speeds
 from ._target_table import TargetTable
 
@@ -66,6 +67,9 @@
         self._others = others
         self._core = core
         self._settled: list[int] = []
+        self._picture = PictureAge(REFRESH)
+        self._told_changes_at: float | None = None
+        self._told_of_all_at = float("-inf")
         self._told_all_at = 0.0
         self._choice = CollectorChoice(name)
         self._collector: HostName | None = None
@@ -116,6 +120,16 @@
         """
         return [self._name] if self._collector == self._name else hosts
 
+    def known_age(self, now: float) -> float:
+        """Return the seconds that what this host goes by may be old.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        if self.scheduler is not None:
+            return min(MOST_AGE, now - self._told_of_all_at)
+        return self._picture.age(now)
+
     def leave(self, collector: HostName) -> None:
         """Pass over a collector that doesn't answer, until it is heard again."""
         self._choice.note_silent(collector)
@@ -141,6 +155,10 @@
                 if peer != self._collector:
                     # A former collector's sum holds what the present one tells.
                     return
+                if notice.span_ms:
+                    self._told_of_all_at = now
+        if notice.kind is not NoticeKind.of_others:
+            self._picture.note(peer, notice.span_ms / 1000, now)
         for load in notice.loads:
             tracked = self._table.get(load.incarnation)
             if tracked is not None:
@@ -195,6 +213,8 @@
         _log.info("collector of loads", collector=collector, former=self._collector)
         self._collector = collector
         self._told_all_at = 0.0
+        self._picture.forget()
+        self._told_of_all_at = float("-inf")
         for tracked in self._table.all():
             tracked.load.forget_others()
             tracked.told_silent = False
@@ -214,7 +234,9 @@
             self._settled,
             speeds.first_tokens,
             speeds.holds,
+            span_ms=round((now - (self._told_changes_at or now)) * 1000),
         )
+        self._told_changes_at = now
         self._settled, speeds.first_tokens, speeds.holds = [], [], []
         return notice
 
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_schema.generated.scheduling import NoTarget, TargetAsk, TargetGrant
@@ -45,13 +45,21 @@
         name: This host.
         home: Chooses targets.
         cold: How many requests cold targets get.
+        known_age: Gives the seconds that what this host knows of others may be old.
     """
 
-    def __init__(self, name: HostName, home: HomeChoice, cold: ColdGate) -> None:
+    def __init__(
+        self,
+        name: HostName,
+        home: HomeChoice,
+        cold: ColdGate,
+        known_age: Callable[[float], float],
+    ) -> None:
         self._name = name
         self._numbers = itertools.count()
         self._home = home
         self._cold = cold
+        self._known_age = known_age
         self._lines: dict[str, WaitingLine] = {}
 
     async def find(self, ask: HomeAsk, wait: float) -> HomeAnswer:
@@ -93,6 +101,7 @@
                     round(found.tokens_before),
                     round(found.delay * 1000),
                     found.reason,
+                    round(found.known_age * 1000),
                 )
 
     async def _find(self, ask: HomeAsk, wait: float, claim: Claim) -> HomeAnswer:
@@ -137,10 +146,12 @@
                 return
 
     def _choose(self, ask: HomeAsk, claim: Claim) -> HomeAnswer:
-        found = self._home.choose(ask, monotonic())
-        if isinstance(found, AtHome):
-            claim(found)
-        return found
+        now = monotonic()
+        found = self._home.choose(ask, now)
+        if isinstance(found, NoHome):
+            return found
+        claim(found)
+        return replace(found, known_age=self._known_age(now))
 
     def _reserve(
         self, host: HostName, number: int, ask: HomeAsk, found: AtHome
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -124,6 +124,7 @@
             self._table.get(grant.fetch_from),
             grant.cached_tokens,
             grant.tokens_before,
+            grant.known_ms / 1000,
         )
 
     async def _ask(
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -87,6 +87,8 @@
         ended_runs: Those of them whose target has ended since.
         last_outcome: How the last try ended.
         notes: How each try ended, for the log.
+        known_ms: For each try at a target of the own region, the milliseconds that
+            what its choice went by may have been old.
     """
 
     exchange: Exchange
@@ -110,6 +112,7 @@
     ended_runs: int = 0
     last_outcome: TryOutcome | None = None
     notes: list[str] = field(default_factory=list)
+    known_ms: list[int] = field(default_factory=list)
     spent: float = 0.0
 
     def note_events(self, now: float) -> None:
--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -120,6 +120,7 @@
             forwarded=call.forwarded,
             sends=call.sends,
             tries=call.notes,
+            known_ms=call.known_ms,
             seconds=round(now - call.arrived, 3),
             first_event=round(first, 3) if first is not None else None,
             gap=round(call.longest_gap, 3),
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -128,6 +128,9 @@
         if is_silent(target, now):
             target.trial_at = now
         call.tried.add(name)
+        known_ms = round(placement.known_age * 1000)
+        call.known_ms.append(known_ms)
+        self._metrics.timing("schedule.known_ms", known_ms)
         call.notes.append(f"{name}@{target.info.address}: {placement.reason}")
         run_id = f"{call.head.request_id}.{call.sends}"
         speeds, rank = self._placer.speeds, call.rank(now)
--- a/tests/_scheduling_region.py
+++ b/tests/_scheduling_region.py
@@ -196,7 +196,7 @@
             lambda: others,
             lambda: region.core_names,
         )
-        scheduler = Scheduler(name, self.placer.home, cold)
+        scheduler = Scheduler(name, self.placer.home, cold, self.exchange.known_age)
         self.client = SchedulerClient(
             self, self.table, self.exchange, scheduler, self.metrics
         )
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.metrics import LONGEST_MS, Metrics
 from bronzepoint_schema.generated.settings import MetricsSection
 
 WAIT = 30
@@ -56,6 +56,16 @@
         self.assertEqual(first, ["bronzepoint.retry.connect_failed:2|c"])
         self.assertEqual(second, ["bronzepoint.retry.connect_failed:1|c"])
 
+    def test_percentiles_of_timings(self):
+        metrics = Metrics()
+        for ms in range(1, 101):
+            metrics.timing("wait", ms)
+        metrics.timing("wait", 10**9)
+        found = metrics.percentiles()
+        self.assertAlmostEqual(found["wait.p50"], 51, delta=1)
+        self.assertAlmostEqual(found["wait.p99"], 100, delta=1)
+        self.assertAlmostEqual(found["wait.max"], LONGEST_MS, delta=LONGEST_MS / 100)
+
     def test_without_server_everything_is_counted(self):
         async def run():
             metrics = await Metrics().start()
--- a/tests/test_placement_collector.py
+++ b/tests/test_placement_collector.py
@@ -17,11 +17,15 @@
 from bronzepoint_node.placement._collector_choice import MOST_DIRECT, CollectorChoice
 from bronzepoint_node.placement._engine_load import OwnRun
 from bronzepoint_node.placement._load_collector import TELL_INTERVAL
+from bronzepoint_node.placement._load_exchange import REPORT_INTERVAL
+from bronzepoint_node.placement._picture_age import MOST_AGE
 from bronzepoint_schema.generated.fleet import TargetInfo
 
 TOLD = round(TELL_INTERVAL / 0.1) + 2
 """Steps within which members are told of one another: they choose by that only where
 the collector, which knows at once, doesn't answer."""
+AGE_AIM = 0.05
+"""Seconds that what a choice in a region goes by may be old."""
 TARGETS = ("t1", "t2")
 ENGINE = ServedService("s", "/h", 100, 3.0, 2.0, EngineFacts(64, 200_000))
 
@@ -224,6 +228,48 @@
         self.assertEqual(anew.in_flight("t1"), 8)
         self.assertEqual(anew.in_flight("t2"), 8)
 
+    @params((MOST_DIRECT + 2,), (23,), (64,))
+    def test_age_of_what_a_choice_goes_by_is_bounded(self, count):
+        """Symptom: targets are overrun in large regions only, and nothing says why.
+        Sequence: what a host knows of the others grows older with their number.
+        Cause: the age was neither bounded nor told."""
+        self.region(count)
+        ages = []
+        for _ in range(100):
+            for host in self.hosts:
+                host.begin("t1")
+            self.wire.step(REPORT_INTERVAL)
+            (chooser,) = self.choosers()
+            ages.append(chooser.exchange.known_age(self.wire.now))
+        self.assertLessEqual(max(ages), AGE_AIM)
+        self.assertGreater(min(ages), 0.0)
+        members = [h for h in self.hosts if h is not chooser]
+        own = [h.exchange.known_age(self.wire.now) for h in members]
+        self.assertLessEqual(max(own), TELL_INTERVAL + REPORT_INTERVAL)
+
+    def test_silent_member_makes_the_picture_old_until_its_words_expire(self):
+        self.region(9)
+        (chooser,) = self.choosers()
+        self.wire.cut.add(next(h.name for h in self.hosts if h is not chooser))
+        ages = []
+        for _ in range(45):
+            self.wire.step()
+            ages.append(chooser.exchange.known_age(self.wire.now))
+        self.assertGreater(max(ages), 2.0)
+        self.assertLess(max(ages), MOST_AGE)
+        self.assertLess(ages[-1], 0.2)
+
+    def test_member_that_is_told_nothing_says_so(self):
+        self.region(9)
+        (chooser,) = self.choosers()
+        self.wire.cut.add(chooser.name)
+        member = next(h for h in self.hosts if h is not chooser)
+        for _ in range(15):
+            self.wire.step()
+        self.assertGreater(member.exchange.known_age(self.wire.now), TELL_INTERVAL)
+        self.wire.steps(10)
+        self.assertLessEqual(member.exchange.known_age(self.wire.now), MOST_AGE)
+
     def test_one_host_asks_the_engines_for_all(self):
         """Symptom: engines answer 10 questions a second each, and are paid for it.
         Sequence: each of 23 hosts asks each engine, the less often the more they are.
--- a/tests/test_placement_scheduler.py
+++ b/tests/test_placement_scheduler.py
@@ -270,7 +270,7 @@
                 member = region.members[0]
                 load = scheduler.table.get("t0").load
                 load.reserve(member.name, 99, OwnRun(100, 0, 0, monotonic()))
-                grant = TargetGrant(99, "t0", "", 0, 0, 0, "")
+                grant = TargetGrant(99, "t0", "", 0, 0, 0, "", 0)
                 await member.handlers[Area.SCHEDULING](scheduler.name, grant)
                 before = load.in_flight(monotonic())
                 await curio.sleep(3 * REPORT_INTERVAL)
--- a/tests/test_platform_scheduler.py
+++ b/tests/test_platform_scheduler.py
@@ -38,6 +38,16 @@
     ]
 
 
+def known(site, number):
+    """Return how old each host's line says that what it went by may have been."""
+    return [
+        line["known_ms"]
+        for name, ip in ENTRIES
+        for line in site.lines(name)
+        if line.get("request") == f"{ip}-{number}"
+    ]
+
+
 class TestRegionOfManyHosts(unittest.TestCase):
     def test_host_of_the_core_schedules_and_may_die(self):
         """Symptom: a region stands still, or its targets are overrun, with one host.
@@ -60,13 +70,14 @@
 
                 numbers = iter(range(4, 400))
                 await site.until(scheduled)
-                return followed, before, during, tries(site, 1)
+                return followed, before, during, tries(site, 1), known(site, 1)
 
-        followed, before, during, first = curio.run(main)
+        followed, before, during, first, ages = curio.run(main)
         self.assertEqual(followed, ["127.0.0.2"] * 7)
         self.assertEqual(before, [200] * 7)
         self.assertEqual(during, [200] * 14)
         self.assertEqual(len(first), 7)
+        self.assertEqual([len(each) for each in ages], [1] * 7)
         for note in first:
             self.assertIn("asked 127.0.0.2", note)
             self.assertNotIn("own choice", note)
