Give a stream that breaks past its deadline one line

What had been given up within the overtime was given up again as late. Ruled out: two hosts' lines; both name the same host. Change: an answer that was cut isn't late as well. The new test, with processes, found two lines without the change and finds one with it.

--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -198,7 +198,7 @@
             await work.cancel()
         if work.exception is not None and not call.exchange.ended and not limit.expired:
             raise work.exception
-        if not limit.expired or call.exchange.ended:
+        if not limit.expired or call.exchange.ended or call.exchange.aborted:
             return
         await self._answers.say_late(call)
 
--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -18,6 +18,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 DEADLINE = 20.0
+LATE_BREAK = 0.75
+"""Seconds after which a stream breaks that is to break past its deadline."""
 ONE_OF_EACH = {"core": ("core", "127.0.0.2"), "entry": ("entry", "127.0.0.3")}
 """Role and address of each host, by its name."""
 SETTINGS = """
@@ -112,6 +114,11 @@
             case "break":
                 await self._stream(exchange, headers, 2)
                 await exchange.abort()
+            case "break_late":
+                # Between the deadline that the test sets and the end of the overtime.
+                await self._stream(exchange, headers, 2)
+                await curio.sleep(LATE_BREAK)
+                await exchange.abort()
             case "crash":
                 await self._stream(exchange, headers, 2)
                 # As with a real crash, nothing listens any more when the stream breaks:
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -7,7 +7,7 @@
 import curio
 from nose2.tools import params
 
-from bronzepoint_common.http import AnswerCut
+from bronzepoint_common.http import AnswerCut, HttpError
 from tests._platform_site import PlatformSite, manifest
 
 
@@ -126,6 +126,21 @@
         (line,) = [x for x in site.lines("entry") if x.get("request") == "id-1"]
         self.assertEqual((line["outcome"], line["sends"]), ("deadline", 1))
 
+    @on_site
+    async def test_stream_that_breaks_past_its_deadline_has_one_line(self, site):
+        """Symptom: a request has two lines on one host, with two outcomes.
+        Sequence: a stream flows past its deadline, and breaks before the overtime ends.
+        Cause: what had been given up already was given up once more as late."""
+        for target in site.targets:
+            target.script = ["break_late"]
+        try:
+            await site.ask("/stream/a", deadline_ms=700)
+        except HttpError:
+            pass
+        await site.until(lambda: _any(_lines_of(site, "id-1")))
+        await curio.sleep(0.5)
+        self.assertEqual(len(_lines_of(site, "id-1")), 1)
+
     @on_site
     async def test_leaving_targets_get_nothing_new(self, site):
         first, second = site.targets
@@ -260,6 +275,10 @@
     return any(values)
 
 
+def _lines_of(site, request_id):
+    return [x for x in site.lines("entry") if x.get("request") == request_id]
+
+
 async def _logged(site, message, role="entry"):
     return any(line["message"] == message for line in site.lines(role))
 
