Name what is asked again, and tell a crashed target from a broken answer

Callers saw 502 and 503 while targets ended one after another; the lines name requests by ids, which are new each time, and say 'cut' for a crash, a reset and a lost link alike.

Change: each request has a fingerprint (host name, path, caller, body), which goes along to other regions and into its line. A target whose requests broke is looked at once, by one connection for all of them: where nothing listens, or another start answers at its address, and it wasn't to leave, 'target crashed' says how many runs of this host broke with it, how many of them early, and which began last. Nothing is decided by it. The former look at a target, one connection for each request, goes by the same one.

--- /dev/null
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_watch.py
@@ -0,0 +1,226 @@
+"""Which requests of this host ran at a target when it crashed."""
+
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.logs import get_logger
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_schema.generated.fleet import TargetInfo
+from bronzepoint_schema.ids import Fingerprint
+
+BROKEN_KEPT = 10.0
+"""Seconds for which a run that broke is kept: a silent target that has crashed is known
+by its next start, some seconds later."""
+MOST_BROKEN = 256
+"""Such runs kept for one target; it works on fewer at once."""
+TARGET_KEPT = 60.0
+"""Seconds for which a target is kept that nothing more is heard of."""
+HEARD_MARGIN = 0.1
+"""Seconds before the last sign of life of a target within which a run may have broken
+by its crash: signs come by several connections."""
+EARLY = 1.0
+"""Seconds after its first event up to which a crash comes early in a run."""
+MOST_NAMED = 8
+"""Runs that the line of a crash names."""
+
+_log = get_logger("targets")
+
+
+@dataclass(eq=False)
+class WatchedRun:
+    """One try at a target.
+
+    Attributes:
+        fingerprint: What was asked.
+        began: When it was sent.
+        first_event_at: When its first event came; 0: none did.
+        ended_at: When it broke; 0: it hasn't.
+    """
+
+    fingerprint: Fingerprint
+    began: float
+    first_event_at: float = 0.0
+    ended_at: float = 0.0
+
+    @property
+    def is_early(self) -> bool:
+        """Tell whether it broke before it had run for long."""
+        if not self.first_event_at:
+            return True
+        return self.ended_at - self.first_event_at <= EARLY
+
+
+@dataclass(frozen=True)
+class Crash:
+    """A target that ended while requests ran there.
+
+    Attributes:
+        target: The target.
+        at: When that was seen.
+        runs: Runs of this host that broke with it.
+    """
+
+    target: TargetInfo
+    at: float
+    runs: list[WatchedRun]
+
+
+@dataclass(eq=False)
+class _Watched:
+    """What is known of one start of a target."""
+
+    info: TargetInfo
+    heard_at: float
+    crashed_at: float = 0.0
+    broken: deque[WatchedRun] = field(default_factory=lambda: deque(maxlen=MOST_BROKEN))
+    looking: curio.Event | None = None
+
+
+class CrashWatch:
+    """Tells crashes of targets from all else that breaks a request.
+
+    A connection that is reset, a deadline or a cut link proves nothing of the target.
+    It has crashed where nothing listens any more just after it broke its requests, or
+    where another start answers at its address, and it wasn't to leave.
+
+    Args:
+        is_refused: Tells whether nothing listens at an address.
+        on_crash: Called with each crash, and again for runs that break later by it.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        is_refused: Callable[[str], Awaitable[bool]],
+        on_crash: Callable[[Crash], None],
+        metrics: Metrics,
+    ) -> None:
+        self._is_refused = is_refused
+        self._on_crash = on_crash
+        self._metrics = metrics
+        self._targets: dict[str, _Watched] = {}
+
+    def begin(self, target: TargetInfo, name: Fingerprint) -> WatchedRun:
+        """Count a request that is sent to a target."""
+        now = monotonic()
+        known = self._targets.get(target.incarnation)
+        if known is None:
+            self._forget_old(now)
+            self._targets[target.incarnation] = _Watched(target, now)
+        else:
+            known.info = target
+        return WatchedRun(name, now)
+
+    def note_event(self, target: TargetInfo, run: WatchedRun) -> None:
+        """Count a sign of life in the answer to a run."""
+        now = monotonic()
+        if not run.first_event_at:
+            run.first_event_at = now
+        self.note_heard(target, now)
+
+    def note_heard(self, target: TargetInfo, now: float) -> None:
+        """Count a sign of life of a target."""
+        known = self._targets.get(target.incarnation)
+        if known is not None:
+            known.heard_at = now
+
+    def note_broken(self, target: TargetInfo, run: WatchedRun) -> None:
+        """Count a run that ended without a whole answer."""
+        run.ended_at = monotonic()
+        known = self._targets.get(target.incarnation)
+        if known is None:
+            return
+        if known.crashed_at:
+            if run.began < known.crashed_at:
+                self._tell(known, [run])
+            return
+        known.broken.append(run)
+
+    async def look(self, target: TargetInfo) -> bool:
+        """Tell whether a target has crashed whose answer broke off just now.
+
+        All requests that break together have it looked at once.
+        """
+        known = self._targets.get(target.incarnation)
+        if known is None or target.leaving:
+            return False
+        if known.crashed_at:
+            return True
+        if known.looking is not None:
+            await known.looking.wait()
+            return bool(known.crashed_at)
+        known.looking = curio.Event()
+        try:
+            if await self._is_refused(target.address):
+                self._note_crashed(known)
+        finally:
+            await known.looking.set()
+            known.looking = None
+        return bool(known.crashed_at)
+
+    def note_replaced(self, target: TargetInfo) -> None:
+        """Count a target whose address another start answers at."""
+        known = self._targets.get(target.incarnation)
+        if known is not None and not known.crashed_at and not target.leaving:
+            self._note_crashed(known)
+
+    def note_listed(self, listed: Iterable[TargetInfo]) -> None:
+        """Look for starts at the addresses of targets that broke requests."""
+        waiting = {
+            known.info.address: known
+            for known in self._targets.values()
+            if known.broken and not known.crashed_at
+        }
+        if not waiting:
+            return
+        for info in listed:
+            known = waiting.get(info.address)
+            if known is None or known.info.leaving:
+                continue
+            if info.incarnation == known.info.incarnation:
+                known.info = info
+            elif info.service == known.info.service:
+                self._note_crashed(known)
+
+    def _note_crashed(self, known: _Watched) -> None:
+        now = monotonic()
+        known.crashed_at = now
+        runs = [
+            run
+            for run in known.broken
+            if now - run.ended_at <= BROKEN_KEPT
+            and run.ended_at >= known.heard_at - HEARD_MARGIN
+        ]
+        known.broken.clear()
+        if runs:
+            self._tell(known, runs)
+
+    def _tell(self, known: _Watched, runs: list[WatchedRun]) -> None:
+        self._metrics.incr("crash.runs", len(runs))
+        if len(runs) > 1 or runs[0].is_early:
+            self._log(known, runs)
+        self._on_crash(Crash(known.info, known.crashed_at, runs))
+
+    def _log(self, known: _Watched, runs: list[WatchedRun]) -> None:
+        early = [run for run in runs if run.is_early]
+        newest = sorted(early, key=lambda run: -run.began)[:MOST_NAMED]
+        _log.warning(
+            "target crashed",
+            target=known.info.incarnation,
+            address=known.info.address,
+            service=known.info.service,
+            runs=len(runs),
+            early=len(early),
+            newest={
+                run.fingerprint: round(run.ended_at - run.began, 3) for run in newest
+            },
+        )
+
+    def _forget_old(self, now: float) -> None:
+        for name, known in list(self._targets.items()):
+            if now - max(known.heard_at, known.crashed_at) > TARGET_KEPT:
+                del self._targets[name]
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -5,6 +5,7 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import Exchange
 from bronzepoint_node.fleet import ServedRoute
+from bronzepoint_schema.ids import Fingerprint
 
 from ._codec import CallerHead
 from ._events import EventSplitter
@@ -73,6 +74,7 @@
         forwarded: Another region sent it.
         events: What was passed on of its stream.
         spent: Seconds that its caller had waited before it came here.
+        fingerprint: Name of what is asked; the same when its caller asks again.
         tried: Targets that it was sent to.
         tried_hosts: Hosts of other regions that it was forwarded to.
         sends: Times it was sent to a target or to another region.
@@ -114,6 +116,7 @@
     notes: list[str] = field(default_factory=list)
     known_ms: list[int] = field(default_factory=list)
     spent: float = 0.0
+    fingerprint: Fingerprint = Fingerprint("")
 
     def note_events(self, now: float) -> None:
         """Count events that are passed on."""
--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -115,6 +115,7 @@
         _log.info(
             "request",
             request=call.head.request_id,
+            fingerprint=call.fingerprint,
             route=call.route.name,
             outcome=outcome,
             forwarded=call.forwarded,
--- a/packages/node/src/bronzepoint_node/relay/_host_headers.py
+++ b/packages/node/src/bronzepoint_node/relay/_host_headers.py
@@ -8,5 +8,15 @@
 """Times that the request may have run before, or has by now."""
 MOST_RUNS_HEADER = "bronzepoint-most-runs"
 """Runs, counted together, up to which a forwarded request may go."""
-HOST_HEADERS = frozenset({RAN_HEADER, FORWARDED_HEADER, RUNS_HEADER, MOST_RUNS_HEADER})
+FINGERPRINT_HEADER = "bronzepoint-fingerprint"
+"""Name of what is asked: the other region sees another caller."""
+HOST_HEADERS = frozenset(
+    {
+        RAN_HEADER,
+        FORWARDED_HEADER,
+        RUNS_HEADER,
+        MOST_RUNS_HEADER,
+        FINGERPRINT_HEADER,
+    }
+)
 """All of them; a caller that sends one is not believed."""
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -17,12 +17,14 @@
     SchedulerClient,
     service_of,
 )
+from bronzepoint_node.quarantine import fingerprint
+from bronzepoint_schema.ids import Fingerprint
 
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import CallerHead, Codec
 from ._events import EventSplitter
 from ._final_answers import FinalAnswers
-from ._host_headers import MOST_RUNS_HEADER, RUNS_HEADER
+from ._host_headers import FINGERPRINT_HEADER, MOST_RUNS_HEADER, RUNS_HEADER
 from ._sender import Sender
 from ._usual_deadlines import UsualDeadlines
 
@@ -150,6 +152,7 @@
         events = EventSplitter(head.last_event)
         call = Call(exchange, head, route, body, arrived, until, forwarded, events)
         call.spent = self._usual.spent(route, deadline)
+        call.fingerprint = _fingerprint(call)
         if forwarded:
             # The runs of both hosts count together against the route's bound.
             headers = exchange.request.headers
@@ -282,5 +285,13 @@
         return True
 
 
+def _fingerprint(call: Call) -> Fingerprint:
+    request = call.exchange.request
+    if call.forwarded:
+        return Fingerprint(request.headers.get(FINGERPRINT_HEADER, ""))
+    caller = call.exchange.peer.rpartition(":")[0]
+    return fingerprint(call.head.host, request.raw_path, caller, call.body)
+
+
 def _count(text: str) -> int:
     return int(text) if text.isdigit() else 0
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -15,13 +15,20 @@
     TargetTable,
     is_silent,
 )
+from bronzepoint_node.quarantine import CrashWatch, WatchedRun
 from bronzepoint_schema.generated.decisions import TryResult
+from bronzepoint_schema.generated.fleet import TargetInfo
 from bronzepoint_schema.generated.target_loads import FirstToken, Hold
 from bronzepoint_schema.ids import RegionName
 
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec, Copies
-from ._host_headers import FORWARDED_HEADER, MOST_RUNS_HEADER, RUNS_HEADER
+from ._host_headers import (
+    FINGERPRINT_HEADER,
+    FORWARDED_HEADER,
+    MOST_RUNS_HEADER,
+    RUNS_HEADER,
+)
 from ._try import Destination, Try
 
 PATIENCE = 1.0
@@ -55,6 +62,7 @@
         table: Targets of the region.
         placer: Learns durations and lost hosts.
         cold: Learns what cold targets were sent.
+        watch: Learns which requests break, and tells whether a target has crashed.
         client: Connections to targets.
         hosts: Connections to entry hosts of other regions.
         codec: Words of callers and targets.
@@ -67,6 +75,7 @@
         table: TargetTable,
         placer: Placer,
         cold: ColdGate,
+        watch: CrashWatch,
         client: HttpClient,
         hosts: HttpClient,
         codec: Codec,
@@ -76,6 +85,7 @@
         self._table = table
         self._placer = placer
         self._cold = cold
+        self._watch = watch
         self._client = client
         self._hosts = hosts
         self._codec = codec
@@ -104,15 +114,18 @@
             call.arrivals += outcome.by_target
         call.notes[-1] += f" -> {outcome.reason}"
         if isinstance(outcome, MayHaveRun) and isinstance(placement, AtHome):
-            await self._look_whether_ended(call, placement.target.info.address)
+            await self._look_whether_ended(call, placement.target.info)
         self._metrics.incr(f"try.{outcome.reason}")
         return outcome
 
-    async def _look_whether_ended(self, call: Call, address: str) -> None:
+    async def _look_whether_ended(self, call: Call, target: TargetInfo) -> None:
         """Count a run no more whose target is gone, where the bound is reached."""
-        if not call.route.repeatable or call.counted_runs < call.most_runs:
+        if not call.route.repeatable:
+            # Nothing follows that its caller would have to wait for.
+            await curio.spawn(self._watch.look, target, daemon=True)
             return
-        if await self._client.is_refused(address):
+        ended = await self._watch.look(target)
+        if ended and call.counted_runs >= call.most_runs:
             call.ended_runs += 1
             call.notes[-1] += ", ended"
             self._metrics.incr("try.target_ended")
@@ -136,8 +149,10 @@
         speeds, rank = self._placer.speeds, call.rank(now)
         prompt, source = call.head.prompt, placement.fetch_from
         uncached = target.begin(run_id, prompt, rank, now, placement.cached_tokens)
+        watched = self._watch.begin(target.info, call.fingerprint)
 
         def progressed(events: int, seconds: float) -> None:
+            self._watch.note_event(target.info, watched)
             run = target.load.runs.get(run_id)
             if run is None:
                 return
@@ -167,6 +182,7 @@
             KEPT_REPEATABLE if call.route.repeatable else KEPT_ONCE,
         )
         result = TryResult.cancelled
+        outcome: TryOutcome | None = None
         try:
             attempt = Try(self._client, self._codec, call, progressed)
             outcome = await self._while_answering(
@@ -177,17 +193,28 @@
             target.load.end(run_id)
             seconds = monotonic() - now
             self._table.note_result(target, result, seconds, monotonic())
+            self._note_end(target.info, watched, outcome)
         match outcome:
             case NotRun(reason="replaced"):
                 # The list lags: without this, every request until the next reading
                 # would be sent there and turned away.
                 target.note_replaced()
+                self._watch.note_replaced(target.info)
             case NotRun(reason="connect_failed"):
                 target.note_unreached(monotonic())
         if result is TryResult.answered:
             speeds.note_hold(Hold(service, round(seconds * 1000)))
         return outcome
 
+    def _note_end(
+        self, target: TargetInfo, run: WatchedRun, outcome: TryOutcome | None
+    ) -> None:
+        match outcome:
+            case Answered() | NotRun(by_target=True):
+                self._watch.note_heard(target, monotonic())
+            case MayHaveRun() | None:
+                self._watch.note_broken(target, run)
+
     async def _try_region(
         self, call: Call, placement: Elsewhere, service: str
     ) -> TryOutcome:
@@ -200,6 +227,7 @@
             call.head, call.left, "", None, call.events.last_id
         )
         headers[FORWARDED_HEADER] = self._region
+        headers[FINGERPRINT_HEADER] = call.fingerprint
         headers[RUNS_HEADER] = str(call.counted_runs)
         # Where its answer is lost, this host must know how often it ran there at most.
         headers[MOST_RUNS_HEADER] = str(call.counted_runs + 1)
--- a/packages/schema/src/bronzepoint_schema/ids.py
+++ b/packages/schema/src/bronzepoint_schema/ids.py
@@ -22,6 +22,8 @@
 StorageId = NewType("StorageId", str)
 """Random name of one voter's data folder, made when the folder was empty."""
 Term = NewType("Term", int)
+Fingerprint = NewType("Fingerprint", str)
+"""Digest of host name, path, caller and body; the same for each repeat of a request."""
 FencingNumber = NewType("FencingNumber", int)
 
 __all__ = [
@@ -31,6 +33,7 @@
     "DataCenterName",
     "EntryName",
     "FencingNumber",
+    "Fingerprint",
     "HostName",
     "IdempotencyKey",
     "OperatorName",
--- /dev/null
+++ b/tests/test_quarantine_crash_watch.py
@@ -0,0 +1,138 @@
+"""What counts as a crash of a target, and which requests ran there."""
+
+import unittest
+
+import curio
+from nose2.tools import params
+
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_node.quarantine import CrashWatch, fingerprint
+from bronzepoint_schema.generated.fleet import TargetInfo
+
+
+def target(name="t-1", address="10.0.0.1:80", leaving=False):
+    return TargetInfo(name, "s", address, "x-a", 6, leaving, 0)
+
+
+class Watch:
+    """A watch, what it told, and a target that listens or doesn't."""
+
+    def __init__(self):
+        self.refused = False
+        self.looks = 0
+        self.crashes = []
+        self.watch = CrashWatch(self._is_refused, self.crashes.append, Metrics())
+
+    async def _is_refused(self, address):
+        self.looks += 1
+        await curio.sleep(0.01)
+        return self.refused
+
+    def run(self, name, info, event=False):
+        made = self.watch.begin(info, name)
+        if event:
+            self.watch.note_event(info, made)
+        return made
+
+    def told(self):
+        return [sorted(run.fingerprint for run in c.runs) for c in self.crashes]
+
+
+class TestFingerprint(unittest.TestCase):
+    BASE = ("h", "/a/b?c=1", "10.0.0.9", b"body")
+
+    @params(
+        ("g", *BASE[1:]),
+        ("h", "/a/b?c=2", *BASE[2:]),
+        ("h", "/a/b?c=1", "10.0.0.8", b"body"),
+        (*BASE[:3], b"other"),
+        # the same bytes, divided in another way
+        ("h/", "a/b?c=1", *BASE[2:]),
+    )
+    def test_each_part_counts(self, *other):
+        self.assertEqual(fingerprint(*self.BASE), fingerprint(*self.BASE))
+        self.assertNotEqual(fingerprint(*self.BASE), fingerprint(*other))
+
+
+class TestCrashWatch(unittest.TestCase):
+    @params((True, [["a", "b"]]), (False, []))
+    def test_reset_of_a_target_that_listens_is_no_crash(self, refused, told):
+        async def main():
+            made = Watch()
+            made.refused = refused
+            runs = [made.run(name, target()) for name in ("a", "b")]
+            for run in runs:
+                made.watch.note_broken(target(), run)
+            async with curio.TaskGroup() as group:
+                for _ in runs:
+                    await group.spawn(made.watch.look, target())
+            return made
+
+        made = curio.run(main)
+        self.assertEqual(made.told(), told)
+        self.assertEqual(made.looks, 1)
+
+    def test_target_that_was_to_leave_has_not_crashed(self):
+        async def main():
+            made = Watch()
+            made.refused = True
+            run = made.run("a", target())
+            made.watch.note_broken(target(), run)
+            ended = await made.watch.look(target(leaving=True))
+            return ended, made.told()
+
+        self.assertEqual(curio.run(main), (False, []))
+
+    @params(
+        # start that is listed at the address, its service, what is told
+        ("t-2", "s", [["a"]]),
+        ("t-1", "s", []),
+        ("t-2", "other", []),
+    )
+    def test_silent_target_has_crashed_once_it_is_back(self, name, service, told):
+        """Guards against a target that goes silent and starts anew unseen."""
+        made = Watch()
+        run = made.run("a", target())
+        made.watch.note_broken(target(), run)
+        listed = TargetInfo(name, service, "10.0.0.1:80", "x-a", 6, False, 0)
+        made.watch.note_listed([listed])
+        self.assertEqual(made.told(), told)
+
+    def test_run_that_broke_before_the_last_sign_of_life_is_not_named(self):
+        """Guards against blame for a deadline that came long before the crash."""
+
+        async def main():
+            made = Watch()
+            early, late = made.run("a", target()), made.run("b", target())
+            made.watch.note_broken(target(), early)
+            await curio.sleep(0.25)
+            made.watch.note_event(target(), late)
+            made.watch.note_broken(target(), late)
+            made.watch.note_replaced(target())
+            return made.told()
+
+        self.assertEqual(curio.run(main), [["b"]])
+
+    def test_run_that_breaks_after_the_crash_was_seen_is_named_too(self):
+        async def main():
+            made = Watch()
+            made.refused = True
+            first, second = made.run("a", target()), made.run("b", target())
+            made.watch.note_broken(target(), first)
+            await made.watch.look(target())
+            made.watch.note_broken(target(), second)
+            return made.told()
+
+        self.assertEqual(curio.run(main), [["a"], ["b"]])
+
+    @params((0.0, True), (0.2, True), (5.0, False))
+    def test_crash_comes_early_in_a_run(self, flowing, early):
+        made = Watch()
+        run = made.run("a", target(), event=True)
+        run.first_event_at -= flowing
+        made.watch.note_broken(target(), run)
+        self.assertEqual(run.is_early, early)
+
+
+if __name__ == "__main__":
+    unittest.main()
