Bring about the request that crashes target after target, which fails

Three hosts of the core, three entry hosts and four stand-in targets as processes; one caller asks the same every 0.4 s at host after host, each time with a new id, and the target that begins it ends with all that runs there and is back 1 s later. Later than 6 s after the third crash three arrivals are allowed. Plain requests beside it are counted, too, a third of them all alike.

--- /dev/null
+++ b/tests/_crashing_site.py
@@ -0,0 +1,231 @@
+"""Targets that one request crashes, behind the platform's programs, and callers."""
+
+import itertools
+from collections import Counter
+from dataclasses import dataclass, field
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.http import HttpError, HttpLimits, HttpServer
+from tests._platform_site import PlatformSite, StandInTarget
+
+CONTACT = 6.0
+"""Seconds after the third crash from which each further arrival counts."""
+MOST_ARRIVALS = 3
+"""Further arrivals that are allowed then."""
+BACK_AFTER = 1.0
+"""Seconds after which a crashed target is back."""
+CRASH_DELAY = 0.03
+"""Seconds from the beginning of a run to the crash."""
+POISON_INTERVAL = 0.4
+PLAIN_INTERVAL = 0.1
+SLOW_EVENT = 0.15
+"""Seconds between two events of a slow stream."""
+POISON = b"crash"
+SLOW = b"slow"
+"""Body of a stream that takes longer than the time between two crashes."""
+CORES = {f"core-{n}": ("core", f"127.0.0.{10 + n}") for n in (1, 2, 3)}
+ENTRIES = {f"entry-{n}": ("entry", f"127.0.0.{20 + n}") for n in (1, 2, 3)}
+
+
+class CrashingTarget(StandInTarget):
+    """Ends with all that runs there when it begins the one request, and is back soon.
+
+    Attributes:
+        arrivals: When that request reached it.
+        crashes: When it ended.
+    """
+
+    def __init__(self, name, ip, port, site, keeps_id=False):
+        super().__init__(name, ip, port)
+        self.base = name
+        self.site = site
+        self.keeps_id = keeps_id
+        self.starts = 0
+        self.is_down = False
+        self.arrivals = []
+        self.crashes = []
+
+    async def _answer(self, exchange):
+        body = await exchange.body()
+        if body.startswith(POISON):
+            self.arrivals.append(monotonic())
+            await self._begin(exchange)
+            return
+        if body.startswith(SLOW):
+            await self._stream_slowly(exchange)
+            return
+        await super()._answer(exchange)
+
+    async def _begin(self, exchange):
+        expected = exchange.request.headers.get("x-bronzepoint-expect-instance")
+        if expected != self.name:
+            await exchange.respond(421, {})
+            return
+        if exchange.request.path.startswith("/stream/"):
+            await self._stream(exchange, self._headers(exchange), 2)
+        await curio.sleep(CRASH_DELAY)
+        await self.crash()
+        await exchange.abort()
+
+    async def _stream_slowly(self, exchange):
+        first = int(exchange.request.headers.get("last-event-id", "0")) + 1
+        await exchange.start_stream(200, self._headers(exchange))
+        for number in range(first, 21):
+            await exchange.send(f"id: {number}\ndata: {number}\n\n".encode())
+            await curio.sleep(SLOW_EVENT)
+        await exchange.end()
+
+    def _headers(self, exchange):
+        sent = exchange.request.headers.get("x-bronzepoint-request-id", "")
+        return {
+            "X-Bronzepoint-Request-Id": sent,
+            "X-Bronzepoint-Response-Seal": self.name,
+        }
+
+    async def crash(self):
+        if self.is_down:
+            return
+        self.is_down = True
+        self.crashes.append(monotonic())
+        await curio.spawn(self._end_and_return, daemon=True)
+
+    async def _end_and_return(self):
+        await self.server.close(0)
+        await curio.sleep(BACK_AFTER)
+        self.starts += 1
+        if not self.keeps_id:
+            self.name = f"{self.base}-{self.starts}"
+        self.server = HttpServer(self._answer, HttpLimits())
+        await self.server.start(self.address)
+        self.is_down = False
+        self.site.list_all()
+
+    def listed(self, state="ready"):
+        born = 1_700_000_000_000 + self.starts
+        return {**super().listed(state), "born": born}
+
+
+class CrashingSite(PlatformSite):
+    """Hosts before targets of that kind.
+
+    Args:
+        keeps_id: Targets start again under the id that they had.
+        hosts: Role and address of each host.
+        targets: How many there are.
+    """
+
+    def __init__(self, keeps_id=False, hosts=None, targets=4):
+        super().__init__(targets=targets, hosts=hosts or {**CORES, **ENTRIES})
+        self.keeps_id = keeps_id
+
+    def make_target(self, name, ip, port):
+        return CrashingTarget(name, ip, port, self, self.keeps_id)
+
+    def list_all(self):
+        self.listed = [target.listed() for target in self.targets]
+
+    def addresses(self):
+        return [
+            f"{ip}:{self.front}"
+            for name, (role, ip) in self.hosts.items()
+            if role == "entry" and self.processes[name].poll() is None
+        ]
+
+    def crashes(self):
+        return sorted(at for target in self.targets for at in target.crashes)
+
+    def arrivals(self):
+        return sorted(at for target in self.targets for at in target.arrivals)
+
+    def late_arrivals(self):
+        """Return the arrivals that count against the bound."""
+        crashes = self.crashes()
+        if len(crashes) < 3:
+            return []
+        return [at for at in self.arrivals() if at > crashes[2] + CONTACT]
+
+
+@dataclass
+class Seen:
+    """What callers were told: when they asked, the status, and what the head said."""
+
+    poison: list = field(default_factory=list)
+    plain: list = field(default_factory=list)
+    streams: Counter = field(default_factory=Counter)
+    stop: bool = False
+
+
+class Callers:
+    """One caller that repeats the one request, others with plain ones and streams.
+
+    Args:
+        site: The hosts.
+        path: Path of the one request.
+    """
+
+    def __init__(self, site, path):
+        self._site = site
+        self._path = path
+        self._numbers = itertools.count()
+        self.seen = Seen()
+
+    async def ask(self, address, path, body, wait=4.0):
+        """Return the answer, or the error's name."""
+        headers = {
+            "X-Bronzepoint-Request-Id": f"id-{next(self._numbers)}",
+            "X-Bronzepoint-Deadline-Ms": str(int(wait * 1000)),
+        }
+        try:
+            return await self._site.call(
+                "POST", path, body, address, headers, wait=wait
+            )
+        except HttpError as exc:
+            return type(exc).__name__
+
+    async def repeat_poison(self):
+        for number in itertools.count():
+            if self.seen.stop:
+                return
+            addresses = self._site.addresses()
+            address = addresses[number % len(addresses)]
+            await curio.spawn(self._poison_once, address, daemon=True)
+            await curio.sleep(POISON_INTERVAL)
+
+    async def _poison_once(self, address):
+        began = monotonic()
+        answer = await self.ask(address, self._path, POISON)
+        self.seen.poison.append((began, monotonic() - began, answer))
+
+    async def send_plain(self):
+        for number in itertools.count():
+            if self.seen.stop:
+                return
+            addresses = self._site.addresses()
+            # A third of them are all alike: what many ask for runs beside any crash.
+            body = b"alike" if number % 3 == 0 else b"plain %d" % number
+            address = addresses[number % len(addresses)]
+            await curio.spawn(self._plain_once, address, body, daemon=True)
+            await curio.sleep(PLAIN_INTERVAL)
+
+    async def _plain_once(self, address, body):
+        began = monotonic()
+        answer = await self.ask(address, "/safe/plain", body)
+        self.seen.plain.append((began, getattr(answer, "status", answer), body))
+
+    async def run(self, seconds, *more):
+        """Let all of them ask for some seconds."""
+        async with curio.TaskGroup() as group:
+            await group.spawn(self.repeat_poison)
+            await group.spawn(self.send_plain)
+            for each in more:
+                await group.spawn(each)
+            await curio.sleep(seconds)
+            self.seen.stop = True
+        await curio.sleep(0.5)
+
+    def served(self, since):
+        """Return which part of the plain requests from a moment on was served."""
+        found = [status == 200 for began, status, _ in self.seen.plain if began > since]
+        return sum(found) / max(1, len(found))
--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -196,7 +196,7 @@
         self.list_server = HttpServer(self._list, HttpLimits())
         await self.list_server.start(f"127.0.0.1:{port[5]}")
         self.targets = [
-            StandInTarget(f"i-{n}", "127.0.0.1", port[5 + n])
+            self.make_target(f"i-{n}", "127.0.0.1", port[5 + n])
             for n in range(1, self.target_count + 1)
         ]
         for target in self.targets:
@@ -208,6 +208,9 @@
         await self.until(self._is_ready)
         return self
 
+    def make_target(self, name, ip, port):
+        return StandInTarget(name, ip, port)
+
     async def __aexit__(self, *exc_info):
         for process in self.processes.values():
             if process.poll() is None:
