--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -13,6 +13,7 @@
     "no_time": "its stream would not have ended by its deadline on any target",
     "retries_used_up": "all tries were turned away, and no repeat was left",
     "leaving": "the host was ending",
+    "held": "targets crashed as they ran it, and it reaches none for some time",
 }
 """What each reason of a refusal means; the request did not run."""
 TRY_ENDS: Mapping[str, str] = {
@@ -21,6 +22,7 @@
     "rejected": "the target turned it away",
     "replaced": "another start of the target answered",
     "region_refused": "the other region had no room",
+    "held": "the other region holds it back, as targets crashed when they ran it",
     "cut": "the connection broke after it was sent, so it may have run",
     "malformed": "the answer wasn't HTTP",
     "other_answer": "the answer belonged to another request",
--- a/packages/common/src/bronzepoint_common/peers/_area.py
+++ b/packages/common/src/bronzepoint_common/peers/_area.py
@@ -16,3 +16,4 @@
     FLEET = 8
     TARGET_LOADS = 9
     SCHEDULING = 10
+    QUARANTINE = 11
--- a/packages/node/src/bronzepoint_node/core/__init__.py
+++ b/packages/node/src/bronzepoint_node/core/__init__.py
@@ -1,7 +1,14 @@
 """What hosts of the core do for entry hosts: tell what is in force and listed."""
 
 from ._core_hub import CoreHub
+from ._quarantine_keeper import QuarantineKeeper
 from ._region_scheduler import RegionScheduler
 from ._target_reader import ListUnavailable, TargetReader
 
-__all__ = ["CoreHub", "ListUnavailable", "RegionScheduler", "TargetReader"]
+__all__ = [
+    "CoreHub",
+    "ListUnavailable",
+    "QuarantineKeeper",
+    "RegionScheduler",
+    "TargetReader",
+]
--- a/packages/node/src/bronzepoint_node/core/_core_hub.py
+++ b/packages/node/src/bronzepoint_node/core/_core_hub.py
@@ -2,11 +2,13 @@
 
 import curio
 
+from bronzepoint_common.clock import monotonic
 from bronzepoint_common.documents import NO_BASE
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, Peers
 from bronzepoint_node.agreement import SeededAgreement
-from bronzepoint_node.fleet import Registry
+from bronzepoint_node.fleet import MOST_CRASHES, Registry
+from bronzepoint_node.quarantine import SUSPECT_FROM, CrashTable
 from bronzepoint_schema.generated.documents import DocumentPart
 from bronzepoint_schema.generated.fleet import (
     CoreHost,
@@ -25,6 +27,8 @@
 
 NOTICE_INTERVAL = 0.5
 """Seconds between two notices to the other hosts of the core."""
+MOST_NOTICED = 32
+"""Requests that were beside crashes, in one notice."""
 
 _log = get_logger("core")
 
@@ -38,6 +42,7 @@
         agreement: The agreed document.
         reader: The list of targets.
         peers: Links to the other hosts.
+        crashes: Requests that were beside crashes of targets.
     """
 
     def __init__(
@@ -47,7 +52,9 @@
         agreement: SeededAgreement,
         reader: TargetReader,
         peers: Peers,
+        crashes: CrashTable | None = None,
     ) -> None:
+        self._crashes = crashes if crashes is not None else CrashTable()
         self.registry = Registry()
         self._name = name
         self._region = region
@@ -69,6 +76,10 @@
         if self._task is not None:
             await self._task.cancel()
 
+    def askers(self) -> list[HostName]:
+        """Return the entry hosts that ask this host."""
+        return [host.name for host in self._own_entries()]
+
     async def _handle(
         self, peer: HostName, message: FleetMessage
     ) -> FleetMessage | None:
@@ -79,12 +90,15 @@
                 self.registry.hear_entries(message.hosts)
                 self.registry.hear_loads(message.loads)
                 self.registry.hear_core(message.core)
+                self._crashes.merge(message.crashes, monotonic())
         return None
 
     def _answer(self, request: SyncRequest) -> SyncReply:
         self._own.add(request.host.name)
         self.registry.hear_entries([request.host])
         self.registry.hear_loads(request.loads)
+        now = monotonic()
+        self._crashes.merge(request.crashes, now)
         age = self._agreement.confirmed_age()
         # Not confirmed, it may be older than what the asking host has served on
         # before it was started anew, or than what other hosts serve on.
@@ -103,6 +117,7 @@
             loads=self.registry.loads(),
             core=self._core(),
             entry_hosts=len(live),
+            crashes=self._crashes.share(now, MOST_CRASHES, SUSPECT_FROM),
         )
 
     def _next_part(self, request: SyncRequest) -> DocumentPart | None:
@@ -130,7 +145,10 @@
     async def _notify(self) -> None:
         while True:
             notice = CoreNotice(
-                self._own_entries(), self.registry.loads(), self._core()
+                self._own_entries(),
+                self.registry.loads(),
+                self._core(),
+                self._crashes.share(monotonic(), MOST_NOTICED),
             )
             hosts = {host.name for host in self.registry.core()}
             for host in (hosts | self._agreement.known_hosts()) - {self._name}:
--- a/packages/node/src/bronzepoint_node/fleet/__init__.py
+++ b/packages/node/src/bronzepoint_node/fleet/__init__.py
@@ -1,6 +1,6 @@
 """What the hosts of a seeded system know of each other, of targets and of loads."""
 
-from ._follower import Follower
+from ._follower import MOST_CRASHES, Follower
 from ._registry import ENTRY_EXPIRY, LAST_RESORT, LOAD_EXPIRY, Registry
 from ._served import (
     CallerLimits,
@@ -16,6 +16,7 @@
     "ENTRY_EXPIRY",
     "LAST_RESORT",
     "LOAD_EXPIRY",
+    "MOST_CRASHES",
     "CallerLimits",
     "EngineFacts",
     "Follower",
--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -10,6 +10,7 @@
 from bronzepoint_common.documents import NO_BASE
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, PeerError, Peers
+from bronzepoint_node.quarantine import CrashTable
 from bronzepoint_schema.generated.fleet import (
     CoreHost,
     EntryHost,
@@ -49,6 +50,9 @@
 BEHIND_RETRY = 1.0
 """Seconds after which such a host is tried again."""
 
+MOST_CRASHES = 16
+"""Requests that were beside crashes, in one question or answer: some 2 KB."""
+
 _log = get_logger("follower")
 
 
@@ -69,6 +73,7 @@
         targets: Newest list; None: not known yet.
         registry: Who lives, and the loads of the regions.
         entry_hosts: Entry hosts of all regions that live.
+        crashes: Requests that were beside crashes of targets.
     """
 
     def __init__(
@@ -86,6 +91,7 @@
         self.targets_read_at = 0.0
         self.entry_hosts = 0
         self.registry = Registry()
+        self.crashes = CrashTable()
         self._describe = describe
         self._own_loads = own_loads
         self._decode = decode
@@ -206,6 +212,7 @@
             loads=self._own_loads(),
             part_version=self._copy.transfer.version,
             part_offset=self._copy.wanted_from(core),
+            crashes=self.crashes.share(monotonic(), MOST_CRASHES),
         )
         self._tells_loads = bool(request.loads)
         began = monotonic()
@@ -237,6 +244,7 @@
         self.entry_hosts = reply.entry_hosts
         self.registry.hear_core(reply.core)
         self.registry.hear_loads(reply.loads)
+        self.crashes.merge(reply.crashes, monotonic())
         for listener in self._on_change:
             listener()
         return has_more
--- a/packages/node/src/bronzepoint_node/placement/_ask.py
+++ b/packages/node/src/bronzepoint_node/placement/_ask.py
@@ -21,6 +21,7 @@
         rank: How urgent it is now; 0 goes first.
         arrived: When it was read, by the monotonic clock.
         body_bytes: Size of its body.
+        suspect: It was beside several crashes of targets.
     """
 
     request_id: str
@@ -33,6 +34,7 @@
     rank: int
     arrived: float = 0.0
     body_bytes: int = 0
+    suspect: bool = False
 
     def may_go_to(self, region: RegionName) -> bool:
         """Tell whether the route's homes allow a region."""
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -16,6 +16,7 @@
     NO_TIME = "no_time"
     RETRIES_USED_UP = "retries_used_up"
     LEAVING = "leaving"
+    HELD = "held"
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_home_ask.py
+++ b/packages/node/src/bronzepoint_node/placement/_home_ask.py
@@ -13,6 +13,8 @@
         rank: How urgent it is now; 0 goes first.
         arrived: When it was read, by this host's monotonic clock.
         avoided: Targets that it was sent to, or that its host can't use.
+        suspect: It was beside several crashes of targets, and goes where it is the only
+            such one and little else runs.
     """
 
     request_id: str
@@ -22,3 +24,4 @@
     rank: int
     arrived: float
     avoided: set[str]
+    suspect: bool = False
--- a/packages/node/src/bronzepoint_node/placement/_home_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_home_choice.py
@@ -76,10 +76,36 @@
         usable = self.usable(ask.service, now)
         in_time = [t for t in usable if self._ends_in_time(t, ask, now)]
         self._table.let_return(ask.service, now)
-        targets = {t.info.incarnation: t for t in in_time}
-        choice = choose_target(
+        for among in self._groups(ask, in_time, now):
+            choice = self._choose_among(ask, among, now)
+            if choice.target is not None:
+                found = {t.info.incarnation: t for t in among}
+                target = found[choice.target.name]
+                return self._at_home(ask, target, in_time, choice, now)
+        return NoHome(late=bool(usable) and not in_time)
+
+    def _groups(
+        self, ask: HomeAsk, usable: list[Tracked], now: float
+    ) -> list[list[Tracked]]:
+        """Return the targets that are chosen among, and others if these have no room.
+
+        A request that may crash its target goes to one where little else is lost, and
+        where no other suspect is watched, or nobody could tell which of them it was.
+        """
+        open_to_all = [target for target in usable if not target.is_apart(now)]
+        if ask.suspect:
+            open_to_all.sort(key=lambda target: target.load.in_flight(now))
+            return [[target] for target in open_to_all]
+        if len(open_to_all) == len(usable):
+            return [usable]
+        return [open_to_all, usable]
+
+    def _choose_among(
+        self, ask: HomeAsk, usable: list[Tracked], now: float
+    ) -> TargetChoice:
+        return choose_target(
             self.request_view(ask),
-            [self.view(t, ask.prompt, ask.rank, now) for t in in_time],
+            [self.view(t, ask.prompt, ask.rank, now) for t in usable],
             self._speeds.times(ask.service),
             len(self._hosts()),
             REPORT_MEMORY,
@@ -87,10 +113,6 @@
             now,
             explain=False,
         )
-        if choice.target is None:
-            return NoHome(late=bool(usable) and not in_time)
-        target = targets[choice.target.name]
-        return self._at_home(ask, target, in_time, choice, now)
 
     def _at_home(
         self,
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -95,6 +95,7 @@
             rank=ask.rank,
             arrived=ask.arrived,
             avoided=ask.tried,
+            suspect=ask.suspect,
         )
 
     def place(self, ask: PlacementAsk, now: float) -> Placement:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -162,6 +162,8 @@
             self._cold.note_sent(target.info.incarnation, now)
         if is_silent(target, now):
             target.trial_at = now
+        if ask.suspect:
+            target.set_apart(now)
         memory = prompt.memory_tokens if prompt else 0
         uncached = prompt.tokens - found.cached_tokens if prompt else 0
         run = OwnRun(memory, uncached, ask.rank, now)
@@ -184,6 +186,7 @@
         waited_ms=int((now - ask.arrived) * 1000),
         wait_ms=int(wait * 1000),
         avoided=sorted(ask.avoided),
+        suspect=ask.suspect,
     )
 
 
@@ -200,6 +203,7 @@
         rank=asked.rank,
         arrived=now - asked.waited_ms / 1000,
         avoided=set(asked.avoided),
+        suspect=asked.suspect,
     )
 
 
--- a/packages/node/src/bronzepoint_node/placement/_tracked.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from bronzepoint_node.fleet import EngineFacts
+from bronzepoint_node.quarantine import WatchedRun
 from bronzepoint_node.targets import Health, HealthState
 from bronzepoint_schema.generated.fleet import TargetInfo
 from bronzepoint_schema.generated.target_loads import EngineWord, PartUse, TargetLoad
@@ -20,6 +21,9 @@
 HEARD_LATELY = 1.0
 """Seconds after an answer in which this host doesn't believe that a target is silent:
 the host that says so asks at least as often."""
+APART_TIME = 1.2
+"""Seconds for which a target is kept apart where another host has a suspect on trial
+there: that host tells all again each second."""
 TRIAL_INTERVAL = 1.0
 """Seconds between two requests of one host to a target that is silent: without any, a
 target that nobody asks for reports would never be heard again."""
@@ -58,6 +62,8 @@
         trial_at: When a request was last sent there though it was silent.
         reopened_at: When its data center was opened to it again.
         replaced: Another target answers at its address, though it is listed still.
+        trials: Suspects of this host that run there.
+        apart_until: Until when a suspect of another host may be on trial there.
     """
 
     info: TargetInfo
@@ -82,6 +88,8 @@
     trial_at: float = float("-inf")
     replaced: bool = False
     reopened_at: float = float("-inf")
+    trials: set[WatchedRun] = field(default_factory=set)
+    apart_until: float = float("-inf")
 
     @property
     def slots(self) -> int:
@@ -214,6 +222,17 @@
         self.replaced = True
         self.load.changed = True
 
+    def set_apart(self, now: float) -> None:
+        """Count a suspect that another host sends there."""
+        self.apart_until = now + APART_TIME
+
+    def is_apart(self, now: float) -> bool:
+        """Tell whether a suspect is on trial there: others had better not join it."""
+        return now < self.apart_until or self._trials_now(now) > 0
+
+    def _trials_now(self, now: float) -> int:
+        return sum(run.is_on_trial(now) for run in self.trials)
+
     def is_silent_here(self, now: float) -> bool:
         """Tell whether it has failed to answer this host, and goes on to."""
         return self.failed_reports > 1 and now - self.silent_since > SILENT_AFTER
@@ -233,6 +252,8 @@
             self.pace.note(load.events, load.event_ms / 1000, now)
             self.note_heard(now)
         self.replaced = self.replaced or load.replaced
+        if load.trials:
+            self.set_apart(now)
         for _ in range(load.unreached):
             self.note_silent(now)
 
@@ -243,6 +264,7 @@
         load.parts = [PartUse(*part) for part in self.parts_sent.items()]
         load.events, load.event_ms = self.events, round(self.event_seconds * 1000)
         load.unreached, load.replaced = self.unreached, self.replaced
+        load.trials = self._trials_now(now)
         self.parts_sent.clear()
         self.events, self.event_seconds, self.unreached = 0, 0.0, 0
         self.load.changed = False
--- a/packages/node/src/bronzepoint_node/quarantine/__init__.py
+++ b/packages/node/src/bronzepoint_node/quarantine/__init__.py
@@ -1,6 +1,24 @@
-"""Requests that crash the targets that run them: who ran where when a target ended."""
+"""Requests that crash the targets that run them: found, tried apart, held back."""
 
+from ._case import KEPT, Case, Mark
+from ._crash_table import CrashTable
 from ._crash_watch import Crash, CrashWatch, WatchedRun
 from ._fingerprint import fingerprint
+from ._quarantine import Admitted, Held, Quarantine
+from ._standing import SUSPECT_FROM, Standing
 
-__all__ = ["Crash", "CrashWatch", "WatchedRun", "fingerprint"]
+__all__ = [
+    "KEPT",
+    "SUSPECT_FROM",
+    "Admitted",
+    "Case",
+    "Crash",
+    "CrashTable",
+    "CrashWatch",
+    "Held",
+    "Mark",
+    "Quarantine",
+    "Standing",
+    "WatchedRun",
+    "fingerprint",
+]
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -0,0 +1,204 @@
+"""All requests that were beside crashes, as far as one host knows."""
+
+from collections.abc import Callable, Iterable
+
+from bronzepoint_common.logs import get_logger
+from bronzepoint_schema.generated.quarantine import CrashCase
+from bronzepoint_schema.ids import Fingerprint
+
+from ._case import KEPT, Case, Mark
+from ._standing import Standing, judge
+
+MOST_CASES = 1024
+"""Requests kept, some 0.5 MB: those that were beside most crashes stay."""
+FRESH = 3.0
+"""Seconds for which news is told first: a host asks seven times in them."""
+ROTATION = 0.4
+"""Seconds after which the next ones are told, where there are more than one message
+holds: the interval of the entry hosts' questions."""
+
+_log = get_logger("quarantine")
+
+
+class CrashTable:
+    """Adds up what all hosts have seen.
+
+    Hosts tell each other whole cases, in any order and as often as they like: each
+    crash is known by its target, so nothing counts twice, and the two sides of a cut
+    add up.
+
+    Args:
+        on_change: Called with the requests whose standing has changed.
+    """
+
+    def __init__(self, on_change: Callable[[list[Case]], None] | None = None) -> None:
+        self._on_change = on_change
+        self._cases: dict[Fingerprint, Case] = {}
+        self._standings: dict[Fingerprint, Standing] = {}
+
+    def __len__(self) -> int:
+        return len(self._cases)
+
+    def __contains__(self, name: Fingerprint) -> bool:
+        return name in self._cases
+
+    def cases(self, least: int = 1) -> list[Case]:
+        """Return the requests that were beside so many crashes or more."""
+        return [case for case in self._cases.values() if len(case.marks) >= least]
+
+    def standing(self, name: Fingerprint) -> Standing:
+        """Return how a request is treated."""
+        return self._standings.get(name, Standing.CLEAR)
+
+    def count(self, standing: Standing) -> int:
+        """Return how many requests have a standing other than clear."""
+        return sum(found is standing for found in self._standings.values())
+
+    def case(self, name: Fingerprint) -> Case | None:
+        """Return what is known of a request; None: it was beside no crash."""
+        return self._cases.get(name)
+
+    def held_for(self, name: Fingerprint, now: float) -> float:
+        """Return the seconds until a request that is held back may be tried again."""
+        case = self._cases.get(name)
+        return max(0.0, case.newest + KEPT - now) if case is not None else 0.0
+
+    def note(
+        self, marks: dict[Fingerprint, Mark], service: str, target: str, now: float
+    ) -> None:
+        """Count a crash of a target for the requests that ran there."""
+        changed = [
+            name
+            for name, mark in marks.items()
+            if self._add(name, service, target, mark)
+        ]
+        self._finish(changed, now)
+
+    def clear(self, name: Fingerprint, now: float) -> bool:
+        """Let a request count as any other; False: nothing spoke against it."""
+        case = self._cases.get(name)
+        if case is None or not case.open_marks:
+            return False
+        for mark in case.marks.values():
+            mark.cleared = True
+        self._finish([name], now)
+        return True
+
+    def excuse(self, targets: Iterable[str], now: float) -> None:
+        """Count a crash of several targets together for nobody.
+
+        They ended by something else, such as the power of their data center. A request
+        that ran at more than one of them stays under suspicion.
+        """
+        wanted = set(targets)
+        changed = []
+        for case in self._cases.values():
+            marks = [case.marks[name] for name in wanted & case.marks.keys()]
+            if len(marks) == 1 and not marks[0].cleared:
+                marks[0].cleared = True
+                changed.append(case.fingerprint)
+        self._finish(changed, now)
+
+    def expire(self, now: float) -> None:
+        """Drop crashes that were too long ago."""
+        if any(
+            mark.at < now - KEPT
+            for case in self._cases.values()
+            for mark in case.marks.values()
+        ):
+            self._finish([], now)
+
+    def merge(self, told: Iterable[CrashCase], now: float) -> None:
+        """Take in what another host knows."""
+        changed = set()
+        for case in told:
+            for mark in case.marks:
+                at = now - mark.age_ms / 1000
+                if now - at > KEPT:
+                    continue
+                heard = Mark(at, mark.early, mark.alone, mark.cleared)
+                if self._add(case.fingerprint, case.service, mark.target, heard):
+                    changed.add(case.fingerprint)
+        if changed:
+            self._finish(changed, now)
+
+    def share(self, now: float, most: int, least: int = 1) -> list[CrashCase]:
+        """Return what another host is told: news first, then the others by turns.
+
+        Args:
+            now: Monotonic seconds.
+            most: Cases in one message.
+            least: Crashes that a request must have been beside.
+        """
+        cases = self.cases(least)
+        if len(cases) > most:
+            cases = self._choose(cases, now, most)
+        return [case.tell(now) for case in cases]
+
+    def _choose(self, cases: list[Case], now: float, most: int) -> list[Case]:
+        fresh = [case for case in cases if now - case.changed_at < FRESH]
+        fresh.sort(
+            key=lambda case: (len(case.open_marks), case.changed_at), reverse=True
+        )
+        # Half of the room at least is left for the others.
+        told = fresh[: most // 2]
+        names = {case.fingerprint for case in told}
+        rest = [case for case in cases if case.fingerprint not in names]
+        start = int(now / ROTATION) * (most - len(told)) % len(rest)
+        turn = rest[start:] + rest[:start]
+        return told + turn[: most - len(told)]
+
+    def _add(self, name: Fingerprint, service: str, target: str, mark: Mark) -> bool:
+        case = self._cases.get(name)
+        if case is None:
+            case = self._cases[name] = Case(name, service)
+        return case.add(target, mark)
+
+    def _finish(self, changed: Iterable[Fingerprint], now: float) -> None:
+        """Bring the standings up to date after a change."""
+        for name in changed:
+            self._cases[name].changed_at = now
+        self._forget(now)
+        former, self._standings = self._standings, judge(self._cases.values())
+        differ = [
+            case
+            for name in former.keys() | self._standings.keys()
+            if former.get(name) is not self._standings.get(name)
+            and (case := self._cases.get(name)) is not None
+        ]
+        for case in differ:
+            before = former.get(case.fingerprint, Standing.CLEAR)
+            self._log_standing(case, before)
+        if differ and self._on_change is not None:
+            self._on_change(differ)
+
+    def _log_standing(self, case: Case, before: Standing) -> None:
+        standing = self.standing(case.fingerprint)
+        marks = case.open_marks
+        fields = {
+            "fingerprint": case.fingerprint,
+            "standing": standing.value,
+            "former": before.value,
+            "service": case.service,
+            "crashes": len(marks),
+            "alone": sum(mark.alone for mark in marks.values()),
+            "targets": sorted(marks),
+        }
+        if standing is Standing.HELD:
+            _log.warning("request held back", **fields)
+        else:
+            _log.info("standing of a request", **fields)
+
+    def _forget(self, now: float) -> None:
+        for name, case in list(self._cases.items()):
+            case.forget_before(now - KEPT)
+            if not case.marks:
+                del self._cases[name]
+        if len(self._cases) <= MOST_CASES:
+            return
+        ordered = sorted(
+            self._cases.values(),
+            key=lambda case: (len(case.open_marks), case.newest),
+            reverse=True,
+        )
+        self._cases = {case.fingerprint: case for case in ordered[:MOST_CASES]}
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_watch.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_watch.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import curio
 
@@ -24,6 +25,9 @@
 by its crash: signs come by several connections."""
 EARLY = 1.0
 """Seconds after its first event up to which a crash comes early in a run."""
+TRIAL_TIME = 0.5
+"""Seconds after its first event for which a suspect is on trial: a request that crashes
+its target does so as it begins."""
 MOST_NAMED = 8
 """Runs that the line of a crash names."""
 
@@ -39,12 +43,16 @@
         began: When it was sent.
         first_event_at: When its first event came; 0: none did.
         ended_at: When it broke; 0: it hasn't.
+        suspect: It was sent as a suspect, to a target without another one.
+        followed: Another run began at the target while this one was on trial.
     """
 
     fingerprint: Fingerprint
     began: float
     first_event_at: float = 0.0
     ended_at: float = 0.0
+    suspect: bool = False
+    followed: bool = False
 
     @property
     def is_early(self) -> bool:
@@ -53,6 +61,17 @@
             return True
         return self.ended_at - self.first_event_at <= EARLY
 
+    def is_on_trial(self, now: float) -> bool:
+        """Tell whether it is a suspect that has run for a short time only."""
+        if not self.suspect:
+            return False
+        return not self.first_event_at or now - self.first_event_at <= TRIAL_TIME
+
+    @property
+    def is_alone(self) -> bool:
+        """Tell whether nothing else can have crashed the target that broke it."""
+        return self.is_on_trial(self.ended_at) and not self.followed
+
 
 @dataclass(frozen=True)
 class Crash:
@@ -69,6 +88,16 @@
     runs: list[WatchedRun]
 
 
+class CrashListener(Protocol):
+    """Who is told of crashes, and of requests that ran without one."""
+
+    def note_crash(self, crash: Crash) -> None:
+        """Count a crash; told again for runs that break later by it."""
+
+    def note_answered(self, name: Fingerprint) -> None:
+        """Count a request that a target has answered in whole."""
+
+
 @dataclass(eq=False)
 class _Watched:
     """What is known of one start of a target."""
@@ -77,6 +106,7 @@
     heard_at: float
     crashed_at: float = 0.0
     broken: deque[WatchedRun] = field(default_factory=lambda: deque(maxlen=MOST_BROKEN))
+    trials: set[WatchedRun] = field(default_factory=set)
     looking: curio.Event | None = None
 
 
@@ -89,31 +119,37 @@
 
     Args:
         is_refused: Tells whether nothing listens at an address.
-        on_crash: Called with each crash, and again for runs that break later by it.
+        listener: Is told what is seen.
         metrics: Counters.
     """
 
     def __init__(
         self,
         is_refused: Callable[[str], Awaitable[bool]],
-        on_crash: Callable[[Crash], None],
+        listener: CrashListener,
         metrics: Metrics,
     ) -> None:
         self._is_refused = is_refused
-        self._on_crash = on_crash
+        self._listener = listener
         self._metrics = metrics
         self._targets: dict[str, _Watched] = {}
 
-    def begin(self, target: TargetInfo, name: Fingerprint) -> WatchedRun:
+    def begin(
+        self, target: TargetInfo, name: Fingerprint, suspect: bool = False
+    ) -> WatchedRun:
         """Count a request that is sent to a target."""
         now = monotonic()
+        run = WatchedRun(name, now, suspect=suspect)
         known = self._targets.get(target.incarnation)
         if known is None:
             self._forget_old(now)
-            self._targets[target.incarnation] = _Watched(target, now)
-        else:
-            known.info = target
-        return WatchedRun(name, now)
+            known = self._targets[target.incarnation] = _Watched(target, now)
+        known.info = target
+        for other in known.trials:
+            other.followed = other.followed or other.is_on_trial(now)
+        if suspect:
+            known.trials.add(run)
+        return run
 
     def note_event(self, target: TargetInfo, run: WatchedRun) -> None:
         """Count a sign of life in the answer to a run."""
@@ -122,6 +158,16 @@
             run.first_event_at = now
         self.note_heard(target, now)
 
+    def note_answered(self, target: TargetInfo, run: WatchedRun) -> None:
+        """Count a run that ended with a whole answer."""
+        self._end(target, run)
+        self.note_heard(target, monotonic())
+        self._listener.note_answered(run.fingerprint)
+
+    def note_not_run(self, target: TargetInfo, run: WatchedRun) -> None:
+        """Count a run that the target never began."""
+        self._end(target, run)
+
     def note_heard(self, target: TargetInfo, now: float) -> None:
         """Count a sign of life of a target."""
         known = self._targets.get(target.incarnation)
@@ -130,8 +176,7 @@
 
     def note_broken(self, target: TargetInfo, run: WatchedRun) -> None:
         """Count a run that ended without a whole answer."""
-        run.ended_at = monotonic()
-        known = self._targets.get(target.incarnation)
+        known = self._end(target, run)
         if known is None:
             return
         if known.crashed_at:
@@ -140,6 +185,13 @@
             return
         known.broken.append(run)
 
+    def _end(self, target: TargetInfo, run: WatchedRun) -> _Watched | None:
+        run.ended_at = monotonic()
+        known = self._targets.get(target.incarnation)
+        if known is not None:
+            known.trials.discard(run)
+        return known
+
     async def look(self, target: TargetInfo) -> bool:
         """Tell whether a target has crashed whose answer broke off just now.
 
@@ -203,7 +255,7 @@
         self._metrics.incr("crash.runs", len(runs))
         if len(runs) > 1 or runs[0].is_early:
             self._log(known, runs)
-        self._on_crash(Crash(known.info, known.crashed_at, runs))
+        self._listener.note_crash(Crash(known.info, known.crashed_at, runs))
 
     def _log(self, known: _Watched, runs: list[WatchedRun]) -> None:
         early = [run for run in runs if run.is_early]
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -0,0 +1,224 @@
+"""What an entry host does with requests that were beside crashes of targets."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.logs import get_logger
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.peers import Area, PeerError, Peers
+from bronzepoint_common.rendezvous import rendezvous_order
+from bronzepoint_schema.generated.quarantine import (
+    CrashNotice,
+    QuarantineMessage,
+    TrialReply,
+    TrialRequest,
+)
+from bronzepoint_schema.ids import Fingerprint, HostName
+
+from ._case import Mark
+from ._crash_table import CrashTable
+from ._crash_watch import Crash
+from ._standing import Standing
+
+MOST_TOLD = 64
+"""Requests in one notice; the others are told with the next questions to the core."""
+EXPIRY_INTERVAL = 1.0
+"""Seconds between two looks for crashes that are too long ago."""
+LEAVE_TIMEOUT = 0.4
+"""Seconds to wait for leave to try a doubtful request: two of the longest trips."""
+TURN_STEP = 0.03
+"""Seconds between two looks whether another copy of a suspect has ended."""
+AGAIN_AFTER = 3.0
+"""Seconds after which the caller of a doubtful request may come back."""
+TOGETHER = 0.5
+"""Seconds within which crashes of one data center count as one event,"""
+MOST_TOGETHER = 2
+"""and targets up to which they don't."""
+MOST_LATEST = 64
+"""Crashes that are compared."""
+
+_log = get_logger("quarantine")
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """The request may be placed.
+
+    Attributes:
+        suspect: It goes to a target apart from other suspects.
+        by_leave: A host of the core has given leave for this trial.
+    """
+
+    suspect: bool = False
+    by_leave: bool = False
+
+
+@dataclass(frozen=True)
+class Held:
+    """The request may not reach a target.
+
+    Attributes:
+        retry_after: Seconds until it may be tried again.
+    """
+
+    retry_after: float
+
+
+Admission = Admitted | Held
+
+
+class Quarantine:
+    """Decides by what all hosts have seen whether a request may be sent on, and how.
+
+    Args:
+        table: What is known of crashes.
+        peers: Links to the other hosts.
+        core: Gives the hosts of the core.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        table: CrashTable,
+        peers: Peers,
+        core: Callable[[], list[HostName]],
+        metrics: Metrics,
+    ) -> None:
+        self._table = table
+        self._peers = peers
+        self._core = core
+        self._metrics = metrics
+        self._trials: set[Fingerprint] = set()
+        self._latest: deque[Crash] = deque(maxlen=MOST_LATEST)
+        self._task: curio.Task | None = None
+        peers.register(Area.QUARANTINE, QuarantineMessage, self._take)
+
+    async def start(self) -> None:
+        """Begin to forget what is too long ago."""
+        self._task = await curio.spawn(self._expire, daemon=True)
+
+    async def close(self) -> None:
+        """Stop forgetting."""
+        if self._task is not None:
+            await self._task.cancel()
+
+    async def _take(self, peer: HostName, message: QuarantineMessage) -> None:
+        if isinstance(message, CrashNotice):
+            self._table.merge(message.cases, monotonic())
+
+    def note_crash(self, crash: Crash) -> None:
+        """Count a crash for the requests of this host that ran there."""
+        target = crash.target.incarnation
+        marks: dict[Fingerprint, Mark] = {}
+        for run in crash.runs:
+            mark = Mark(crash.at, run.is_early, run.is_alone)
+            if run.fingerprint in marks:
+                marks[run.fingerprint].join(mark)
+            elif run.fingerprint:
+                marks[run.fingerprint] = mark
+        now = monotonic()
+        self._table.note(marks, crash.target.service, target, now)
+        self._excuse_outage(crash, now)
+        self._tell(marks)
+
+    def note_answered(self, name: Fingerprint) -> None:
+        """Count a whole answer of a target: the request crashes none."""
+        if name in self._table and self._table.clear(name, monotonic()):
+            self._metrics.incr("quarantine.cleared")
+            self._tell([name])
+
+    def _excuse_outage(self, crash: Crash, now: float) -> None:
+        """Blame nobody where many targets of a data center end together."""
+        self._latest.append(crash)
+        place = crash.target.data_center
+        together = {
+            other.target.incarnation
+            for other in self._latest
+            if other.target.data_center == place and now - other.at <= TOGETHER
+        }
+        if len(together) > MOST_TOGETHER:
+            self._table.excuse(together, now)
+            self._tell({r.fingerprint for c in self._latest for r in c.runs})
+
+    def standing(self, name: Fingerprint) -> Standing:
+        """Return how a request is treated now."""
+        return self._table.standing(name)
+
+    async def admit(
+        self, name: Fingerprint, until: float, has_leave: bool = False
+    ) -> Admission:
+        """Return whether a request may be placed; ``leave`` it after a suspect's try.
+
+        Args:
+            name: The request.
+            until: Until when it may wait for another copy of itself.
+            has_leave: A host of the core has given leave already.
+        """
+        while name in self._trials and self._is_on_trial(name):
+            if monotonic() >= until:
+                return Held(AGAIN_AFTER)
+            await curio.sleep(TURN_STEP)
+        match self._table.standing(name):
+            case Standing.CLEAR:
+                return Admitted()
+            case Standing.HELD:
+                return Held(self._table.held_for(name, monotonic()))
+            case Standing.SUSPECT:
+                self._trials.add(name)
+                return Admitted(suspect=True)
+        self._trials.add(name)
+        granted = has_leave
+        try:
+            granted = granted or await self._ask_leave(name)
+        finally:
+            if not granted:
+                self._trials.discard(name)
+        return Admitted(suspect=True, by_leave=True) if granted else Held(AGAIN_AFTER)
+
+    def _is_on_trial(self, name: Fingerprint) -> bool:
+        return self._table.standing(name) in (Standing.SUSPECT, Standing.DOUBTFUL)
+
+    def leave(self, name: Fingerprint) -> None:
+        """Let the next copy of a suspect be tried."""
+        self._trials.discard(name)
+
+    async def _ask_leave(self, name: Fingerprint) -> bool:
+        """Ask the host of the core that all hosts ask about this request."""
+        core = rendezvous_order(name, self._core())
+        if not core:
+            return False
+        try:
+            reply = await self._peers.call(
+                core[0], Area.QUARANTINE, TrialRequest(name), LEAVE_TIMEOUT
+            )
+        except PeerError as exc:
+            _log.info("no leave for a trial", core=core[0], reason=str(exc))
+            return False
+        granted = isinstance(reply, TrialReply) and reply.granted
+        self._metrics.incr(f"quarantine.trial_{'granted' if granted else 'denied'}")
+        return granted
+
+    def _tell(self, names: Iterable[Fingerprint]) -> None:
+        """Tell the whole core at once what may decide about a request.
+
+        A notice that is lost, and what else there is, goes along with the questions
+        that this host asks anyway.
+        """
+        cases = [case for name in names if (case := self._table.case(name))]
+        urgent = [case for case in cases if any(m.early for m in case.marks.values())]
+        urgent.sort(key=lambda case: len(case.open_marks), reverse=True)
+        if not urgent:
+            return
+        now = monotonic()
+        notice = CrashNotice([case.tell(now) for case in urgent[:MOST_TOLD]])
+        for host in self._core():
+            self._peers.post(host, Area.QUARANTINE, notice)
+
+    async def _expire(self) -> None:
+        while True:
+            await curio.sleep(EXPIRY_INTERVAL)
+            self._table.expire(monotonic())
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -75,6 +75,8 @@
         events: What was passed on of its stream.
         spent: Seconds that its caller had waited before it came here.
         fingerprint: Name of what is asked; the same when its caller asks again.
+        suspect: It was beside several crashes of targets.
+        has_leave: A host of the core has given leave to try it all the same.
         tried: Targets that it was sent to.
         tried_hosts: Hosts of other regions that it was forwarded to.
         sends: Times it was sent to a target or to another region.
@@ -117,6 +119,8 @@
     known_ms: list[int] = field(default_factory=list)
     spent: float = 0.0
     fingerprint: Fingerprint = Fingerprint("")
+    suspect: bool = False
+    has_leave: bool = False
 
     def note_events(self, now: float) -> None:
         """Count events that are passed on."""
--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -9,7 +9,7 @@
 
 from ._call import Answered, Call, NotRun, TryOutcome
 from ._codec import CallerHead
-from ._host_headers import RAN_HEADER
+from ._host_headers import HELD_HEADER, RAN_HEADER
 
 DEFAULT_RETRY_AFTER = 0.3
 """Seconds until a caller comes back where no target has said more."""
@@ -64,6 +64,28 @@
             call.exchange, call.head, rejected.reason, rejected.retry_after, call
         )
 
+    async def hold(self, call: Call, retry_after: float) -> None:
+        """Turn a request away that may reach no target: each that ran it crashed.
+
+        Its caller is told the time after which it may be tried again, so that it
+        doesn't come back in a moment.
+        """
+        self._metrics.incr("refusal.held")
+        if call.exchange.started:
+            await self.give_up(call, call.last_outcome)
+            return
+        headers = {"Retry-After": f"{retry_after:.2f}", HELD_HEADER: "yes"}
+        if call.runs:
+            self.note(call, "may_have_run")
+            headers = call.answer_headers(headers)
+            text = b"its target crashed; it is held back\n"
+            await call.exchange.respond(502, headers, text)
+            return
+        self.note(call, f"refused_{RejectReason.HELD}")
+        headers[RAN_HEADER] = "no"
+        text = b"held back: the targets that ran it have crashed\n"
+        await call.exchange.respond(503, headers, text)
+
     async def refuse(
         self,
         exchange: Exchange,
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -17,14 +17,19 @@
     SchedulerClient,
     service_of,
 )
-from bronzepoint_node.quarantine import fingerprint
+from bronzepoint_node.quarantine import Held, Quarantine, Standing, fingerprint
 from bronzepoint_schema.ids import Fingerprint
 
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import CallerHead, Codec
 from ._events import EventSplitter
 from ._final_answers import FinalAnswers
-from ._host_headers import FINGERPRINT_HEADER, MOST_RUNS_HEADER, RUNS_HEADER
+from ._host_headers import (
+    FINGERPRINT_HEADER,
+    LEAVE_HEADER,
+    MOST_RUNS_HEADER,
+    RUNS_HEADER,
+)
 from ._sender import Sender
 from ._usual_deadlines import UsualDeadlines
 
@@ -58,6 +63,7 @@
         placer: Chooses between the regions.
         homes: Finds targets of the own region.
         allowance: How often requests may be sent again.
+        quarantine: Which requests are held back, or tried apart from others.
         sender: Sends them there.
         answers: Gives final answers.
         codec: Words of callers and targets.
@@ -72,6 +78,7 @@
         placer: Placer,
         homes: SchedulerClient,
         allowance: RetryAllowance,
+        quarantine: Quarantine,
         sender: Sender,
         answers: FinalAnswers,
         codec: Codec,
@@ -80,6 +87,7 @@
         self._placer = placer
         self._homes = homes
         self._allowance = allowance
+        self._quarantine = quarantine
         self._sender = sender
         self._answers = answers
         self._codec = codec
@@ -158,6 +166,7 @@
             headers = exchange.request.headers
             call.runs = _count(headers.get(RUNS_HEADER, ""))
             call.granted_runs = _count(headers.get(MOST_RUNS_HEADER, ""))
+            call.has_leave = LEAVE_HEADER in headers
         return call
 
     async def _answer_while_wanted(self, call: Call) -> None:
@@ -211,18 +220,40 @@
             self._allowance.note_request(service, monotonic())
         waited_until = monotonic() + WAIT_SHARE * call.route.objective
         while True:
-            placement = await self._find_place(call, waited_until)
-            if isinstance(placement, Rejected):
-                call.notes.append(self._placer.known_room(self._ask(call), monotonic()))
-                await self._answers.reject(call, placement)
-                return
-            if call.arrivals and not self._allowance.take(service, monotonic()):
-                await self._answers.give_up(call, call.last_outcome)
-                return
-            outcome = await self._sender.send(call, placement, service)
-            call.last_outcome = outcome
-            if await self._settled(call, outcome):
+            admission = await self._quarantine.admit(
+                call.fingerprint, waited_until, call.has_leave
+            )
+            if isinstance(admission, Held):
+                await self._answers.hold(call, admission.retry_after)
                 return
+            call.suspect = admission.suspect
+            call.has_leave = call.has_leave or admission.by_leave
+            try:
+                if await self._try_once(call, service, waited_until):
+                    return
+            finally:
+                if call.suspect:
+                    self._quarantine.leave(call.fingerprint)
+
+    async def _try_once(self, call: Call, service: str, until: float) -> bool:
+        """Place a request and send it there; False: it is to be tried again."""
+        placement = await self._find_place(call, until)
+        if isinstance(placement, Rejected):
+            call.notes.append(self._placer.known_room(self._ask(call), monotonic()))
+            await self._answers.reject(call, placement)
+            return True
+        if not call.suspect and self._is_in_doubt(call):
+            # Hosts have heard of a crash while it stood in line.
+            return False
+        if call.arrivals and not self._allowance.take(service, monotonic()):
+            await self._answers.give_up(call, call.last_outcome)
+            return True
+        outcome = await self._sender.send(call, placement, service)
+        call.last_outcome = outcome
+        return await self._settled(call, outcome)
+
+    def _is_in_doubt(self, call: Call) -> bool:
+        return self._quarantine.standing(call.fingerprint) is not Standing.CLEAR
 
     async def _find_place(self, call: Call, until: float) -> Placement:
         """Return a place, or the refusal where there is none by ``until``."""
@@ -257,6 +288,7 @@
             call.rank(monotonic()),
             call.arrived,
             len(call.body),
+            call.suspect,
         )
 
     async def _settled(self, call: Call, outcome: TryOutcome) -> bool:
@@ -275,6 +307,9 @@
                 self._answers.note(call, f"answered_{status}")
                 await call.exchange.respond(status, call.answer_headers(headers), body)
                 return True
+            case NotRun(reason="held", retry_after=retry_after):
+                await self._answers.hold(call, retry_after)
+                return True
             case NotRun():
                 if call.sends < MOST_SENDS:
                     return False
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -26,6 +26,7 @@
 from ._host_headers import (
     FINGERPRINT_HEADER,
     FORWARDED_HEADER,
+    LEAVE_HEADER,
     MOST_RUNS_HEADER,
     RUNS_HEADER,
 )
@@ -149,7 +150,9 @@
         speeds, rank = self._placer.speeds, call.rank(now)
         prompt, source = call.head.prompt, placement.fetch_from
         uncached = target.begin(run_id, prompt, rank, now, placement.cached_tokens)
-        watched = self._watch.begin(target.info, call.fingerprint)
+        watched = self._watch.begin(target.info, call.fingerprint, call.suspect)
+        if call.suspect:
+            target.trials.add(watched)
 
         def progressed(events: int, seconds: float) -> None:
             self._watch.note_event(target.info, watched)
@@ -191,6 +194,7 @@
             result = _result_of(outcome)
         finally:
             target.load.end(run_id)
+            target.trials.discard(watched)
             seconds = monotonic() - now
             self._table.note_result(target, result, seconds, monotonic())
             self._note_end(target.info, watched, outcome)
@@ -210,8 +214,10 @@
         self, target: TargetInfo, run: WatchedRun, outcome: TryOutcome | None
     ) -> None:
         match outcome:
-            case Answered() | NotRun(by_target=True):
-                self._watch.note_heard(target, monotonic())
+            case Answered():
+                self._watch.note_answered(target, run)
+            case NotRun():
+                self._watch.note_not_run(target, run)
             case MayHaveRun() | None:
                 self._watch.note_broken(target, run)
 
@@ -228,6 +234,8 @@
         )
         headers[FORWARDED_HEADER] = self._region
         headers[FINGERPRINT_HEADER] = call.fingerprint
+        if call.has_leave:
+            headers[LEAVE_HEADER] = "yes"
         headers[RUNS_HEADER] = str(call.counted_runs)
         # Where its answer is lost, this host must know how often it ran there at most.
         headers[MOST_RUNS_HEADER] = str(call.counted_runs + 1)
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -17,7 +17,7 @@
 
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec, TargetVerdict
-from ._host_headers import RAN_HEADER
+from ._host_headers import HELD_HEADER, RAN_HEADER
 
 
 @dataclass(frozen=True)
@@ -98,6 +98,8 @@
 
     async def _take(self, answer: ClientAnswer) -> TryOutcome:
         call = self._call
+        if answer.headers.get(RAN_HEADER) == "no" and HELD_HEADER in answer.headers:
+            return NotRun("held", retry_after=_retry_after(answer.headers))
         if answer.headers.get(RAN_HEADER) == "no":
             return NotRun("region_refused", retry_after=_retry_after(answer.headers))
         match self._codec.judge(call.head, answer.status, answer.headers):
--- /dev/null
+++ b/tests/test_quarantine_admission.py
@@ -0,0 +1,251 @@
+"""Which requests an entry host sends on, and what the core gives leave for."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import curio
+from nose2.tools import params
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.peers import PeerTimeout
+from bronzepoint_node.core import QuarantineKeeper
+from bronzepoint_node.core._trial_permits import MOST_TRIALS, TRIAL_GAP, TrialPermits
+from bronzepoint_node.quarantine import (
+    KEPT,
+    Admitted,
+    Crash,
+    CrashTable,
+    Held,
+    Mark,
+    Quarantine,
+    Standing,
+    WatchedRun,
+)
+from bronzepoint_schema.generated.fleet import TargetInfo
+from bronzepoint_schema.generated.quarantine import (
+    CrashNotice,
+    TrialReply,
+    TrialRequest,
+)
+
+
+class Links:
+    """Peers that note what is posted, and answer calls as a test says."""
+
+    def __init__(self, reply=None):
+        self.reply = reply
+        self.posted = []
+        self.calls = []
+
+    def register(self, area, message, handler):
+        self.handler = handler
+
+    def post(self, peer, area, message):
+        self.posted.append((peer, message))
+        return True
+
+    async def call(self, peer, area, message, timeout):
+        self.calls.append(peer)
+        if self.reply is None:
+            raise PeerTimeout(peer, timeout)
+        return self.reply
+
+
+def crashed(table, name, crashes, alone=False):
+    for number in range(crashes):
+        marks = {name: Mark(monotonic(), True, alone)}
+        table.note(marks, "s", f"t{number}", monotonic())
+
+
+def target(name, data_center="x-a"):
+    return TargetInfo(name, "s", "10.0.0.1:80", data_center, 6, False, 0)
+
+
+def broken(name, suspect=False):
+    now = monotonic()
+    return WatchedRun(name, now - 0.1, ended_at=now, suspect=suspect)
+
+
+def made(reply=None, core=("c1", "c2", "c3")):
+    links = Links(reply)
+    table = CrashTable()
+    return Quarantine(table, links, lambda: list(core), Metrics()), table, links
+
+
+class TestAdmission(unittest.TestCase):
+    @params(
+        # crashes, alone, the core's answer, what follows
+        (0, False, None, Admitted()),
+        (1, False, None, Admitted()),
+        (2, False, None, Admitted(suspect=True)),
+        (3, False, TrialReply(True), Admitted(suspect=True, by_leave=True)),
+        (3, False, TrialReply(False), Held),
+        (3, False, None, Held),
+        (3, True, TrialReply(True), Held),
+        (5, False, TrialReply(True), Held),
+    )
+    def test_by_crashes(self, crashes, alone, reply, expected):
+        quarantine, table, links = made(reply)
+        crashed(table, "q", crashes, alone)
+        found = curio.run(quarantine.admit, "q", monotonic())
+        if expected is Held:
+            self.assertIsInstance(found, Held)
+            self.assertGreater(found.retry_after, 1.0)
+        else:
+            self.assertEqual(found, expected)
+        self.assertEqual(len(links.calls), int(crashes == 3 and not alone))
+
+    def test_ordinary_requests_ask_nobody(self):
+        quarantine, _, links = made()
+        curio.run(quarantine.admit, "any", monotonic())
+        self.assertEqual(links.calls, [])
+
+    def test_all_hosts_ask_the_same_host_for_leave(self):
+        asked = set()
+        for core in (("c1", "c2", "c3"), ("c3", "c1", "c2")):
+            quarantine, table, links = made(TrialReply(True), core)
+            crashed(table, "q", 3)
+            curio.run(quarantine.admit, "q", monotonic())
+            asked.update(links.calls)
+        self.assertEqual(len(asked), 1)
+
+    def test_one_copy_of_a_suspect_is_tried_at_a_time(self):
+        """Guards against a popular suspect that is refused, or tried many at once."""
+
+        async def main():
+            quarantine, table, _ = made()
+            crashed(table, "q", 2)
+            until = monotonic() + 1.0
+            first = await quarantine.admit("q", until)
+            late = await quarantine.admit("q", monotonic())
+            second = await curio.spawn(quarantine.admit, "q", until)
+            await curio.sleep(0.05)
+            quarantine.note_answered("q")
+            quarantine.leave("q")
+            return first, late, await second.join()
+
+        first, late, second = curio.run(main)
+        self.assertEqual(first, Admitted(suspect=True))
+        self.assertIsInstance(late, Held)
+        self.assertEqual(second, Admitted())
+
+
+class TestNews(unittest.TestCase):
+    def test_crash_and_whole_answer_are_told_to_the_whole_core(self):
+        quarantine, table, links = made()
+        for name in ("t1", "t2"):
+            quarantine.note_crash(Crash(target(name), monotonic(), [broken("q")]))
+        self.assertEqual([peer for peer, _ in links.posted], ["c1", "c2", "c3"] * 2)
+        self.assertIs(table.standing("q"), Standing.SUSPECT)
+        quarantine.note_answered("q")
+        self.assertIs(table.standing("q"), Standing.CLEAR)
+        self.assertTrue(links.posted[-1][1].cases[0].marks[0].cleared)
+
+    def test_trial_that_nothing_followed_was_alone(self):
+        quarantine, table, _ = made()
+        runs = [broken("q", suspect=True), broken("a")]
+        quarantine.note_crash(Crash(target("t1"), monotonic(), runs))
+        self.assertTrue(table.case("q").marks["t1"].alone)
+        self.assertFalse(table.case("a").marks["t1"].alone)
+
+    @params(("x-a", Standing.CLEAR), ("", Standing.SUSPECT))
+    def test_data_center_that_ends_at_once_blames_nobody(self, place, expected):
+        """Guards against a region without power that makes all its requests guilty."""
+        quarantine, table, _ = made()
+        for cut in range(2):
+            for number in range(3):
+                info = target(f"t{cut}{number}", place or f"x-{number}")
+                run = broken(f"of {number}")
+                quarantine.note_crash(Crash(info, monotonic(), [run]))
+        self.assertIs(table.standing("of 1"), expected)
+
+
+class TestPermits(unittest.TestCase):
+    def test_a_doubtful_request_is_tried_a_few_times(self):
+        permits = TrialPermits()
+        times = [n * 0.5 for n in range(200)]
+        granted = [at for at in times if permits.take("q", at)]
+        self.assertEqual(len(granted), MOST_TRIALS)
+        self.assertGreaterEqual(granted[1] - granted[0], TRIAL_GAP)
+        self.assertTrue(permits.take("other", 0.0))
+        self.assertTrue(permits.take("q", KEPT * 2))
+
+
+class TestKeeper(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def keeper(self):
+        links = Links()
+        return QuarantineKeeper(links, self.folder, lambda: ["e1", "e2"]), links
+
+    def test_kill_of_everything_forgets_nothing(self):
+        async def main():
+            keeper, _ = self.keeper()
+            await keeper.start()
+            crashed(keeper.table, "q", 3, alone=True)
+            await keeper._save()
+            await keeper.close()
+            again, _ = self.keeper()
+            await again.start()
+            await again.close()
+            return again.table.standing("q"), again.table.held_for("q", monotonic())
+
+        standing, left = curio.run(main)
+        self.assertIs(standing, Standing.HELD)
+        self.assertAlmostEqual(left, KEPT, delta=60.0)
+
+    def test_damaged_file_is_no_reason_not_to_start(self):
+        (self.folder / "quarantine.snapshot").write_bytes(b"damaged")
+
+        async def main():
+            keeper, _ = self.keeper()
+            await keeper.start()
+            await keeper.close()
+            return len(keeper.table)
+
+        self.assertEqual(curio.run(main), 0)
+
+    def test_entry_hosts_are_told_at_once_of_a_new_standing(self):
+        """Guards against the next crash, at a host that would ask a moment later."""
+
+        async def main():
+            keeper, links = self.keeper()
+            seen = CrashTable()
+            crashed(seen, "q", 1)
+            notice = CrashNotice(seen.share(monotonic(), 16))
+            await links.handler("e1", notice)
+            before = len(links.posted)
+            crashed(seen, "q", 3, alone=True)
+            await links.handler("e1", CrashNotice(seen.share(monotonic(), 16)))
+            return before, [peer for peer, _ in links.posted]
+
+        self.assertEqual(curio.run(main), (0, ["e1", "e2"]))
+
+    @params((3, True, [False]), (3, False, [True, False]), (0, False, [True, False]))
+    def test_leave_for_trials(self, crashes, alone, expected):
+        async def main():
+            keeper, links = self.keeper()
+            crashed(keeper.table, "q", crashes, alone)
+            replies = [await links.handler("e1", TrialRequest("q")) for _ in range(2)]
+            return [reply.granted for reply in replies]
+
+        self.assertEqual(curio.run(main)[: len(expected)], expected)
+
+    def test_operator_releases_a_request(self):
+        keeper, _ = self.keeper()
+        crashed(keeper.table, "q", 3, alone=True)
+        ((case, standing, left),) = keeper.suspects()
+        self.assertEqual((case.fingerprint, standing), ("q", Standing.HELD))
+        self.assertGreater(left, 0.0)
+        self.assertTrue(keeper.release("q"))
+        self.assertFalse(keeper.release("q"))
+        self.assertEqual(keeper.suspects(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_quarantine_crash_watch.py
+++ b/tests/test_quarantine_crash_watch.py
@@ -21,7 +21,14 @@
         self.refused = False
         self.looks = 0
         self.crashes = []
-        self.watch = CrashWatch(self._is_refused, self.crashes.append, Metrics())
+        self.answered = []
+        self.watch = CrashWatch(self._is_refused, self, Metrics())
+
+    def note_crash(self, crash):
+        self.crashes.append(crash)
+
+    def note_answered(self, name):
+        self.answered.append(name)
 
     async def _is_refused(self, address):
         self.looks += 1
--- a/tests/test_quarantine_processes.py
+++ b/tests/test_quarantine_processes.py
@@ -1,5 +1,7 @@
 """One request that crashes each target that begins it, before real processes."""
 
+import itertools
+import signal
 import unittest
 
 import curio
@@ -8,12 +10,21 @@
 from tests._crashing_site import (
     CONTACT,
     MOST_ARRIVALS,
+    POISON,
+    SLOW,
     Callers,
     CrashingSite,
 )
 
 AFTER = 4.0
 """Seconds for which arrivals are counted once each of them counts."""
+BATCH = 12
+"""Streams that run when the first target crashes."""
+MANY = {
+    **{f"core-{n}": ("core", f"127.0.0.{10 + n}") for n in (1, 2, 3)},
+    **{f"entry-{n}": ("entry", f"127.0.0.{20 + n}") for n in range(1, 9)},
+}
+"""So many entry hosts that a host of the core chooses targets for all."""
 
 
 async def poison_until_late(site, path, *more):
@@ -23,6 +34,14 @@
     return callers
 
 
+async def crash_three(site, callers, path):
+    """Ask at host after host until three targets have crashed."""
+    for address in itertools.cycle(site.addresses()):
+        if len(site.crashes()) >= 3:
+            return
+        await callers.ask(address, path, POISON)
+
+
 class TestQueryOfDeath(unittest.TestCase):
     @params(
         # path of the request, targets start again under their id
@@ -43,6 +62,109 @@
         self.assertLessEqual(late, MOST_ARRIVALS)
         self.assertEqual(served, 1.0)
 
+    def test_hosts_know_it_without_their_scheduler(self):
+        """Guards against knowledge of a request that ends with one host of the core."""
+
+        async def main():
+            async with CrashingSite(hosts=MANY) as site:
+                callers = Callers(site, "/safe/death")
+                await crash_three(site, callers, "/safe/death")
+                for name in ("core-1", "core-2"):
+                    site.signal(name, signal.SIGKILL)
+                await curio.sleep(CONTACT)
+                answers = [
+                    await callers.ask(address, "/safe/death", POISON)
+                    for address in site.addresses()
+                ]
+                return len(site.late_arrivals()), [a.status for a in answers]
+
+        late, statuses = curio.run(main)
+        self.assertLessEqual(late, MOST_ARRIVALS)
+        self.assertEqual(statuses, [503] * 8)
+
+    @params(
+        ("entry-2",), ("core-1", "core-2", "core-3", *(f"entry-{n}" for n in (1, 2, 3)))
+    )
+    def test_started_hosts_know_it(self, *killed):
+        """Guards against hosts that forget a request with their processes."""
+
+        async def main():
+            async with CrashingSite() as site:
+                callers = Callers(site, "/safe/death")
+                await crash_three(site, callers, "/safe/death")
+                # What was just seen reaches the disks of the core meanwhile.
+                await curio.sleep(2.0)
+                for name in killed:
+                    site.signal(name, signal.SIGKILL)
+                for name in killed:
+                    site.processes[name].wait()
+                    site.start(name, first=False)
+                await curio.sleep(CONTACT)
+                await site.until(site._is_ready)
+                before = len(site.arrivals())
+                answers = [
+                    await callers.ask(address, "/safe/death", POISON)
+                    for address in site.addresses()
+                ]
+                return len(site.arrivals()) - before, {a.status for a in answers}
+
+        arrivals, statuses = curio.run(main)
+        self.assertEqual((arrivals, statuses), (0, {503}))
+
+    def test_caller_is_told_not_to_come_back_in_a_moment(self):
+        async def main():
+            async with CrashingSite() as site:
+                callers = Callers(site, "/once/death")
+                await crash_three(site, callers, "/once/death")
+                await curio.sleep(1.0)
+                (address, *_) = site.addresses()
+                answer = await callers.ask(address, "/once/death", POISON)
+                (line,) = [
+                    line
+                    for line in site.lines("entry-1")
+                    if line.get("outcome") == "refused_held"
+                ]
+                return answer, line
+
+        answer, line = curio.run(main)
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["retry-after"]), 60.0)
+        self.assertEqual(line["sends"], 0)
+
+
+class TestBystanders(unittest.TestCase):
+    def test_streams_beside_the_crashes_go_on_being_served(self):
+        """Guards against blame for a batch that ran at each target that crashed."""
+
+        async def main():
+            async with CrashingSite() as site:
+                callers = Callers(site, "/stream/death")
+                found = []
+
+                async def stream(number, address):
+                    path = f"/stream/batch-{number}"
+                    found.append(await callers.ask(address, path, SLOW, wait=20.0))
+
+                async def whole_batch():
+                    for number, address in zip(
+                        range(BATCH), itertools.cycle(site.addresses()), strict=False
+                    ):
+                        await curio.spawn(stream, number, address, daemon=True)
+
+                await whole_batch()
+                await curio.sleep(0.5)
+                await crash_three(site, callers, "/stream/death")
+                await curio.sleep(8.0)
+                first = len(found)
+                await whole_batch()
+                await curio.sleep(6.0)
+                return first, found[first:]
+
+        first, again = curio.run(main)
+        self.assertEqual(first, BATCH)
+        self.assertEqual([answer.status for answer in again], [200] * BATCH)
+        self.assertEqual({answer.body.count(b"id: ") for answer in again}, {20})
+
 
 if __name__ == "__main__":
     unittest.main()
