Name the one request among many suspects, and whatever its caller's address

Two crashes made suspects of them, hosts that don't hear of each other in time sent one each to the same idle target, and each took its own for the only one there. A crash with a suspect on trial counted for nobody else: so each crash hid the one behind a bystander. A test on tables brings it about (five crashes, each with another bystander alone) and failed before: the one stayed a suspect for good. - What is asked was known by the caller's address, too.

Why it works: only what is held back explains a crash for others; alone is who found nothing there that hadn't begun, was followed by nothing, and whose claim nobody else makes. A run past its beginning clears what came as it began, so bystanders lose their marks at their next target, and the one never does. A second name without the caller adds up over addresses; by it alone a request is tried by leave at most, as another caller's may be sound. Suspects aren't turned away for want of a target of their own.

--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -29,6 +29,7 @@
         cached_tokens: Tokens of the prompt that needn't be read there.
         tokens_before: Prompt tokens that are read there before its own.
         known_age: Seconds that what the choice went by may be old.
+        quiet: Nothing that hasn't begun is known to be there.
     """
 
     target: Tracked
@@ -38,6 +39,7 @@
     cached_tokens: int = 0
     tokens_before: float = 0.0
     known_age: float = 0.0
+    quiet: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_home_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_home_choice.py
@@ -95,7 +95,7 @@
         open_to_all = [target for target in usable if not target.is_apart(now)]
         if ask.suspect:
             open_to_all.sort(key=lambda target: target.load.in_flight(now))
-            return [[target] for target in open_to_all]
+            return [*([target] for target in open_to_all), usable]
         if len(open_to_all) == len(usable):
             return [usable]
         return [open_to_all, usable]
@@ -124,12 +124,23 @@
     ) -> AtHome:
         rate = self._speeds.rate(ask.service).tokens_per_second
         before = target.load.tokens_before(ask.rank, rate, now)
+        quiet = target.load.total(now).is_quiet
         if ask.prompt is None:
-            return AtHome(target, choice.reason, choice.expected, None, 0, before)
+            return AtHome(
+                target, choice.reason, choice.expected, None, 0, before, quiet=quiet
+            )
         source = fetch_source(target, usable, ask.prompt, rate, now)
         keepers = [target] if source is None else [target, source]
         cached = max(keeper.memory.cached_tokens(ask.prompt) for keeper in keepers)
-        return AtHome(target, choice.reason, choice.expected, source, cached, before)
+        return AtHome(
+            target,
+            choice.reason,
+            choice.expected,
+            source,
+            cached,
+            before,
+            quiet=quiet,
+        )
 
     def seconds_to_drain(self, service: str, waiting: int) -> float:
         """Return in which time the targets of a service begin so many requests."""
--- a/packages/node/src/bronzepoint_node/placement/_load_sum.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_sum.py
@@ -42,6 +42,15 @@
     unread: list[int]
     head: ReadingHead | None
 
+    @property
+    def is_quiet(self) -> bool:
+        """Tell whether each of them has begun, as far as can be told."""
+        # Of requests without a prompt nobody tells whether they have.
+        has_prompts = self.memory_tokens > 0
+        if self.in_flight and not has_prompts:
+            return False
+        return self.head is None and not any(self.unread)
+
     @classmethod
     def of(cls, words: Iterable[tuple[float, TargetLoad]]) -> Self:
         """Add up words of several hosts, each with the time that it speaks of."""
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -102,6 +102,7 @@
                     round(found.delay * 1000),
                     found.reason,
                     round(found.known_age * 1000),
+                    found.quiet,
                 )
 
     async def _find(self, ask: HomeAsk, wait: float, claim: Claim) -> HomeAnswer:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -125,6 +125,7 @@
             grant.cached_tokens,
             grant.tokens_before,
             grant.known_ms / 1000,
+            grant.quiet,
         )
 
     async def _ask(
--- a/packages/node/src/bronzepoint_node/quarantine/__init__.py
+++ b/packages/node/src/bronzepoint_node/quarantine/__init__.py
@@ -3,7 +3,7 @@
 from ._case import KEPT, Case, Mark
 from ._crash_table import CrashTable
 from ._crash_watch import Crash, CrashWatch, WatchedRun
-from ._fingerprint import fingerprint
+from ._fingerprint import RequestNames, name_request
 from ._quarantine import Admitted, Held, Quarantine
 from ._standing import SUSPECT_FROM, Standing
 
@@ -18,7 +18,8 @@
     "Held",
     "Mark",
     "Quarantine",
+    "RequestNames",
     "Standing",
     "WatchedRun",
-    "fingerprint",
+    "name_request",
 ]
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -7,6 +7,7 @@
 from bronzepoint_schema.ids import Fingerprint
 
 from ._case import KEPT, Case, Mark
+from ._fingerprint import RequestNames
 from ._standing import Standing, judge
 
 MOST_CASES = 1024
@@ -47,9 +48,15 @@
         return [case for case in self._cases.values() if len(case.marks) >= least]
 
     def standing(self, name: Fingerprint) -> Standing:
-        """Return how a request is treated."""
+        """Return how what goes by a name is treated."""
         return self._standings.get(name, Standing.CLEAR)
 
+    def standing_of(self, names: RequestNames) -> Standing:
+        """Return how a request is treated."""
+        if not self._standings:
+            return Standing.CLEAR
+        return max(self.standing(names.exact), self.standing(names.content))
+
     def count(self, standing: Standing) -> int:
         """Return how many requests have a standing other than clear."""
         return sum(found is standing for found in self._standings.values())
@@ -74,15 +81,22 @@
         ]
         self._finish(changed, now)
 
-    def clear(self, name: Fingerprint, now: float) -> bool:
-        """Let a request count as any other; False: nothing spoke against it."""
+    def clear(self, name: Fingerprint, now: float, early_only: bool = False) -> bool:
+        """Let a request count as any other; False: nothing spoke against it.
+
+        Args:
+            name: The request.
+            now: Monotonic seconds.
+            early_only: Only crashes as it began are cleared.
+        """
         case = self._cases.get(name)
-        if case is None or not case.open_marks:
-            return False
-        for mark in case.marks.values():
+        marks = [] if case is None else case.open_marks.values()
+        cleared = [mark for mark in marks if mark.early or not early_only]
+        for mark in cleared:
             mark.cleared = True
-        self._finish([name], now)
-        return True
+        if cleared:
+            self._finish([name], now)
+        return bool(cleared)
 
     def excuse(self, targets: Iterable[str], now: float) -> None:
         """Count a crash of several targets together for nobody.
@@ -177,8 +191,8 @@
         marks = case.open_marks
         fields = {
             "fingerprint": case.fingerprint,
-            "standing": standing.value,
-            "former": before.value,
+            "standing": standing.name.lower(),
+            "former": before.name.lower(),
             "service": case.service,
             "crashes": len(marks),
             "alone": sum(mark.alone for mark in marks.values()),
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_watch.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_watch.py
@@ -11,7 +11,8 @@
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_schema.generated.fleet import TargetInfo
-from bronzepoint_schema.ids import Fingerprint
+
+from ._fingerprint import RequestNames
 
 BROKEN_KEPT = 10.0
 """Seconds for which a run that broke is kept: a silent target that has crashed is known
@@ -23,11 +24,9 @@
 HEARD_MARGIN = 0.1
 """Seconds before the last sign of life of a target within which a run may have broken
 by its crash: signs come by several connections."""
-EARLY = 1.0
-"""Seconds after its first event up to which a crash comes early in a run."""
-TRIAL_TIME = 0.5
-"""Seconds after its first event for which a suspect is on trial: a request that crashes
-its target does so as it begins."""
+EARLY = 0.5
+"""Seconds after its first event within which a request that crashes its target does
+so. A suspect is on trial so long, and one that runs on hasn't crashed it."""
 MOST_NAMED = 8
 """Runs that the line of a crash names."""
 
@@ -39,20 +38,24 @@
     """One try at a target.
 
     Attributes:
-        fingerprint: What was asked.
+        names: What was asked.
         began: When it was sent.
         first_event_at: When its first event came; 0: none did.
         ended_at: When it broke; 0: it hasn't.
         suspect: It was sent as a suspect, to a target without another one.
-        followed: Another run began at the target while this one was on trial.
+        quiet: Nothing else that hadn't begun was known to be there.
+        followed: Another run was sent there while this one was on trial.
+        survived: It ran on past its beginning.
     """
 
-    fingerprint: Fingerprint
+    names: RequestNames
     began: float
     first_event_at: float = 0.0
     ended_at: float = 0.0
     suspect: bool = False
+    quiet: bool = False
     followed: bool = False
+    survived: bool = False
 
     @property
     def is_early(self) -> bool:
@@ -65,12 +68,13 @@
         """Tell whether it is a suspect that has run for a short time only."""
         if not self.suspect:
             return False
-        return not self.first_event_at or now - self.first_event_at <= TRIAL_TIME
+        return not self.first_event_at or now - self.first_event_at <= EARLY
 
     @property
     def is_alone(self) -> bool:
         """Tell whether nothing else can have crashed the target that broke it."""
-        return self.is_on_trial(self.ended_at) and not self.followed
+        on_trial = self.is_on_trial(self.ended_at)
+        return on_trial and self.quiet and not self.followed
 
 
 @dataclass(frozen=True)
@@ -94,7 +98,10 @@
     def note_crash(self, crash: Crash) -> None:
         """Count a crash; told again for runs that break later by it."""
 
-    def note_answered(self, name: Fingerprint) -> None:
+    def note_survived(self, names: RequestNames) -> None:
+        """Count a request that has run on past its beginning."""
+
+    def note_answered(self, names: RequestNames) -> None:
         """Count a request that a target has answered in whole."""
 
 
@@ -135,11 +142,15 @@
         self._targets: dict[str, _Watched] = {}
 
     def begin(
-        self, target: TargetInfo, name: Fingerprint, suspect: bool = False
+        self,
+        target: TargetInfo,
+        names: RequestNames,
+        suspect: bool = False,
+        quiet: bool = False,
     ) -> WatchedRun:
         """Count a request that is sent to a target."""
         now = monotonic()
-        run = WatchedRun(name, now, suspect=suspect)
+        run = WatchedRun(names, now, suspect=suspect, quiet=quiet)
         known = self._targets.get(target.incarnation)
         if known is None:
             self._forget_old(now)
@@ -156,13 +167,16 @@
         now = monotonic()
         if not run.first_event_at:
             run.first_event_at = now
+        elif not run.survived and now - run.first_event_at > EARLY:
+            run.survived = True
+            self._listener.note_survived(run.names)
         self.note_heard(target, now)
 
     def note_answered(self, target: TargetInfo, run: WatchedRun) -> None:
         """Count a run that ended with a whole answer."""
         self._end(target, run)
         self.note_heard(target, monotonic())
-        self._listener.note_answered(run.fingerprint)
+        self._listener.note_answered(run.names)
 
     def note_not_run(self, target: TargetInfo, run: WatchedRun) -> None:
         """Count a run that the target never began."""
@@ -206,8 +220,11 @@
             await known.looking.wait()
             return bool(known.crashed_at)
         known.looking = curio.Event()
+        # What the other connections still deliver meanwhile is from before the crash.
+        heard_at = min(known.heard_at, monotonic())
         try:
             if await self._is_refused(target.address):
+                known.heard_at = heard_at
                 self._note_crashed(known)
         finally:
             await known.looking.set()
@@ -268,7 +285,7 @@
             runs=len(runs),
             early=len(early),
             newest={
-                run.fingerprint: round(run.ended_at - run.began, 3) for run in newest
+                run.names.exact: round(run.ended_at - run.began, 3) for run in newest
             },
         )
 
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -22,6 +22,7 @@
 from ._case import Mark
 from ._crash_table import CrashTable
 from ._crash_watch import Crash
+from ._fingerprint import RequestNames
 from ._standing import Standing
 
 MOST_TOLD = 64
@@ -115,21 +116,29 @@
         target = crash.target.incarnation
         marks: dict[Fingerprint, Mark] = {}
         for run in crash.runs:
-            mark = Mark(crash.at, run.is_early, run.is_alone)
-            if run.fingerprint in marks:
-                marks[run.fingerprint].join(mark)
-            elif run.fingerprint:
-                marks[run.fingerprint] = mark
+            for name in _both(run.names):
+                mark = Mark(crash.at, run.is_early, run.is_alone)
+                marks.setdefault(name, mark).join(mark)
         now = monotonic()
         self._table.note(marks, crash.target.service, target, now)
         self._excuse_outage(crash, now)
         self._tell(marks)
 
-    def note_answered(self, name: Fingerprint) -> None:
+    def note_survived(self, names: RequestNames) -> None:
+        """Count a run that went on past its beginning: it didn't crash its target."""
+        self._clear(names, early_only=True)
+
+    def note_answered(self, names: RequestNames) -> None:
         """Count a whole answer of a target: the request crashes none."""
-        if name in self._table and self._table.clear(name, monotonic()):
-            self._metrics.incr("quarantine.cleared")
-            self._tell([name])
+        self._clear(names)
+
+    def _clear(self, names: RequestNames, early_only: bool = False) -> None:
+        for name in _both(names):
+            if name not in self._table:
+                continue
+            if self._table.clear(name, monotonic(), early_only):
+                self._metrics.incr("quarantine.cleared")
+                self._tell([name])
 
     def _excuse_outage(self, crash: Crash, now: float) -> None:
         """Blame nobody where many targets of a data center end together."""
@@ -142,49 +151,50 @@
         }
         if len(together) > MOST_TOGETHER:
             self._table.excuse(together, now)
-            self._tell({r.fingerprint for c in self._latest for r in c.runs})
+            runs = [run for latest in self._latest for run in latest.runs]
+            self._tell({name for run in runs for name in _both(run.names)})
 
-    def standing(self, name: Fingerprint) -> Standing:
+    def standing(self, names: RequestNames) -> Standing:
         """Return how a request is treated now."""
-        return self._table.standing(name)
+        return self._table.standing_of(names)
 
     async def admit(
-        self, name: Fingerprint, until: float, has_leave: bool = False
+        self, names: RequestNames, until: float, has_leave: bool = False
     ) -> Admission:
         """Return whether a request may be placed; ``leave`` it after a suspect's try.
 
         Args:
-            name: The request.
+            names: The request.
             until: Until when it may wait for another copy of itself.
             has_leave: A host of the core has given leave already.
         """
-        while name in self._trials and self._is_on_trial(name):
+        while names.content in self._trials and self._is_on_trial(names):
             if monotonic() >= until:
                 return Held(AGAIN_AFTER)
             await curio.sleep(TURN_STEP)
-        match self._table.standing(name):
+        match self.standing(names):
             case Standing.CLEAR:
                 return Admitted()
             case Standing.HELD:
-                return Held(self._table.held_for(name, monotonic()))
+                return Held(self._table.held_for(names.exact, monotonic()))
             case Standing.SUSPECT:
-                self._trials.add(name)
+                self._trials.add(names.content)
                 return Admitted(suspect=True)
-        self._trials.add(name)
+        self._trials.add(names.content)
         granted = has_leave
         try:
-            granted = granted or await self._ask_leave(name)
+            granted = granted or await self._ask_leave(names.content)
         finally:
             if not granted:
-                self._trials.discard(name)
+                self._trials.discard(names.content)
         return Admitted(suspect=True, by_leave=True) if granted else Held(AGAIN_AFTER)
 
-    def _is_on_trial(self, name: Fingerprint) -> bool:
-        return self._table.standing(name) in (Standing.SUSPECT, Standing.DOUBTFUL)
+    def _is_on_trial(self, names: RequestNames) -> bool:
+        return self.standing(names) in (Standing.SUSPECT, Standing.DOUBTFUL)
 
-    def leave(self, name: Fingerprint) -> None:
+    def leave(self, names: RequestNames) -> None:
         """Let the next copy of a suspect be tried."""
-        self._trials.discard(name)
+        self._trials.discard(names.content)
 
     async def _ask_leave(self, name: Fingerprint) -> bool:
         """Ask the host of the core that all hosts ask about this request."""
@@ -222,3 +232,8 @@
         while True:
             await curio.sleep(EXPIRY_INTERVAL)
             self._table.expire(monotonic())
+
+
+def _both(names: RequestNames) -> list[Fingerprint]:
+    """Return the names that a request has; another version's host gives it none."""
+    return [name for name in (names.exact, names.content) if name]
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -5,7 +5,7 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import Exchange
 from bronzepoint_node.fleet import ServedRoute
-from bronzepoint_schema.ids import Fingerprint
+from bronzepoint_node.quarantine import RequestNames
 
 from ._codec import CallerHead
 from ._events import EventSplitter
@@ -74,7 +74,7 @@
         forwarded: Another region sent it.
         events: What was passed on of its stream.
         spent: Seconds that its caller had waited before it came here.
-        fingerprint: Name of what is asked; the same when its caller asks again.
+        names: What is asked; the same when its caller asks again.
         suspect: It was beside several crashes of targets.
         has_leave: A host of the core has given leave to try it all the same.
         tried: Targets that it was sent to.
@@ -118,7 +118,7 @@
     notes: list[str] = field(default_factory=list)
     known_ms: list[int] = field(default_factory=list)
     spent: float = 0.0
-    fingerprint: Fingerprint = Fingerprint("")
+    names: RequestNames = RequestNames()
     suspect: bool = False
     has_leave: bool = False
 
--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -137,7 +137,7 @@
         _log.info(
             "request",
             request=call.head.request_id,
-            fingerprint=call.fingerprint,
+            fingerprint=call.names.exact,
             route=call.route.name,
             outcome=outcome,
             forwarded=call.forwarded,
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -17,8 +17,13 @@
     SchedulerClient,
     service_of,
 )
-from bronzepoint_node.quarantine import Held, Quarantine, Standing, fingerprint
-from bronzepoint_schema.ids import Fingerprint
+from bronzepoint_node.quarantine import (
+    Held,
+    Quarantine,
+    RequestNames,
+    Standing,
+    name_request,
+)
 
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import CallerHead, Codec
@@ -160,7 +165,7 @@
         events = EventSplitter(head.last_event)
         call = Call(exchange, head, route, body, arrived, until, forwarded, events)
         call.spent = self._usual.spent(route, deadline)
-        call.fingerprint = _fingerprint(call)
+        call.names = _names(call)
         if forwarded:
             # The runs of both hosts count together against the route's bound.
             headers = exchange.request.headers
@@ -221,7 +226,7 @@
         waited_until = monotonic() + WAIT_SHARE * call.route.objective
         while True:
             admission = await self._quarantine.admit(
-                call.fingerprint, waited_until, call.has_leave
+                call.names, waited_until, call.has_leave
             )
             if isinstance(admission, Held):
                 await self._answers.hold(call, admission.retry_after)
@@ -233,7 +238,7 @@
                     return
             finally:
                 if call.suspect:
-                    self._quarantine.leave(call.fingerprint)
+                    self._quarantine.leave(call.names)
 
     async def _try_once(self, call: Call, service: str, until: float) -> bool:
         """Place a request and send it there; False: it is to be tried again."""
@@ -253,7 +258,7 @@
         return await self._settled(call, outcome)
 
     def _is_in_doubt(self, call: Call) -> bool:
-        return self._quarantine.standing(call.fingerprint) is not Standing.CLEAR
+        return self._quarantine.standing(call.names) is not Standing.CLEAR
 
     async def _find_place(self, call: Call, until: float) -> Placement:
         """Return a place, or the refusal where there is none by ``until``."""
@@ -320,12 +325,12 @@
         return True
 
 
-def _fingerprint(call: Call) -> Fingerprint:
+def _names(call: Call) -> RequestNames:
     request = call.exchange.request
     if call.forwarded:
-        return Fingerprint(request.headers.get(FINGERPRINT_HEADER, ""))
+        return RequestNames.parse(request.headers.get(FINGERPRINT_HEADER, ""))
     caller = call.exchange.peer.rpartition(":")[0]
-    return fingerprint(call.head.host, request.raw_path, caller, call.body)
+    return name_request(call.head.host, request.raw_path, caller, call.body)
 
 
 def _count(text: str) -> int:
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -150,7 +150,9 @@
         speeds, rank = self._placer.speeds, call.rank(now)
         prompt, source = call.head.prompt, placement.fetch_from
         uncached = target.begin(run_id, prompt, rank, now, placement.cached_tokens)
-        watched = self._watch.begin(target.info, call.fingerprint, call.suspect)
+        watched = self._watch.begin(
+            target.info, call.names, call.suspect, placement.quiet
+        )
         if call.suspect:
             target.trials.add(watched)
 
@@ -233,7 +235,7 @@
             call.head, call.left, "", None, call.events.last_id
         )
         headers[FORWARDED_HEADER] = self._region
-        headers[FINGERPRINT_HEADER] = call.fingerprint
+        headers[FINGERPRINT_HEADER] = str(call.names)
         if call.has_leave:
             headers[LEAVE_HEADER] = "yes"
         headers[RUNS_HEADER] = str(call.counted_runs)
