Know a crashed target by a start that wasn't listed before at its address

Found by reading: a target that has crashed stays listed for some seconds, maybe beside the next start at its address. The watch took either of the two for the other's successor, so a sound target with one reset connection counted as crashed, and requests were blamed for it; a run that hung at a silent target until its own end was never blamed. And an address that goes to another service proves the end of its former target as well.

Change: only a start that wasn't listed before is the newer one; its predecessor has ended then, whatever is still in progress there. Conclusion: crashes are told from resets also while the list lags.

--- a/packages/node/src/bronzepoint_node/quarantine/_crash_watch.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_watch.py
@@ -140,6 +140,7 @@
         self._listener = listener
         self._metrics = metrics
         self._targets: dict[str, _Watched] = {}
+        self._listed: set[str] = set()
 
     def begin(
         self,
@@ -238,21 +239,21 @@
             self._note_crashed(known)
 
     def note_listed(self, listed: Iterable[TargetInfo]) -> None:
-        """Look for starts at the addresses of targets that broke requests."""
-        waiting = {
-            known.info.address: known
-            for known in self._targets.values()
-            if known.broken and not known.crashed_at
-        }
-        if not waiting:
+        """Look for new starts at the addresses of targets that requests were sent to.
+
+        A target that has crashed stays listed for some seconds, maybe beside the next
+        start at its address: only one that wasn't listed before is the newer of them.
+        """
+        infos = {info.incarnation: info for info in listed}
+        for name in infos.keys() & self._targets.keys():
+            self._targets[name].info = infos[name]
+        started = {infos[name].address: name for name in infos.keys() - self._listed}
+        self._listed = set(infos)
+        if not started:
             return
-        for info in listed:
-            known = waiting.get(info.address)
-            if known is None or known.info.leaving:
-                continue
-            if info.incarnation == known.info.incarnation:
-                known.info = info
-            elif info.service == known.info.service:
+        for name, known in self._targets.items():
+            newer = started.get(known.info.address, name)
+            if newer != name and not known.crashed_at and not known.info.leaving:
                 self._note_crashed(known)
 
     def _note_crashed(self, known: _Watched) -> None:
