Let operators list what is held back, and release it

A release clears the crashes on all hosts, also those that count by the name without the caller: else the request would only be on trial by leave afterwards.

Ruled out: releasing by the agreement, which a cut-off region couldn't do.

--- a/packages/node/src/bronzepoint_node/core/_quarantine_keeper.py
+++ b/packages/node/src/bronzepoint_node/core/_quarantine_keeper.py
@@ -17,7 +17,9 @@
     Case,
     CrashTable,
     Standing,
+    is_any_caller,
 )
+from bronzepoint_schema.generated.admin import QuarantinedCrash, QuarantinedRequest
 from bronzepoint_schema.generated.quarantine import (
     CrashCase,
     CrashNotice,
@@ -75,19 +77,50 @@
         if self._task is not None:
             await self._task.cancel()
 
-    def suspects(self) -> list[tuple[Case, Standing, float]]:
-        """Return what isn't clear: case, standing, seconds until it is forgotten."""
+    def listed(self) -> list[QuarantinedRequest]:
+        """Return what isn't clear, the strictest standing first."""
         now = monotonic()
-        return [
-            (case, standing, self.table.held_for(case.fingerprint, now))
+        found = [
+            (standing, case)
             for case in self.table.cases(SUSPECT_FROM)
-            if (standing := self.table.standing(case.fingerprint)) is not Standing.CLEAR
+            if (standing := self.table.standing(case.fingerprint))
         ]
+        found.sort(key=lambda each: (-each[0], -each[1].newest))
+        return [self._describe(case, standing, now) for standing, case in found]
+
+    def _describe(
+        self, case: Case, standing: Standing, now: float
+    ) -> QuarantinedRequest:
+        return QuarantinedRequest(
+            fingerprint=case.fingerprint,
+            service=case.service,
+            standing=standing.name.lower(),
+            seconds_left=round(self.table.held_for(case.fingerprint, now), 1),
+            crashes=[
+                QuarantinedCrash(name, round(now - mark.at, 1), mark.early, mark.alone)
+                for name, mark in case.open_marks.items()
+            ],
+        )
 
     def release(self, name: Fingerprint) -> bool:
         """Let a request be sent on as any other; False: nothing holds it."""
-        self._permits.forget(name)
-        return self.table.clear(name, monotonic())
+        case = self.table.case(name)
+        names = [name, *self._same_of_any_caller(case)] if case is not None else [name]
+        for each in names:
+            self._permits.forget(each)
+        now = monotonic()
+        released = any([self.table.clear(each, now) for each in names])
+        _log.info("request released", fingerprint=name, released=released)
+        return released
+
+    def _same_of_any_caller(self, case: Case) -> list[Fingerprint]:
+        """Return the names without the caller by which the same crashes count."""
+        return [
+            other.fingerprint
+            for other in self.table.cases(SUSPECT_FROM)
+            if is_any_caller(other.fingerprint)
+            and case.marks.keys() <= other.marks.keys()
+        ]
 
     async def _handle(
         self, peer: HostName, message: QuarantineMessage
--- a/packages/node/src/bronzepoint_node/quarantine/__init__.py
+++ b/packages/node/src/bronzepoint_node/quarantine/__init__.py
@@ -3,7 +3,7 @@
 from ._case import KEPT, Case, Mark
 from ._crash_table import CrashTable
 from ._crash_watch import Crash, CrashWatch, WatchedRun
-from ._fingerprint import RequestNames, name_request
+from ._fingerprint import RequestNames, is_any_caller, name_request
 from ._quarantine import Admitted, Held, Quarantine
 from ._standing import SUSPECT_FROM, Standing
 
@@ -21,5 +21,6 @@
     "RequestNames",
     "Standing",
     "WatchedRun",
+    "is_any_caller",
     "name_request",
 ]
--- a/tests/test_quarantine_admission.py
+++ b/tests/test_quarantine_admission.py
@@ -258,13 +258,15 @@
 
     def test_operator_releases_a_request(self):
         keeper, _ = self.keeper()
+        crashed(keeper.table, "*q", 3)
         crashed(keeper.table, "q", 3, alone=True)
-        ((case, standing, left),) = keeper.suspects()
-        self.assertEqual((case.fingerprint, standing), ("q", Standing.HELD))
-        self.assertGreater(left, 0.0)
+        (listed,) = keeper.listed()
+        self.assertEqual((listed.fingerprint, listed.standing), ("q", "held"))
+        self.assertEqual(len(listed.crashes), 3)
+        self.assertGreater(listed.seconds_left, 0.0)
         self.assertTrue(keeper.release("q"))
         self.assertFalse(keeper.release("q"))
-        self.assertEqual(keeper.suspects(), [])
+        self.assertEqual(keeper.listed(), [])
 
 
 if __name__ == "__main__":
--- a/tests/test_quarantine_processes.py
+++ b/tests/test_quarantine_processes.py
@@ -1,12 +1,14 @@
 """One request that crashes each target that begins it, before real processes."""
 
 import itertools
+import json
 import signal
 import unittest
 
 import curio
 from nose2.tools import params
 
+from tests._command_line import run_command
 from tests._crashing_site import (
     CONTACT,
     MOST_ARRIVALS,
@@ -164,6 +166,37 @@
         self.assertEqual(line["sends"], 0)
 
 
+class TestOperators(unittest.TestCase):
+    def test_request_is_listed_and_released(self):
+        async def main():
+            async with CrashingSite() as site:
+                callers = Callers(site, "/safe/death")
+                await crash_three(site, callers, "/safe/death")
+                await curio.sleep(1.0)
+                hosts = f"127.0.0.11:{site.control}"
+                listed = await curio.run_in_thread(_command, hosts, "list", "--json")
+                held = json.loads(listed.out)["requests"][0]
+                arguments = ("release", held["fingerprint"])
+                released = await curio.run_in_thread(_command, hosts, *arguments)
+                again = await curio.run_in_thread(_command, hosts, *arguments)
+                await curio.sleep(1.5)
+                before = len(site.arrivals())
+                (address, *_) = site.addresses()
+                await callers.ask(address, "/safe/death", POISON)
+                return held, released, again, len(site.arrivals()) - before
+
+        held, released, again, arrivals = curio.run(main)
+        self.assertEqual((held["standing"], held["service"]), ("held", "s"))
+        self.assertEqual(released.status, 0, released.err)
+        self.assertIn("is released", released.out)
+        self.assertEqual(again.status, 1)
+        self.assertGreater(arrivals, 0)
+
+
+def _command(hosts, *arguments):
+    return run_command("quarantine", *arguments, hosts=hosts)
+
+
 class TestBystanders(unittest.TestCase):
     def test_streams_beside_the_crashes_go_on_being_served(self):
         """Guards against blame for a batch that ran at each target that crashed."""
