Judge suspects only where a crash can decide something, and log the few that matter

A crash at a busy target changes some sixty names on each host.

Change: a change is judged only where a name was beside two crashes; 512 names are kept; lines begin at 'doubtful'. Ages are looked at once a second, not with each change.

--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -8,10 +8,10 @@
 
 from ._case import KEPT, Case, Mark
 from ._fingerprint import RequestNames
-from ._standing import Standing, judge
+from ._standing import SUSPECT_FROM, Standing, judge
 
-MOST_CASES = 1024
-"""Requests kept, some 0.5 MB: those that were beside most crashes stay."""
+MOST_CASES = 512
+"""Names of requests kept, 1 MB: those that were beside most crashes stay."""
 FRESH = 3.0
 """Seconds for which news is told first: a host asks seven times in them."""
 ROTATION = 0.4
@@ -120,7 +120,11 @@
             for case in self._cases.values()
             for mark in case.marks.values()
         ):
-            self._finish([], now)
+            for name, case in list(self._cases.items()):
+                case.forget_before(now - KEPT)
+                if not case.marks:
+                    del self._cases[name]
+            self._judge()
 
     def merge(self, told: Iterable[CrashCase], now: float) -> None:
         """Take in what another host knows."""
@@ -170,9 +174,16 @@
 
     def _finish(self, changed: Iterable[Fingerprint], now: float) -> None:
         """Bring the standings up to date after a change."""
-        for name in changed:
-            self._cases[name].changed_at = now
-        self._forget(now)
+        cases = [self._cases[name] for name in changed]
+        for case in cases:
+            case.changed_at = now
+        if len(self._cases) > MOST_CASES:
+            self._drop_least()
+        # Most requests were beside one crash only, which decides nothing.
+        if any(len(case.marks) >= SUSPECT_FROM for case in cases):
+            self._judge()
+
+    def _judge(self) -> None:
         former, self._standings = self._standings, judge(self._cases.values())
         differ = [
             case
@@ -188,6 +199,9 @@
 
     def _log_standing(self, case: Case, before: Standing) -> None:
         standing = self.standing(case.fingerprint)
+        if max(standing, before) < Standing.DOUBTFUL:
+            # A crash makes suspects of dozens, and most are clear again in a moment.
+            return
         marks = case.open_marks
         fields = {
             "fingerprint": case.fingerprint,
@@ -203,13 +217,7 @@
         else:
             _log.info("standing of a request", **fields)
 
-    def _forget(self, now: float) -> None:
-        for name, case in list(self._cases.items()):
-            case.forget_before(now - KEPT)
-            if not case.marks:
-                del self._cases[name]
-        if len(self._cases) <= MOST_CASES:
-            return
+    def _drop_least(self) -> None:
         ordered = sorted(
             self._cases.values(),
             key=lambda case: (len(case.open_marks), case.newest),
--- a/packages/node/src/bronzepoint_node/quarantine/_standing.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_standing.py
@@ -45,10 +45,15 @@
     batch of streams that went on together, may have seen each of several. So what a
     request that is held back explains counts for no other.
     """
-    open_marks = {case.fingerprint: case.open_marks for case in cases}
+    open_marks = {
+        case.fingerprint: marks
+        for case in cases
+        if len(case.marks) >= SUSPECT_FROM
+        and len(marks := case.open_marks) >= SUSPECT_FROM
+    }
     proofs = _proofs(open_marks)
     ordered = sorted(
-        (name for name in open_marks if len(open_marks[name]) >= SUSPECT_FROM),
+        open_marks,
         key=lambda name: (
             _is_proved(open_marks[name], proofs[name]),
             _early(open_marks[name]),
