Give leave for a trial once, for one try, and keep it where no target was reached

Found by counting arrivals in our own test of a caller whose address changes: nine crashes in one of its runs, four of them by one attempt that had leave for a trial. Leave stayed with the attempt, so each of its repeats crashed another target; and two leaves from each host of the core that is asked made four arrivals while hosts don't agree on that one, where three are allowed in all. A run of the test then counted four.

Change: leave is for one try, and given once by each host of the core that is asked. A try that reached no target, as where there was no room, leaves it for the next copy at that host, so that a bystander isn't held back for want of room. Who is refused is told how long that stands, not three seconds.

Conclusion: at most one by leave, two while the core is cut.

--- a/packages/node/src/bronzepoint_node/core/_quarantine_keeper.py
+++ b/packages/node/src/bronzepoint_node/core/_quarantine_keeper.py
@@ -129,7 +129,7 @@
             case CrashNotice(cases=cases):
                 self.table.merge(cases, monotonic())
             case TrialRequest(fingerprint=name):
-                return TrialReply(self._may_be_tried(name))
+                return self._answer_trial(name)
         return None
 
     def _push(self, changed: list[Case]) -> None:
@@ -143,14 +143,15 @@
         for host in self._askers():
             self._peers.post(host, Area.QUARANTINE, notice)
 
-    def _may_be_tried(self, name: Fingerprint) -> bool:
-        if self.table.standing(name) is Standing.HELD:
-            return False
+    def _answer_trial(self, name: Fingerprint) -> TrialReply:
+        now = monotonic()
         case = self.table.case(name)
-        if case is not None and not case.open_marks:
-            # It was answered since, and the asking host has not heard of it yet.
-            return True
-        return self._permits.take(name, monotonic())
+        # Answered since, it is clear, and the asking host has not heard of it yet.
+        is_clear = case is not None and not case.open_marks
+        if is_clear or self._permits.take(name, now):
+            return TrialReply(True, 0)
+        left = min(self._permits.seconds_left(name, now), KEPT)
+        return TrialReply(False, int(left * 1000))
 
     async def _run(self) -> None:
         while True:
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -34,7 +34,10 @@
 TURN_STEP = 0.03
 """Seconds between two looks whether another copy of a suspect has ended."""
 AGAIN_AFTER = 3.0
-"""Seconds after which the caller of a doubtful request may come back."""
+"""Seconds after which a caller may come back where no host of the core has answered, or
+another copy of its request is on trial."""
+MOST_UNUSED = 64
+"""Leaves that are kept for the next copy of a request, as no target was reached."""
 TOGETHER = 0.5
 """Seconds within which crashes of one data center count as one event,"""
 MOST_TOGETHER = 2
@@ -94,6 +97,7 @@
         self._core = core
         self._metrics = metrics
         self._trials: set[Fingerprint] = set()
+        self._unused: set[Fingerprint] = set()
         self._latest: deque[Crash] = deque(maxlen=MOST_LATEST)
         self._task: curio.Task | None = None
         peers.register(Area.QUARANTINE, QuarantineMessage, self._take)
@@ -181,36 +185,52 @@
                 self._trials.add(names.content)
                 return Admitted(suspect=True)
         self._trials.add(names.content)
-        granted = has_leave
+        admission: Admission = Held(AGAIN_AFTER)
         try:
-            granted = granted or await self._ask_leave(names.content)
+            if has_leave or names.content in self._unused:
+                self._unused.discard(names.content)
+                admission = Admitted(suspect=True, by_leave=True)
+            else:
+                admission = await self._ask_leave(names.content)
         finally:
-            if not granted:
+            if isinstance(admission, Held):
                 self._trials.discard(names.content)
-        return Admitted(suspect=True, by_leave=True) if granted else Held(AGAIN_AFTER)
+        return admission
 
     def _is_on_trial(self, names: RequestNames) -> bool:
         return self.standing(names) in (Standing.SUSPECT, Standing.DOUBTFUL)
 
-    def leave(self, names: RequestNames) -> None:
-        """Let the next copy of a suspect be tried."""
+    def leave(self, names: RequestNames, unused: bool = False) -> None:
+        """Let the next copy of a suspect be tried.
+
+        Args:
+            names: The request.
+            unused: Leave was given for the trial, and no target was reached.
+        """
         self._trials.discard(names.content)
+        if unused and len(self._unused) < MOST_UNUSED:
+            self._unused.add(names.content)
 
-    async def _ask_leave(self, name: Fingerprint) -> bool:
+    async def _ask_leave(self, name: Fingerprint) -> Admission:
         """Ask the host of the core that all hosts ask about this request."""
         core = rendezvous_order(name, self._core())
         if not core:
-            return False
+            return Held(AGAIN_AFTER)
         try:
             reply = await self._peers.call(
                 core[0], Area.QUARANTINE, TrialRequest(name), LEAVE_TIMEOUT
             )
         except PeerError as exc:
             _log.info("no leave for a trial", core=core[0], reason=str(exc))
-            return False
-        granted = isinstance(reply, TrialReply) and reply.granted
-        self._metrics.incr(f"quarantine.trial_{'granted' if granted else 'denied'}")
-        return granted
+            return Held(AGAIN_AFTER)
+        match reply:
+            case TrialReply(granted=True):
+                self._metrics.incr("quarantine.trial_granted")
+                return Admitted(suspect=True, by_leave=True)
+            case TrialReply(retry_ms=retry_ms):
+                self._metrics.incr("quarantine.trial_denied")
+                return Held(retry_ms / 1000)
+        return Held(AGAIN_AFTER)
 
     def _tell(self, names: Iterable[Fingerprint]) -> None:
         """Tell the whole core at once what may decide about a request.
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -232,13 +232,17 @@
                 await self._answers.hold(call, admission.retry_after)
                 return
             call.suspect = admission.suspect
-            call.has_leave = call.has_leave or admission.by_leave
+            call.has_leave = admission.by_leave
+            sends = call.sends
             try:
                 if await self._try_once(call, service, waited_until):
                     return
             finally:
+                # Leave is for one try: another one may crash another target.
+                unused = call.has_leave and call.sends == sends
+                call.has_leave = False
                 if call.suspect:
-                    self._quarantine.leave(call.names)
+                    self._quarantine.leave(call.names, unused)
 
     async def _try_once(self, call: Call, service: str, until: float) -> bool:
         """Place a request and send it there; False: it is to be tried again."""
