Prove that what another region runs counts with a request

Two of three entry hosts stand in a region without targets now and send everything on; the request is asked at all three by turns.

--- a/tests/_crashing_site.py
+++ b/tests/_crashing_site.py
@@ -124,10 +124,12 @@
         hosts: Role and address of each host.
         targets: How many there are.
         queue: Seconds that targets take to begin a request.
+        elsewhere: Hosts of another region, which has no targets.
     """
 
-    def __init__(self, keeps_id=False, hosts=None, targets=4, queue=0.0):
+    def __init__(self, keeps_id=False, hosts=None, targets=4, queue=0.0, elsewhere=()):
         super().__init__(targets=targets, hosts=hosts or {**CORES, **ENTRIES})
+        self.regions = dict.fromkeys(elsewhere, "y")
         self.keeps_id = keeps_id
         self.queue = queue
 
--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -174,11 +174,13 @@
 
     Attributes:
         hosts: Role and address of each host, by its name.
+        regions: Region of a host, where that isn't "x", in which all targets are.
         keep: The files and logs stay after the end.
     """
 
     def __init__(self, grace=8.0, targets=2, hosts=ONE_OF_EACH):
         self.hosts = hosts
+        self.regions = {}
         self.keep = False
         self.grace = grace
         self.target_count = targets
@@ -234,7 +236,7 @@
         text = SETTINGS.format(
             name=name,
             ip=ip,
-            region="x",
+            region=self.regions.get(name, "x"),
             first=self.first,
             last=self.first + 1,
             seeds=json.dumps([f"{address}:{self.control}" for address in core]),
--- a/tests/test_quarantine_processes.py
+++ b/tests/test_quarantine_processes.py
@@ -99,6 +99,26 @@
         self.assertLessEqual(late, MOST_ARRIVALS)
         self.assertEqual(whole, 1.0)
 
+    def test_what_another_region_runs_counts_with_it(self):
+        """Guards against a request that each region counts under another name."""
+
+        async def main():
+            async with CrashingSite(elsewhere=("entry-2", "entry-3")) as site:
+                callers = await poison_until_late(site, "/safe/death")
+                third = site.crashes()[2]
+                answers = [
+                    await callers.ask(address, "/safe/death", POISON)
+                    for address in site.addresses()
+                ]
+                known = [at for at in site.arrivals() if at > third + KNOWN]
+                served = callers.served(third + CONTACT)
+                return len(known), served, [a.status for a in answers]
+
+        known, served, statuses = curio.run(main)
+        self.assertLessEqual(known, MOST_ARRIVALS)
+        self.assertEqual(served, 1.0)
+        self.assertEqual(statuses, [503] * 3)
+
     def test_hosts_know_it_without_their_scheduler(self):
         """Guards against knowledge of a request that ends with one host of the core."""
 
