--- a/packages/node/src/bronzepoint_node/policy/_policy.py
+++ b/packages/node/src/bronzepoint_node/policy/_policy.py
@@ -5,11 +5,9 @@
 from collections.abc import Callable
 from random import Random
 
-from msgspec import Struct, field
-
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
-from bronzepoint_node.policy._admission import Admission, Pool
+from bronzepoint_node.policy._admission import Admission
 from bronzepoint_node.policy._baselines import Baseline
 from bronzepoint_node.policy._choose_region import (
     RegionTerms,
@@ -17,10 +15,10 @@
     serves,
 )
 from bronzepoint_node.policy._choose_target import choose_target
+from bronzepoint_node.policy._entry_state import EntryState
 from bronzepoint_node.policy._inputs import RegionView, RequestView, TargetView
 from bronzepoint_node.policy._limits import (
     Limits,
-    LimitTicket,
     LimitValues,
     RegionHosts,
 )
@@ -36,9 +34,9 @@
 from bronzepoint_node.policy._refusals import no_region, no_target
 from bronzepoint_node.policy._retry_budget import RetryBudget, safe_to_retry
 from bronzepoint_node.policy._service_times import ServiceTimes
+from bronzepoint_node.policy._ticket import Ticket
 from bronzepoint_schema.generated.decisions import (
     Candidate,
-    ExclusionReason,
     RetryReason,
     TryResult,
 )
@@ -55,38 +53,6 @@
 """Seconds beyond the expected time after which a forwarded request counts as lost. A
 cut link is silent: without this, requests that were sent over it before the region is
 seen to be unreachable would all hang until their deadlines."""
-_USABLE = (ExclusionReason.full, ExclusionReason.worse, ExclusionReason.tried)
-"""Exclusions of targets that do work, if not for this request."""
-
-
-class Ticket(Struct):
-    """A request that has passed its limits.
-
-    Attributes:
-        deadline: monotonic seconds at which its first token is worth nothing.
-        placed_at: monotonic seconds of the last placement.
-        expected_wait: seconds in the target's own line expected at that moment.
-        pool: targets that it waits for, or holds a slot of.
-        holds_slot: True from a placement at home until its try has ended.
-    """
-
-    request: RequestView
-    limits: LimitTicket
-    deadline: float
-    placed_at: float = 0.0
-    expected_wait: float = 0.0
-    pool: Pool = frozenset()
-    holds_slot: bool = False
-    notes: list[str] = field(default_factory=list)
-
-
-class _EntryState(Struct):
-    """What this host has learned of one entry."""
-
-    times: ServiceTimes
-    ramp: AwayRamp
-    slots: float = 1.0
-    pool: Pool = frozenset()
 
 
 class Policy:
@@ -131,7 +97,7 @@
         self._baseline: Baseline | None = None
         if settings.choice is not PolicyChoice.policy:
             self._baseline = Baseline(settings.choice, region, self._rng)
-        self._entries: dict[EntryName, _EntryState] = {}
+        self._entries: dict[EntryName, EntryState] = {}
         self._others = OtherRegions(region, self._rng, metrics)
 
     async def start(self) -> None:
@@ -176,7 +142,7 @@
                 request,
                 ticket.pool,
                 look,
-                lambda: self._drain(state),
+                lambda: state.drain(len(self._hosts().live)),
                 self._service(ticket),
             )
         self._count(ticket, placed)
@@ -265,7 +231,7 @@
     def expected_wait(self, entry: EntryName) -> float:
         """Return the seconds that a new request of an entry would wait here."""
         state = self._entry(entry)
-        return self._admission.length(state.pool) * self._drain(state)
+        return self._admission.length(state.pool) * state.drain(len(self._hosts().live))
 
     def _look(
         self,
@@ -287,7 +253,7 @@
             self._rng,
             now,
         )
-        self._note_slots(state, views, choice)
+        state.note_slots(views, choice, now)
         if request.forwarded:
             return self._at_home(ticket, choice, ahead, [], "sent by its home region")
         here = self._here(ticket, ahead, state, choice, regions, views)
@@ -339,7 +305,7 @@
         self,
         ticket: Ticket,
         ahead: float,
-        state: _EntryState,
+        state: EntryState,
         choice: TargetChoice,
         regions: list[RegionView],
         views: list[TargetView],
@@ -352,7 +318,7 @@
         if choice.target is not None and ahead < 1:
             cost = choice.target.cost * state.times.hold
             return RegionTerms(view, choice.expected, cost)
-        delay = (ahead + 1) * self._drain(state)
+        delay = (ahead + 1) * state.drain(len(self._hosts().live))
         delay += state.times.first_token(request.prompt_tokens)
         cost = min(target.cost for target in views) * state.times.hold
         return RegionTerms(view, delay, cost)
@@ -371,36 +337,15 @@
             case Refused(kind):
                 self._metrics.incr(f"placed.refused.{kind}")
 
-    def _drain(self, state: _EntryState) -> float:
-        hosts = max(1, len(self._hosts().live))
-        return state.times.hold * hosts / state.slots
-
     def _service(self, ticket: Ticket) -> float:
         times = self._entry(ticket.request.entry).times
         return times.first_token(0)
 
-    def _note_slots(
-        self, state: _EntryState, views: list[TargetView], choice: TargetChoice
-    ) -> None:
-        now = time.monotonic()
-        unusable = {
-            candidate.name
-            for candidate in choice.candidates
-            if candidate.excluded not in (None, *_USABLE)
-        }
-        slots = sum(
-            view.slots / state.times.slowness(view.name, now)
-            for view in views
-            if view.name not in unusable
-        )
-        if slots > 0:
-            state.slots = slots
-
-    def _entry(self, entry: EntryName) -> _EntryState:
+    def _entry(self, entry: EntryName) -> EntryState:
         state = self._entries.get(entry)
         if state is None:
             ramp = AwayRamp(self._settings.away_step)
-            state = self._entries[entry] = _EntryState(ServiceTimes(), ramp)
+            state = self._entries[entry] = EntryState(ServiceTimes(), ramp)
         return state
 
 
--- a/tests/_crashing_site.py
+++ b/tests/_crashing_site.py
@@ -8,7 +8,8 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import HttpError, HttpLimits, HttpServer
-from tests._platform_site import PlatformSite, StandInTarget
+from tests._platform_site import PlatformSite
+from tests._stand_in_target import StandInTarget
 
 CONTACT = 6.0
 """Seconds after the third crash from which each further arrival counts."""
