Let explain name a crashed target as the cause, and why a request is held back

Change: what any host says of a tried target counts up to a second after the request's end, and so does what is said of the same fingerprint. The cause is 'its target crashed' where a host saw that. Only the command line changes.

--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -49,7 +49,7 @@
             return f"not run: {REFUSALS.get(reason, reason)}"
         case "answer failed":
             return f"a fault of the host: {last.fields.get('reason', '')}"
-    return _cause_of_outcome(last)
+    return _cause_of_outcome(story, last)
 
 
 def _cause_of_no_route(story: Story, last: LogLine) -> str:
@@ -64,7 +64,7 @@
     return f"version {version} has no such route, and no host had a newer one"
 
 
-def _cause_of_outcome(last: LogLine) -> str:
+def _cause_of_outcome(story: Story, last: LogLine) -> str:
     fields = last.fields
     outcome = str(fields.get("outcome", ""))
     tries = [str(note) for note in fields.get("tries", ())]
@@ -82,10 +82,25 @@
         case "may_have_run" | "stream_broken":
             # After an answer without the rest, the try before it is the cause.
             failed = [end for end in ended if end != "answered"] or ["unanswered"]
-            return f"{TRY_ENDS.get(failed[-1], failed[-1])}; no further run brought it"
+            said = TRY_ENDS.get(failed[-1], failed[-1])
+            if failed[-1] == "cut" and _crashed(story, tries):
+                said = "its target crashed"
+            return f"{said}; no further run brought it"
     return _cause_of_answer(fields, outcome, ended)
 
 
+def _crashed(story: Story, tries: list[str]) -> bool:
+    """Tell whether a host saw the target of the last try at one crash."""
+    parts = [str(n) for part in story.parts for n in part.fields.get("tries", ())]
+    cut = [note for note in parts or tries if _try_end(note) == "cut"]
+    crashed = {
+        str(line.fields.get("target"))
+        for line in story.beliefs
+        if line.message == "target crashed"
+    }
+    return any(note.startswith(f"{name}@") for note in cut for name in crashed)
+
+
 def _cause_of_answer(fields: Mapping, outcome: str, ended: list[str]) -> str:
     first, objective = fields.get("first_event"), fields.get("objective") or 0.0
     first = fields.get("seconds", 0.0) if first is None else first
--- a/packages/cli/src/bronzepoint_cli/explain/_story.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_story.py
@@ -7,6 +7,9 @@
 
 BEFORE = 3.0
 """Seconds before a request came for which changes of belief are told."""
+AFTER = 1.0
+"""Seconds after its end in which what is said of it counts: that its target has crashed
+is known a moment after its answer broke off."""
 MOST_BELIEFS = 12
 """Changes of belief that are told, so that a story fits on one screen."""
 CATALOGUE = "catalogue in force"
@@ -20,7 +23,7 @@
         request_id: The request.
         parts: Its own lines, one or more from each host that worked on it.
         beliefs: What these hosts came to believe shortly before and meanwhile, and
-            what any host said of the targets that were tried.
+            what any host said of the targets that were tried, or of what was asked.
         left_out: Further changes of belief that are not among them.
         newest: First line of any host on the newest catalogue when the request came.
     """
@@ -71,12 +74,15 @@
     hosts = {part.host for part in story.parts}
     tried = " ".join(note for p in story.parts for note in p.fields.get("tries", ()))
     ended = max(part.at for part in story.parts)
-    found = [
-        line
-        for line in others
-        if story.began - BEFORE <= line.at <= ended
-        and (line.host in hosts or _target_of(line) in tried)
-    ]
+    asked = {part.fields.get("fingerprint") for part in story.parts} - {None, ""}
+    found = []
+    for line in others:
+        speaks_of_it = _target_of(line) in tried or _name_of(line) in asked
+        until = ended + AFTER if speaks_of_it else ended
+        if not story.began - BEFORE <= line.at <= until:
+            continue
+        if speaks_of_it or line.host in hosts:
+            found.append(line)
     # What a host serves on counts however long ago it heard of it.
     served_on = [[b for b in held if b.host == host][-1:] for host in sorted(hosts)]
     kept = [line for lines in served_on for line in lines]
@@ -87,6 +93,11 @@
     return sorted(kept, key=lambda line: line.at), left_out
 
 
+def _name_of(line: LogLine) -> str:
+    """Return the name of the request that a line speaks of; empty: none."""
+    return str(line.fields.get("fingerprint") or "")
+
+
 def _target_of(line: LogLine) -> str:
     """Return the target that a line speaks of; a text that no try holds: none."""
     return str(line.fields.get("target") or "\0")
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -57,6 +57,21 @@
             [request(9, "may_have_run", [f"{TARGET} -> cut, ended"])],
             "the connection broke after it was sent, so it may have run; no further",
         ),
+        (
+            [
+                request(9, "may_have_run", [f"{TARGET} -> cut"]),
+                line(9.002, "a1", "target crashed", target="i-1", runs=7, early=2),
+            ],
+            "its target crashed; no further run brought it",
+        ),
+        (
+            [
+                request(9, "may_have_run", [f"{TARGET} -> cut"]),
+                line(9.002, "a1", "target crashed", target="i-2", runs=7, early=2),
+            ],
+            "the connection broke after it was sent, so it may have run; no further",
+        ),
+        ([request(9, "refused_held")], "not run: targets crashed as they ran it, and"),
         (
             [request(9, "stream_broken", [f"{TARGET} -> lost", "b1 -> answered"])],
             "the target or host fell silent; no further run brought it",
@@ -117,6 +132,16 @@
     def tell(self, *lines):
         return tell_story(ID, read_log_lines(lines, ID))
 
+    def test_what_any_host_said_of_what_was_asked_is_told(self):
+        """Guards against a refusal whose reason only another host has logged."""
+        lines = [
+            line(8.0, "core-1", "request held back", fingerprint="f", crashes=3),
+            line(8.0, "core-1", "request held back", fingerprint="g", crashes=3),
+            request(9, "refused_held", fingerprint="f"),
+        ]
+        story = self.tell(*lines)
+        self.assertEqual([b.fields["fingerprint"] for b in story.beliefs], ["f"])
+
     def test_other_requests_and_other_text_are_passed_over(self):
         story = self.tell(
             "not a log line",
