--- a/packages/node/src/bronzepoint_node/_daemon.py
+++ b/packages/node/src/bronzepoint_node/_daemon.py
@@ -7,6 +7,7 @@
 
 from bronzepoint_common.http import HttpClient, HttpLimits, HttpServer
 from bronzepoint_common.logs import get_logger
+from bronzepoint_common.loop_watch import LoopWatch
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
 from bronzepoint_common.settings import cluster_key
@@ -106,6 +107,7 @@
         )
         self._gateway = Gateway(settings, self._collaborators())
         self._parts: list[Part] = [
+            LoopWatch(self._metrics),
             self._membership,
             self._catalogue,
             self._agreement,
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -100,6 +100,7 @@
         charge: What it has used of its organisation's quota; None: nothing limits it.
         tried: Targets that it was sent to.
         tried_hosts: Hosts of other regions that it was forwarded to.
+        looks: Times that a place for it was looked for.
         sends: Times it was sent to a target or to another region.
         first_event_at: When the first event was passed on; 0: none yet.
         last_event_at: When the newest one was.
@@ -127,6 +128,7 @@
     events: EventSplitter
     tried: set[str] = field(default_factory=set)
     tried_hosts: set[str] = field(default_factory=set)
+    looks: int = 0
     sends: int = 0
     first_event_at: float = 0.0
     last_event_at: float = 0.0
--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -172,6 +172,7 @@
             version=call.version,
             outcome=outcome,
             forwarded=call.forwarded,
+            looks=call.looks,
             sends=call.sends,
             tries=call.notes,
             known_ms=call.known_ms,
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -193,6 +193,7 @@
         wait = 0.0
         while True:
             ask = self._ask(call)
+            call.looks += 1
             found = NoHome()
             if self._placer.may_stay(ask):
                 found = await self._homes.find(self._placer.home_ask(ask), wait)
