Show that a request turned away by a long line asks again without a pause

Cause: the scheduler answers at once where the line before a request takes longer than it may wait; the relay takes that for 'no room yet' and asks again, with no wait in between, until the time to wait is over (0.35 s for the kind in the log, one line each 0.350 s). No other task of the host has a turn. In a region of many hosts it asks the scheduler over the network as fast as answers come.

--- /dev/null
+++ b/tests/test_relay_looks.py
@@ -0,0 +1,99 @@
+"""A request that waits for room looks for it now and then, and lets others work."""
+
+import unittest
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_node.fleet import RouteKind, ServedRoute, ServiceShare
+from bronzepoint_node.placement import Rejected, RejectReason
+from bronzepoint_node.placement._engine_load import OwnRun
+from bronzepoint_node.relay import CallerHead, Relay
+from bronzepoint_node.relay._call import Call
+from bronzepoint_schema.generated.target_loads import Hold
+from tests._scheduling_region import SLOTS, Region, prompt
+
+OBJECTIVE = 1.0
+ROUTE = ServedRoute(
+    "r",
+    "h",
+    "/",
+    RouteKind.STREAM,
+    5.0,
+    OBJECTIVE,
+    0,
+    (ServiceShare("s", 1.0),),
+    2,
+)
+WAIT = 0.5
+"""Seconds for which a request may wait for room."""
+LONG_HOLD_MS = 60_000
+"""Time for which a request holds a slot, so that a line of one takes too long."""
+MANY = 200
+"""Measurements after which an average is close to what is measured."""
+MOST_LOOKS = 3
+
+
+def relay_on(host):
+    return Relay(None, None, host.placer, host.client, None, None, None, None)
+
+
+def make_call():
+    now = monotonic()
+    head = CallerHead("id", "h", 5.0, prompt(), None, {})
+    return Call(None, head, ROUTE, b"", now, now + 5.0, False, None)
+
+
+def fill(region, hold_ms):
+    """Leave no room at any target, as all that choose know."""
+    schedulers = [*region.hosts.values(), *region.core.values()]
+    for scheduler in schedulers:
+        for tracked in scheduler.table.all():
+            for number in range(SLOTS):
+                run = OwnRun(100, 0, 0, monotonic(), started=True)
+                tracked.load.begin(f"{scheduler.name}-{number}", run)
+    for host in region.hosts.values():
+        for _ in range(MANY):
+            host.placer.speeds.learn_hold(Hold("s", hold_ms))
+
+
+async def find(host, call):
+    return await relay_on(host)._find_place(call, monotonic() + WAIT)
+
+
+class TestLineThatIsTooLong(unittest.TestCase):
+    def test_request_that_no_line_takes_is_refused_at_once(self):
+        """Guards against a host that asks without a pause while nothing has room."""
+        # One host chooses by itself; one of many asks the scheduler of its region.
+        for hosts in (1, 8):
+            with self.subTest(hosts=hosts):
+                placement, looks = curio.run(self.look, hosts)
+                self.assertIsInstance(placement, Rejected)
+                self.assertIs(placement.reason, RejectReason.NO_ROOM)
+                self.assertLessEqual(looks, MOST_LOOKS)
+
+    async def look(self, hosts):
+        async with Region(hosts, 1) as region:
+            fill(region, LONG_HOLD_MS)
+            host = region.members[0] if hosts > 1 else region.scheduler
+            call = make_call()
+            return await find(host, call), call.looks
+
+
+class TestLineThatMoves(unittest.TestCase):
+    def test_request_waits_for_room_in_line(self):
+        async def main():
+            async with Region(1, 1) as region:
+                fill(region, 1)
+                host = region.scheduler
+                call = make_call()
+                waiting = await curio.spawn(find, host, call)
+                await curio.sleep(WAIT / 5)
+                host.table.get("t0").load.end(f"{host.name}-0")
+                return (await waiting.join()).target.info.incarnation, call.looks
+
+        self.assertEqual(curio.run(main), ("t0", 2))
+
+
+if __name__ == "__main__":
+    unittest.main()
