Turn a request away for good where the line before it is too long

Cause: the scheduler's 'your line takes longer than you may wait' had no form of its own, so the relay took it for 'no room yet' and asked again at once. The first host of a line burnt its processor for half of each request's objective, one request after the other. Class: a loop that waits for a state to change has no wait of its own on one of its paths.

Ruled out: a slowed machine (log lines come 0.1 ms apart in the same seconds); engines (they stood idle).

Change: the answer says so (NoHome.crowded, NoTarget.crowded), and such a refusal is final. A request that may wait longer than one stay in line is measured against all of its wait, not against the stay.

Looked for elsewhere: the loops of the relay, follower, waiting line, prober and scheduler client; each other path waits, or is bounded by a count.

--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -51,9 +51,11 @@
 
     Attributes:
         late: There is room, but it would not end by its deadline.
+        crowded: The requests in line before it take longer than it may wait.
     """
 
     late: bool = False
+    crowded: bool = False
 
 
 @dataclass(frozen=True)
@@ -73,10 +75,12 @@
 
     Attributes:
         retry_after: Seconds until there may be room.
+        final: It is known that waiting here doesn't help.
     """
 
     reason: RejectReason
     retry_after: float
+    final: bool = False
 
 
 HomeAnswer = AtHome | NoHome
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -195,13 +195,11 @@
         """Return a refusal that says when to come back."""
         if isinstance(found, NoHome) and found.late:
             wait = PACE_WAIT * self._rng.uniform(0.7, 1.5)
-            return Rejected(RejectReason.NO_TIME, wait)
-        return self._no_room(service)
-
-    def _no_room(self, service: str) -> Rejected:
+            return Rejected(RejectReason.NO_TIME, wait, final=True)
         hold = self.speeds.times(service).hold
-        wait = min(3.0, max(0.3, hold / 2))
-        return Rejected(RejectReason.NO_ROOM, wait * self._rng.uniform(0.7, 1.5))
+        wait = min(3.0, max(0.3, hold / 2)) * self._rng.uniform(0.7, 1.5)
+        is_final = isinstance(found, NoHome) and found.crowded
+        return Rejected(RejectReason.NO_ROOM, wait, is_final)
 
     def known_room(self, ask: PlacementAsk, now: float) -> str:
         """Return what is known of the room for a request, for the log."""
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -22,6 +22,10 @@
 LEAST_PAUSE = 0.02
 """Seconds between two looks for room of one line."""
 
+MOST_WAIT = 1.0
+"""Seconds for which a request stands in line before it looks elsewhere, too: were each
+to ask again and again, a burst would take up the scheduler's processor."""
+
 Claim = Callable[[AtHome], None]
 """Counts a request at its target, before anything else is placed."""
 
@@ -94,8 +98,8 @@
 
         found = await self._find(ask, asked.wait_ms / 1000, claim)
         match found:
-            case NoHome(late=late):
-                return NoTarget(asked.number, late)
+            case NoHome(late=late, crowded=crowded):
+                return NoTarget(asked.number, late, crowded=crowded)
             case AtHome(target=target, fetch_from=source):
                 return TargetGrant(
                     asked.number,
@@ -116,8 +120,8 @@
         line = self._lines.setdefault(ask.service, WaitingLine())
         if self._home.seconds_to_drain(ask.service, len(line) + 1) > wait:
             # It would be turned away at the end: its caller is told now.
-            return found
-        until = monotonic() + wait
+            return replace(found, crowded=True)
+        until = monotonic() + min(wait, MOST_WAIT)
         waiter = _Waiting(ask.rank, ask.arrived, until, ask=ask, claim=claim)
         line.join(waiter)
         try:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -23,16 +23,13 @@
 from ._choice import AtHome, HomeAnswer, NoHome
 from ._home_ask import HomeAsk
 from ._load_exchange import LoadExchange
-from ._scheduler import Scheduler, make_ask
+from ._scheduler import MOST_WAIT, Scheduler, make_ask
 from ._target_table import TargetTable
 from ._tracked import Tracked, is_ejected
 
 ANSWER_TIMEOUT = 0.15
 """Seconds to wait for an answer, besides the time that a request may stand in line:
 many times the trip inside a region, and a fraction of any objective."""
-MOST_WAIT = 1.0
-"""Seconds for which a request stands in line before it looks elsewhere, too: were each
-to ask again and again, a burst would take up the scheduler's processor."""
 MOST_UNANSWERED = 2
 """Asks in a row without an answer after which a scheduler counts as silent."""
 
@@ -98,7 +95,6 @@
             ask: The request.
             wait: Seconds for which it may stand in line; 0: it doesn't.
         """
-        wait = min(wait, MOST_WAIT)
         scheduler = self._exchange.scheduler
         if scheduler is None:
             return await self._scheduler.find(ask, wait)
@@ -106,8 +102,8 @@
         answer = await self._ask(scheduler, ask, wait)
         asked = f"asked {scheduler}, {(monotonic() - began) * 1000:.0f} ms"
         match answer:
-            case NoTarget(late=late):
-                return NoHome(late)
+            case NoTarget(late=late, crowded=crowded):
+                return NoHome(late, crowded)
             case TargetGrant():
                 target = self._table.get(answer.incarnation)
                 if target is not None:
@@ -143,7 +139,7 @@
         opened = self._open[number] = _Open()
         self._peers.post(scheduler, Area.SCHEDULING, asked)
         try:
-            async with curio.ignore_after(wait + ANSWER_TIMEOUT):
+            async with curio.ignore_after(min(wait, MOST_WAIT) + ANSWER_TIMEOUT):
                 await opened.done.wait()
         finally:
             del self._open[number]
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -208,7 +208,7 @@
         """Tell whether a request may wait here until there is room."""
         if call.forwarded or not isinstance(placement, Rejected):
             return False
-        return placement.reason is RejectReason.NO_ROOM
+        return not placement.final
 
     def _ask(self, call: Call) -> PlacementAsk:
         return PlacementAsk(
