Look whether a caller is still there as its request is written

Cause: the look stood before the connection to the target is made. On a host that lags, by whatever cause, seconds lie between the two, and the caller leaves meanwhile. Class: a check whose answer is out of date when it is acted on.

Change: Try looks in the hook that runs right before the first byte, with no wait in between. The earlier look stays: it saves the connection.

The test failed before (one arrival) and passes. Ruled out: the watch of the caller's connection alone can't do it, as its task has its turn after the try's.

--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -74,7 +74,7 @@
                 where.headers,
                 call.body,
                 where.patience,
-                before_send=call.note_written,
+                before_send=self._begin_to_write,
                 unframed=True,
                 max_idle=where.max_idle,
                 accept=self._is_own,
@@ -92,6 +92,15 @@
         except AnswerMalformed:
             return MayHaveRun("malformed")
 
+    def _begin_to_write(self) -> None:
+        """Count the request as written, unless its caller has left.
+
+        Raises:
+            Disconnected: It has; connecting takes time, above all on a host that lags.
+        """
+        self._call.exchange.check_connected()
+        self._call.note_written()
+
     def _is_own(self, status: int, headers: dict[str, str]) -> bool:
         verdict = self._codec.judge(self._call.head, status, headers)
         return verdict is not TargetVerdict.OTHER_REQUEST
