Reset connections to targets that are given up before their answer is whole

Callers' view, from the users' record: a target finds a request and the end of its connection together, 8 s after the caller has left.

Cause: closed in the ordinary way, what still lies in the buffers of a slow or cut link is delivered first. Class: giving up is not told to what is on its way.

Change: a client exchange that ends without a whole answer resets its connection, so that bytes that haven't arrived are dropped. A whole answer that came before the request's body had been sent ends as before.

--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -67,7 +67,7 @@
     ) -> "ClientExchange":
         """Send a request; ``async with`` gives its answer in progress.
 
-        Leaving the context before the end closes the connection, by which the
+        Leaving the context before the end resets the connection, by which the
         server sees that nobody wants the rest.
 
         Args:
@@ -242,7 +242,7 @@
             await self._client._watch.add(self._answer)
         except BaseException:
             await self._end_sending()
-            await self._wire.close()
+            await self._give_up()
             raise
         return self._answer
 
@@ -252,6 +252,18 @@
         if self._answer.complete and sent:
             await self._client._pool.put(self._address, self._conn, self._wire)
             return
+        if self._answer.complete:
+            await self._wire.close()
+            return
+        await self._give_up()
+
+    async def _give_up(self) -> None:
+        """Close so that what still lies in buffers on the way is dropped.
+
+        Closed in the ordinary way, a request that a slow link holds up would arrive,
+        and be worked on, after nobody wants it any more.
+        """
+        self._wire.reset_on_close()
         await self._wire.close()
 
     async def _connect(self) -> None:
