Never wait for the reader of a log, and bound what is kept for it

Callers' view: a host stands still while nobody reads its output; after 64 KB of lines it answers nobody, takes in no catalogue, and notices no caller that leaves, and goes on afterwards where it stood.

Cause: both programs wrote and flushed a blocking stream inside the event loop. Class: work for one reader holds up all others.

Ways weighed: a thread (a wake-up and a switch for each line, and memory on every host); O_NONBLOCK (changes the descriptor for others that share it, such as a shell); asking the descriptor before each piece that a ready pipe takes without a wait. Taken: the last.

Change: LogStream keeps 256 KB at most, takes 256 KB a second after the first MB, and drops the rest; dropped lines are counted in the next line and in log.lost_lines. What was kept is written as soon as the reader goes on.

--- a/packages/common/src/bronzepoint_common/logs.py
+++ b/packages/common/src/bronzepoint_common/logs.py
@@ -4,11 +4,14 @@
 import sys
 import traceback
 from datetime import UTC, datetime
-from typing import Any, TextIO
+from typing import Any, Protocol
 
+import curio
 import logbook
 import msgspec
 
+from bronzepoint_common.log_stream import LogStream
+from bronzepoint_common.metrics import Metrics
 from bronzepoint_schema.generated.settings import LogSection
 from bronzepoint_schema.ids import HostName
 
@@ -16,6 +19,10 @@
 """Fields that each line may have; a caller's field of that name gets a ``_`` after."""
 
 
+FLUSH_INTERVAL = 0.5
+"""Seconds between two looks whether the log's reader takes what was kept for it."""
+
+
 class LogFileError(Exception):
     """The log file can't be opened."""
 
@@ -26,6 +33,16 @@
         )
 
 
+class LineStream(Protocol):
+    """What lines are written to."""
+
+    def write(self, text: str) -> int:
+        """Take a line; raises OSError where it doesn't."""
+
+    def flush(self) -> None:
+        """Write what was taken, as far as that needs no wait."""
+
+
 class JsonLinesHandler(logbook.Handler):
     """Writes each record as one JSON object on a line of its own.
 
@@ -33,21 +50,29 @@
         stream: Where the lines go.
         level: Least level that is written.
         host: Name of this host, a field of each line.
+        metrics: Counts lines that were dropped, as ``log.lost_lines``.
     """
 
-    def __init__(self, stream: TextIO, level: str, host: str) -> None:
+    def __init__(
+        self,
+        stream: LineStream,
+        level: str,
+        host: str,
+        metrics: Metrics | None = None,
+    ) -> None:
         super().__init__(level=logbook.lookup_level(level.upper()))
         self._stream = stream
         self._host = host
+        self._metrics = metrics if metrics is not None else Metrics()
         self._encoder = msgspec.json.Encoder(enc_hook=str)
         self._lost = 0
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write one record.
 
-        A full disk raises here. A log line is worth less than the request that wrote
-        it, so the line is dropped and counted; the next line that can be written
-        carries the count in ``lost_lines``.
+        A full disk raises here, and so does a stream whose reader has stopped. A log
+        line is worth less than the request that wrote it, so the line is dropped and
+        counted; the next line that can be written carries the count in ``lost_lines``.
         """
         line = self._encode(record)
         try:
@@ -55,9 +80,24 @@
             self._stream.flush()
         except (OSError, ValueError):
             self._lost += 1
+            self._metrics.incr("log.lost_lines")
             return
         self._lost = 0
 
+    def flush(self) -> None:
+        """Write what was kept for a reader that was slow."""
+        try:
+            self._stream.flush()
+        except (OSError, ValueError):
+            # The next line that is lost by it is counted.
+            return
+
+    async def flush_periodically(self) -> None:
+        """Flush now and then: a reader that goes on needs no further line for it."""
+        while True:
+            await curio.sleep(FLUSH_INTERVAL)
+            self.flush()
+
     def _encode(self, record: logbook.LogRecord) -> str:
         fields: dict[str, Any] = {
             "time": datetime.now(UTC).isoformat(timespec="milliseconds"),
@@ -112,10 +152,10 @@
     return handler
 
 
-def _open_stream(path: str) -> TextIO:
+def _open_stream(path: str) -> LineStream:
     if not path:
         if isinstance(sys.stderr, io.TextIOWrapper):
-            sys.stderr.reconfigure(errors="backslashreplace")
+            return LogStream(sys.stderr.fileno())
         return sys.stderr
     try:
         return open(path, "a", encoding="utf-8", errors="backslashreplace")
--- a/packages/node/src/bronzepoint_node/__main__.py
+++ b/packages/node/src/bronzepoint_node/__main__.py
@@ -34,8 +34,8 @@
             print(exc, file=sys.stderr)
         raise typer.Exit(EXIT_SETTINGS) from None
     try:
-        setup_logs(cfg.log, cfg.host.name)
-        curio.run(run_daemon, cfg)
+        log_handler = setup_logs(cfg.log, cfg.host.name)
+        curio.run(run_daemon, cfg, log_handler)
     except (AddressUnusable, OSError, StorageError, LogFileError) as exc:
         print(exc, file=sys.stderr)
         raise typer.Exit(EXIT_START) from None
--- a/packages/node/src/bronzepoint_node/_daemon.py
+++ b/packages/node/src/bronzepoint_node/_daemon.py
@@ -6,7 +6,7 @@
 import curio
 
 from bronzepoint_common.http import HttpClient, HttpLimits, HttpServer
-from bronzepoint_common.logs import get_logger
+from bronzepoint_common.logs import JsonLinesHandler, get_logger
 from bronzepoint_common.loop_watch import LoopWatch
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
@@ -225,8 +225,9 @@
     )
 
 
-async def run_daemon(settings: Settings) -> None:
+async def run_daemon(settings: Settings, log_handler: JsonLinesHandler) -> None:
     """Run one daemon until SIGTERM or SIGINT; a second signal ends it at once."""
+    await curio.spawn(log_handler.flush_periodically, daemon=True)
     async with SignalWaiter() as signals:
         daemon = Daemon(settings)
         try:
--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -85,12 +85,14 @@
         hosts: Role and address of each host, by its name.
         regions: Region of a host, where that isn't "x", in which all targets are.
         keep: The files and logs stay after the end.
+        unread: Hosts whose output is a pipe; the reading end stands here by name.
     """
 
     def __init__(self, grace=8.0, targets=2, hosts=ONE_OF_EACH):
         self.hosts = hosts
         self.regions = {}
         self.keep = False
+        self.unread = {}
         self.grace = grace
         self.target_count = targets
         self.root = Path(tempfile.mkdtemp())
@@ -147,6 +149,9 @@
         for target in self.targets:
             await target.server.close(0)
         self.ports.close()
+        for pipe in self.unread.values():
+            if pipe is not None:
+                pipe.close()
         if not self.keep:
             shutil.rmtree(self.root)
 
@@ -173,7 +178,7 @@
             list=self.list_server.address,
         )
         path.write_text(text)
-        log = open(self.root / f"{name}.log", "ab")
+        log = self._open_log(name)
         self.processes[name] = subprocess.Popen(
             [
                 sys.executable,
@@ -187,6 +192,13 @@
         )
         log.close()
 
+    def _open_log(self, name):
+        if name not in self.unread:
+            return open(self.root / f"{name}.log", "ab")
+        read_end, write_end = os.pipe()
+        self.unread[name] = open(read_end, "rb")
+        return open(write_end, "wb")
+
     def lines(self, role):
         """Return what a process has logged."""
         lines = (self.root / f"{role}.log").read_text().splitlines()
