Take in the catalogue of an answer that comes after its timeout

Cause (suspected for the record, shown by the test): an answer of the core that takes longer than its timeout of 0.7 s is dropped, and asked for again from another host, which takes as long. A host that lags by more than the timeout, or whose link is that full, stays on its catalogue for good. Class: a timeout that throws away what came, where the news in it is as true as before.

Change: a call may name who takes a reply that comes late. An entry host takes what has a version from it (catalogue, closed data centers, and the list where it has none); ages and loads in it are old by an unknown time and aren't taken. A part of a document counts only where it leads on from what is held.

The test with answers that each take 0.84 s failed before (no catalogue after 30 s) and passes.

--- a/packages/common/src/bronzepoint_common/peers/_peers.py
+++ b/packages/common/src/bronzepoint_common/peers/_peers.py
@@ -9,10 +9,11 @@
 import msgspec
 from curio.traps import _read_wait
 
+from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers._area import Area
-from bronzepoint_common.peers._calls import Calls
+from bronzepoint_common.peers._calls import Calls, OnLate
 from bronzepoint_common.peers._errors import (
     PeerFailed,
     PeerTimeout,
@@ -135,7 +136,12 @@
         return self._send(peer, FrameKind.post, area, 0, message)
 
     async def call(
-        self, peer: HostName, area: Area, message: Any, timeout: float
+        self,
+        peer: HostName,
+        area: Area,
+        message: Any,
+        timeout: float,
+        on_late: OnLate | None = None,
     ) -> Any:
         """Send a message and return the peer's reply.
 
@@ -144,6 +150,7 @@
             area: The subsystem that answers.
             message: The message.
             timeout: Seconds to wait.
+            on_late: Takes a reply that comes after that; None: it is dropped.
 
         Raises:
             PeerError: One of its subclasses; after PeerTimeout and PeerFailed it is
@@ -151,7 +158,7 @@
         """
         if self._outbox(peer) is None:
             raise PeerUnknown(peer)
-        call_id = self._calls.begin(peer)
+        call_id = self._calls.begin(peer, on_late)
         try:
             self._send(peer, FrameKind.call, area, call_id, message)
             async with curio.ignore_after(timeout):
@@ -237,7 +244,7 @@
         envelope = decode_frame(data, self._key, self._name)
         if envelope.frame in (FrameKind.reply, FrameKind.failed):
             if not await self._calls.resolve(envelope):
-                self._note_late(envelope)
+                self._take_late(envelope)
             return
         inbox = self._inboxes.get(envelope.sender)
         if inbox is None:
@@ -251,22 +258,28 @@
             return
         await inbox.put(envelope)
 
-    def _note_late(self, envelope: Envelope) -> None:
-        """Count an answer that nobody waits for: what it cost the link was for nothing.
+    def _take_late(self, envelope: Envelope) -> None:
+        """Count an answer that came late, and give it to whoever wants it all the same.
 
-        A question that is asked again for it costs the same again, and an answer that
-        always takes longer than its timeout is asked for without end.
+        Dropped, an answer that always takes longer than its timeout would be asked for
+        without end, and cost the link as much each time.
         """
         self._metrics.incr("peers.late_reply")
         self._metrics.incr("peers.late_reply_bytes", len(envelope.payload))
-        age = self._calls.age_given_up(envelope.call_id)
+        call = self._calls.take_given_up(envelope)
         _log.warning(
             "late answer",
             sender=envelope.sender,
             area=_area_name(envelope.area),
             bytes=len(envelope.payload),
-            seconds=round(age, 3) if age is not None else None,
+            seconds=round(monotonic() - call.began, 3) if call else None,
         )
+        if call is None or call.on_late is None:
+            return
+        try:
+            call.on_late(self._open_reply(envelope))
+        except PeerFailed as exc:
+            _log.warning("late answer not taken", reason=str(exc))
 
     async def _serve(self, inbox: curio.Queue) -> None:
         while True:
--- a/packages/node/src/bronzepoint_node/fleet/_document_copy.py
+++ b/packages/node/src/bronzepoint_node/fleet/_document_copy.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
-from bronzepoint_common.documents import DeltaMismatch, DocumentHistory, UnknownBase
+from bronzepoint_common.documents import (
+    NO_BASE,
+    DeltaMismatch,
+    DocumentHistory,
+    UnknownBase,
+)
 from bronzepoint_common.logs import get_logger
 from bronzepoint_schema.generated.documents import DocumentPart
 from bronzepoint_schema.ids import HostName
@@ -54,7 +59,12 @@
         """
         if part is None or self._sender not in (None, core):
             return False
-        if part.version <= self.version or not self.transfer.take(part, seconds):
+        if part.version <= self.version or part.base_version not in (
+            NO_BASE,
+            self.version,
+        ):
+            return False
+        if not self.transfer.take(part, seconds):
             return False
         self._sender = core
         return not self.transfer.is_whole or self._apply(core)
--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -221,33 +221,32 @@
         )
         self._tells_loads = bool(request.loads)
         began = monotonic()
-        reply = await self._peers.call(core, Area.FLEET, request, timeout)
+
+        def take_late(reply: SyncReply) -> None:
+            self._take_late(core, reply, began)
+
+        reply = await self._peers.call(core, Area.FLEET, request, timeout, take_late)
         self._avoided_until.pop(core, None)
         if not 0 <= reply.confirmed_age_ms <= BEHIND_AGE_MS:
             # It answers, but hears of no change. Asked again and again, it would keep
             # this host on an older catalogue.
             self._avoid(core, BEHIND_RETRY)
-        has_more = self._take(core, reply, monotonic() - began)
-        if not has_more and reply.confirmed_age_ms >= 0:
-            confirmed_at = began - reply.confirmed_age_ms / 1000
-            self._confirmed_at = max(self._confirmed_at, confirmed_at)
-        return has_more
+        return self._take(core, reply, began)
 
     def _avoid(self, core: HostName, seconds: float) -> None:
         self._avoided_until[core] = monotonic() + seconds
         if self._current == core:
             self._current = None
 
-    def _take(self, core: HostName, reply: SyncReply, seconds: float = 0.0) -> bool:
-        """Take in an answer; True: its sender has more of the document."""
-        has_more = self._take_document(core, reply, seconds)
-        # A host of the core that is itself behind must not take closing back.
-        if reply.revision >= self._revision:
-            self._revision = reply.revision
-            closed = frozenset(reply.closed)
-            if closed != self.closed:
-                _log.info("closed data centers", closed=sorted(closed), core=core)
-            self.closed = closed
+    def _take(self, core: HostName, reply: SyncReply, began: float) -> bool:
+        """Take in an answer; True: its sender has more of the document.
+
+        Args:
+            core: The sender.
+            reply: What it says.
+            began: When it was asked.
+        """
+        has_more = self._take_in_force(core, reply, began)
         self._take_targets(reply)
         self.registry.hear_entries(reply.hosts)
         self.entry_hosts = reply.entry_hosts
@@ -255,9 +254,38 @@
         self.registry.hear_core(reply.core)
         self.registry.hear_loads(reply.loads)
         self.crashes.merge(reply.crashes, monotonic())
+        self._tell_listeners()
+        return has_more
+
+    def _take_late(self, core: HostName, reply: SyncReply, began: float) -> None:
+        """Take in what doesn't age of an answer that came after its timeout.
+
+        Dropped, it would leave a host that lags, or whose link is full, on an old
+        catalogue for good.
+        """
+        self._take_in_force(core, reply, began)
+        if self.targets is None:
+            self._take_targets(reply)
+        self._tell_listeners()
+
+    def _take_in_force(self, core: HostName, reply: SyncReply, began: float) -> bool:
+        """Take in what has a version; True: its sender has more of the document."""
+        has_more = self._take_document(core, reply, monotonic() - began)
+        # A host of the core that is itself behind must not take closing back.
+        if reply.revision >= self._revision:
+            self._revision = reply.revision
+            closed = frozenset(reply.closed)
+            if closed != self.closed:
+                _log.info("closed data centers", closed=sorted(closed), core=core)
+            self.closed = closed
+        if not has_more and reply.confirmed_age_ms >= 0:
+            confirmed_at = began - reply.confirmed_age_ms / 1000
+            self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        return has_more
+
+    def _tell_listeners(self) -> None:
         for listener in self._on_change:
             listener()
-        return has_more
 
     def _take_document(self, core: HostName, reply: SyncReply, seconds: float) -> bool:
         transfer = (
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -7,6 +7,7 @@
 import msgspec
 from nose2.tools import params
 
+from bronzepoint_common.clock import monotonic
 from bronzepoint_common.documents import NO_BASE, make_delta
 from bronzepoint_common.peers import PeerTimeout
 from bronzepoint_node.fleet import (
@@ -136,7 +137,7 @@
     def register(self, area, union, handler):
         pass
 
-    async def call(self, peer, area, message, timeout):
+    async def call(self, peer, area, message, timeout, on_late=None):
         self.asked.append(peer)
         if peer not in self.answers:
             raise PeerTimeout(peer, timeout)
@@ -159,7 +160,7 @@
     def test_the_catalogue_never_goes_back(self, replies, expected):
         made, _ = follower()
         for one in replies:
-            made._take("c1", one)
+            made._take("c1", one, monotonic())
         held = made.catalogue.version if made.catalogue else None
         self.assertEqual(held, expected)
 
@@ -176,7 +177,7 @@
         Cause: its set of closed data centers was taken over."""
         made, _ = follower()
         for one in replies:
-            made._take("c1", one)
+            made._take("c1", one, monotonic())
         self.assertEqual(made.closed, closed)
 
     @params(
@@ -190,9 +191,29 @@
     def test_the_list_that_was_read_later_counts(self, listings, expected):
         made, _ = follower()
         for one in listings:
-            made._take("c1", reply(targets=one))
+            made._take("c1", reply(targets=one), monotonic())
         self.assertEqual([t.incarnation for t in made.targets], expected)
 
+    @params(
+        ([reply(1)], [reply(2)], 2),
+        ([reply(2)], [reply(1)], 2),
+        ([], [reply(1)], 1),
+    )
+    def test_the_catalogue_of_a_late_answer_counts(self, in_time, late, expected):
+        made, _ = follower()
+        for one in in_time:
+            made._take("c1", one, monotonic())
+        for one in late:
+            made._take_late("c1", one, monotonic())
+        self.assertEqual(made.catalogue.version, expected)
+
+    def test_the_list_of_a_late_answer_replaces_none(self):
+        """Guards against targets that come back with an old list."""
+        made, _ = follower()
+        for late in (listing(0, "first"), listing(0, "second")):
+            made._take_late("c1", reply(targets=late), monotonic())
+        self.assertEqual([t.incarnation for t in made.targets], ["first"])
+
     def test_a_silent_core_host_is_left_for_the_next(self):
         made, peers = follower({"c2": reply(3)}, seeds=("c1", "c2"))
 
--- /dev/null
+++ b/tests/test_fleet_late_answers.py
@@ -0,0 +1,73 @@
+"""Answers of the core that always come late are taken in all the same."""
+
+import unittest
+
+import curio
+
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.peers import Area, Peers
+from bronzepoint_node.core import CoreHub, TargetReader
+from bronzepoint_node.fleet import Follower
+from bronzepoint_node.fleet._follower import START_TIMEOUT, SYNC_TIMEOUT
+from bronzepoint_platform._manifest import read_manifest
+from bronzepoint_schema.generated.fleet import EntryHost, EntryState, FleetMessage
+from tests._addresses import free_address
+from tests._large_manifest import large_manifest
+from tests._seeded_cluster import SeededCluster
+
+DELAY = 1.2 * max(SYNC_TIMEOUT, START_TIMEOUT)
+"""Seconds that each answer takes."""
+PATIENCE = 30.0
+ROUTES = 400
+"""Enough for a document that comes in several parts."""
+ENTRY = EntryHost("h", "a", "a-1", "10.0.0.1:1", "10.0.0.1:2", EntryState.ready, 0)
+KEY = b"k" * 32
+
+
+def make_peers(name):
+    address = free_address()
+    return Peers(name, address, KEY, Metrics()), address
+
+
+class TestLateAnswers(unittest.TestCase):
+    def test_host_whose_answers_all_come_late_learns_what_is_in_force(self):
+        """Guards against a host that stays on an old catalogue while it lags."""
+
+        async def main():
+            async with SeededCluster("a1") as cluster:
+                running = cluster.running["a1"]
+                await cluster.until(lambda: running.confirmed_age() is not None)
+                await cluster.put("a1", 1, large_manifest(1, ROUTES))
+                core = running, TargetReader(None, {}.get), cluster.peers["a1"]
+                hub = CoreHub("a1", "a", *core)
+
+                async def answer(peer, message):
+                    await curio.sleep(DELAY)
+                    return await hub._handle(peer, message)
+
+                return await self.follow(answer)
+
+        self.assertEqual(curio.run(main), 1)
+
+    async def follow(self, answer):
+        """Return the version that an entry host comes to hold."""
+        core, core_address = make_peers("a1")
+        host, host_address = make_peers("h")
+        core.register(Area.FLEET, FleetMessage, answer)
+        follower = Follower("a", lambda: ENTRY, list, read_manifest, ["a1"], host)
+        await core.start()
+        host.set_address("a1", core_address)
+        core.set_address("h", host_address)
+        await host.start()
+        await follower.start()
+        async with curio.ignore_after(PATIENCE):
+            while follower.catalogue is None:
+                await curio.sleep(0.05)
+        await follower.close()
+        await host.close()
+        await core.close()
+        return follower.catalogue.version if follower.catalogue else None
+
+
+if __name__ == "__main__":
+    unittest.main()
