Count a catalogue as confirmed only where it is the newest that was told of

Cause: an answer that brought no part of a document counted as a confirmation, also where it named a newer version, as each second host of the core does while another one sends the parts. Class: no news is taken for good news.

The test failed before (confirmed with version 1 held and 2 told) and passes.

--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -278,7 +278,8 @@
             if closed != self.closed:
                 _log.info("closed data centers", closed=sorted(closed), core=core)
             self.closed = closed
-        if not has_more and reply.confirmed_age_ms >= 0:
+        is_newest = self._copy.version >= reply.document_version
+        if is_newest and reply.confirmed_age_ms >= 0:
             confirmed_at = began - reply.confirmed_age_ms / 1000
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
         return has_more
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -214,6 +214,24 @@
             made._take_late("c1", reply(targets=late), monotonic())
         self.assertEqual([t.incarnation for t in made.targets], ["first"])
 
+    @params(
+        # version held, version in force, is a part of it told, is it confirmed
+        (1, 1, True, True),
+        (2, 1, True, True),
+        (1, 2, False, False),
+        (1, 2, True, True),
+    )
+    def test_only_the_newest_catalogue_is_confirmed(self, held, newest, told, expected):
+        """Guards against a host that takes its catalogue for the newest while another
+        host of the core sends it parts of a newer one."""
+        made, _ = follower()
+        made._take("c1", reply(held, confirmed=-1), monotonic())
+        said = reply(newest)
+        if not told:
+            said.document = None
+        made._take("c2", said, monotonic())
+        self.assertEqual(made.confirmed_age() < 60.0, expected)
+
     def test_a_silent_core_host_is_left_for_the_next(self):
         made, peers = follower({"c2": reply(3)}, seeds=("c1", "c2"))
 
