Deny a route only by a catalogue that is confirmed

Cause: a route that isn't in the catalogue held was answered 404 at once, however long ago the host had heard from the core, while an unknown key was looked up again. Class: a host judges by what it no longer knows.

Change: an unknown route waits, as a key does, for up to 0.8 s or a quarter of its time until the catalogue has been confirmed within a second, and is looked up again; without that it is refused with 503 (route_unconfirmed), and comes again. Costs: a host that is cut off says 503 instead of 404 for what never existed.

Ruled out as a way: asking the core for each unknown route, by which anybody could load it.

--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -19,6 +19,7 @@
     HELD = "held"
     UNAUTHENTICATED = "unauthenticated"
     KEY_UNCONFIRMED = "key_unconfirmed"
+    ROUTE_UNCONFIRMED = "route_unconfirmed"
     OVER_QUOTA = "over_quota"
 
 
--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -150,9 +150,20 @@
             await call.exchange.respond(503, headers, b"no room in time\n")
 
     async def say_no_route(
-        self, exchange: Exchange, head: CallerHead, version: int
+        self, exchange: Exchange, head: CallerHead, version: int, is_confirmed: bool
     ) -> None:
-        """Answer that the catalogue in force has no such route."""
+        """Answer that the catalogue has no such route.
+
+        Args:
+            exchange: The caller's connection.
+            head: Its request.
+            version: Catalogue that was looked in.
+            is_confirmed: That one is in force; False: there may be a newer one.
+        """
+        if not is_confirmed:
+            reason = RejectReason.ROUTE_UNCONFIRMED
+            await self.refuse(exchange, head, reason, DEFAULT_RETRY_AFTER)
+            return
         self._metrics.incr("refusal.no_route")
         _log.info("no route", request=head.request_id, version=version)
         await exchange.respond(404, {}, b"no such route\n")
--- a/packages/node/src/bronzepoint_node/relay/_gate.py
+++ b/packages/node/src/bronzepoint_node/relay/_gate.py
@@ -1,4 +1,4 @@
-"""Whose request it is, and whether it may be served at all."""
+"""Whose request it is, and whether a host may call something unknown."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -23,9 +23,9 @@
 
 CONFIRMED_WITHIN = 1.0
 """Seconds within which a host must have heard what is in force before it calls a key
-unknown: a newer version may have added it."""
+or a route unknown: a newer version may have added it."""
 CONFIRM_WAIT = 0.8
-"""Seconds for which a request with an unknown key waits for that,"""
+"""Seconds for which a request with an unknown key or route waits for that,"""
 CONFIRM_WAIT_SHARE = 0.25
 """but no more than this part of its deadline."""
 CONFIRM_STEP = 0.03
@@ -94,17 +94,26 @@
             return Unknown()
         return await self._look_again(head, wait)
 
-    async def _look_again(self, head: CallerHead, wait: float) -> Identity:
-        """Look up a key once more when what is in force has been confirmed.
+    async def confirm(self, wait: float) -> bool:
+        """Wait until what is in force has been confirmed; False: it wasn't in time.
+
+        The follower asks the core all the time, so that unknown keys and routes, how
+        many there may be, cause no question.
 
-        The follower asks the core all the time, so that unknown keys, however many,
-        cause no question.
+        Args:
+            wait: Seconds until the request's deadline.
         """
         until = monotonic() + min(CONFIRM_WAIT, CONFIRM_WAIT_SHARE * wait)
         while self._follower.confirmed_age() > CONFIRMED_WITHIN:
             if monotonic() >= until:
-                return Unconfirmed()
+                return False
             await curio.sleep(CONFIRM_STEP)
+        return True
+
+    async def _look_again(self, head: CallerHead, wait: float) -> Identity:
+        """Look up a key once more when what is in force has been confirmed."""
+        if not await self.confirm(wait):
+            return Unconfirmed()
         found = self._follower.catalogue.keys.get(head.key)
         return Admitted(found) if found is not None else Unknown()
 
--- a/packages/node/src/bronzepoint_node/relay/_reception.py
+++ b/packages/node/src/bronzepoint_node/relay/_reception.py
@@ -84,9 +84,16 @@
             return None
         path = exchange.request.raw_path.partition("?")[0]
         route = catalogue.find_route(head.host, path)
+        if route is None:
+            # A newer version may have added it.
+            is_confirmed = await self._gate.confirm(_deadline(head))
+            catalogue = self._follower.catalogue
+            route = catalogue.find_route(head.host, path)
         if route is None:
             await exchange.body()
-            await self._answers.say_no_route(exchange, head, catalogue.version)
+            await self._answers.say_no_route(
+                exchange, head, catalogue.version, is_confirmed
+            )
             return None
         identity = await self._identify(exchange, head, route, catalogue, forwarded)
         if not isinstance(identity, Admitted):
