Let explain tell that the host of a request stood still

Cause: a request that its host held up ended as 'caller left' or 'deadline', whatever the host did meanwhile, and the reason for which an unknown route is refused had no text.

Change: the cause names the longest time for which the host that answered did nothing around the request, and whether it was busy itself or held up from outside, by the processor time in the line. Tables in test_cli_explain.

--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -15,6 +15,8 @@
     "leaving": "the host was ending",
     "unauthenticated": "no organisation holds its API key, by the catalogue in force",
     "key_unconfirmed": "its API key isn't known, and the host may have lagged behind",
+    "route_unconfirmed": "it has no route that the host knows, and the host may have "
+    "lagged behind",
     "over_quota": "its organisation has used up its quota over all hosts",
     "held": "targets crashed as they ran it, and it reaches none for some time",
 }
@@ -33,6 +35,11 @@
     "lost": "the target or host fell silent",
 }
 """What each end of a try means."""
+IN_TIME = "answered in time"
+STOOD_STILL = "event loop late"
+"""Line of a host that answered nobody for a while."""
+BUSY_SHARE = 0.5
+"""Part of that time in which it must have used the processor to have caused it."""
 _END = re.compile(r" -> ([a-z_]+?)(?:_[0-9]+)?(?:, ended)?$")
 
 
@@ -52,7 +59,24 @@
             return f"not run: {REFUSALS.get(reason, reason)}"
         case "answer failed":
             return f"a fault of the host: {last.fields.get('reason', '')}"
-    return _cause_of_outcome(story, last)
+    cause = _cause_of_outcome(story, last)
+    return cause if cause == IN_TIME else cause + _stood_still(story, last)
+
+
+def _stood_still(story: Story, last: LogLine) -> str:
+    """Return for how long the host that answered did nothing; empty: for no time."""
+    late = [
+        line
+        for line in story.beliefs
+        if line.message == STOOD_STILL and line.host == last.host
+    ]
+    if not late:
+        return ""
+    longest = max(late, key=lambda line: line.fields.get("seconds", 0.0))
+    seconds = longest.fields.get("seconds", 0.0)
+    busy = longest.fields.get("cpu_seconds", 0.0) >= seconds * BUSY_SHARE
+    why = "busy with one task" if busy else "held up from outside"
+    return f"; its host did nothing for {seconds:g} s meanwhile, {why}"
 
 
 def _cause_of_no_route(story: Story, last: LogLine) -> str:
@@ -115,7 +139,7 @@
         return f"late: its first answer took {first:g} s of {objective:g}{before}"
     if most and gap > most:
         return f"late: a pause of {gap:g} s, where {most:g} are allowed{before}"
-    return "answered in time"
+    return IN_TIME
 
 
 def _try_end(note: str) -> str:
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -95,6 +95,22 @@
         ([request(9, "answered_500")], "the target answered 500"),
         ([request(9, "answered")], "answered in time"),
         ([request(9, "caller_left")], "the caller closed its connection"),
+        (
+            [
+                line(8.9, "a1", "event loop late", seconds=0.7, cpu_seconds=0.7),
+                request(9, "caller_left"),
+            ],
+            "the caller closed its connection; its host did nothing for 0.7 s "
+            "meanwhile, busy with one task",
+        ),
+        (
+            [
+                line(8.9, "a1", "event loop late", seconds=0.7, cpu_seconds=0.0),
+                request(9, "deadline"),
+            ],
+            "its time was over before there was room for it; its host did nothing for "
+            "0.7 s meanwhile, held up from outside",
+        ),
         (
             [line(9, "a1", "no route", request=ID, version=3)],
             "version 3 has no such route, and no host had a newer one",
