Name callers the hosts that keep up, and forward to such hosts

Callers' view: where more than half of the entry hosts run eightfold slower beside 2.5 times the traffic, three in ten requests fail; most are held by a host that has no processor for them.

Cause: the directory names all ready hosts of a region alike, and hosts forward to any host of another region. A host knows nothing of its own lag.

Ways weighed: telling the lag in milliseconds (each word of a host differs, and the core's kept answers are thrown away each time); leaving out all that lag (the few others lag next); readiness (the platform counts it as a duty missed). Taken: a state with hysteresis, told with what a host tells anyway; at least a third of a region's hosts is named. Callers leave a host that isn't named.

--- a/packages/common/src/bronzepoint_common/loop_watch.py
+++ b/packages/common/src/bronzepoint_common/loop_watch.py
@@ -5,6 +5,7 @@
 import curio
 
 from bronzepoint_common.clock import monotonic
+from bronzepoint_common.lag import Lag
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
 
@@ -26,9 +27,13 @@
 
     Args:
         metrics: Where the delays are counted, as ``loop.late_ms``.
+
+    Attributes:
+        lag: Whether the process keeps up.
     """
 
     def __init__(self, metrics: Metrics) -> None:
+        self.lag = Lag()
         self._metrics = metrics
         self._task: curio.Task | None = None
 
@@ -50,6 +55,9 @@
             now = monotonic()
             late = now - began - INTERVAL
             self._metrics.timing("loop.late_ms", late * 1000)
+            if self.lag.note(late, now):
+                message = "lags" if self.lag.is_lagging else "lags no more"
+                _log.warning(message, average=round(self.lag.seconds, 3))
             if late < LATE or now < next_line_at:
                 continue
             next_line_at = now + LINE_INTERVAL
--- a/packages/node/src/bronzepoint_node/directory/_hosts_for_callers.py
+++ b/packages/node/src/bronzepoint_node/directory/_hosts_for_callers.py
@@ -1,5 +1,6 @@
 """Which entry hosts the callers of a region are named."""
 
+import math
 from collections.abc import Callable, Mapping
 
 from bronzepoint_schema.generated.fleet import EntryHost, EntryState
@@ -10,6 +11,10 @@
 than a core host takes to hear of all after a cut or a start of its own, and shorter
 than the time after which the platform counts a named host as dead."""
 
+LEAST_NAMED = 1 / 3
+"""Part of a region's hosts that is named at least. Were all that lag left out, the few
+others would get so many callers that they lag next."""
+
 KnownHosts = Callable[[float], list[EntryHost]]
 """Returns the entry hosts heard of within so many seconds."""
 
@@ -22,11 +27,14 @@
 ) -> list[EntryHost]:
     """Return the hosts that callers of a region may use; empty: none is known.
 
-    The region's own hosts go first. Without any, callers are sent to a region that may
-    serve what is home-bound. A region that is neither must not see those requests:
-    one would notice callers that are refused there and come back in a crowd. So it is
-    never named for a host name with home-bound routes, not even when nothing else is
-    known; callers then keep what they were named before, or ask another directory.
+    The region's own hosts go first, but for those that lag: callers leave a host that
+    isn't named any more, so that it gets less to do.
+
+    Without any, callers are sent to a region that may serve what is home-bound. A
+    region that is neither must not see those requests: one would notice callers that
+    are refused there and come back in a crowd. So it is never named for a host name
+    with home-bound routes, not even when nothing else is known; callers then keep what
+    they were named before, or ask another directory.
 
     Args:
         region: Region of the callers.
@@ -37,7 +45,7 @@
     ready = _ready(known(fresh))
     near = [host for host in ready if host.region == region]
     if near:
-        return near
+        return _without_lagging(near)
     if not homes:
         return ready
     return _best_homes(ready, homes) or [
@@ -45,6 +53,13 @@
     ]
 
 
+def _without_lagging(hosts: list[EntryHost]) -> list[EntryHost]:
+    """Return those that keep up, and as many others as must be named."""
+    by_lag = sorted(hosts, key=lambda host: (host.lagging, host.name))
+    keeping_up = sum(not host.lagging for host in hosts)
+    return by_lag[: max(keeping_up, math.ceil(LEAST_NAMED * len(hosts)))]
+
+
 def _best_homes(
     ready: list[EntryHost], homes: Mapping[RegionName, int]
 ) -> list[EntryHost]:
--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -230,7 +230,8 @@
             and now - self._lost_hosts.get(host.name, float("-inf")) > LOST_HOST_PAUSE
         ]
         # One that was heard of just now is less likely to be dead.
-        return [host for host in fit if host.age_ms < FRESH_HOST_MS] or fit
+        fresh = [host for host in fit if host.age_ms < FRESH_HOST_MS] or fit
+        return [host for host in fresh if not host.lagging] or fresh
 
     def _sent_since(self, load: RegionLoad, now: float) -> float:
         """Return the requests that a region has got from this one beyond its word.
--- a/tests/test_directory_callers.py
+++ b/tests/test_directory_callers.py
@@ -12,8 +12,8 @@
 """Two home-bound routes may be served in ``a``, one of them in ``b`` too."""
 
 
-def host(name, age=0.0, state=EntryState.ready):
-    return EntryHost(name, name[0], "z", name, name, state, int(age * 1000))
+def host(name, age=0.0, state=EntryState.ready, lagging=False):
+    return EntryHost(name, name[0], "z", name, name, state, int(age * 1000), lagging)
 
 
 def named(region, hosts, homes):
@@ -50,6 +50,23 @@
         hosts = [host("a1", age=4.0), host("a2", age=7.0), host("c1")]
         self.assertEqual(named("a", hosts, BOUND), ["a1"])
 
+    @params(
+        # hosts that lag, who is named
+        ([], ["a1", "a2", "a3", "a4", "a5", "a6"]),
+        (["a1", "a4"], ["a2", "a3", "a5", "a6"]),
+        # a third is named, whatever lags
+        (["a1", "a2", "a3", "a4", "a5"], ["a6", "a1"]),
+        (["a1", "a2", "a3", "a4", "a5", "a6"], ["a1", "a2"]),
+    )
+    def test_hosts_that_lag_are_not_named(self, lagging, expected):
+        """Guards against callers that go on to come to hosts that don't keep up."""
+        names = [f"a{number}" for number in range(1, 7)]
+        hosts = [host(name, lagging=name in lagging) for name in names]
+        self.assertEqual(named("a", hosts, {}), expected)
+
+    def test_single_host_is_named_though_it_lags(self):
+        self.assertEqual(named("a", [host("a1", lagging=True), host("b1")], {}), ["a1"])
+
     @params(EntryState.leaving)
     def test_leaving_hosts_are_not_named(self, state):
         hosts = [host("a1", state=state), host("b1")]
--- a/tests/test_loop_watch.py
+++ b/tests/test_loop_watch.py
@@ -39,7 +39,8 @@
 
     with logbook.TestHandler() as handler:
         longest = curio.run(main)
-    return [record.kwargs for record in handler.records], longest
+    lines = [r.kwargs for r in handler.records if r.message == "event loop late"]
+    return lines, longest
 
 
 class TestLoopWatch(unittest.TestCase):
