--- a/packages/node/src/bronzepoint_node/fleet/_follower.py
+++ b/packages/node/src/bronzepoint_node/fleet/_follower.py
@@ -289,9 +289,8 @@
             listener()
 
     def _take_document(self, core: HostName, reply: SyncReply, seconds: float) -> bool:
-        transfer = (
-            self._copy.transfer
-        )  # The copy begins another one with the last part.
+        # The copy begins another one with the last part.
+        transfer = self._copy.transfer
         if not self._copy.take(core, reply.document, seconds):
             return False
         held = self.catalogue.version if self.catalogue else NO_BASE
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -118,6 +118,17 @@
             placement = site.place(route(homes))
             self.assertEqual(placement.region, expected)
 
+    # Where all lag, one of them is better than a refusal.
+    @params((False, {"b1"}), (True, {"b1", "b2"}))
+    def test_forwards_go_to_hosts_that_keep_up(self, all_lag, expected):
+        """Guards against requests that are sent to a host without a processor."""
+        site = Site()
+        site.away(b=0)
+        for name, lags in (("b1", all_lag), ("b2", True)):
+            host = EntryHost(name, "b", "z", name, name, EntryState.ready, 0, lags)
+            site.registry.hear_entries([host])
+        self.assertEqual({site.place().host for _ in range(40)}, expected)
+
     def test_home_bound_elsewhere_leaves_though_home_has_room(self):
         site = Site(info("t1"))
         site.away(b=0)
