Refuse at once what a host that lags can't answer in time

Cause: a host takes whatever comes. Callers keep an answer of the directory for some seconds, so a lagging host goes on being asked after it is named no more.

Change: a request whose route's objective is less than some three times the lag is refused before its body is read, truthfully not run, and its connection closes, by which its caller comes again elsewhere (refused_lagging). Reception.receive is split; finding the route stands by itself.

The test failed without it (a host with a lag of 0.5 s took a request with an objective of 1 s).

--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -17,6 +17,7 @@
     "key_unconfirmed": "its API key isn't known, and the host may have lagged behind",
     "route_unconfirmed": "it has no route that the host knows, and the host may have "
     "lagged behind",
+    "lagging": "the host didn't keep up with its work",
     "over_quota": "its organisation has used up its quota over all hosts",
     "held": "targets crashed as they ran it, and it reaches none for some time",
 }
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -21,6 +21,7 @@
     KEY_UNCONFIRMED = "key_unconfirmed"
     ROUTE_UNCONFIRMED = "route_unconfirmed"
     OVER_QUOTA = "over_quota"
+    LAGGING = "lagging"
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/relay/_final_answers.py
+++ b/packages/node/src/bronzepoint_node/relay/_final_answers.py
@@ -106,6 +106,14 @@
             _log.info("refused", request=head.request_id, reason=reason)
         await _refuse(exchange, reason, retry_after)
 
+    async def shed(self, exchange: Exchange, head: CallerHead) -> None:
+        """Turn a request away that another host answers sooner, its body unread.
+
+        The connection closes, by which its caller comes again at another host.
+        """
+        exchange.say_last()
+        await self.refuse(exchange, head, RejectReason.LAGGING, DEFAULT_RETRY_AFTER)
+
     async def turn_away(
         self, exchange: Exchange, head: CallerHead, identity: Identity, version: int
     ) -> None:
--- a/packages/node/src/bronzepoint_node/relay/_reception.py
+++ b/packages/node/src/bronzepoint_node/relay/_reception.py
@@ -4,6 +4,7 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import BadRequest, Exchange
+from bronzepoint_common.lag import Lag
 from bronzepoint_node.fleet import Follower, ServedCatalogue, ServedRoute
 from bronzepoint_node.placement import RejectReason
 from bronzepoint_node.quarantine import RequestNames, name_request
@@ -32,6 +33,9 @@
 """Seconds for which a request waits for a catalogue after a start,"""
 START_WAIT_SHARE = 0.3
 """but no more than this part of its deadline."""
+LAG_SHARE = 0.3
+"""Part of a route's objective by which a host may lag to take a request: it needs some
+turns of the event loop until its first answer."""
 
 
 class Reception:
@@ -43,6 +47,7 @@
         quotas: What organisations may use.
         answers: Gives final answers.
         codec: Words of callers and targets.
+        lag: Whether this host keeps up.
     """
 
     def __init__(
@@ -52,12 +57,14 @@
         quotas: Quotas,
         answers: FinalAnswers,
         codec: Codec,
+        lag: Lag,
     ) -> None:
         self._follower = follower
         self._gate = gate
         self._quotas = quotas
         self._answers = answers
         self._codec = codec
+        self._lag = lag
         self._leaving = False
         self._usual = UsualDeadlines()
 
@@ -78,23 +85,16 @@
         except BadRequest as exc:
             await exchange.respond(400, {}, f"{exc}\n".encode())
             return None
-        catalogue = await self._known_catalogue(head)
-        if catalogue is None:
+        if await self._known_catalogue(head) is None:
             await self._answers.refuse(exchange, head, RejectReason.NO_CATALOGUE, 0.5)
             return None
-        path = exchange.request.raw_path.partition("?")[0]
-        route = catalogue.find_route(head.host, path)
+        route = await self._find_route(exchange, head)
         if route is None:
-            # A newer version may have added it.
-            is_confirmed = await self._gate.confirm(_deadline(head))
-            catalogue = self._follower.catalogue
-            route = catalogue.find_route(head.host, path)
-        if route is None:
-            await exchange.body()
-            await self._answers.say_no_route(
-                exchange, head, catalogue.version, is_confirmed
-            )
             return None
+        if self._lag.seconds > LAG_SHARE * route.objective:
+            await self._answers.shed(exchange, head)
+            return None
+        catalogue = self._follower.catalogue
         identity = await self._identify(exchange, head, route, catalogue, forwarded)
         if not isinstance(identity, Admitted):
             await self._answers.turn_away(exchange, head, identity, catalogue.version)
@@ -107,6 +107,25 @@
             return None
         return call if await self._charge(call) else None
 
+    async def _find_route(
+        self, exchange: Exchange, head: CallerHead
+    ) -> ServedRoute | None:
+        """Return the route of a request; None: it has its final answer."""
+        path = exchange.request.raw_path.partition("?")[0]
+        route = self._follower.catalogue.find_route(head.host, path)
+        if route is not None:
+            return route
+        # A newer version may have added it.
+        is_confirmed = await self._gate.confirm(_deadline(head))
+        catalogue = self._follower.catalogue
+        route = catalogue.find_route(head.host, path)
+        if route is None:
+            await exchange.body()
+            await self._answers.say_no_route(
+                exchange, head, catalogue.version, is_confirmed
+            )
+        return route
+
     def release(self, call: Call) -> None:
         """Give back what a request was charged that certainly didn't run."""
         if call.charge is not None and not call.may_have_run:
--- a/tests/test_relay_unknown_route.py
+++ b/tests/test_relay_reception.py
@@ -1,4 +1,4 @@
-"""A route that a host doesn't know, while its catalogue may be an old one."""
+"""What is turned away before it is placed: unknown routes, and what comes too late."""
 
 import json
 import unittest
@@ -7,6 +7,7 @@
 from nose2.tools import params
 
 from bronzepoint_common.http import Request
+from bronzepoint_common.lag import Lag
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_node.relay import FinalAnswers, Gate, Reception
 from bronzepoint_platform._codec import PlatformCodec
@@ -42,22 +43,38 @@
         headers = {"host": "h.example", "x-bronzepoint-deadline-ms": DEADLINE_MS}
         self.request = Request("POST", path, {}, headers, path)
         self.peer = "10.0.0.1:1"
+        self.is_last = False
+        self.has_read = False
+
+    def say_last(self):
+        self.is_last = True
 
     async def body(self):
+        self.has_read = True
         return b""
 
     async def respond(self, status, headers, body):
         self.answer = status
 
 
-def receive(follower, path, meanwhile=None):
-    """Return what a caller is told, and whether its request is to be served."""
+def receive(follower, path, meanwhile=None, lag=0.0):
+    """Return what a caller is told, and whether its request is to be served.
+
+    Args:
+        follower: What is in force.
+        path: What is asked for.
+        meanwhile: Called once the request has been read.
+        lag: Seconds by which the host lags.
+    """
 
     async def main():
         gate = Gate(follower, b"secret")
         answers = FinalAnswers(follower, Metrics())
-        quotas = Quotas()
-        reception = Reception(follower, gate, quotas, answers, PlatformCodec())
+        kept_up = Lag()
+        kept_up.seconds = lag
+        reception = Reception(
+            follower, gate, Quotas(), answers, PlatformCodec(), kept_up
+        )
         exchange = Exchange(path)
         task = await curio.spawn(reception.receive, exchange, False)
         await curio.sleep(0)
@@ -98,5 +115,14 @@
         self.assertEqual(receive(follower, "/new/a", arrive), (None, True))
 
 
+class TestLaggingHost(unittest.TestCase):
+    # The objective of the route is a second.
+    @params((0.0, None, True), (0.2, None, True), (0.5, 503, False), (5.0, 503, False))
+    def test_host_that_lags_takes_what_it_can_answer_in_time(self, lag, status, served):
+        """Guards against a host that holds requests until nobody waits for them."""
+        found = receive(Follower(CONFIRMED), "/safe/a", lag=lag)
+        self.assertEqual(found, (status, served))
+
+
 if __name__ == "__main__":
     unittest.main()
