--- a/packages/common/src/bronzepoint_common/lag.py
+++ b/packages/common/src/bronzepoint_common/lag.py
@@ -16,7 +16,7 @@
 
     Attributes:
         seconds: Average of the last second or so.
-        is_lagging: The process has not kept up, a moment ago at most.
+        is_lagging: The process doesn't keep up, or didn't some seconds ago.
     """
 
     def __init__(self) -> None:
--- a/packages/node/src/bronzepoint_node/fleet/_document_copy.py
+++ b/packages/node/src/bronzepoint_node/fleet/_document_copy.py
@@ -59,10 +59,9 @@
         """
         if part is None or self._sender not in (None, core):
             return False
-        if part.version <= self.version or part.base_version not in (
-            NO_BASE,
-            self.version,
-        ):
+        # What comes late may lead on from a version that is held no more.
+        leads_on = part.base_version in (NO_BASE, self.version)
+        if part.version <= self.version or not leads_on:
             return False
         if not self.transfer.take(part, seconds):
             return False
