Log what the retry budget grants, denies and divides

Three hypotheses for the broken retry budget couldn't be told apart: the request lines didn't say how many arrivals a host knows of, which sends were charged, by which divisor the slack was shared, or why a failed request wasn't retried. Ruled out: a line for each retry, whose volume grows with the failures.

--- a/packages/node/src/bronzepoint_node/relay/_answer_writer.py
+++ b/packages/node/src/bronzepoint_node/relay/_answer_writer.py
@@ -201,6 +201,8 @@
             forwarded=call.forwarded,
             looks=call.placement_requests,
             sends=call.sends,
+            arrivals=call.arrivals,
+            retries=call.retries,
             tries=call.notes,
             known_ms=call.staleness_ms,
             seconds=round(now - call.received_at, 3),
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -116,6 +116,7 @@
         last_event_at: Time at which the latest event was sent on.
         longest_gap: Longest time between two consecutive events, in seconds.
         arrivals: Times that a target is known to have received it.
+        retries: Sends that were taken from the retry budget of this host.
         written: True if a byte of the current try may have left this host.
         runs: Tries that ended without proof that the request did not run.
         reported_runs: The part of ``runs`` that the forwarding host reported.
@@ -144,6 +145,7 @@
     last_event_at: float = 0.0
     longest_gap: float = 0.0
     arrivals: int = 0
+    retries: int = 0
     written: bool = False
     runs: int = 0
     reported_runs: int = 0
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -186,9 +186,15 @@
         if not call.suspect and self._is_suspect(call):
             # The request became a suspect while it was queued.
             return False
-        if call.arrivals and not self._retry_budget.take(service, monotonic()):
-            await self._answer_writer.give_up(call, call.last_outcome)
-            return True
+        if call.arrivals:
+            now = monotonic()
+            if not self._retry_budget.take(service, now):
+                call.notes.append(
+                    f"not retried: {self._retry_budget.describe(service, now)}"
+                )
+                await self._answer_writer.give_up(call, call.last_outcome)
+                return True
+            call.retries += 1
         outcome = await self._sender.send(call, placement, service)
         call.last_outcome = outcome
         return await self._finish(call, outcome)
