Add a failing test of hosts that are killed in series

Three entry hosts as real processes, targets that reset two of three requests, and all entry hosts killed three times, 2.5 s apart. Targets that reset everything don't show it: they are ejected, and no second target is left to retry on.

--- /dev/null
+++ b/tests/test_retry_budget_processes.py
@@ -0,0 +1,145 @@
+"""Retries of entry hosts as real processes, before targets that reset requests."""
+
+import signal
+import unittest
+from collections import Counter
+
+import curio
+
+from bronzepoint_common.clock import monotonic
+from bronzepoint_common.http import HttpError
+from tests._platform_site import PlatformSite
+from tests._stand_in_target import StandInTarget
+
+WINDOW = 10.0
+"""Seconds over which retries are counted."""
+RATIO = 0.2
+"""Retries allowed per request."""
+SLACK = 50.0
+"""Additional retries allowed, for all hosts together."""
+PACE = 0.04
+"""Seconds between two requests to one host."""
+SPACING = 2.5
+"""Seconds between two kills of all entry hosts."""
+KILLS = 3
+SERVED = 3
+"""One of so many requests is served, or the targets would be ejected."""
+HOSTS = {
+    "core": ("core", "127.0.0.2"),
+    **{f"entry-{n}": ("entry", f"127.0.0.{20 + n}") for n in (1, 2, 3)},
+}
+ENTRIES = [name for name, (role, _) in HOSTS.items() if role == "entry"]
+
+
+class ResettingTarget(StandInTarget):
+    """Stub target that resets the connections of most requests.
+
+    Attributes:
+        arrivals: Monotonic time and id of each request that arrived.
+    """
+
+    def __init__(self, name, ip, port):
+        super().__init__(name, ip, port)
+        self.arrivals = []
+
+    async def _answer(self, exchange):
+        request_id = exchange.request.headers.get("x-bronzepoint-request-id")
+        if request_id is None:
+            await super()._answer(exchange)
+            return
+        self.arrivals.append((monotonic(), request_id))
+        if len(self.arrivals) % SERVED == 0:
+            await super()._answer(exchange)
+            return
+        await exchange.abort()
+
+
+class ResettingSite(PlatformSite):
+    """Three entry hosts before resetting targets, and the callers' requests.
+
+    Attributes:
+        sent: Monotonic times at which requests were sent.
+    """
+
+    def __init__(self):
+        super().__init__(hosts=HOSTS, targets=4)
+        self.sent = []
+
+    def make_target(self, name, ip, port):
+        return ResettingTarget(name, ip, port)
+
+    async def call_constantly(self, name):
+        """Send a request to a host at each interval, until cancelled."""
+        while True:
+            await curio.spawn(self._call, name, len(self.sent), daemon=True)
+            await curio.sleep(PACE)
+
+    async def _call(self, name, number):
+        self.sent.append(monotonic())
+        headers = {
+            "X-Bronzepoint-Request-Id": f"{name}-{number}",
+            "X-Bronzepoint-Deadline-Ms": "4000",
+        }
+        address = f"{HOSTS[name][1]}:{self.front}"
+        try:
+            await self.call("POST", "/safe/a", b"", address, headers)
+        except HttpError:
+            # The host is being restarted.
+            return
+
+    async def restart_entries(self):
+        """Kill all entry hosts and start them again."""
+        for name in ENTRIES:
+            self.signal(name, signal.SIGKILL)
+        for name in ENTRIES:
+            self.processes[name].wait()
+            self.start(name, first=False)
+
+    def retries(self):
+        """Return the times of all arrivals beyond the first of their request."""
+        seen = Counter()
+        times = []
+        for at, request_id in sorted(a for t in self.targets for a in t.arrivals):
+            seen[request_id] += 1
+            if seen[request_id] > 1:
+                times.append(at)
+        return times
+
+
+def most_over_budget(retries, sent):
+    """Return the largest excess over the budget in any window that ends at a retry."""
+    worst = float("-inf")
+    for end in retries:
+        made = sum(end - WINDOW <= at <= end for at in retries)
+        requests = max(
+            sum(end - WINDOW - shift <= at <= end - shift for at in sent)
+            for shift in (0, WINDOW / 2, WINDOW)
+        )
+        worst = max(worst, made - RATIO * requests - SLACK)
+    return worst
+
+
+class TestKilledInSeries(unittest.TestCase):
+    def test_hosts_killed_in_series_share_one_retry_budget(self):
+        """Guards against a whole budget for each process of a host that is killed."""
+
+        async def main():
+            async with ResettingSite() as site:
+                callers = [
+                    await curio.spawn(site.call_constantly, name) for name in ENTRIES
+                ]
+                for _ in range(KILLS):
+                    await curio.sleep(SPACING)
+                    await site.restart_entries()
+                await curio.sleep(SPACING)
+                for caller in callers:
+                    await caller.cancel()
+                return site.retries(), site.sent
+
+        retries, sent = curio.run(main)
+        self.assertGreater(len(retries), 0)
+        self.assertLessEqual(most_over_budget(retries, sent), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
