Start a process as if the one before it had used its whole retry budget

Cause: what a host has used of its share lies in its memory alone, so each new process had the whole slack at once, and retries for requests of its own beside those that its predecessor had saved up for ten seconds. Ruled out: a divisor that is too small (6 of 6 hosts throughout), and targets' answers that nobody charges (1 of 273). Change: a process takes no slack in its first window, unless no process ran on its host before; requests allow retries for half a window, and a little fewer in the first window, so that two processes together stay within one budget. No message is needed, so it holds in a partition and for any number of kills.

--- a/packages/node/src/bronzepoint_node/placement/_retry_budget.py
+++ b/packages/node/src/bronzepoint_node/placement/_retry_budget.py
@@ -1,24 +1,59 @@
 """Limit on retries, across all hosts together."""
 
-from collections import Counter, deque
+import math
+from collections import deque
+from dataclasses import dataclass, field
 
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
 
 WINDOW = 10.0
 """Seconds over which the platform counts retries (its `retry_window_s`)."""
+REQUEST_VALIDITY = 5.0
+"""Seconds for which a request allows retries.
+
+A host that is killed may just have used all that its requests allowed, and its next
+process doesn't know. With the whole window, both together could exceed the limit.
+"""
 RATIO_USED = 0.75
-"""Fraction of the granted ratio that is used, since the windows of the hosts are not
-aligned."""
+"""Fraction of the granted ratio that is used, since requests and retries are counted at
+different moments here and by the platform."""
+STARTING_RATIO_USED = 0.625
+"""The same for the first window of a process, whose predecessor may have used up to
+half a window of requests shortly before."""
 SLACK_USED = 0.7
 """Fraction of the granted slack that is divided among the hosts."""
-
 LOG_INTERVAL = 1.0
 """Minimum seconds between two log lines about the budget of a service."""
 
 _log = get_logger("placement")
 
 
+@dataclass
+class _Account:
+    """Requests and retries of one service; all times are monotonic seconds.
+
+    Attributes:
+        requests: Times of the requests that callers sent to this host.
+        paid: Times of the retries that these requests allowed.
+        unpaid: Times of the retries taken from the slack.
+        denied: Retries denied since the last log line.
+        logged_at: Time of the last log line.
+    """
+
+    requests: deque[float] = field(default_factory=deque)
+    paid: deque[float] = field(default_factory=deque)
+    unpaid: deque[float] = field(default_factory=deque)
+    denied: int = 0
+    logged_at: float = -math.inf
+
+    def expire(self, now: float) -> None:
+        """Drop what no longer counts."""
+        _drop_older(self.requests, now - REQUEST_VALIDITY)
+        _drop_older(self.paid, now - REQUEST_VALIDITY)
+        _drop_older(self.unpaid, now - WINDOW)
+
+
 class RetryBudget:
     """A host's share of the retries that all hosts may make at one service.
 
@@ -26,23 +61,31 @@
     equal share of the slack. The sum stays within the limit without any messages, also
     in a network partition: the divisor is the largest number of hosts seen.
 
+    A process can't know what the one before it on the same host has used. So it starts
+    as if that had been everything: without slack for one window, and with retries only
+    for requests that it received itself.
+
     Args:
         ratio: Retries allowed per request.
         slack: Additional retries allowed, for all hosts together.
+        started_at: Start of this process, in monotonic seconds; None if it is the first
+            one on its host.
         metrics: Counters of retries made and denied.
     """
 
     def __init__(
-        self, ratio: float, slack: float, metrics: Metrics | None = None
+        self,
+        ratio: float,
+        slack: float,
+        started_at: float | None,
+        metrics: Metrics | None = None,
     ) -> None:
-        self._metrics = metrics if metrics is not None else Metrics()
-        self._denied: Counter[str] = Counter()
-        self._logged_at: dict[str, float] = {}
-        self._ratio = ratio * RATIO_USED
+        self._ratio = ratio
         self._slack = slack * SLACK_USED
+        self._window_end = -math.inf if started_at is None else started_at + WINDOW
+        self._metrics = metrics if metrics is not None else Metrics()
         self._hosts = 0
-        self._requests: dict[str, deque[float]] = {}
-        self._retries: dict[str, deque[float]] = {}
+        self._accounts: dict[str, _Account] = {}
 
     def note_hosts(self, count: int) -> None:
         """Record the number of live entry hosts; only increases count.
@@ -57,53 +100,58 @@
 
     def note_request(self, service: str, now: float) -> None:
         """Record a request of a caller for the service."""
-        _within_window(self._requests, service, now).append(now)
+        self._account(service, now).requests.append(now)
 
     def take(self, service: str, now: float) -> bool:
         """Use one retry; return False if this host's share is used up."""
-        requests = len(_within_window(self._requests, service, now))
-        retries = _within_window(self._retries, service, now)
-        part = self._slack / self._hosts if self._hosts else 0.0
-        is_granted = len(retries) + 1 <= self._ratio * requests + part
-        if is_granted:
-            retries.append(now)
-            self._metrics.incr("retry.made")
+        account = self._account(service, now)
+        is_granted = True
+        if len(account.paid) + 1 <= self._payable(account, now):
+            account.paid.append(now)
+        elif len(account.unpaid) + 1 <= self._slack_share(now):
+            account.unpaid.append(now)
         else:
-            self._denied[service] += 1
-            self._metrics.incr("retry.denied")
-        self._log_state(service, now)
+            account.denied += 1
+            is_granted = False
+        self._metrics.incr("retry.made" if is_granted else "retry.denied")
+        self._log_state(service, account, now)
         return is_granted
 
     def describe(self, service: str, now: float) -> str:
         """Return what is used of this host's share, for the log."""
-        requests = len(_within_window(self._requests, service, now))
-        part = self._slack / self._hosts if self._hosts else 0.0
-        allowed = self._ratio * requests + part
+        account = self._account(service, now)
         return (
-            f"{self.used(service, now)} of {allowed:.1f} retries in {WINDOW:.0f} s, "
-            f"{requests} requests, slack {part:.1f} for one of {self._hosts} hosts"
+            f"{len(account.paid)} of {self._payable(account, now):.1f} for "
+            f"{len(account.requests)} requests in {REQUEST_VALIDITY:.0f} s, "
+            f"{len(account.unpaid)} of {self._slack_share(now):.1f} of the slack in "
+            f"{WINDOW:.0f} s as one of {self._hosts} hosts"
         )
 
-    def _log_state(self, service: str, now: float) -> None:
-        if now - self._logged_at.get(service, float("-inf")) < LOG_INTERVAL:
-            return
-        self._logged_at[service] = now
-        _log.info(
-            "retry budget",
-            service=service,
-            used=self.describe(service, now),
-            denied=self._denied.pop(service, 0),
-        )
+    def _payable(self, account: _Account, now: float) -> float:
+        """Return the number of retries that the requests of this host allow."""
+        is_starting = now < self._window_end
+        used = STARTING_RATIO_USED if is_starting else RATIO_USED
+        return self._ratio * used * len(account.requests)
+
+    def _slack_share(self, now: float) -> float:
+        if not self._hosts or now < self._window_end:
+            return 0.0
+        return self._slack / self._hosts
 
-    def used(self, service: str, now: float) -> int:
-        """Return the number of retries in the current window."""
-        return len(_within_window(self._retries, service, now))
+    def _account(self, service: str, now: float) -> _Account:
+        account = self._accounts.setdefault(service, _Account())
+        account.expire(now)
+        return account
+
+    def _log_state(self, service: str, account: _Account, now: float) -> None:
+        if now - account.logged_at < LOG_INTERVAL:
+            return
+        account.logged_at = now
+        used = self.describe(service, now)
+        _log.info("retry budget", service=service, used=used, denied=account.denied)
+        account.denied = 0
 
 
-def _within_window(
-    table: dict[str, deque[float]], key: str, now: float
-) -> deque[float]:
-    times = table.setdefault(key, deque())
-    while times and now - times[0] > WINDOW:
+def _drop_older(times: deque[float], oldest: float) -> None:
+    while times and times[0] < oldest:
         times.popleft()
-    return times
