Divide the retry slack by regions, then by the hosts of a region

A process that starts while regions can't reach each other sees the hosts of its own region only, and divided the slack by them: three regions whose hosts were all restarted in a partition would use it three times. Ruled out: keeping the largest number of hosts in the core, which a core that was restarted on one side can't know either. Conclusion: the slack holds in any partition between regions. One within a region still rests on the hosts seen before it.

--- a/packages/node/src/bronzepoint_node/placement/_retry_budget.py
+++ b/packages/node/src/bronzepoint_node/placement/_retry_budget.py
@@ -59,7 +59,8 @@
 
     Each host may retry a fraction of the requests that it received itself, and use an
     equal share of the slack. The sum stays within the limit without any messages, also
-    in a network partition: the divisor is the largest number of hosts seen.
+    in a network partition: the slack is divided among all regions of the settings, and
+    in each region by the largest number of hosts seen.
 
     A process can't know what the one before it on the same host has used. So it starts
     as if that had been everything: without slack for one window, and with retries only
@@ -68,6 +69,7 @@
     Args:
         ratio: Retries allowed per request.
         slack: Additional retries allowed, for all hosts together.
+        regions: Number of regions.
         started_at: Start of this process, in monotonic seconds; None if it is the first
             one on its host.
         metrics: Counters of retries made and denied.
@@ -77,18 +79,19 @@
         self,
         ratio: float,
         slack: float,
+        regions: int,
         started_at: float | None,
         metrics: Metrics | None = None,
     ) -> None:
         self._ratio = ratio
-        self._slack = slack * SLACK_USED
+        self._region_slack = slack * SLACK_USED / max(1, regions)
         self._window_end = -math.inf if started_at is None else started_at + WINDOW
         self._metrics = metrics if metrics is not None else Metrics()
         self._hosts = 0
         self._accounts: dict[str, _Account] = {}
 
     def note_hosts(self, count: int) -> None:
-        """Record the number of live entry hosts; only increases count.
+        """Record the number of live entry hosts of the region; only increases count.
 
         Until the first call a host has no share of the slack. Otherwise each of many
         hosts that start together would use all of it.
@@ -136,7 +139,7 @@
     def _slack_share(self, now: float) -> float:
         if not self._hosts or now < self._window_end:
             return 0.0
-        return self._slack / self._hosts
+        return self._region_slack / self._hosts
 
     def _account(self, service: str, now: float) -> _Account:
         account = self._accounts.setdefault(service, _Account())
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -13,8 +13,8 @@
 """Seconds between two steps of a simulated load."""
 
 
-def budget(ratio=RATIO, slack=SLACK, hosts=1, started_at=None):
-    found = RetryBudget(ratio, slack, started_at)
+def budget(ratio=RATIO, slack=SLACK, hosts=1, regions=1, started_at=None):
+    found = RetryBudget(ratio, slack, regions, started_at)
     found.note_hosts(hosts)
     return found
 
@@ -29,15 +29,17 @@
 
 class TestShare(unittest.TestCase):
     @params(
-        # requests, hosts, granted: 0.75 of a fifth of the requests, and the host's
-        # share of 0.7 of the slack
-        (0, 1, 35),
-        (0, 5, 7),
-        (100, 5, 22),
-        (100, 1, 50),
+        # requests, hosts, regions, granted: 0.75 of a fifth of the requests, and the
+        # host's share of 0.7 of the slack
+        (0, 1, 1, 35),
+        (0, 5, 1, 7),
+        (100, 5, 1, 22),
+        (100, 1, 1, 50),
+        (0, 1, 5, 7),
+        (100, 5, 3, 17),
     )
-    def test_retries_in_one_window(self, requests, hosts, expected):
-        retry_budget = budget(hosts=hosts)
+    def test_retries_in_one_window(self, requests, hosts, regions, expected):
+        retry_budget = budget(hosts=hosts, regions=regions)
         for _ in range(requests):
             retry_budget.note_request("s", 0.0)
         self.assertEqual(take_all(retry_budget, 1.0), expected)
@@ -91,7 +93,7 @@
     """Return the times of all retries and requests of hosts that are killed together.
 
     Args:
-        hosts: Number of hosts.
+        hosts: Number of hosts in each of the regions.
         rate: Requests per second at each host.
         kills: Times at which all processes are replaced.
         seconds: Length of the simulation.
@@ -99,13 +101,17 @@
     """
     retries, requests = [], []
     remaining = sorted(kills)
-    processes = [budget(hosts=hosts) for _ in range(hosts)]
+    processes = [budget(hosts=n, regions=len(hosts)) for n in hosts for _ in range(n)]
     due = [0.0] * len(processes)
     for step in range(round(seconds / STEP)):
         now = step * STEP
         if remaining and now >= remaining[0]:
             started = remaining.pop(0)
-            processes = [budget(hosts=hosts, started_at=started) for _ in range(hosts)]
+            processes = [
+                budget(hosts=n, regions=len(hosts), started_at=started)
+                for n in hosts
+                for _ in range(n)
+            ]
         for number, process in enumerate(processes):
             due[number] += rate * STEP
             while due[number] >= 1.0:
@@ -132,15 +138,15 @@
 
 class TestSumOfAllProcesses(unittest.TestCase):
     @params(
-        # hosts, requests a second at each, kills, first failure
-        (3, 10.0, (20.0, 22.5, 25.0), 18.0),
-        (6, 15.0, (20.0, 23.0, 26.0), 18.0),
-        (6, 40.0, (20.0,), 19.0),
-        (6, 40.0, (20.0, 20.5, 21.0, 24.0, 28.0), 19.9),
-        (60, 3.0, (20.0, 23.0, 26.0), 19.0),
-        (9, 2.0, tuple(20.0 + n for n in range(15)), 10.0),
-        (9, 12.0, (20.0, 29.0), 19.9),
-        (6, 15.0, (), 18.0),
+        # hosts by region, requests a second at each, kills, first failure
+        ((3,), 10.0, (20.0, 22.5, 25.0), 18.0),
+        ((2, 2, 2), 15.0, (20.0, 23.0, 26.0), 18.0),
+        ((2, 2, 2), 40.0, (20.0,), 19.0),
+        ((2, 2, 2), 40.0, (20.0, 20.5, 21.0, 24.0, 28.0), 19.9),
+        ((20, 20, 20), 3.0, (20.0, 23.0, 26.0), 19.0),
+        ((9,), 2.0, tuple(20.0 + n for n in range(15)), 10.0),
+        ((6, 2, 1), 12.0, (20.0, 29.0), 19.9),
+        ((2, 2, 2), 15.0, (), 18.0),
     )
     def test_hosts_killed_in_series_share_one_budget(
         self, hosts, rate, kills, fail_from
@@ -151,6 +157,21 @@
         self.assertGreater(len(retries), 0)
         self.assertLessEqual(most_over_limit(retries, requests), 0.0)
 
+    def test_hosts_started_in_a_partition_share_the_slack(self):
+        """Guards against a slack that each part of a partition divides anew.
+
+        All hosts are restarted while the regions can't reach each other, so each host
+        has only seen those of its own region.
+        """
+        sizes = (2, 3, 4)
+        processes = [
+            budget(0.0, SLACK, hosts=n, regions=len(sizes), started_at=0.0)
+            for n in sizes
+            for _ in range(n)
+        ]
+        now = 2 * WINDOW
+        self.assertLessEqual(sum(take_all(p, now) for p in processes), SLACK)
+
 
 if __name__ == "__main__":
     unittest.main()
