Report to a forwarding host that a target has rejected its request

Guards against retries that nobody is charged for. A host that forwards a request to another region took its refusal for a request that no target had seen, though a target there may have received and rejected it first: the next host was then tried for free, three times for each request. Ruled out: charging each forward, which would spend the budget on refusals that no target has seen. Change: a refusal says whether a target received the request, and the next send is charged. The test with two regions and no budget failed before on all three kinds of routes (2 arrivals for a request, 1 allowed) and passes now. Conclusion: each arrival beyond the first is charged by the host that sends it; what a host that is killed has sent and not yet answered remains uncharged only if its forwarding host doesn't learn of it, which counts as a run there.

--- a/packages/node/src/bronzepoint_node/relay/_answer_writer.py
+++ b/packages/node/src/bronzepoint_node/relay/_answer_writer.py
@@ -1,5 +1,8 @@
 """Sends the final answer of a request, and logs how the request ended."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import Exchange
 from bronzepoint_common.logs import get_logger
@@ -86,7 +89,7 @@
             await call.exchange.respond(502, headers, text)
             return
         self.log_outcome(call, f"refused_{RejectReason.HELD}")
-        headers[RAN_HEADER] = "no"
+        headers |= {RAN_HEADER: "no", **call.refusal_headers}
         text = b"held back: the targets that ran it have crashed\n"
         await call.exchange.respond(503, headers, text)
 
@@ -100,11 +103,12 @@
     ) -> None:
         """Answer that the request did not run and will not run."""
         self._metrics.incr(f"refusal.{reason}")
-        if call is not None:
-            self.log_outcome(call, f"refused_{reason}")
-        else:
+        if call is None:
             _log.info("refused", request=head.request_id, reason=reason)
-        await _send_refusal(exchange, reason, retry_after)
+            await _send_refusal(exchange, reason, retry_after)
+            return
+        self.log_outcome(call, f"refused_{reason}")
+        await _send_refusal(exchange, reason, retry_after, call.refusal_headers)
 
     async def shed(self, exchange: Exchange, head: CallerHead) -> None:
         """Refuse a request without reading its body, as this host lags.
@@ -161,7 +165,7 @@
             headers = call.answer_headers({})
             await call.exchange.respond(504, headers, b"no answer in time\n")
         else:
-            headers = _refusal_headers(DEFAULT_RETRY_AFTER)
+            headers = _refusal_headers(DEFAULT_RETRY_AFTER) | call.refusal_headers
             await call.exchange.respond(503, headers, b"no room in time\n")
 
     async def answer_no_route(
@@ -221,9 +225,12 @@
 
 
 async def _send_refusal(
-    exchange: Exchange, reason: RejectReason, retry_after: float
+    exchange: Exchange,
+    reason: RejectReason,
+    retry_after: float,
+    more_headers: Mapping[str, str] = MappingProxyType({}),
 ) -> None:
-    headers = _refusal_headers(retry_after)
+    headers = {**_refusal_headers(retry_after), **more_headers}
     if reason is RejectReason.UNAUTHENTICATED:
         # Retrying with the same key would be refused again.
         del headers["Retry-After"]
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -11,7 +11,7 @@
 
 from ._codec import CallerHead
 from ._events import EventSplitter
-from ._host_headers import RUNS_HEADER
+from ._host_headers import ARRIVED_HEADER, RUNS_HEADER
 
 
 @dataclass(frozen=True)
@@ -219,6 +219,11 @@
             return headers
         return {**headers, RUNS_HEADER: str(self.counted_runs)}
 
+    @property
+    def refusal_headers(self) -> dict[str, str]:
+        """Headers of a refusal for a forwarding host."""
+        return {ARRIVED_HEADER: "yes"} if self.forwarded and self.arrivals else {}
+
     @property
     def counted_runs(self) -> int:
         """Runs that count against the route's limit.
--- a/packages/node/src/bronzepoint_node/relay/_host_headers.py
+++ b/packages/node/src/bronzepoint_node/relay/_host_headers.py
@@ -2,6 +2,9 @@
 
 RAN_HEADER = "bronzepoint-ran"
 """``no`` on a refusal: a host guarantees that the request did not run."""
+ARRIVED_HEADER = "bronzepoint-arrived"
+"""On a refusal: a target received the request and rejected it, so that sending it again
+is a retry."""
 FORWARDED_HEADER = "bronzepoint-forwarded"
 """Region that forwarded the request; such a request is never forwarded again."""
 RUNS_HEADER = "bronzepoint-runs"
@@ -22,6 +25,7 @@
 HOST_HEADERS = frozenset(
     {
         RAN_HEADER,
+        ARRIVED_HEADER,
         FORWARDED_HEADER,
         RUNS_HEADER,
         MAX_RUNS_HEADER,
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -17,7 +17,7 @@
 
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec, TargetVerdict
-from ._host_headers import BLOCKED_HEADER, RAN_HEADER
+from ._host_headers import ARRIVED_HEADER, BLOCKED_HEADER, RAN_HEADER
 
 
 @dataclass(frozen=True)
@@ -112,10 +112,10 @@
 
     async def _relay_answer(self, answer: ClientAnswer) -> TryOutcome:
         call = self._call
-        if answer.headers.get(RAN_HEADER) == "no" and BLOCKED_HEADER in answer.headers:
-            return NotRun("held", retry_after=_retry_after(answer.headers))
         if answer.headers.get(RAN_HEADER) == "no":
-            return NotRun("region_refused", retry_after=_retry_after(answer.headers))
+            reason = "held" if BLOCKED_HEADER in answer.headers else "region_refused"
+            has_arrived = ARRIVED_HEADER in answer.headers
+            return NotRun(reason, has_arrived, _retry_after(answer.headers))
         match self._codec.classify_answer(call.head, answer.status, answer.headers):
             case TargetVerdict.REPLACED:
                 return NotRun("replaced", by_target=True)
--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -48,6 +48,7 @@
 directory = "{ip}:{control}"
 [bounds]
 grace_s = {grace}
+{bounds}
 [cloud_api]
 address = "{list}"
 """
@@ -88,6 +89,7 @@
     Attributes:
         hosts: Role and address of each host by name.
         regions: Region of each host outside "x", the region of all targets.
+        bounds: Further lines of the settings' table of bounds.
         keep: Whether files and logs are kept after the end.
         unread: Read end of the output pipe, by name, for hosts whose log isn't read.
     """
@@ -95,6 +97,7 @@
     def __init__(self, grace=8.0, targets=2, hosts=DEFAULT_HOSTS):
         self.hosts = hosts
         self.regions = {}
+        self.bounds = ""
         self.keep = False
         self.unread = {}
         self.grace = grace
@@ -184,6 +187,7 @@
             ready=self.ready,
             data=data,
             grace=self.grace,
+            bounds=self.bounds,
             list=self.list_server.address,
         )
         path.write_text(text)
--- a/tests/test_retry_budget_processes.py
+++ b/tests/test_retry_budget_processes.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 import curio
+from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import HttpError
@@ -119,6 +120,22 @@
     return worst
 
 
+async def ask_until_both_hosts_tried(site, path):
+    """Send a request; return whether both hosts of the other region were tried."""
+    await site.ask(path, f"id-{len(site.lines('entry-y'))}")
+    requests = [line for line in site.lines("entry-y") if line["message"] == "request"]
+    tries = "".join(note for line in requests for note in line["tries"])
+    return all(HOSTS[name][1] in tries for name in ("entry-1", "entry-2"))
+
+
+def arrivals_by_request(site):
+    """Return how often each request reached a target."""
+    ids = (
+        r.headers.get("x-bronzepoint-request-id") for t in site.targets for r in t.seen
+    )
+    return Counter(request_id for request_id in ids if request_id)
+
+
 class TestKilledInSeries(unittest.TestCase):
     def test_hosts_killed_in_series_share_one_retry_budget(self):
         """Guards against a whole budget for each process of a host that is killed."""
@@ -141,5 +158,35 @@
         self.assertLessEqual(most_over_budget(retries, sent), 0.0)
 
 
+class TestForwarded(unittest.TestCase):
+    @params("/safe/a", "/once/a", "/stream/a")
+    def test_a_region_that_refuses_reports_that_a_target_was_reached(self, path):
+        """Guards against retries that no host is charged for.
+
+        A target of another region rejects the request, and its host refuses it. The
+        forwarding host would send it on to the next host as if no target had seen it.
+        """
+
+        async def main():
+            site = PlatformSite(
+                hosts={
+                    "core": HOSTS["core"],
+                    "entry-y": ("entry", "127.0.0.3"),
+                    "entry-1": HOSTS["entry-1"],
+                    "entry-2": HOSTS["entry-2"],
+                }
+            )
+            site.regions = {"entry-y": "y"}
+            site.bounds = "retry_ratio = 0\nretry_slack = 0"
+            async with site:
+                for target in site.targets:
+                    target.script = ["full"] * 1000
+                await site.until(lambda: ask_until_both_hosts_tried(site, path))
+                return arrivals_by_request(site)
+
+        arrivals = curio.run(main)
+        self.assertEqual(set(arrivals.values()), {1})
+
+
 if __name__ == "__main__":
     unittest.main()
