Log the request limits that targets name

Now the adapter reads the limit, the relay keeps the newest one of each target, and a line tells each change; a counter has the answers that name one. Ruled out: a line for each such answer. What rejects a request needn't know of the limit, so only an answer to a request ends it. No decision uses it yet.

--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -26,7 +26,7 @@
 from ._scheduler_client import SchedulerClient
 from ._service_estimates import ServiceEstimates
 from ._target_table import TargetTable
-from ._tracked_target import EngineReport, is_unresponsive
+from ._tracked_target import EngineReport, TrackedTarget, is_unresponsive
 
 __all__ = [
     "LocalPlacement",
@@ -53,6 +53,7 @@
     "SchedulerClient",
     "ServiceEstimates",
     "TargetTable",
+    "TrackedTarget",
     "is_unresponsive",
     "select_service",
 ]
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -15,6 +15,7 @@
 from ._engine_load import NOTICE_EXPIRY, EngineLoad, OwnRun
 from ._pace import Pace
 from ._prompt import Prompt
+from ._request_limit import RequestLimit
 
 UNRESPONSIVE_AFTER = 0.25
 """Seconds of failed polls or connections after which a target counts as
@@ -67,6 +68,7 @@
         reopened_at: When its data center was last reopened.
         replaced: Another target answers at its address, although it is still listed.
         trials: Suspects of this host that are running there.
+        limit: Request rate that it has limited itself to.
         isolated_until: Until when a suspect of another host may be on trial there.
     """
 
@@ -95,6 +97,7 @@
     reopened_at: float = float("-inf")
     trials: set[WatchedRun] = field(default_factory=set)
     isolated_until: float = float("-inf")
+    limit: RequestLimit = field(default_factory=RequestLimit)
 
     @property
     def slots(self) -> int:
--- a/packages/node/src/bronzepoint_node/relay/_codec.py
+++ b/packages/node/src/bronzepoint_node/relay/_codec.py
@@ -98,5 +98,12 @@
     ) -> TargetVerdict:
         """Classify an answer by its status and headers."""
 
+    def request_limit(self, headers: dict[str, str]) -> float | None:
+        """Return the requests per second that a target limits itself to; None: none.
+
+        Raises:
+            ValueError: The limit is not a number of requests.
+        """
+
     def answer_headers(self, headers: dict[str, str]) -> dict[str, str]:
         """Return the headers of a target's answer that the caller receives."""
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -6,6 +6,7 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import HttpClient
+from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_node.placement import (
     ColdStartLimiter,
@@ -13,6 +14,7 @@
     Placer,
     RemotePlacement,
     TargetTable,
+    TrackedTarget,
     is_unresponsive,
 )
 from bronzepoint_node.quarantine import CrashDetector, WatchedRun
@@ -23,7 +25,7 @@
 
 from ._authenticator import Authenticator
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
-from ._codec import Codec, CopyInstructions
+from ._codec import Codec, CopyInstructions, TargetVerdict
 from ._host_headers import (
     FINGERPRINT_HEADER,
     FORWARDED_HEADER,
@@ -59,6 +61,8 @@
 RESUME_MAX_WAIT = 1.0
 """Seconds without an event after which a stream is resumed at another target."""
 
+_log = get_logger("relay")
+
 
 class Sender:
     """Sends a request to its placement, and records the outcome.
@@ -185,6 +189,9 @@
             measured = FirstToken(name, uncached, elapsed_ms, before)
             estimates.note_first_token(service, measured, first)
 
+        def on_head(verdict: TargetVerdict, answered: dict[str, str]) -> None:
+            self._record_limit(target, verdict, answered)
+
         headers = self._codec.target_headers(
             call.head,
             call.time_left,
@@ -204,7 +211,7 @@
         result = TryResult.cancelled
         outcome: TryOutcome | None = None
         try:
-            attempt = Try(self._client, self._codec, call, on_progress)
+            attempt = Try(self._client, self._codec, call, on_progress, on_head)
             outcome = await self._run_while_reachable(
                 call,
                 attempt.run(destination),
@@ -229,6 +236,26 @@
             estimates.note_hold(Hold(service, round(seconds * 1000)))
         return outcome
 
+    def _record_limit(
+        self, target: TrackedTarget, verdict: TargetVerdict, headers: dict[str, str]
+    ) -> None:
+        """Record the request limit that an answer names, or that it names none."""
+        name = target.info.incarnation
+        try:
+            rate = self._codec.request_limit(headers)
+        except ValueError as exc:
+            _log.warning("limit not read", target=name, reason=str(exc))
+            return
+        if rate is None and verdict is not TargetVerdict.ANSWER:
+            # Only the answer to a request proves that there is no limit: what rejects
+            # a request may not know of it.
+            return
+        if rate is not None:
+            self._metrics.incr("target.limit_named")
+        former = target.limit.rate
+        if target.limit.observe(rate, monotonic()):
+            _log.info("target limit", target=name, rate=rate, former=former)
+
     def _record_end(
         self, target: TargetInfo, run: WatchedRun, outcome: TryOutcome | None
     ) -> None:
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -48,6 +48,7 @@
         call: The request.
         on_progress: Called with the number of new events and the seconds since the
             previous ones; with zeros at the end of an answer that isn't streamed.
+        on_head: Called with the verdict and the headers of an answer.
     """
 
     def __init__(
@@ -56,11 +57,13 @@
         codec: Codec,
         call: Call,
         on_progress: Callable[[int, float], None],
+        on_head: Callable[[TargetVerdict, dict[str, str]], None] | None = None,
     ) -> None:
         self._client = client
         self._codec = codec
         self._call = call
         self._on_progress = on_progress
+        self._on_head = on_head
 
     async def run(self, destination: Destination) -> TryOutcome:
         """Send the request and return the outcome.
@@ -116,7 +119,10 @@
             reason = "held" if BLOCKED_HEADER in answer.headers else "region_refused"
             has_arrived = ARRIVED_HEADER in answer.headers
             return NotRun(reason, has_arrived, _retry_after(answer.headers))
-        match self._codec.classify_answer(call.head, answer.status, answer.headers):
+        verdict = self._codec.classify_answer(call.head, answer.status, answer.headers)
+        if self._on_head is not None:
+            self._on_head(verdict, answer.headers)
+        match verdict:
             case TargetVerdict.REPLACED:
                 return NotRun("replaced", by_target=True)
             case TargetVerdict.NOT_RUN:
