Keep the request limits that targets name, over all hosts of a region

Evidence: every host had got an answer with the limit 0.4 to 0.8 s after it was first named, no request was repeated, and the rate stayed what it was. Ruled out: knowledge that comes late, and retries. Change: an answer's limit is kept with the target and reported with its load, to the scheduler or the hosts of a small region, with the age of the answer, so that the newest one counts. Limited targets are no free capacity for other regions; where all are limited, requests go to other regions, wait by rank or are refused at once (limited), with the time until the next one may be sent.

--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -18,6 +18,8 @@
     "out of date",
     "route_unconfirmed": "the host knows no route for it, and the host's catalogue may "
     "have been out of date",
+    "limited": "all targets of its region limit their request rate, and no other "
+    "region had free capacity",
     "lagging": "the host was overloaded",
     "over_quota": "its organisation has used up its quota over all hosts",
     "held": "targets crashed as they ran it, and it is blocked for some time",
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -22,6 +22,7 @@
     ROUTE_UNCONFIRMED = "route_unconfirmed"
     OVER_QUOTA = "over_quota"
     LAGGING = "lagging"
+    LIMITED = "limited"
 
 
 @dataclass(frozen=True)
@@ -56,10 +57,13 @@
     Attributes:
         late: There is free capacity, but the request would miss its deadline.
         crowded: The requests ahead of it in the queue take longer than it may wait.
+        limited_for: Seconds until a target may get a request, if all targets limit
+            their request rate; 0: not all of them do.
     """
 
     late: bool = False
     crowded: bool = False
+    limited_for: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_cold_start_limiter.py
+++ b/packages/node/src/bronzepoint_node/placement/_cold_start_limiter.py
@@ -17,17 +17,17 @@
     none. While hosts disagree on which hosts are live, two of them may send; the rules
     of the platform tolerate twice the rate.
 
-    Args:
+    Attributes:
         host: This host.
     """
 
     def __init__(self, host: HostName) -> None:
-        self._host = host
+        self.host = host
         self._last_sent: dict[str, float] = {}
 
     def is_owner(self, target: str, hosts: list[HostName]) -> bool:
         """Return whether this host is the one that may send to a cold target."""
-        return bool(hosts) and rendezvous_order(target, hosts)[0] == self._host
+        return bool(hosts) and rendezvous_order(target, hosts)[0] == self.host
 
     def may_send(
         self, target: str, rate: float, hosts: list[HostName], now: float
--- a/packages/node/src/bronzepoint_node/placement/_load_collector.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_collector.py
@@ -127,6 +127,7 @@
             PartUse(n, tokens) for n, (at, tokens) in parts.items() if at > since
         ]
         load.replaced = tracked.replaced
+        tracked.add_limit(load, now)
         if tracked.engine is not None:
             # Plain services are not polled; each host relies on its own connections.
             load.word = tracked.engine_status(now)
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -39,6 +39,10 @@
 """Multiple of the remaining time that a stream may be expected to take. It is above
 1 because the callers' estimates of their answer lengths are accurate only at the
 median."""
+MIN_LIMITED_WAIT = 0.1
+"""Minimum seconds until a request that all targets' limits exclude may be retried."""
+MAX_LIMITED_WAIT = 3.0
+"""Maximum of these seconds: a limit may end earlier than it allows the next request."""
 LOWEST_RANK = 9
 """Rank of a request that is served after all others."""
 
@@ -84,7 +88,10 @@
             if isinstance(found, LocalPlacement):
                 return found
             is_late.append(found.late)
-        return NoLocalTarget(late=bool(is_late) and all(is_late))
+        return NoLocalTarget(
+            late=bool(is_late) and all(is_late),
+            limited_for=self._limited_for(request.service, now),
+        )
 
     def _choose_in_group(
         self, request: LocalPlacementRequest, usable: list[TrackedTarget], now: float
@@ -160,8 +167,36 @@
 
     def seconds_to_drain(self, service: str, waiting: int) -> float:
         """Return the seconds in which a service starts a number of requests."""
-        slots = sum(target.slots for target in self._table.of_service(service))
-        return waiting * self._speeds.times(service).hold / max(1, slots)
+        targets = self._table.of_service(service)
+        limited = [target for target in targets if target.limit.rate is not None]
+        slots = sum(target.slots for target in targets if target.limit.rate is None)
+        hold = self._speeds.times(service).hold
+        if not limited:
+            return waiting * hold / max(1, slots)
+        rate = slots / hold + sum(map(self._limited_rate, limited))
+        return waiting / rate if rate else math.inf
+
+    def _limited_rate(self, target: TrackedTarget) -> float:
+        """Return the requests per second that this host may send to a target."""
+        name, hosts = target.info.incarnation, self._selecting_hosts()
+        return target.limit.host_rate(name, self._cold.host, hosts)
+
+    def _may_send_limited(self, target: TrackedTarget, now: float) -> bool:
+        """Return whether a target's request limit allows a request of this host."""
+        if target.limit.rate is None:
+            return True
+        return not self._seconds_until_next(target, now)
+
+    def _seconds_until_next(self, target: TrackedTarget, now: float) -> float:
+        return target.limit.seconds_until_next(self._limited_rate(target), now)
+
+    def _limited_for(self, service: str, now: float) -> float:
+        """Return `NoLocalTarget.limited_for` for a service."""
+        targets = self._table.of_service(service)
+        if not targets or any(target.limit.rate is None for target in targets):
+            return 0.0
+        wait = min(self._seconds_until_next(target, now) for target in targets)
+        return min(MAX_LIMITED_WAIT, max(MIN_LIMITED_WAIT, wait))
 
     def usable(self, service: str, now: float) -> list[TrackedTarget]:
         """Return targets that may get requests, cold ones only if the limit allows."""
@@ -175,6 +210,7 @@
             for tracked in targets
             if self._table.is_open(tracked)
             and (now >= tracked.cold_until or self._may_send_cold(tracked, now))
+            and self._may_send_limited(tracked, now)
             and (
                 not is_unresponsive(tracked, now)
                 or now - tracked.trial_at > TRIAL_INTERVAL
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -177,7 +177,7 @@
         A cold target handles two or three requests a second, which the callers of its
         own region use up. If it were reported with all its slots, it would attract
         forwarded requests that are refused after a round trip, although they could have
-        waited in their own region.
+        waited in their own region. The same holds for one that limits its requests.
         """
         return [
             tracked
@@ -185,6 +185,7 @@
             if now >= tracked.cold_until
             and not is_ejected(tracked)
             and not is_unresponsive(tracked, now)
+            and tracked.limit.rate is None
         ]
 
     def _region_load(
@@ -204,6 +205,9 @@
         if isinstance(found, NoLocalTarget) and found.late:
             wait = SLOW_TARGET_WAIT * self._rng.uniform(0.7, 1.5)
             return Rejected(RejectReason.NO_TIME, wait, final=True)
+        if isinstance(found, NoLocalTarget) and found.limited_for:
+            wait = found.limited_for * self._rng.uniform(1.0, 1.5)
+            return Rejected(RejectReason.LIMITED, wait, found.crowded)
         hold = self.estimates.times(service).hold
         wait = min(3.0, max(0.3, hold / 2)) * self._rng.uniform(0.7, 1.5)
         is_final = isinstance(found, NoLocalTarget) and found.crowded
@@ -217,6 +221,7 @@
             f"{' silent' if is_unresponsive(t, now) else ''}"
             f"{' ejected' if is_ejected(t) else ''}"
             f"{' cold' if now < t.cold_until else ''}"
+            f"{'' if t.limit.rate is None else f' limited to {t.limit.rate:g}/s'}"
             for t in self._table.of_service(service)
         ]
         there = self.regions.describe(service, request, now)
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -1,6 +1,7 @@
 """Selection of targets for requests of this host and queries of other hosts."""
 
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -100,8 +101,11 @@
 
         found = await self._find(request, query.wait_ms / 1000, claim)
         match found:
-            case NoLocalTarget(late=late, crowded=crowded):
-                return NoTarget(query.number, late, crowded=crowded)
+            case NoLocalTarget(late=late, crowded=crowded, limited_for=limited_for):
+                limited_ms = math.ceil(limited_for * 1000)
+                return NoTarget(
+                    query.number, late, crowded=crowded, limited_ms=limited_ms
+                )
             case LocalPlacement(target=target, fetch_from=source):
                 return TargetGrant(
                     query.number,
@@ -177,6 +181,7 @@
     ) -> None:
         now = monotonic()
         target, prompt = found.target, request.prompt
+        target.limit.note_sent(now)
         if now < target.cold_until:
             self._cold.note_sent(target.info.incarnation, now)
         if is_unresponsive(target, now):
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -218,6 +218,23 @@
         self.failed_reports = 0
         self.unresponsive_since = 0.0
 
+    def record_limit(self, rate: float | None, now: float) -> bool:
+        """Record the request limit that an answer to this host names.
+
+        A change is reported to the other hosts at once.
+
+        Args:
+            rate: Requests per second; None: the answer names no limit.
+            now: Monotonic seconds.
+
+        Returns:
+            Whether the limit has changed.
+        """
+        has_changed = self.limit.observe(rate, now)
+        if has_changed:
+            self.load.changed = True
+        return has_changed
+
     def record_failed_connection(self, now: float) -> None:
         """Record a failed connection, to be reported at once.
 
@@ -271,6 +288,8 @@
         self.replaced = self.replaced or load.replaced
         if load.trials:
             self.isolate(now)
+        if load.limit_age_ms >= 0:
+            self.limit.observe(load.limit_rate, now - load.limit_age_ms / 1000)
         for _ in range(load.unreached):
             self.record_failure(now)
 
@@ -281,7 +300,8 @@
         repeated every second.
         """
         is_recently_busy = now - self.reported_busy_at < NOTICE_EXPIRY
-        return bool(self.load.runs) or is_recently_busy or self.replaced
+        is_limited = self.limit.rate is not None
+        return bool(self.load.runs) or is_recently_busy or self.replaced or is_limited
 
     def report_load(self, now: float) -> TargetLoad:
         """Return this host's load and the observations that are not reported yet."""
@@ -292,6 +312,7 @@
         load.events, load.event_ms = self.events, round(self.event_seconds * 1000)
         load.unreached, load.replaced = self.unreached, self.replaced
         load.trials = self._trials_now(now)
+        self.add_limit(load, now)
         if load.in_flight:
             self.reported_busy_at = now
         self.parts_sent.clear()
@@ -299,6 +320,13 @@
         self.load.changed = False
         return load
 
+    def add_limit(self, load: TargetLoad, now: float) -> None:
+        """Add the known request limit to a report, or that it has just ended."""
+        age = now - self.limit.observed_at
+        if self.limit.rate is None and age > NOTICE_EXPIRY:
+            return
+        load.limit_rate, load.limit_age_ms = self.limit.rate, round(age * 1000)
+
     def record_failure(self, now: float) -> None:
         """Record a missing load report or a failed connection."""
         self.failed_reports += 1
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -155,6 +155,7 @@
         target = placement.target
         name = target.info.incarnation
         now = monotonic()
+        target.limit.note_sent(now)
         if now < target.cold_until:
             self._cold.note_sent(name, now)
         if is_unresponsive(target, now):
@@ -253,7 +254,7 @@
         if rate is not None:
             self._metrics.incr("target.limit_named")
         former = target.limit.rate
-        if target.limit.observe(rate, monotonic()):
+        if target.record_limit(rate, monotonic()):
             _log.info("target limit", target=name, rate=rate, former=former)
 
     def _record_end(
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -72,6 +72,21 @@
     def test_answer_is_classified_by_status_and_headers(self, status, headers, verdict):
         self.assertEqual(CODEC.classify_answer(head(), status, headers), verdict)
 
+    @params(
+        ({}, None),
+        ({"server-limit": "1"}, 1.0),
+        ({"server-limit": "0.25"}, 0.25),
+        ({"server-limit": "0"}, 0.0),
+    )
+    def test_request_limit(self, headers, expected):
+        self.assertEqual(CODEC.request_limit(headers), expected)
+
+    @params("", "x", "-1", "nan", "inf")
+    def test_unreadable_request_limit_is_an_error(self, text):
+        """Guards against a limit that is taken for none, or for any number."""
+        with self.assertRaises(ValueError):
+            CODEC.request_limit({"server-limit": text})
+
 
 class TestManifest(unittest.TestCase):
     def test_kinds_and_bounds(self):
