Replace connections between hosts that have gone silent

Cause: a query to the core goes out on one connection and its answer comes back on another, and each is given up only after its data wasn't acknowledged for 2.5 s, the second one not before the first is replaced. A host of casa asked all five hosts of the core for ten seconds, two to six times each in vain. Ruled out: a core that was behind (three other hosts had the version within 0.5 s), and a shorter timeout of the kernel, which slow links would exceed. Change: a call without an answer in time replaces its connection, and a peer that gets a call as the first frame of a new connection replaces its own. They are closed, not reset, so a slow link still delivers what is on its way. The new test, whose links keep acknowledging, failed before on all three rows and passes; another one keeps hosts from replacing connections in turn. Conclusion: fixed for calls; messages without an answer still wait for the kernel's 2.5 s.

--- a/packages/common/src/bronzepoint_common/peers/_listener.py
+++ b/packages/common/src/bronzepoint_common/peers/_listener.py
@@ -16,9 +16,9 @@
 )
 from bronzepoint_common.settings import split_address
 
-Receive = Callable[[bytes], Awaitable[None]]
-"""Handles a frame; raises FrameRejected if it is invalid or its sender lacks the
-cluster key."""
+Receive = Callable[[bytes, bool], Awaitable[None]]
+"""Handles a frame, and whether it is the first one of its connection; raises
+FrameRejected if it is invalid or its sender lacks the cluster key."""
 
 _BACKLOG = 256
 """Connections that the kernel queues until they are accepted."""
@@ -119,13 +119,15 @@
         self._unauthenticated += 1
         try:
             async with curio.ignore_after(_AUTHENTICATION_TIMEOUT):
-                return await self._read_frame(sock, buffer)
+                return await self._read_frame(sock, buffer, is_first=True)
             self._rejected("unproved")
             return False
         finally:
             self._unauthenticated -= 1
 
-    async def _read_frame(self, sock: socket.socket, buffer: FrameBuffer) -> bool:
+    async def _read_frame(
+        self, sock: socket.socket, buffer: FrameBuffer, is_first: bool = False
+    ) -> bool:
         """Read one frame and pass it on; return False at the end of the connection."""
         while (frame := buffer.next_frame()) is None:
             try:
@@ -136,5 +138,5 @@
             if not data:
                 return False
             buffer.feed(data)
-        await self._receive(frame)
+        await self._receive(frame, is_first)
         return True
--- a/packages/common/src/bronzepoint_common/peers/_outbox.py
+++ b/packages/common/src/bronzepoint_common/peers/_outbox.py
@@ -8,6 +8,7 @@
 import curio
 from curio.traps import _read_wait, _write_wait
 
+from bronzepoint_common.clock import monotonic
 from bronzepoint_common.peers._stream import connect, frame_head
 
 _MAX_QUEUED_FRAMES = 128
@@ -52,6 +53,7 @@
         self._queued_bytes = 0
         self._partial = b""
         self._sock: socket.socket | None = None
+        self._connected_at = 0.0
         self._sent = 0
         self._has_work = curio.Event()
         self._task: curio.Task | None = None
@@ -75,6 +77,21 @@
         """Return the number of bytes that aren't written to the socket yet."""
         return self._queued_bytes + len(self._partial)
 
+    def renew(self, opened_before: float) -> None:
+        """Replace a connection that may be silent, unless frames are queued for it.
+
+        What has been written to it is delivered if it does carry data: it is closed,
+        not reset.
+
+        Args:
+            opened_before: Monotonic seconds; a younger connection is kept.
+        """
+        if self._sock is None or self._has_waiting():
+            return
+        if self._connected_at < opened_before:
+            _shut_down(self._sock)
+            self._sock = None
+
     def close(self) -> None:
         """Drop what is queued; the task ends and closes the connection."""
         self._closed = True
@@ -114,7 +131,7 @@
 
     async def _send_over(self, sock: socket.socket) -> None:
         """Send over one connection until it is lost or idle."""
-        self._sock = sock
+        self._sock, self._connected_at = sock, monotonic()
         writer = await curio.spawn(self._write_waiting, sock, daemon=True)
         try:
             await self._wait_lost(sock)
@@ -138,7 +155,7 @@
                 return
 
     async def _write_waiting(self, sock: socket.socket) -> None:
-        while True:
+        while sock is self._sock:
             self._write(sock)
             if self._has_waiting():
                 await _write_wait(sock)
--- a/packages/common/src/bronzepoint_common/peers/_peers.py
+++ b/packages/common/src/bronzepoint_common/peers/_peers.py
@@ -30,6 +30,9 @@
 
 _MAX_INBOX_FRAMES = 512
 """Maximum messages of one peer that are queued until they are handled."""
+_RENEWAL_AGE = 0.5
+"""Minimum age in seconds of a connection that is replaced because its peer has replaced
+its own. With it, two hosts don't replace their connections in turn."""
 _log = get_logger("peers")
 
 
@@ -162,15 +165,27 @@
         """
         if self._outbox(peer) is None:
             raise PeerUnknown(peer)
+        began = monotonic()
         call_id = self._calls.begin(peer, on_late_reply)
         try:
             self._send(peer, FrameKind.call, area, call_id, message)
             async with curio.ignore_after(timeout):
                 return self._decode_reply(await self._calls.wait(call_id))
+            self._renew_connection(peer, began)
             raise PeerTimeout(peer, timeout)
         finally:
             self._calls.end(call_id)
 
+    def _renew_connection(self, peer: HostName, opened_before: float) -> None:
+        """Replace the connection to a peer, unless it is younger than that.
+
+        An open connection may carry nothing any more without being reset. The kernel
+        notices only after seconds, for each direction in turn.
+        """
+        outbox = self._outboxes.get(peer)
+        if outbox is not None:
+            outbox.renew(opened_before)
+
     def _decode_reply(self, envelope: Envelope) -> Any:
         if envelope.frame is FrameKind.failed:
             raise PeerFailed(envelope.sender, envelope.payload.decode())
@@ -242,10 +257,14 @@
     def _count_rejected(self, reason: str) -> None:
         self._metrics.incr(f"peers.rejected.{reason}")
 
-    async def _accept(self, data: bytes) -> None:
+    async def _accept(self, data: bytes, is_first: bool) -> None:
         self._metrics.incr("peers.received")
         self._metrics.incr("peers.received_bytes", len(data))
         envelope = decode_frame(data, self._key, self._name)
+        if is_first and envelope.frame is FrameKind.call:
+            # The peer may have replaced a silent connection; then the one for the
+            # replies is likely to be silent, too.
+            self._renew_connection(envelope.sender, monotonic() - _RENEWAL_AGE)
         if envelope.frame in (FrameKind.reply, FrameKind.failed):
             if not await self._calls.resolve(envelope):
                 self._handle_late_reply(envelope)
