Log when each try was sent, and why a host has no slack for retries

The three hypotheses for the retry budget broken after a full restart couldn't be told apart by the lines: a request's tries didn't say when they were sent, so an arrival that comes long after its charge looked like one that nobody charged; the budget's line showed a share of 0 without saying whether no host count was known or the process had just started. Now each request line has sent_s, and the budget's line says for how long a starting process has none of the slack. The divisor was in that line already. Ruled out: a line for each try, whose volume grows with the failures.

--- a/packages/node/src/bronzepoint_node/placement/_retry_budget.py
+++ b/packages/node/src/bronzepoint_node/placement/_retry_budget.py
@@ -123,12 +123,15 @@
     def describe(self, service: str, now: float) -> str:
         """Return what is used of this host's share, for the log."""
         account = self._account(service, now)
-        return (
+        used = (
             f"{len(account.paid)} of {self._payable(account, now):.1f} for "
             f"{len(account.requests)} requests in {REQUEST_VALIDITY:.0f} s, "
             f"{len(account.unpaid)} of {self._slack_share(now):.1f} of the slack in "
             f"{WINDOW:.0f} s as one of {self._hosts} hosts"
         )
+        if now < self._window_end:
+            used += f", none of it for another {self._window_end - now:.1f} s"
+        return used
 
     def _payable(self, account: _Account, now: float) -> float:
         """Return the number of retries that the requests of this host allow."""
--- a/packages/node/src/bronzepoint_node/relay/_answer_writer.py
+++ b/packages/node/src/bronzepoint_node/relay/_answer_writer.py
@@ -208,6 +208,7 @@
             arrivals=call.arrivals,
             retries=call.retries,
             tries=call.notes,
+            sent_s=[round(at - call.received_at, 3) for at in call.sent_at],
             known_ms=call.staleness_ms,
             seconds=round(now - call.received_at, 3),
             first_event=round(first, 3) if first is not None else None,
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -125,6 +125,7 @@
         ended_runs: The part of ``runs`` whose target process has ended since.
         last_outcome: Outcome of the last try.
         notes: Description of each try, for the log.
+        sent_at: Time at which each try began.
         staleness_ms: For each try in the own region, the maximum age in
             milliseconds of the load information that the target was chosen by.
     """
@@ -153,6 +154,7 @@
     ended_runs: int = 0
     last_outcome: TryOutcome | None = None
     notes: list[str] = field(default_factory=list)
+    sent_at: list[float] = field(default_factory=list)
     staleness_ms: list[int] = field(default_factory=list)
     prior_wait: float = 0.0
     fingerprints: RequestFingerprints = RequestFingerprints()
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -119,6 +119,7 @@
         """
         call.exchange.check_connected()
         call.sends += 1
+        call.sent_at.append(monotonic())
         call.written = False
         match placement:
             case LocalPlacement():
