--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -37,10 +37,12 @@
     Attributes:
         reason: Reason in the log and the metrics.
         timed_out: The target did not answer in time.
+        unread: The target may not have read the request yet.
     """
 
     reason: str
     timed_out: bool = False
+    unread: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -59,8 +59,6 @@
 DEADLINE_MARGIN = 0.1
 """Seconds past a request's deadline at which a wait for its answer times out, so that
 the deadline always ends the wait first."""
-LOST = "lost"
-"""Reason of a try that was ended because its target had become unreachable."""
 RESUME_MAX_WAIT = 1.0
 """Seconds without an event after which a stream is resumed at another target."""
 
@@ -346,7 +344,7 @@
                 if work.terminated:
                     break
                 if is_lost() and not call.has_recent_event(monotonic(), CHECK_INTERVAL):
-                    return MayHaveRun(LOST)
+                    return MayHaveRun("lost", unread=True)
         finally:
             await work.cancel()
         if work.exception is not None:
@@ -372,8 +370,8 @@
     match outcome:
         case None:
             return call.written
-        case MayHaveRun(timed_out=timed_out, reason=reason):
-            return timed_out or reason == LOST
+        case MayHaveRun(unread=unread):
+            return unread
         case _:
             return False
 
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -93,7 +93,7 @@
         except NotSent as exc:
             return NotRun("not_sent") if exc.certain else MayHaveRun("cut")
         except AnswerTimeout:
-            return MayHaveRun("timeout", timed_out=True)
+            return MayHaveRun("timeout", timed_out=True, unread=True)
         except AnswerCut:
             return MayHaveRun("cut")
         except AnswerMalformed:
--- a/tests/test_retry_late_arrivals.py
+++ b/tests/test_retry_late_arrivals.py
@@ -12,7 +12,7 @@
 from bronzepoint_node.placement._retry_budget import WINDOW
 from bronzepoint_node.relay._call import Answered, Call, MayHaveRun, NotRun
 from bronzepoint_node.relay._relay import Relay
-from bronzepoint_node.relay._sender import LOST, _may_be_unread
+from bronzepoint_node.relay._sender import _may_be_unread
 from bronzepoint_schema.generated.target_loads import EngineWord
 from tests.test_placement_placer import Site, info
 from tests.test_retry_budget import budget, take_all
@@ -97,8 +97,8 @@
 
     @params(
         # outcome of the try, whether its bytes may have left, whether it may be unread
-        (MayHaveRun("timeout", timed_out=True), True, True),
-        (MayHaveRun(LOST), True, True),
+        (MayHaveRun("timeout", timed_out=True, unread=True), True, True),
+        (MayHaveRun("lost", unread=True), True, True),
         (None, True, True),
         (None, False, False),
         (MayHaveRun("cut"), True, False),
