Give a process no slack for retries before the other hosts know of it

Cause: a process that started for the first time had its part of the slack at once, divided by the hosts that it had seen by then, and a process that started again ten seconds later, however late the others learned of it. Ruled out: counting hosts in the core, which a core that started with them can't know either. Change: no process takes slack until the others have had five seconds to learn of it and a window has passed; whether it is the first on its host no longer matters. Why it works: what the others have used before they knew of it has left every window by then. The tests of platform processes ask a retry of a process that has just started: they run with a retry ratio of 20, those of the budget with its real limits.

--- a/packages/node/src/bronzepoint_node/placement/_retry_budget.py
+++ b/packages/node/src/bronzepoint_node/placement/_retry_budget.py
@@ -24,6 +24,9 @@
 STARTING_RATIO_USED = 0.625
 """The same for the first window of a process, whose predecessor may have used up to
 half a window of requests shortly before."""
+DISCOVERY_TIME = 5.0
+"""Seconds within which hosts of a region learn of one that has started, if they reach
+the core."""
 SLACK_USED = 0.7
 """Fraction of the granted slack that is divided among the hosts."""
 LOG_INTERVAL = 1.0
@@ -86,16 +89,16 @@
     A retry counts for as long as one of the sends of its request may still arrive, and
     for the usual time after that.
 
-    A process can't know what the one before it on the same host has used. So it starts
-    as if that had been everything: without slack for one window, and with retries only
-    for requests that it received itself.
+    A process can't know what the one before it on the same host has used, nor how many
+    others start with it. So it starts as if its predecessor had used everything, and
+    the other hosts divided the slack without it: without slack for one window after
+    they know of it, and with retries only for requests that it received itself.
 
     Args:
         ratio: Retries allowed per request.
         slack: Additional retries allowed, for all hosts together.
         regions: Number of regions.
-        started_at: Start of this process, in monotonic seconds; None if it is the first
-            one on its host.
+        started_at: Start of this process, in monotonic seconds.
         metrics: Counters of retries made and denied.
     """
 
@@ -104,12 +107,13 @@
         ratio: float,
         slack: float,
         regions: int,
-        started_at: float | None,
+        started_at: float,
         metrics: Metrics | None = None,
     ) -> None:
         self._ratio = ratio
         self._region_slack = slack * SLACK_USED / max(1, regions)
-        self._window_end = -math.inf if started_at is None else started_at + WINDOW
+        self._first_window_end = started_at + WINDOW
+        self._slack_from = started_at + DISCOVERY_TIME + WINDOW
         self._metrics = metrics if metrics is not None else Metrics()
         self._hosts = 0
         self._accounts: dict[str, _Account] = {}
@@ -170,18 +174,18 @@
             f"{len(account.unpaid)} of {self._slack_share(now):.1f} of the slack in "
             f"{WINDOW:.0f} s as one of {self._hosts} hosts"
         )
-        if now < self._window_end:
-            used += f", none of it for another {self._window_end - now:.1f} s"
+        if now < self._slack_from:
+            used += f", none of it for another {self._slack_from - now:.1f} s"
         return used
 
     def _payable(self, account: _Account, now: float) -> float:
         """Return the number of retries that the requests of this host allow."""
-        is_starting = now < self._window_end
+        is_starting = now < self._first_window_end
         used = STARTING_RATIO_USED if is_starting else RATIO_USED
         return self._ratio * used * len(account.requests)
 
     def _slack_share(self, now: float) -> float:
-        if not self._hosts or now < self._window_end:
+        if not self._hosts or now < self._slack_from:
             return 0.0
         return self._region_slack / self._hosts
 
--- a/tests/_failing_site.py
+++ b/tests/_failing_site.py
@@ -75,6 +75,7 @@
             for n in range(sizes[number])
         }
         super().__init__(hosts={**self.cores, **self.entries}, targets=targets)
+        self.bounds = f"retry_ratio = {RATIO}\nretry_slack = {SLACK}"
         self.regions = {name: name.split("-")[1] for name in self.entries}
         self.actions = ("full",)
         self.failing = 0.0
--- a/tests/test_retry_budget_processes.py
+++ b/tests/test_retry_budget_processes.py
@@ -9,7 +9,7 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import HttpError
-from tests._failing_site import FailingSite, worst_use
+from tests._failing_site import RATIO, SLACK, FailingSite, worst_use
 from tests._platform_site import PlatformSite
 from tests._stand_in_target import StandInTarget
 
@@ -65,6 +65,7 @@
 
     def __init__(self):
         super().__init__(hosts=HOSTS, targets=4)
+        self.bounds = f"retry_ratio = {RATIO}\nretry_slack = {SLACK}"
         self.sent = []
 
     def make_target(self, name, ip, port):
