Share one retry budget among all hosts of the daemon with our own interface

Cause: the daemon's budget bound each host alone. Class: a limit for all hosts that each process starts anew. Change: the budget of the platform's hosts, moved to bronzepoint_node.retries, bounds the daemon's as well: retry_share of the answers of the last 5 s, and a new setting retry_slack (50) in ten seconds for all hosts together, divided by the known regions and the known hosts of the own one, none of it in the first 15 s of a process. Ruled out: counting retries among the hosts of a region, since both sides of a partition would use all of it. Why it works: no process uses more than its part, nor what its predecessor may have used. Left: in its first 15 s a host retries at most one of sixteen requests that it has answered.

--- a/packages/node/src/bronzepoint_node/_daemon.py
+++ b/packages/node/src/bronzepoint_node/_daemon.py
@@ -207,7 +207,11 @@
 
     def _region_hosts(self) -> RegionHosts:
         live = self._membership.live(self._settings.host.region)
-        return RegionHosts(live=[info.name for info in live], known=self._known_hosts())
+        return RegionHosts(
+            live=[info.name for info in live],
+            known=self._known_hosts(),
+            regions=self._membership.region_count(),
+        )
 
     def _known_hosts(self) -> list[HostName]:
         return [info.name for info in self._membership.region_hosts()]
--- a/packages/node/src/bronzepoint_node/membership/_membership.py
+++ b/packages/node/src/bronzepoint_node/membership/_membership.py
@@ -126,6 +126,10 @@
         """Return a host, or None if it is not known."""
         return next((info for info in self.hosts() if info.name == name), None)
 
+    def region_count(self) -> int:
+        """Return the number of regions of the settings and of all reports."""
+        return 1 + len(self._region_reporter.other_regions())
+
     def region_hosts(self) -> list[HostInfo]:
         """Return all known hosts of this host's region, live or not, and itself."""
         return self._views.own_region(self._load.revision)
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -10,7 +10,6 @@
     RemotePlacement,
 )
 from ._cold_start_limiter import ColdStartLimiter
-from ._delivery import Delivery
 from ._engine_poller import (
     EnginePoller,
     ReadReport,
@@ -22,7 +21,6 @@
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
 from ._reservations import Reservations
-from ._retry_budget import RetryBudget
 from ._scheduler import Scheduler
 from ._scheduler_client import SchedulerClient
 from ._service_estimates import ServiceEstimates
@@ -32,7 +30,6 @@
 __all__ = [
     "LocalPlacement",
     "ColdStartLimiter",
-    "Delivery",
     "RemotePlacement",
     "EngineReport",
     "LoadExchange",
@@ -50,7 +47,6 @@
     "ReportUnavailable",
     "ReportUnreadable",
     "Reservations",
-    "RetryBudget",
     "Scheduler",
     "SchedulerClient",
     "ServiceEstimates",
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -8,6 +8,7 @@
     remote_estimate,
 )
 from bronzepoint_node.policy._choose_target import choose_target
+from bronzepoint_node.policy._entry_retries import EntryRetries
 from bronzepoint_node.policy._inputs import (
     RegionView,
     RequestView,
@@ -23,12 +24,12 @@
     TargetChoice,
 )
 from bronzepoint_node.policy._policy import Policy, Ticket
-from bronzepoint_node.policy._retry_budget import RetryBudget
 from bronzepoint_node.policy._service_times import ServiceTimes
 from bronzepoint_node.policy._token_bucket import TokenBucket
 
 __all__ = [
     "Admission",
+    "EntryRetries",
     "RemotePlacement",
     "LocalPlacement",
     "Limits",
@@ -39,7 +40,6 @@
     "RegionEstimate",
     "RegionView",
     "RequestView",
-    "RetryBudget",
     "ServiceTimes",
     "TargetChoice",
     "TargetState",
--- a/packages/node/src/bronzepoint_node/policy/_limits.py
+++ b/packages/node/src/bronzepoint_node/policy/_limits.py
@@ -58,10 +58,12 @@
     Attributes:
         live: hosts that can be reached.
         known: live hosts, and suspect or dead ones that are still remembered.
+        regions: number of known regions.
     """
 
     live: list[HostName]
     known: list[HostName]
+    regions: int = 1
 
 
 class LimitCatalogue(Protocol):
--- a/packages/node/src/bronzepoint_node/policy/_policy.py
+++ b/packages/node/src/bronzepoint_node/policy/_policy.py
@@ -16,6 +16,7 @@
 )
 from bronzepoint_node.policy._choose_target import choose_target
 from bronzepoint_node.policy._entry_estimates import EntryEstimates
+from bronzepoint_node.policy._entry_retries import EntryRetries, safe_to_retry
 from bronzepoint_node.policy._inputs import RegionView, RequestView, TargetView
 from bronzepoint_node.policy._limits import (
     LimitCatalogue,
@@ -32,7 +33,6 @@
 )
 from bronzepoint_node.policy._ramp import ForwardRamp
 from bronzepoint_node.policy._refusals import no_region, no_target
-from bronzepoint_node.policy._retry_budget import RetryBudget, safe_to_retry
 from bronzepoint_node.policy._service_times import ServiceTimes
 from bronzepoint_node.policy._ticket import Ticket
 from bronzepoint_schema.generated.decisions import (
@@ -93,7 +93,9 @@
             metrics,
         )
         self._admission = Admission(settings.queue_limit, metrics)
-        self._retry_budget = RetryBudget(settings.retry_share)
+        self._retries = EntryRetries(
+            settings.retry_share, settings.retry_slack, time.monotonic(), metrics
+        )
         self._baseline: Baseline | None = None
         if settings.choice is not PolicyChoice.policy:
             self._baseline = Baseline(settings.choice, region, self._rng)
@@ -182,11 +184,11 @@
                 if result is TryResult.answered:
                     slowness = estimates.times.slowness(target.name, now)
                     estimates.times.add_hold((now - ticket.placed_at) / slowness)
-                    self._retry_budget.answered(request.entry, self._region)
+                    self._retries.record_answered(request.entry, self._region, now)
                 await self._release_slot(ticket)
             case RemotePlacement(region):
                 if result is TryResult.answered:
-                    self._retry_budget.answered(request.entry, region)
+                    self._retries.record_answered(request.entry, region, now)
                 self._other_regions.record_end(request, region, result, now)
 
     def may_retry(
@@ -203,7 +205,13 @@
         if not safe_to_retry(reason, request.idempotent):
             self._metrics.incr("retry.unsafe")
             return False
-        if not self._retry_budget.take(request.entry, region or self._region, reason):
+        if not self._retries.take(
+            request.entry,
+            region or self._region,
+            reason,
+            self._hosts(),
+            time.monotonic(),
+        ):
             self._metrics.incr("retry.no_budget")
             return False
         self._metrics.incr(f"retry.{reason}")
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -6,9 +6,9 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import Exchange
 from bronzepoint_node.fleet import Organisation, ServedRoute
-from bronzepoint_node.placement import Delivery
 from bronzepoint_node.quarantine import RequestFingerprints
 from bronzepoint_node.quota import Charge
+from bronzepoint_node.retries import Delivery
 
 from ._codec import CallerHead
 from ._events import EventSplitter
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -12,11 +12,11 @@
     Placer,
     Rejected,
     RejectReason,
-    RetryBudget,
     SchedulerClient,
     select_service,
 )
 from bronzepoint_node.quarantine import Blocked, Quarantine, SuspicionLevel, TrialEnd
+from bronzepoint_node.retries import RetryBudget
 
 from ._answer_writer import AnswerWriter
 from ._authenticator import Authenticator
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -10,7 +10,6 @@
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_node.placement import (
     ColdStartLimiter,
-    Delivery,
     LocalPlacement,
     Placer,
     RemotePlacement,
@@ -19,6 +18,7 @@
     is_unresponsive,
 )
 from bronzepoint_node.quarantine import CrashDetector, WatchedRun
+from bronzepoint_node.retries import Delivery
 from bronzepoint_schema.generated.decisions import TryResult
 from bronzepoint_schema.generated.fleet import TargetInfo
 from bronzepoint_schema.generated.target_loads import FirstToken, Hold
--- /dev/null
+++ b/packages/node/src/bronzepoint_node/retries/__init__.py
@@ -0,0 +1,6 @@
+"""Limit on the retries of all hosts together."""
+
+from ._delivery import Delivery
+from ._retry_budget import RetryBudget
+
+__all__ = ["Delivery", "RetryBudget"]
--- a/packages/node/src/bronzepoint_node/placement/_delivery.py
+++ b/packages/node/src/bronzepoint_node/retries/_delivery.py
@@ -1,8 +1,19 @@
 """A request that was sent, and whether its target may still read it later."""
 
 from dataclasses import dataclass
+from typing import Protocol
 
-from ._tracked_target import TrackedTarget
+
+class Receiver(Protocol):
+    """A target that requests are sent to.
+
+    Attributes:
+        is_listed: Whether the target list still has it.
+        read_until: Send time of the newest request that it is known to have answered.
+    """
+
+    is_listed: bool
+    read_until: float
 
 
 @dataclass
@@ -19,7 +30,7 @@
         ended_at: Time from which it can't arrive any more; None: it still may.
     """
 
-    target: TrackedTarget | None
+    target: Receiver | None
     sent_at: float
     ended_at: float | None = None
 
--- a/packages/node/src/bronzepoint_node/placement/_retry_budget.py
+++ b/packages/node/src/bronzepoint_node/retries/_retry_budget.py
@@ -11,7 +11,7 @@
 from ._delivery import Delivery
 
 WINDOW = 10.0
-"""Seconds over which the platform counts retries (its `retry_window_s`)."""
+"""Seconds over which retries are limited."""
 REQUEST_VALIDITY = 5.0
 """Seconds for which a request allows retries.
 
@@ -20,7 +20,7 @@
 """
 RATIO_USED = 0.75
 """Fraction of the granted ratio that is used, since requests and retries are counted at
-different moments here and by the platform."""
+different moments here and where they arrive."""
 STARTING_RATIO_USED = 0.625
 """The same for the first window of a process, whose predecessor may have used up to
 half a window of requests shortly before."""
@@ -32,7 +32,7 @@
 LOG_INTERVAL = 1.0
 """Minimum seconds between two log lines about the budget of a service."""
 
-_log = get_logger("placement")
+_log = get_logger("retries")
 
 
 @dataclass
@@ -58,7 +58,7 @@
     """Requests and retries of one service; all times are monotonic seconds.
 
     Attributes:
-        requests: Times of the requests that callers sent to this host.
+        requests: Times of the requests to this host that allow retries.
         paid: The retries that these requests allowed.
         unpaid: The retries taken from the slack.
         denied: Retries denied since the last log line.
@@ -130,7 +130,7 @@
         self._hosts = max(self._hosts, count)
 
     def note_request(self, service: str, now: float) -> None:
-        """Record a request of a caller for the service."""
+        """Record a request to this host that allows retries at the service."""
         self._account(service, now).requests.append(now)
 
     def take(self, service: str, deliveries: Sequence[Delivery], now: float) -> bool:
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -5,8 +5,8 @@
 
 from nose2.tools import params
 
-from bronzepoint_node.placement import RetryBudget
-from bronzepoint_node.placement._retry_budget import (
+from bronzepoint_node.retries import RetryBudget
+from bronzepoint_node.retries._retry_budget import (
     DISCOVERY_TIME,
     REQUEST_VALIDITY,
     WINDOW,
--- a/tests/test_retry_late_arrivals.py
+++ b/tests/test_retry_late_arrivals.py
@@ -9,11 +9,12 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_node.fleet import RouteKind, ServedRoute, ServiceShare
-from bronzepoint_node.placement import Delivery, EngineReport, RetryBudget
-from bronzepoint_node.placement._retry_budget import WINDOW
+from bronzepoint_node.placement import EngineReport
 from bronzepoint_node.relay._call import Answered, Call, MayHaveRun, NotRun
 from bronzepoint_node.relay._relay import Relay
 from bronzepoint_node.relay._sender import _may_be_unread
+from bronzepoint_node.retries import Delivery, RetryBudget
+from bronzepoint_node.retries._retry_budget import WINDOW
 from bronzepoint_schema.generated.target_loads import EngineWord
 from tests.test_placement_placer import Site, info
 from tests.test_retry_budget import budget, take_all
