--- a/packages/node/src/bronzepoint_node/retries/_delivery.py
+++ b/packages/node/src/bronzepoint_node/retries/_delivery.py
@@ -16,7 +16,7 @@
     read_until: float
 
 
-@dataclass
+@dataclass(slots=True)
 class Delivery:
     """One send of a request.
 
--- a/packages/node/src/bronzepoint_node/retries/_retry_budget.py
+++ b/packages/node/src/bronzepoint_node/retries/_retry_budget.py
@@ -35,7 +35,7 @@
 _log = get_logger("retries")
 
 
-@dataclass
+@dataclass(slots=True)
 class _Retry:
     """A retry of one request.
 
