--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Options of tools/run_tests.py, such as a module: make test TEST_OPTIONS=tests.test_logs
 TEST_OPTIONS ?=
 
-.PHONY: setup test demo bench slopes soak soak-platform lint format generate clean
+.PHONY: setup test demo bench slopes soak soak-platform soak-retries lint format generate clean
 
 setup: $(STAMP)
 
@@ -67,5 +67,10 @@
 soak-platform: setup
 	$(BIN)/python -m tests._platform_soak $(SECONDS) $(ROUTES) $(SEEDS_OF_SOAK)
 
+# Random faults beside targets that fail, checked against the retry budget of all hosts:
+# make soak-retries SECONDS=40 SEEDS_OF_SOAK="1 2 3"
+soak-retries: setup
+	$(BIN)/python -m tests._retry_soak $(SECONDS) $(SEEDS_OF_SOAK)
+
 clean:
 	rm -rf $(VENV)
