Require after a restart only the voter sets of the newest change

What was seen: a core of which a quorum of the present voters runs elects no leader after a restart, for good; every change and read is refused (NotLeader after 20 s).

Ruled out: that the sets between matter. A leader appends a change of the voters only once all earlier ones are committed, so a change in the log proves that its former set is committed; the change names that set already.

Test: five voters, b1 and c1 replaced by b3 and c3, all stopped, a1, a2 and b2 started.

--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -182,11 +182,16 @@
         return FencingNumber(self._leadership.term)
 
     def voter_sets(self) -> VoterSets:
-        """Return the set of voters, and the next set while a change is in progress."""
-        entry = self.log.last_voters_entry(self.state_machine.index)
-        if entry is None or not isinstance(entry.body, VotersBody):
-            return [self.state_machine.voters] if self.state_machine.voters else []
-        return [self.state_machine.voters, entry.body.voters]
+        """Return the set of voters, and the next set while a change is in progress.
+
+        The former set is that of the newest change, not the applied one: a leader
+        appends a change only after all earlier ones are committed, and a voter that
+        restarts has applied none of those in its log.
+        """
+        change = self._pending_voters_change()
+        if change is not None:
+            return [change.former, change.voters]
+        return [self.state_machine.voters] if self.state_machine.voters else []
 
     def has_applied_term(self) -> bool:
         """Return whether an entry of the current term is applied on this host."""
@@ -314,6 +319,10 @@
             self._leadership.stop()
         self.role = Role.failed
 
+    def _pending_voters_change(self) -> VotersBody | None:
+        entry = self.log.last_voters_entry(self.state_machine.index)
+        return entry.body if entry is not None else None
+
     def _restore_machine(self) -> None:
         identity = self.log.identity
         if self.log.snapshot is not None:
--- a/tests/_seeded_cluster.py
+++ b/tests/_seeded_cluster.py
@@ -95,6 +95,11 @@
     def voters(self, name):
         return {v.host for v in self.running[name]._voter.known_voters()}
 
+    def all_applied(self, names):
+        """Return whether these hosts have applied a set with all of them as voters."""
+        machines = (self.running[name]._voter.state_machine for name in names)
+        return all({v.host for v in m.voters} == set(names) for m in machines)
+
     async def until(self, condition):
         end = monotonic() + DEADLINE
         while not condition():
--- a/tests/test_agreement_seeded.py
+++ b/tests/test_agreement_seeded.py
@@ -66,6 +66,27 @@
             await cluster.stop(name)
         self.assertEqual(await cluster.read("c1"), (1, b"kept"))
 
+    @with_cluster(*FIVE)
+    async def test_replaced_voters_are_not_needed_after_a_restart(self, cluster):
+        """Guards against a core without a leader after a restart of its quorum.
+
+        Two of the first three voters were replaced long before. The fault occurs if a
+        restarted voter requires a quorum of the first voters, because it hasn't applied
+        the changes in its log yet."""
+        await cluster.put("a1", 1, b"kept")
+        hosts = set(FIVE)
+        await cluster.until(lambda: cluster.all_applied(hosts))
+        for lost, new in (("b1", "b3"), ("c1", "c3")):
+            await cluster.stop(lost)
+            await cluster.start(new)
+            hosts = hosts - {lost} | {new}
+            await cluster.until(lambda names=hosts: cluster.all_applied(names))
+        for name in sorted(hosts):
+            await cluster.stop(name)
+        for name in ("a1", "a2", "b2"):
+            await cluster.start(name)
+        self.assertEqual(await cluster.read("a1"), (1, b"kept"))
+
     @with_cluster("a1", "b1", "c1", "a2")
     async def test_host_without_a_vote_follows_the_next_leader(self, cluster):
         """Guards against entry hosts that serve an old catalogue for seconds.
