Count a repaired voter as soon as it holds its seat, in two changes

Cause: the lost storage was replaced by the new one in one change. Majorities of the former and the new set need not overlap, so each voter required both until it knew that the change was committed; the former set had lost three of five then. A host that holds the change shows that it votes again, but counted only after one message more. Under load the hosts stop in between.

Ruled out: that a silent voter is replaced there. All five hosts are voters, so no other host can get a seat; the storage is replaced because the host answers with another one.

Change: the seat becomes vacant first, and the new storage gets it once that is committed. Majorities of consecutive sets overlap, so the newest set of the log suffices, as for single changes of the members in Raft. What must be in hand is as before: no change that isn't committed, a quorum that answers, and a storage that has caught up. Sets whose majorities may not overlap (two voters added, a silent voter replaced) still need both.

The required sets are checked against all subsets.

Conclusion: the loss of two hosts is tolerated from the moment at which a repaired voter holds its seat.

--- a/packages/node/src/bronzepoint_node/agreement/_leadership.py
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -30,7 +30,7 @@
 )
 from bronzepoint_schema.ids import ChangeId, HostName, RegionName, StorageId, Term
 
-from ._quorum import reached_by_quorum
+from ._quorum import VACANT, reached_by_quorum
 from ._state_machine import find_voter, replace_storage
 from ._status import VoterStatus
 from ._voter_choice import VoterCandidate, select_voters
@@ -330,13 +330,18 @@
     async def _repair_one_voter(self) -> None:
         """Replace a lost storage by the new, caught-up storage of the same host.
 
+        This takes two changes: the seat becomes vacant, then the new storage gets it.
+        The majorities of consecutive sets overlap, so the new storage counts as soon as
+        it holds the second change, and the loss of two more of five hosts is tolerated
+        from then on. With one change, the lost storage would count until the remaining
+        voters know that the change is committed.
+
         Storages are replaced one at a time and only with a quorum of the current
-        voters in contact (the lost one can't answer), so consecutive sets of voters
-        share a quorum. A storage that lacks entries must not count towards a quorum:
-        a second loss at that moment would lose accepted changes.
+        voters in contact. A storage that lacks entries must not count towards a
+        quorum: a second loss at that moment would lose accepted changes.
         """
         voter = self._voter
-        if not self.ready or len(voter.voter_sets()) > 1:
+        if not self.ready or voter.is_changing_voters():
             return
         if monotonic() >= self.lease_until():
             return
@@ -347,10 +352,17 @@
             if not self._is_caught_up(progress):
                 continue
             former = list(voter.state_machine.voters)
-            replacement = VoterId(progress.host, progress.storage)
-            voters = replace_storage(former, replacement)
-            _log.warning("replacing a voter's storage", voter=progress.host)
-            voter.metrics.incr("agreement.voter_repaired")
+            storage = VACANT
+            if current_voter.storage == VACANT:
+                storage = progress.storage
+                voter.metrics.incr("agreement.voter_repaired")
+            _log.warning(
+                "replacing a voter's storage",
+                voter=progress.host,
+                former=current_voter.storage,
+                storage=storage,
+            )
+            voters = replace_storage(former, VoterId(progress.host, storage))
             await self._append(VotersBody(voters, former))
             return
 
@@ -362,7 +374,7 @@
         """
         voter = self._voter
         desired = voter.section.voters_wanted
-        if not desired or not self.ready or len(voter.voter_sets()) > 1:
+        if not desired or not self.ready or voter.is_changing_voters():
             return
         if monotonic() >= self.lease_until():
             return
--- a/packages/node/src/bronzepoint_node/agreement/_quorum.py
+++ b/packages/node/src/bronzepoint_node/agreement/_quorum.py
@@ -6,12 +6,21 @@
 from bronzepoint_schema.ids import StorageId
 
 VoterSets = Sequence[Sequence[Voter]]
-"""One set of voters, or two while a change of the voters isn't known to be durable.
+"""Sets of voters of each of which a quorum is required; see `required_sets`."""
+VACANT = StorageId("")
+"""Storage of a voter's seat that no storage holds; it counts, but never votes."""
 
-Until then a quorum of both sets is required. If the new set sufficed, a leader could
-be elected by a quorum with the new storage while the former storage, mounted again,
-forms a quorum with the other voters: two leaders without a common voter.
-"""
+
+def required_sets(former: Sequence[Voter], voters: Sequence[Voter]) -> VoterSets:
+    """Return the sets that must have a quorum once a change of the voters is stored.
+
+    The new set suffices if each of its majorities shares a storage with each majority
+    of the former set. Otherwise a majority of both is required until the change is
+    known to be durable: two leaders without a common voter could be elected.
+    """
+    if _majorities_overlap(former, voters):
+        return [voters]
+    return [former, voters]
 
 
 def is_quorum(storages: Collection[StorageId], sets: VoterSets) -> bool:
@@ -35,9 +44,18 @@
     )
 
 
+def _majorities_overlap(first: Sequence[Voter], second: Sequence[Voter]) -> bool:
+    storages = {voter.storage for voter in (*first, *second)} - {VACANT}
+    return _majority(first) + _majority(second) > len(storages)
+
+
+def _majority(voters: Sequence[Voter]) -> int:
+    return len(voters) // 2 + 1
+
+
 def _is_majority(storages: Collection[StorageId], voters: Sequence[Voter]) -> bool:
     count = sum(voter.storage in storages for voter in voters)
-    return 2 * count > len(voters)
+    return count >= _majority(voters)
 
 
 def _reached(
--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -43,7 +43,7 @@
 from ._election import Election
 from ._initialisation import derive_cluster_id
 from ._leadership import Leadership
-from ._quorum import VoterSets
+from ._quorum import VoterSets, required_sets
 from ._replication_handler import ReplicationHandler
 from ._state_machine import StateMachine
 from ._status import AgreementStatus, Role, VoterStatus
@@ -182,7 +182,7 @@
         return FencingNumber(self._leadership.term)
 
     def voter_sets(self) -> VoterSets:
-        """Return the set of voters, and the next set while a change is in progress.
+        """Return the sets of voters of each of which a quorum is required.
 
         The former set is that of the newest change, not the applied one: a leader
         appends a change only after all earlier ones are committed, and a voter that
@@ -190,9 +190,13 @@
         """
         change = self._pending_voters_change()
         if change is not None:
-            return [change.former, change.voters]
+            return required_sets(change.former, change.voters)
         return [self.state_machine.voters] if self.state_machine.voters else []
 
+    def is_changing_voters(self) -> bool:
+        """Return whether the newest change of the voters isn't known to be durable."""
+        return self._pending_voters_change() is not None
+
     def has_applied_term(self) -> bool:
         """Return whether an entry of the current term is applied on this host."""
         return self.state_machine.index > 0 and self.state_machine.term == self.log.term
--- a/tests/test_agreement_seeded.py
+++ b/tests/test_agreement_seeded.py
@@ -8,12 +8,24 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_node.agreement import AgreementError
 from bronzepoint_node.agreement._vote_handler import VoteHandler
-from bronzepoint_schema.generated.agreement import VoteRequest
+from bronzepoint_schema.generated.agreement import Voter, VoteRequest, VotersBody
 from tests._seeded_cluster import PartitionablePeers, SeededCluster, with_cluster
 
 FIVE = ("a1", "b1", "c1", "a2", "b2")
 
 
+def repairs(entries, name, cluster):
+    """Return whether an entry gives a host's new storage its vote."""
+    if name not in cluster.running:
+        return False
+    storage = cluster.running[name]._voter.log.identity.storage
+    return any(
+        Voter(name, storage) in entry.body.voters
+        for entry in entries
+        if isinstance(entry.body, VotersBody)
+    )
+
+
 class TestFormation(unittest.TestCase):
     @with_cluster(*FIVE)
     async def test_all_hosts_with_disks_become_voters(self, cluster):
@@ -66,6 +78,35 @@
             await cluster.stop(name)
         self.assertEqual(await cluster.read("c1"), (1, b"kept"))
 
+    @with_cluster(*FIVE)
+    async def test_second_loss_before_a_repair_is_committed_is_tolerated(self, cluster):
+        """Guards against a core without a leader although three of five voters run.
+
+        A wiped voter holds the entry that makes it a voter again. The entry reaches
+        neither of the voters that survive, and the leader is lost with one more."""
+        await cluster.put("a1", 1, b"kept")
+        await cluster.until(lambda: cluster.all_applied(FIVE))
+        leader = next(n for n in FIVE if cluster.running[n]._voter.is_leader)
+        wiped, second, *surviving = (n for n in FIVE if n != leader)
+        await cluster.wipe(wiped)
+        log = cluster.running[leader]._voter.log
+        append = log.append
+
+        async def cut_before_repair(entries):
+            if repairs(entries, wiped, cluster):
+                PartitionablePeers.isolated_hosts = set(surviving)
+            await append(entries)
+
+        log.append = cut_before_repair
+        await cluster.start(wiped)
+        joined = cluster.running[wiped]._voter
+        await cluster.until(lambda: joined.may_vote())
+        self.assertEqual(PartitionablePeers.isolated_hosts, set(surviving))
+        for name in (leader, second):
+            await cluster.stop(name)
+        PartitionablePeers.isolated_hosts = set()
+        self.assertEqual(await cluster.read(wiped), (1, b"kept"))
+
     @with_cluster(*FIVE)
     async def test_replaced_voters_are_not_needed_after_a_restart(self, cluster):
         """Guards against a core without a leader after a restart of its quorum.
--- a/tests/test_agreement_voter_choice.py
+++ b/tests/test_agreement_voter_choice.py
@@ -4,6 +4,7 @@
 
 from nose2.tools import params
 
+from bronzepoint_node.agreement._quorum import VACANT, is_quorum, required_sets
 from bronzepoint_node.agreement._voter_choice import VoterCandidate, select_voters
 from bronzepoint_schema.generated.agreement import Voter
 
@@ -58,5 +59,39 @@
         self.assertIsNone(select_voters(voters(*current), known, 5, 4.0))
 
 
+def seats(storages):
+    """Return voters on hosts 0, 1, …; the storage ``-`` is a vacant seat."""
+    return [
+        Voter(str(number), VACANT if storage == "-" else storage)
+        for number, storage in enumerate(storages)
+    ]
+
+
+class TestRequiredSets(unittest.TestCase):
+    @params(
+        ("abc", "ab-", 1),  # a seat becomes vacant
+        ("ab-", "abd", 1),  # the vacant seat is given away
+        ("abcde", "abcd-", 1),
+        ("abcd-", "abcdf", 1),
+        ("abc", "abd", 2),  # ac and bd would both be majorities
+        ("abcde", "abcdf", 2),
+        ("abc", "abcde", 2),  # ab and cde
+        ("abcd", "abcde", 1),
+    )
+    def test_new_set_suffices_only_if_all_majorities_overlap(
+        self, former, voters, expected
+    ):
+        """Guards against two leaders that are elected without a common voter."""
+        sets = required_sets(seats(former), seats(voters))
+        self.assertEqual(len(sets), expected)
+        self.assertEqual(sets[-1], seats(voters))
+        storages = sorted({*former, *voters} - {"-"})
+        for chosen in range(1 << len(storages)):
+            one = {s for bit, s in enumerate(storages) if chosen >> bit & 1}
+            other = set(storages) - one
+            if is_quorum(one, sets):
+                self.assertFalse(is_quorum(other, [seats(former)]))
+
+
 if __name__ == "__main__":
     unittest.main()
