--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -237,6 +237,7 @@
                 attempt.run(destination),
                 lambda: is_unresponsive(target, monotonic()),
             )
+            _note_progress(call, attempt, outcome)
             result = _result_of(outcome)
         finally:
             target.load.end(run_id)
@@ -343,6 +344,7 @@
                 attempt.run(destination),
                 lambda: not regions.lives(placement.host),
             )
+            _note_progress(call, attempt, outcome)
         finally:
             delivery.end(monotonic())
             # A refused request still counts as in progress there: the region is full.
@@ -395,6 +397,12 @@
         return _wait_past_deadline(call)
 
 
+def _note_progress(call: Call, attempt: Try, outcome: TryOutcome) -> None:
+    """Note what had come of an answer that isn't whole."""
+    if isinstance(outcome, MayHaveRun):
+        call.notes[-1] += f", {attempt.describe_progress()}"
+
+
 def _may_be_unread(call: Call, outcome: TryOutcome | None) -> bool:
     """Return whether a target may not have read the request when its try ended."""
     match outcome:
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -53,6 +53,11 @@
         on_head: Called with the verdict and the headers of an answer.
         on_stream: Called with the headers of an answer before its first event is sent
             on.
+
+    Attributes:
+        progress_at: Monotonic time at which the latest part of the answer came, or the
+            request was sent.
+        received_events: Number of events that this try has received.
     """
 
     def __init__(
@@ -70,6 +75,13 @@
         self._on_progress = on_progress
         self._on_head = on_head
         self._on_stream = on_stream
+        self.progress_at = monotonic()
+        self.received_events = 0
+
+    def describe_progress(self) -> str:
+        """Return what has come of the answer, for the log."""
+        silent = monotonic() - self.progress_at
+        return f"{self.received_events} events, silent for {silent:.2f} s"
 
     async def run(self, destination: Destination) -> TryOutcome:
         """Send the request and return the outcome.
@@ -92,6 +104,7 @@
                 max_idle=destination.max_idle,
                 accept=self._is_own_answer,
             ) as answer:
+                self.progress_at = monotonic()
                 answer.timeout = destination.piece_max_wait
                 return await self._relay_answer(answer)
         except ConnectFailed:
@@ -138,7 +151,10 @@
         is_stream = call.route.kind is RouteKind.STREAM and answer.status // 100 == 2
         if is_stream and may_be_events(answer.headers):
             return await self._stream_events(answer)
-        parts = [piece async for piece in answer.chunks()]
+        parts = []
+        async for piece in answer.chunks():
+            self.progress_at = monotonic()
+            parts.append(piece)
         self._on_progress(0, 0.0)
         headers = self._codec.answer_headers(answer.headers)
         return Answered(answer.status, headers, b"".join(parts))
@@ -157,9 +173,10 @@
         async for piece in answer.chunks():
             before = call.events.count
             events = call.events.feed(piece)
+            now = self.progress_at = monotonic()
             if not events:
                 continue
-            now = monotonic()
+            self.received_events += call.events.count - before
             call.record_events(now)
             self._on_progress(call.events.count - before, now - last)
             last = now
