Leave a silent run only when its replacement is in hand

Cause: three signs ended a run (no event for 1 s, no head in time, a host that wasn't reported for 3 s), and only then it was asked whether an attempt, a retry, the version and a place could be had. Class: absence read as a fact, and acted on before the replacement is in hand.

Ruled out: targets or hosts that had ended; a longer timer, which ends what is slower still and takes up later what is dead.

A run is left for a place that is reserved and connected, with attempt, retry, version and admission; otherwise it is awaited until the deadline. A forwarding host asks the host it forwarded to, which alone sees its target; that host asks for one more run before it leaves its target, so that attempts and retries stay with the host of the caller. Also when its target broke off.

Changed tests: three follow renamed or moved functions and constructors, with the same checks.

Conclusion: nothing that works is ended for being silent. Left: room in another region is what it reported, not a reservation.

--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -216,6 +216,44 @@
             await sock.close()
         return False
 
+    async def connect(self, address: str) -> None:
+        """Open a connection and keep it for the next request to this address.
+
+        Raises:
+            ConnectFailed: The server doesn't accept connections.
+        """
+        wire = await self._open(address)
+        await self._pool.add(address, self._new_connection(), wire)
+
+    def _new_connection(self) -> h11.Connection:
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._limits.max_head
+        )
+
+    async def _open(self, address: str) -> Wire:
+        host, port = parse_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
+        try:
+            async with curio.timeout_after(self._connect_timeout):
+                await sock.connect((host, port))
+            return await self._settled(Wire(sock))
+        except (OSError, curio.TaskTimeout) as exc:
+            await sock.close()
+            detail = getattr(exc, "strerror", None) or "timed out"
+            raise ConnectFailed(address, detail) from None
+        except BaseException:
+            await sock.close()
+            raise
+
+    async def _settled(self, wire: Wire) -> Wire:
+        """Wait for `settle` seconds and check that the connection wasn't reset."""
+        if self._settle:
+            await curio.sleep(self._settle)
+            if wire.poll() is not None:
+                raise ConnectionResetError(0, "reset before the request")
+        return wire
+
     async def close(self) -> None:
         """Close the pooled connections and stop monitoring answers."""
         await self._stall_monitor.close()
@@ -304,34 +342,8 @@
             if idle is not None:
                 self._conn, self._wire, self._reused = idle.conn, idle.wire, True
                 return
-        self._wire = await self._open()
-        self._conn = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=self._client._limits.max_head
-        )
-
-    async def _open(self) -> Wire:
-        host, port = parse_address(self._address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
-        try:
-            async with curio.timeout_after(self._client._connect_timeout):
-                await sock.connect((host, port))
-            return await self._settle(Wire(sock))
-        except (OSError, curio.TaskTimeout) as exc:
-            await sock.close()
-            detail = getattr(exc, "strerror", None) or "timed out"
-            raise ConnectFailed(self._address, detail) from None
-        except BaseException:
-            await sock.close()
-            raise
-
-    async def _settle(self, wire: Wire) -> Wire:
-        """Wait for `settle` seconds and check that the connection wasn't reset."""
-        if self._client._settle:
-            await curio.sleep(self._client._settle)
-            if wire.poll() is not None:
-                raise ConnectionResetError(0, "reset before the request")
-        return wire
+        self._wire = await self._client._open(self._address)
+        self._conn = self._client._new_connection()
 
     async def _send(self) -> None:
         self._wire.sent = 0
@@ -384,9 +396,7 @@
         async for _ in self._answer.chunks():
             continue
         rest = self._conn.trailing_data[0]
-        self._conn = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=self._client._limits.max_head
-        )
+        self._conn = self._client._new_connection()
         self._conn.send(self._request)
         if self._body:
             self._conn.send(h11.Data(data=self._body))
--- a/packages/common/src/bronzepoint_common/http/_pool.py
+++ b/packages/common/src/bronzepoint_common/http/_pool.py
@@ -61,6 +61,16 @@
             await wire.close()
             return
         conn.start_next_cycle()
+        await self._keep(address, conn, wire)
+
+    async def add(self, address: str, conn: h11.Connection, wire: Wire) -> None:
+        """Keep a connection that has not been used yet."""
+        if self._closed:
+            await wire.close()
+            return
+        await self._keep(address, conn, wire)
+
+    async def _keep(self, address: str, conn: h11.Connection, wire: Wire) -> None:
         idle = self._idle.setdefault(address, deque())
         idle.append(IdleConnection(conn, wire, time.monotonic()))
         if len(idle) > MAX_IDLE_CONNECTIONS:
--- a/packages/common/src/bronzepoint_common/peers/_area.py
+++ b/packages/common/src/bronzepoint_common/peers/_area.py
@@ -19,3 +19,4 @@
     QUARANTINE = 11
     QUOTA = 12
     STREAM_ORIGINS = 13
+    FORWARDED_RUNS = 14
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -3,6 +3,7 @@
 from ._ask import PlacementRequest, select_service
 from ._choice import (
     LocalPlacement,
+    LocalResult,
     NoLocalTarget,
     Placement,
     Rejected,
@@ -33,6 +34,7 @@
     "RemotePlacement",
     "EngineReport",
     "LoadExchange",
+    "LocalResult",
     "NoLocalTarget",
     "Placement",
     "PlacementRequest",
--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -119,6 +119,14 @@
         """Record that a host of another region could not be reached."""
         self._unreachable_hosts[host] = now
 
+    def has_free_slots(self, region: RegionName, service: str, now: float) -> bool:
+        """Return whether a region reports free slots that were not used up since."""
+        return any(
+            load.in_progress + self._sent_since(load, now) < load.slots
+            for load in self._registry.loads()
+            if load.region == region and load.service == service
+        )
+
     def lives(self, host: str) -> bool:
         """Return whether there was recent contact with an entry host."""
         return any(
--- a/packages/node/src/bronzepoint_node/relay/__init__.py
+++ b/packages/node/src/bronzepoint_node/relay/__init__.py
@@ -3,7 +3,9 @@
 from ._answer_writer import AnswerWriter
 from ._authenticator import Authenticator
 from ._codec import CallerHead, Codec, CopyInstructions, TargetVerdict
+from ._handover import Handover
 from ._host_headers import HOST_HEADERS
+from ._placement_search import PlacementSearch
 from ._relay import Relay
 from ._request_intake import RequestIntake
 from ._resumption import ResumptionCheck
@@ -16,6 +18,8 @@
     "AnswerWriter",
     "Authenticator",
     "HOST_HEADERS",
+    "Handover",
+    "PlacementSearch",
     "RequestIntake",
     "Relay",
     "ResumptionCheck",
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -7,6 +7,7 @@
 from bronzepoint_common.events import EventSplitter
 from bronzepoint_common.http import Exchange
 from bronzepoint_node.fleet import Organisation, RouteKind, ServedRoute
+from bronzepoint_node.forwarded_runs import ForwardedSend
 from bronzepoint_node.placement import select_service
 from bronzepoint_node.quarantine import RequestFingerprints
 from bronzepoint_node.quota import Charge
@@ -15,6 +16,7 @@
 
 from ._codec import CallerHead
 from ._host_headers import ARRIVED_HEADER, ORIGIN_HEADER, RUNS_HEADER
+from ._successor import Successor
 
 
 @dataclass(frozen=True)
@@ -129,6 +131,9 @@
         reported_runs: The part of ``runs`` that the forwarding host reported.
         granted_runs: Limit of ``runs`` set by the forwarding host; 0: not
             specified, or not forwarded.
+        lent_runs: Further runs lent to the host that the current try forwards to.
+        send: Send by which another host has forwarded it; None: not forwarded.
+        successor: Place that takes it over from the run that was just left.
         ended_runs: The part of ``runs`` whose target process has ended since.
         last_outcome: Outcome of the last try.
         notes: Description of each try, for the log.
@@ -160,6 +165,9 @@
     runs: int = 0
     reported_runs: int = 0
     granted_runs: int = 0
+    lent_runs: int = 0
+    send: ForwardedSend | None = None
+    successor: Successor | None = None
     ended_runs: int = 0
     last_outcome: TryOutcome | None = None
     notes: list[str] = field(default_factory=list)
@@ -292,20 +300,20 @@
     @property
     def may_repeat(self) -> bool:
         """Whether the request may be sent again, given its runs so far."""
-        if not self.route.repeatable or self.counted_runs >= self.max_runs:
-            return False
-        if self.exchange.started and self.events.last_id is None:
+        return self.counted_runs < self.max_runs and self.may_go_on
+
+    @property
+    def may_go_on(self) -> bool:
+        """Whether another run may bring the answer, or the rest of it."""
+        if not self.route.repeatable or self.time_left <= 0:
             return False
-        return self.time_left > 0
+        return not self.exchange.started or self.events.last_id is not None
 
     @property
     def may_repeat_after_this(self) -> bool:
         """Whether the request may be sent again after the current try."""
-        return self.route.repeatable and self.counted_runs + 1 < self.max_runs
-
-    def has_recent_event(self, now: float, pause: float) -> bool:
-        """Return whether an event arrived within the last ``pause`` seconds."""
-        return now - self.last_event_at < pause
+        current = 1 + self.lent_runs
+        return self.route.repeatable and self.counted_runs + current < self.max_runs
 
     @property
     def time_left(self) -> float:
--- a/packages/node/src/bronzepoint_node/relay/_host_headers.py
+++ b/packages/node/src/bronzepoint_node/relay/_host_headers.py
@@ -25,6 +25,8 @@
 ORIGIN_HEADER = "bronzepoint-origin"
 """Service and software version that began the stream: on a request, where it must go
 on, on an answer, where it goes on."""
+SEND_HEADER = "bronzepoint-send"
+"""Forwarding host, and its id for this send, by which both hosts refer to it."""
 HOST_HEADERS = frozenset(
     {
         RAN_HEADER,
@@ -37,6 +39,7 @@
         BLOCKED_HEADER,
         ORGANISATION_HEADER,
         ORIGIN_HEADER,
+        SEND_HEADER,
     }
 )
 """All internal headers; those that a caller sends are ignored and not passed on."""
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -5,14 +5,12 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import Disconnected, Exchange
 from bronzepoint_common.logs import get_logger
+from bronzepoint_node.forwarded_runs import ForwardedRuns
 from bronzepoint_node.placement import (
-    NoLocalTarget,
-    Placement,
-    PlacementRequest,
-    Placer,
+    LocalPlacement,
     Rejected,
     RejectReason,
-    SchedulerClient,
+    RemotePlacement,
 )
 from bronzepoint_node.quarantine import Blocked, Quarantine, SuspicionLevel, TrialEnd
 from bronzepoint_node.retries import RetryBudget
@@ -20,6 +18,8 @@
 from ._answer_writer import AnswerWriter
 from ._authenticator import Authenticator
 from ._call import Answered, Call, MayHaveRun, NotRun, Progress, TryOutcome
+from ._handover import Handover
+from ._placement_search import PlacementSearch
 from ._request_intake import RequestIntake
 from ._resumption import ResumptionCheck
 from ._sender import Sender
@@ -27,9 +27,6 @@
 WAIT_SHARE = 0.5
 """Maximum part of the route's objective for which a request may wait here for free
 capacity."""
-PLACEMENT_INTERVAL = 0.1
-"""Seconds between two placement requests while only other regions may serve the request
-and none has free capacity."""
 MAX_SENDS = 4
 """Maximum sends of a request whose tries all ended with proof that it did not run."""
 STREAM_GRACE = 0.2
@@ -44,13 +41,14 @@
     Args:
         request_intake: Reads new requests, and refuses those that can't be served.
         authenticator: Checks whether a waiting request is still admitted.
-        placer: Chooses between the own region and the others.
-        scheduler: Finds targets of the own region.
-        retry_budget: Limit on the rate of retries.
+        search: Finds the place that a request is sent to.
         resumption: Decides where a resumed stream may go on.
+        retry_budget: Limit on the rate of retries.
         quarantine: Decides which requests are blocked, or need a trial.
+        handover: Finds places that take over from runs that have ended.
         sender: Sends requests to targets and other regions.
         answer_writer: Sends final answers.
+        forwarded_runs: Tells forwarding hosts of the progress of their requests.
 
     Attributes:
         in_progress: Number of requests in progress.
@@ -60,23 +58,25 @@
         self,
         request_intake: RequestIntake,
         authenticator: Authenticator,
-        placer: Placer,
-        scheduler: SchedulerClient,
-        retry_budget: RetryBudget,
+        search: PlacementSearch,
         resumption: ResumptionCheck,
+        retry_budget: RetryBudget,
         quarantine: Quarantine,
+        handover: Handover,
         sender: Sender,
         answer_writer: AnswerWriter,
+        forwarded_runs: ForwardedRuns,
     ) -> None:
         self._request_intake = request_intake
         self._authenticator = authenticator
-        self._placer = placer
-        self._scheduler = scheduler
-        self._retry_budget = retry_budget
+        self._search = search
         self._resumption = resumption
+        self._retry_budget = retry_budget
         self._quarantine = quarantine
+        self._handover = handover
         self._sender = sender
         self._answer_writer = answer_writer
+        self._forwarded_runs = forwarded_runs
         self.in_progress = 0
 
     async def serve(self, exchange: Exchange) -> None:
@@ -91,9 +91,13 @@
         call = await self._request_intake.receive(exchange, forwarded)
         if call is None:
             return
+        if call.send is not None:
+            self._forwarded_runs.begin_received(call.send, lambda: call.events.count)
         try:
             await self._serve_until_disconnect(call)
         finally:
+            if call.send is not None:
+                self._forwarded_runs.end_received(call.send)
             self._request_intake.refund(call)
             now = monotonic()
             if call.forwarded and call.may_still_arrive(now):
@@ -176,17 +180,16 @@
 
     async def _try_once(self, call: Call, service: str, until: float) -> bool:
         """Place a request and send it there; False: place it again."""
+        successor, call.successor = call.successor, None
+        if successor is not None:
+            return await self._send(call, successor.placement, service)
         refusal = await self._resumption.check(call)
         if refusal is not None:
             await self._answer_writer.reject(call, refusal)
             return True
-        placement = await self._find_placement(call, until)
+        placement = await self._search.find(call, until)
         if isinstance(placement, Rejected):
-            call.notes.append(
-                self._placer.describe_capacity(
-                    self._placement_request(call), monotonic()
-                )
-            )
+            call.notes.append(self._search.describe_capacity(call))
             await self._answer_writer.reject(call, placement)
             return True
         organisation = call.organisation
@@ -210,6 +213,12 @@
                 await self._answer_writer.give_up(call, call.last_outcome)
                 return True
             call.retries += 1
+        return await self._send(call, placement, service)
+
+    async def _send(
+        self, call: Call, placement: LocalPlacement | RemotePlacement, service: str
+    ) -> bool:
+        """Send a request to its placement; False: place it again."""
         outcome = await self._sender.send(call, placement, service)
         call.last_outcome = outcome
         return await self._finish(call, outcome)
@@ -217,48 +226,6 @@
     def _is_suspect(self, call: Call) -> bool:
         return self._quarantine.standing(call.fingerprints) is not SuspicionLevel.CLEAR
 
-    async def _find_placement(self, call: Call, until: float) -> Placement:
-        """Return a placement, or a rejection if none is found by ``until``."""
-        wait = 0.0
-        while True:
-            request = self._placement_request(call)
-            call.placement_requests += 1
-            found = NoLocalTarget()
-            if self._placer.may_serve_locally(request):
-                found = await self._scheduler.find(
-                    self._placer.local_request(request), wait
-                )
-            placement = self._placer.decide(request, found, monotonic())
-            wait = until - monotonic()
-            if wait <= 0 or not self._may_wait(call, placement):
-                return placement
-            if not self._placer.may_serve_locally(request):
-                await curio.sleep(min(wait, PLACEMENT_INTERVAL))
-
-    def _may_wait(self, call: Call, placement: Placement) -> bool:
-        """Return whether a request may wait here for free capacity."""
-        if call.forwarded or not isinstance(placement, Rejected):
-            return False
-        return not placement.final
-
-    def _placement_request(self, call: Call) -> PlacementRequest:
-        return PlacementRequest(
-            call.head.request_id,
-            call.route,
-            call.head.prompt,
-            call.forwarded,
-            call.time_left,
-            call.tried,
-            call.tried_hosts,
-            call.rank(monotonic()),
-            call.received_at,
-            len(call.body),
-            call.suspect,
-            call.organisation,
-            call.service,
-            call.origin.software_version if call.origin is not None else "",
-        )
-
     async def _finish(self, call: Call, outcome: TryOutcome) -> bool:
         """Answer the caller if the outcome is final; False: try again."""
         match outcome:
@@ -283,11 +250,22 @@
                 if call.sends < MAX_SENDS:
                     return False
             case MayHaveRun():
-                if call.may_repeat:
+                if call.may_repeat or await self._goes_on_here(call):
                     return False
         await self._answer_writer.give_up(call, outcome)
         return True
 
+    async def _goes_on_here(self, call: Call) -> bool:
+        """Return whether a forwarded request can go on at another target of the region.
+
+        The forwarding host would have to find another host of this region, or another
+        region, although this host knows a target.
+        """
+        if not call.forwarded:
+            return False
+        successor = await self._handover.find(call, running=False)
+        return successor is not None and self._handover.claim(call, successor)
+
 
 def _trial_end(call: Call, before: Progress) -> TrialEnd:
     """Return how the trial of a suspect request ended."""
--- a/packages/node/src/bronzepoint_node/relay/_request_intake.py
+++ b/packages/node/src/bronzepoint_node/relay/_request_intake.py
@@ -7,6 +7,7 @@
 from bronzepoint_common.http import BadRequest, Exchange
 from bronzepoint_common.lag import Lag
 from bronzepoint_node.fleet import ServedCatalogue, ServedRoute, SyncClient
+from bronzepoint_node.forwarded_runs import ForwardedSend
 from bronzepoint_node.placement import RejectReason
 from bronzepoint_node.quarantine import RequestFingerprints, fingerprint_request
 from bronzepoint_node.quota import OverQuota, Quotas
@@ -22,6 +23,7 @@
     ORIGIN_HEADER,
     PERMIT_HEADER,
     RUNS_HEADER,
+    SEND_HEADER,
 )
 from ._usual_deadlines import UsualDeadlines
 
@@ -210,6 +212,7 @@
             call.granted_runs = _parse_count(headers.get(MAX_RUNS_HEADER, ""))
             call.has_permit = PERMIT_HEADER in headers
             call.origin = StreamOrigin.parse(headers.get(ORIGIN_HEADER, ""))
+            call.send = ForwardedSend.parse(headers.get(SEND_HEADER, ""))
         return call
 
 
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -1,6 +1,6 @@
 """Sends requests to targets and to other regions."""
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 
 import curio
 
@@ -8,6 +8,7 @@
 from bronzepoint_common.http import HttpClient
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
+from bronzepoint_node.forwarded_runs import ForwardedRuns, Forwarding
 from bronzepoint_node.placement import (
     ColdStartLimiter,
     LocalPlacement,
@@ -23,11 +24,12 @@
 from bronzepoint_schema.generated.decisions import TryResult
 from bronzepoint_schema.generated.fleet import TargetInfo
 from bronzepoint_schema.generated.target_loads import FirstToken, Hold
-from bronzepoint_schema.ids import RegionName
+from bronzepoint_schema.ids import HostName, RegionName
 
 from ._authenticator import Authenticator
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec, CopyInstructions, TargetVerdict
+from ._handover import Handover
 from ._host_headers import (
     FINGERPRINT_HEADER,
     FORWARDED_HEADER,
@@ -35,20 +37,17 @@
     ORIGIN_HEADER,
     PERMIT_HEADER,
     RUNS_HEADER,
+    SEND_HEADER,
+)
+from ._run_watch import (
+    CHECK_INTERVAL,
+    RunWatch,
+    Sign,
+    event_patience,
+    head_patience,
 )
 from ._try import Destination, Try
 
-BASE_MAX_WAIT = 1.0
-"""Base, in seconds, of the longest wait for the head of an answer, for a request that
-may be sent again."""
-MAX_WAIT_BY_DELAY = 2.5
-"""Multiple of the expected delay that is added to this base. A busy engine is not given
-up too soon: the part of the prompt that it has processed would be lost, and processed
-again elsewhere."""
-MAX_WAIT_SHARE = 0.6
-"""Maximum part of the time until the deadline that this wait may take."""
-CHECK_INTERVAL = 0.15
-"""Seconds between two checks whether the target still responds."""
 MAX_IDLE_REPEATABLE = 3.0
 """Maximum seconds that a connection to a target may have been idle to be reused for a
 request that may run twice."""
@@ -61,8 +60,9 @@
 DEADLINE_MARGIN = 0.1
 """Seconds past a request's deadline at which a wait for its answer times out, so that
 the deadline always ends the wait first."""
-RESUME_MAX_WAIT = 1.0
-"""Seconds without an event after which a stream is resumed at another target."""
+TRANSFER_MARGIN = 0.3
+"""Seconds after a reply of another host within which the events that it had sent before
+arrive."""
 
 _log = get_logger("relay")
 
@@ -81,6 +81,8 @@
         codec: Builds request headers and classifies answers.
         authenticator: Signs the organisation header of forwarded requests.
         origins: Records where streams have begun.
+        handover: Finds places that take over from runs that may have ended.
+        forwarded_runs: Exchanges runs and progress with the hosts forwarded to.
         metrics: Counters.
     """
 
@@ -96,6 +98,8 @@
         codec: Codec,
         authenticator: Authenticator,
         origins: Origins,
+        handover: Handover,
+        forwarded_runs: ForwardedRuns,
         metrics: Metrics,
     ) -> None:
         self._region = region
@@ -108,6 +112,8 @@
         self._codec = codec
         self._authenticator = authenticator
         self._origins = origins
+        self._handover = handover
+        self._forwarded_runs = forwarded_runs
         self._metrics = metrics
 
     async def send(
@@ -146,7 +152,7 @@
 
     async def _check_whether_ended(self, call: Call, target: TargetInfo) -> None:
         """Exclude a run whose target has ended, if the limit of runs is reached."""
-        if not call.route.repeatable:
+        if not call.route.repeatable or call.successor is not None:
             # No retry depends on the result, so the caller needn't wait for it.
             await curio.spawn(self._crash_detector.check_crash, target, daemon=True)
             return
@@ -222,8 +228,7 @@
         destination = Destination(
             target.info.address,
             headers,
-            self._head_max_wait(call, placement.delay),
-            self._piece_max_wait(call),
+            wait_past_deadline(call),
             MAX_IDLE_REPEATABLE if call.route.repeatable else MAX_IDLE_ONCE,
         )
         result = TryResult.cancelled
@@ -232,11 +237,16 @@
             attempt = Try(
                 self._client, self._codec, call, on_progress, on_head, on_stream
             )
-            outcome = await self._run_while_reachable(
-                call,
-                attempt.run(destination),
+            watch = RunWatch(
+                attempt,
+                head_patience(placement.delay, call.time_left),
+                lambda: event_patience(
+                    call.longest_gap, target.pace.seconds_per_event(monotonic())
+                ),
                 lambda: is_unresponsive(target, monotonic()),
+                _always_confirmed,
             )
+            outcome = await self._run(call, watch, attempt.run(destination))
             _note_progress(call, attempt, outcome)
             result = _result_of(outcome)
         finally:
@@ -319,11 +329,14 @@
         # Limits the runs there to one: if the answer is lost, this host must know how
         # often the request can have run in the other region.
         headers[MAX_RUNS_HEADER] = str(call.counted_runs + 1)
+        forwarding = self._forwarded_runs.begin(
+            HostName(placement.host), lambda: self._handover.lend_run(call)
+        )
+        headers[SEND_HEADER] = str(forwarding.send)
         destination = Destination(
             placement.address,
             headers,
-            self._head_max_wait(call, placement.delay),
-            self._piece_max_wait(call),
+            wait_past_deadline(call),
             MAX_IDLE_BETWEEN_HOSTS,
         )
         if call.origin is not None:
@@ -337,15 +350,19 @@
         attempt = Try(
             self._hosts, self._codec, call, _ignore_progress, on_stream=on_stream
         )
+        watch = RunWatch(
+            attempt,
+            head_patience(placement.delay, call.time_left),
+            lambda: event_patience(call.longest_gap, 0.0),
+            lambda: not regions.lives(placement.host),
+            lambda: self._has_lost_contact(attempt, forwarding),
+        )
         outcome: TryOutcome | None = None
         try:
-            outcome = await self._run_while_reachable(
-                call,
-                attempt.run(destination),
-                lambda: not regions.lives(placement.host),
-            )
+            outcome = await self._run(call, watch, attempt.run(destination))
             _note_progress(call, attempt, outcome)
         finally:
+            self._forwarded_runs.end(forwarding)
             delivery.end(monotonic())
             # A refused request still counts as in progress there: the region is full.
             if not isinstance(outcome, NotRun):
@@ -355,18 +372,33 @@
                 regions.record_unreachable_host(placement.host, monotonic())
             case Answered(headers=answered):
                 _update_runs(call, answered)
+            case MayHaveRun():
+                # Without the answer it isn't known whether a lent run was used.
+                call.runs += call.lent_runs
+        call.lent_runs = 0
         return outcome
 
-    async def _run_while_reachable(
-        self, call: Call, run: Coroutine, is_lost: Callable[[], bool]
-    ) -> TryOutcome:
-        """Return the outcome of a try; end it early if its target becomes unreachable.
+    async def _has_lost_contact(self, attempt: Try, forwarding: Forwarding) -> bool:
+        """Return whether a forwarded request waits for the other host in vain.
 
-        Connections to a target in another network partition look open, but carry
-        nothing: the request would wait until its deadline, although another target
-        could still answer in time.
+        While that host works on the request and has sent on no more than was received,
+        its target is silent, which only that host can judge.
+        """
+        progress = await self._forwarded_runs.progress(forwarding)
+        if progress is None or not progress.working:
+            return True
+        # Events that were sent on just before the reply may still be on their way.
+        await curio.sleep(TRANSFER_MARGIN)
+        return attempt.received_events < progress.events
+
+    async def _run(self, call: Call, watch: RunWatch, run: Coroutine) -> TryOutcome:
+        """Return the outcome of a run; leave it only for a place that can take over.
+
+        Connections that another partition or a dead host has cut look open, but carry
+        nothing: the request would wait until its deadline, although another place could
+        still answer in time.
         """
-        if not call.may_repeat_after_this:
+        if not call.route.repeatable:
             return await run
         work = await curio.spawn(run)
         try:
@@ -375,26 +407,27 @@
                     await work.wait()
                 if work.terminated:
                     break
-                if is_lost() and not call.has_recent_event(monotonic(), CHECK_INTERVAL):
-                    return MayHaveRun("lost", unread=True)
+                sign = watch.due_sign(monotonic())
+                if sign is not None and await self._hand_over(call, watch, work):
+                    timed_out = sign is Sign.SILENT
+                    return MayHaveRun(sign.value, timed_out, unread=True)
         finally:
             await work.cancel()
         if work.exception is not None:
             raise work.exception
         return work.result
 
-    def _head_max_wait(self, call: Call, delay: float) -> float:
-        """Return the longest wait for the head of an answer, in seconds."""
-        if call.may_repeat_after_this:
-            max_wait = BASE_MAX_WAIT + MAX_WAIT_BY_DELAY * delay
-            return max(0.2, min(max_wait, MAX_WAIT_SHARE * call.time_left))
-        return _wait_past_deadline(call)
-
-    def _piece_max_wait(self, call: Call) -> float:
-        """Return the longest wait for the next piece of an answer, in seconds."""
-        if call.route.resumable and call.may_repeat_after_this:
-            return RESUME_MAX_WAIT
-        return _wait_past_deadline(call)
+    async def _hand_over(self, call: Call, watch: RunWatch, work: curio.Task) -> bool:
+        """Find a place that takes over from a run; False: the run goes on."""
+        successor = None
+        if await watch.is_confirmed():
+            successor = await self._handover.find(call, running=True)
+        if work.terminated or watch.has_progressed():
+            return False
+        if successor is None or not self._handover.claim(call, successor):
+            watch.note_search(monotonic())
+            return False
+        return True
 
 
 def _note_progress(call: Call, attempt: Try, outcome: TryOutcome) -> None:
@@ -414,7 +447,7 @@
             return False
 
 
-def _wait_past_deadline(call: Call) -> float:
+def wait_past_deadline(call: Call) -> float:
     """Return a timeout in seconds that ends after the request's deadline.
 
     If both ended at the same moment, the caller would receive either 504 for the
@@ -449,5 +482,10 @@
         call.runs = max(call.runs, int(runs) - 1)
 
 
+async def _always_confirmed() -> bool:
+    """Confirm a sign about a target, which can't be asked about a run."""
+    return True
+
+
 def _ignore_progress(events: int, seconds: float) -> None:
     """Ignore the progress of a forwarded request: the other region measures it."""
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -29,15 +29,14 @@
     Attributes:
         address: ``host:port``.
         headers: Headers of the request.
-        head_max_wait: Longest wait for the head of the answer, in seconds.
-        piece_max_wait: Longest wait for each further piece of it, in seconds.
+        max_wait: Longest wait for the head and for each further piece of the answer,
+            in seconds.
         max_idle: Maximum seconds that a reused connection may have been idle.
     """
 
     address: str
     headers: dict[str, str]
-    head_max_wait: float
-    piece_max_wait: float
+    max_wait: float
     max_idle: float
 
 
@@ -98,14 +97,13 @@
                 request.raw_path,
                 destination.headers,
                 call.body,
-                destination.head_max_wait,
+                destination.max_wait,
                 before_send=self._before_send,
                 unframed=Unframed.ACCEPTED,
                 max_idle=destination.max_idle,
                 accept=self._is_own_answer,
             ) as answer:
                 self.progress_at = monotonic()
-                answer.timeout = destination.piece_max_wait
                 return await self._relay_answer(answer)
         except ConnectFailed:
             return NotRun("connect_failed")
--- a/packages/node/src/bronzepoint_node/retries/_retry_budget.py
+++ b/packages/node/src/bronzepoint_node/retries/_retry_budget.py
@@ -133,6 +133,13 @@
         """Record a request to this host that allows retries at the service."""
         self._account(service, now).requests.append(now)
 
+    def has_left(self, service: str, now: float) -> bool:
+        """Return whether a retry is left of this host's share."""
+        account = self._account(service, now)
+        return len(account.paid) + 1 <= self._payable(account, now) or len(
+            account.unpaid
+        ) + 1 <= self._slack_share(now)
+
     def take(self, service: str, deliveries: Sequence[Delivery], now: float) -> bool:
         """Use one retry; return False if this host's share is used up.
 
--- a/tests/test_relay_caller_left.py
+++ b/tests/test_relay_caller_left.py
@@ -50,7 +50,7 @@
     head = CallerHead("id", "h", 5.0, None, None, {})
     call = Call(exchange, head, ROUTE, b"", now, now + 5.0, False, None)
     headers = {"X-Bronzepoint-Expect-Instance": "i-1"}
-    destination = Destination(target.server.address, headers, 2.0, 2.0, 1.0)
+    destination = Destination(target.server.address, headers, 2.0, 1.0)
     attempt = Try(client, PlatformCodec(), call, lambda events, seconds: None)
     task = await curio.spawn(attempt.run, destination)
     await curio.sleep(SETTLE / 5)
--- a/tests/test_relay_deadline.py
+++ b/tests/test_relay_deadline.py
@@ -13,7 +13,7 @@
 from bronzepoint_node.relay._call import Call
 from bronzepoint_node.relay._codec import CallerHead
 from bronzepoint_node.relay._host_headers import RAN_HEADER
-from bronzepoint_node.relay._sender import Sender
+from bronzepoint_node.relay._sender import wait_past_deadline
 
 
 class FakeExchange:
@@ -102,9 +102,7 @@
         """
         call = late_call(False, 0, 0)
         call.deadline_at = monotonic() + left
-        sender = Sender(*[None] * 11)
-        for wait in (sender._head_max_wait(call, 0.0), sender._piece_max_wait(call)):
-            self.assertGreater(wait, max(0.0, call.time_left))
+        self.assertGreater(wait_past_deadline(call), max(0.0, call.time_left))
 
 
 if __name__ == "__main__":
--- a/tests/test_relay_placement_wait.py
+++ b/tests/test_relay_placement_wait.py
@@ -8,7 +8,7 @@
 from bronzepoint_node.fleet import RouteKind, ServedRoute, ServiceShare
 from bronzepoint_node.placement import Rejected, RejectReason
 from bronzepoint_node.placement._engine_load import OwnRun
-from bronzepoint_node.relay import CallerHead, Relay
+from bronzepoint_node.relay import CallerHead, PlacementSearch
 from bronzepoint_node.relay._call import Call
 from bronzepoint_schema.generated.target_loads import Hold
 from tests._scheduling_region import SLOTS, Region, prompt
@@ -37,10 +37,6 @@
 """Maximum placement requests for a request that is refused at once."""
 
 
-def relay_on(host):
-    return Relay(None, None, host.placer, host.client, None, None, None, None, None)
-
-
 def make_call():
     now = monotonic()
     head = CallerHead("id", "h", 5.0, prompt(), None, {})
@@ -61,7 +57,8 @@
 
 
 async def find_placement(host, call):
-    return await relay_on(host)._find_placement(call, monotonic() + WAIT)
+    search = PlacementSearch(host.placer, host.client)
+    return await search.find(call, monotonic() + WAIT)
 
 
 class TestQueueTooLong(unittest.TestCase):
