Check again whether a target crashed that still accepts connections

Callers saw one request crash four targets within 0.2 s, and the hosts knew of two or three of these crashes only one to two seconds later.

Cause: after a cut request a host connects to the target once, at once. If the connection is accepted, it takes the target for alive until the target list names another incarnation. A target whose process is ending accepts connections until its sockets are closed, some milliseconds after it has cut its requests: one look at a moment that the host picks is read as a fact. So the next try wasn't sent as a suspect, the crash counted neither for the request nor for its attempt's runs, and the third crash proved nothing.

Evidence: logs of real processes beside load (wait_until_blocked of tests.test_quarantine_processes, repeated; load 12 to 18). In three failed runs of twenty, a try `-> cut` without a `target crashed` line before the list named its successor 1.1 to 1.6 s later, while the stand-in had crashed 30 ms after the request arrived. Ruled out: lost notices between hosts (the core logs each standing 1 to 20 ms after the entry host that saw the crash).

Change: a target that accepts is checked again 0.1 and 0.5 s later, in the background, once for all runs that failed there, unless it answers meanwhile. No retry waits for it. The new test failed before (no crash was reported in 20 s); the second one bounds the connections to a target that only resets.

--- a/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
@@ -27,6 +27,10 @@
 EARLY_PHASE = 0.5
 """Seconds after its first event within which a harmful request crashes its target. A
 suspect is on trial for this time; if it runs on, it hasn't crashed the target."""
+RECHECK_DELAYS = (0.1, 0.4)
+"""Seconds to wait before each further check of a target that accepted a connection just
+after a run had failed early. A target that has crashed may accept connections until its
+sockets are closed, so one check doesn't prove that it runs."""
 MAX_LOGGED_RUNS = 8
 """Maximum number of runs listed in the log line of a crash."""
 
@@ -117,6 +121,7 @@
     )
     trials: set[WatchedRun] = field(default_factory=set)
     check_done: curio.Event | None = None
+    rechecking: bool = False
 
 
 class CrashDetector:
@@ -217,6 +222,25 @@
         watched = self._targets.get(target.incarnation)
         if watched is None or target.leaving:
             return False
+        ended = await self._check_once(watched)
+        if not ended and not watched.rechecking and _has_failed_early(watched):
+            watched.rechecking = True
+            await curio.spawn(self._recheck, watched, daemon=True)
+        return ended
+
+    async def _recheck(self, watched: _WatchedTarget) -> None:
+        """Check a target again, unless it shows by its answers that it runs."""
+        try:
+            for delay in RECHECK_DELAYS:
+                await curio.sleep(delay)
+                if watched.info.leaving or not _has_failed_early(watched):
+                    return
+                if await self._check_once(watched):
+                    return
+        finally:
+            watched.rechecking = False
+
+    async def _check_once(self, watched: _WatchedTarget) -> bool:
         if watched.crashed_at:
             return True
         if watched.check_done is not None:
@@ -226,7 +250,7 @@
         # Data still arriving on other connections was sent before the crash.
         last_contact_at = min(watched.last_contact_at, monotonic())
         try:
-            if await self._is_refused(target.address):
+            if await self._is_refused(watched.info.address):
                 watched.last_contact_at = last_contact_at
                 self._note_crashed(watched)
         finally:
@@ -273,7 +297,7 @@
             run
             for run in watched.failed_runs
             if now - run.ended_at <= FAILED_RUN_RETENTION
-            and run.ended_at >= watched.last_contact_at - CONTACT_MARGIN
+            and _ended_after_contact(run, watched)
         ]
         watched.failed_runs.clear()
         if runs:
@@ -308,3 +332,16 @@
                 > TARGET_RETENTION
             ):
                 del self._targets[incarnation]
+
+
+def _ended_after_contact(run: WatchedRun, watched: _WatchedTarget) -> bool:
+    """Return whether a run failed no earlier than the target's last activity."""
+    return run.ended_at >= watched.last_contact_at - CONTACT_MARGIN
+
+
+def _has_failed_early(watched: _WatchedTarget) -> bool:
+    """Return whether a crash would be recorded for a run that had just begun."""
+    return any(
+        run.is_early and _ended_after_contact(run, watched)
+        for run in watched.failed_runs
+    )
--- a/tests/test_quarantine_crash_detector.py
+++ b/tests/test_quarantine_crash_detector.py
@@ -11,6 +11,7 @@
     RequestFingerprints,
     fingerprint_request,
 )
+from bronzepoint_node.quarantine._crash_detector import RECHECK_DELAYS
 from bronzepoint_schema.generated.fleet import TargetInfo
 
 
@@ -101,6 +102,41 @@
         self.assertEqual(recorder.reported(), reported)
         self.assertEqual(recorder.checks, 1)
 
+    def test_target_that_still_accepts_connections_is_checked_again(self):
+        """Guards against missing a crash because the target's socket was still open."""
+
+        async def main():
+            recorder = Recorder()
+            run = recorder.begin("a", target())
+            recorder.crash_detector.record_failure(target(), run)
+            ended = await recorder.crash_detector.check_crash(target())
+            recorder.refused = True
+            async with curio.timeout_after(20.0):
+                while not recorder.crashes:
+                    await curio.sleep(0.01)
+            return ended, recorder.reported()
+
+        self.assertEqual(curio.run(main), (False, [["a"]]))
+
+    def test_target_that_runs_is_checked_a_few_times_only(self):
+        """Guards against connections without end to a target that resets requests."""
+
+        async def main():
+            recorder = Recorder()
+            run = recorder.begin("a", target())
+            recorder.crash_detector.record_failure(target(), run)
+            async with curio.TaskGroup() as group:
+                for _ in range(3):
+                    await group.spawn(recorder.crash_detector.check_crash, target())
+            async with curio.timeout_after(20.0):
+                while recorder.checks < expected:
+                    await curio.sleep(0.01)
+            await curio.sleep(2 * max(RECHECK_DELAYS))
+            return recorder.checks, recorder.reported()
+
+        expected = 1 + len(RECHECK_DELAYS)
+        self.assertEqual(curio.run(main), (expected, []))
+
     def test_leaving_target_has_not_crashed(self):
         async def main():
             recorder = Recorder()
