Return an unused trial permit, so that another host may get it

Callers of a doubtful request (three early crashes, none of them alone) got 503 with a Retry-After of ten minutes at all hosts but one, and no trial ever ran.

Cause: a core host grants one permit for a trial. An entry host that reaches no target with it keeps it for the next copy that comes to itself, and a reply that comes after 0.4 s or not at all is dropped. The core host hears nothing of either and takes the permit for used, for 600 s.

Evidence: logs of real processes beside load (wait_until_blocked, repeated on the code before these changes). Two of three failed runs that were read: entry-2 gets the permit at its third crash, both targets that are left refuse the connection (`connect_failed` twice, sends 4), and the 25 requests that follow at entry-1 are answered `refused_held` with no try in 1 to 7 ms; the standing stays doubtful and the test waits for `held` in vain. In a run of test_records_outlast_the_scheduler the same permit, kept for 6 s by entry-2, is used 60 ms after one that another core host granted to entry-1 since the first one had been killed: [502, 502, 503 x 6]. Ruled out: lost crash records, as all hosts log the standing within 25 ms.

Change: queries are numbered. A permit that reached no target is kept for one second and then returned, and one without a reply is returned at once; returns are repeated for 5 s, and the core host takes back only the permit of that number. A permit that a target turned away isn't returned: each host would use it once more.

--- a/packages/node/src/bronzepoint_node/core/_core_quarantine.py
+++ b/packages/node/src/bronzepoint_node/core/_core_quarantine.py
@@ -27,10 +27,11 @@
     QuarantineMessage,
     TrialReply,
     TrialRequest,
+    TrialReturn,
 )
 from bronzepoint_schema.ids import Fingerprint, HostName
 
-from ._trial_permits import TrialPermits
+from ._trial_permits import PermitQuery, TrialPermits
 
 SAVE_INTERVAL = 0.5
 """Seconds between two checks for changes to save."""
@@ -139,8 +140,12 @@
         match message:
             case CrashNotice(cases=cases):
                 self.table.merge(cases, monotonic())
-            case TrialRequest(fingerprint=fingerprint):
-                return self._answer_trial(fingerprint)
+            case TrialRequest(fingerprint=fingerprint, number=number):
+                return self._answer_trial(fingerprint, PermitQuery(peer, number))
+            case TrialReturn(fingerprint=fingerprint, number=number):
+                query = PermitQuery(peer, number)
+                if self._permits.take_back(fingerprint, query):
+                    _log.info("permit returned", fingerprint=fingerprint, host=peer)
         return None
 
     def _push(self, changed: list[SuspectRecord]) -> None:
@@ -156,12 +161,12 @@
         for host in self._syncing_hosts():
             self._peers.post(host, Area.QUARANTINE, notice)
 
-    def _answer_trial(self, fingerprint: Fingerprint) -> TrialReply:
+    def _answer_trial(self, fingerprint: Fingerprint, query: PermitQuery) -> TrialReply:
         now = monotonic()
         record = self.table.record(fingerprint)
         # The request was answered and cleared since; the entry host doesn't know yet.
         is_clear = record is not None and not record.active_crash_records
-        if is_clear or self._permits.grant(fingerprint, now):
+        if is_clear or self._permits.grant(fingerprint, now, query):
             return TrialReply(True, 0)
         time_left = min(self._permits.seconds_left(fingerprint, now), RETENTION)
         return TrialReply(False, int(time_left * 1000))
--- a/packages/node/src/bronzepoint_node/core/_trial_permits.py
+++ b/packages/node/src/bronzepoint_node/core/_trial_permits.py
@@ -1,11 +1,33 @@
 """System-wide permits for trials of doubtful requests."""
 
+from typing import NamedTuple
+
 from bronzepoint_node.quarantine import RETENTION
-from bronzepoint_schema.ids import Fingerprint
+from bronzepoint_schema.ids import Fingerprint, HostName
+
+
+class PermitQuery(NamedTuple):
+    """Query that a permit is granted to.
+
+    Attributes:
+        host: The entry host that sent it.
+        number: Its number on that host.
+    """
+
+    host: HostName
+    number: int
+
+
+NO_QUERY = PermitQuery(HostName(""), 0)
+
+
+class _Grant(NamedTuple):
+    at: float
+    query: PermitQuery
 
 
 class TrialPermits:
-    """Grants one permit per request.
+    """Grants one permit per request, and another one if it is returned unused.
 
     Entry hosts can't limit trials on their own, as a caller may use any of them. All of
     them ask the same core host about one request. If they choose different core hosts,
@@ -13,27 +35,39 @@
     """
 
     def __init__(self) -> None:
-        self._granted_at: dict[Fingerprint, float] = {}
+        self._grants: dict[Fingerprint, _Grant] = {}
 
-    def grant(self, fingerprint: Fingerprint, now: float) -> bool:
+    def grant(
+        self, fingerprint: Fingerprint, now: float, query: PermitQuery = NO_QUERY
+    ) -> bool:
         """Grant a permit; return False if one was granted before."""
         self._expire(now)
-        if fingerprint in self._granted_at:
+        if fingerprint in self._grants:
+            return False
+        self._grants[fingerprint] = _Grant(now, query)
+        return True
+
+    def take_back(self, fingerprint: Fingerprint, query: PermitQuery) -> bool:
+        """Take back a permit that wasn't used; return whether it was outstanding.
+
+        A return may arrive late or twice, when another query has the permit.
+        """
+        grant = self._grants.get(fingerprint)
+        if grant is None or grant.query != query:
             return False
-        self._granted_at[fingerprint] = now
+        del self._grants[fingerprint]
         return True
 
     def seconds_left(self, fingerprint: Fingerprint, now: float) -> float:
         """Return the seconds until a new permit may be granted."""
-        return max(
-            0.0, self._granted_at.get(fingerprint, now - RETENTION) + RETENTION - now
-        )
+        grant = self._grants.get(fingerprint)
+        return 0.0 if grant is None else max(0.0, grant.at + RETENTION - now)
 
     def reset(self, fingerprint: Fingerprint) -> None:
         """Reset the permit of a request that was cleared."""
-        self._granted_at.pop(fingerprint, None)
+        self._grants.pop(fingerprint, None)
 
     def _expire(self, now: float) -> None:
-        for fingerprint, at in list(self._granted_at.items()):
-            if now - at > RETENTION:
-                del self._granted_at[fingerprint]
+        for fingerprint, grant in list(self._grants.items()):
+            if now - grant.at > RETENTION:
+                del self._grants[fingerprint]
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -1,8 +1,9 @@
 """Admission of requests suspected of crashing targets, on an entry host."""
 
+import random
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 
 import curio
@@ -17,6 +18,7 @@
     QuarantineMessage,
     TrialReply,
     TrialRequest,
+    TrialReturn,
 )
 from bronzepoint_schema.ids import Fingerprint, HostName
 
@@ -40,6 +42,13 @@
 copy of its request is on trial."""
 MAX_UNUSED_PERMITS = 64
 """Maximum number of unused permits that are kept for the next copy of a request."""
+UNUSED_PERMIT_RETENTION = 1.0
+"""Seconds for which an unused permit is kept for the next copy. Then it is returned, as
+the next copy may arrive at another host."""
+RETURN_PERIOD = 5.0
+"""Seconds for which the return of a permit is repeated, since messages may be lost."""
+PERMIT_NUMBER_BITS = 53
+"""Bits of the number of a permit query."""
 OUTAGE_WINDOW = 0.5
 """Seconds within which crashes in one data center count as one event."""
 MAX_INDEPENDENT_CRASHES = 2
@@ -89,6 +98,23 @@
     NOT_SENT = auto()
 
 
+@dataclass(frozen=True)
+class _Permit:
+    """A permit that a core host has granted, or may have granted.
+
+    Attributes:
+        fingerprint: Fingerprint of the content of the request.
+        core: The core host.
+        number: Number of the query.
+        since: Monotonic time since which it is unused.
+    """
+
+    fingerprint: Fingerprint
+    core: HostName
+    number: int
+    since: float
+
+
 class Quarantine:
     """Decides from the crashes seen by all hosts whether and how a request may run.
 
@@ -111,18 +137,20 @@
         self._core = core
         self._metrics = metrics
         self._trials: set[Fingerprint] = set()
-        self._unused_permits: set[Fingerprint] = set()
-        self._returned_permits: set[Fingerprint] = set()
+        self._permits: dict[Fingerprint, _Permit] = {}
+        self._unused_permits: dict[Fingerprint, _Permit | None] = {}
+        self._turned_away: set[Fingerprint] = set()
+        self._returns: list[_Permit] = []
         self._recent_crashes: deque[Crash] = deque(maxlen=MAX_RECENT_CRASHES)
         self._task: curio.Task | None = None
         peers.register(Area.QUARANTINE, QuarantineMessage, self._handle)
 
     async def start(self) -> None:
-        """Start the removal of expired crashes."""
+        """Start the removal of expired crashes and the return of unused permits."""
         self._task = await curio.spawn(self._expire, daemon=True)
 
     async def close(self) -> None:
-        """Stop the removal of expired crashes."""
+        """Stop the removal of expired crashes and the return of unused permits."""
         if self._task is not None:
             await self._task.cancel()
 
@@ -206,7 +234,9 @@
         admission: Admission = Blocked(RETRY_AFTER)
         try:
             if has_permit or fingerprints.content in self._unused_permits:
-                self._unused_permits.discard(fingerprints.content)
+                permit = self._unused_permits.pop(fingerprints.content, None)
+                if permit is not None:
+                    self._permits[fingerprints.content] = permit
                 admission = Admitted(suspect=True, by_permit=True)
             else:
                 admission = await self._request_permit(fingerprints.content)
@@ -232,30 +262,62 @@
         """
         fingerprint = fingerprints.content
         self._trials.discard(fingerprint)
-        if len(self._unused_permits) >= MAX_UNUSED_PERMITS:
-            return
+        permit = self._permits.pop(fingerprint, None)
         match end:
             case TrialEnd.NOT_SENT:
-                self._unused_permits.add(fingerprint)
-            case TrialEnd.TURNED_AWAY if fingerprint not in self._returned_permits:
-                # The permit is returned only once, as each attempt reaches a target.
-                self._unused_permits.add(fingerprint)
-                self._returned_permits.add(fingerprint)
+                self._keep_permit(fingerprint, permit)
+            case TrialEnd.TURNED_AWAY if fingerprint not in self._turned_away:
+                # The permit is kept only once, as each attempt reaches a target, and
+                # isn't returned, as each of the other hosts would also keep it once.
+                self._turned_away.add(fingerprint)
+                self._keep_permit(fingerprint, None)
+
+    def _keep_permit(self, fingerprint: Fingerprint, permit: _Permit | None) -> None:
+        """Keep an unused permit for the next copy; None: it can't be returned."""
+        if permit is not None:
+            permit = replace(permit, since=monotonic())
+        if len(self._unused_permits) < MAX_UNUSED_PERMITS:
+            self._unused_permits[fingerprint] = permit
+        elif permit is not None:
+            self._return(permit)
+
+    def _return(self, permit: _Permit) -> None:
+        """Return a permit to its core host, so that any host may get it.
+
+        Otherwise no host could try the request as long as its copies arrive elsewhere.
+        """
+        self._returns.append(replace(permit, since=monotonic()))
+        self._post_return(permit)
+
+    def _post_return(self, permit: _Permit) -> None:
+        message = TrialReturn(permit.fingerprint, permit.number)
+        self._peers.post(permit.core, Area.QUARANTINE, message)
 
     async def _request_permit(self, fingerprint: Fingerprint) -> Admission:
         """Request a permit from the core host responsible for this fingerprint."""
         core = rendezvous_order(fingerprint, self._core())
         if not core:
             return Blocked(RETRY_AFTER)
+        number = random.getrandbits(PERMIT_NUMBER_BITS)
+        permit = _Permit(fingerprint, core[0], number, monotonic())
+        reply = None
         try:
             reply = await self._peers.call(
-                core[0], Area.QUARANTINE, TrialRequest(fingerprint), PERMIT_TIMEOUT
+                core[0],
+                Area.QUARANTINE,
+                TrialRequest(fingerprint, number),
+                PERMIT_TIMEOUT,
             )
         except PeerError as exc:
             _log.info("no permit for a trial", core=core[0], reason=str(exc))
             return Blocked(RETRY_AFTER)
+        finally:
+            if reply is None:
+                # The core host may have granted it, and only the answer is missing.
+                self._return(permit)
         match reply:
             case TrialReply(granted=True):
+                self._permits[fingerprint] = permit
                 self._metrics.incr("quarantine.trial_granted")
                 return Admitted(suspect=True, by_permit=True)
             case TrialReply(retry_ms=retry_ms):
@@ -291,10 +353,22 @@
     async def _expire(self) -> None:
         while True:
             await curio.sleep(EXPIRY_INTERVAL)
-            self._table.expire(monotonic())
-            self._returned_permits = {
-                n for n in self._returned_permits if n in self._table
-            }
+            now = monotonic()
+            self._table.expire(now)
+            self._turned_away = {n for n in self._turned_away if n in self._table}
+            self._return_unused(now)
+
+    def _return_unused(self, now: float) -> None:
+        """Return the permits that no copy has used, and repeat recent returns."""
+        self._returns = [
+            permit for permit in self._returns if now - permit.since <= RETURN_PERIOD
+        ]
+        for permit in self._returns:
+            self._post_return(permit)
+        for fingerprint, permit in list(self._unused_permits.items()):
+            if permit is not None and now - permit.since > UNUSED_PERMIT_RETENTION:
+                del self._unused_permits[fingerprint]
+                self._return(permit)
 
 
 def _fingerprints(fingerprints: RequestFingerprints) -> list[Fingerprint]:
--- a/tests/test_quarantine_admission.py
+++ b/tests/test_quarantine_admission.py
@@ -1,5 +1,6 @@
 """Admission of suspected requests on entry hosts, and trial permits of the core."""
 
+import contextlib
 import tempfile
 import unittest
 from pathlib import Path
@@ -25,6 +26,7 @@
     TrialEnd,
     WatchedRun,
 )
+from bronzepoint_node.quarantine._quarantine import UNUSED_PERMIT_RETENTION
 from bronzepoint_schema.generated.fleet import TargetInfo
 from bronzepoint_schema.generated.quarantine import (
     CrashNotice,
@@ -55,6 +57,38 @@
         return self.reply
 
 
+class LinkedPeers(StubPeers):
+    """Stub of ``Peers`` of one host that delivers to a core host at once.
+
+    Attributes:
+        loses_replies: Whether calls are delivered, but their replies are lost.
+        loses_posts: Number of the next posts that are lost.
+    """
+
+    def __init__(self, host, core):
+        super().__init__()
+        self.host = host
+        self.core = core
+        self.loses_replies = False
+        self.loses_posts = 0
+
+    def post(self, peer, area, message):
+        super().post(peer, area, message)
+        if self.loses_posts:
+            self.loses_posts -= 1
+            return True
+        # The handler doesn't wait for anything.
+        with contextlib.suppress(StopIteration):
+            self.core.handler(self.host, message).send(None)
+        return True
+
+    async def call(self, peer, area, message, timeout):
+        reply = await self.core.handler(self.host, message)
+        if self.loses_replies:
+            raise PeerTimeout(peer, timeout)
+        return reply
+
+
 Q = RequestFingerprints("q", "*q")
 
 
@@ -231,6 +265,83 @@
         self.assertEqual(calls, permit_queries)
 
 
+class TestUnusedPermits(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        core = StubPeers()
+        self.core = CoreQuarantine(core, Path(folder.name), list)
+        self.hosts, self.links = [], []
+        for name in ("e1", "e2"):
+            links = LinkedPeers(name, core)
+            table = CrashTable()
+            add_crashes(table, "q", 3)
+            self.links.append(links)
+            self.hosts.append(Quarantine(table, links, lambda: ["c1"], Metrics()))
+
+    def admit(self, number):
+        return curio.run(self.hosts[number].admit, Q, monotonic())
+
+    def wait(self, number, seconds):
+        self.hosts[number]._return_unused(monotonic() + seconds)
+
+    async def admitted_by(self, host):
+        async with curio.timeout_after(20.0):
+            while isinstance(admission := await host.admit(Q, monotonic()), Blocked):
+                await curio.sleep(0.05)
+        return admission
+
+    def test_unused_permit_passes_to_another_host(self):
+        """Guards against a permit that lies unused while other hosts block."""
+
+        async def main():
+            first, second = self.hosts
+            await first.start()
+            await first.admit(Q, monotonic())
+            first.end_trial(Q, TrialEnd.NOT_SENT)
+            denied = await second.admit(Q, monotonic())
+            admission = await self.admitted_by(second)
+            return denied, admission, await first.admit(Q, monotonic())
+
+        denied, admission, again = curio.run(main)
+        self.assertIsInstance(denied, Blocked)
+        self.assertEqual(admission, Admitted(True, True))
+        self.assertIsInstance(again, Blocked)
+
+    def test_permit_whose_reply_was_lost_passes_to_another_host(self):
+        """Guards against a permit that is used up as its reply didn't arrive."""
+
+        async def main():
+            first, second = self.hosts
+            self.links[0].loses_replies = True
+            self.links[0].loses_posts = 1
+            await first.start()
+            denied = [await host.admit(Q, monotonic()) for host in self.hosts]
+            return denied, await self.admitted_by(second)
+
+        denied, admission = curio.run(main)
+        self.assertEqual([type(each) for each in denied], [Blocked, Blocked])
+        self.assertEqual(admission, Admitted(True, True))
+
+    def test_repeated_return_does_not_take_the_next_permit_back(self):
+        """Guards against two trials because the return of a permit arrived twice."""
+        self.admit(0)
+        self.hosts[0].end_trial(Q, TrialEnd.NOT_SENT)
+        self.wait(0, UNUSED_PERMIT_RETENTION + 0.1)
+        self.assertEqual(self.admit(0), Admitted(True, True))
+        self.hosts[0].end_trial(Q, TrialEnd.USED)
+        self.wait(0, UNUSED_PERMIT_RETENTION + 0.2)
+        self.assertIsInstance(self.admit(1), Blocked)
+
+    @params(TrialEnd.USED, TrialEnd.TURNED_AWAY)
+    def test_permit_that_reached_a_target_is_not_returned(self, end):
+        """Guards against a further arrival on each host that gets the permit."""
+        self.admit(0)
+        self.hosts[0].end_trial(Q, end)
+        self.wait(0, UNUSED_PERMIT_RETENTION + 0.1)
+        self.assertIsInstance(self.admit(1), Blocked)
+
+
 class TestCoreQuarantine(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
