Record a used trial permit with the crashes, so that it isn't granted again

Callers of one crashing request got 502 twice where one further run is allowed: after two core hosts had been killed, a third one granted the permit that a dead one had granted before.

Cause: only the core host that grants a permit knows of it, and only in memory. Another core host, or the same one after its restart, takes its own ignorance for "no trial yet". The entry hosts know that the trial has ended without clearing the request, but told nobody: the request stayed doubtful for 600 s and was refused by asking that one host each time.

Evidence: logs of real processes beside load (the scenario of test_records_outlast_the_scheduler, on the code before these changes): entry-2 has the permit of a core host that is killed afterwards, core-3 grants entry-1 another one 6 s later; both are used within 60 ms, answers [502, 502, 503 x 6]. In one failed run of wait_until_blocked the permit is used up by two targets that answer 421 (`replaced` twice), and the request stays doubtful, blocked and unlisted as held. Ruled out: clocks and retention (all within 7 s), and lost records (all hosts log four or five crashes at once).

Change: when a permit is used up, the entry host marks the crashes that the request had by then, and reports them. A doubtful request with such a mark is held back on all hosts; its crashes still count against others. Any core host denies a permit for it. Marks spread, are saved and expire with the crashes; an answer or an operator clears them. A trial without a permit marks nothing.

The tests of another core host and of restarts failed before. In test_unused_permit_is_kept the number of queries after the end of a permit falls from 2 to 1, as the host now knows the answer itself; how often the request is admitted is unchanged and checked as before.

--- a/packages/node/src/bronzepoint_node/core/_core_quarantine.py
+++ b/packages/node/src/bronzepoint_node/core/_core_quarantine.py
@@ -18,6 +18,7 @@
     SuspectRecord,
     SuspicionLevel,
     is_any_caller,
+    was_tried,
 )
 from bronzepoint_schema.generated.admin import QuarantinedCrash, QuarantinedRequest
 from bronzepoint_schema.generated.quarantine import (
@@ -166,6 +167,10 @@
         record = self.table.record(fingerprint)
         # The request was answered and cleared since; the entry host doesn't know yet.
         is_clear = record is not None and not record.active_crash_records
+        if record is not None and was_tried(record.active_crash_records.values()):
+            # Another core host granted the permit, or this one before its restart.
+            time_left = self.table.blocked_for(fingerprint, now)
+            return TrialReply(False, int(time_left * 1000))
         if is_clear or self._permits.grant(fingerprint, now, query):
             return TrialReply(True, 0)
         time_left = min(self._permits.seconds_left(fingerprint, now), RETENTION)
@@ -180,7 +185,7 @@
     async def _save(self) -> None:
         records = self.table.records(MIN_CRASHES_SUSPECT)
         state = [
-            (record.fingerprint, target, crash.early, crash.alone, crash.cleared)
+            (record.fingerprint, target, *crash.flags)
             for record in records
             for target, crash in record.crash_records.items()
         ]
--- a/packages/node/src/bronzepoint_node/quarantine/__init__.py
+++ b/packages/node/src/bronzepoint_node/quarantine/__init__.py
@@ -4,7 +4,7 @@
 from ._crash_table import CrashTable
 from ._fingerprint import RequestFingerprints, fingerprint_request, is_any_caller
 from ._quarantine import Admitted, Blocked, Quarantine, TrialEnd
-from ._standing import MIN_CRASHES_SUSPECT, SuspicionLevel
+from ._standing import MIN_CRASHES_SUSPECT, SuspicionLevel, was_tried
 from ._suspect_record import RETENTION, CrashRecord, SuspectRecord
 
 __all__ = [
@@ -24,4 +24,5 @@
     "WatchedRun",
     "is_any_caller",
     "fingerprint_request",
+    "was_tried",
 ]
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -127,6 +127,21 @@
             self._after_change([fingerprint], now)
         return bool(cleared)
 
+    def record_trial(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Record that the permitted trial of a doubtful request has been used up.
+
+        Returns:
+            Whether the request was doubtful. Otherwise it was cleared or blocked
+            meanwhile, or its trial needed no permit.
+        """
+        record = self._records.get(fingerprint)
+        if record is None or self.standing(fingerprint) is not SuspicionLevel.DOUBTFUL:
+            return False
+        for crash_record in record.active_crash_records.values():
+            crash_record.tried = True
+        self._after_change([fingerprint], now)
+        return True
+
     def clear_outage(self, targets: Iterable[str], now: float) -> list[Fingerprint]:
         """Clear the crashes of targets that ended together in one outage.
 
@@ -170,7 +185,9 @@
                 at = now - mark.age_ms / 1000
                 if now - at > RETENTION:
                     continue
-                received = CrashRecord(at, mark.early, mark.alone, mark.cleared)
+                received = CrashRecord(
+                    at, mark.early, mark.alone, mark.cleared, mark.tried
+                )
                 if self._add(case.fingerprint, case.service, mark.target, received):
                     changed.add(case.fingerprint)
         if changed:
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -137,7 +137,7 @@
         self._core = core
         self._metrics = metrics
         self._trials: set[Fingerprint] = set()
-        self._permits: dict[Fingerprint, _Permit] = {}
+        self._permits: dict[Fingerprint, _Permit | None] = {}
         self._unused_permits: dict[Fingerprint, _Permit | None] = {}
         self._turned_away: set[Fingerprint] = set()
         self._returns: list[_Permit] = []
@@ -235,8 +235,7 @@
         try:
             if has_permit or fingerprints.content in self._unused_permits:
                 permit = self._unused_permits.pop(fingerprints.content, None)
-                if permit is not None:
-                    self._permits[fingerprints.content] = permit
+                self._permits[fingerprints.content] = permit
                 admission = Admitted(suspect=True, by_permit=True)
             else:
                 admission = await self._request_permit(fingerprints.content)
@@ -262,6 +261,7 @@
         """
         fingerprint = fingerprints.content
         self._trials.discard(fingerprint)
+        by_permit = fingerprint in self._permits
         permit = self._permits.pop(fingerprint, None)
         match end:
             case TrialEnd.NOT_SENT:
@@ -271,6 +271,17 @@
                 # isn't returned, as each of the other hosts would also keep it once.
                 self._turned_away.add(fingerprint)
                 self._keep_permit(fingerprint, None)
+            case _ if by_permit:
+                self._record_trial(fingerprints)
+
+    def _record_trial(self, fingerprints: RequestFingerprints) -> None:
+        """Report that the permit has been used up.
+
+        Its core host alone knows of it otherwise, and may stop.
+        """
+        now = monotonic()
+        found = _fingerprints(fingerprints)
+        self._report([n for n in found if self._table.record_trial(n, now)])
 
     def _keep_permit(self, fingerprint: Fingerprint, permit: _Permit | None) -> None:
         """Keep an unused permit for the next copy; None: it can't be returned."""
--- a/packages/node/src/bronzepoint_node/quarantine/_suspect_record.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_suspect_record.py
@@ -21,12 +21,14 @@
         early: Whether the run had just begun.
         alone: Whether the request was on trial and no other run began after it.
         cleared: Whether the crash no longer counts against the request.
+        tried: Whether the trial permitted after the crash has been used up.
     """
 
     at: float
     early: bool
     alone: bool = False
     cleared: bool = False
+    tried: bool = False
 
     def merge(self, other: "CrashRecord") -> bool:
         """Merge another host's record of the same crash.
@@ -41,16 +43,18 @@
             self.early or other.early,
             self.alone or other.alone,
             self.cleared or other.cleared,
+            self.tried or other.tried,
         )
-        changed = (joined.early, joined.alone, joined.cleared) != (
-            self.early,
-            self.alone,
-            self.cleared,
-        )
-        self.at, self.early = joined.at, joined.early
+        changed = joined.flags != self.flags
+        self.at, self.early, self.tried = joined.at, joined.early, joined.tried
         self.alone, self.cleared = joined.alone, joined.cleared
         return changed
 
+    @property
+    def flags(self) -> tuple[bool, ...]:
+        """Return all that may change after the crash."""
+        return self.early, self.alone, self.cleared, self.tried
+
 
 @dataclass
 class SuspectRecord:
@@ -119,6 +123,7 @@
                     crash_record.early,
                     crash_record.alone,
                     crash_record.cleared,
+                    crash_record.tried,
                 )
                 for name, crash_record in self.crash_records.items()
             ],
