Leave a region whose core hosts are behind for one that is current

Cause, from the code: an entry host knows how old its state is (the answers name the age of the leader's confirmation) and leaves a core host that is behind, but for 1 s only, and it queries every 0.4 s and prefers its own region. With three or more core hosts of its region behind, the first is due again before the last was asked: the host goes round among them until the split ends. With one or two, it is back at them each second. Only its secondary queries, every 1.5 s with 92 hosts and to core hosts drawn at random, may find a current one.

Change: a core host that is behind is avoided as long as one that doesn't answer, and the next is asked after 0.1 s instead of a whole interval, unless all are behind. Refusing requests by the age of the confirmation was weighed and left: a region that is cut off would serve nothing, and the rule doesn't bind its hosts.

Test: 1, 3 and 6 core hosts of the region behind, one elsewhere current, simulated time.

--- a/packages/node/src/bronzepoint_node/fleet/_sync_client.py
+++ b/packages/node/src/bronzepoint_node/fleet/_sync_client.py
@@ -46,13 +46,14 @@
 """Seconds added to ``SECONDARY_SYNC_INTERVAL`` per entry host, if this host reports no
 loads. Any entry host can pass a report to the other side of a partition, so each of
 them may query less often."""
-FAILED_CORE_RETRY = 5.0
-"""Seconds for which a core host that didn't answer is avoided."""
+AVOIDED_CORE_RETRY = 5.0
+"""Seconds for which a core host that didn't answer or is behind is avoided: enough to
+try all the others."""
+NEXT_CORE_PAUSE = SYNC_INTERVAL / 4
+"""Seconds until the next core host is queried after one that is avoided."""
 MAX_CORE_AGE_MS = 2000
 """Milliseconds since the leader's confirmation above which a core host counts as
 behind: eight heartbeats."""
-STALE_CORE_RETRY = 1.0
-"""Seconds for which a core host that is behind is avoided."""
 
 MAX_CRASH_CASES = 16
 """Maximum number of crash cases in one query or answer, about 2 KB."""
@@ -145,9 +146,12 @@
         await self._query_seeds()
         while True:
             began = monotonic()
-            answered = await self._query(self._select_core_host())
+            core = self._select_core_host()
+            answered = await self._query(core)
             elapsed = monotonic() - began
-            pause = SYNC_INTERVAL if answered else SYNC_INTERVAL / 4
+            is_current = answered and core not in self._avoided_until
+            is_last = answered and not self._usable_core_hosts()
+            pause = SYNC_INTERVAL if is_current or is_last else NEXT_CORE_PAUSE
             await curio.sleep(max(0.05, pause - elapsed))
 
     async def _query_seeds(self) -> None:
@@ -178,26 +182,33 @@
                 await self._query(random.choice(others))
 
     def _select_core_host(self) -> HostName:
-        """Return the core host to query, from this region if one there answers."""
-        now = monotonic()
-        core = self.registry.core() or [
-            CoreHost(seed, RegionName(""), 0) for seed in self._seeds
-        ]
-        names = nearest_core(core, self._region, self._avoided_until, now)
+        """Return the core host to query, from this region if one there is current."""
+        names = self._usable_core_hosts()
         if not names:
-            # All failed recently, as in a network partition; any may recover first.
-            return random.choice([h.name for h in core] + list(self._seeds))
+            # All are avoided, as in a network partition; any may recover first.
+            known = [host.name for host in self._known_core()]
+            return random.choice(known + list(self._seeds))
         if self._current not in names:
             self._current = random.choice(sorted(names))
         return self._current
 
+    def _known_core(self) -> list[CoreHost]:
+        return self.registry.core() or [
+            CoreHost(seed, RegionName(""), 0) for seed in self._seeds
+        ]
+
+    def _usable_core_hosts(self) -> list[HostName]:
+        return nearest_core(
+            self._known_core(), self._region, self._avoided_until, monotonic()
+        )
+
     async def _query(self, core: HostName, timeout: float = SYNC_TIMEOUT) -> bool:
         """Query a core host for all changes; return whether it answered."""
         try:
             while await self._query_once(core, timeout):
                 pass
         except PeerError as exc:
-            self._avoid(core, FAILED_CORE_RETRY)
+            self._avoid(core)
             held = self._copy.version
             _log.warning(
                 "core host lost", core=core, reason=str(exc), held_version=held
@@ -232,12 +243,12 @@
         self._avoided_until.pop(core, None)
         if not 0 <= reply.confirmed_age_ms <= MAX_CORE_AGE_MS:
             # The core host answers but receives no changes. Querying it further would
-            # keep this host on an older catalogue.
-            self._avoid(core, STALE_CORE_RETRY)
+            # keep this host on an older catalogue and older closed data centers.
+            self._avoid(core)
         return self._apply_reply(core, reply, began)
 
-    def _avoid(self, core: HostName, seconds: float) -> None:
-        self._avoided_until[core] = monotonic() + seconds
+    def _avoid(self, core: HostName) -> None:
+        self._avoided_until[core] = monotonic() + AVOIDED_CORE_RETRY
         if self._current == core:
             self._current = None
 
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -17,6 +17,7 @@
     SyncClient,
 )
 from bronzepoint_node.fleet import _registry as registry_module
+from bronzepoint_node.fleet import _sync_client as sync_client_module
 from bronzepoint_schema.generated.documents import DocumentPart
 from bronzepoint_schema.generated.fleet import (
     CoreHost,
@@ -295,6 +296,44 @@
         self.assertEqual(peers.queried, ["c1", "c2", "c2", "c2"])
         self.assertEqual(client.catalogue.version, 3)
 
+    @params((1,), (3,), (6,))
+    def test_region_whose_core_hosts_are_behind_is_left(self, behind):
+        """Guards against requests to a data center seconds after its closing. The core
+        was split, and an entry host went from one core host of its region that was
+        behind to the next until the first was due again."""
+        local = [f"c{number}" for number in range(behind)]
+        answers = dict.fromkeys(local, make_reply(1, confirmed=2500))
+        answers["far"] = make_reply(1, revision=2, closed=["z"])
+        client, peers = make_client(answers)
+        core = [CoreHost(name, "r", 0) for name in local]
+        core.append(CoreHost("far", "far", 0))
+        now = [monotonic()]
+        waits = []
+
+        async def pause(seconds):
+            now[0] += seconds
+            waits.append(seconds)
+            client.registry.merge_core(core)
+            if len(waits) == behind + 5:
+                raise curio.TaskTimeout()
+
+        async def main():
+            client._query_seeds = mock.AsyncMock()
+            client.registry.merge_core(core)
+            with (
+                mock.patch.object(sync_client_module, "monotonic", lambda: now[0]),
+                mock.patch.object(sync_client_module.curio, "sleep", pause),
+            ):
+                with self.assertRaises(curio.TaskTimeout):
+                    await client._run()
+
+        curio.run(main)
+        self.assertEqual(sorted(peers.queried[:behind]), local)
+        self.assertEqual(set(peers.queried[behind:]), {"far"})
+        self.assertEqual(client.closed, {"z"})
+        # The next core host is asked at once, not an interval later.
+        self.assertLessEqual(sum(waits[:behind]), sync_client_module.SYNC_INTERVAL * 2)
+
     def test_core_host_of_the_same_region_is_queried_first(self):
         client, _ = make_client()
         client.registry.merge_core([CoreHost("c1", "far", 0), CoreHost("c2", "r", 0)])
