Refuse a scheduler's grant of a target that this host knows to be closed

What callers' requests met: while the core is split, the scheduler of a region, a core host, may not know of a closing that the region's entry hosts know. Its grants were used without a look at the host's own state, so that requests went to a closed data center for as long as the scheduler was cut off. The same holds for leaving and replaced targets.

Cause: what the scheduler hasn't heard overrode what the entry host has heard.

Ruled out: letting schedulers that are cut off answer nothing. A region that is cut off would lose its scheduler, though its grants are right but for closings that its hosts know.

Change: a grant counts only while the host itself would use the target; otherwise it chooses one itself, as when it doesn't know the target. Once a host has refused a grant for its data center, its queries to that scheduler exclude the targets there, until the closed data centers change. Queries are as long as before otherwise.

Test: 8 entry hosts, a core host as scheduler that doesn't know of the closing, 48 requests.

--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -18,7 +18,7 @@
     TargetAsk,
     TargetGrant,
 )
-from bronzepoint_schema.ids import HostName
+from bronzepoint_schema.ids import DataCenterName, HostName
 
 from ._choice import LocalPlacement, LocalResult, NoLocalTarget
 from ._load_exchange import LoadExchange
@@ -83,6 +83,7 @@
         self._numbers = itertools.count(random.getrandbits(40))
         self._pending: dict[int, _PendingQuery] = {}
         self._unanswered = 0
+        self._outdated: tuple[HostName, frozenset[DataCenterName]] | None = None
         self._tasks = curio.TaskGroup()
         peers.register(Area.SCHEDULING, SchedulingMessage, self._handle_message)
 
@@ -108,10 +109,12 @@
                 return NoLocalTarget(late, crowded, limited_ms / 1000)
             case TargetGrant():
                 target = self._table.get(answer.incarnation)
-                if target is not None:
+                if target is not None and self._table.is_open(target):
                     return self._local_placement(target, answer, timing)
+                if target is not None and target.info.data_center in self._table.closed:
+                    self._note_outdated(scheduler)
         # The scheduler did not answer, or granted a target that this host does not know
-        # yet.
+        # yet or knows to take no requests.
         self._metrics.incr("schedule.own_choice")
         found = await self._scheduler.find(request, 0.0)
         if isinstance(found, LocalPlacement):
@@ -141,6 +144,8 @@
         number = next(self._numbers)
         query = make_query(request, number, wait, began)
         query.avoided += self._unusable(request, began)
+        if self._outdated == (scheduler, self._table.closed):
+            query.avoided += self._table.closed_of_service(request.service)
         pending = self._pending[number] = _PendingQuery()
         self._peers.post(scheduler, Area.SCHEDULING, query)
         try:
@@ -172,6 +177,12 @@
             if (avoids_ejected and is_ejected(target)) or target.is_avoided_here(now)
         ]
 
+    def _note_outdated(self, scheduler: HostName) -> None:
+        """Record that a scheduler does not know of a closed data center."""
+        if self._outdated != (scheduler, self._table.closed):
+            _log.warning("scheduler outdated", scheduler=scheduler)
+        self._outdated = scheduler, self._table.closed
+
     def _note_unanswered(self, scheduler: HostName) -> None:
         self._metrics.incr("schedule.unanswered")
         self._unanswered += 1
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -105,6 +105,14 @@
         """Return the targets of a service that may get requests."""
         return [t for t in self._of_service.get(service, []) if self.is_open(t)]
 
+    def closed_of_service(self, service: str) -> list[str]:
+        """Return the targets of a service that are in closed data centers."""
+        return [
+            tracked.info.incarnation
+            for tracked in self._of_service.get(service, [])
+            if tracked.info.data_center in self.closed
+        ]
+
     def has_service(self, service: str, software_version: str = "") -> bool:
         """Return whether a target of a service may get requests.
 
--- a/tests/_scheduling_region.py
+++ b/tests/_scheduling_region.py
@@ -55,7 +55,9 @@
         sent_bytes: Bytes that each host has posted.
     """
 
-    def __init__(self, hosts, targets, memory_tokens=10**9, core=()):
+    def __init__(
+        self, hosts, targets, memory_tokens=10**9, core=(), data_centers=("z",)
+    ):
         self.partitioned = set()
         self.sent_bytes = Counter()
         self.names = [f"10.1.0.{number}" for number in range(hosts)]
@@ -63,6 +65,7 @@
             "s", "/h", 100, engine=EngineProperties(SLOTS, memory_tokens)
         )
         self.targets = [f"t{number}" for number in range(targets)]
+        self.data_centers = data_centers
         self._posted = []
         self.core_names = list(core)
         self.core = {name: CoreScheduler(self, name) for name in core}
@@ -100,9 +103,15 @@
 
     def infos(self):
         return [
-            TargetInfo(t, "s", "10.9.0.1:1", "z", SLOTS, False, 0) for t in self.targets
+            TargetInfo(t, "s", "10.9.0.1:1", self.data_center(t), SLOTS, False, 0)
+            for t in self.targets
         ]
 
+    def data_center(self, target):
+        """Return the data center of a target; they take turns."""
+        number = self.targets.index(target)
+        return self.data_centers[number % len(self.data_centers)]
+
     def catalogue(self):
         return ServedCatalogue(1, (), {"s": self.engine}, CallerLimits())
 
@@ -138,7 +147,7 @@
         self.scheduler = RegionScheduler(
             name,
             "r",
-            {"z": "r"},
+            dict.fromkeys(region.data_centers, "r"),
             self,
             self.registry,
             self.registry.merge_loads,
@@ -175,8 +184,7 @@
         self.handlers = {}
         self.metrics = Metrics()
         self.table = TargetTable()
-        services = region.catalogue().services
-        self.table.update(region.infos(), 0.0, services, frozenset(), monotonic())
+        self.close_data_centers()
         registry = self.registry = Registry()
         registry.merge_entries(
             EntryHost(n, "r", "z", n, n, EntryState.ready, 0) for n in region.names
@@ -218,6 +226,13 @@
     def post(self, peer, area, message):
         self.region.post(self.name, peer, area, message)
 
+    def close_data_centers(self, *names):
+        """Let this host know which data centers are closed."""
+        region = self.region
+        services = region.catalogue().services
+        closed = frozenset(names)
+        self.table.update(region.infos(), 0.0, services, closed, monotonic())
+
     def make_request(self, rank=0, tokens=100, arrived=None, avoided=()):
         now = monotonic()
         at = now if arrived is None else arrived
--- a/tests/test_placement_scheduler.py
+++ b/tests/test_placement_scheduler.py
@@ -201,6 +201,38 @@
         self.assertIsInstance(curio.run(main), LocalPlacement)
 
 
+class TestOutdatedScheduler(unittest.TestCase):
+    def test_closed_data_center_gets_nothing(self):
+        """Guards against requests to a closed data center. The entry hosts know of the
+        closing, but the scheduler is cut off from the other core hosts and doesn't."""
+
+        async def main():
+            data_centers = ("z", "closed")
+            async with Region(8, 6, core=("c",), data_centers=data_centers) as region:
+                hosts = list(region.hosts.values())
+                for host in hosts:
+                    self.assertEqual(host.exchange.scheduler, "c")
+                    host.close_data_centers("closed")
+                own_choices = []
+                for first in (0, 24):
+                    await burst(
+                        region, 24, lambda host, run, n=first: host.send(f"{n}-{run}")
+                    )
+                    counters = [host.metrics.counters() for host in hosts]
+                    own_choices.append(
+                        [c.get("schedule.own_choice", 0) for c in counters]
+                    )
+                return region.in_flight(), region, own_choices
+
+        in_flight, region, own_choices = curio.run(main)
+        used = {region.data_center(target) for target, n in in_flight.items() if n}
+        self.assertEqual((used, sum(in_flight.values())), ({"z"}, 48))
+        # Once a host has refused such a grant, its queries exclude these targets.
+        noticed = [pair for pair in zip(*own_choices, strict=True) if pair[0]]
+        self.assertTrue(noticed)
+        self.assertEqual([after for _, after in noticed], [n for n, _ in noticed])
+
+
 class TestReservations(unittest.TestCase):
     @params((0.0, True, 0), (0.0, False, 1), (RESERVATION_EXPIRY + 0.1, False, 0))
     def test_granted_request_counts_until_its_host_tells_of_it(
