Leave a late region only once another place is held

Seen: with one other region that may serve an entry, a forwarded idempotent request was answered 502 although its host and target worked on it, as soon as the head of the answer took 1 s longer than expected (plain answers send theirs at their end). Cause: `max_wait` was the timeout of the head. The try was ended and its connection reset first; whether another target or region, an attempt and a retry of the budget could be had was asked afterwards. Ruled out: the target (sgp-good answers in 0.06 s once its host runs), the retry budget alone (with a single other region no budget helps). Change: after `max_wait` another place is sought, four times a second, by `Policy.find_replacement`; it takes the place and the retry together, or nothing, and overtakes no queued request. The place is counted at its target before the late try is ended. Without one the answer is awaited until the deadline. A region that was left is paused as before; one that is merely late isn't. Tests: the rows of test_late_region_is_left_only_for_another_place answered 502 and test_late_region_is_left_once_a_place_is_free got no answer on the former code. Conclusion: a late region costs a request nothing it had; over a link that is cut in silence with no other place, requests now wait until their deadline or until the region counts as unreachable for later ones.

--- a/packages/node/src/bronzepoint_node/entry/_dependencies.py
+++ b/packages/node/src/bronzepoint_node/entry/_dependencies.py
@@ -127,6 +127,15 @@
     ) -> Placement:
         """Choose the target or region that serves the request."""
 
+    def find_replacement(
+        self,
+        ticket: Ticket,
+        region: RegionName,
+        targets: Callable[[], list[TargetView]],
+        regions: Callable[[], list[RegionView]],
+    ) -> LocalPlacement | RemotePlacement | None:
+        """Take a place elsewhere for a request whose answer from a region is late."""
+
     async def record_try(
         self,
         ticket: Ticket,
--- a/packages/node/src/bronzepoint_node/entry/_dispatch.py
+++ b/packages/node/src/bronzepoint_node/entry/_dispatch.py
@@ -11,6 +11,7 @@
 from bronzepoint_node.entry._outcomes import Answered, Failed
 from bronzepoint_node.entry._region_views import region_views
 from bronzepoint_node.entry._remote_tries import RemoteTries
+from bronzepoint_node.entry._replacement import Replacement
 from bronzepoint_node.entry._served_request import ServedRequest
 from bronzepoint_node.policy import (
     LocalPlacement,
@@ -64,12 +65,28 @@
             RequestRefused: No target or region has answered the request.
             Disconnected: The caller closed the connection.
         """
+        replacement = Replacement(self._dependencies, self._check, request, ticket)
+        try:
+            return await self._run(request, ticket, token, replacement)
+        finally:
+            replacement.release()
+
+    async def _run(
+        self,
+        request: ServedRequest,
+        ticket: Ticket,
+        token: ClaimToken | None,
+        replacement: Replacement,
+    ) -> Answered:
         last: Failed | None = None
-        for _ in range(MAX_TRIES):
-            self._refresh_view(request, last)
-            placement = await self._place(request, ticket)
-            # Nothing may be awaited between the placement and the moment at which
-            # the target counts the request as in progress.
+        for tries_left in reversed(range(MAX_TRIES)):
+            placement = replacement.take()
+            if placement is None:
+                self._refresh_view(request, last)
+                placement = await self._place(request, ticket)
+            else:
+                request.trace.record_placement(placement)
+            replacement.is_allowed = tries_left > 0
             match placement:
                 case Refused():
                     raise refused_by_policy(placement, last)
@@ -78,7 +95,9 @@
                     outcome = await tries.try_target(request, ticket, placement, token)
                 case RemotePlacement():
                     tries = self._remote_tries
-                    outcome = await tries.try_region(request, ticket, placement, token)
+                    outcome = await tries.try_region(
+                        request, ticket, placement, token, replacement
+                    )
             if isinstance(outcome, Answered):
                 return outcome
             if not self._prepare_retry(request, ticket, placement, outcome):
@@ -110,6 +129,11 @@
             return region_views(entry, list(dependencies.membership.regions().values()))
 
         placement = await dependencies.policy.place(ticket, targets, regions)
+        # Nothing may be awaited between the placement and the moment at which the
+        # target counts the request as in progress.
+        if isinstance(placement, LocalPlacement):
+            name = placement.target.name
+            dependencies.targets.begin(name, request.view.prefix_hashes)
         request.trace.record_placement(placement)
         return placement
 
--- a/packages/node/src/bronzepoint_node/entry/_forwarding.py
+++ b/packages/node/src/bronzepoint_node/entry/_forwarding.py
@@ -16,6 +16,7 @@
 from bronzepoint_node.entry._identity import Identity
 from bronzepoint_node.entry._outcomes import Failed, Outcome, result_of
 from bronzepoint_node.entry._records import DecisionRecorder
+from bronzepoint_node.entry._replacement import send_unless_replaced
 from bronzepoint_node.entry._served_request import ServedRequest
 from bronzepoint_node.entry._upstream import Upstream, UpstreamRequest
 from bronzepoint_node.membership import HostInfo, HostState
@@ -64,6 +65,7 @@
         final: bool,
         claimed: bool,
         max_wait: float = 0.0,
+        find_replacement: Callable[[], bool] = lambda: False,
     ) -> Outcome:
         """Forward a request to a host of a region and relay its response.
 
@@ -75,8 +77,10 @@
             final: True: the other region serves or refuses the request; False: it may
                 forward it once more.
             claimed: True: this host holds the claim on the idempotency key.
-            max_wait: Seconds to wait for the head of the response; 0: until the
-                request's deadline.
+            max_wait: Seconds after which a response whose head hasn't arrived is
+                late; 0: at the request's deadline.
+            find_replacement: Holds another place for a request whose response is
+                late. If it returns False, the response is awaited further.
         """
         hosts = self._hosts(region)[:MAX_HOSTS]
         outcome: Outcome = Failed(
@@ -88,10 +92,9 @@
         )
         context = self._context(request, revision, final, claimed)
         for host in hosts:
-            timeout = request.deadline_left()
-            if max_wait:
-                timeout = min(timeout, max_wait)
-            outcome = await self._send(request, host, context, check, timeout)
+            outcome = await self._send(
+                request, host, context, check, max_wait, find_replacement
+            )
             if not isinstance(outcome, Failed):
                 return outcome
             outcome.region = region
@@ -105,7 +108,8 @@
         host: HostInfo,
         context: ForwardContext,
         check: Callable[[], None],
-        timeout: float,
+        max_wait: float,
+        find_replacement: Callable[[], bool],
     ) -> Outcome:
         trace = request.trace
         current_try = trace.begin_try(host.name, host.region)
@@ -122,15 +126,23 @@
             trace.end_try(current_try, TryResult.answered, answer_check.served_by)
             await self._recorder.save_answered(trace, status)
 
-        try:
-            outcome = await self._upstream.send(
-                self._upstream_request(request, host, context, check, timeout),
+        async def send() -> Outcome:
+            return await self._upstream.send(
+                self._upstream_request(request, host, context, check),
                 request.exchange,
                 trace,
                 answer_check,
                 added_headers,
                 before_last_byte,
             )
+
+        try:
+            if max_wait:
+                outcome = await send_unless_replaced(
+                    send, answer_check.arrived, max_wait, find_replacement
+                )
+            else:
+                outcome = await send()
         finally:
             detail = (
                 outcome.detail
@@ -161,7 +173,6 @@
         host: HostInfo,
         context: ForwardContext,
         check: Callable[[], None],
-        timeout: float,
     ) -> UpstreamRequest:
         call = request.call
         headers = dict(call.headers)
@@ -177,7 +188,7 @@
             path=path,
             headers=headers,
             body=call.body,
-            timeout=timeout,
+            timeout=request.deadline_left(),
             echo=REQUEST_ID_HEADER.lower(),
             repeatable=call.idempotent,
             check=check,
--- a/packages/node/src/bronzepoint_node/entry/_host_answer_check.py
+++ b/packages/node/src/bronzepoint_node/entry/_host_answer_check.py
@@ -1,5 +1,7 @@
 """Classification of the responses of hosts of other regions."""
 
+import curio
+
 from bronzepoint_common.http import ClientAnswer
 from bronzepoint_node.entry._outcomes import Failed
 from bronzepoint_node.entry._refusals import REFUSAL_HEADER, parse_refusal
@@ -12,13 +14,16 @@
 
     Attributes:
         served_by: Region that served the request, according to the other host.
+        arrived: Set as soon as the head of the response has arrived.
     """
 
     def __init__(self) -> None:
         self.served_by = ""
+        self.arrived = curio.Event()
 
     async def check(self, answer: ClientAnswer) -> Failed | None:
         """Return the failure that a response reports; None: it is not a refusal."""
+        await self.arrived.set()
         self.served_by = answer.headers.get("bronzepoint-region", "")
         if REFUSAL_HEADER.lower() not in answer.headers:
             return None
--- a/packages/node/src/bronzepoint_node/entry/_local_tries.py
+++ b/packages/node/src/bronzepoint_node/entry/_local_tries.py
@@ -53,7 +53,7 @@
     ) -> Outcome:
         """Send the request to the chosen target.
 
-        The request is counted as in progress at the target before the first await.
+        The caller has counted the request as in progress at the target.
 
         Args:
             request: The request.
@@ -62,7 +62,6 @@
             token: The claim on the idempotency key; None: an idempotent request.
         """
         name = placement.target.name
-        self._dependencies.targets.begin(name, request.view.prefix_hashes)
         current_try = request.trace.begin_try(name, self._identity.region)
         outcome: Outcome = Failed(TryResult.cancelled, "")
         try:
--- a/packages/node/src/bronzepoint_node/entry/_remote_tries.py
+++ b/packages/node/src/bronzepoint_node/entry/_remote_tries.py
@@ -5,6 +5,7 @@
 from bronzepoint_node.entry._dispatch_permit import permit_dispatch
 from bronzepoint_node.entry._forwarding import Forwarding
 from bronzepoint_node.entry._outcomes import Answered, Failed, Outcome, result_of
+from bronzepoint_node.entry._replacement import Replacement
 from bronzepoint_node.entry._served_request import ServedRequest
 from bronzepoint_node.policy import RemotePlacement, Ticket
 from bronzepoint_node.run_once import ClaimToken
@@ -33,6 +34,7 @@
         ticket: Ticket,
         placement: RemotePlacement,
         token: ClaimToken | None,
+        replacement: Replacement,
     ) -> Outcome:
         """Forward the request to the chosen region, which serves or refuses it.
 
@@ -41,10 +43,11 @@
             ticket: Admission of the request under its limits.
             placement: The placement that the policy chose.
             token: The claim on the idempotency key; None: an idempotent request.
+            replacement: Holds another place if the answer is late.
         """
         outcome: Outcome = Failed(TryResult.cancelled, "")
         try:
-            outcome = await self._forward(request, placement, token)
+            outcome = await self._forward(request, placement, token, replacement)
         finally:
             result = result_of(outcome)
             first = outcome.first_byte if isinstance(outcome, Answered) else None
@@ -56,6 +59,7 @@
         request: ServedRequest,
         placement: RemotePlacement,
         token: ClaimToken | None,
+        replacement: Replacement,
     ) -> Outcome:
         permit = await permit_dispatch(self._dependencies.run_once, token)
 
@@ -72,4 +76,5 @@
             final=True,
             claimed=token is not None,
             max_wait=placement.max_wait if request.call.idempotent else 0.0,
+            find_replacement=lambda: replacement.find(placement.region),
         )
--- a/packages/node/src/bronzepoint_node/policy/_outputs.py
+++ b/packages/node/src/bronzepoint_node/policy/_outputs.py
@@ -52,8 +52,9 @@
     """Forward the request to a host of another region.
 
     Attributes:
-        max_wait: longest wait in seconds for the head of the answer; 0: until the
-            deadline, for a request that must not run twice.
+        max_wait: seconds after which an answer whose head hasn't arrived is late, so
+            that another place may be sought; 0: at the deadline, for a request that
+            must not run twice.
     """
 
     region: RegionName
--- a/packages/node/src/bronzepoint_node/policy/_policy.py
+++ b/packages/node/src/bronzepoint_node/policy/_policy.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from random import Random
 
+import msgspec
+
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
 from bronzepoint_node.policy._admission import Admission
@@ -50,9 +52,9 @@
 
 
 _FORWARD_WAIT_MARGIN_SECONDS = 1.0
-"""Time beyond the expected one after which a forwarded request counts as lost. Over a
-partitioned link no error arrives: without this, requests that were forwarded before the
-region is seen to be unreachable would all hang until their deadlines."""
+"""Time beyond the expected one after which the answer to a forwarded request is late.
+Over a partitioned link no error arrives, so another place is sought then. Without one
+the answer is awaited until the deadline: the region may be slow."""
 
 
 class Policy:
@@ -151,6 +153,53 @@
         placed.notes = [*ticket.notes, *placed.notes]
         return placed
 
+    def find_replacement(
+        self,
+        ticket: Ticket,
+        region: RegionName,
+        targets: ListTargets,
+        regions: ListRegions,
+    ) -> LocalPlacement | RemotePlacement | None:
+        """Place a request elsewhere whose answer from a region is late.
+
+        The returned place and a retry of the budget are taken; count the request at
+        its target before awaiting anything. A queued request isn't overtaken.
+
+        Args:
+            ticket: The request.
+            region: The region whose answer is late.
+            targets: Returns the current views of the entry's targets in this region.
+            regions: Returns the current views of the entry in each region.
+        """
+        request = ticket.request
+        time_left = ticket.deadline - time.monotonic()
+        views = targets()
+        pool = frozenset(view.name for view in views)
+        tried_regions = [*request.tried_regions, region]
+        moved = msgspec.structs.replace(
+            request, tried_regions=tried_regions, deadline_left=time_left
+        )
+        probe = msgspec.structs.replace(ticket, request=moved, pool=pool)
+        if self._baseline is not None:
+            placed: Placement | None = self._baseline.place(moved, views, regions())
+        else:
+            ahead = float(self._admission.length(pool))
+            placed = self._try_place(probe, ahead, views, regions())
+        match placed:
+            case LocalPlacement() if probe.expected_wait < time_left:
+                pass
+            case RemotePlacement(max_wait=max_wait) if (
+                max_wait < time_left + _FORWARD_WAIT_MARGIN_SECONDS
+            ):
+                pass
+            case _:
+                return None
+        if not self.may_retry(ticket, RetryReason.target_error, region):
+            return None
+        ticket.expected_wait, ticket.pool = probe.expected_wait, pool
+        self._record_placement(ticket, placed)
+        return placed
+
     async def record_try(
         self,
         ticket: Ticket,
--- a/tests/_entry_site.py
+++ b/tests/_entry_site.py
@@ -202,6 +202,8 @@
         self.admission_refusal: Refused | None = None
         self.away: list[str] = []
         self.max_wait = 0.0
+        self.may_replace = True
+        self.searches = 0
         self.on_place: Callable[[], None] = lambda: None
         self.admitted = 0
         self.left: list[tuple[bool, int]] = []
@@ -221,6 +223,13 @@
         self.on_place()
         return placement
 
+    def find_replacement(self, ticket, region, targets, regions):
+        self.searches += 1
+        tried = [*ticket.request.tried_regions, region]
+        moved = msgspec.structs.replace(ticket.request, tried_regions=tried)
+        placed = self._place(moved, targets(), regions())
+        return None if isinstance(placed, Refused) or not self.may_replace else placed
+
     def _place(self, request, targets, regions) -> Placement:
         allowed = request.allowed_regions
         if self.region not in self.away and (allowed is None or self.region in allowed):
--- a/tests/test_entry_forwarding.py
+++ b/tests/test_entry_forwarding.py
@@ -1,7 +1,9 @@
 """Forwarding to other regions: residency, loops and different catalogue views."""
 
 import unittest
+from types import SimpleNamespace
 
+import curio
 from nose2.tools import params
 
 from bronzepoint_common.tokens import Caller
@@ -13,10 +15,19 @@
     encode_context,
 )
 from bronzepoint_node.entry._refusals import RequestRefused
-from bronzepoint_node.policy import RemotePlacement
+from bronzepoint_node.entry._replacement import Replacement
+from bronzepoint_node.policy import RemotePlacement, RequestView, Ticket
 from bronzepoint_schema.generated.catalogue import Residency, ResidencyRule
 from bronzepoint_schema.generated.decisions import Outcome, TryResult
-from tests._entry_site import CHAT, Site, chat, read_refusal, run
+from tests._entry_site import (
+    CHAT,
+    Site,
+    chat,
+    complete_answer,
+    read_refusal,
+    run,
+    wait_until,
+)
 from tests.test_entry_relay import never_answers
 
 KEY = b"k" * 32
@@ -274,6 +285,87 @@
 
         run(main)
 
+    @params((("bkk", "sgp"), True), (("bkk", "sgp", "cnx"), False))
+    def test_late_region_is_left_only_for_another_place(
+        self, regions, may_replace
+    ) -> None:
+        """Guards against requests that are given up while their target works on them.
+
+        The only other region is late, or no retry is left in the budget for another.
+        """
+
+        async def main() -> None:
+            async with Site(*regions) as site:
+                policy = site.hosts["bkk-1"].policy
+                policy.away, policy.max_wait = ["bkk"], 0.05
+                policy.may_replace = may_replace
+
+                async def late_answer(target, exchange) -> None:
+                    await wait_until(lambda: policy.searches > 1)
+                    await complete_answer(target, exchange)
+
+                for target in site.targets.values():
+                    target.script = late_answer
+                answer = await site.request("bkk-1", body=chat())
+                self.assertEqual(answer.status, 200)
+                results = [one.result for one in (await site.record("bkk-1")).tries]
+                self.assertEqual(results, [TryResult.answered])
+                self.assertEqual(site.runs(), 1)
+
+        run(main)
+
+    def test_late_region_is_left_once_a_place_is_free(self) -> None:
+        async def main() -> None:
+            async with Site("bkk", "sgp") as site:
+                host, late = site.hosts["bkk-1"], site.targets["sgp-t1"]
+                host.policy.away, host.policy.max_wait = ["bkk"], 0.05
+                late.script = never_answers
+                counts = []
+
+                async def count_and_answer(target, exchange) -> None:
+                    counts.append(host.targets.in_flight["bkk-t1"])
+                    await complete_answer(target, exchange)
+
+                site.targets["bkk-t1"].script = count_and_answer
+
+                async def free_a_place() -> None:
+                    await wait_until(lambda: host.policy.searches > 1)
+                    host.policy.away = []
+
+                freeing = await curio.spawn(free_a_place)
+                answer = await site.request("bkk-1", body=chat())
+                await freeing.join()
+                self.assertEqual(answer.body, f"bkk:{site.last_id}".encode())
+                self.assertEqual((counts, host.targets.in_flight["bkk-t1"]), ([1], 0))
+                await late.left.wait()
+
+        run(main)
+
+    def test_unused_replacement_is_released(self) -> None:
+        """Guards against slots that stay counted for requests that have ended."""
+
+        async def main() -> None:
+            async with Site("bkk", "sgp") as site:
+                host = site.hosts["bkk-1"]
+                view = RequestView("r", "talk", "saphan", "bkk")
+                request = SimpleNamespace(
+                    view=view,
+                    deadline_left=lambda: 1.0,
+                    allowed_by=lambda entry: None,
+                )
+                replacement = Replacement(
+                    host.gateway._call_handler._dependencies,
+                    SimpleNamespace(entry=lambda _: host.catalogue.entries["talk"]),
+                    request,
+                    Ticket(view, None, 1.0),
+                )
+                self.assertTrue(replacement.find("sgp"))
+                self.assertEqual(host.targets.in_flight["bkk-t1"], 1)
+                replacement.release()
+                self.assertEqual(host.targets.in_flight["bkk-t1"], 0)
+
+        run(main)
+
     def test_unreachable_region_reports_not_run(self) -> None:
         async def main() -> None:
             async with Site("bkk", "sgp") as site:
--- a/tests/test_policy_whole.py
+++ b/tests/test_policy_whole.py
@@ -141,7 +141,7 @@
 
         For some seconds requests are still forwarded over the failed link, without
         any error. A missing answer doesn't show whether the request ran, so only an
-        idempotent request is given up early and tried in another place.
+        idempotent request is tried in another place before its deadline.
         """
         harness = Harness()
         harness.views = []
@@ -163,6 +163,53 @@
         self.assertEqual(may_retry_it, idempotent)
         self.assertEqual(again.kind, "no_target")
 
+    @params(
+        ("free target", {}, "LocalPlacement"),
+        ("full targets", {"in_flight": 4}, "NoneType"),
+        ("others are queued", {"queued": 1}, "NoneType"),
+        ("no retry left", {"retries": 0}, "NoneType"),
+        ("other region", {"in_flight": 4, "region": "cnx"}, "RemotePlacement"),
+        ("region too far", {"in_flight": 4, "region": "cnx", "trip": 90}, "NoneType"),
+    )
+    def test_replacement_is_held(self, _, state, expected):
+        """Guards against leaving a late region with no other place to go to.
+
+        The target there may still work on the request.
+        """
+        harness = Harness()
+        harness.views, views = [], harness.views
+        for view in views:
+            view.in_flight = state.get("in_flight", 0)
+
+        async def main():
+            ticket, placed = await harness.place(request())
+            await harness.policy.record_try(ticket, placed, TryResult.answered, 0.1)
+            ticket, placed = await harness.place(request())
+            harness.views = views
+            if "region" in state:
+                other = RegionView(state["region"], slots=8, trip=state.get("trip", 0))
+                harness.regions.append(other)
+            policy = harness.policy
+            if "queued" in state:
+                policy._admission.length = lambda pool: state["queued"]
+            while "retries" in state and policy.may_retry(
+                ticket, RetryReason.target_error, placed.region
+            ):
+                pass
+            before = harness.metrics.counters().get("retry.target_error", 0)
+            found = policy.find_replacement(
+                ticket, placed.region, lambda: harness.views, lambda: harness.regions
+            )
+            after = harness.metrics.counters().get("retry.target_error", 0)
+            return placed, found, after - before, ticket
+
+        placed, found, retries, ticket = curio.run(main)
+        self.assertEqual(placed.region, "sgp")
+        self.assertEqual(type(found).__name__, expected)
+        self.assertEqual(retries, 0 if found is None else 1)
+        self.assertEqual(ticket.holds_slot, expected == "LocalPlacement")
+        self.assertEqual(ticket.request.tried_regions, [])
+
     def test_refusing_region_is_paused(self):
         harness = Harness()
         harness.views = []
