Try the only place again after a stale connection

Seen: while looking for what ends requests early in our own interface: a kept connection that the other side closes just as a request is written to it made the request fail with 502, if no other target or region may serve it. Cause: the end of a kept connection was taken for a fault of the target or region, and that was marked as tried. It says nothing about them; a server closes idle connections at any time. Ruled out: requests that may run once only, which use new connections. Change: the first such failure marks nothing as tried; the request is sent again, on a new connection, where that failure can't occur.

--- a/packages/node/src/bronzepoint_node/entry/_dispatch.py
+++ b/packages/node/src/bronzepoint_node/entry/_dispatch.py
@@ -23,6 +23,7 @@
     Ticket,
 )
 from bronzepoint_node.run_once import ClaimToken
+from bronzepoint_schema.generated.decisions import RetryReason
 
 MAX_TRIES = 5
 """Tries of one request over all targets and regions, even if the retry budget allows
@@ -157,6 +158,10 @@
         ):
             return False
         request.trace.retried(failed.reason)
+        if failed.reason is RetryReason.stale_connection and not request.fresh:
+            # That a kept connection is closed says nothing about the other side.
+            request.fresh = True
+            return True
         match placement:
             case LocalPlacement(target):
                 request.view.tried.append(target.name)
--- a/packages/node/src/bronzepoint_node/entry/_forwarding.py
+++ b/packages/node/src/bronzepoint_node/entry/_forwarding.py
@@ -191,6 +191,7 @@
             timeout=request.deadline_left(),
             echo=REQUEST_ID_HEADER.lower(),
             repeatable=call.idempotent,
+            fresh=request.fresh or not call.idempotent,
             check=check,
         )
 
--- a/packages/node/src/bronzepoint_node/entry/_local_tries.py
+++ b/packages/node/src/bronzepoint_node/entry/_local_tries.py
@@ -140,5 +140,6 @@
         timeout=request.deadline_left(),
         echo=ECHO_HEADER.lower(),
         repeatable=call.idempotent,
+        fresh=request.fresh or not call.idempotent,
         check=check,
     )
--- a/packages/node/src/bronzepoint_node/entry/_served_request.py
+++ b/packages/node/src/bronzepoint_node/entry/_served_request.py
@@ -20,6 +20,7 @@
         view: The properties of the request that the policy uses.
         deadline: Seconds after arrival; the first byte is of no use after that.
         context: Context of a forwarded request; None: it came from its caller.
+        fresh: True: it is sent on new connections only, since a kept one was closed.
     """
 
     exchange: Exchange
@@ -30,6 +31,7 @@
     trace: RequestTrace
     deadline: float
     context: ForwardContext | None = None
+    fresh: bool = False
 
     def deadline_left(self) -> float:
         """Return the seconds left until the deadline."""
--- a/packages/node/src/bronzepoint_node/entry/_upstream.py
+++ b/packages/node/src/bronzepoint_node/entry/_upstream.py
@@ -37,8 +37,8 @@
     Attributes:
         timeout: Seconds to wait for the head of the response.
         echo: Lower-case name of the response header that repeats the request id.
-        repeatable: False: the request is sent on a new connection, and the response is
-            buffered until it is complete.
+        repeatable: False: the response is buffered until it is complete.
+        fresh: True: the request is sent on a new connection.
         check: Called right before the first byte is written; if it raises, nothing is
             sent.
     """
@@ -51,6 +51,7 @@
     timeout: float
     echo: str
     repeatable: bool
+    fresh: bool
     check: Callable[[], None]
 
 
@@ -137,7 +138,7 @@
                 request.headers,
                 request.body,
                 max(MIN_TIMEOUT, request.timeout),
-                fresh=not request.repeatable,
+                fresh=request.fresh,
                 before_send=before_send,
                 unframed=Unframed.EVENT_STREAMS,
             ) as answer:
--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -277,6 +277,40 @@
 
         run(main)
 
+    @params(("bkk",), ("bkk", "sgp"))
+    def test_only_place_is_tried_again_after_a_stale_connection(self, *regions) -> None:
+        """Guards against refusals because a kept connection was just being closed.
+
+        The only target or host that may serve the request is there, and closes the
+        connection as the request is written to it.
+        """
+
+        async def main() -> None:
+            async with Site(*regions) as site:
+                server = site.targets["bkk-t1"].server
+                if regions[-1] != "bkk":
+                    site.hosts["bkk-1"].policy.away = ["bkk"]
+                    server = site.hosts[f"{regions[-1]}-1"].server
+                handle, exchanges = server._handler, []
+
+                async def close_on_the_second(exchange) -> None:
+                    exchanges.append(exchange)
+                    if len(exchanges) == 2:
+                        await exchange.abort()
+                    else:
+                        await handle(exchange)
+
+                server._handler = close_on_the_second
+                await site.request("bkk-1", body=chat())
+                answer = await site.request("bkk-1", body=chat())
+                self.assertEqual(answer.status, 200)
+                tries = (await site.record("bkk-1")).tries
+                results = [one.result.value for one in tries]
+                self.assertEqual(results, ["not_sent", "answered"])
+                self.assertEqual(len({one.target for one in tries}), 1)
+
+        run(main)
+
     @params(("in a stream", stalled_stream), ("before the answer", never_answers))
     def test_caller_disconnect_cancels_the_target(self, _, script) -> None:
         """Guards against targets that keep running requests of disconnected callers.
