Rank a late request among the queued ones

Cause: while any request was queued for this region's targets, a request whose other region is late got no place here, although it arrived earlier or belongs to a higher class; with a queue that never empties it waited until its deadline. Change: `Admission.ahead` counts the queued requests that are served before it, as for a new one. Ruled out: overtaking; with another owner's request of its class queued it still gets no place. Conclusion: requests of other owners that queue without end still keep it waiting; joining the queue beside the try is left.

--- a/packages/node/src/bronzepoint_node/policy/_admission.py
+++ b/packages/node/src/bronzepoint_node/policy/_admission.py
@@ -67,6 +67,16 @@
         """Return the number of requests queued for a pool of targets."""
         return len(self._queues.get(pool, ()))
 
+    def ahead(self, request: RequestView, pool: Pool, arrived: float) -> float:
+        """Return the expected number of queued requests served before a request.
+
+        Args:
+            request: A request that isn't queued.
+            pool: Targets that it would wait for.
+            arrived: When it arrived, in monotonic seconds.
+        """
+        return self._queue(pool).ahead(QueuedRequest(request, arrived))
+
     def started(self, pool: Pool, owner: OwnerName) -> None:
         """Record that a request has taken a slot."""
         self._queue(pool).started(owner)
--- a/packages/node/src/bronzepoint_node/policy/_policy.py
+++ b/packages/node/src/bronzepoint_node/policy/_policy.py
@@ -163,7 +163,8 @@
         """Place a request elsewhere whose answer from a region is late.
 
         The returned place and a retry of the budget are taken; count the request at
-        its target before awaiting anything. A queued request isn't overtaken.
+        its target before awaiting anything. Queued requests that rank higher aren't
+        overtaken.
 
         Args:
             ticket: The request.
@@ -183,7 +184,7 @@
         if self._baseline is not None:
             placed: Placement | None = self._baseline.place(moved, views, regions())
         else:
-            ahead = float(self._admission.length(pool))
+            ahead = self._admission.ahead(moved, pool, ticket.placed_at)
             placed = self._try_place(probe, ahead, views, regions())
         match placed:
             case LocalPlacement() if probe.expected_wait < time_left:
--- a/tests/test_policy_whole.py
+++ b/tests/test_policy_whole.py
@@ -1,5 +1,6 @@
 """Tests of all decisions of one host together, through the policy's interface."""
 
+import time
 import unittest
 
 import curio
@@ -14,6 +15,8 @@
     RegionView,
     RemotePlacement,
 )
+from bronzepoint_node.policy._waiting import QueuedRequest
+from bronzepoint_schema.generated.catalogue import EntryClass
 from bronzepoint_schema.generated.decisions import RetryReason, TryResult
 from bronzepoint_schema.generated.settings import PolicyChoice, PolicySection
 from tests._policy_fakes import Bounds, FakeCatalogue, FakeNet, request, target
@@ -166,7 +169,8 @@
     @params(
         ("free target", {}, "LocalPlacement"),
         ("full targets", {"in_flight": 4}, "NoneType"),
-        ("others are queued", {"queued": 1}, "NoneType"),
+        ("others are queued", {"queued": EntryClass.interactive}, "NoneType"),
+        ("lower class is queued", {"queued": EntryClass.batch}, "LocalPlacement"),
         ("no retry left", {"retries": 0}, "NoneType"),
         ("other region", {"in_flight": 4, "region": "cnx"}, "RemotePlacement"),
         ("region too far", {"in_flight": 4, "region": "cnx", "trip": 90}, "NoneType"),
@@ -191,7 +195,10 @@
                 harness.regions.append(other)
             policy = harness.policy
             if "queued" in state:
-                policy._admission.length = lambda pool: state["queued"]
+                pool = frozenset(view.name for view in views)
+                other = request(entry_class=state["queued"], owner="other")
+                queue = policy._admission._queue(pool)
+                queue.add(QueuedRequest(other, time.monotonic()))
             while "retries" in state and policy.may_retry(
                 ticket, RetryReason.target_error, placed.region
             ):
