Search the successor of a run beside it, not in its way

Found in reading the redesign again: while a host asked another one about a silent request (up to 0.6 s, and 0.3 s for events on their way) or waited for the scheduler, the loop didn't look at the run itself. A plain answer that came meanwhile was sent to its caller only after the search, and an error in the search would have ended the run.

The search is a task of its own now; whichever ends first decides, and an answer goes on at once. An unexpected error of the search is logged and the run goes on.

--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -401,33 +401,42 @@
         if not call.route.repeatable:
             return await run
         work = await curio.spawn(run)
-        try:
-            while True:
-                async with curio.ignore_after(CHECK_INTERVAL):
-                    await work.wait()
-                if work.terminated:
-                    break
-                sign = watch.due_sign(monotonic())
-                if sign is not None and await self._hand_over(call, watch, work):
-                    timed_out = sign is Sign.SILENT
-                    return MayHaveRun(sign.value, timed_out, unread=True)
-        finally:
-            await work.cancel()
-        if work.exception is not None:
-            raise work.exception
-        return work.result
-
-    async def _hand_over(self, call: Call, watch: RunWatch, work: curio.Task) -> bool:
-        """Find a place that takes over from a run; False: the run goes on."""
-        successor = None
-        if await watch.is_confirmed():
-            successor = await self._handover.find(call, running=True)
-        if work.terminated or watch.has_progressed():
-            return False
-        if successor is None or not self._handover.claim(call, successor):
+        search = await curio.spawn(self._search_successor, call, watch)
+        async with curio.TaskGroup([work, search], wait=any):
+            pass
+        match work.exception:
+            case None:
+                return work.result
+            case curio.TaskCancelled():
+                sign = search.result
+                timed_out = sign is Sign.SILENT
+                return MayHaveRun(sign.value, timed_out, unread=True)
+            case exc:
+                raise exc
+
+    async def _search_successor(self, call: Call, watch: RunWatch) -> Sign:
+        """Return the sign for which a run is left, once a place can take over."""
+        while True:
+            await curio.sleep(CHECK_INTERVAL)
+            sign = watch.due_sign(monotonic())
+            if sign is None:
+                continue
+            try:
+                if await self._hand_over(call, watch):
+                    return sign
+            except Exception as exc:
+                # The run must not end because the search for its successor fails.
+                _log.exception("no successor", request=call.head.request_id, exc=exc)
             watch.note_search(monotonic())
+
+    async def _hand_over(self, call: Call, watch: RunWatch) -> bool:
+        """Claim a place that takes over from a run; False: the run goes on."""
+        if not await watch.is_confirmed():
+            return False
+        successor = await self._handover.find(call, running=True)
+        if successor is None or watch.has_progressed():
             return False
-        return True
+        return self._handover.claim(call, successor)
 
 
 def _note_progress(call: Call, attempt: Try, outcome: TryOutcome) -> None:
