Part the level that the other side of a cut last knew, not what is left of it

Cause: when a region is found to be unreachable, its share of the level is withheld here. In the 0.8 s until then this side has used the level up, and so has the other one; each parts what is left, as if the other had heard of the use here. Both use the whole burst.

Ruled out: late updates between hosts and counters as the main part. Without any change to them the bound holds in all cuts tried.

Change: the level that is parted is the highest of the current second and the one before, which cover the time since the last report of the region. Units that are withheld come back as before when the cut ends.

Without a cut nothing changes.

--- a/packages/node/src/bronzepoint_node/quota/_account.py
+++ b/packages/node/src/bronzepoint_node/quota/_account.py
@@ -19,6 +19,9 @@
 SAMPLE_INTERVAL = 1.0
 """Seconds between two samples of the use of each region. The older of the last two
 samples was taken before any network partition that is detected now."""
+LEVEL_PERIOD = UNREACHABLE_AFTER + 0.2
+"""Seconds over which the highest level is taken. The last period and the current one
+cover the time since the last report of a region that is found to be unreachable."""
 TOLERANCE_SHARE = 0.25
 """Share of the tolerance that may be used, so that an organisation at its quota isn't
 refused because hosts receive updates late."""
@@ -51,6 +54,9 @@
         self._withheld = quota.burst - self._level
         self._refill_rate = quota.rate
         self._unreachable = shares.unreachable
+        self._highest_level = self._level
+        self._previous_highest_level = self._level
+        self._level_period_at = now
         self._updated_at = now
         self._sampled_at = now
         self._use_sample: dict[RegionName, float] = {}
@@ -61,6 +67,7 @@
         self.advance(now)
         self._level += max(0.0, quota.burst - self.quota.burst)
         self._level = min(self._level, quota.burst)
+        self._highest_level = self._previous_highest_level = self._level
         self.quota = quota
         self._refill_rate = quota.rate
 
@@ -95,9 +102,11 @@
         self._refill_rate = min(rate, max_rate * share)
         self._restore_withheld(shares, used)
         new_share = shares.share_of(shares.unreachable - self._unreachable, used)
-        # Until now those regions used the quota without this limit, and both sides
-        # divide the same level.
-        withheld = new_share * (max(0.0, self._level) + rate * UNREACHABLE_AFTER)
+        # Until now those regions used the quota without this limit. They didn't hear of
+        # the units used here since, so the level that they may have used up is the one
+        # from before.
+        level = max(0.0, self._highest_level, self._previous_highest_level)
+        withheld = new_share * (level + rate * UNREACHABLE_AFTER)
         self._level -= withheld
         self._withheld += withheld
         self._unreachable = shares.unreachable
@@ -179,3 +188,11 @@
         self._updated_at = max(self._updated_at, now)
         self._level = min(self._capacity(), self._level + self._refill_rate * elapsed)
         self._withheld += (self.quota.rate - self._refill_rate) * elapsed
+        self._note_level(now)
+
+    def _note_level(self, now: float) -> None:
+        if now - self._level_period_at >= LEVEL_PERIOD:
+            self._level_period_at = now
+            self._previous_highest_level = self._highest_level
+            self._highest_level = self._level
+        self._highest_level = max(self._highest_level, self._level)
