Add a failing test of an outage that clears a common request

Callers could be hit longer by a request that crashes three targets of a data center within 0.5 s through three hosts: it would be clear everywhere.

Cause (from reading the code, and shown by the test; not seen in a run of real processes): a host that sees more than two targets of a data center end within 0.5 s clears each request that ran at only one of them, by the crashes it knows at that moment. Another host's crash of the same request is on its way. Each host clears its own one, clearing wins every merge, and nothing is left.

Not mended here: all hosts must decide by the same set, so the targets of an outage have to be told with the crashes and the clearing derived after the merge, which changes messages of the fleet.

--- a/tests/test_quarantine_admission.py
+++ b/tests/test_quarantine_admission.py
@@ -218,6 +218,19 @@
                 quarantine.note_crash(Crash(info, monotonic(), [run]))
         self.assertIs(table.standing("of 1"), expected)
 
+    def test_outage_clears_no_request_that_ran_at_its_targets_on_other_hosts(self):
+        """Guards against clearing a request as crashes elsewhere aren't known yet."""
+        hosts = [make_quarantine() for _ in range(3)]
+        for host, (quarantine, *_) in enumerate(hosts):
+            for number in range(3):
+                runs = [failed_run(f"other of {host}")]
+                runs += [failed_run("q")] * (number == host)
+                quarantine.note_crash(Crash(target(f"t{number}"), monotonic(), runs))
+        _, table, _ = hosts[0]
+        for _, other, _ in hosts[1:]:
+            table.merge(other.select_cases(monotonic(), 16), monotonic())
+        self.assertIs(table.standing("q"), SuspicionLevel.DOUBTFUL)
+
     def test_data_center_outage_is_reported_in_few_bytes(self):
         """Guards against filling a narrow link with a report for each of many runs."""
         quarantine, _, links = make_quarantine(core=("c1",))
