Let only the host that ran a trial record that its permit is used up

Callers in a region without targets could get 503 for a request that another region had just answered, until the answer was heard of there.

A host that forwards a doubtful request ends its trial as used, as another host has taken it over, and marked the request's crashes although it had no target's failure in hand: not having heard how the run ended was read as a failed run, the cause that this work is about. The host that ran it reports the whole answer, but the forwarding host blocks the request until then.

Change: the run at a target that ends without a whole answer marks the crashes, on the host that ran it, if it ran by a permit; so does a second target that turns it away. A forwarding host marks nothing.

--- a/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
@@ -108,6 +108,9 @@
     def record_answered(self, fingerprints: RequestFingerprints) -> None:
         """Handle a request that a target has answered completely."""
 
+    def note_trial_failed(self, fingerprints: RequestFingerprints) -> None:
+        """Handle a suspect whose run at a target ended without a complete answer."""
+
 
 @dataclass(eq=False)
 class _WatchedTarget:
@@ -199,6 +202,8 @@
     def record_failure(self, target: TargetInfo, run: WatchedRun) -> None:
         """Record that a run ended without a complete answer."""
         watched = self._end_run(target, run)
+        if run.suspect:
+            self._listener.note_trial_failed(run.fingerprints)
         if watched is None:
             return
         if watched.crashed_at:
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -179,6 +179,14 @@
         """Clear all crashes of a request that a target has answered completely."""
         self._clear(fingerprints)
 
+    def note_trial_failed(self, fingerprints: RequestFingerprints) -> None:
+        """Record that a permit has been used up by a run that wasn't answered.
+
+        A host that forwarded the request doesn't know how its run ended elsewhere.
+        """
+        if fingerprints.content in self._permits:
+            self._record_trial(fingerprints)
+
     def _clear(
         self, fingerprints: RequestFingerprints, early_only: bool = False
     ) -> None:
@@ -271,7 +279,7 @@
                 # isn't returned, as each of the other hosts would also keep it once.
                 self._turned_away.add(fingerprint)
                 self._keep_permit(fingerprint, None)
-            case _ if by_permit:
+            case TrialEnd.TURNED_AWAY if by_permit:
                 self._record_trial(fingerprints)
 
     def _record_trial(self, fingerprints: RequestFingerprints) -> None:
--- a/tests/test_quarantine_admission.py
+++ b/tests/test_quarantine_admission.py
@@ -254,10 +254,10 @@
     @params(
         # outcomes of the permitted trials, number admitted, number of permit queries
         ([TrialEnd.NOT_SENT] * 4, 5, 1),
-        ([TrialEnd.USED], 1, 1),
+        ([TrialEnd.USED], 1, 2),
         ([TrialEnd.TURNED_AWAY], 2, 1),
         ([TrialEnd.TURNED_AWAY] * 2, 2, 1),
-        ([TrialEnd.NOT_SENT, TrialEnd.TURNED_AWAY, TrialEnd.USED], 3, 1),
+        ([TrialEnd.NOT_SENT, TrialEnd.TURNED_AWAY, TrialEnd.USED], 3, 2),
     )
     def test_unused_permit_is_kept(self, ends, expected_admissions, permit_queries):
         """Guards against blocking an unrelated request that found no free capacity, or
@@ -364,6 +364,8 @@
         other = self.core_quarantine()
         for end in ends:
             self.admit(0)
+            if end is TrialEnd.USED:
+                self.hosts[0].note_trial_failed(Q)
             self.hosts[0].end_trial(Q, end)
         for _, message in self.links[0].posted:
             if isinstance(message, CrashNotice):
@@ -395,10 +397,18 @@
         add_crashes(table, "q", 2)
         first = curio.run(host.admit, Q, monotonic())
         add_crashes(table, "q", 3)
+        host.note_trial_failed(Q)
         host.end_trial(Q, TrialEnd.USED)
         second = curio.run(host.admit, Q, monotonic())
         self.assertEqual((first, second), (Admitted(True), Admitted(True, True)))
 
+    def test_forwarded_trial_is_judged_where_it_ran(self):
+        """Guards against blocking a request that another region has just answered."""
+        self.admit(0)
+        self.hosts[0].end_trial(Q, TrialEnd.USED)
+        table = self.hosts[0]._table
+        self.assertIs(table.standing("q"), SuspicionLevel.DOUBTFUL)
+
     def test_answered_trial_clears_the_request(self):
         """Guards against blocking a request that a target has answered on trial."""
         self.admit(0)
--- a/tests/test_quarantine_crash_detector.py
+++ b/tests/test_quarantine_crash_detector.py
@@ -28,6 +28,7 @@
         self.crashes = []
         self.answered = []
         self.survived = []
+        self.failed_trials = []
         self.crash_detector = CrashDetector(self._is_refused, self, Metrics())
 
     def note_crash(self, crash):
@@ -36,6 +37,9 @@
     def note_survived(self, fingerprints):
         self.survived.append(fingerprints.exact)
 
+    def note_trial_failed(self, fingerprints):
+        self.failed_trials.append(fingerprints.exact)
+
     def record_answered(self, fingerprints):
         self.answered.append(fingerprints.exact)
 
@@ -240,6 +244,7 @@
             recorder.begin("a", target())
         recorder.crash_detector.record_failure(target(), run)
         self.assertEqual(run.is_alone, alone)
+        self.assertEqual(recorder.failed_trials, ["q"])
 
 
 if __name__ == "__main__":
