--- a/tests/test_relay_run_watch.py
+++ b/tests/test_relay_run_watch.py
@@ -1,4 +1,4 @@
-"""A run is left only for a place that can take over, and never delayed by the search."""
+"""A run is left only for a place that can take over; the search delays no answer."""
 
 import unittest
 
