Keep what is known of a target that a reading of the list lacks

Seen, in a review with failing tests: one reading of the platform's list without a target's entry drops its request limit, load, `replaced` and the cold time of a reopening. When the next reading has it again, it counts as idle, unlimited and warm. `Delivery` counts what was sent there as unable to arrive, for good, so that retries leave the budget early.

Cause: absence from one reading was taken for the end of the target. An entry that is unreadable once, or moves between two pages of a reading, is absent too.

Ruled out: that the reader keeps former entries. It replaces the list as a whole (core/_target_reader.py), and an unreadable entry names no target.

Change: a target is listed, missing or gone. A missing one gets no requests and no polls, but its state is kept, and loads are still reported and accepted. Time without newer readings proves nothing.

`test_a_target_that_is_gone_reads_nothing` was wrong: one reading without the target was its proof that it is gone. It is replaced by a table: gone after the retention, gone by a start at its address, not gone while missing and once listed again.

--- a/packages/node/src/bronzepoint_node/placement/_load_collector.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_collector.py
@@ -87,19 +87,19 @@
 
     def _full_cycle(self) -> float:
         """Return the seconds within which a member gets the load of every target."""
-        turns = math.ceil(len(self._table.all()) / MAX_REPORTED)
+        turns = math.ceil(len(self._table.all_known()) / MAX_REPORTED)
         return NOTICE_INTERVAL * max(1, turns)
 
     def _next_targets(self, host: HostName) -> list[TrackedTarget]:
         """Return the targets of a member's next notice; all of them if few."""
-        targets = self._table.all()
+        targets = self._table.all_known()
         start = self._offsets.get(host, 0)
         self._offsets[host] = start + MAX_REPORTED
         return rotating_slice(targets, start, MAX_REPORTED)
 
     def _responsiveness_changes(self, now: float) -> list[TrackedTarget]:
         """Return the engines that have become unresponsive or responsive again."""
-        engines = {t.info.incarnation: t for t in self._table.all() if t.engine}
+        engines = {t.info.incarnation: t for t in self._table.all_known() if t.engine}
         unresponsive = {name for name, t in engines.items() if is_unresponsive(t, now)}
         changed_engines = [
             engines[n] for n in unresponsive ^ self._unresponsive if n in engines
--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -172,7 +172,7 @@
         if notice.kind is not NoticeKind.of_others:
             self._staleness.note(peer, notice.span_ms / 1000, now)
         for load in notice.loads:
-            tracked = self._table.get(load.incarnation)
+            tracked = self._table.known(load.incarnation)
             if tracked is not None:
                 tracked.apply_load(peer, load, now)
 
@@ -182,7 +182,7 @@
         """Apply the measurements and settled grants that a member reports."""
         self._reservations.settle(peer, notice.settled)
         for measured in notice.first_tokens:
-            tracked = self._table.get(measured.incarnation)
+            tracked = self._table.known(measured.incarnation)
             if tracked is not None:
                 service = tracked.info.service
                 self._speeds.learn_first_token(service, measured, now)
@@ -227,7 +227,7 @@
         self._reported_all_at = 0.0
         self._staleness.forget()
         self._complete_as_of = float("-inf")
-        for tracked in self._table.all():
+        for tracked in self._table.all_known():
             tracked.load.forget_others()
             tracked.reported_unresponsive = False
 
@@ -240,7 +240,7 @@
             NoticeKind.to_collect,
             [
                 tracked.report_load(now)
-                for tracked in self._table.all()
+                for tracked in self._table.all_known()
                 if tracked.load.changed or (full and tracked.is_in_use(now))
             ],
             self._settled,
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -8,8 +8,9 @@
 from bronzepoint_schema.ids import DataCenterName
 
 from ._cache_estimate import CacheEstimate
+from ._missing_targets import MissingTargets
 from ._target_groups import Group, group_targets
-from ._tracked_target import TrackedTarget
+from ._tracked_target import Listing, TrackedTarget
 
 CONTACT_RESULTS = frozenset({TryResult.answered, TryResult.refused_by_target})
 """Results which prove that a target is reachable."""
@@ -23,11 +24,15 @@
 
 
 class TargetTable:
-    """Keeps the targets of one region in sync with the target list."""
+    """Keeps the targets of one region in sync with the target list.
+
+    A target that a reading lacks gets no requests, but its state is kept for a while.
+    """
 
     def __init__(self) -> None:
         self.closed: frozenset[DataCenterName] = frozenset()
         self._targets: dict[str, TrackedTarget] = {}
+        self._missing = MissingTargets()
         self._of_service: dict[str, list[TrackedTarget]] = {}
         self._groups: dict[str, list[Group]] = {}
         self._services: dict[str, ServedService] = {}
@@ -52,16 +57,22 @@
         self._services = services
         reopened = self.closed - closed
         self.closed = closed
-        names = {info.incarnation for info in listed}
-        for name in [name for name in self._targets if name not in names]:
-            self._targets.pop(name).is_listed = False
+        started = [t.address for t in listed if self.known(t.incarnation) is None]
+        self._set_aside_missing(listed, now - age)
         for info in listed:
             self._apply_listing(info, age, now)
-        for tracked in self._targets.values():
+        self._missing.expire(now - age, started)
+        for tracked in self.all_known():
             if tracked.info.data_center in reopened:
                 self._mark_cold(tracked, now)
         self._index_by_service()
 
+    def _set_aside_missing(self, listed: list[TargetInfo], read_at: float) -> None:
+        """Keep the targets that a reading lacks apart from the listed ones."""
+        names = {info.incarnation for info in listed}
+        for name in [name for name in self._targets if name not in names]:
+            self._missing.add(self._targets.pop(name), read_at)
+
     def _index_by_service(self) -> None:
         """Rebuild the index of targets by service."""
         self._of_service = {}
@@ -74,17 +85,19 @@
 
     def _apply_listing(self, info: TargetInfo, age: float, now: float) -> None:
         service = self._services.get(info.service)
-        tracked = self._targets.get(info.incarnation)
+        name = info.incarnation
+        tracked = self._targets.get(name) or self._missing.take(name)
         if tracked is None:
             engine = service.engine if service else None
             memory = CacheEstimate(engine.memory_tokens if engine else 0)
             tracked = TrackedTarget(info, engine, memory, Health())
-            self._targets[info.incarnation] = tracked
         elif tracked.engine is None and service is not None and service.engine:
             tracked.engine = service.engine
             tracked.memory = CacheEstimate(service.engine.memory_tokens)
         if info.leaving and not tracked.info.leaving:
-            _log.info("target leaves", target=info.incarnation, address=info.address)
+            _log.info("target leaves", target=name, address=info.address)
+        self._targets[name] = tracked
+        tracked.listing = Listing.listed
         tracked.info = info
         if info.cold_ms > 0:
             cold_until = now - age + info.cold_ms / 1000 + COLD_MARGIN
@@ -134,20 +147,29 @@
         """Return whether a target may get requests."""
         info = tracked.info
         is_closed = info.data_center in self.closed
-        return not (info.leaving or tracked.replaced or is_closed)
+        is_listed = tracked.listing is Listing.listed
+        return is_listed and not (info.leaving or tracked.replaced or is_closed)
 
     def services(self) -> list[str]:
         """Return the services that have targets in the region."""
         return list(self._of_service)
 
     def all(self) -> list[TrackedTarget]:
-        """Return all targets of the region."""
+        """Return all listed targets of the region."""
         return list(self._targets.values())
 
+    def all_known(self) -> list[TrackedTarget]:
+        """Return all targets whose state is kept, missing ones included."""
+        return [*self._targets.values(), *self._missing.all()]
+
     def get(self, incarnation: str) -> TrackedTarget | None:
         """Return a target; None if it is not listed."""
         return self._targets.get(incarnation)
 
+    def known(self, incarnation: str) -> TrackedTarget | None:
+        """Return a target whose state is kept, although it may be missing."""
+        return self._targets.get(incarnation) or self._missing.get(incarnation)
+
     def service(self, name: str) -> ServedService | None:
         """Return the catalogue entry of a service."""
         return self._services.get(name)
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -1,6 +1,7 @@
 """A target of this region, as known to one entry host."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from msgspec import Struct
 
@@ -31,6 +32,15 @@
 not polled could otherwise never be found responsive again."""
 
 
+class Listing(Enum):
+    """What the readings of the target list say of a target."""
+
+    listed = "listed"
+    missing = "missing"
+    """The newest reading lacks it. It may be running, but gets no requests."""
+    gone = "gone"
+
+
 class EngineReport(Struct, frozen=True):
     """Load of an engine, as reported by itself."""
 
@@ -64,7 +74,7 @@
         last_contact_at: When it last answered this host.
         read_until: Send time of the newest request that it is known to have answered:
             it has read what was sent there before.
-        is_listed: Whether the target list still has it.
+        listing: Whether the target list has it.
         reported_unresponsive: The host that polls the engines reports it as
             unresponsive.
         trial_at: When a request was last sent there although it was unresponsive.
@@ -95,7 +105,7 @@
     failed_reports: int = 0
     last_contact_at: float = float("-inf")
     read_until: float = float("-inf")
-    is_listed: bool = True
+    listing: Listing = Listing.listed
     reported_unresponsive: bool = False
     trial_at: float = float("-inf")
     replaced: bool = False
@@ -104,6 +114,11 @@
     isolated_until: float = float("-inf")
     limit: RequestLimit = field(default_factory=RequestLimit)
 
+    @property
+    def is_gone(self) -> bool:
+        """Whether it has ended and reads nothing any more."""
+        return self.listing is Listing.gone
+
     @property
     def slots(self) -> int:
         """Maximum number of requests that it serves concurrently."""
--- a/packages/node/src/bronzepoint_node/retries/_delivery.py
+++ b/packages/node/src/bronzepoint_node/retries/_delivery.py
@@ -8,11 +8,11 @@
     """A target that requests are sent to.
 
     Attributes:
-        is_listed: Whether the target list still has it.
+        is_gone: It has ended and reads nothing any more.
         read_until: Send time of the newest request that it is known to have answered.
     """
 
-    is_listed: bool
+    is_gone: bool
     read_until: float
 
 
@@ -54,4 +54,4 @@
         target = self.target
         if target is None:
             return True
-        return target.is_listed and target.read_until < self.sent_at
+        return not target.is_gone and target.read_until < self.sent_at
--- a/tests/test_retry_late_arrivals.py
+++ b/tests/test_retry_late_arrivals.py
@@ -10,6 +10,7 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_node.fleet import RouteKind, ServedRoute, ServiceShare
 from bronzepoint_node.placement import EngineReport
+from bronzepoint_node.placement._missing_targets import MISSING_RETENTION
 from bronzepoint_node.relay._call import Answered, Call, MayHaveRun, NotRun
 from bronzepoint_node.relay._relay import Relay
 from bronzepoint_node.relay._sender import _may_be_unread
@@ -91,11 +92,26 @@
         happen(target, sent)
         self.assertEqual(sent.is_pending(SENT_AT + 2), expected)
 
-    def test_a_target_that_is_gone_reads_nothing(self):
+    @params(
+        # seconds from the first to the last reading without the target, names listed
+        # at the end, whether the request may still be read
+        ("gone", MISSING_RETENTION, ["t2"], False),
+        ("another one at its address", 0.0, ["t1~2", "t2"], False),
+        ("missing", 0.0, ["t2"], True),
+        ("listed again", 0.0, ["t1", "t2"], True),
+    )
+    def test_only_a_target_that_is_gone_reads_nothing(
+        self, name, missing_for, names, expected
+    ):
+        """Guards against retries that count as settled because one reading of the list
+        lacked their target."""
         site = Site(info("t1"), info("t2"))
         sent = Delivery(site.table.get("t1"), SENT_AT)
         site.update([info("t2")])
-        self.assertFalse(sent.is_pending(SENT_AT + 2))
+        sent.is_pending(SENT_AT + 1)
+        site.now += missing_for
+        site.update(map(info, names))
+        self.assertEqual(sent.is_pending(SENT_AT + 2), expected)
 
     @params(
         # outcome of the try, whether its bytes may have left, whether it may be unread
