Count events of this host's streams as contact with their target

Seen, in a review with a failing test: a stream is given up, although its target sends events here, once another host that polls the target reports it as unresponsive. Two failed polls by this host do the same.

Cause: `note_events` recorded only the pace. Events that other hosts report count as contact (`apply_load`), this host's own ones did not; contact was recorded when a try ended.

Ruled out: that a report of the poller is ignored in general while a target answers here. It is, for 1 s after the last contact (CONTACT_VALIDITY); that rule is unchanged.

Change: `note_events` records contact, which ends a reported silence, forgets failed polls and outweighs such reports for 1 s.

Tests: tests/test_placement_responsiveness.py; before the change 3 of its 4 rows failed. The fourth holds the bound: 1.1 s after the last event a report counts again.

Conclusion: a target that writes here isn't unresponsive here. The head of an answer and the first event of a stream still don't count as contact: the relay handles both.

--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -177,6 +177,7 @@
 
     def note_events(self, events: int, seconds: float, now: float) -> None:
         """Record events of a stream of this host."""
+        self.record_contact(now)
         self.pace.note(events, seconds, now)
         self.events += events
         self.event_seconds += seconds
