Remember which starts of a target were listed before

Cause: `record_list` compared with the reading before only. Absence from that one made the former start a new one.

Ruled out: the order of the entries and a former start that stays listed; both have had tests that pass.

Change: an incarnation counts as newer only if no reading of the last 60 s (TARGET_RETENTION) had it.

Tests: test_older_incarnation_that_is_listed_again_is_not_newer failed before ([['a']] reported where nothing is expected) and passes now. That a start not listed before counts as newer is held by the tests of restarts, which pass unchanged.

Conclusion: an incarnation is never listed again once it has ended, so remembering it hides no crash.

--- a/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
@@ -20,7 +20,7 @@
 MAX_FAILED_RUNS = 256
 """Maximum number of failed runs kept per target; it processes fewer runs at once."""
 TARGET_RETENTION = 60.0
-"""Seconds after its last activity for which a target is kept."""
+"""Seconds after its last activity or listing for which a target is remembered."""
 CONTACT_MARGIN = 0.1
 """Seconds before the last activity of a target within which a failed run may still be
 due to its crash, as data arrives on several connections."""
@@ -150,7 +150,7 @@
         self._listener = listener
         self._metrics = metrics
         self._targets: dict[str, _WatchedTarget] = {}
-        self._listed: set[str] = set()
+        self._listed_at: dict[str, float] = {}
 
     def begin(
         self,
@@ -274,16 +274,16 @@
 
         A crashed target stays listed for some seconds, possibly along with the next
         incarnation at its address. Only an incarnation that wasn't listed before counts
-        as newer.
+        as newer. One that a reading lacked and a later one has is not newer.
         """
         infos = {info.incarnation: info for info in listed}
         for incarnation in infos.keys() & self._targets.keys():
             self._targets[incarnation].info = infos[incarnation]
         started = {
             infos[incarnation].address: incarnation
-            for incarnation in infos.keys() - self._listed
+            for incarnation in infos.keys() - self._listed_at.keys()
         }
-        self._listed = set(infos)
+        self._note_listed(infos)
         if not started:
             return
         for incarnation, watched in self._targets.items():
@@ -295,6 +295,15 @@
             ):
                 self._note_crashed(watched)
 
+    def _note_listed(self, incarnations: Iterable[str]) -> None:
+        now = monotonic()
+        self._listed_at.update(dict.fromkeys(incarnations, now))
+        self._listed_at = {
+            incarnation: at
+            for incarnation, at in self._listed_at.items()
+            if now - at <= TARGET_RETENTION
+        }
+
     def _note_crashed(self, watched: _WatchedTarget) -> None:
         now = monotonic()
         watched.crashed_at = now
--- a/tests/test_quarantine_crash_detector.py
+++ b/tests/test_quarantine_crash_detector.py
@@ -190,6 +190,17 @@
         recorder.crash_detector.record_list([target("t-2"), target("t-1")])
         self.assertEqual(recorder.reported(), [])
 
+    def test_older_incarnation_that_is_listed_again_is_not_newer(self):
+        """Guards against blaming runs at a healthy target because one reading of the
+        list lacked the former incarnation at its address."""
+        recorder = Recorder()
+        recorder.crash_detector.record_list([target("t-1"), target("t-2")])
+        run = recorder.begin("a", target("t-2"))
+        recorder.crash_detector.record_failure(target("t-2"), run)
+        recorder.crash_detector.record_list([target("t-2")])
+        recorder.crash_detector.record_list([target("t-2"), target("t-1")])
+        self.assertEqual(recorder.reported(), [])
+
     def test_run_that_failed_before_the_last_contact_is_not_reported(self):
         """Guards against blaming a run that timed out long before the crash."""
 
