Keep begun streams pending while there is no keeper to tell

Cause: a host that had no other host in its registry when a stream began (a silent core, its own start) cleared its list of pending streams all the same. No keeper ever heard of the stream, and after a kill of the host it was refused for good.

Ruled out: the message being lost on the way; none was posted.

Change: without a keeper the streams stay pending, bounded like the table, and no notice is charged to the limit of messages. The next flush that has a keeper tells it of them, several in one message as before.

Test: test_stream_that_began_beside_a_silent_core_is_told_of_later failed before (None instead of the origin); all 21 tests of tests.test_stream_origins pass with the change.

Conclusion: that no host is reported is no proof that there is nobody to tell; what hasn't been told stays due until somebody can hear it.

--- a/packages/node/src/bronzepoint_node/stream_origins/_origins.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_origins.py
@@ -23,7 +23,7 @@
 
 from ._keepers import keepers, local_hosts, remote_hosts
 from ._origin import StreamOrigin
-from ._origin_table import OriginTable
+from ._origin_table import MAX_ORIGINS, OriginTable
 
 NOTICES_PER_SECOND = 8.0
 """Mean messages a second to each keeper. Up to this rate each stream is told of at
@@ -193,20 +193,30 @@
         return tuple(origins) or None
 
     def _flush_if_due(self) -> None:
-        if self._pending and self._notices.take(1.0, monotonic()):
+        if self._pending and self._keepers() and self._notices.take(1.0, monotonic()):
             self._flush()
 
     def _flush(self) -> None:
-        """Tell the keepers of the streams that have begun since the last time."""
+        """Tell the keepers of the streams that have begun since the last time.
+
+        Without a keeper the streams stay pending.
+        """
+        hosts = self._keepers()
+        if not hosts:
+            self._pending = self._pending[-MAX_ORIGINS:]
+            return
         by_service: dict[str, list[BegunStream]] = defaultdict(list)
         for key, origin in self._pending:
             stream = BegunStream(key, origin.software_version)
             by_service[origin.service].append(stream)
         self._pending = []
-        for host in keepers(self._hosts(), self._region, self._name):
+        for host in hosts:
             for service, streams in by_service.items():
                 self._tell(host, service, streams)
 
+    def _keepers(self) -> list[HostName]:
+        return keepers(self._hosts(), self._region, self._name)
+
     def _tell(self, host: HostName, service: str, streams: list[BegunStream]) -> None:
         while streams:
             batch = first_batch(streams)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -126,6 +126,19 @@
         network.cut = {"a1"}
         self.assertEqual(network.find("b1", 7), V1)
 
+    def test_stream_that_began_beside_a_silent_core_is_told_of_later(self):
+        """Guards against a stream that nobody else knows, because no other host counted
+        as live at the moment when it began."""
+        network = Network()
+        origins = network.origins["a1"]
+        origins._registry = Registry()
+        origins._registry.versions.merge(BOTH)
+        origins.record(7, V1, forwarded=False)
+        origins._registry = network.registries["a1"]
+        curio.run(origins.close)
+        network.cut = {"a1"}
+        self.assertEqual(network.find("b1", 7), V1)
+
     def test_one_message_tells_a_keeper_of_many_streams(self):
         network = Network()
         for key in range(500):
