Refuse a resumed stream for good only if all that may know have answered

Seen by callers: a resumed stream was refused with origin_unknown and no Retry-After, with seconds left, although a host that was late or cut off for a moment knew the version that had begun it.

Cause: a search had two results, known and not known. Hosts were asked once for 0.6 s, and one that did not answer counted as one that doesn't know, also behind the answer of a host of another region that asks its own.

Change: a search ends as found, unknown or unanswered. The reply of a host that asks its region says whether all have answered (a new field, false by default, so an older host's reply never proves anything). Hosts and regions that have not answered are asked again for half of the time that is left; the others aren't. What stays unanswered is refused as origin_unconfirmed with Retry-After.

Conclusion: a host that doesn't answer proves nothing; only answers do.

--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -24,6 +24,8 @@
     "over_quota": "its organisation has used up its quota over all hosts",
     "version_gone": "no target of the software version that began its stream is left",
     "origin_unknown": "no host knows which software version began its stream",
+    "origin_unconfirmed": "hosts that may know which software version began its stream "
+    "had not answered",
     "held": "targets crashed as they ran it, and it is blocked for some time",
 }
 """Meaning of each refusal reason; the request did not run."""
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -25,6 +25,7 @@
     LIMITED = "limited"
     VERSION_GONE = "version_gone"
     ORIGIN_UNKNOWN = "origin_unknown"
+    ORIGIN_UNCONFIRMED = "origin_unconfirmed"
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/relay/_resumption.py
+++ b/packages/node/src/bronzepoint_node/relay/_resumption.py
@@ -2,10 +2,20 @@
 
 from bronzepoint_node.fleet import Registry
 from bronzepoint_node.placement import Rejected, RejectReason
-from bronzepoint_node.stream_origins import AmbiguousOrigin, Origins, StreamOrigin
+from bronzepoint_node.stream_origins import (
+    AmbiguousOrigin,
+    Origins,
+    StreamOrigin,
+    UnansweredOrigin,
+)
 
+from ._answer_writer import DEFAULT_RETRY_AFTER
 from ._call import Call
 
+SEARCH_SHARE = 0.5
+"""Part of the time left for which hosts that may know an origin are asked. The rest is
+for the stream, or for another try of its caller at another host."""
+
 
 class ResumptionCheck:
     """Binds a resumed stream to the service and software version that began it.
@@ -22,18 +32,23 @@
     async def check(self, call: Call) -> Rejected | None:
         """Set the origin of a resumed stream; return why it can't go on, if so.
 
-        If the origin isn't known, the stream may go on only while its service has a
-        single version.
+        If no host knows the origin, the stream may go on only while its service has a
+        single version. While hosts that may know it have not answered, the refusal
+        isn't final.
         """
         if not call.is_resumed:
             return None
         service, origin = call.service, call.origin
         if origin is None and not call.exchange.started:
             try:
-                origin = await self._origins.find(call.origin_key, service)
+                patience = SEARCH_SHARE * call.time_left
+                origin = await self._origins.find(call.origin_key, service, patience)
             except AmbiguousOrigin:
                 call.notes.append("its attempt's id has begun streams of two versions")
                 return _refused(RejectReason.ORIGIN_UNKNOWN)
+            except UnansweredOrigin:
+                # A host that is late, or cut off, may still know it.
+                return Rejected(RejectReason.ORIGIN_UNCONFIRMED, DEFAULT_RETRY_AFTER)
             call.origin = origin
         if origin is not None and not _may_use(call, origin):
             return _refused(RejectReason.VERSION_GONE)
--- a/packages/node/src/bronzepoint_node/stream_origins/__init__.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/__init__.py
@@ -2,6 +2,13 @@
 
 from ._origin import StreamOrigin, origin_key
 from ._origin_table import OriginTable
-from ._origins import AmbiguousOrigin, Origins
+from ._origins import AmbiguousOrigin, Origins, UnansweredOrigin
 
-__all__ = ["AmbiguousOrigin", "OriginTable", "Origins", "StreamOrigin", "origin_key"]
+__all__ = [
+    "AmbiguousOrigin",
+    "OriginTable",
+    "Origins",
+    "StreamOrigin",
+    "UnansweredOrigin",
+    "origin_key",
+]
--- a/packages/node/src/bronzepoint_node/stream_origins/_keepers.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_keepers.py
@@ -9,8 +9,6 @@
 
 LOCAL_KEEPERS = 2
 """Other hosts of the region that keep the streams of a host."""
-REMOTE_ASKED = 2
-"""Hosts asked in each other region."""
 
 
 def keepers(
@@ -39,16 +37,12 @@
 
 
 def remote_hosts(
-    key: int, hosts: Iterable[EntryHost], region: RegionName
-) -> list[HostName]:
-    """Return some hosts of each other region, which ask the others of theirs."""
+    hosts: Iterable[EntryHost], region: RegionName
+) -> dict[RegionName, list[HostName]]:
+    """Return the known hosts of the other regions."""
     by_region = _by_region(hosts)
     by_region.pop(region, None)
-    return [
-        name
-        for names in by_region.values()
-        for name in rendezvous_order(str(key), names)[:REMOTE_ASKED]
-    ]
+    return by_region
 
 
 def _by_region(hosts: Iterable[EntryHost]) -> dict[RegionName, list[HostName]]:
--- a/packages/node/src/bronzepoint_node/stream_origins/_origins.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_origins.py
@@ -22,8 +22,10 @@
 from bronzepoint_schema.ids import HostName, RegionName
 
 from ._keepers import keepers, local_hosts, remote_hosts
+from ._lookup import Found, Lookup, Unfound
 from ._origin import StreamOrigin
 from ._origin_table import MAX_ORIGINS, OriginTable
+from ._relayed_searches import RelayedSearches
 
 NOTICES_PER_SECOND = 8.0
 """Mean messages a second to each keeper. Up to this rate each stream is told of at
@@ -36,8 +38,10 @@
 REMOTE_DELAY = 0.15
 """Seconds after which other regions are asked, too, if no host of the own one knew."""
 ASK_TIMEOUT = 0.6
-"""Seconds to wait for a host's answer. A failed host delays only the refusal of what
-nobody knows."""
+"""Seconds to wait for a host's first answer, doubled each time it is asked again. A
+failed host delays only the refusal of what no other host knows."""
+ASK_INTERVAL = 0.2
+"""Seconds after which hosts that have not answered are asked again."""
 RELAYED_TIMEOUT = 0.4
 """Seconds to wait for the hosts of the own region on behalf of another one."""
 HOST_EXPIRY = 3.0
@@ -48,6 +52,10 @@
     """Attempts with different origins have used one id."""
 
 
+class UnansweredOrigin(Exception):
+    """Hosts that may know where a stream began have not answered."""
+
+
 class Origins:
     """Knows where streams began, also those that other hosts have served.
 
@@ -86,6 +94,7 @@
             monotonic(),
             NOTICE_BURST,
         )
+        self._relayed = RelayedSearches(self._search_region)
         self._task: curio.Task | None = None
         peers.register(Area.STREAM_ORIGINS, OriginMessage, self._handle)
 
@@ -97,6 +106,7 @@
         """Stop telling the keepers, after what is left to tell."""
         if self._task is not None:
             await self._task.cancel()
+        await self._relayed.close()
         self._flush()
 
     async def _run(self) -> None:
@@ -132,65 +142,132 @@
             self._pending += self._table.own(added, monotonic())
             self._flush()
 
-    async def find(self, key: int, service: str) -> StreamOrigin | None:
-        """Return where a stream began; None if nobody knows.
+    async def find(
+        self, key: int, service: str, patience: float = 0.0
+    ) -> StreamOrigin | None:
+        """Return where a stream began; None if no host that may know it does.
 
         Other hosts are asked only if its service has several software versions.
 
+        Args:
+            key: Key of the stream.
+            service: Its service.
+            patience: Seconds for which hosts that don't answer are asked again.
+
         Raises:
             AmbiguousOrigin: Streams of several origins have this key.
+            UnansweredOrigin: Hosts that may know it have not answered.
         """
         found = self._table.find(key, monotonic())
         if found:
             self._metrics.incr("origin.found_here")
-        elif self._registry.versions.several(service):
-            found = await self._ask_others(key)
-            self._metrics.incr("origin.found_elsewhere" if found else "origin.unknown")
-        if not found:
+            return _only(found)
+        if not self._registry.versions.several(service):
             return None
-        if len(found) > 1:
-            raise AmbiguousOrigin
-        return found[0]
+        match await self._search(key, patience):
+            case Unfound.UNKNOWN:
+                self._metrics.incr("origin.unknown")
+                return None
+            case Unfound.UNANSWERED:
+                self._metrics.incr("origin.unconfirmed")
+                raise UnansweredOrigin
+            case found:
+                self._metrics.incr("origin.found_elsewhere")
+                return _only(found)
+
+    async def _search(self, key: int, patience: float) -> Found | Unfound:
+        """Ask other hosts until all that may know have answered."""
+        until = monotonic() + patience
+        lookup = Lookup(key)
+        timeout, remote_delay = ASK_TIMEOUT, REMOTE_DELAY
+        while True:
+            result = await self._ask_others(lookup, timeout, remote_delay)
+            if result is not Unfound.UNANSWERED:
+                return result
+            left = until - monotonic()
+            if left <= 0:
+                return result
+            await curio.sleep(min(ASK_INTERVAL, left))
+            # A keeper may have been told of the stream meanwhile, also this host.
+            found = self._table.find(key, monotonic())
+            if found:
+                return found
+            timeout, remote_delay = min(2 * timeout, max(left, ASK_INTERVAL)), 0.0
+
+    async def _ask_others(
+        self, lookup: Lookup, timeout: float, remote_delay: float
+    ) -> Found | Unfound:
+        async with curio.TaskGroup(wait=object) as group:
+            await group.spawn(self._ask_region, lookup, timeout)
+            await group.spawn(self._ask_other_regions, lookup, timeout, remote_delay)
+        found = _result_of(group)
+        if found is not None:
+            return found
+        return self._unfound(lookup, self._remote_left(lookup))
+
+    async def _ask_region(self, lookup: Lookup, timeout: float) -> Found | None:
+        hosts = self._local_left(lookup)
+        async with curio.TaskGroup(wait=object) as group:
+            for host in hosts:
+                await group.spawn(self._ask_local, lookup, host, timeout)
+        return _result_of(group)
 
-    async def _ask_others(self, key: int) -> tuple[StreamOrigin, ...]:
+    async def _ask_other_regions(
+        self, lookup: Lookup, timeout: float, delay: float
+    ) -> Found | None:
+        await curio.sleep(delay)
+        hosts = self._remote_left(lookup)
         async with curio.TaskGroup(wait=object) as group:
-            await group.spawn(self._ask_region, key, ASK_TIMEOUT)
-            await group.spawn(self._ask_other_regions, key)
+            for region, host in hosts:
+                await group.spawn(self._ask_remote, lookup, region, host, timeout)
         return _result_of(group)
 
-    async def _ask_region(
-        self, key: int, timeout: float
-    ) -> tuple[StreamOrigin, ...] | None:
-        others = local_hosts(self._hosts(), self._region, self._name)
-        return await self._first_known(others, OriginQuery(key), timeout)
-
-    async def _ask_other_regions(self, key: int) -> tuple[StreamOrigin, ...] | None:
-        await curio.sleep(REMOTE_DELAY)
-        others = remote_hosts(key, self._hosts(), self._region)
-        query = OriginQuery(key, relay=True)
-        return await self._first_known(others, query, ASK_TIMEOUT)
-
-    async def _first_known(
-        self, hosts: list[HostName], query: OriginQuery, timeout: float
-    ) -> tuple[StreamOrigin, ...] | None:
-        """Return the first answer that isn't empty; None if there is none."""
-        if not hosts:
+    async def _ask_local(
+        self, lookup: Lookup, host: HostName, timeout: float
+    ) -> Found | None:
+        reply = await self._ask(lookup, host, OriginQuery(lookup.key), timeout)
+        if reply is None:
             return None
-        async with curio.TaskGroup(wait=object) as group:
-            for host in hosts:
-                await group.spawn(self._ask, host, query, timeout)
-        return _result_of(group) or None
+        lookup.deny_host(host)
+        return _origins_of(reply) or None
+
+    async def _ask_remote(
+        self, lookup: Lookup, region: RegionName, host: HostName, timeout: float
+    ) -> Found | None:
+        query = OriginQuery(lookup.key, relay=True)
+        reply = await self._ask(lookup, host, query, timeout)
+        if reply is None:
+            return None
+        if reply.complete:
+            lookup.deny_region(region)
+        return _origins_of(reply) or None
 
     async def _ask(
-        self, host: HostName, query: OriginQuery, timeout: float
-    ) -> tuple[StreamOrigin, ...] | None:
+        self, lookup: Lookup, host: HostName, query: OriginQuery, timeout: float
+    ) -> OriginReply | None:
         try:
-            reply = await self._peers.call(host, Area.STREAM_ORIGINS, query, timeout)
+            return await self._peers.call(host, Area.STREAM_ORIGINS, query, timeout)
         except PeerError:
             self._metrics.incr("origin.unanswered")
+            lookup.fail(host)
             return None
-        origins = (StreamOrigin(o.service, o.software_version) for o in reply.origins)
-        return tuple(origins) or None
+
+    def _local_left(self, lookup: Lookup) -> list[HostName]:
+        hosts = local_hosts(self._known_hosts(), self._region, self._name)
+        return lookup.local_left(hosts)
+
+    def _remote_left(self, lookup: Lookup) -> list[tuple[RegionName, HostName]]:
+        by_region = remote_hosts(self._known_hosts(), self._region)
+        reported = {host.name for host in self._reported_hosts()}
+        return lookup.remote_left(by_region, reported)
+
+    def _unfound(
+        self, lookup: Lookup, remote_left: list[tuple[RegionName, HostName]]
+    ) -> Unfound:
+        # A host that has heard of no host at all doesn't know whom to ask.
+        if not self._known_hosts() or remote_left or self._local_left(lookup):
+            return Unfound.UNANSWERED
+        return Unfound.UNKNOWN
 
     def _flush_if_due(self) -> None:
         if self._pending and self._keepers() and self._notices.take(1.0, monotonic()):
@@ -215,7 +292,7 @@
                 self._tell(host, service, streams)
 
     def _keepers(self) -> list[HostName]:
-        return keepers(self._hosts(), self._region, self._name)
+        return keepers(self._reported_hosts(), self._region, self._name)
 
     def _tell(self, host: HostName, service: str, streams: list[BegunStream]) -> None:
         while streams:
@@ -234,19 +311,38 @@
                     origin = StreamOrigin(service, stream.software_version)
                     self._table.add(stream.key, origin, now)
             case OriginQuery(key=key, relay=relay):
-                found = self._table.find(key, now)
+                found: Found | Unfound = self._table.find(key, now)
                 if not found and relay:
-                    found = await self._ask_region(key, RELAYED_TIMEOUT) or ()
-                return OriginReply(
-                    [KnownOrigin(o.service, o.software_version) for o in found]
-                )
+                    found = await self._relayed.result(key)
+                if isinstance(found, Unfound):
+                    return OriginReply([], found is Unfound.UNKNOWN)
+                origins = [KnownOrigin(o.service, o.software_version) for o in found]
+                return OriginReply(origins, True)
         return None
 
-    def _hosts(self) -> list[EntryHost]:
+    async def _search_region(self, key: int) -> Found | Unfound:
+        """Ask the hosts of the own region on behalf of another one."""
+        lookup = Lookup(key)
+        found = await self._ask_region(lookup, RELAYED_TIMEOUT)
+        return self._unfound(lookup, []) if found is None else found
+
+    def _known_hosts(self) -> list[EntryHost]:
+        return self._reported_hosts()
+
+    def _reported_hosts(self) -> list[EntryHost]:
         return self._registry.entries(HOST_EXPIRY)
 
 
-def _result_of(group: curio.TaskGroup) -> tuple[StreamOrigin, ...]:
-    """Return the first result of a group that isn't None; empty if there is none."""
-    first = group.completed
-    return first.result if first is not None and first.result is not None else ()
+def _origins_of(reply: OriginReply) -> Found:
+    return tuple(StreamOrigin(o.service, o.software_version) for o in reply.origins)
+
+
+def _only(found: Found) -> StreamOrigin:
+    if len(found) > 1:
+        raise AmbiguousOrigin
+    return found[0]
+
+
+def _result_of(group: curio.TaskGroup) -> Found | None:
+    """Return the first result of a group that isn't None; None if there is none."""
+    return group.completed.result if group.completed is not None else None
