Ask and tell hosts that are not reported at the moment

Cause: keepers, and the hosts to ask, were drawn from the hosts reported within 3 s. The core reports a part of a large region only, so a keeper that a returning host displaces from the reports was never asked again, though it runs and knows; beside a silent core nobody was asked or told at all.

Change: a host remembers reported hosts for as long as an origin is kept (60 s) and asks all of them; one last reported as leaving has told its keepers and isn't waited for. While no host is reported, keepers are drawn from the remembered ones, and told again once hosts are reported. The other regions' hosts that are reported go first.

Conclusion: a report that is missing changes neither what a host keeps nor whether it can be asked; only the age of what it keeps does.

--- a/packages/node/src/bronzepoint_node/stream_origins/_origins.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_origins.py
@@ -22,6 +22,7 @@
 from bronzepoint_schema.ids import HostName, RegionName
 
 from ._keepers import keepers, local_hosts, remote_hosts
+from ._known_hosts import KnownHosts
 from ._lookup import Found, Lookup, Unfound
 from ._origin import StreamOrigin
 from ._origin_table import MAX_ORIGINS, OriginTable
@@ -45,7 +46,7 @@
 RELAYED_TIMEOUT = 0.4
 """Seconds to wait for the hosts of the own region on behalf of another one."""
 HOST_EXPIRY = 3.0
-"""Seconds since its last report after which a host is neither told nor asked."""
+"""Seconds since its last report after which a host counts as not reported."""
 
 
 class AmbiguousOrigin(Exception):
@@ -86,8 +87,10 @@
         self._registry = registry
         self._metrics = metrics
         self._table = OriginTable()
+        self._known = KnownHosts()
         self._published: set[str] = set()
         self._pending: list[tuple[int, StreamOrigin]] = []
+        self._told_unreported: list[tuple[int, StreamOrigin]] = []
         self._notices = TokenBucket(
             NOTICES_PER_SECOND,
             NOTICES_PER_SECOND * NOTICE_BURST,
@@ -112,6 +115,7 @@
     async def _run(self) -> None:
         while True:
             await curio.sleep(FLUSH_INTERVAL)
+            self._known_hosts()
             self._flush_if_due()
 
     def record(self, key: int, origin: StreamOrigin, *, forwarded: bool) -> None:
@@ -270,18 +274,29 @@
         return Unfound.UNKNOWN
 
     def _flush_if_due(self) -> None:
-        if self._pending and self._keepers() and self._notices.take(1.0, monotonic()):
+        is_due = self._told_unreported and self._reported_keepers()
+        if not is_due:
+            is_due = self._pending and self._keepers_of(self._known_hosts())
+        if is_due and self._notices.take(1.0, monotonic()):
             self._flush()
 
     def _flush(self) -> None:
         """Tell the keepers of the streams that have begun since the last time.
 
-        Without a keeper the streams stay pending.
+        While no host is reported, those known before are told, and once hosts are
+        reported, they are told again. Without a keeper the streams stay pending.
         """
-        hosts = self._keepers()
+        reported = self._reported_keepers()
+        hosts = reported or self._keepers_of(self._known_hosts())
         if not hosts:
             self._pending = self._pending[-MAX_ORIGINS:]
             return
+        if reported:
+            self._pending = self._told_unreported + self._pending
+            self._told_unreported = []
+        else:
+            self._told_unreported += self._pending
+            self._told_unreported = self._told_unreported[-MAX_ORIGINS:]
         by_service: dict[str, list[BegunStream]] = defaultdict(list)
         for key, origin in self._pending:
             stream = BegunStream(key, origin.software_version)
@@ -291,8 +306,11 @@
             for service, streams in by_service.items():
                 self._tell(host, service, streams)
 
-    def _keepers(self) -> list[HostName]:
-        return keepers(self._reported_hosts(), self._region, self._name)
+    def _reported_keepers(self) -> list[HostName]:
+        return self._keepers_of(self._reported_hosts())
+
+    def _keepers_of(self, hosts: list[EntryHost]) -> list[HostName]:
+        return keepers(hosts, self._region, self._name)
 
     def _tell(self, host: HostName, service: str, streams: list[BegunStream]) -> None:
         while streams:
@@ -327,7 +345,9 @@
         return self._unfound(lookup, []) if found is None else found
 
     def _known_hosts(self) -> list[EntryHost]:
-        return self._reported_hosts()
+        """Return the hosts that may keep an origin, reported at the moment or not."""
+        self._known.update(self._reported_hosts(), monotonic())
+        return self._known.all()
 
     def _reported_hosts(self) -> list[EntryHost]:
         return self._registry.entries(HOST_EXPIRY)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -45,6 +45,11 @@
     return TargetInfo(name, "s", "10.0.0.1:80", zone, 6, leaving, 0, version)
 
 
+def entry_host(name, state=EntryState.ready):
+    region = HOSTS[name]
+    return EntryHost(name, region, f"{region}-a", "", "", state, 0)
+
+
 class Network:
     """Hosts that exchange messages directly; cut hosts neither send nor receive."""
 
@@ -57,18 +62,27 @@
         for name in HOSTS:
             self.start(name, versions)
 
-    def start(self, name, versions=BOTH):
-        """Start a host without anything that its former process knew."""
+    def start(self, name, versions=BOTH, former=None, missing=()):
+        """Start a host without anything that its former process knew.
+
+        Args:
+            name: The host.
+            versions: Reported versions of the service.
+            former: Its present origins, to keep what they know of hosts; None: start
+                with nothing.
+            missing: Hosts that aren't reported to it.
+        """
         registry = Registry()
         registry.versions.merge(versions)
         registry.merge_entries(
-            EntryHost(host, region, f"{region}-a", "", "", EntryState.ready, 0)
-            for host, region in HOSTS.items()
+            entry_host(host) for host in HOSTS if host not in missing
         )
         self.registries[name] = registry
         self.origins[name] = Origins(
             name, HOSTS[name], _Peers(self, name), registry, Metrics("test")
         )
+        if former is not None:
+            self.origins[name]._known = former._known
 
     def find(self, host, key):
         return curio.run(self.origins[host].find, key, "s")
@@ -182,6 +196,46 @@
             with self.assertRaises(UnansweredOrigin):
                 network.find("c1", 7)
 
+    def test_a_host_that_is_no_longer_reported_is_asked(self):
+        """Guards against a stream that is refused because its only keeper in reach is
+        displaced from the reports by a host that returns."""
+        for displaced in ("a1", "a3"):
+            network = Network()
+            network.find("a2", 8)
+            network.origins["a1"].record(7, V1, forwarded=False)
+            network.cut = set(HOSTS) - {"a2", displaced}
+            network.start("a2", former=network.origins["a2"], missing={displaced})
+            self.assertEqual(network.find("a2", 7), V1)
+
+    def test_a_host_that_leaves_is_not_waited_for(self):
+        network = Network()
+        leaving = entry_host("a3", EntryState.leaving)
+        network.registries["a2"].merge_entries([leaving])
+        network.find("a2", 7)
+        network.start("a2", former=network.origins["a2"], missing={"a3"})
+        network.cut = {"a3"}
+        self.assertIsNone(network.find("a2", 7))
+
+    def test_known_hosts_are_told_while_none_is_reported(self):
+        """Guards against a stream that is lost with its host beside a silent core, and
+        against one that is told to hosts that ended meanwhile only."""
+        network = Network()
+        origins = network.origins["a1"]
+        network.find("a1", 8)
+        reporting = origins._registry
+        origins._registry = Registry()
+        origins._registry.versions.merge(BOTH)
+        network.messages.clear()
+        origins.record(7, V1, forwarded=False)
+        told = list(network.messages)
+        self.assertEqual(len(told), 3)
+        origins._flush_if_due()
+        self.assertEqual(network.messages, told)
+        origins._registry = reporting
+        origins._flush_if_due()
+        origins._flush_if_due()
+        self.assertEqual(network.messages, told * 2)
+
     def test_a_host_that_knows_no_other_leaves_the_question_open(self):
         """Guards against a final refusal by a host that the core hasn't told of any
         other host yet."""
