Ask only hosts that have not answered again behind a relay, too

Cause: with repeated queries, a host that asks its region for another one began a new search for each, so one ended host there made each repetition cost a message to every host of that region; the pause was constant.

Ruled out: repetitions within the own region; hosts that have answered were left out there from the start.

Conclusion: repeating a question costs a message for each host that is missing, not for each host of the region that it lives in.

--- a/packages/node/src/bronzepoint_node/stream_origins/_origins.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_origins.py
@@ -41,8 +41,12 @@
 ASK_TIMEOUT = 0.6
 """Seconds to wait for a host's first answer, doubled each time it is asked again. A
 failed host delays only the refusal of what no other host knows."""
+MAX_ASK_TIMEOUT = 2.4
+"""Maximum seconds to wait for an answer. A query may be lost with its connection."""
 ASK_INTERVAL = 0.2
-"""Seconds after which hosts that have not answered are asked again."""
+"""Seconds until hosts that have not answered are asked again, doubled each time."""
+MAX_ASK_INTERVAL = 1.6
+"""Maximum seconds until hosts that have not answered are asked again."""
 RELAYED_TIMEOUT = 0.4
 """Seconds to wait for the hosts of the own region on behalf of another one."""
 HOST_EXPIRY = 3.0
@@ -183,7 +187,7 @@
         """Ask other hosts until all that may know have answered."""
         until = monotonic() + patience
         lookup = Lookup(key)
-        timeout, remote_delay = ASK_TIMEOUT, REMOTE_DELAY
+        timeout, pause, remote_delay = ASK_TIMEOUT, ASK_INTERVAL, REMOTE_DELAY
         while True:
             result = await self._ask_others(lookup, timeout, remote_delay)
             if result is not Unfound.UNANSWERED:
@@ -191,12 +195,13 @@
             left = until - monotonic()
             if left <= 0:
                 return result
-            await curio.sleep(min(ASK_INTERVAL, left))
+            await curio.sleep(min(pause, left))
             # A keeper may have been told of the stream meanwhile, also this host.
             found = self._table.find(key, monotonic())
             if found:
                 return found
-            timeout, remote_delay = min(2 * timeout, max(left, ASK_INTERVAL)), 0.0
+            timeout = min(2 * timeout, MAX_ASK_TIMEOUT, max(left, ASK_INTERVAL))
+            pause, remote_delay = min(2 * pause, MAX_ASK_INTERVAL), 0.0
 
     async def _ask_others(
         self, lookup: Lookup, timeout: float, remote_delay: float
@@ -338,9 +343,8 @@
                 return OriginReply(origins, True)
         return None
 
-    async def _search_region(self, key: int) -> Found | Unfound:
+    async def _search_region(self, lookup: Lookup) -> Found | Unfound:
         """Ask the hosts of the own region on behalf of another one."""
-        lookup = Lookup(key)
         found = await self._ask_region(lookup, RELAYED_TIMEOUT)
         return self._unfound(lookup, []) if found is None else found
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -259,6 +259,21 @@
         self.assertGreater(asked.pop("a2"), 1)
         self.assertEqual(set(asked.values()), {1})
 
+    def test_a_relay_asks_only_hosts_that_have_not_answered_again(self):
+        """Guards against control traffic in a region of which a host has ended, that
+        grows with each repetition of another region's query."""
+        network = Network()
+        network.cut = {"a3"}
+        network.unreachable = {("c1", "a1")}
+        with (
+            mock.patch.object(_origins, "ASK_INTERVAL", 0.0),
+            self.assertRaises(UnansweredOrigin),
+        ):
+            curio.run(network.origins["c1"].find, 7, "s", 0.3)
+        asked = Counter(peer for sender, peer in network.messages if sender == "a2")
+        self.assertGreater(asked["a3"], 1)
+        self.assertEqual(asked["a1"], 1)
+
     def test_an_id_of_two_streams_is_ambiguous(self):
         network = Network()
         network.origins["a1"].record(7, V1, forwarded=False)
@@ -274,7 +289,7 @@
         async def main():
             go_on = curio.Event()
 
-            async def search(key):
+            async def search(lookup):
                 await go_on.wait()
                 return (V1,)
 
@@ -288,14 +303,14 @@
 
     def test_searches_are_bounded(self):
         async def main():
-            searches = RelayedSearches(lambda key: curio.sleep(3600))
+            searches = RelayedSearches(lambda lookup: curio.sleep(3600))
             with (
                 mock.patch.object(_relayed_searches, "RELAY_WAIT", 0.0),
                 mock.patch.object(_relayed_searches, "MAX_SEARCHES", 3),
             ):
                 for key in range(5):
                     await searches.result(key)
-            self.assertEqual(list(searches._tasks), [2, 3, 4])
+            self.assertEqual(list(searches._searches), [2, 3, 4])
             await searches.close()
 
         curio.run(main)
