Test with real processes that late keepers do not end a resumed stream

Guards the refusal for good that callers saw while the hosts that knew were late: twelve streams are taken up at the one host that isn't told of them, with the three others suspended for 1.5 s.

It waits for no short time: the streams have 30 s.

Conclusion: what the unit tests show with stand-ins also holds for processes that are stopped and go on with what was queued for them.

--- a/tests/_versioned_site.py
+++ b/tests/_versioned_site.py
@@ -17,8 +17,8 @@
 SINGLE = "/stream/single/"
 """Path of the route whose streams the system doesn't resume."""
 VERSIONS = ("v1", "v2")
-MAX_WAIT = 6.0
-"""Seconds to wait for an answer."""
+EXTRA_WAIT = 2.0
+"""Seconds to wait for an answer after its deadline."""
 CUT_AFTER = 2
 """Number of events after which a stream breaks off."""
 
@@ -73,9 +73,13 @@
 
     Streams of `RESUMED` may be resumed by the system, those of `SINGLE` by their
     callers only.
+
+    Args:
+        deadline_ms: Deadline of each request, in milliseconds.
     """
 
-    def __init__(self):
+    def __init__(self, deadline_ms=4000):
+        self.deadline_ms = deadline_ms
         self.entries = ("entry", "entry-2", "entry-y", "entry-y2")
         hosts = {"core": ("core", "127.0.0.2")}
         for number, name in enumerate(self.entries):
@@ -93,6 +97,7 @@
         document = manifest(2)
         # No route of the first manifest matches another host name.
         stream = {**document["routes"].pop(), "host": HOST_NAME}
+        stream["timeout_ms"] = max(stream["timeout_ms"], self.deadline_ms)
         document["routes"] += [
             {**stream, "name": "resumed", "path_prefix": RESUMED},
             {**stream, "name": "single", "path_prefix": SINGLE, "max_attempts": 1},
@@ -143,17 +148,18 @@
         headers = {
             "host": HOST_NAME,
             "X-Bronzepoint-Request-Id": request_id,
-            "X-Bronzepoint-Deadline-Ms": "4000",
+            "X-Bronzepoint-Deadline-Ms": str(self.deadline_ms),
         }
         if resumes:
             headers["Resumes"] = resumes
             headers["Last-Event-Id"] = str(len(answer.versions))
         answer.request_id, answer.status = request_id, 0
         address = f"{self.hosts[host][1]}:{self.front}"
+        wait = self.deadline_ms / 1000 + EXTRA_WAIT
         text = b""
         try:
             async with self.client.stream(
-                address, "POST", path + "a", headers, b"body", MAX_WAIT, fresh=True
+                address, "POST", path + "a", headers, b"body", wait, fresh=True
             ) as found:
                 answer.status = found.status
                 async for piece in found.chunks():
--- a/tests/test_stream_versions_processes.py
+++ b/tests/test_stream_versions_processes.py
@@ -5,7 +5,11 @@
 import signal
 import unittest
 
+import curio
+
 from bronzepoint_common.clock import monotonic
+from bronzepoint_node.stream_origins._keepers import keepers
+from bronzepoint_schema.generated.fleet import EntryHost, EntryState
 from tests._versioned_site import (
     CUT_AFTER,
     EVENTS,
@@ -18,6 +22,11 @@
 
 STREAMS = 12
 """Number of streams of each case."""
+LONG_DEADLINE_MS = 30_000
+SUSPENSION = 1.5
+"""Seconds for which the hosts that know are suspended, longer than a first question
+waits."""
+READY = EntryState.ready
 AT_ONCE = 1.5
 """Seconds within which a stream that can't go on is refused; its deadline is at 4."""
 
@@ -66,6 +75,34 @@
         for hosts in (("entry", "entry-2"), ("entry", "entry-y"), ("entry-y", "entry")):
             run(functools.partial(main, *hosts))
 
+    def test_a_caller_resumes_a_stream_whose_keepers_are_late(self):
+        """Guards against a final refusal while the hosts that know the version are
+        suspended for a moment."""
+
+        async def main():
+            async with VersionedSite(LONG_DEADLINE_MS) as site:
+                await site.serve_routes()
+                site.break_streams()
+                first = "entry-y"
+                answers = [await _begin(site, first) for _ in range(STREAMS)]
+                asked = _no_keeper(site, first)
+                late = [name for name in site.entries if name != asked]
+                for name in late:
+                    site.signal(name, signal.SIGSTOP)
+                tasks = [
+                    await curio.spawn(_resume, site, asked, answer)
+                    for answer in answers
+                ]
+                await curio.sleep(SUSPENSION)
+                for name in late:
+                    site.signal(name, signal.SIGCONT)
+                for task in tasks:
+                    await task.join()
+                self.assert_one_version(answers)
+                self.assert_whole(site, answers)
+
+        run(main)
+
     def test_no_stream_goes_on_at_another_version_after_a_full_restart(self):
         async def main():
             async with VersionedSite() as site:
@@ -124,6 +161,20 @@
         run(main)
 
 
+def _no_keeper(site, first):
+    """Return a host beside the targets that isn't told of the streams of a host."""
+    hosts = [
+        EntryHost(site.hosts[n][1], site.regions.get(n, "x"), "", "", "", READY, 0)
+        for n in site.entries
+    ]
+    told = keepers(hosts, site.regions[first], site.hosts[first][1])
+    return next(
+        name
+        for name in site.entries
+        if name not in site.regions and site.hosts[name][1] not in told
+    )
+
+
 async def _begin(site, host):
     """Begin a stream that breaks off, and return what came of it."""
     answer = await site.stream(host, SINGLE)
