Send the rest of a cancelled write before what follows it

Cause: a write that is cancelled while the peer doesn't read leaves a rest in `Wire`, and the next `send_now` replaced it: the peer got a gap in its answer. Since a silent run is left while its host goes on with the same caller, the next target's events followed the half of an event. Ruled out: the event splitter, which counted the event as sent on.

Change: `send_now` appends to what is left, and writes nothing out of order.

Test: tests.test_wire (8 MiB, cancelled, then 10 bytes) failed before, passes now.

Conclusion: after a cancelled write a connection carries every byte once, in order, or is reset; callers of `Wire` needn't know of the cancellation.

--- a/packages/common/src/bronzepoint_common/http/_wire.py
+++ b/packages/common/src/bronzepoint_common/http/_wire.py
@@ -99,6 +99,10 @@
         Returns:
             False if data is left or an error occurred: call `send_rest` then.
         """
+        if self._rest:
+            # A cancelled send left a part of its data: the peer must get that first.
+            self._rest = memoryview(bytes(self._rest) + data)
+            return False
         try:
             sent = self._send(data)
         except OSError:
