Use an answer that ends just as its run is left

Cause: `Sender._run` returned that the run was left without looking at it after the cancellation. curio delivers a cancellation at the next blocking call, so a task that has its data may still end with the whole answer; it was dropped and the request run again, or, for a stream that had ended, sent to a target for a caller that had everything. Ruled out: the check for progress before the claim, which can't see a task that is ready but hasn't run.

Change: only a run that the cancellation ended counts as left; an answer is used, and the replacement dropped (its retry stays charged, which is on the safe side).

Test: tests.test_relay_handover failed before (the answer was lost), passes now.

Conclusion: a run that is answered is never followed by another one, whichever moment the answer comes at.

--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -406,6 +406,9 @@
             pass
         match work.exception:
             case None:
+                if isinstance(work.result, Answered):
+                    # It may have been answered just as it was to be left.
+                    call.successor = None
                 return work.result
             case curio.TaskCancelled():
                 sign = search.result
