Don't look for a replacement while the caller is slow to read

Cause: a try that waits for its caller to read a part of a stream reads nothing from its target, and its clock (`progress_at`) stands still. The watch took that for the target's silence and left a run that works, in the middle of a write to the caller. With real processes, 14.7 MB and a caller that pauses for 4.5 s, the caller got a malformed chunk (the half of an event, then the next target's), from both regions, and the request ran twice. Ruled out: the target, which sent on at once whatever was read.

Change: no sign while a part is being sent on, and the pause is counted from its end.

Conclusion: the pause of a run is the time for which this host waited for it, not for the caller.

--- a/packages/node/src/bronzepoint_node/relay/_run_watch.py
+++ b/packages/node/src/bronzepoint_node/relay/_run_watch.py
@@ -77,6 +77,9 @@
         return self.attempt.progress_at != self._progress_at
 
     def _sign(self, now: float) -> Sign | None:
+        if self.attempt.is_sending_on:
+            # The caller is slow: what the run brings isn't read meanwhile.
+            return None
         idle = now - self.attempt.progress_at
         has_events = self.attempt.received_events > 0
         patience = self.event_patience() if has_events else self.head_patience
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -54,9 +54,11 @@
             on.
 
     Attributes:
-        progress_at: Monotonic time at which the latest part of the answer came, or the
-            request was sent.
+        progress_at: Monotonic time at which the latest part of the answer came or was
+            sent on, or the request was sent.
         received_events: Number of events that this try has received.
+        is_sending_on: Whether it waits for the caller to read a part of the answer, and
+            reads no further part meanwhile.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self._on_stream = on_stream
         self.progress_at = monotonic()
         self.received_events = 0
+        self.is_sending_on = False
 
     def describe_progress(self) -> str:
         """Return what has come of the answer, for the log."""
@@ -181,14 +184,18 @@
             if not has_events:
                 has_events = True
                 self._note_stream(answer.headers)
+            self.is_sending_on = True
             if not exchange.started:
                 await exchange.start_stream(answer.status, call.stream_headers(headers))
             await exchange.send(events)
+            self.is_sending_on = False
+            self.progress_at = monotonic()
         unfinished = len(call.events.remainder())
         framing = answer.framing.value
         call.notes[-1] += f", ends by {framing}, {unfinished} B after its last event"
         if call.events.is_inside_event:
             return MayHaveRun("cut_in_event")
+        self.is_sending_on = True
         if not exchange.started:
             await exchange.start_stream(answer.status, call.stream_headers(headers))
         await exchange.send(call.events.remainder())
