Don't use an attempt twice, here and lent

Cause: `Handover.find` waits (for the scheduler, a connection), and meanwhile the host that the request was forwarded to may ask for a run and get the last attempt. `claim` didn't look again: it took a second retry, the run was left, and `may_repeat` then said no, so the caller got a broken stream although the other host had just found a better target. The other way round, a run was lent after the claim, until the send ended. Ruled out: more runs than `max_attempts`, since a lent run counts before the next try.

Change: a claim fails where a run was lent since the search began (its host lives and acts), and nothing is lent for a run that is just being left.

Test: tests.test_relay_handover.TestLentRuns, 2 of 2 failed before, both pass.

Conclusion: an attempt and its retry go either to this host or to the one forwarded to; whoever comes second leaves things as they are.

--- a/packages/node/src/bronzepoint_node/relay/_handover.py
+++ b/packages/node/src/bronzepoint_node/relay/_handover.py
@@ -70,7 +70,8 @@
     async def _find(self, call: Call, running: bool) -> Successor | None:
         if not call.may_go_on or not self._may_move(call):
             return None
-        runs = call.counted_runs + call.lent_runs + running
+        lent_before = call.lent_runs
+        runs = call.counted_runs + lent_before + running
         is_lent = runs >= call.max_runs
         if is_lent and call.send is None:
             return None
@@ -85,10 +86,16 @@
             if not await self._forwarded_runs.borrow_run(call.send):
                 return None
             call.granted_runs += 1
-        return Successor(placement, is_lent)
+        return Successor(placement, is_lent, lent_before)
 
     def claim(self, call: Call, successor: Successor) -> bool:
-        """Take the retry for a place; False if the budget is used up meanwhile."""
+        """Take the retry for a place; False if the run must go on.
+
+        The budget may be used up meanwhile, or the host that the request was forwarded
+        to may have got the attempt.
+        """
+        if call.lent_runs != successor.lent_before:
+            return False
         if not successor.is_lent:
             now = monotonic()
             if not self._retry_budget.take(call.service, call.deliveries, now):
@@ -101,6 +108,9 @@
         """Take an attempt and a retry for the host that a request was forwarded to."""
         if not call.may_repeat_after_this or call.time_left <= 0:
             return False
+        if call.successor is not None:
+            # The run there is just being left, and the attempt is taken.
+            return False
         if not self._retry_budget.take(call.service, call.deliveries, monotonic()):
             return False
         call.retries += 1
--- a/packages/node/src/bronzepoint_node/relay/_successor.py
+++ b/packages/node/src/bronzepoint_node/relay/_successor.py
@@ -12,7 +12,9 @@
     Attributes:
         placement: The place.
         is_lent: Whether the forwarding host has lent the run and paid for the retry.
+        lent_before: Runs that this host had lent when the place was looked for.
     """
 
     placement: LocalPlacement | RemotePlacement
     is_lent: bool = False
+    lent_before: int = 0
