Await what the other host sent on just before it told its progress

Cause: two readings of a `ProgressReply` took what is on its way for lost. A host that had just ended its answer no longer works on the request, and the forwarding host looked for a replacement without the time that it gives to events. And events counted as sent on before they were written, so that a link that is slow looked like one that carries nothing. Ruled out: `has_progressed`, which sees only what has arrived.

Change: the time for what is on its way applies to the end of an answer as well; an event counts as sent on once it is written to the connection.

Conclusion: a reply about the other host's progress is compared with what can have arrived by then. Left: events in the kernel's send buffer count as sent on.

--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -121,6 +121,7 @@
         tried_hosts: Hosts of other regions that it was forwarded to.
         placement_requests: Number of times a placement was requested for it.
         sends: Times it was sent to a target or to another region.
+        sent_events: Number of events written to the caller's connection.
         first_event_at: Time at which the first event was sent on; 0: none yet.
         last_event_at: Time at which the latest event was sent on.
         longest_gap: Longest time between two consecutive events, in seconds.
@@ -156,6 +157,7 @@
     tried_hosts: set[str] = field(default_factory=set)
     placement_requests: int = 0
     sends: int = 0
+    sent_events: int = 0
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     longest_gap: float = 0.0
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -92,7 +92,7 @@
         if call is None:
             return
         if call.send is not None:
-            self._forwarded_runs.begin_received(call.send, lambda: call.events.count)
+            self._forwarded_runs.begin_received(call.send, lambda: call.sent_events)
         try:
             await self._serve_until_disconnect(call)
         finally:
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -385,11 +385,12 @@
         its target is silent, which only that host can judge.
         """
         progress = await self._forwarded_runs.progress(forwarding)
-        if progress is None or not progress.working:
+        if progress is None:
             return True
-        # Events that were sent on just before the reply may still be on their way.
+        # What was sent on just before the reply may still be on its way, also the end
+        # of the answer, after which the other host no longer works on the request.
         await curio.sleep(TRANSFER_MARGIN)
-        return attempt.received_events < progress.events
+        return not progress.working or attempt.received_events < progress.events
 
     async def _run(self, call: Call, watch: RunWatch, run: Coroutine) -> TryOutcome:
         """Return the outcome of a run; leave it only for a place that can take over.
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -189,6 +189,7 @@
                 await exchange.start_stream(answer.status, call.stream_headers(headers))
             await exchange.send(events)
             self.is_sending_on = False
+            call.sent_events = call.events.count
             self.progress_at = monotonic()
         unfinished = len(call.events.remainder())
         framing = answer.framing.value
