Open a connection to a replacement only if none was used lately

Found by the review of the handover: each search that got as far as a place opened a connection, also beside idle ones, and one that failed later left it in the pool. New connections are priced, and targets limit them.

A connection that was used within the last second proves as much as a new one, and is the one that the request takes next. test_a_prepared_connection_is_kept_for_the_next_request checks both sides (the former signature opened two for the first two calls); the module passes.

--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -216,12 +216,19 @@
             await sock.close()
         return False
 
-    async def connect(self, address: str) -> None:
-        """Open a connection and keep it for the next request to this address.
+    async def connect(self, address: str, max_idle: float) -> None:
+        """Have a connection ready for the next request to an address.
+
+        Args:
+            address: ``host:port`` of the server.
+            max_idle: Maximum seconds that a pooled connection may have been idle; if
+                there is none, a new one is opened.
 
         Raises:
             ConnectFailed: The server doesn't accept connections.
         """
+        if self._pool.has_recent(address, max_idle):
+            return
         wire = await self._open(address)
         await self._pool.add(address, self._new_connection(), wire)
 
--- a/packages/common/src/bronzepoint_common/http/_pool.py
+++ b/packages/common/src/bronzepoint_common/http/_pool.py
@@ -54,6 +54,13 @@
             await connection.wire.close()
         return None
 
+    def has_recent(self, address: str, max_idle: float) -> bool:
+        """Return whether a connection is kept that was used within ``max_idle`` s."""
+        idle = self._idle.get(address)
+        if not idle or time.monotonic() - idle[-1].since > max_idle:
+            return False
+        return idle[-1].wire.poll() is None
+
     async def put(self, address: str, conn: h11.Connection, wire: Wire) -> None:
         """Keep a connection if its exchange is complete, otherwise close it."""
         states = (conn.our_state, conn.their_state)
--- a/packages/node/src/bronzepoint_node/relay/_handover.py
+++ b/packages/node/src/bronzepoint_node/relay/_handover.py
@@ -14,6 +14,10 @@
 from ._resumption import ResumptionCheck
 from ._successor import Successor
 
+MAX_IDLE = 1.0
+"""Maximum seconds since the last use of a connection that still proves that its server
+can be reached."""
+
 
 class Handover:
     """Finds the place that takes over a request whose run may have ended.
@@ -134,9 +138,9 @@
         try:
             match placement:
                 case LocalPlacement(target=target):
-                    await self._client.connect(target.info.address)
+                    await self._client.connect(target.info.address, MAX_IDLE)
                 case RemotePlacement(address=address):
-                    await self._hosts.connect(address)
+                    await self._hosts.connect(address, MAX_IDLE)
         except ConnectFailed:
             return False
         return True
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -179,6 +179,21 @@
 
         run(main)
 
+    def test_a_prepared_connection_is_kept_for_the_next_request(self) -> None:
+        """Guards against a further connection at each search of a replacement."""
+
+        async def main() -> None:
+            async with ScriptedServer([WHOLE], [WHOLE], keep_open=True) as script:
+                for _ in range(2):
+                    await script.client.connect(script.address, 60.0)
+                self.assertEqual(await script.fetch(), b"whole")
+                self.assertEqual(script.accepted, 1)
+                await script.client.connect(script.address, 0.0)
+                self.assertEqual(await script.fetch(), b"whole")
+                self.assertEqual(script.accepted, 2)
+
+        run(main)
+
     def test_the_connection_of_a_complete_exchange_is_reused(self) -> None:
         async def main() -> None:
             async with ScriptedServer(
