Read nothing into a host that the core doesn't report

Found by the review: a missing report no longer ended a run, but still started a search. The core reports six hosts of each other region, so on a large site each pause above 0.15 s of a stream at another host would cost a question, some two a second for each such stream.

The sign is gone, and OtherRegions.lives with it: a forwarded run is watched by its own connection, and the other host is asked after 1 s of silence. A host that has died is noticed earlier than by its reports, which took 3 s. test_forwarded_streams_processes passes (it names the former age itself now); the tests of placement pass.

--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -30,9 +30,6 @@
 HOLDER_DELAY_SHARE = 0.6
 """Fraction of the route's objective within which the first event is expected from the
 region that caches a part."""
-LIVE_HOST_AGE = 3.0
-"""Seconds without contact after which a host counts as lost for the requests that it is
-working on."""
 UNREACHABLE_PAUSE = 2.0
 """Seconds for which a host that could not be reached gets no requests."""
 FRESH_HOST_AGE_MS = 1000
@@ -127,12 +124,6 @@
             if load.region == region and load.service == service
         )
 
-    def lives(self, host: str) -> bool:
-        """Return whether there was recent contact with an entry host."""
-        return any(
-            entry.name == host for entry in self._registry.entries(LIVE_HOST_AGE)
-        )
-
     def note_forwarded(
         self, region: RegionName, service: str, run_id: str, now: float
     ) -> None:
--- a/packages/node/src/bronzepoint_node/relay/_run_watch.py
+++ b/packages/node/src/bronzepoint_node/relay/_run_watch.py
@@ -45,8 +45,7 @@
         attempt: The try; it knows when the last part of its answer came.
         head_patience: Seconds without a head, or a first event, that are a sign.
         event_patience: Returns the seconds without a further event that are a sign.
-        is_unreachable: Returns whether the receiver didn't answer polls, or hasn't been
-            heard of.
+        is_unreachable: Returns whether the receiver didn't answer polls.
         is_confirmed: Asks the receiver, where that is possible; returns whether the
             sign stands.
     """
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -354,7 +354,7 @@
             attempt,
             head_patience(placement.delay, call.time_left),
             lambda: event_patience(call.longest_gap, 0.0),
-            lambda: not regions.lives(placement.host),
+            _never_unreachable,
             lambda: self._has_lost_contact(attempt, forwarding),
         )
         outcome: TryOutcome | None = None
@@ -495,6 +495,14 @@
         call.runs = max(call.runs, int(runs) - 1)
 
 
+def _never_unreachable() -> bool:
+    """Return that a host counts as reachable until a question to it fails.
+
+    The hosts that are reported are a selection, so a missing report says nothing.
+    """
+    return False
+
+
 async def _always_confirmed() -> bool:
     """Confirm a sign about a target, which can't be asked about a run."""
     return True
--- a/tests/test_forwarded_streams_processes.py
+++ b/tests/test_forwarded_streams_processes.py
@@ -8,7 +8,6 @@
 from bronzepoint_common.http import HttpError
 from bronzepoint_common.rendezvous import rendezvous_order
 from bronzepoint_node.core._visible_hosts import MAX_READY_PER_REGION
-from bronzepoint_node.placement._other_regions import LIVE_HOST_AGE
 from tests._platform_site import MAX_START_WAIT, PlatformSite, manifest
 from tests._stand_in_target import StandInTarget
 
@@ -19,6 +18,8 @@
 forwarding host."""
 STREAM_COUNT = 16
 """Number of streams in progress when hosts are added."""
+REPORT_AGE = 3.0
+"""Seconds after its last report after which a host used to count as lost."""
 EVENT_INTERVAL = 0.5
 """Seconds between two events of a stream."""
 TIMEOUT_MS = 120_000
@@ -144,7 +145,7 @@
                 ]
                 await site.until(site.streams_have_begun)
                 await site.start_late_hosts()
-                await curio.sleep(LIVE_HOST_AGE + 2 * EVENT_INTERVAL)
+                await curio.sleep(REPORT_AGE + 2 * EVENT_INTERVAL)
                 for target in site.targets:
                     target.finish = True
                 answers = [await stream.join() for stream in streams]
--- a/tests/test_relay_run_watch.py
+++ b/tests/test_relay_run_watch.py
@@ -28,6 +28,7 @@
     def __init__(self, progress_at=0.0, received_events=0):
         self.progress_at = progress_at
         self.received_events = received_events
+        self.is_sending_on = False
 
 
 class FakeHandover:
