Tell the progress of a forwarded request from its first byte on

A host that was still waiting for its catalogue, or reading a long body, told the forwarding host that it isn't working on the request, which that one reads as lost contact. It is registered before it is read now, with no event sent on.

A run that was left for a lent one asked for another loan if this host's catalogue allows fewer attempts than the forwarding host's; refused, the request was given up with its replacement in hand. A replacement that is held is used.

The stub exchange of test_retry_late_arrivals has headers now.

--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -5,7 +5,7 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import Disconnected, Exchange
 from bronzepoint_common.logs import get_logger
-from bronzepoint_node.forwarded_runs import ForwardedRuns
+from bronzepoint_node.forwarded_runs import ForwardedRuns, ForwardedSend
 from bronzepoint_node.placement import (
     LocalPlacement,
     Rejected,
@@ -19,6 +19,7 @@
 from ._authenticator import Authenticator
 from ._call import Answered, Call, MayHaveRun, NotRun, Progress, TryOutcome
 from ._handover import Handover
+from ._host_headers import SEND_HEADER
 from ._placement_search import PlacementSearch
 from ._request_intake import RequestIntake
 from ._resumption import ResumptionCheck
@@ -85,7 +86,15 @@
 
     async def serve_forwarded(self, exchange: Exchange) -> None:
         """Serve a request forwarded by an entry host of another region."""
-        await self._serve(exchange, forwarded=True)
+        send = ForwardedSend.parse(exchange.request.headers.get(SEND_HEADER, ""))
+        if send is not None:
+            # The forwarding host may ask before the request has been read.
+            self._forwarded_runs.begin_received(send, lambda: 0)
+        try:
+            await self._serve(exchange, forwarded=True)
+        finally:
+            if send is not None:
+                self._forwarded_runs.end_received(send)
 
     async def _serve(self, exchange: Exchange, forwarded: bool) -> None:
         call = await self._request_intake.receive(exchange, forwarded)
@@ -96,8 +105,6 @@
         try:
             await self._serve_until_disconnect(call)
         finally:
-            if call.send is not None:
-                self._forwarded_runs.end_received(call.send)
             self._request_intake.refund(call)
             now = monotonic()
             if call.forwarded and call.may_still_arrive(now):
@@ -250,7 +257,8 @@
                 if call.sends < MAX_SENDS:
                     return False
             case MayHaveRun():
-                if call.may_repeat or await self._goes_on_here(call):
+                is_held = call.successor is not None or call.may_repeat
+                if is_held or await self._goes_on_here(call):
                     return False
         await self._answer_writer.give_up(call, outcome)
         return True
--- a/tests/test_retry_late_arrivals.py
+++ b/tests/test_retry_late_arrivals.py
@@ -37,7 +37,7 @@
 
 def sent_call():
     """Return a forwarded request with a send that its target hasn't read."""
-    exchange = SimpleNamespace()
+    exchange = SimpleNamespace(request=SimpleNamespace(headers={}))
     head = SimpleNamespace(request_id="id-1", resumes=None)
     call = Call(exchange, head, ROUTE, b"", 0.0, 12.0, True, None)
     call.deliveries.append(Delivery(tracked_target(), SENT_AT))
