Log the reason of a failed search as text

Read as a newcomer: the line 'no successor' passed the exception object to the JSON log and was named like an ordinary outcome.

--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -430,7 +430,9 @@
                     return sign
             except Exception as exc:
                 # The run must not end because the search for its successor fails.
-                _log.exception("no successor", request=call.head.request_id, exc=exc)
+                _log.exception(
+                    "search failed", request=call.head.request_id, reason=repr(exc)
+                )
             watch.note_search(monotonic())
 
     async def _hand_over(self, call: Call, watch: RunWatch) -> bool:
