--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -219,7 +219,9 @@
 
     def lines(self, role):
         """Return the decoded log lines of a process."""
-        lines = (self.root / f"{role}.log").read_text().splitlines()
+        text = (self.root / f"{role}.log").read_text()
+        # The last line may be incomplete while the process writes it.
+        lines = text[: text.rfind("\n") + 1].splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
     def signal(self, role, number=signal.SIGTERM):
