Block a prompt part that crashes the targets of different requests

Callers saw one target after the other crash under requests that had nothing in common but one part of their prompts, and two thirds of all callers paid for it.

Cause: a crash was recorded for whole requests only (path, caller and body). Requests that all differ each had one or two crashes, and what they shared was counted nowhere. Class: the identity that evidence is counted by was narrower than the cause.

Change: each shared part of an early run gets a record of its own in the table that all hosts exchange. A part is cleared by a successful run with it anywhere, also one that came before a late report. Of what remains, a part that was there at all crashes of another one and at more explains them; parts that only come together are blocked together only. Blocked once a run was alone, doubtful parts are tried by permit, as requests are. The line of a crash names the parts of the runs that had just begun.

--- a/packages/node/src/bronzepoint_node/core/_core_quarantine.py
+++ b/packages/node/src/bronzepoint_node/core/_core_quarantine.py
@@ -18,6 +18,7 @@
     SuspectRecord,
     SuspicionLevel,
     is_any_caller,
+    is_part,
     was_tried,
 )
 from bronzepoint_schema.generated.admin import QuarantinedCrash, QuarantinedRequest
@@ -167,7 +168,7 @@
         record = self.table.record(fingerprint)
         # The request was answered and cleared since; the entry host doesn't know yet.
         is_clear = record is not None and not record.active_crash_records
-        if record is not None and was_tried(record.active_crash_records.values()):
+        if record is not None and self._is_trial_over(record):
             # Another core host granted the permit, or this one before its restart.
             time_left = self.table.blocked_for(fingerprint, now)
             return TrialReply(False, int(time_left * 1000))
@@ -176,6 +177,13 @@
         time_left = min(self._permits.seconds_left(fingerprint, now), RETENTION)
         return TrialReply(False, int(time_left * 1000))
 
+    def _is_trial_over(self, record: SuspectRecord) -> bool:
+        """Return whether the permit for a request or part has been used up."""
+        if is_part(record.fingerprint):
+            # A part gets another permit later, unless it is proven harmful.
+            return self.table.standing(record.fingerprint) is SuspicionLevel.HELD
+        return was_tried(record.active_crash_records.values())
+
     async def _run(self) -> None:
         while True:
             await curio.sleep(SAVE_INTERVAL)
--- a/packages/node/src/bronzepoint_node/core/_trial_permits.py
+++ b/packages/node/src/bronzepoint_node/core/_trial_permits.py
@@ -2,7 +2,12 @@
 
 from typing import NamedTuple
 
-from bronzepoint_node.quarantine import RETENTION
+from bronzepoint_node.quarantine import (
+    PART_TRIAL_INTERVAL,
+    RETENTION,
+    is_combination,
+    is_part,
+)
 from bronzepoint_schema.ids import Fingerprint, HostName
 
 
@@ -26,6 +31,12 @@
     query: PermitQuery
 
 
+def _validity(fingerprint: Fingerprint) -> float:
+    """Return the seconds after a permit in which no other one is granted."""
+    is_own = not (is_part(fingerprint) or is_combination(fingerprint))
+    return RETENTION if is_own else PART_TRIAL_INTERVAL
+
+
 class TrialPermits:
     """Grants one permit per request, and another one if it is returned unused.
 
@@ -61,7 +72,9 @@
     def seconds_left(self, fingerprint: Fingerprint, now: float) -> float:
         """Return the seconds until a new permit may be granted."""
         grant = self._grants.get(fingerprint)
-        return 0.0 if grant is None else max(0.0, grant.at + RETENTION - now)
+        if grant is None:
+            return 0.0
+        return max(0.0, grant.at + _validity(fingerprint) - now)
 
     def reset(self, fingerprint: Fingerprint) -> None:
         """Reset the permit of a request that was cleared."""
@@ -69,5 +82,5 @@
 
     def _expire(self, now: float) -> None:
         for fingerprint, grant in list(self._grants.items()):
-            if now - grant.at > RETENTION:
+            if now - grant.at > _validity(fingerprint):
                 del self._grants[fingerprint]
--- a/packages/node/src/bronzepoint_node/quarantine/__init__.py
+++ b/packages/node/src/bronzepoint_node/quarantine/__init__.py
@@ -2,7 +2,15 @@
 
 from ._crash_detector import Crash, CrashDetector, WatchedRun
 from ._crash_table import CrashTable
-from ._fingerprint import RequestFingerprints, fingerprint_request, is_any_caller
+from ._fingerprint import (
+    RequestFingerprints,
+    fingerprint_parts,
+    fingerprint_request,
+    is_any_caller,
+    is_combination,
+    is_part,
+)
+from ._part_standing import PART_TRIAL_INTERVAL
 from ._quarantine import Admitted, Blocked, Quarantine, TrialEnd
 from ._standing import MIN_CRASHES_SUSPECT, SuspicionLevel, was_tried
 from ._suspect_record import RETENTION, CrashRecord, SuspectRecord
@@ -22,7 +30,11 @@
     "SuspicionLevel",
     "TrialEnd",
     "WatchedRun",
-    "is_any_caller",
+    "PART_TRIAL_INTERVAL",
+    "fingerprint_parts",
     "fingerprint_request",
+    "is_any_caller",
+    "is_combination",
+    "is_part",
     "was_tried",
 ]
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
@@ -1,6 +1,6 @@
 """Detection of target crashes and of this host's requests that were running there."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -32,7 +32,7 @@
 after a run had failed early. A target that has crashed may accept connections until its
 sockets are closed, so one check doesn't prove that it runs."""
 MAX_LOGGED_RUNS = 8
-"""Maximum number of runs listed in the log line of a crash."""
+"""Maximum number of runs, and of prompt parts, listed in the log line of a crash."""
 
 _log = get_logger("targets")
 
@@ -183,11 +183,23 @@
             self._listener.note_survived(run.fingerprints)
         self.record_contact(target, now)
 
-    def record_answered(self, target: TargetInfo, run: WatchedRun) -> None:
-        """Record that a run ended with a complete answer."""
+    def record_answered(
+        self, target: TargetInfo, run: WatchedRun, succeeded: bool = True
+    ) -> None:
+        """Record that a run ended with a complete answer.
+
+        Args:
+            target: The target.
+            run: The run.
+            succeeded: False: the answer is an error. It proves nothing about the parts
+                of the prompt, since the target may not have read them.
+        """
         self._end_run(target, run)
         self.record_contact(target, monotonic())
-        self._listener.record_answered(run.fingerprints)
+        fingerprints = run.fingerprints
+        self._listener.record_answered(
+            fingerprints if succeeded else fingerprints.without_parts
+        )
 
     def record_not_run(self, target: TargetInfo, run: WatchedRun) -> None:
         """Record that the target never began a run."""
@@ -337,6 +349,11 @@
                 run.fingerprints.exact: round(run.ended_at - run.began, 3)
                 for run in newest
             },
+            parts=dict(
+                Counter(
+                    part for run in early for part in run.fingerprints.parts
+                ).most_common(MAX_LOGGED_RUNS)
+            ),
         )
 
     def _drop_stale(self, now: float) -> None:
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -1,4 +1,4 @@
-"""The table of requests involved in target crashes, as known to one host."""
+"""The table of requests and prompt parts involved in crashes, as known to one host."""
 
 from collections.abc import Callable, Iterable
 
@@ -7,8 +7,14 @@
 from bronzepoint_schema.generated.quarantine import CrashCase
 from bronzepoint_schema.ids import Fingerprint
 
-from ._fingerprint import RequestFingerprints
-from ._standing import MIN_CRASHES_SUSPECT, SuspicionLevel, suspicion_levels
+from ._fingerprint import RequestFingerprints, combine_parts, is_part
+from ._part_standing import PART_TRIAL_INTERVAL, PartStandings, part_standings
+from ._standing import (
+    MIN_CRASHES_SUSPECT,
+    SuspicionLevel,
+    suspicion_levels,
+    was_tried,
+)
 from ._suspect_record import RETENTION, CrashRecord, SuspectRecord
 
 MAX_RECORDS = 512
@@ -25,6 +31,9 @@
 """Seconds after which a message carries the next slice of the records, if one message
 can't hold all. It equals the sync interval of the entry hosts."""
 
+MAX_SOUND_PARTS = 1024
+"""Maximum number of prompt parts whose latest sound run is remembered."""
+
 _log = get_logger("quarantine")
 
 
@@ -45,6 +54,8 @@
         self._on_change = on_change
         self._records: dict[Fingerprint, SuspectRecord] = {}
         self._standings: dict[Fingerprint, SuspicionLevel] = {}
+        self._part_standings = PartStandings()
+        self._sound_at: dict[Fingerprint, float] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -65,12 +76,33 @@
         return self._standings.get(fingerprint, SuspicionLevel.CLEAR)
 
     def standing_of(self, fingerprints: RequestFingerprints) -> SuspicionLevel:
-        """Return the standing of a request: the stricter one of its fingerprints."""
+        """Return the standing of a request: the strictest of it and its parts."""
         if not self._standings:
             return SuspicionLevel.CLEAR
-        return max(
-            self.standing(fingerprints.exact), self.standing(fingerprints.content)
-        )
+        if self._blocked_sets(fingerprints):
+            return SuspicionLevel.HELD
+        names = (fingerprints.exact, fingerprints.content, *fingerprints.parts)
+        return max(map(self.standing, names))
+
+    def _blocked_sets(
+        self, fingerprints: RequestFingerprints
+    ) -> list[frozenset[Fingerprint]]:
+        """Return the sets of parts that block a request with all of them."""
+        return [
+            parts
+            for parts in self._part_standings.blocked_together
+            if parts.issubset(fingerprints.parts)
+        ]
+
+    def suspect_parts(
+        self,
+        fingerprints: RequestFingerprints,
+        level: SuspicionLevel = SuspicionLevel.SUSPECT,
+    ) -> list[Fingerprint]:
+        """Return the parts of a request that have at least this standing."""
+        if not self._standings:
+            return []
+        return [part for part in fingerprints.parts if self.standing(part) >= level]
 
     def count(self, standing: SuspicionLevel) -> int:
         """Return how many requests have this standing, which must not be CLEAR."""
@@ -81,13 +113,47 @@
         return self._records.get(fingerprint)
 
     def blocked_for(self, fingerprint: Fingerprint, now: float) -> float:
-        """Return the seconds until a blocked request may be tried again."""
+        """Return the seconds until a blocked request or part may be tried again."""
         record = self._records.get(fingerprint)
-        return (
-            max(0.0, record.last_crash_at + RETENTION - now)
-            if record is not None
-            else 0.0
+        if record is None:
+            return 0.0
+        is_proven = any(
+            fingerprint in parts for parts in self._part_standings.blocked_together
         )
+        is_unproven = is_part(fingerprint) and not is_proven
+        lasts = PART_TRIAL_INTERVAL if is_unproven else RETENTION
+        return max(0.0, record.last_crash_at + lasts - now)
+
+    def cause_of_block(self, fingerprints: RequestFingerprints) -> Fingerprint:
+        """Return what blocks a request: its own fingerprint or that of its parts."""
+        sets = self._blocked_sets(fingerprints)
+        if sets:
+            return combine_parts(min(sets, key=len))
+        held = self.suspect_parts(fingerprints, SuspicionLevel.HELD)
+        return held[0] if held else fingerprints.exact
+
+    def request_blocked_for(
+        self, fingerprints: RequestFingerprints, now: float
+    ) -> float:
+        """Return the seconds until a blocked request may be tried again."""
+        names = self.suspect_parts(fingerprints, SuspicionLevel.HELD)
+        for parts in self._blocked_sets(fingerprints):
+            names += parts
+        if not names or self.standing(fingerprints.exact) is SuspicionLevel.HELD:
+            names.append(fingerprints.exact)
+        return max(self.blocked_for(name, now) for name in names)
+
+    def note_sound(self, parts: Iterable[Fingerprint], now: float) -> None:
+        """Record that a target has run a request with these parts.
+
+        Another host may report a crash beside them that happened before.
+        """
+        for part in parts:
+            # Moved to the end, so that the first one is the oldest.
+            self._sound_at.pop(part, None)
+            self._sound_at[part] = now
+        while len(self._sound_at) > MAX_SOUND_PARTS:
+            del self._sound_at[next(iter(self._sound_at))]
 
     def record_crash(
         self,
@@ -154,6 +220,9 @@
         wanted = set(targets)
         changed = []
         for record in self._records.values():
+            if is_part(record.fingerprint):
+                # Crashes at the same time count once for a part anyway.
+                continue
             crash_records = [
                 record.crash_records[target]
                 for target in wanted & record.crash_records.keys()
@@ -165,17 +234,27 @@
         return changed
 
     def expire(self, now: float) -> None:
-        """Drop crashes older than the retention time."""
-        if any(
+        """Drop crashes older than the retention time, and end blocks that are due."""
+        has_expired = any(
             crash_record.at < now - RETENTION
             for record in self._records.values()
             for crash_record in record.crash_records.values()
-        ):
+        )
+        if has_expired:
             for fingerprint, record in list(self._records.items()):
                 record.drop_before(now - RETENTION)
                 if not record.crash_records:
                     del self._records[fingerprint]
-            self._update_standings()
+        if has_expired or self._has_unproven_block():
+            self._update_standings(now)
+
+    def _has_unproven_block(self) -> bool:
+        return any(
+            level is SuspicionLevel.HELD
+            and was_tried(self._records[part].crash_records.values())
+            for part, level in self._part_standings.levels.items()
+            if part in self._records
+        )
 
     def merge(self, reported: Iterable[CrashCase], now: float) -> None:
         """Merge the cases that another host has reported."""
@@ -186,7 +265,12 @@
                 if now - at > RETENTION:
                     continue
                 received = CrashRecord(
-                    at, mark.early, mark.alone, mark.cleared, mark.tried
+                    at,
+                    mark.early,
+                    mark.alone,
+                    mark.cleared,
+                    mark.tried,
+                    frozenset(mark.requests),
                 )
                 if self._add(case.fingerprint, case.service, mark.target, received):
                     changed.add(case.fingerprint)
@@ -252,6 +336,8 @@
         record = self._records.get(fingerprint)
         if record is None:
             record = self._records[fingerprint] = SuspectRecord(fingerprint, service)
+        if self._sound_at.get(fingerprint, -RETENTION) > crash_record.at:
+            crash_record.cleared = True
         return record.add(target, crash_record)
 
     def _after_change(self, changed: Iterable[Fingerprint], now: float) -> None:
@@ -263,17 +349,25 @@
             self._evict()
         # Most requests have a single crash, which can't change any standing.
         if any(len(record.crash_records) >= MIN_CRASHES_SUSPECT for record in records):
-            self._update_standings()
-
-    def _update_standings(self) -> None:
-        former, self._standings = (
-            self._standings,
-            suspicion_levels(self._records.values()),
-        )
+            self._update_standings(now)
+
+    def _update_standings(self, now: float) -> None:
+        former, records = self._standings, self._records.values()
+        former_sets = self._part_standings.blocked_together
+        self._part_standings = part_standings(records, now)
+        new_sets = set(self._part_standings.blocked_together) - set(former_sets)
+        requests = [record for record in records if not is_part(record.fingerprint)]
+        self._standings = {
+            **suspicion_levels(requests, self._part_standings.explained),
+            **self._part_standings.levels,
+        }
         affected = [
             record
             for fingerprint in former.keys() | self._standings.keys()
-            if former.get(fingerprint) is not self._standings.get(fingerprint)
+            if (
+                former.get(fingerprint) is not self._standings.get(fingerprint)
+                or any(fingerprint in parts for parts in new_sets)
+            )
             and (record := self._records.get(fingerprint)) is not None
         ]
         for record in affected:
@@ -297,10 +391,11 @@
             "alone": sum(crash_record.alone for crash_record in crash_records.values()),
             "targets": sorted(crash_records),
         }
+        noun = "prompt part" if is_part(record.fingerprint) else "request"
         if standing is SuspicionLevel.HELD:
-            _log.warning("request held back", **fields)
+            _log.warning(f"{noun} held back", **fields)
         else:
-            _log.info("standing of a request", **fields)
+            _log.info(f"standing of a {noun}", **fields)
 
     def _evict(self) -> None:
         ordered = sorted(
--- a/packages/node/src/bronzepoint_node/quarantine/_fingerprint.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_fingerprint.py
@@ -1,5 +1,6 @@
 """Fingerprints that identify a request when a caller repeats it."""
 
+from collections.abc import Iterable
 from hashlib import blake2b
 
 from msgspec import Struct
@@ -11,6 +12,16 @@
 request with the fingerprint of another caller's."""
 ANY_CALLER_PREFIX = "*"
 """Prefix of a fingerprint that doesn't include the caller."""
+PART_PREFIX = "+"
+"""Prefix of the fingerprint of a prompt part, which many requests share."""
+COMBINATION_PREFIX = "&"
+"""Prefix of the fingerprint of several prompt parts together."""
+MAX_PARTS = 64
+"""Maximum number of parts of a prompt that get a fingerprint."""
+MAX_PART_NAME = 64
+"""Maximum characters of a part's name in its fingerprint; longer ones are hashed."""
+TAG_CHARACTERS = 8
+"""Characters of a request's tag, which tells it from the others at a few crashes."""
 
 
 class RequestFingerprints(Struct, frozen=True):
@@ -19,10 +30,23 @@
     Attributes:
         exact: Fingerprint of the content and the caller.
         content: Fingerprint of the content alone, as a caller's address may change.
+        parts: Fingerprints of the parts of its prompt that other requests may share.
     """
 
     exact: Fingerprint = Fingerprint("")
     content: Fingerprint = Fingerprint("")
+    parts: tuple[Fingerprint, ...] = ()
+
+    @property
+    def tag(self) -> str:
+        """Short name of the request in the records of its parts."""
+        start = len(ANY_CALLER_PREFIX)
+        return self.content[start : start + TAG_CHARACTERS]
+
+    @property
+    def without_parts(self) -> "RequestFingerprints":
+        """Fingerprints of the request itself."""
+        return RequestFingerprints(self.exact, self.content)
 
     def __str__(self) -> str:
         return f"{self.exact} {self.content}"
@@ -60,6 +84,46 @@
     )
 
 
+def fingerprint_parts(service: str, names: Iterable[str]) -> tuple[Fingerprint, ...]:
+    """Return the fingerprints of prompt parts, each once.
+
+    Args:
+        service: Service that runs the prompt: what crashes its targets may be sound for
+            the targets of another one.
+        names: Names of the parts.
+    """
+    found = dict.fromkeys(names)
+    return tuple(
+        Fingerprint(f"{PART_PREFIX}{service}/{_short(name)}")
+        for name in list(found)[:MAX_PARTS]
+    )
+
+
+def _short(name: str) -> str:
+    if len(name) <= MAX_PART_NAME:
+        return name
+    return blake2b(name.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+def combine_parts(parts: Iterable[Fingerprint]) -> Fingerprint:
+    """Return the fingerprint of prompt parts that come together."""
+    ordered = sorted(parts)
+    if len(ordered) == 1:
+        return ordered[0]
+    digest = blake2b(" ".join(ordered).encode(), digest_size=DIGEST_BYTES)
+    return Fingerprint(COMBINATION_PREFIX + digest.hexdigest())
+
+
+def is_part(name: Fingerprint) -> bool:
+    """Return whether a fingerprint is that of a prompt part."""
+    return name.startswith(PART_PREFIX)
+
+
+def is_combination(name: Fingerprint) -> bool:
+    """Return whether a fingerprint is that of several prompt parts together."""
+    return name.startswith(COMBINATION_PREFIX)
+
+
 def is_any_caller(name: Fingerprint) -> bool:
     """Return whether a fingerprint doesn't include the caller."""
     return name.startswith(ANY_CALLER_PREFIX)
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -24,7 +24,12 @@
 
 from ._crash_detector import Crash
 from ._crash_table import CrashTable
-from ._fingerprint import RequestFingerprints
+from ._fingerprint import (
+    RequestFingerprints,
+    combine_parts,
+    is_combination,
+    is_part,
+)
 from ._standing import SuspicionLevel
 from ._suspect_record import CrashRecord
 
@@ -78,9 +83,12 @@
 
     Attributes:
         retry_after: Seconds until it may be tried again.
+        cause: Fingerprint of the request or part that is blocked; empty: it waits for
+            the trial of another request.
     """
 
     retry_after: float
+    cause: Fingerprint = Fingerprint("")
 
 
 Admission = Admitted | Blocked
@@ -115,6 +123,19 @@
     since: float
 
 
+@dataclass(frozen=True)
+class _Trial:
+    """A trial in progress on this host.
+
+    Attributes:
+        names: Fingerprints of which no other request may be on trial here.
+        permit: Fingerprint that a permit is granted for.
+    """
+
+    names: frozenset[Fingerprint]
+    permit: Fingerprint
+
+
 class Quarantine:
     """Decides from the crashes seen by all hosts whether and how a request may run.
 
@@ -136,7 +157,7 @@
         self._peers = peers
         self._core = core
         self._metrics = metrics
-        self._trials: set[Fingerprint] = set()
+        self._trials: dict[Fingerprint, _Trial] = {}
         self._permits: dict[Fingerprint, _Permit | None] = {}
         self._unused_permits: dict[Fingerprint, _Permit | None] = {}
         self._turned_away: set[Fingerprint] = set()
@@ -166,6 +187,14 @@
             for fingerprint in _fingerprints(run.fingerprints):
                 crash_record = CrashRecord(crash.at, run.is_early, run.is_alone)
                 crash_records.setdefault(fingerprint, crash_record).merge(crash_record)
+            for part in run.fingerprints.parts if run.is_early else ():
+                crash_record = CrashRecord(
+                    crash.at,
+                    early=True,
+                    alone=run.is_alone,
+                    requests=frozenset([run.fingerprints.tag]),
+                )
+                crash_records.setdefault(part, crash_record).merge(crash_record)
         now = monotonic()
         self._table.record_crash(crash_records, crash.target.service, target, now)
         self._clear_outage(crash, now)
@@ -173,24 +202,31 @@
 
     def note_survived(self, fingerprints: RequestFingerprints) -> None:
         """Clear early crashes of a request that has run past the early phase."""
-        self._clear(fingerprints, early_only=True)
+        self._clear(_fingerprints(fingerprints), early_only=True)
+        self._note_sound(fingerprints.parts)
 
     def record_answered(self, fingerprints: RequestFingerprints) -> None:
         """Clear all crashes of a request that a target has answered completely."""
-        self._clear(fingerprints)
+        self._clear(_fingerprints(fingerprints))
+        self._note_sound(fingerprints.parts)
+
+    def _note_sound(self, parts: tuple[Fingerprint, ...]) -> None:
+        self._table.note_sound(parts, monotonic())
+        self._clear(parts)
 
     def note_trial_failed(self, fingerprints: RequestFingerprints) -> None:
         """Record that a permit has been used up by a run that wasn't answered.
 
         A host that forwarded the request doesn't know how its run ended elsewhere.
         """
-        if fingerprints.content in self._permits:
-            self._record_trial(fingerprints)
+        trial = self._trials.get(fingerprints.content)
+        if trial is not None and trial.permit in self._permits:
+            self._record_trial(fingerprints, trial.permit)
 
     def _clear(
-        self, fingerprints: RequestFingerprints, early_only: bool = False
+        self, fingerprints: Iterable[Fingerprint], early_only: bool = False
     ) -> None:
-        for fingerprint in _fingerprints(fingerprints):
+        for fingerprint in fingerprints:
             if fingerprint not in self._table:
                 continue
             if self._table.clear(fingerprint, monotonic(), early_only):
@@ -226,38 +262,101 @@
             until: Monotonic time until which it may wait for another copy's trial.
             has_permit: Whether a core host has already granted a permit.
         """
-        while fingerprints.content in self._trials and self._is_on_trial(fingerprints):
+        may_ask = True
+        while True:
+            await self._wait_for_trials(fingerprints, until)
+            names = self._trial_names(fingerprints)
+            is_busy = self._is_on_trial(names)
+            match self.standing(fingerprints):
+                case SuspicionLevel.CLEAR:
+                    return Admitted()
+                case SuspicionLevel.HELD:
+                    return self._blocked(fingerprints)
+                case SuspicionLevel.SUSPECT if not is_busy:
+                    self._begin_trial(fingerprints, names)
+                    return Admitted(suspect=True)
+                case SuspicionLevel.SUSPECT if fingerprints.content not in names:
+                    # The trial of its parts takes long. Unlike a repeated request, most
+                    # requests with a part that is suspect are sound.
+                    return Admitted(suspect=True)
+                case SuspicionLevel.DOUBTFUL if not is_busy and may_ask:
+                    admission = await self._admit_by_permit(
+                        fingerprints, names, has_permit
+                    )
+                    if isinstance(admission, Admitted) or not self._is_part_doubtful(
+                        fingerprints
+                    ):
+                        return admission
+                    # Another host has the permit, and its trial may clear the parts.
+                    may_ask = False
             if monotonic() >= until:
                 return Blocked(RETRY_AFTER)
             await curio.sleep(TRIAL_POLL_INTERVAL)
-        match self.standing(fingerprints):
-            case SuspicionLevel.CLEAR:
-                return Admitted()
-            case SuspicionLevel.HELD:
-                return Blocked(self._table.blocked_for(fingerprints.exact, monotonic()))
-            case SuspicionLevel.SUSPECT:
-                self._trials.add(fingerprints.content)
-                return Admitted(suspect=True)
-        self._trials.add(fingerprints.content)
+
+    async def _wait_for_trials(
+        self, fingerprints: RequestFingerprints, until: float
+    ) -> None:
+        """Wait while a request with the same suspect fingerprints is on trial here."""
+        while self._is_on_trial(self._trial_names(fingerprints)):
+            if monotonic() >= until:
+                return
+            await curio.sleep(TRIAL_POLL_INTERVAL)
+
+    def _is_on_trial(self, names: frozenset[Fingerprint]) -> bool:
+        return any(names & trial.names for trial in self._trials.values())
+
+    def _trial_names(self, fingerprints: RequestFingerprints) -> frozenset[Fingerprint]:
+        """Return the fingerprints by which a request is on trial, if it is now."""
+        names = [
+            part
+            for part in self._table.suspect_parts(fingerprints)
+            if self._table.standing(part) is not SuspicionLevel.HELD
+        ]
+        own = map(self._table.standing, _fingerprints(fingerprints))
+        if any(
+            level in (SuspicionLevel.SUSPECT, SuspicionLevel.DOUBTFUL) for level in own
+        ):
+            names.append(fingerprints.content)
+        return frozenset(names)
+
+    def _begin_trial(
+        self, fingerprints: RequestFingerprints, names: frozenset[Fingerprint]
+    ) -> _Trial:
+        doubtful = self._table.suspect_parts(fingerprints, SuspicionLevel.DOUBTFUL)
+        permit = combine_parts(doubtful) if doubtful else fingerprints.content
+        trial = self._trials[fingerprints.content] = _Trial(names, permit)
+        return trial
+
+    def _is_part_doubtful(self, fingerprints: RequestFingerprints) -> bool:
+        return bool(self._table.suspect_parts(fingerprints, SuspicionLevel.DOUBTFUL))
+
+    def _blocked(self, fingerprints: RequestFingerprints) -> Blocked:
+        return Blocked(
+            self._table.request_blocked_for(fingerprints, monotonic()),
+            self._table.cause_of_block(fingerprints),
+        )
+
+    async def _admit_by_permit(
+        self,
+        fingerprints: RequestFingerprints,
+        names: frozenset[Fingerprint],
+        has_permit: bool,
+    ) -> Admission:
+        trial = self._begin_trial(fingerprints, names)
         admission: Admission = Blocked(RETRY_AFTER)
         try:
-            if has_permit or fingerprints.content in self._unused_permits:
-                permit = self._unused_permits.pop(fingerprints.content, None)
-                self._permits[fingerprints.content] = permit
+            if has_permit or trial.permit in self._unused_permits:
+                self._permits[trial.permit] = self._unused_permits.pop(
+                    trial.permit, None
+                )
                 admission = Admitted(suspect=True, by_permit=True)
             else:
-                admission = await self._request_permit(fingerprints.content)
+                admission = await self._request_permit(trial.permit)
         finally:
             if isinstance(admission, Blocked):
-                self._trials.discard(fingerprints.content)
+                self._trials.pop(fingerprints.content, None)
         return admission
 
-    def _is_on_trial(self, fingerprints: RequestFingerprints) -> bool:
-        return self.standing(fingerprints) in (
-            SuspicionLevel.SUSPECT,
-            SuspicionLevel.DOUBTFUL,
-        )
-
     def end_trial(
         self, fingerprints: RequestFingerprints, end: TrialEnd = TrialEnd.USED
     ) -> None:
@@ -267,28 +366,34 @@
             fingerprints: Fingerprints of the request.
             end: Outcome of the trial. An unused permit passes to the next copy.
         """
-        fingerprint = fingerprints.content
-        self._trials.discard(fingerprint)
-        by_permit = fingerprint in self._permits
-        permit = self._permits.pop(fingerprint, None)
+        trial = self._trials.pop(fingerprints.content, None)
+        if trial is None:
+            return
+        name = trial.permit
+        by_permit = name in self._permits
+        permit = self._permits.pop(name, None)
         match end:
             case TrialEnd.NOT_SENT:
-                self._keep_permit(fingerprint, permit)
-            case TrialEnd.TURNED_AWAY if fingerprint not in self._turned_away:
+                self._keep_permit(name, permit)
+            case TrialEnd.TURNED_AWAY if name not in self._turned_away:
                 # The permit is kept only once, as each attempt reaches a target, and
                 # isn't returned, as each of the other hosts would also keep it once.
-                self._turned_away.add(fingerprint)
-                self._keep_permit(fingerprint, None)
+                self._turned_away.add(name)
+                self._keep_permit(name, None)
             case TrialEnd.TURNED_AWAY if by_permit:
-                self._record_trial(fingerprints)
+                self._record_trial(fingerprints, name)
 
-    def _record_trial(self, fingerprints: RequestFingerprints) -> None:
+    def _record_trial(
+        self, fingerprints: RequestFingerprints, permit: Fingerprint
+    ) -> None:
         """Report that the permit has been used up.
 
-        Its core host alone knows of it otherwise, and may stop.
+        Its core host alone knows of it otherwise, and may stop. A trial of several
+        parts together has no record, as it doesn't prove anything about one of them.
         """
         now = monotonic()
-        found = _fingerprints(fingerprints)
+        is_own = permit == fingerprints.content
+        found = _fingerprints(fingerprints) if is_own else [permit]
         self._report([n for n in found if self._table.record_trial(n, now)])
 
     def _keep_permit(self, fingerprint: Fingerprint, permit: _Permit | None) -> None:
@@ -359,7 +464,14 @@
             for record in records
             if any(crash.early for crash in record.crash_records.values())
         ]
-        urgent.sort(key=lambda record: len(record.active_crash_records), reverse=True)
+        # Many requests share a part, so its record matters to more of them.
+        urgent.sort(
+            key=lambda record: (
+                is_part(record.fingerprint),
+                len(record.active_crash_records),
+            ),
+            reverse=True,
+        )
         if not urgent:
             return
         now = monotonic()
@@ -374,7 +486,11 @@
             await curio.sleep(EXPIRY_INTERVAL)
             now = monotonic()
             self._table.expire(now)
-            self._turned_away = {n for n in self._turned_away if n in self._table}
+            self._turned_away = {
+                name
+                for name in self._turned_away
+                if name in self._table or (is_combination(name) and len(self._table))
+            }
             self._return_unused(now)
 
     def _return_unused(self, now: float) -> None:
@@ -391,7 +507,10 @@
 
 
 def _fingerprints(fingerprints: RequestFingerprints) -> list[Fingerprint]:
-    """Return the non-empty fingerprints; hosts of another version may send none."""
+    """Return the non-empty fingerprints of a request, without its parts.
+
+    Hosts of another version may send none.
+    """
     return [
         fingerprint
         for fingerprint in (fingerprints.exact, fingerprints.content)
--- a/packages/node/src/bronzepoint_node/quarantine/_standing.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_standing.py
@@ -43,10 +43,14 @@
 
 
 def suspicion_levels(
-    records: Iterable[SuspectRecord],
+    records: Iterable[SuspectRecord], explained: Iterable[str] = ()
 ) -> dict[Fingerprint, SuspicionLevel]:
     """Return the standing of each request that isn't clear.
 
+    Args:
+        records: Requests that ran at crashed targets.
+        explained: Targets whose crashes have another known cause.
+
     A crash has one cause but affects every request that ran on the target. A frequent
     request, or a batch of streams that resume together on one target after another, may
     be involved in several crashes. Crashes attributed to a blocked request thus don't
@@ -69,7 +73,7 @@
         ),
         reverse=True,
     )
-    attributed: set[str] = set()
+    attributed: set[str] = set(explained)
     standings = {}
     for fingerprint in ordered:
         proven = proven_crashes[fingerprint]
--- a/packages/node/src/bronzepoint_node/quarantine/_suspect_record.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_suspect_record.py
@@ -1,4 +1,4 @@
-"""Crash records of a request that was in progress when targets crashed."""
+"""Crash records of a request, or of a prompt part, that ran when targets crashed."""
 
 from dataclasses import dataclass, field
 
@@ -10,6 +10,8 @@
 after the last crash attributed to it."""
 MAX_CRASH_RECORDS = 8
 """Maximum number of crashes kept for one request; a few are enough to decide."""
+MAX_TAGS = 8
+"""Maximum number of requests listed for a crash of a prompt part."""
 
 
 @dataclass
@@ -22,6 +24,7 @@
         alone: Whether the request was on trial and no other run began after it.
         cleared: Whether the crash no longer counts against the request.
         tried: Whether the trial permitted after the crash has been used up.
+        requests: For a prompt part, tags of requests with it that had just begun.
     """
 
     at: float
@@ -29,6 +32,7 @@
     alone: bool = False
     cleared: bool = False
     tried: bool = False
+    requests: frozenset[str] = frozenset()
 
     def merge(self, other: "CrashRecord") -> bool:
         """Merge another host's record of the same crash.
@@ -44,24 +48,27 @@
             self.alone or other.alone,
             self.cleared or other.cleared,
             self.tried or other.tried,
+            frozenset(sorted(self.requests | other.requests)[:MAX_TAGS]),
         )
         changed = joined.flags != self.flags
         self.at, self.early, self.tried = joined.at, joined.early, joined.tried
         self.alone, self.cleared = joined.alone, joined.cleared
+        self.requests = joined.requests
         return changed
 
     @property
-    def flags(self) -> tuple[bool, ...]:
+    def flags(self) -> tuple:
         """Return all that may change after the crash."""
-        return self.early, self.alone, self.cleared, self.tried
+        requests = tuple(sorted(self.requests))
+        return self.early, self.alone, self.cleared, self.tried, requests
 
 
 @dataclass
 class SuspectRecord:
-    """The crashes recorded for one request.
+    """The crashes recorded for one request or prompt part.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
+        fingerprint: Fingerprint of the request or part.
         service: Service whose targets crashed.
         crash_records: The crashes, by the incarnation of the target.
         changed_at: Monotonic time of the last change known to this host.
@@ -77,6 +84,11 @@
         """Return the crashes that still count."""
         return {name: m for name, m in self.crash_records.items() if not m.cleared}
 
+    @property
+    def early_crash_records(self) -> dict[str, CrashRecord]:
+        """Return the crashes that still count and came early in a run."""
+        return {n: m for n, m in self.active_crash_records.items() if m.early}
+
     @property
     def last_crash_at(self) -> float:
         """Monotonic time of the latest crash."""
@@ -124,6 +136,7 @@
                     crash_record.alone,
                     crash_record.cleared,
                     crash_record.tried,
+                    sorted(crash_record.requests),
                 )
                 for name, crash_record in self.crash_records.items()
             ],
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -3,13 +3,15 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from msgspec.structs import replace
+
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.events import EventSplitter
 from bronzepoint_common.http import Exchange
 from bronzepoint_node.fleet import Organisation, RouteKind, ServedRoute
 from bronzepoint_node.forwarded_runs import ForwardedSend
 from bronzepoint_node.placement import select_service
-from bronzepoint_node.quarantine import RequestFingerprints
+from bronzepoint_node.quarantine import RequestFingerprints, fingerprint_parts
 from bronzepoint_node.quota import Charge
 from bronzepoint_node.retries import Delivery
 from bronzepoint_node.stream_origins import StreamOrigin, origin_key
@@ -209,6 +211,13 @@
         path = self.exchange.request.raw_path
         return origin_key(self.head.host, path, self.attempt)
 
+    def identify_parts(self) -> None:
+        """Add the fingerprints of the prompt's shared parts, for the service used."""
+        prompt = self.head.prompt
+        names = [part.name for part in prompt.parts[:-1]] if prompt is not None else []
+        parts = fingerprint_parts(self.service, names)
+        self.fingerprints = replace(self.fingerprints, parts=parts)
+
     def progress(self) -> Progress:
         """Return the current counters of the request."""
         hosts = len(self.tried_hosts)
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -162,6 +162,7 @@
             await self._answer_writer.reject(call, refusal)
             return
         service = call.service
+        call.identify_parts()
         if not call.forwarded:
             self._retry_budget.note_request(service, monotonic())
         waited_until = monotonic() + WAIT_SHARE * call.route.objective
@@ -170,6 +171,8 @@
                 call.fingerprints, waited_until, call.has_permit
             )
             if isinstance(admission, Blocked):
+                if admission.cause:
+                    call.notes.append(f"held back: {admission.cause}")
                 await self._answer_writer.refuse_blocked(call, admission.retry_after)
                 return
             call.suspect = admission.suspect
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -300,8 +300,9 @@
         self, target: TargetInfo, run: WatchedRun, outcome: TryOutcome | None
     ) -> None:
         match outcome:
-            case Answered():
-                self._crash_detector.record_answered(target, run)
+            case Answered(status=status):
+                succeeded = status // 100 == 2
+                self._crash_detector.record_answered(target, run, succeeded)
             case NotRun():
                 self._crash_detector.record_not_run(target, run)
             case MayHaveRun() | None:
--- a/tests/test_harmful_part_processes.py
+++ b/tests/test_harmful_part_processes.py
@@ -28,6 +28,7 @@
         # path, position of the part, entry hosts, entry hosts of another region
         ("/stream/part", 2, 4, ("entry-4",)),
         ("/safe/part", 1, 9, ("entry-9",)),
+        ("/safe/part", 0, 4, ("entry-4",)),
     )
     def test_part_that_crashed_five_targets(self, path, position, hosts, elsewhere):
         """Guards against a part that crashes targets in requests that all differ."""
