Don't take a crash for the end of an answer without length

Callers of other requests saw targets go on crashing under one prompt part if its answers had neither a length nor chunks: the crash ended them like whole ones, and that answer cleared the part (and would clear a whole request in quarantine) as soon as it crashed.

Cause: the end of the connection was read as proof that the target had run the request.

Change: an answer that ends with its connection in the early phase of its run counts once its target has shown activity since, or has been found to accept connections 0.1 and 0.5 s later. Until then its run counts as one that a crash may have ended.

--- a/packages/common/src/bronzepoint_common/http/__init__.py
+++ b/packages/common/src/bronzepoint_common/http/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 over curio sockets, both sides, with h11 as the protocol library."""
 
 from bronzepoint_common.http._address import format_address, parse_address
-from bronzepoint_common.http._answer import Answer, ClientAnswer
+from bronzepoint_common.http._answer import Answer, ClientAnswer, Framing
 from bronzepoint_common.http._client import HttpClient, Unframed
 from bronzepoint_common.http._errors import (
     AnswerCut,
@@ -36,6 +36,7 @@
     "ConnectFailed",
     "Disconnected",
     "Exchange",
+    "Framing",
     "HandlerFailed",
     "HeadTooLarge",
     "HttpClient",
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
@@ -196,11 +196,40 @@
         """
         self._end_run(target, run)
         self.record_contact(target, monotonic())
+        self._note_answered(run, succeeded)
+
+    def _note_answered(self, run: WatchedRun, succeeded: bool) -> None:
         fingerprints = run.fingerprints
         self._listener.record_answered(
             fingerprints if succeeded else fingerprints.without_parts
         )
 
+    async def confirm_answered(
+        self, target: TargetInfo, run: WatchedRun, succeeded: bool = True
+    ) -> None:
+        """Record an answer that ended with its connection, once its target has shown
+        that it still runs.
+
+        A crash ends an answer without length in the same way as a whole one.
+        """
+        watched = self._end_run(target, run)
+        if watched is None or not run.is_early or target.leaving:
+            self.record_answered(target, run, succeeded)
+            return
+        if watched.crashed_at:
+            self._report(watched, [run])
+            return
+        watched.failed_runs.append(run)
+        for delay in RECHECK_DELAYS:
+            await curio.sleep(delay)
+            if watched.last_contact_at > run.ended_at + CONTACT_MARGIN:
+                break
+            if await self._check_once(watched):
+                return
+        if run in watched.failed_runs:
+            watched.failed_runs.remove(run)
+            self._note_answered(run, succeeded)
+
     def record_not_run(self, target: TargetInfo, run: WatchedRun) -> None:
         """Record that the target never began a run."""
         self._end_run(target, run)
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -60,12 +60,14 @@
         headers: Headers of the answer.
         body: Body of the answer; empty if it was streamed.
         streamed: True if the answer has already been sent to the caller.
+        ended_by_close: True if only the end of the connection marked its end.
     """
 
     status: int
     headers: dict[str, str]
     body: bytes
     streamed: bool = False
+    ended_by_close: bool = False
 
     @property
     def reason(self) -> str:
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -256,7 +256,7 @@
                 delivery.end(monotonic())
             seconds = monotonic() - now
             self._table.note_result(target, result, seconds, monotonic())
-            self._record_end(target.info, watched, outcome)
+            await self._record_end(target.info, watched, outcome)
         match outcome:
             case NotRun(reason="replaced"):
                 # The target list is outdated. Until its next update every request
@@ -296,10 +296,14 @@
         if target.record_limit(rate, monotonic()):
             _log.info("target limit", target=name, rate=rate, former=former)
 
-    def _record_end(
+    async def _record_end(
         self, target: TargetInfo, run: WatchedRun, outcome: TryOutcome | None
     ) -> None:
         match outcome:
+            case Answered(status=status, ended_by_close=True):
+                confirm = self._crash_detector.confirm_answered
+                succeeded = status // 100 == 2
+                await curio.spawn(confirm, target, run, succeeded, daemon=True)
             case Answered(status=status):
                 succeeded = status // 100 == 2
                 self._crash_detector.record_answered(target, run, succeeded)
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -11,6 +11,7 @@
     AnswerTimeout,
     ClientAnswer,
     ConnectFailed,
+    Framing,
     HttpClient,
     NotSent,
     Unframed,
@@ -158,7 +159,12 @@
             parts.append(piece)
         self._on_progress(0, 0.0)
         headers = self._codec.answer_headers(answer.headers)
-        return Answered(answer.status, headers, b"".join(parts))
+        return Answered(
+            answer.status,
+            headers,
+            b"".join(parts),
+            ended_by_close=answer.framing is Framing.CONNECTION_CLOSE,
+        )
 
     async def _stream_events(self, answer: ClientAnswer) -> Answered | MayHaveRun:
         """Send each complete event to the caller as it arrives.
@@ -201,7 +207,13 @@
             await exchange.start_stream(answer.status, call.stream_headers(headers))
         await exchange.send(call.events.remainder())
         await exchange.end()
-        return Answered(answer.status, headers, b"", streamed=True)
+        return Answered(
+            answer.status,
+            headers,
+            b"",
+            streamed=True,
+            ended_by_close=answer.framing is Framing.CONNECTION_CLOSE,
+        )
 
     def _note_stream(self, headers: dict[str, str]) -> None:
         if self._on_stream is not None:
--- a/tests/_harmful_part_site.py
+++ b/tests/_harmful_part_site.py
@@ -7,7 +7,7 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import HttpError
-from tests._crashing_site import CrashingSite, CrashingTarget
+from tests._crashing_site import CRASH_DELAY, CrashingSite, CrashingTarget
 
 CONTACT = 6.0
 """Seconds within which all hosts have to know of a crash."""
@@ -28,7 +28,13 @@
 
 
 class PartCrashingTarget(CrashingTarget):
-    """Stub target that crashes on a prompt part, whatever else a request holds."""
+    """Stub target that crashes on a prompt part, whatever else a request holds.
+
+    Attributes:
+        unframed: Whether its answers have neither a length nor chunks.
+    """
+
+    unframed = False
 
     async def _answer(self, exchange):
         prefix = exchange.request.headers.get("x-bronzepoint-prompt-prefix", "")
@@ -38,14 +44,39 @@
             return
         await exchange.body()
         self.arrivals.append(monotonic())
-        await self._begin(exchange)
+        if self.unframed:
+            await self._end_unframed(exchange)
+        else:
+            await self._begin(exchange)
+
+    async def _end_unframed(self, exchange):
+        """Crash after an event, so that the answer ends like a whole one."""
+        lines = "".join(f"{k}: {v}\r\n" for k, v in self._headers(exchange).items())
+        head = f"HTTP/1.1 200 OK\r\nConnection: close\r\n{lines}\r\n"
+        await exchange._wire.send(head.encode() + b"id: 1\ndata: 1\n\n", 1.0)
+        await curio.sleep(CRASH_DELAY)
+        exchange._wire.finish_sending()
+        await self.crash()
+        # The crash ends this exchange.
+        await curio.sleep(CONTACT)
 
 
 class HarmfulPartSite(CrashingSite):
-    """Host processes with targets that crash on a prompt part."""
+    """Host processes with targets that crash on a prompt part.
+
+    Args:
+        unframed: Whether answers to it have neither a length nor chunks.
+        **more: Arguments of `CrashingSite`.
+    """
+
+    def __init__(self, unframed=False, **more):
+        super().__init__(**more)
+        self.unframed = unframed
 
     def make_target(self, name, ip, port):
-        return PartCrashingTarget(name, ip, port, self, self.keeps_id, self.queue)
+        target = PartCrashingTarget(name, ip, port, self, self.keeps_id, self.queue)
+        target.unframed = self.unframed
+        return target
 
 
 @dataclass
--- a/tests/test_harmful_part_processes.py
+++ b/tests/test_harmful_part_processes.py
@@ -23,6 +23,14 @@
     return {f"entry-{n}": ("entry", f"127.0.0.{20 + n}") for n in range(1, count + 1)}
 
 
+async def judge(site, path, position):
+    """Return the arrivals that count, and the share of sound requests answered."""
+    async with site:
+        callers = PartCallers(site, path, position)
+        await callers.run(SECONDS)
+        return len(callers.late_arrivals()), callers.sound_success_rate()
+
+
 class TestHarmfulPart(unittest.TestCase):
     @params(
         # path, position of the part, entry hosts, entry hosts of another region
@@ -32,17 +40,17 @@
     )
     def test_part_that_crashed_five_targets(self, path, position, hosts, elsewhere):
         """Guards against a part that crashes targets in requests that all differ."""
+        hosts_by_name = {**CORES, **entries(hosts)}
+        site = HarmfulPartSite(hosts=hosts_by_name, elsewhere=elsewhere)
+        late, success_rate = curio.run(judge, site, path, position)
+        self.assertLessEqual(late, MAX_ARRIVALS)
+        self.assertGreaterEqual(success_rate, MIN_SUCCESS_RATE)
 
-        async def main():
-            hosts_by_name = {**CORES, **entries(hosts)}
-            site = HarmfulPartSite(hosts=hosts_by_name, elsewhere=elsewhere)
-            async with site:
-                callers = PartCallers(site, path, position)
-                await callers.run(SECONDS)
-                late = len(callers.late_arrivals())
-                return late, callers.sound_success_rate()
-
-        late, success_rate = curio.run(main)
+    @params("/safe/part", "/stream/part")
+    def test_crash_that_ends_an_answer_without_length(self, path):
+        """Guards against a crash that looks like the end of a whole answer."""
+        site = HarmfulPartSite(unframed=True, hosts={**CORES, **entries(4)})
+        late, success_rate = curio.run(judge, site, path, 1)
         self.assertLessEqual(late, MAX_ARRIVALS)
         self.assertGreaterEqual(success_rate, MIN_SUCCESS_RATE)
 
--- a/tests/test_quarantine_crash_detector.py
+++ b/tests/test_quarantine_crash_detector.py
@@ -5,13 +5,18 @@
 import curio
 from nose2.tools import params
 
+from bronzepoint_common.clock import monotonic
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_node.quarantine import (
     CrashDetector,
     RequestFingerprints,
     fingerprint_request,
 )
-from bronzepoint_node.quarantine._crash_detector import RECHECK_DELAYS
+from bronzepoint_node.quarantine._crash_detector import (
+    CONTACT_MARGIN,
+    EARLY_PHASE,
+    RECHECK_DELAYS,
+)
 from bronzepoint_schema.generated.fleet import TargetInfo
 
 
@@ -106,6 +111,35 @@
         self.assertEqual(recorder.reported(), reported)
         self.assertEqual(recorder.checks, 1)
 
+    @params(
+        # whether the target refuses connections, shows activity, ran past the early
+        # phase; what was recorded
+        (True, False, False, ([["a"]], [])),
+        (False, False, False, ([], ["a"])),
+        (True, True, False, ([], ["a"])),
+        (True, False, True, ([], ["a"])),
+    )
+    def test_answer_that_ends_with_its_connection(
+        self, refused, active, late, expected
+    ):
+        """Guards against a crash that looks like the end of a whole answer."""
+
+        async def main():
+            recorder = Recorder()
+            recorder.refused = refused
+            run = recorder.begin("a", target(), event=True)
+            if late:
+                run.first_event_at -= 2 * EARLY_PHASE
+            detector = recorder.crash_detector
+            confirm = await curio.spawn(detector.confirm_answered, target(), run)
+            if active:
+                await curio.sleep(0)
+                detector.record_contact(target(), monotonic() + 2 * CONTACT_MARGIN)
+            await confirm.join()
+            return recorder.reported(), recorder.answered
+
+        self.assertEqual(curio.run(main), expected)
+
     def test_target_that_still_accepts_connections_is_checked_again(self):
         """Guards against missing a crash because the target's socket was still open."""
 
