--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -46,6 +46,8 @@
 """Meaning of each way in which a try can end."""
 CUT_ENDS = ("cut", "cut_in_event")
 """Ends of a try whose target may have crashed."""
+BLOCKED_NOTE = "held back: "
+"""Start of the note with the fingerprint by which a request was blocked."""
 IN_TIME = "answered in time"
 LOOP_BLOCKED_MESSAGE = "event loop late"
 """Log message of a host whose event loop was blocked."""
@@ -112,7 +114,8 @@
     ended = [end for note in tries if (end := _try_end(note))]
     if outcome.startswith("refused_"):
         reason = outcome.removeprefix("refused_")
-        return f"not run: {REFUSALS.get(reason, reason)}{_prior_tries(ended)}"
+        why = REFUSALS.get(reason, reason) + _blocked_by(tries)
+        return f"not run: {why}{_prior_tries(ended)}"
     match outcome:
         case "caller_left":
             return "the caller closed its connection"
@@ -157,6 +160,12 @@
     return IN_TIME
 
 
+def _blocked_by(notes: list[str]) -> str:
+    """Return the fingerprint by which a request was blocked; empty if it wasn't."""
+    found = [n.removeprefix(BLOCKED_NOTE) for n in notes if n.startswith(BLOCKED_NOTE)]
+    return f" (by {found[-1]})" if found else ""
+
+
 def _try_end(note: str) -> str:
     found = _END.search(note)
     return found.group(1) if found else ""
--- a/packages/cli/src/bronzepoint_cli/explain/_timeline.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_timeline.py
@@ -93,7 +93,13 @@
     }
     found = []
     for line in others:
-        is_related = _target_of(line) in tried or _fingerprint_of(line) in fingerprints
+        fingerprint = _fingerprint_of(line)
+        is_related = (
+            _target_of(line) in tried
+            or fingerprint in fingerprints
+            # A prompt part that blocked the request is named in its notes.
+            or (fingerprint.startswith("+") and f": {fingerprint}" in tried)
+        )
         until = ended + TRAILING_TIME if is_related else ended
         if not timeline.started_at - LEAD_TIME <= line.at <= until:
             continue
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -169,6 +169,17 @@
         timeline = self.build(*lines)
         self.assertEqual([b.fields["fingerprint"] for b in timeline.beliefs], ["f"])
 
+    def test_part_that_blocked_the_request_is_included(self):
+        """Guards against a refusal that doesn't show which prompt part it is for."""
+        lines = [
+            line(8.0, "core-1", "prompt part held back", fingerprint="+s/p", crashes=3),
+            line(8.0, "core-1", "prompt part held back", fingerprint="+s/q", crashes=3),
+            request(9, "refused_held", tries=["held back: +s/p"]),
+        ]
+        timeline = self.build(*lines)
+        self.assertEqual([b.fields["fingerprint"] for b in timeline.beliefs], ["+s/p"])
+        self.assertIn("(by +s/p)", find_cause(timeline))
+
     def test_other_requests_and_other_text_are_ignored(self):
         timeline = self.build(
             "not a log line",
--- a/tests/test_harmful_part_processes.py
+++ b/tests/test_harmful_part_processes.py
@@ -1,18 +1,24 @@
 """A part of prompts that crashes every target that runs it, with real processes."""
 
+import json
 import unittest
 
 import curio
 from nose2.tools import params
 
+from tests._command_line import run_command
 from tests._crashing_site import CORES
 from tests._harmful_part_site import (
     CONTACT,
+    HARMFUL_PART,
     MAX_ARRIVALS,
     HarmfulPartSite,
     PartCallers,
 )
+from tests._platform_site import MAX_START_WAIT
 
+PART = f"+s/{HARMFUL_PART}"
+"""Fingerprint of the harmful part."""
 MIN_SUCCESS_RATE = 0.5
 """Minimum share of sound requests that are answered, of those answered without it."""
 SECONDS = 2 * CONTACT + 12.0
@@ -54,6 +60,38 @@
         self.assertLessEqual(late, MAX_ARRIVALS)
         self.assertGreaterEqual(success_rate, MIN_SUCCESS_RATE)
 
+    def test_operators_list_and_release_the_part(self):
+        async def main():
+            site = HarmfulPartSite(hosts={**CORES, **entries(3)})
+            async with site:
+                callers = PartCallers(site, "/safe/part")
+                hosts = f"127.0.0.11:{site.control}"
+
+                async def standings():
+                    listed = await curio.run_in_thread(
+                        _command, hosts, "list", "--json"
+                    )
+                    requests = json.loads(listed.out)["requests"]
+                    return {each["fingerprint"]: each["standing"] for each in requests}
+
+                async def is_held():
+                    return (await standings()).get(PART) == "held"
+
+                sending = await curio.spawn(callers.run, MAX_START_WAIT)
+                await site.until(is_held, MAX_START_WAIT)
+                callers.stop = True
+                await sending.join()
+                released = await curio.run_in_thread(_command, hosts, "release", PART)
+                return released, PART in await standings()
+
+        released, is_listed = curio.run(main)
+        self.assertEqual(released.status, 0, released.err)
+        self.assertFalse(is_listed)
+
+
+def _command(hosts, *arguments):
+    return run_command("quarantine", *arguments, hosts=hosts)
+
 
 if __name__ == "__main__":
     unittest.main()
