Send nothing to a target that has asked this host for rest

A target turned hosts away with 503 and Retry-After, and went on getting all their requests; each cost a second look and a retry, and callers of routes without attempts left were refused though other targets had room.

Change: the rest is kept for the host that it is meant for. Choice leaves the target out, queries name it to the scheduler, and each send checks it once more after connecting. If all rest: another region, or a refusal at once with the time that is left.

--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -18,6 +18,8 @@
     "out of date",
     "route_unconfirmed": "the host knows no route for it, and the host's catalogue may "
     "have been out of date",
+    "resting": "all targets of its region had asked its host for a rest, and no other "
+    "region had free capacity",
     "limited": "all targets of its region limit their request rate, and no other "
     "region had free capacity",
     "lagging": "the host was overloaded",
@@ -34,6 +36,8 @@
     "not_sent": "the connection broke before the request was written",
     "rejected": "the target turned it away",
     "replaced": "the target had restarted",
+    "withheld": "its target had just asked for a rest or begun to leave, so it wasn't "
+    "sent there",
     "region_refused": "the other region had no free capacity",
     "held": "the other region has blocked it, as targets crashed when they ran it",
     "cut": "the connection broke after it was sent, so it may have run",
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -23,6 +23,7 @@
     OVER_QUOTA = "over_quota"
     LAGGING = "lagging"
     LIMITED = "limited"
+    RESTING = "resting"
     VERSION_GONE = "version_gone"
     ORIGIN_UNKNOWN = "origin_unknown"
     ORIGIN_UNCONFIRMED = "origin_unconfirmed"
@@ -62,11 +63,14 @@
         crowded: The requests ahead of it in the queue take longer than it may wait.
         limited_for: Seconds until a target may get a request, if all targets limit
             their request rate; 0: not all of them do.
+        rests_for: Seconds for which all targets want no requests of this host; 0: not
+            all of them do.
     """
 
     late: bool = False
     crowded: bool = False
     limited_for: float = 0.0
+    rests_for: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -93,6 +93,9 @@
         return NoLocalTarget(
             late=bool(is_late) and all(is_late),
             limited_for=self._limited_for(request.service, now),
+            rests_for=self._table.rests_for(
+                request.service, request.software_version, now
+            ),
         )
 
     def _choose_in_group(
@@ -225,6 +228,7 @@
             tracked
             for tracked in targets
             if self._table.is_open(tracked)
+            and not tracked.is_resting(now)
             and (now >= tracked.cold_until or self._may_send_cold(tracked, now))
             and self._may_send_limited(tracked, now)
             and (
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -37,6 +37,9 @@
 """Seconds after which a caller retries when all targets write too slowly. Reading the
 longest prompts takes that long, and the measured pace covers little more time."""
 
+MAX_REST_SPREAD = 2.0
+"""Maximum seconds over which callers return once a target takes requests again."""
+
 
 class Placer:
     """Places requests using the state of this host, without any I/O.
@@ -210,6 +213,10 @@
         if isinstance(found, NoLocalTarget) and found.late:
             wait = SLOW_TARGET_WAIT * self._rng.uniform(0.7, 1.5)
             return Rejected(RejectReason.NO_TIME, wait, final=True)
+        if isinstance(found, NoLocalTarget) and found.rests_for:
+            spread = min(found.rests_for, MAX_REST_SPREAD)
+            wait = found.rests_for + self._rng.uniform(0.0, spread)
+            return Rejected(RejectReason.RESTING, wait)
         if isinstance(found, NoLocalTarget) and found.limited_for:
             wait = found.limited_for * self._rng.uniform(1.0, 1.5)
             return Rejected(RejectReason.LIMITED, wait, found.crowded)
@@ -235,6 +242,7 @@
             f"{' ejected' if is_ejected(t) else ''}"
             f"{' cold' if now < t.cold_until else ''}"
             f"{'' if t.limit.rate is None else f' limited to {t.limit.rate:g}/s'}"
+            f"{f' rests {t.rests_until - now:.1f} s' if t.is_resting(now) else ''}"
             for t in self._table.of_service(service)
         ]
         there = self.regions.describe(service, request, now)
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -98,6 +98,11 @@
             request: The request.
             wait: Seconds that it may wait in the queue; 0 for no waiting.
         """
+        service, version = request.service, request.software_version
+        rests_for = self._table.rests_for(service, version, monotonic())
+        if rests_for:
+            # The scheduler doesn't know, and would let the request wait for a target.
+            return NoLocalTarget(rests_for=rests_for)
         scheduler = self._exchange.scheduler
         if scheduler is None:
             return await self._scheduler.find(request, wait)
@@ -109,7 +114,7 @@
                 return NoLocalTarget(late, crowded, limited_ms / 1000)
             case TargetGrant():
                 target = self._table.get(answer.incarnation)
-                if target is not None and self._table.is_open(target):
+                if target is not None and self._may_use(target):
                     return self._local_placement(target, answer, timing)
                 if target is not None and target.info.data_center in self._table.closed:
                     self._note_outdated(scheduler)
@@ -122,6 +127,9 @@
             return dataclasses.replace(found, reason=reason)
         return found
 
+    def _may_use(self, target: TrackedTarget) -> bool:
+        return self._table.is_open(target) and not target.is_resting(monotonic())
+
     def _local_placement(
         self, target: TrackedTarget, grant: TargetGrant, timing: str
     ) -> LocalPlacement:
@@ -174,7 +182,9 @@
         return [
             target.info.incarnation
             for target in self._table.of_service(request.service)
-            if (avoids_ejected and is_ejected(target)) or target.is_avoided_here(now)
+            if (avoids_ejected and is_ejected(target))
+            or target.is_avoided_here(now)
+            or target.is_resting(now)
         ]
 
     def _note_outdated(self, scheduler: HostName) -> None:
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -139,6 +139,21 @@
             for target in self._of_service.get(service, [])
         )
 
+    def rests_for(self, service: str, software_version: str, now: float) -> float:
+        """Return the seconds for which all targets of a service rest; 0: not all do.
+
+        Args:
+            service: The service.
+            software_version: Version that the targets must have; empty: any.
+            now: Monotonic seconds.
+        """
+        rests = [
+            target.rests_until - now
+            for target in self.of_service(service)
+            if software_version in ("", target.info.software_version)
+        ]
+        return max(0.0, min(rests, default=0.0))
+
     def groups(self, service: str) -> list[Group]:
         """Return all targets of a service, in groups of a bounded size."""
         return self._groups.get(service, [])
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -83,6 +83,7 @@
         trials: Suspects of this host that are running there.
         limit: Request rate that it has limited itself to.
         isolated_until: Until when a suspect of another host may be on trial there.
+        rests_until: Until when it wants no requests of this host.
     """
 
     info: TargetInfo
@@ -113,6 +114,7 @@
     trials: set[WatchedRun] = field(default_factory=set)
     isolated_until: float = float("-inf")
     limit: RequestLimit = field(default_factory=RequestLimit)
+    rests_until: float = float("-inf")
 
     @property
     def is_gone(self) -> bool:
@@ -262,6 +264,17 @@
             self.load.changed = True
         return has_changed
 
+    def record_rest(self, seconds: float, now: float) -> None:
+        """Record that it wants no requests of this host for some seconds.
+
+        A shorter rest that it asks for meanwhile doesn't end the longer one.
+        """
+        self.rests_until = max(self.rests_until, now + seconds)
+
+    def is_resting(self, now: float) -> bool:
+        """Return whether it wants no requests of this host now."""
+        return now < self.rests_until
+
     def record_failed_connection(self, now: float) -> None:
         """Record a failed connection, to be reported at once.
 
--- a/packages/node/src/bronzepoint_node/relay/_codec.py
+++ b/packages/node/src/bronzepoint_node/relay/_codec.py
@@ -108,5 +108,14 @@
             ValueError: The limit is not a number of requests.
         """
 
+    def requested_rest(self, status: int, headers: dict[str, str]) -> float:
+        """Return the seconds for which a target wants no requests of this host.
+
+        0: it asks for none.
+
+        Raises:
+            ValueError: The time can't be read.
+        """
+
     def answer_headers(self, headers: dict[str, str]) -> dict[str, str]:
         """Return the headers of a target's answer that the caller receives."""
--- a/packages/node/src/bronzepoint_node/relay/_placement_search.py
+++ b/packages/node/src/bronzepoint_node/relay/_placement_search.py
@@ -44,7 +44,10 @@
             wait = until - monotonic()
             if wait <= 0 or not _may_wait(call, placement):
                 return placement
-            if not self._placer.may_serve_locally(request):
+            rests_for = found.rests_for if isinstance(found, NoLocalTarget) else 0.0
+            if rests_for > wait:
+                return placement
+            if rests_for or not self._placer.may_serve_locally(request):
                 await curio.sleep(min(wait, PLACEMENT_INTERVAL))
 
     async def find_free(self, call: Call) -> LocalPlacement | RemotePlacement | None:
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -5,7 +5,7 @@
 import curio
 
 from bronzepoint_common.clock import monotonic
-from bronzepoint_common.http import HttpClient
+from bronzepoint_common.http import ClientAnswer, HttpClient
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_node.forwarded_runs import ForwardedRuns, Forwarding
@@ -208,10 +208,14 @@
             measured = FirstToken(name, uncached, elapsed_ms, before)
             estimates.note_first_token(service, measured, first)
 
-        def on_head(verdict: TargetVerdict, answered: dict[str, str]) -> None:
+        def on_head(verdict: TargetVerdict, answer: ClientAnswer) -> None:
             target.record_read(now)
             delivery.end(monotonic())
-            self._record_limit(target, verdict, answered)
+            self._record_limit(target, verdict, answer.headers)
+            self._record_rest(target, answer)
+
+        def may_send() -> bool:
+            return not target.is_resting(monotonic())
 
         def on_stream(answered: dict[str, str]) -> None:
             self._record_stream(call, StreamOrigin(service, version))
@@ -235,7 +239,13 @@
         outcome: TryOutcome | None = None
         try:
             attempt = Try(
-                self._client, self._codec, call, on_progress, on_head, on_stream
+                self._client,
+                self._codec,
+                call,
+                on_progress,
+                on_head,
+                on_stream,
+                may_send,
             )
             watch = RunWatch(
                 attempt,
@@ -296,6 +306,21 @@
         if target.record_limit(rate, monotonic()):
             _log.info("target limit", target=name, rate=rate, former=former)
 
+    def _record_rest(self, target: TrackedTarget, answer: ClientAnswer) -> None:
+        """Record that a target wants no requests of this host for a while."""
+        name, now = target.info.incarnation, monotonic()
+        try:
+            seconds = self._codec.requested_rest(answer.status, answer.headers)
+        except ValueError as exc:
+            _log.warning("rest not read", target=name, reason=str(exc))
+            return
+        if not seconds:
+            return
+        self._metrics.incr("target.rest_asked")
+        if not target.is_resting(now):
+            _log.info("target rests", target=name, seconds=round(seconds, 2))
+        target.record_rest(seconds, now)
+
     async def _record_end(
         self, target: TargetInfo, run: WatchedRun, outcome: TryOutcome | None
     ) -> None:
@@ -482,6 +507,9 @@
             return TryResult.failed if status >= 500 else TryResult.answered
         case NotRun(by_target=True):
             return TryResult.refused_by_target
+        case NotRun(reason="withheld"):
+            # Nothing was sent, so it says nothing about the target.
+            return TryResult.cancelled
         case NotRun():
             return TryResult.failed
         case MayHaveRun(timed_out=True):
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -41,6 +41,10 @@
     max_idle: float
 
 
+class _Withheld(Exception):
+    """The target may get no requests any more."""
+
+
 class Try:
     """Sends a request once and relays the answer.
 
@@ -50,9 +54,10 @@
         call: The request.
         on_progress: Called with the number of new events and the seconds since the
             previous ones; with zeros at the end of an answer that isn't streamed.
-        on_head: Called with the verdict and the headers of an answer.
+        on_head: Called with the verdict and the head of an answer.
         on_stream: Called with the headers of an answer before its first event is sent
             on.
+        may_send: Returns whether the request may still be sent, once connected.
 
     Attributes:
         progress_at: Monotonic time at which the latest part of the answer came or was
@@ -68,8 +73,9 @@
         codec: Codec,
         call: Call,
         on_progress: Callable[[int, float], None],
-        on_head: Callable[[TargetVerdict, dict[str, str]], None] | None = None,
+        on_head: Callable[[TargetVerdict, ClientAnswer], None] | None = None,
         on_stream: Callable[[dict[str, str]], None] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> None:
         self._client = client
         self._codec = codec
@@ -77,6 +83,7 @@
         self._on_progress = on_progress
         self._on_head = on_head
         self._on_stream = on_stream
+        self._may_send = may_send
         self.progress_at = monotonic()
         self.received_events = 0
         self.is_sending_on = False
@@ -109,6 +116,8 @@
             ) as answer:
                 self.progress_at = monotonic()
                 return await self._relay_answer(answer)
+        except _Withheld:
+            return NotRun("withheld")
         except ConnectFailed:
             return NotRun("connect_failed")
         except NotSent as exc:
@@ -124,10 +133,13 @@
         """Mark the request as written, unless its caller has disconnected.
 
         Raises:
+            _Withheld: Its target may get no requests any more.
             Disconnected: The caller closed its connection while this host connected to
                 the target, which takes time, above all on a lagging host.
         """
         self._call.exchange.check_connected()
+        if self._may_send is not None and not self._may_send():
+            raise _Withheld
         self._call.record_written()
 
     def _is_own_answer(self, status: int, headers: dict[str, str]) -> bool:
@@ -142,7 +154,7 @@
             return NotRun(reason, has_arrived, _retry_after(answer.headers))
         verdict = self._codec.classify_answer(call.head, answer.status, answer.headers)
         if self._on_head is not None:
-            self._on_head(verdict, answer.headers)
+            self._on_head(verdict, answer)
         match verdict:
             case TargetVerdict.REPLACED:
                 return NotRun("replaced", by_target=True)
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -13,7 +13,7 @@
 from bronzepoint_node.fleet import RouteKind
 from bronzepoint_node.placement import PromptPart
 from bronzepoint_node.relay import CopyInstructions, TargetVerdict
-from bronzepoint_platform._codec import PlatformCodec
+from bronzepoint_platform._codec import MAX_REST, PlatformCodec
 from bronzepoint_platform._manifest import ManifestInvalid, read_manifest
 from bronzepoint_platform._settings import SettingsUnreadable, read_settings
 from tests._platform_site import manifest
@@ -87,6 +87,31 @@
         with self.assertRaises(ValueError):
             CODEC.request_limit({"server-limit": text})
 
+    @params(
+        # status, Retry-After, seconds
+        (503, None, 0.0),
+        (503, "3", 3.0),
+        (503, "0.4", 0.4),
+        (503, "0", 0.0),
+        (503, "-5", 0.0),
+        (503, "1000", 1000.0),
+        (503, "1e300", MAX_REST),
+        (503, "Thu, 01 Jan 1970 00:00:00 GMT", 0.0),
+        (503, "Fri, 31 Dec 2999 00:00:00 GMT", MAX_REST),
+        (429, "3", 0.0),
+        (421, "3", 0.0),
+        (200, "3", 0.0),
+    )
+    def test_requested_rest(self, status, text, expected):
+        headers = {} if text is None else {"retry-after": text}
+        self.assertEqual(CODEC.requested_rest(status, headers), expected)
+
+    @params("", "soon", "nan", "inf")
+    def test_unreadable_rest_is_an_error(self, text):
+        """Guards against a rest that is taken for none without a trace."""
+        with self.assertRaises(ValueError):
+            CODEC.requested_rest(503, {"retry-after": text})
+
 
 class TestManifest(unittest.TestCase):
     def test_kinds_and_bounds(self):
