Send nothing to a target that says in an answer that it leaves

A target that says Server-Leaving in each answer got requests for as long as the list had it as ready.

Cause: the header wasn't read. Class: as with the rest that a target asks for.

Change: a host that reads it sends nothing there until the target has started anew, by choice, grant, retry or what waited meanwhile; its end counts as no crash. The list can't take it back, as it lags.

--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -152,6 +152,7 @@
         number = next(self._numbers)
         query = make_query(request, number, wait, began)
         query.avoided += self._unusable(request, began)
+        query.avoided += self._table.leaving_of_service(request.service)
         if self._outdated == (scheduler, self._table.closed):
             query.avoided += self._table.closed_of_service(request.service)
         pending = self._pending[number] = _PendingQuery()
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -126,6 +126,14 @@
             if tracked.info.data_center in self.closed
         ]
 
+    def leaving_of_service(self, service: str) -> list[str]:
+        """Return the targets of a service that have told this host that they leave."""
+        return [
+            tracked.info.incarnation
+            for tracked in self._of_service.get(service, [])
+            if tracked.said_leaving
+        ]
+
     def has_service(self, service: str, software_version: str = "") -> bool:
         """Return whether a target of a service may get requests.
 
@@ -163,7 +171,8 @@
         info = tracked.info
         is_closed = info.data_center in self.closed
         is_listed = tracked.listing is Listing.listed
-        return is_listed and not (info.leaving or tracked.replaced or is_closed)
+        is_leaving = info.leaving or tracked.said_leaving
+        return is_listed and not (is_leaving or tracked.replaced or is_closed)
 
     def services(self) -> list[str]:
         """Return the services that have targets in the region."""
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -84,6 +84,8 @@
         limit: Request rate that it has limited itself to.
         isolated_until: Until when a suspect of another host may be on trial there.
         rests_until: Until when it wants no requests of this host.
+        said_leaving: Whether it has told this host that it is leaving. Its list entry
+            may be older, and stays so for a while.
     """
 
     info: TargetInfo
@@ -115,6 +117,7 @@
     isolated_until: float = float("-inf")
     limit: RequestLimit = field(default_factory=RequestLimit)
     rests_until: float = float("-inf")
+    said_leaving: bool = False
 
     @property
     def is_gone(self) -> bool:
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
@@ -123,9 +123,15 @@
         default_factory=lambda: deque(maxlen=MAX_FAILED_RUNS)
     )
     trials: set[WatchedRun] = field(default_factory=set)
+    said_leaving: bool = False
     check_done: curio.Event | None = None
     rechecking: bool = False
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it was to end anyway."""
+        return self.info.leaving or self.said_leaving
+
 
 class CrashDetector:
     """Distinguishes target crashes from other failures of requests.
@@ -213,7 +219,7 @@
         A crash ends an answer without length in the same way as a whole one.
         """
         watched = self._end_run(target, run)
-        if watched is None or not run.is_early or target.leaving:
+        if watched is None or not run.is_early or watched.is_leaving:
             self.record_answered(target, run, succeeded)
             return
         if watched.crashed_at:
@@ -240,6 +246,12 @@
         if watched is not None:
             watched.last_contact_at = now
 
+    def record_leaving(self, target: TargetInfo) -> None:
+        """Record that a target says that it is leaving, so that its end is no crash."""
+        watched = self._targets.get(target.incarnation)
+        if watched is not None:
+            watched.said_leaving = True
+
     def record_failure(self, target: TargetInfo, run: WatchedRun) -> None:
         """Record that a run ended without a complete answer."""
         watched = self._end_run(target, run)
@@ -266,7 +278,7 @@
         Requests that fail at the same time share one check.
         """
         watched = self._targets.get(target.incarnation)
-        if watched is None or target.leaving:
+        if watched is None or target.leaving or watched.is_leaving:
             return False
         ended = await self._check_once(watched)
         if not ended and not watched.rechecking and _has_failed_early(watched):
@@ -279,7 +291,7 @@
         try:
             for delay in RECHECK_DELAYS:
                 await curio.sleep(delay)
-                if watched.info.leaving or not _has_failed_early(watched):
+                if watched.is_leaving or not _has_failed_early(watched):
                     return
                 if await self._check_once(watched):
                     return
@@ -307,7 +319,9 @@
     def record_replacement(self, target: TargetInfo) -> None:
         """Record that another incarnation answers at the address of a target."""
         watched = self._targets.get(target.incarnation)
-        if watched is not None and not watched.crashed_at and not target.leaving:
+        if watched is None or watched.crashed_at or target.leaving:
+            return
+        if not watched.is_leaving:
             self._note_crashed(watched)
 
     def record_list(self, listed: Iterable[TargetInfo]) -> None:
@@ -332,7 +346,7 @@
             if (
                 newer != incarnation
                 and not watched.crashed_at
-                and not watched.info.leaving
+                and not watched.is_leaving
             ):
                 self._note_crashed(watched)
 
--- a/packages/node/src/bronzepoint_node/relay/_codec.py
+++ b/packages/node/src/bronzepoint_node/relay/_codec.py
@@ -117,5 +117,8 @@
             ValueError: The time can't be read.
         """
 
+    def says_leaving(self, headers: dict[str, str]) -> bool:
+        """Return whether a target says that it is leaving and wants no requests."""
+
     def answer_headers(self, headers: dict[str, str]) -> dict[str, str]:
         """Return the headers of a target's answer that the caller receives."""
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -64,6 +64,9 @@
 """Seconds after a reply of another host within which the events that it had sent before
 arrive."""
 
+OWN_VERDICTS = frozenset({TargetVerdict.ANSWER, TargetVerdict.NOT_RUN})
+"""Verdicts on answers of the very start of a target that a request was sent to."""
+
 _log = get_logger("relay")
 
 
@@ -213,9 +216,11 @@
             delivery.end(monotonic())
             self._record_limit(target, verdict, answer.headers)
             self._record_rest(target, answer)
+            if verdict in OWN_VERDICTS:
+                self._record_leaving(target, answer)
 
         def may_send() -> bool:
-            return not target.is_resting(monotonic())
+            return not (target.said_leaving or target.is_resting(monotonic()))
 
         def on_stream(answered: dict[str, str]) -> None:
             self._record_stream(call, StreamOrigin(service, version))
@@ -321,6 +326,16 @@
             _log.info("target rests", target=name, seconds=round(seconds, 2))
         target.record_rest(seconds, now)
 
+    def _record_leaving(self, target: TrackedTarget, answer: ClientAnswer) -> None:
+        """Record that a target is leaving."""
+        if target.said_leaving or not self._codec.says_leaving(answer.headers):
+            return
+        name = target.info.incarnation
+        target.said_leaving = True
+        self._crash_detector.record_leaving(target.info)
+        self._metrics.incr("target.said_leaving")
+        _log.info("target says it leaves", target=name, address=target.info.address)
+
     async def _record_end(
         self, target: TargetInfo, run: WatchedRun, outcome: TryOutcome | None
     ) -> None:
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -106,6 +106,11 @@
         headers = {} if text is None else {"retry-after": text}
         self.assertEqual(CODEC.requested_rest(status, headers), expected)
 
+    @params((None, False), ("1", True), (" 1 ", True), ("0", False), ("", False))
+    def test_says_leaving(self, text, expected):
+        headers = {} if text is None else {"server-leaving": text}
+        self.assertEqual(CODEC.says_leaving(headers), expected)
+
     @params("", "soon", "nan", "inf")
     def test_unreadable_rest_is_an_error(self, text):
         """Guards against a rest that is taken for none without a trace."""
--- a/tests/test_quarantine_crash_detector.py
+++ b/tests/test_quarantine_crash_detector.py
@@ -140,6 +140,21 @@
 
         self.assertEqual(curio.run(main), expected)
 
+    def test_end_of_a_target_that_said_it_leaves_is_no_crash(self):
+        """Guards against blaming requests for the end of a target that was to end."""
+
+        async def main():
+            recorder = Recorder()
+            recorder.refused = True
+            run = recorder.begin("a", target())
+            recorder.crash_detector.record_leaving(target())
+            recorder.crash_detector.record_failure(target(), run)
+            await recorder.crash_detector.check_crash(target())
+            recorder.crash_detector.record_replacement(target())
+            return recorder.reported()
+
+        self.assertEqual(curio.run(main), [])
+
     def test_target_that_still_accepts_connections_is_checked_again(self):
         """Guards against missing a crash because the target's socket was still open."""
 
--- a/tests/test_target_rest.py
+++ b/tests/test_target_rest.py
@@ -113,6 +113,43 @@
         self.assertGreater(found.rests_for, REST / 2)
 
 
+class TestLeaving(unittest.TestCase):
+    def leaving_site(self, *names, **remote):
+        site = resting_site(**remote)
+        for name in names:
+            site.table.get(name).said_leaving = True
+        return site
+
+    def test_other_target_takes_the_request(self):
+        site = self.leaving_site("t1")
+        chosen = {site.place().target.info.incarnation for _ in range(20)}
+        self.assertEqual(chosen, {"t2"})
+
+    def test_list_that_says_ready_does_not_reopen_it(self):
+        """Guards against sending to a target that leaves as its list entry is old."""
+        site = self.leaving_site("t1", "t2", b=0)
+        site.update([info("t1"), info("t2")])
+        self.assertIsInstance(site.place(), RemotePlacement)
+
+    def test_new_start_of_the_target_is_used(self):
+        site = self.leaving_site("t1")
+        site.update([info("t1~2")])
+        self.assertEqual(site.place().target.info.incarnation, "t1~2")
+
+    @params((3, ()), (8, ("c1",)))
+    def test_scheduler_places_the_request_elsewhere(self, hosts, core):
+        """Guards against a scheduler that hasn't heard that a target leaves."""
+
+        async def main():
+            async with Region(hosts, 2, core=core) as region:
+                host = region.hosts[region.names[-1]]
+                host.table.get("t0").said_leaving = True
+                found = [await host.send(f"r{n}") for n in range(12)]
+                return {placement.target.info.incarnation for placement in found}
+
+        self.assertEqual(curio.run(main), {"t1"})
+
+
 class TestSend(unittest.TestCase):
     def test_request_is_not_sent_once_its_target_asks_for_rest(self):
         """Guards against a request that was placed before its host was turned away."""
