Bound the interim answers that a client reads

A target that sends interim answers (1xx) without end held a whole entry host: callers of other requests timed out, and its readiness check took seconds.

Cause: the loop that skips interim answers had no bound, and h11 parses 2,600 of them from one read before the event loop gets a turn. Class: a wait bounded by time alone, whose work isn't. The loop that skips stale answers had no bound either.

Change: 16 interim answers, then 4 stale ones, make an answer malformed.

--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -26,6 +26,11 @@
 from bronzepoint_common.http._wire import Wire
 
 BODYLESS_STATUSES = (204, 304)
+MAX_INTERIM_ANSWERS = 16
+"""Maximum number of interim answers (1xx) before an answer. A server that sends them
+without end would take all of the event loop's time."""
+MAX_STALE_ANSWERS = 4
+"""Maximum number of answers to earlier requests that are skipped on a connection."""
 
 
 class Unframed(Enum):
@@ -302,6 +307,7 @@
         self._max_idle = max_idle
         self._accept = accept
         self._sender: curio.Task | None = None
+        self._interim_answers = 0
         self._reused = False
         self._conn: h11.Connection
         self._wire: Wire
@@ -312,7 +318,11 @@
         try:
             await self._send()
             self._answer = await self._read_head()
+            skipped = 0
             while not self._is_accepted(self._answer):
+                skipped += 1
+                if skipped > MAX_STALE_ANSWERS:
+                    raise AnswerMalformed(self._address, "too many stale answers")
                 await self._skip_stale_answer()
                 self._answer = await self._read_head()
             await self._client._stall_monitor.add(self._answer)
@@ -413,6 +423,7 @@
 
     async def _read_head(self) -> ClientAnswer:
         received = False
+        self._interim_answers = 0
         while True:
             event = self._next_event()
             if event is not h11.NEED_DATA:
@@ -452,6 +463,9 @@
                 event = self._conn.next_event()
                 if not isinstance(event, h11.InformationalResponse):
                     return event
+                self._interim_answers += 1
+                if self._interim_answers > MAX_INTERIM_ANSWERS:
+                    raise AnswerMalformed(self._address, "too many interim answers")
         except h11.RemoteProtocolError as exc:
             raise AnswerMalformed(self._address, str(exc)) from exc
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -106,6 +106,7 @@
         ("no last chunk", CHUNKED + b"5\r\nwhole\r\n", AnswerCut),
         ("nothing", b"", AnswerCut),
         ("no HTTP", b"SSH-2.0-x\r\n\r\n", AnswerMalformed),
+        ("interim answers", b"HTTP/1.1 103 Hints\r\n\r\n" * 100, AnswerMalformed),
         ("bad chunk", CHUNKED + b"zz\r\n", AnswerMalformed),
         ("no length", b"HTTP/1.1 200 OK\r\n\r\nwhole", AnswerMalformed),
         ("too large", CHUNKED + b"1400\r\n" + b"x" * 0x1400, AnswerMalformed),
--- a/tests/test_http_client_targets.py
+++ b/tests/test_http_client_targets.py
@@ -215,6 +215,18 @@
 
         run(main)
 
+    def test_stale_answers_without_end_are_not_all_read(self):
+        """Guards against a server that keeps its client busy with stale answers."""
+
+        async def main():
+            stale = answer("other") * 50 + answer("two")
+            async with ScriptedServer([answer("one"), stale]) as script:
+                await self.fetch(script, "one")
+                with self.assertRaises(AnswerMalformed):
+                    await self.fetch(script, "two")
+
+        run(main)
+
     @params((10.0, 1), (0.0, 2))
     def test_a_connection_idle_for_too_long_is_not_reused(self, max_idle, accepted):
         async def main():
