Send long answers on instead of collecting them whole

Four endless answers took 1.1 to 1.4 GB of an entry host's memory in three seconds.

Cause: an answer that isn't a stream was collected without a bound on its bytes; its client's max_body holds for fetch only. Class: bounded by time, not by bytes.

Change: an answer is collected up to 1 MB, and 16 MB for all answers of a host together. Beyond that it is sent on as it arrives, at its caller's pace; a long error ends the try.

Before, growth of the host's memory beside four such answers, with a body without length, with chunks, and on a route without retries: 1,370, 1,126 and 1,130 MB.

--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -26,6 +26,7 @@
 from bronzepoint_schema.generated.target_loads import FirstToken, Hold
 from bronzepoint_schema.ids import HostName, RegionName
 
+from ._answer_buffer import BufferPool
 from ._authenticator import Authenticator
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec, CopyInstructions, TargetVerdict
@@ -118,6 +119,7 @@
         self._handover = handover
         self._forwarded_runs = forwarded_runs
         self._metrics = metrics
+        self._buffers = BufferPool()
 
     async def send(
         self, call: Call, placement: LocalPlacement | RemotePlacement, service: str
@@ -251,6 +253,7 @@
                 on_head,
                 on_stream,
                 may_send,
+                self._buffers,
             )
             watch = RunWatch(
                 attempt,
@@ -393,7 +396,12 @@
                 self._record_stream(call, origin)
 
         attempt = Try(
-            self._hosts, self._codec, call, _ignore_progress, on_stream=on_stream
+            self._hosts,
+            self._codec,
+            call,
+            _ignore_progress,
+            on_stream=on_stream,
+            buffers=self._buffers,
         )
         watch = RunWatch(
             attempt,
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -18,9 +18,10 @@
 )
 from bronzepoint_node.fleet import RouteKind
 
+from ._answer_buffer import AnswerBuffer, BufferPool
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec, TargetVerdict
-from ._host_headers import ARRIVED_HEADER, BLOCKED_HEADER, RAN_HEADER
+from ._host_headers import ARRIVED_HEADER, BLOCKED_HEADER, RAN_HEADER, RUNS_HEADER
 
 
 @dataclass(frozen=True)
@@ -58,6 +59,7 @@
         on_stream: Called with the headers of an answer before its first event is sent
             on.
         may_send: Returns whether the request may still be sent, once connected.
+        buffers: Memory for answers that are collected whole.
 
     Attributes:
         progress_at: Monotonic time at which the latest part of the answer came or was
@@ -76,6 +78,7 @@
         on_head: Callable[[TargetVerdict, ClientAnswer], None] | None = None,
         on_stream: Callable[[dict[str, str]], None] | None = None,
         may_send: Callable[[], bool] | None = None,
+        buffers: BufferPool | None = None,
     ) -> None:
         self._client = client
         self._codec = codec
@@ -84,6 +87,7 @@
         self._on_head = on_head
         self._on_stream = on_stream
         self._may_send = may_send
+        self._buffers = buffers or BufferPool()
         self.progress_at = monotonic()
         self.received_events = 0
         self.is_sending_on = False
@@ -165,16 +169,53 @@
         is_stream = call.route.kind is RouteKind.STREAM and answer.status // 100 == 2
         if is_stream and may_be_events(answer.headers):
             return await self._stream_events(answer)
-        parts = []
+        return await self._collect(answer)
+
+    async def _collect(self, answer: ClientAnswer) -> Answered | MayHaveRun:
+        """Read an answer whole, so that another try can replace it if it breaks off.
+
+        A long one is sent on as it arrives, as it would take too much memory.
+        """
+        with self._buffers.open() as buffer:
+            async for piece in answer.chunks():
+                self.progress_at = monotonic()
+                if buffer.add(piece):
+                    continue
+                if answer.status // 100 == 5:
+                    # Nobody needs the rest of an error.
+                    return MayHaveRun("too_long")
+                return await self._send_on(answer, buffer)
+            self._on_progress(0, 0.0)
+            headers = self._codec.answer_headers(answer.headers)
+            return Answered(
+                answer.status,
+                headers,
+                buffer.take(),
+                ended_by_close=answer.framing is Framing.CONNECTION_CLOSE,
+            )
+
+    async def _send_on(self, answer: ClientAnswer, buffer: AnswerBuffer) -> Answered:
+        """Send an answer to the caller piece by piece, from its beginning."""
+        exchange = self._call.exchange
+        headers = self._codec.answer_headers(answer.headers)
+        shown = {name: v for name, v in headers.items() if name != RUNS_HEADER}
+        self.is_sending_on = True
+        await exchange.start_stream(answer.status, self._call.answer_headers(shown))
+        await exchange.send(buffer.take())
+        self.is_sending_on = False
         async for piece in answer.chunks():
+            self.is_sending_on = True
+            await exchange.send(piece)
+            self.is_sending_on = False
             self.progress_at = monotonic()
-            parts.append(piece)
         self._on_progress(0, 0.0)
-        headers = self._codec.answer_headers(answer.headers)
+        self.is_sending_on = True
+        await exchange.end()
         return Answered(
             answer.status,
             headers,
-            b"".join(parts),
+            b"",
+            streamed=True,
             ended_by_close=answer.framing is Framing.CONNECTION_CLOSE,
         )
 
--- a/tests/test_endless_answers_processes.py
+++ b/tests/test_endless_answers_processes.py
@@ -46,6 +46,9 @@
 
 class TestEndlessAnswers(unittest.TestCase):
     @params(
+        ("/safe/", "body"),
+        ("/safe/", "chunks"),
+        ("/once/", "chunks"),
         ("/stream/", "event"),
         ("/safe/", "interim"),
         ("/stream/", "interim"),
