Bound the length of one event of a stream

An event that never ends was searched from its beginning with each piece, so that a host's time went with the square of its length, in both interfaces; memory was bounded by that alone (a stream without events once ended 5.4 s after its start where 4 s were asked).

--- a/packages/node/src/bronzepoint_node/entry/_relay.py
+++ b/packages/node/src/bronzepoint_node/entry/_relay.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from bronzepoint_common.events import EventSplitter, is_event_stream
+from bronzepoint_common.events import EventSplitter, EventTooLong, is_event_stream
 from bronzepoint_common.http import AnswerCut, AnswerMalformed, ClientAnswer, Exchange
 from bronzepoint_node.entry._outcomes import Answered
 from bronzepoint_node.entry._usage import completion_tokens
@@ -103,6 +103,7 @@
 
     Raises:
         AnswerCut: The stream ended inside an event, so it was broken off.
+        AnswerMalformed: An event is too long.
     """
     events = EventSplitter()
     first_byte = None
@@ -110,7 +111,10 @@
         if first_byte is None:
             first_byte = time.monotonic() - sent_at
             answer.timeout = STALL_TIMEOUT
-        complete = events.feed(piece)
+        try:
+            complete = events.feed(piece)
+        except EventTooLong as exc:
+            raise AnswerMalformed(answer.address, str(exc)) from exc
         if complete and not exchange.started:
             await exchange.start_stream(answer.status, headers)
         await exchange.send(complete)
@@ -138,7 +142,7 @@
     """Read a complete response, which is sent to the caller later.
 
     Raises:
-        AnswerMalformed: It is longer than MAX_COLLECTED.
+        AnswerMalformed: It is longer than MAX_COLLECTED, or an event is too long.
         AnswerCut: It is an event stream that ends inside an event.
     """
     chunks = []
@@ -157,7 +161,10 @@
     body = b"".join(chunks)
     if is_event_stream(answer.headers):
         events = EventSplitter()
-        events.feed(body)
+        try:
+            events.feed(body)
+        except EventTooLong as exc:
+            raise AnswerMalformed(address, str(exc)) from exc
         if events.is_inside_event:
             raise AnswerCut(address)
     return Answered(answer.status, headers, body, first_byte=first_byte)
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from bronzepoint_common.clock import monotonic
-from bronzepoint_common.events import may_be_events
+from bronzepoint_common.events import EventTooLong, may_be_events
 from bronzepoint_common.http import (
     AnswerCut,
     AnswerMalformed,
@@ -130,7 +130,7 @@
             return MayHaveRun("timeout", timed_out=True, unread=True)
         except AnswerCut:
             return MayHaveRun("cut")
-        except AnswerMalformed:
+        except (AnswerMalformed, EventTooLong):
             return MayHaveRun("malformed")
 
     def _before_send(self) -> None:
--- a/tests/test_relay_events.py
+++ b/tests/test_relay_events.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from bronzepoint_common.events import EventSplitter
+from bronzepoint_common.events import MAX_EVENT, EventSplitter, EventTooLong
 
 ONE = b"id: 1\ndata: a\n\n"
 TWO = b"id: 2\r\ndata: b\r\n\r\n"
@@ -23,6 +23,24 @@
         self.assertEqual([splitter.feed(piece) for piece in pieces], expected)
         self.assertEqual((splitter.last_id, splitter.remainder()), (last, remainder))
 
+    def test_events_are_found_in_pieces_of_any_size(self):
+        """Guards against an end between two pieces that is missed, or counted twice."""
+        data = ONE + TWO + b"data: a\r\rdata: b\r\r" + ONE
+        for size in range(1, len(data)):
+            splitter = EventSplitter()
+            pieces = [data[at : at + size] for at in range(0, len(data), size)]
+            found = b"".join(splitter.feed(piece) for piece in pieces)
+            self.assertEqual((found, splitter.count), (data, 5))
+
+    def test_event_without_end_is_an_error(self):
+        """Guards against a target whose event never ends and fills the memory."""
+        splitter = EventSplitter()
+        splitter.feed(ONE + b"x" * MAX_EVENT)
+        with self.assertRaises(EventTooLong):
+            splitter.feed(b"x")
+        splitter.discard_partial()
+        self.assertEqual((splitter.feed(TWO), splitter.count), (TWO, 2))
+
     @params(
         (b"", False),
         (ONE, False),
