Tell requests with the same body apart by the parts of their prompts

Requests are taken for one that is repeated if their content is the same, and the crashes of one request aren't held against its parts. Where only the header with the parts differs, requests of different callers would count as one. Found by reading, not seen in a run.

--- a/packages/node/src/bronzepoint_node/quarantine/__init__.py
+++ b/packages/node/src/bronzepoint_node/quarantine/__init__.py
@@ -4,7 +4,6 @@
 from ._crash_table import CrashTable
 from ._fingerprint import (
     RequestFingerprints,
-    fingerprint_parts,
     fingerprint_request,
     is_any_caller,
     is_combination,
@@ -31,7 +30,6 @@
     "TrialEnd",
     "WatchedRun",
     "PART_TRIAL_INTERVAL",
-    "fingerprint_parts",
     "fingerprint_request",
     "is_any_caller",
     "is_combination",
--- a/packages/node/src/bronzepoint_node/quarantine/_fingerprint.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_fingerprint.py
@@ -31,23 +31,35 @@
         exact: Fingerprint of the content and the caller.
         content: Fingerprint of the content alone, as a caller's address may change.
         parts: Fingerprints of the parts of its prompt that other requests may share.
+        tag: Short name of the request in the records of its parts.
     """
 
     exact: Fingerprint = Fingerprint("")
     content: Fingerprint = Fingerprint("")
     parts: tuple[Fingerprint, ...] = ()
-
-    @property
-    def tag(self) -> str:
-        """Short name of the request in the records of its parts."""
-        start = len(ANY_CALLER_PREFIX)
-        return self.content[start : start + TAG_CHARACTERS]
+    tag: str = ""
 
     @property
     def without_parts(self) -> "RequestFingerprints":
         """Fingerprints of the request itself."""
         return RequestFingerprints(self.exact, self.content)
 
+    def with_parts(self, service: str, names: list[str]) -> "RequestFingerprints":
+        """Add the parts of the prompt to the fingerprints.
+
+        Args:
+            service: Service that runs the prompt.
+            names: Names of all parts; the last one is specific to the request.
+        """
+        # Requests with the same body may have different prompts.
+        digest = blake2b("\0".join([self.content, *names]).encode()).hexdigest()
+        return RequestFingerprints(
+            self.exact,
+            self.content,
+            fingerprint_parts(service, names[:-1]),
+            digest[:TAG_CHARACTERS],
+        )
+
     def __str__(self) -> str:
         return f"{self.exact} {self.content}"
 
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -3,15 +3,13 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from msgspec.structs import replace
-
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.events import EventSplitter
 from bronzepoint_common.http import Exchange
 from bronzepoint_node.fleet import Organisation, RouteKind, ServedRoute
 from bronzepoint_node.forwarded_runs import ForwardedSend
 from bronzepoint_node.placement import select_service
-from bronzepoint_node.quarantine import RequestFingerprints, fingerprint_parts
+from bronzepoint_node.quarantine import RequestFingerprints
 from bronzepoint_node.quota import Charge
 from bronzepoint_node.retries import Delivery
 from bronzepoint_node.stream_origins import StreamOrigin, origin_key
@@ -216,9 +214,9 @@
     def identify_parts(self) -> None:
         """Add the fingerprints of the prompt's shared parts, for the service used."""
         prompt = self.head.prompt
-        names = [part.name for part in prompt.parts[:-1]] if prompt is not None else []
-        parts = fingerprint_parts(self.service, names)
-        self.fingerprints = replace(self.fingerprints, parts=parts)
+        if prompt is not None:
+            names = [part.name for part in prompt.parts]
+            self.fingerprints = self.fingerprints.with_parts(self.service, names)
 
     def progress(self) -> Progress:
         """Return the current counters of the request."""
--- a/tests/test_quarantine_parts.py
+++ b/tests/test_quarantine_parts.py
@@ -24,10 +24,13 @@
     SuspicionLevel,
     TrialEnd,
     WatchedRun,
-    fingerprint_parts,
 )
 from bronzepoint_node.quarantine._crash_table import MAX_RECORDS, MAX_SOUND_PARTS
-from bronzepoint_node.quarantine._fingerprint import MAX_PARTS, combine_parts
+from bronzepoint_node.quarantine._fingerprint import (
+    MAX_PARTS,
+    combine_parts,
+    fingerprint_parts,
+)
 from bronzepoint_schema.generated.fleet import TargetInfo
 from bronzepoint_schema.generated.quarantine import TrialReply
 from tests.test_quarantine_admission import StubPeers
@@ -43,7 +46,7 @@
 def request(names, number=0):
     """Return the fingerprints of a request with these parts, unlike any other one."""
     name = f"{number:08x}"
-    return RequestFingerprints(name, f"*{name}", parts(names))
+    return RequestFingerprints(name, f"*{name}").with_parts("s", [*names, name])
 
 
 def add_crash(table, target, runs, alone=(), at=NOW):
@@ -199,6 +202,16 @@
     def test_each_part_has_one(self, names, expected):
         self.assertEqual(len(parts(names)), expected)
 
+    def test_requests_with_the_same_body_are_told_apart(self):
+        """Guards against taking different prompts for one request that is repeated."""
+        body = RequestFingerprints("q", "*q")
+        tags = {body.with_parts("s", ["a", own]).tag for own in ("x", "y", "x")}
+        self.assertEqual(len(tags), 2)
+
+    def test_last_part_is_no_shared_part(self):
+        found = RequestFingerprints("q", "*q").with_parts("s", ["a", "b", "own"])
+        self.assertEqual(found.parts, parts("ab"))
+
     def test_long_name_is_shortened(self):
         (part,) = parts(["p" * 10_000])
         self.assertLess(len(part), 100)
@@ -226,10 +239,11 @@
 
 class TestAdmission(unittest.TestCase):
     def crash_targets(self, quarantine, names, count, alone=False):
+        first = monotonic() - count
         for number in range(count):
             run = run_early(names, number, alone)
             info = target(f"t{number}")
-            quarantine.note_crash(Crash(info, NOW + number, [run]))
+            quarantine.note_crash(Crash(info, first + number, [run]))
 
     def test_harmful_part_is_refused_with_its_cause(self):
         async def main():
