Judge by all hosts' records whether a request ran at several targets of an outage

Cause: what isn't heard yet was read as 'ran nowhere else', and a cleared crash can't be taken back.

Change: crashes of an outage are marked as such, and whether they count follows from the joined record, in any order. test_data_center_outage_makes_no_request_a_suspect had two outages in one instant, which are one outage; its second one is 10 s later now, with the same expectation.

--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -208,16 +208,14 @@
         self._after_change([fingerprint], now)
         return True
 
-    def clear_outage(self, targets: Iterable[str], now: float) -> list[Fingerprint]:
-        """Clear the crashes of targets that ended together in one outage.
-
-        Their cause is external, such as a power failure of the data center. A request
-        that ran on more than one of the targets stays under suspicion.
+    def record_outage(self, targets: Iterable[str], now: float) -> list[Fingerprint]:
+        """Record that targets ended together in one outage.
 
         Returns:
             Fingerprints of the requests that have changed.
         """
         wanted = set(targets)
+        outage = min(wanted)
         changed = []
         for record in self._records.values():
             if is_part(record.fingerprint):
@@ -226,9 +224,11 @@
             crash_records = [
                 record.crash_records[target]
                 for target in wanted & record.crash_records.keys()
+                if record.crash_records[target].outage != outage
             ]
-            if len(crash_records) == 1 and not crash_records[0].cleared:
-                crash_records[0].cleared = True
+            for crash_record in crash_records:
+                crash_record.outage = outage
+            if crash_records:
                 changed.append(record.fingerprint)
         self._after_change(changed, now)
         return changed
@@ -271,6 +271,7 @@
                     mark.cleared,
                     mark.tried,
                     frozenset(mark.requests),
+                    mark.outage,
                 )
                 if self._add(case.fingerprint, case.service, mark.target, received):
                     changed.add(case.fingerprint)
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -197,7 +197,7 @@
                 crash_records.setdefault(part, crash_record).merge(crash_record)
         now = monotonic()
         self._table.record_crash(crash_records, crash.target.service, target, now)
-        self._clear_outage(crash, now)
+        self._record_outage(crash, now)
         self._report(crash_records)
 
     def note_survived(self, fingerprints: RequestFingerprints) -> None:
@@ -233,18 +233,18 @@
                 self._metrics.incr("quarantine.cleared")
                 self._report([fingerprint])
 
-    def _clear_outage(self, crash: Crash, now: float) -> None:
-        """Clear the crashes if many targets of one data center ended together."""
+    def _record_outage(self, crash: Crash, now: float) -> None:
+        """Record an outage if many targets of one data center ended together."""
         self._recent_crashes.append(crash)
         data_center = crash.target.data_center
         crashed_together = {
             other.target.incarnation
             for other in self._recent_crashes
             if other.target.data_center == data_center
-            and now - other.at <= OUTAGE_WINDOW
+            and crash.at - other.at <= OUTAGE_WINDOW
         }
         if len(crashed_together) > MAX_INDEPENDENT_CRASHES:
-            self._report(self._table.clear_outage(crashed_together, now))
+            self._report(self._table.record_outage(crashed_together, now))
 
     def standing(self, fingerprints: RequestFingerprints) -> SuspicionLevel:
         """Return the current standing of a request."""
--- a/packages/node/src/bronzepoint_node/quarantine/_suspect_record.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_suspect_record.py
@@ -1,5 +1,6 @@
 """Crash records of a request, or of a prompt part, that ran when targets crashed."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from bronzepoint_schema.generated.quarantine import CrashCase, CrashMark
@@ -25,6 +26,8 @@
         cleared: Whether the crash no longer counts against the request.
         tried: Whether the trial permitted after the crash has been used up.
         requests: For a prompt part, tags of requests with it that had just begun.
+        outage: First by name of the targets of the data center that crashed at that
+            time; empty: not several did.
     """
 
     at: float
@@ -33,6 +36,7 @@
     cleared: bool = False
     tried: bool = False
     requests: frozenset[str] = frozenset()
+    outage: str = ""
 
     def merge(self, other: "CrashRecord") -> bool:
         """Merge another host's record of the same crash.
@@ -49,18 +53,26 @@
             self.cleared or other.cleared,
             self.tried or other.tried,
             frozenset(sorted(self.requests | other.requests)[:MAX_TAGS]),
+            min(filter(None, (self.outage, other.outage)), default=""),
         )
         changed = joined.flags != self.flags
         self.at, self.early, self.tried = joined.at, joined.early, joined.tried
         self.alone, self.cleared = joined.alone, joined.cleared
-        self.requests = joined.requests
+        self.requests, self.outage = joined.requests, joined.outage
         return changed
 
     @property
     def flags(self) -> tuple:
         """Return all that may change after the crash."""
         requests = tuple(sorted(self.requests))
-        return self.early, self.alone, self.cleared, self.tried, requests
+        return (
+            self.early,
+            self.alone,
+            self.cleared,
+            self.tried,
+            requests,
+            self.outage,
+        )
 
 
 @dataclass
@@ -81,8 +93,17 @@
 
     @property
     def active_crash_records(self) -> dict[str, CrashRecord]:
-        """Return the crashes that still count."""
-        return {name: m for name, m in self.crash_records.items() if not m.cleared}
+        """Return the crashes that still count.
+
+        One in an outage counts only if the request ran at another target that ended in
+        it. Otherwise its cause is external, such as a power failure.
+        """
+        runs = Counter(m.outage for m in self.crash_records.values())
+        return {
+            name: m
+            for name, m in self.crash_records.items()
+            if not m.cleared and (not m.outage or runs[m.outage] > 1)
+        }
 
     @property
     def early_crash_records(self) -> dict[str, CrashRecord]:
@@ -137,6 +158,7 @@
                     crash_record.cleared,
                     crash_record.tried,
                     sorted(crash_record.requests),
+                    crash_record.outage,
                 )
                 for name, crash_record in self.crash_records.items()
             ],
--- a/tests/test_quarantine_admission.py
+++ b/tests/test_quarantine_admission.py
@@ -212,10 +212,11 @@
         """Guards against a power failure that makes suspects of all its requests."""
         quarantine, table, _ = make_quarantine()
         for outage in range(2):
+            at = monotonic() + 10 * outage
             for number in range(3):
                 info = target(f"t{outage}{number}", data_center or f"x-{number}")
                 run = failed_run(f"of {number}")
-                quarantine.note_crash(Crash(info, monotonic(), [run]))
+                quarantine.note_crash(Crash(info, at, [run]))
         self.assertIs(table.standing("of 1"), expected)
 
     def test_outage_clears_no_request_that_ran_at_its_targets_on_other_hosts(self):
--- a/tests/test_quarantine_table.py
+++ b/tests/test_quarantine_table.py
@@ -117,7 +117,7 @@
             targets = [f"t{outage}{n}" for n in range(3)]
             for target in targets:
                 add_crash(table, target, [f"of {target[-1]}"])
-            table.clear_outage(targets, NOW)
+            table.record_outage(targets, NOW)
         self.assertIs(table.standing("of 1"), SuspicionLevel.CLEAR)
 
     def test_concurrent_copies_do_not_count_as_an_outage(self):
@@ -125,7 +125,7 @@
         targets = ["t1", "t2", "t3", "t4", "t5"]
         for target in targets:
             add_crash(table, target, "q")
-        table.clear_outage(targets, NOW)
+        table.record_outage(targets, NOW)
         self.assertIs(table.standing("q"), SuspicionLevel.HELD)
 
     @params((0.5, SuspicionLevel.HELD, 300.0), (1.01, SuspicionLevel.CLEAR, 0.0))
