Heed a target's Retry-After in our own interface, too

A target that answered 503 with Retry-After got further requests at once; callers were told the time. Cause and class as on the platform's path: heard, and not used where the next target is chosen. While a target rests it has no capacity for this host.

--- a/packages/node/src/bronzepoint_node/entry/_dependencies.py
+++ b/packages/node/src/bronzepoint_node/entry/_dependencies.py
@@ -106,8 +106,16 @@
     def finish(self, name: TargetName, result: TryResult, seconds: float) -> None:
         """Remove a request from those in progress; its result may eject the target."""
 
-    def record_answer(self, name: TargetName, headers: Mapping[str, str]) -> None:
-        """Update a target's state from the headers of its response."""
+    def record_answer(
+        self, name: TargetName, headers: Mapping[str, str], rest: float
+    ) -> None:
+        """Update a target's state from its response.
+
+        Args:
+            name: The target.
+            headers: Headers of the response.
+            rest: Seconds for which it wants no requests of this host; 0: none.
+        """
 
     def statuses(self) -> list[TargetStatus]:
         """Return the status of all targets that this host monitors."""
--- a/packages/node/src/bronzepoint_node/entry/_local_tries.py
+++ b/packages/node/src/bronzepoint_node/entry/_local_tries.py
@@ -103,7 +103,9 @@
             request.entry,
             request.call.idempotent,
             lambda reason: self._dependencies.policy.may_retry(ticket, reason),
-            lambda headers: self._dependencies.targets.record_answer(name, headers),
+            lambda headers, rest: self._dependencies.targets.record_answer(
+                name, headers, rest
+            ),
         )
 
         async def before_last_byte(status: int) -> None:
--- a/packages/node/src/bronzepoint_node/entry/_target_answer_check.py
+++ b/packages/node/src/bronzepoint_node/entry/_target_answer_check.py
@@ -10,6 +10,8 @@
 
 OVERLOADED = (429, 503)
 """HTTP statuses of a target that is overloaded or shutting down."""
+UNAVAILABLE = 503
+"""HTTP status with which a target may ask for a rest."""
 SERVER_ERROR = 500
 """Lowest HTTP status of a server error."""
 DEFAULT_RETRY_AFTER = 1.0
@@ -28,7 +30,8 @@
         entry: The entry that the target serves.
         idempotent: False: every response is relayed to the caller.
         may_retry: Returns whether the retry budget allows another try.
-        on_answer: Called with the headers of every response of the target.
+        on_answer: Called with the headers of every response of the target, and the
+            seconds for which it wants no requests of this host.
 
     Attributes:
         error: True: a relayed response counts as a failure for the target's health.
@@ -39,7 +42,7 @@
         entry: ModelEntry | ServiceEntry,
         idempotent: bool,
         may_retry: Callable[[RetryReason], bool],
-        on_answer: Callable[[dict[str, str]], None],
+        on_answer: Callable[[dict[str, str], float], None],
     ) -> None:
         self._is_model = isinstance(entry, ModelEntry)
         self._idempotent = idempotent
@@ -49,7 +52,8 @@
 
     async def check(self, answer: ClientAnswer) -> Failed | None:
         """Return the failure that a response means; None: it goes to the caller."""
-        self._on_answer(answer.headers)
+        rest = _retry_after(answer) if answer.status == UNAVAILABLE else None
+        self._on_answer(answer.headers, rest or 0.0)
         if not self._idempotent:
             return None
         if answer.status in OVERLOADED:
@@ -71,7 +75,7 @@
             reason,
             certain=self._is_model,
             granted=granted,
-            retry_after=_retry_after(answer),
+            retry_after=_retry_after(answer) or DEFAULT_RETRY_AFTER,
         )
 
     def _server_error(self, answer: ClientAnswer) -> Failed | None:
@@ -87,8 +91,7 @@
         )
 
 
-def _retry_after(answer: ClientAnswer) -> float:
+def _retry_after(answer: ClientAnswer) -> float | None:
+    """Return the seconds of a Retry-After header; None: it has no usable one."""
     text = answer.headers.get("retry-after", "")
-    if text.isascii() and text.isdigit():
-        return float(text)
-    return DEFAULT_RETRY_AFTER
+    return float(text) if text.isascii() and text.isdigit() else None
--- a/packages/node/src/bronzepoint_node/targets/_targets.py
+++ b/packages/node/src/bronzepoint_node/targets/_targets.py
@@ -158,11 +158,20 @@
         tracked.health.note(result, seconds)
         self._eject_failing(name)
 
-    def record_answer(self, name: TargetName, headers: Mapping[str, str]) -> None:
-        """Record the notice of a target in the headers of any of its answers."""
+    def record_answer(
+        self, name: TargetName, headers: Mapping[str, str], rest: float = 0.0
+    ) -> None:
+        """Record what a target says of itself in any of its answers.
+
+        Args:
+            name: The target.
+            headers: Headers of the answer.
+            rest: Seconds for which it wants no requests of this host; 0: none.
+        """
         tracked = self._tracked.get(name)
         if tracked is None:
             return
+        tracked.record_rest(rest, time.monotonic())
         if headers.get(LEAVING_HEADER, "") not in _NOT_LEAVING_VALUES:
             tracked.leaving.record_header(tracked.target_now(time.time()))
             self._publish_notices(tracked)
--- a/packages/node/src/bronzepoint_node/targets/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/targets/_tracked_target.py
@@ -32,6 +32,7 @@
         self.memory = PrefixCacheEstimate(max_blocks)
         self.report: LoadReport | None = None
         self.failed_polls = 0
+        self._rests_until = -math.inf
         self._reported_at = 0.0
         self._was_unavailable = False
 
@@ -51,6 +52,10 @@
             self.report = report
             self._reported_at = unix_time
 
+    def record_rest(self, seconds: float, now: float) -> None:
+        """Record that it wants no requests of this host for some seconds."""
+        self._rests_until = max(self._rests_until, now + seconds)
+
     def target_now(self, unix_time: float) -> float:
         """Estimate the Unix time by the target's clock from its last report.
 
@@ -116,6 +121,8 @@
         )
         if self.health.state is HealthState.returning:
             view.allowed = self.health.allowed
+        if now < self._rests_until:
+            view.allowed = 0
         if self.report is not None:
             view.running = self.report.running
             view.waiting = self.report.waiting
--- a/tests/_entry_site.py
+++ b/tests/_entry_site.py
@@ -186,7 +186,7 @@
         self.in_flight[name] -= 1
         self.results.append((name, result.value))
 
-    def record_answer(self, name, headers) -> None:
+    def record_answer(self, name, headers, rest) -> None:
         if "x-leaving" in headers:
             self.reported_leaving.append(name)
 
