Don't eject a target because runs on it were moved

Streams that pause 1.4 s are moved to another target.

Cause: silence of one run was read as a fault of its target. Class: absence as a fact. Change: a run that is left is no failure if the target has answered anything since it fell silent; a first event counts as an answer, too.

What is left: all streams that pause are still moved, so a slow target's work is done twice.

--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -207,6 +207,7 @@
                 target.note_events(events, seconds, monotonic())
                 return
             first = monotonic()
+            target.record_contact(first)
             target.load.note_started(run_id, first)
             elapsed_ms = round((first - now) * 1000)
             before = round(placement.tokens_before)
@@ -267,6 +268,8 @@
             outcome = await self._run(call, watch, attempt.run(destination))
             _note_progress(call, attempt, outcome)
             result = _result_of(outcome)
+            if call.successor is not None:
+                result = _result_of_left_run(target, attempt.progress_at)
         finally:
             target.load.end(run_id)
             target.trials.discard(watched)
@@ -541,6 +544,16 @@
             return TryResult.cut
 
 
+def _result_of_left_run(target: TrackedTarget, silent_since: float) -> TryResult:
+    """Return the result of a run that was left for another place.
+
+    A target that has answered anything since is slow, and works on what was left.
+    """
+    if target.last_contact_at > silent_since:
+        return TryResult.cancelled
+    return TryResult.timeout
+
+
 def _update_runs(call: Call, headers: dict[str, str]) -> None:
     """Update the number of runs from another region's answer, without the last run.
 
--- a/tests/test_slow_targets_processes.py
+++ b/tests/test_slow_targets_processes.py
@@ -33,6 +33,10 @@
 WHOLE = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 STREAMS = 4
 """Streams that are requested at once; all of them fit on one target."""
+STAGGERED_STREAMS = 16
+"""Streams that are requested one after another."""
+STAGGER = 0.25
+"""Seconds between the starts of two of them. So some of them always send events."""
 MID_STREAM = 3
 """Event before which a target pauses in the middle of a stream."""
 FOR_GOOD = 60.0
@@ -182,6 +186,25 @@
 
         run(main)
 
+    def test_a_target_that_pauses_is_not_ejected(self):
+        """Guards against ejecting a target that works, since its runs were moved."""
+
+        async def main():
+            async with SlowSite(2) as site:
+                await site.serve_routes()
+                site.let_targets_pause(1.4)
+                tasks = []
+                for _ in range(STAGGERED_STREAMS):
+                    tasks.append(await curio.spawn(site.answer, "entry", PATHS[3]))
+                    await curio.sleep(STAGGER)
+                found = [await task.join() for task in tasks]
+                expected = [(200, WHOLE)] * STAGGERED_STREAMS
+                self.assertEqual(found, expected, site.log_lines())
+                lines = site.lines("entry")
+                self.assertNotIn("target ejected", [line["message"] for line in lines])
+
+        run(main)
+
     @params(*ENTRIES)
     def test_a_stream_that_pauses_beside_a_change_of_the_catalogue_goes_on(self, host):
         async def main():
