--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -132,12 +132,22 @@
         try:
             await self.until_put(manifest(1), MAX_START_WAIT)
             await self.until(self._is_ready)
+            self._check_running()
         except AssertionError as exc:
             diagnostics = self.diagnostics()
             await self.__aexit__()
             raise AssertionError(f"the site did not start: {diagnostics}") from exc
         return self
 
+    def _check_running(self):
+        """Check that no process has ended.
+
+        Processes that another run has left could answer at its address instead.
+        """
+        ended = [name for name, p in self.processes.items() if p.poll() is not None]
+        if ended:
+            raise AssertionError(f"{ended} ended at the start")
+
     def diagnostics(self):
         """Return exit status and last log output of each process, for failures."""
         return {
