--- a/packages/common/src/bronzepoint_common/events.py
+++ b/packages/common/src/bronzepoint_common/events.py
@@ -6,7 +6,7 @@
 """Content type of a stream of server-sent events."""
 _END = re.compile(rb"\r?\n\r?\n|\r\r")
 _LINE_END = re.compile(rb"\r\n|\r|\n")
-MAX_EVENT = 256 << 10
+MAX_EVENT = 1 << 20
 """Maximum bytes of one event, which is held back until it is complete."""
 SEPARATOR_SIZE = 4
 """Maximum bytes of the end of an event."""
