--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -270,7 +270,7 @@
                     mark.alone,
                     mark.cleared,
                     mark.tried,
-                    frozenset(mark.requests),
+                    tuple(mark.requests),
                     mark.outage,
                 )
                 if self._add(case.fingerprint, case.service, mark.target, received):
--- a/packages/node/src/bronzepoint_node/quarantine/_part_standing.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_part_standing.py
@@ -83,7 +83,7 @@
     crash_records = record.early_crash_records.values()
     if len(crash_records) < MIN_CRASHES_SUSPECT:
         return False
-    return not frozenset.intersection(*(crash.requests for crash in crash_records))
+    return not set.intersection(*(set(crash.requests) for crash in crash_records))
 
 
 def _proven_sets(suspects: dict[Fingerprint, SuspectRecord]) -> list[Parts]:
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -192,7 +192,7 @@
                     crash.at,
                     early=True,
                     alone=run.is_alone,
-                    requests=frozenset([run.fingerprints.tag]),
+                    requests=(run.fingerprints.tag,),
                 )
                 crash_records.setdefault(part, crash_record).merge(crash_record)
         now = monotonic()
--- a/packages/node/src/bronzepoint_node/quarantine/_suspect_record.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_suspect_record.py
@@ -11,7 +11,7 @@
 after the last crash attributed to it."""
 MAX_CRASH_RECORDS = 8
 """Maximum number of crashes kept for one request; a few are enough to decide."""
-MAX_TAGS = 8
+MAX_TAGS = 4
 """Maximum number of requests listed for a crash of a prompt part."""
 
 
@@ -35,7 +35,7 @@
     alone: bool = False
     cleared: bool = False
     tried: bool = False
-    requests: frozenset[str] = frozenset()
+    requests: tuple[str, ...] = ()
     outage: str = ""
 
     def merge(self, other: "CrashRecord") -> bool:
@@ -52,7 +52,7 @@
             self.alone or other.alone,
             self.cleared or other.cleared,
             self.tried or other.tried,
-            frozenset(sorted(self.requests | other.requests)[:MAX_TAGS]),
+            tuple(sorted({*self.requests, *other.requests})[:MAX_TAGS]),
             min(filter(None, (self.outage, other.outage)), default=""),
         )
         changed = joined.flags != self.flags
@@ -64,13 +64,12 @@
     @property
     def flags(self) -> tuple:
         """Return all that may change after the crash."""
-        requests = tuple(sorted(self.requests))
         return (
             self.early,
             self.alone,
             self.cleared,
             self.tried,
-            requests,
+            self.requests,
             self.outage,
         )
 
@@ -157,7 +156,7 @@
                     crash_record.alone,
                     crash_record.cleared,
                     crash_record.tried,
-                    sorted(crash_record.requests),
+                    list(crash_record.requests),
                     crash_record.outage,
                 )
                 for name, crash_record in self.crash_records.items()
--- a/tests/test_quarantine_parts.py
+++ b/tests/test_quarantine_parts.py
@@ -62,9 +62,7 @@
     crash_records = {}
     for tag, names in runs.items():
         for part in parts(names):
-            record = CrashRecord(
-                at, True, tag in alone, requests=frozenset([f"{tag:08}"])
-            )
+            record = CrashRecord(at, True, tag in alone, requests=(f"{tag:08}",))
             crash_records.setdefault(part, record).merge(record)
     table.record_crash(crash_records, "s", target, at)
 
