--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -187,12 +187,7 @@
                 return await self._send_on(answer, buffer)
             self._on_progress(0, 0.0)
             headers = self._codec.answer_headers(answer.headers)
-            return Answered(
-                answer.status,
-                headers,
-                buffer.take(),
-                ended_by_close=answer.framing is Framing.CONNECTION_CLOSE,
-            )
+            return _answered(answer, headers, buffer.take())
 
     async def _send_on(self, answer: ClientAnswer, buffer: AnswerBuffer) -> Answered:
         """Send an answer to the caller piece by piece, from its beginning."""
@@ -211,13 +206,7 @@
         self._on_progress(0, 0.0)
         self.is_sending_on = True
         await exchange.end()
-        return Answered(
-            answer.status,
-            headers,
-            b"",
-            streamed=True,
-            ended_by_close=answer.framing is Framing.CONNECTION_CLOSE,
-        )
+        return _answered(answer, headers, streamed=True)
 
     async def _stream_events(self, answer: ClientAnswer) -> Answered | MayHaveRun:
         """Send each complete event to the caller as it arrives.
@@ -260,19 +249,23 @@
             await exchange.start_stream(answer.status, call.stream_headers(headers))
         await exchange.send(call.events.remainder())
         await exchange.end()
-        return Answered(
-            answer.status,
-            headers,
-            b"",
-            streamed=True,
-            ended_by_close=answer.framing is Framing.CONNECTION_CLOSE,
-        )
+        return _answered(answer, headers, streamed=True)
 
     def _note_stream(self, headers: dict[str, str]) -> None:
         if self._on_stream is not None:
             self._on_stream(headers)
 
 
+def _answered(
+    answer: ClientAnswer,
+    headers: dict[str, str],
+    body: bytes = b"",
+    streamed: bool = False,
+) -> Answered:
+    by_close = answer.framing is Framing.CONNECTION_CLOSE
+    return Answered(answer.status, headers, body, streamed, by_close)
+
+
 def _retry_after(headers: dict[str, str]) -> float:
     try:
         return max(0.0, float(headers.get("retry-after", "0")))
