Don't send a long answer on after a part of a stream

A caller that has a part of a stream would get the bytes of another answer after it, if the try that takes the stream up is answered by something that is no stream and is longer than 1 MB (or than what is left of 16 MB for all answers).

Found by reading the diff again, not seen in a run of hosts. Ruled out: shorter answers, which Relay._finish doesn't send to a caller that has a part of a stream.

Change: such an answer ends its try, as a long error does.

test_long_answer_does_not_follow_a_part_of_another_one failed before (Answered, 4 MB sent on) and passes after, with the six other tests of long answers.

--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -42,7 +42,7 @@
     "held": "the other region has blocked it, as targets crashed when they ran it",
     "cut": "the connection broke after it was sent, so it may have run",
     "cut_in_event": "the stream ended inside an event, so the rest of it was missing",
-    "too_long": "the target's error was longer than this host collects",
+    "too_long": "an answer that can't be sent on was longer than this host collects",
     "malformed": "the answer wasn't valid HTTP",
     "other_answer": "the answer belonged to another request",
     "timeout": "no answer came in time",
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -181,8 +181,9 @@
                 self.progress_at = monotonic()
                 if buffer.add(piece):
                     continue
-                if answer.status // 100 == 5:
-                    # Nobody needs the rest of an error.
+                if answer.status // 100 == 5 or self._call.exchange.started:
+                    # Nobody needs the rest of an error, and only the rest of a stream
+                    # may follow a part of it.
                     return MayHaveRun("too_long")
                 return await self._send_on(answer, buffer)
             self._on_progress(0, 0.0)
--- a/tests/test_relay_long_answers.py
+++ b/tests/test_relay_long_answers.py
@@ -40,8 +40,16 @@
         self.ended = True
 
 
-async def relay(pool, status, pieces, is_cut=False):
-    """Relay an answer of some pieces; return its outcome and what the caller got."""
+async def relay(pool, status, pieces, is_cut=False, started=False):
+    """Relay an answer of some pieces; return its outcome and what the caller got.
+
+    Args:
+        pool: Memory for collected answers.
+        status: Status of the answer.
+        pieces: Number of its pieces.
+        is_cut: Whether the connection breaks instead of its end.
+        started: Whether the caller has got a part of another answer.
+    """
 
     async def answer(exchange):
         await exchange.start_stream(status, {"X-Bronzepoint-Request-Id": "id"})
@@ -57,6 +65,7 @@
     client = HttpClient(HttpLimits(), 1.0)
     now = monotonic()
     caller = Caller()
+    caller.started = started
     head = CallerHead("id", "h", 5.0, None, None, {})
     call = Call(caller, head, ROUTE, b"", now, now + 5.0, False, None)
     attempt = Try(client, PlatformCodec(), call, lambda *_: None, buffers=pool)
@@ -98,6 +107,13 @@
         self.assertEqual(outcome, MayHaveRun("too_long"))
         self.assertFalse(caller.started)
 
+    def test_long_answer_does_not_follow_a_part_of_another_one(self):
+        """Guards against a stream that goes on with an answer that is no stream."""
+        pieces = 4 * MAX_ANSWER // len(PIECE)
+        outcome, caller = curio.run(relay, BufferPool(), 200, pieces, False, True)
+        self.assertEqual(outcome, MayHaveRun("too_long"))
+        self.assertEqual(caller.received, b"")
+
     def test_all_answers_together_have_a_limit(self):
         """Guards against many answers that exhaust the memory together."""
         pool = BufferPool()
