End a trial only with the request that is on trial

A request whose parts are on trial for long runs beside that trial. If it was the same request as the one on trial (sent twice, for instance), its end ended the trial as well, and the next request with the parts could start a second one at once.

Cause: trials are kept by the content of their request, and a request beside a trial wasn't told from it. Class: one name for two things. Ruled out: a lost permit, as only trials without one are run beside.

Change: the admission says that a request runs beside a trial, and the relay leaves that trial alone.

test_trial_goes_on_as_a_request_beside_it_ends failed before (the part was on no trial any more) and passes after, with the 85 other tests of both modules; the test of long trials expects the new field.

--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -71,10 +71,13 @@
     Attributes:
         suspect: Whether it must run on a target without other suspects.
         by_permit: Whether a core host has granted a permit for this trial.
+        beside_trial: Whether the trial is that of another request with the same parts,
+            so that it doesn't end with this one.
     """
 
     suspect: bool = False
     by_permit: bool = False
+    beside_trial: bool = False
 
 
 @dataclass(frozen=True)
@@ -255,7 +258,8 @@
     ) -> Admission:
         """Return whether a request may be placed.
 
-        After the trial of a suspect, the caller must call ``end_trial``.
+        After the trial of a suspect, the caller must call ``end_trial``, unless the
+        suspect runs beside another trial.
 
         Args:
             fingerprints: Fingerprints of the request.
@@ -278,7 +282,7 @@
                 case SuspicionLevel.SUSPECT if fingerprints.content not in names:
                     # The trial of its parts takes long. Unlike a repeated request, most
                     # requests with a part that is suspect are sound.
-                    return Admitted(suspect=True)
+                    return Admitted(suspect=True, beside_trial=True)
                 case SuspicionLevel.DOUBTFUL if not is_busy and may_ask:
                     admission = await self._admit_by_permit(
                         fingerprints, names, has_permit
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -182,7 +182,7 @@
                 if await self._try_once(call, service, waited_until):
                     return
             finally:
-                if call.suspect:
+                if call.suspect and not admission.beside_trial:
                     end = _trial_end(call, before)
                     self._quarantine.end_trial(call.fingerprints, end)
                 # A permit is valid for one try: a second one may crash another target.
--- a/tests/test_quarantine_parts.py
+++ b/tests/test_quarantine_parts.py
@@ -302,6 +302,21 @@
 
         self.assertEqual(curio.run(main), Admitted())
 
+    def test_trial_goes_on_as_a_request_beside_it_ends(self):
+        """Guards against ending a trial because a copy beside it has ended."""
+
+        async def main():
+            _, quarantine = new_quarantine()
+            self.crash_targets(quarantine, "b", 2)
+            now = monotonic()
+            admissions = [await quarantine.admit(request("b", 7), now) for _ in "12"]
+            for admission in admissions[1:]:
+                if not admission.beside_trial:
+                    quarantine.end_trial(request("b", 7))
+            return quarantine._is_on_trial(frozenset(parts("b")))
+
+        self.assertTrue(curio.run(main))
+
     def test_suspect_part_does_not_wait_for_a_long_trial(self):
         """Guards against refusing all requests with a part during one's trial."""
 
@@ -311,7 +326,8 @@
             now = monotonic()
             return [await quarantine.admit(request("b", n), now) for n in (7, 8)]
 
-        self.assertEqual(curio.run(main), [Admitted(suspect=True)] * 2)
+        beside = Admitted(suspect=True, beside_trial=True)
+        self.assertEqual(curio.run(main), [Admitted(suspect=True), beside])
 
 
 class TestPermits(unittest.TestCase):
