--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -66,7 +66,7 @@
 arrive."""
 
 OWN_VERDICTS = frozenset({TargetVerdict.ANSWER, TargetVerdict.NOT_RUN})
-"""Verdicts on answers of the very start of a target that a request was sent to."""
+"""Verdicts on answers that the intended target sent, and not a replacement of it."""
 
 _log = get_logger("relay")
 
