Bound the time that busy targets spend on reading prompts

An engine reads a chunk of a prompt in each step while there are unread prompts, and a step with a chunk takes ten times as long. With many long prompts all slots stay taken by streams that hardly advance.

A target that has more than half of its slots in use now gets a long prompt only while recent prompts take less of its time than its streams leave: streams are to end before their deadlines, and as many are to end as are begun. The bound follows from the measured pace and from the sizes of the granted requests; it is 1 where there is little to write, and never below a half. The multiple of the deadline that a stream may be expected to take falls from 1.6 to 1 as the slots fill up.

--- a/packages/node/src/bronzepoint_node/placement/_engine_load.py
+++ b/packages/node/src/bronzepoint_node/placement/_engine_load.py
@@ -7,6 +7,7 @@
 from bronzepoint_schema.ids import HostName
 
 from ._load_sum import RANK_COUNT, CurrentPrompt, LoadSum
+from ._reading_share import ReadingShare
 
 NOTICE_EXPIRY = 3.0
 """Seconds after which the last report of a host is ignored, if no newer one arrives."""
@@ -46,10 +47,12 @@
     Attributes:
         runs: This host's requests.
         changed: This host's load differs from what it last reported.
+        reading: What it was given to read recently.
     """
 
     runs: dict[str, OwnRun] = field(default_factory=dict)
     changed: bool = False
+    reading: ReadingShare = field(default_factory=ReadingShare)
     _others: dict[HostName, tuple[float, TargetLoad]] = field(default_factory=dict)
     _total: LoadSum | None = None
     _total_valid_until: float = 0.0
@@ -61,6 +64,7 @@
         if not self._unstarted():
             self._reading_since = run.sent_at
         self.runs[run_id] = run
+        self.reading.note_reported(run.uncached, run.sent_at)
         self._mark_changed()
 
     def note_started(self, run_id: str, now: float) -> None:
@@ -96,6 +100,10 @@
 
     def apply_notice(self, host: HostName, load: TargetLoad, now: float) -> None:
         """Record the load report of another host."""
+        _, former = self._others.get(host, (now, None))
+        unread = sum(load.unread) - (sum(former.unread) if former else 0)
+        if unread > 0:
+            self.reading.note_reported(unread, now)
         self._others[host] = (now, load)
         self._total = None
 
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -25,6 +25,7 @@
 from ._fetch_source import fetch_source
 from ._local_request import LocalPlacementRequest
 from ._prompt import Prompt
+from ._reading_share import deadline_factor, is_light
 from ._service_estimates import ServiceEstimates
 from ._target_groups import order_groups
 from ._target_table import TargetTable
@@ -36,9 +37,9 @@
 """Seconds of extra delay accepted to save one second of reading a part that another
 target caches."""
 DEADLINE_FACTOR = 1.6
-"""Multiple of the remaining time that a stream may be expected to take. It is above
-1 because the callers' estimates of their answer lengths are accurate only at the
-median."""
+"""Multiple of the remaining time that a stream may be expected to take at a lightly
+loaded target. It is above 1 because the callers' estimates of their answer lengths are
+accurate only at the median. At a full target it is 1."""
 MIN_LIMITED_WAIT = 0.1
 """Minimum seconds until a request that all targets' limits exclude may be retried."""
 MAX_LIMITED_WAIT = 3.0
@@ -88,6 +89,7 @@
             usable = self._filter_usable(allowed, now)
             found = self._choose_in_group(request, usable, now)
             if isinstance(found, LocalPlacement):
+                self._note_granted(request, found, now)
                 return found
             is_late.append(found.late)
         return NoLocalTarget(
@@ -102,7 +104,8 @@
         self, request: LocalPlacementRequest, usable: list[TrackedTarget], now: float
     ) -> LocalResult:
         in_time = [t for t in usable if self._finishes_in_time(t, request, now)]
-        for candidates in self._candidate_sets(request, in_time, now):
+        admitted = [t for t in in_time if self._may_read(t, request, now)]
+        for candidates in self._candidate_sets(request, admitted, now):
             choice = self._choose_candidate(request, candidates, now)
             if choice.target is None and request.software_version:
                 # The stream can go on nowhere else than at a target of its version.
@@ -309,7 +312,46 @@
         rate = self._speeds.rate(target.info.service).tokens_per_second
         unread = target.load.tokens_before(LOWEST_RANK, rate, now)
         unread += prompt.tokens - target.memory.cached_tokens(prompt)
-        tokens = prompt.expected_output or prompt.max_output
-        events = tokens / engine.event_tokens
+        events = prompt.output_tokens / engine.event_tokens
         writing = events * target.pace.seconds_per_event(now)
-        return unread / rate + writing < DEADLINE_FACTOR * request.time_left
+        in_flight = target.load.in_flight(now)
+        factor = deadline_factor(in_flight, target.slots, DEADLINE_FACTOR)
+        return unread / rate + writing < factor * request.time_left
+
+    def _may_read(
+        self, target: TrackedTarget, request: LocalPlacementRequest, now: float
+    ) -> bool:
+        """Return whether a target may read one more prompt beside its streams.
+
+        A stream that goes on after a failure is admitted: its caller waits in the
+        middle of an answer.
+        """
+        prompt, engine = request.prompt, target.engine
+        if prompt is None or engine is None or request.software_version:
+            return True
+        service, in_flight = target.info.service, target.load.in_flight(now)
+        if is_light(in_flight, target.slots):
+            return True
+        return target.load.reading.admits(
+            prompt.tokens - target.memory.cached_tokens(prompt),
+            in_flight,
+            target.slots,
+            self._speeds.rate(service).tokens_per_second,
+            engine.event_tokens,
+            self._speeds.mix(service),
+            now,
+        )
+
+    def _note_granted(
+        self, request: LocalPlacementRequest, found: LocalPlacement, now: float
+    ) -> None:
+        """Record what the selected target has to read and write for a request."""
+        prompt, target = request.prompt, found.target
+        if prompt is None or target.engine is None or not target.engine.event_tokens:
+            return
+        unread = prompt.tokens - found.cached_tokens
+        events = prompt.output_tokens / target.engine.event_tokens
+        mix = self._speeds.mix(request.service)
+        mix.note_granted(unread, events, now)
+        mix.note_pace(target.pace.seconds_per_event(now), now)
+        target.load.reading.note_granted(unread, events, request.time_left, now)
--- a/packages/node/src/bronzepoint_node/placement/_prompt.py
+++ b/packages/node/src/bronzepoint_node/placement/_prompt.py
@@ -30,8 +30,13 @@
         """Name of the last shared part; empty if no part is shared."""
         return self.parts[-2].name if len(self.parts) > 1 else ""
 
+    @property
+    def output_tokens(self) -> int:
+        """Expected number of tokens to generate."""
+        return self.expected_output or self.max_output
+
     @property
     def memory_tokens(self) -> int:
         """Estimated memory in tokens, without the shared parts."""
         own = self.parts[-1].tokens if self.parts else self.tokens
-        return own + (self.expected_output or self.max_output)
+        return own + self.output_tokens
--- a/packages/node/src/bronzepoint_node/placement/_service_estimates.py
+++ b/packages/node/src/bronzepoint_node/placement/_service_estimates.py
@@ -5,6 +5,7 @@
 from bronzepoint_schema.ids import TargetName
 
 from ._reading_rate import ReadingRate
+from ._reading_share import StreamMix
 
 INITIAL_SECONDS_PER_TOKEN = 1 / 35_000
 """Seconds to read a prompt token, until it has been measured."""
@@ -29,6 +30,7 @@
         self.holds: list[Hold] = []
         self._times: dict[str, ServiceTimes] = {}
         self._rates: dict[str, ReadingRate] = {}
+        self._mixes: dict[str, StreamMix] = {}
 
     def times(self, service: str) -> ServiceTimes:
         """Return the duration estimates of a service."""
@@ -43,6 +45,13 @@
         """Return the rate at which the engines of a service read prompts."""
         return self._rates.setdefault(service, ReadingRate())
 
+    def mix(self, service: str) -> StreamMix:
+        """Return the sizes of the streams of a service."""
+        mix = self._mixes.get(service)
+        if mix is None:
+            mix = self._mixes[service] = StreamMix()
+        return mix
+
     def note_first_token(self, service: str, measured: FirstToken, now: float) -> None:
         """Record the time to the first token of a request of this host."""
         self.learn_first_token(service, measured, now)
