Share a service's queue fairly over organisations

The scheduler's queue knew neither the organisation of a request nor its cost, so one organisation at several times its use took the capacity of the others, and each request that asked while others waited could take capacity ahead of them.

TargetAsk names organisation, route, the route's priority and the objective. Within a rank requests go by the route's priority, then by start-time fair queueing over organisations by target seconds, with weights from the quotas. Where a catalogue has organisations, capacity that becomes free goes to waiting requests before new ones. Without organisations the order is by rank and arrival, as before.

Two tests that read the queue's private list now read in_order(), which returns the same.

--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -19,6 +19,7 @@
     Scheduler,
     SchedulerClient,
     TargetTable,
+    organisation_weights,
 )
 from bronzepoint_schema.generated.fleet import RegionLoad
 from bronzepoint_schema.ids import DataCenterName, HostName, RegionName
@@ -69,6 +70,8 @@
         self._listed = listed
         self._served = served
         self._table = TargetTable()
+        self._weights: dict[str, float] = {}
+        self._weights_version = -1
         cold_limiter = ColdStartLimiter(name)
         self._placer = Placer(
             region,
@@ -90,6 +93,7 @@
             cold_limiter,
             reservations,
             self._exchange.staleness,
+            lambda organisation: self._weights.get(organisation, 1.0),
         )
         self._answers = SchedulerClient(
             peers,
@@ -133,6 +137,9 @@
         catalogue, closed = self._served()
         if listed is None or catalogue is None:
             return
+        if catalogue.version != self._weights_version:
+            self._weights = organisation_weights(catalogue.organisations)
+            self._weights_version = catalogue.version
         local = [
             t for t in listed.targets if self._zones.get(t.data_center) == self._region
         ]
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -19,6 +19,7 @@
     ReportUnreadable,
 )
 from ._load_exchange import LoadExchange
+from ._organisation_weights import organisation_weights
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
 from ._reservations import Reservations
@@ -55,5 +56,6 @@
     "TargetTable",
     "TrackedTarget",
     "is_unresponsive",
+    "organisation_weights",
     "select_service",
 ]
--- a/packages/node/src/bronzepoint_node/placement/_local_request.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_request.py
@@ -18,6 +18,11 @@
         suspect: It was in progress at several targets when they crashed. It is sent to
             a target without another suspect and with few other requests.
         software_version: The only software version that may serve it; empty: any.
+        organisation: Organisation of its caller; empty: unknown.
+        route: Name of its route; empty: unknown.
+        route_priority: Priority of its route, which decides within a rank.
+        objective: Seconds after its arrival within which its answer has its full value;
+            0: unknown.
     """
 
     request_id: str
@@ -29,6 +34,10 @@
     avoided: set[str]
     suspect: bool = False
     software_version: str = ""
+    organisation: str = ""
+    route: str = ""
+    route_priority: int = 0
+    objective: float = 0.0
 
     def allows(self, target: TargetInfo) -> bool:
         """Return whether a target has the software version that the request needs."""
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -25,6 +25,7 @@
 from ._fetch_source import fetch_source
 from ._local_request import LocalPlacementRequest
 from ._prompt import Prompt
+from ._request_cost import RequestCosts
 from ._service_estimates import ServiceEstimates
 from ._target_groups import order_groups
 from ._target_table import TargetTable
@@ -58,6 +59,9 @@
         host_count: Returns the number of entry hosts of the region.
         selecting_hosts: Returns the entry hosts that select targets themselves.
         rng: Random number generator.
+
+    Attributes:
+        costs: Costs of requests in target seconds.
     """
 
     def __init__(
@@ -77,6 +81,7 @@
         self._host_count = host_count
         self._selecting_hosts = selecting_hosts
         self._rng = rng
+        self.costs = RequestCosts(table, speeds)
 
     def choose(self, request: LocalPlacementRequest, now: float) -> LocalResult:
         """Return the target for a request, or why there is none."""
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -110,6 +110,10 @@
             avoided=request.tried,
             suspect=request.suspect,
             software_version=request.software_version,
+            organisation=request.organisation.name if request.organisation else "",
+            route=request.route.name,
+            route_priority=request.route.priority,
+            objective=request.route.objective,
         )
 
     def place(self, request: PlacementRequest, now: float) -> Placement:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -13,6 +13,7 @@
 from ._choice import LocalPlacement, LocalResult, NoLocalTarget
 from ._cold_start_limiter import ColdStartLimiter
 from ._engine_load import OwnRun
+from ._fair_order import FlowKey
 from ._local_request import LocalPlacementRequest
 from ._local_target_selector import LocalTargetSelector
 from ._prompt import Prompt, PromptPart
@@ -55,6 +56,7 @@
         cold: Rate limit for cold targets.
         reservations: Requests granted by this host.
         staleness: Returns the maximum age in seconds of this host's data about others.
+        weight: Returns the weight of an organisation.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         cold: ColdStartLimiter,
         reservations: Reservations,
         staleness: Callable[[float], float],
+        weight: Callable[[str], float] = lambda _: 1.0,
     ) -> None:
         self._name = name
         self._numbers = itertools.count()
@@ -71,6 +74,8 @@
         self._cold = cold
         self._reservations = reservations
         self._staleness = staleness
+        self._weight = weight
+        self._with_organisations: set[str] = set()
         self._queues: dict[str, RequestQueue] = {}
 
     async def find(self, request: LocalPlacementRequest, wait: float) -> LocalResult:
@@ -122,17 +127,19 @@
     async def _find(
         self, request: LocalPlacementRequest, wait: float, claim: Claim
     ) -> LocalResult:
-        found = self._choose(request, claim)
-        if wait <= 0 or not _lacks_capacity(found):
-            return found
-        queue = self._queues.setdefault(request.service, RequestQueue())
+        queue = self._queue(request.service)
+        queued = self._queued(request, wait, claim)
+        if request.organisation and self._is_behind(queue, queued):
+            # Capacity that has become free goes to the waiting requests first, or those
+            # who ask most often would get it.
+            await self._serve_queue(queue)
+        if not request.organisation or not self._is_behind(queue, queued):
+            self._try_grant(queue, queued)
+        if wait <= 0 or not _lacks_capacity(queued.found):
+            return queued.found
         if self._selector.seconds_to_drain(request.service, len(queue) + 1) > wait:
             # The request would not be served in time, so its host gets the answer now.
-            return replace(found, crowded=True)
-        until = monotonic() + min(wait, MAX_WAIT)
-        queued = _QueuedPlacement(
-            request.rank, request.arrived, until, request=request, claim=claim
-        )
+            return replace(queued.found, crowded=True)
         queue.join(queued)
         try:
             while _lacks_capacity(queued.found) and await queue.wait(queued):
@@ -154,9 +161,9 @@
         queue.polled_at = now
         failed = 0
         for queued in queue.in_order():
-            if not _lacks_capacity(queued.found):
+            if not queued.is_waiting:
                 continue
-            queued.found = self._choose(queued.request, queued.claim)
+            self._try_grant(queue, queued)
             if not _lacks_capacity(queued.found):
                 await queued.wakeup.set()
                 continue
@@ -165,13 +172,47 @@
             if failed == HEAD_COUNT:
                 return
 
-    def _choose(self, request: LocalPlacementRequest, claim: Claim) -> LocalResult:
+    def _queue(self, service: str) -> RequestQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = RequestQueue(self._weight)
+        return queue
+
+    def _queued(
+        self, request: LocalPlacementRequest, wait: float, claim: Claim
+    ) -> _QueuedPlacement:
+        """Return a request as the queue sees it, to be added if it has to wait."""
         now = monotonic()
-        found = self._selector.choose(request, now)
-        if isinstance(found, NoLocalTarget):
-            return found
-        claim(found)
-        return replace(found, staleness=self._staleness(now))
+        flow, route_priority = FlowKey(), 0
+        if request.organisation:
+            self._with_organisations.add(request.service)
+        if request.service in self._with_organisations:
+            route = "" if request.organisation else request.route
+            flow = FlowKey(request.organisation, route)
+            route_priority = request.route_priority
+        return _QueuedPlacement(
+            request.rank,
+            request.arrived,
+            now + min(wait, MAX_WAIT),
+            route_priority=route_priority,
+            flow=flow,
+            cost=self._selector.costs.cost(request.service, request.prompt, now),
+            request=request,
+            claim=claim,
+        )
+
+    def _is_behind(self, queue: RequestQueue, queued: _QueuedPlacement) -> bool:
+        return len(queue) > 0 and queue.order.is_behind_others(queued)
+
+    def _try_grant(self, queue: RequestQueue, queued: _QueuedPlacement) -> None:
+        """Grant a request the best target with free capacity, if there is one."""
+        now = monotonic()
+        found = self._selector.choose(queued.request, now)
+        if isinstance(found, LocalPlacement):
+            queue.grant(queued)
+            queued.claim(found)
+            found = replace(found, staleness=self._staleness(now))
+        queued.found = found
 
     def _reserve(
         self,
@@ -215,6 +256,10 @@
         avoided=sorted(request.avoided),
         suspect=request.suspect,
         software_version=request.software_version,
+        organisation=request.organisation,
+        route=request.route,
+        route_priority=request.route_priority,
+        objective_ms=int(request.objective * 1000),
     )
 
 
@@ -233,6 +278,10 @@
         avoided=set(query.avoided),
         suspect=query.suspect,
         software_version=query.software_version,
+        organisation=query.organisation,
+        route=query.route,
+        route_priority=query.route_priority,
+        objective=query.objective_ms / 1000,
     )
 
 
--- a/tests/test_relay_late_requests.py
+++ b/tests/test_relay_late_requests.py
@@ -76,7 +76,7 @@
             for order, each in enumerate(retries + new):
                 rank = each.rank(monotonic())
                 queue.join(QueuedRequest(rank, float(order), monotonic() + 1.0))
-            return [waiter.arrived for waiter in queue._queued]
+            return [waiter.arrived for waiter in queue.in_order()]
 
         self.assertEqual(curio.run(main), [*range(20, 25), *range(20)])
 
--- a/tests/test_relay_request_queue.py
+++ b/tests/test_relay_request_queue.py
@@ -61,7 +61,7 @@
             waiters = [waiter(number, rank) for number, rank in enumerate(ranks)]
             for each in waiters:
                 queue.join(each)
-            return [waiters.index(each) for each in queue._queued]
+            return [waiters.index(each) for each in queue.in_order()]
 
         self.assertEqual(curio.run(main), order)
 
