Forward requests only to reachable regions that report room

Cause: a request without room at home was forwarded at once, up to 1.5 requests per slot, to regions that refuse whatever finds no free slot, up to four times; it never waited in its own queue. With a cut link each forward cost a connection timeout, host after host. The requests that a region's hosts had sent since a report were guessed as the host's own times the number of hosts.

Change: a region that has refused a request, or in which a connection timed out, doesn't get that request again; the request waits in its own queue. A forward needs a reported free slot that the region's own forwards have not used up: the scheduler counts the asks that it couldn't serve, and names the count with its answer (`NoTarget.forwarded`). A region is skipped once connections to two of its hosts have timed out, and by all hosts of a region once its core hosts have heard no core host of the other region for 1.2 s (`NoTarget.silent_regions`). A refusal that concerns one host only (lagging, leaving, without catalogue) says so, and excludes that host only. A request refused for lack of room names the first region to have room again.

--- a/packages/cli/src/bronzepoint_cli/explain/_causes.py
+++ b/packages/cli/src/bronzepoint_cli/explain/_causes.py
@@ -39,6 +39,7 @@
     "withheld": "its target had just asked for a rest or begun to leave, so it wasn't "
     "sent there",
     "region_refused": "the other region had no free capacity",
+    "host_refused": "the host of the other region lagged or was about to stop",
     "held": "the other region has blocked it, as targets crashed when they ran it",
     "cut": "the connection broke after it was sent, so it may have run",
     "cut_in_event": "the stream ended inside an event, so the rest of it was missing",
--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -1,5 +1,6 @@
 """HTTP client with a pool of keep-alive connections."""
 
+import errno
 import math
 import socket
 from collections.abc import Callable
@@ -26,6 +27,8 @@
 from bronzepoint_common.http._wire import Wire
 
 BODYLESS_STATUSES = (204, 304)
+NO_ROUTE_ERRORS = (None, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
+"""Errors of a connection that nothing answered; None: this client's own timeout."""
 MAX_INTERIM_ANSWERS = 16
 """Maximum number of interim answers (1xx) before an answer. A server that sends them
 without end would take all of the event loop's time."""
@@ -253,7 +256,8 @@
         except (OSError, curio.TaskTimeout) as exc:
             await sock.close()
             detail = getattr(exc, "strerror", None) or "timed out"
-            raise ConnectFailed(address, detail) from None
+            timed_out = getattr(exc, "errno", None) in NO_ROUTE_ERRORS
+            raise ConnectFailed(address, detail, timed_out) from None
         except BaseException:
             await sock.close()
             raise
--- a/packages/common/src/bronzepoint_common/http/_errors.py
+++ b/packages/common/src/bronzepoint_common/http/_errors.py
@@ -83,9 +83,14 @@
 
 
 class ConnectFailed(HttpError):
-    """No connection was established: the request was certainly not sent."""
+    """No connection was established: the request was certainly not sent.
 
-    def __init__(self, address: str, detail: str) -> None:
+    Attributes:
+        timed_out: Nothing answered, so the server may be partitioned from this host.
+    """
+
+    def __init__(self, address: str, detail: str, timed_out: bool = False) -> None:
+        self.timed_out = timed_out
         super().__init__(
             f"can't connect to {address} ({detail}): check that it runs and that "
             "the address is right"
--- a/packages/node/src/bronzepoint_node/core/_core_sync.py
+++ b/packages/node/src/bronzepoint_node/core/_core_sync.py
@@ -34,6 +34,9 @@
 """Maximum number of core hosts listed in one notice; more are listed round robin."""
 FULL_NOTICE_HOSTS = 8
 """Number of other core hosts up to which each notice holds the full number of cases."""
+REGION_SILENCE = 1.2
+"""Seconds without any notice from the core hosts of a region after which its hosts
+count as unreachable from this region: two intervals of their notices and a margin."""
 SCHEDULERS_NOTIFIED = 2
 """Number of core hosts of each other region that get this region's load at once: the
 scheduler and its successor."""
@@ -73,6 +76,7 @@
         self._orders = HostOrderCache()
         self._core_orders = HostOrderCache()
         self._syncing_hosts: set[HostName] = set()
+        self._heard_at: dict[RegionName, float] = {}
         self._turn = 0
         self._task: curio.Task | None = None
         peers.register(Area.FLEET, FleetMessage, self._handle)
@@ -103,6 +107,20 @@
             for name in order[:SCHEDULERS_NOTIFIED]:
                 self._peers.post(name, Area.FLEET, notice)
 
+    def silent_regions(self) -> list[RegionName]:
+        """Return the regions that were heard before, but not lately.
+
+        Reports about a region that arrive through a third one say nothing about the
+        connection to it.
+        """
+        latest = monotonic() - REGION_SILENCE
+        return sorted(r for r, heard_at in self._heard_at.items() if heard_at < latest)
+
+    def _note_heard(self, peer: HostName) -> None:
+        region = self.registry.core_region(peer)
+        if region not in ("", self._region):
+            self._heard_at[region] = monotonic()
+
     async def _handle(
         self, peer: HostName, message: FleetMessage
     ) -> FleetMessage | None:
@@ -110,6 +128,7 @@
             case SyncRequest():
                 return self._answer(message)
             case CoreNotice():
+                self._note_heard(peer)
                 self.registry.merge_entries(message.hosts)
                 self.registry.merge_loads(message.loads)
                 self.registry.merge_core(message.core)
--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -48,6 +48,7 @@
         served: Returns the catalogue in effect and the closed data centers.
         read: Requests the load report of an engine.
         metrics: Counters.
+        silent_regions: Returns the regions whose core hosts this host does not hear.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         served: Callable[[], tuple[ServedCatalogue | None, frozenset[DataCenterName]]],
         read: ReadReport,
         metrics: Metrics,
+        silent_regions: Callable[[], list[RegionName]] = list,
     ) -> None:
         self._region = region
         self._zones = zones
@@ -99,6 +101,8 @@
             registry,
             metrics,
             self._update,
+            silent_regions,
+            self._placer.regions,
         )
         self._task: curio.Task | None = None
 
--- a/packages/node/src/bronzepoint_node/fleet/_registry.py
+++ b/packages/node/src/bronzepoint_node/fleet/_registry.py
@@ -113,6 +113,11 @@
                 host = msgspec.structs.replace(host, region=stored.region)
             self._core.merge(host.name, host)
 
+    def core_region(self, name: HostName) -> RegionName:
+        """Return the region of a core host; empty if it is unknown."""
+        stored = self._core.get(name)
+        return stored.region if stored is not None else RegionName("")
+
     def merge_loads(self, loads: Iterable[RegionLoad]) -> None:
         """Merge reports on loads, keeping the newer ones."""
         for load in loads:
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -19,6 +19,7 @@
     ReportUnreadable,
 )
 from ._load_exchange import LoadExchange
+from ._other_regions import OtherRegions
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
 from ._reservations import Reservations
@@ -36,6 +37,7 @@
     "LoadExchange",
     "LocalResult",
     "NoLocalTarget",
+    "OtherRegions",
     "Placement",
     "PlacementRequest",
     "Placer",
--- a/packages/node/src/bronzepoint_node/placement/_ask.py
+++ b/packages/node/src/bronzepoint_node/placement/_ask.py
@@ -27,6 +27,9 @@
         service: Service that serves it; empty: drawn by the route's weights.
         software_version: The only software version of targets that may serve it;
             empty: any.
+        refused_regions: When each region that has refused it expects to have free
+            capacity, in monotonic seconds.
+        unreached_regions: Regions that could not be connected to.
     """
 
     request_id: str
@@ -43,6 +46,8 @@
     organisation: Organisation | None = None
     service: str = ""
     software_version: str = ""
+    refused_regions: dict[RegionName, float] = {}
+    unreached_regions: frozenset[RegionName] = frozenset()
 
     @property
     def selected_service(self) -> str:
@@ -67,6 +72,16 @@
         """Return whether the home regions of route and organisation allow a region."""
         return all(region in homes for homes in self.homes)
 
+    def may_be_forwarded_to(self, region: RegionName) -> bool:
+        """Return whether a region may get the request, as far as is known here.
+
+        A region that has refused it would refuse it again, and a further connection
+        timeout takes longer than waiting in the own queue.
+        """
+        if region in self.refused_regions or region in self.unreached_regions:
+            return False
+        return self.may_go_to(region)
+
 
 def select_service(route: ServedRoute, request_id: str) -> str:
     """Return the service that serves a request, drawn by the route's weights.
--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -18,11 +18,14 @@
     remote_estimate,
 )
 from bronzepoint_schema.generated.fleet import EntryHost, EntryState, RegionLoad
+from bronzepoint_schema.generated.scheduling import NoTarget
 from bronzepoint_schema.ids import RegionName
 
 from ._ask import PlacementRequest
 from ._choice import RemotePlacement
+from ._forward_tally import ForwardTally
 from ._region_owner import weighted_owner
+from ._region_reachability import RegionReachability
 from ._service_estimates import ServiceEstimates
 
 REGION_RTT = 0.16
@@ -38,8 +41,6 @@
 CACHED_SHARE = 0.5
 """Fraction of a prompt that is assumed to be cached in another region, whose caches are
 not reported here."""
-FULL_LOAD_FACTOR = 1.5
-"""Requests in progress per slot from which on a region gets no more requests."""
 
 
 class OtherRegions:
@@ -51,6 +52,9 @@
         speeds: Latency estimates.
         rng: Random number generator.
         link_bytes: Bandwidth of an entry host's link in bytes per second.
+
+    Attributes:
+        reachability: Regions that this host can reach.
     """
 
     def __init__(
@@ -66,6 +70,8 @@
         self._speeds = speeds
         self._rng = rng
         self._link_bytes = link_bytes
+        self.reachability = RegionReachability()
+        self._tally = ForwardTally(region)
         self._unreachable_hosts: dict[str, float] = {}
         self._forwarded: dict[tuple[RegionName, str], dict[str, float]] = {}
 
@@ -112,9 +118,13 @@
         """Return the number of entry hosts of a region that accept requests."""
         return max(len(self.entry_hosts(region)), self._registry.size(region))
 
-    def record_unreachable_host(self, host: str, now: float) -> None:
+    def record_unreachable_host(
+        self, region: RegionName, host: str, timed_out: bool, now: float
+    ) -> None:
         """Record that a host of another region could not be reached."""
         self._unreachable_hosts[host] = now
+        if timed_out:
+            self.reachability.record_timeout(region, host, now)
 
     def has_free_slots(self, region: RegionName, service: str, now: float) -> bool:
         """Return whether a region reports free slots that were not used up since."""
@@ -128,6 +138,7 @@
         self, region: RegionName, service: str, run_id: str, now: float
     ) -> None:
         """Record a request that is forwarded to another region."""
+        self.reachability.record_forward(region, now)
         self._forwarded.setdefault((region, service), {})[run_id] = now
 
     def record_returned(self, region: RegionName, service: str, run_id: str) -> None:
@@ -191,6 +202,8 @@
             f"{load.region} {load.in_progress}/{load.slots} {load.age_ms} ms old, "
             f"{self._sent_since(load, now):.0f} sent since, "
             f"{len(self._eligible_hosts(load.region, request))} hosts"
+            f"{' refused it' if load.region in request.refused_regions else ''}"
+            f"{' skipped' if self.reachability.is_skipped(load.region, now) else ''}"
             for load in self._registry.loads()
             if load.service == service and load.region != self._region
         ]
@@ -207,7 +220,14 @@
         for load in self._registry.loads(expiry):
             if load.service != service or load.region == self._region:
                 continue
-            if not request.may_go_to(load.region) or load.slots <= 0:
+            if not request.may_be_forwarded_to(load.region):
+                continue
+            if not self.reachability.may_forward(load.region, now):
+                continue
+            sent = self._sent_since(load, now)
+            if load.in_progress + sent >= load.slots:
+                # A forwarded request is refused where no slot is free, while it may
+                # wait in the queue of this region.
                 continue
             version = request.software_version
             if not self._registry.versions.may_serve(load.region, service, version):
@@ -215,7 +235,6 @@
             hosts = self._eligible_hosts(load.region, request)
             if not hosts:
                 continue
-            sent = self._sent_since(load, now)
             view = RegionView(
                 name=load.region,
                 slots=load.slots,
@@ -225,8 +244,6 @@
                 age=load.age_ms / 1000,
                 hosts=len(hosts),
             )
-            if load.in_progress + sent >= load.slots * FULL_LOAD_FACTOR:
-                continue
             times = self._speeds.times(service)
             estimates.append(
                 remote_estimate(view, request_view, times, sent, CACHED_SHARE)
@@ -273,8 +290,8 @@
     def _sent_since(self, load: RegionLoad, now: float) -> float:
         """Estimate the requests forwarded to a region since its last load report.
 
-        This host's own are counted, and each other host of this region is assumed to
-        have forwarded as many.
+        The scheduler counts those of all hosts of this region. Without its count each
+        other host is assumed to have forwarded as many as this one.
 
         Answered requests are excluded. A service with short requests can receive more
         of them between two reports than it has slots, so that an idle region would look
@@ -285,4 +302,28 @@
         recent = {run_id: at for run_id, at in sent.items() if at > since}
         if sent:
             self._forwarded[load.region, load.service] = recent
-        return len(recent) * max(1, self.host_count(self._region))
+        reported = self._tally.reported(load.region, load.service, now)
+        if reported is None:
+            return len(recent) * max(1, self.host_count(self._region))
+        reported_at, count = reported
+        return max(len(recent), count + sum(at > reported_at for at in recent.values()))
+
+    def expect_forward(self, loads: list[RegionLoad], now: float) -> list[int]:
+        """Return what the hosts of this region have forwarded since each report.
+
+        Called by the scheduler for each request that its host may forward now.
+
+        Args:
+            loads: Reports about one service.
+            now: Monotonic seconds.
+        """
+        windows = [
+            REGION_RTT + min(load.age_ms / 1000, self._speeds.times(load.service).hold)
+            for load in loads
+        ]
+        return self._tally.expect_forward(loads, windows, now)
+
+    def apply_scheduler_answer(self, answer: NoTarget, now: float) -> None:
+        """Apply what the scheduler knows of the other regions."""
+        self.reachability.record_silent_regions(answer.silent_regions, now)
+        self._tally.record_reported(answer.loads, answer.forwarded, now)
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from bronzepoint_node.fleet import Registry
 from bronzepoint_node.policy import RegionEstimate
@@ -37,6 +38,12 @@
 """Seconds after which a caller retries when all targets write too slowly. Reading the
 longest prompts takes that long, and the measured pace covers little more time."""
 
+CAPACITY_REASONS = frozenset(
+    {RejectReason.NO_ROOM, RejectReason.LIMITED, RejectReason.RESTING}
+)
+"""Reasons that another region with free capacity would resolve."""
+MIN_RETRY_AFTER = 0.2
+"""Minimum seconds after which a caller returns that another region has refused."""
 MAX_REST_SPREAD = 2.0
 """Maximum seconds over which callers return once a target takes requests again."""
 
@@ -138,7 +145,7 @@
         estimates = self.regions.fresh_estimates(request, service, request_view, now)
         remote = self.regions.best(request, service, request_view, estimates, now)
         if remote is None:
-            return local or self._reject(request, found)
+            return local or self._reject_forwardable(request, found, now)
         if local is None:
             return remote
         cache_holder = self._cache_holder(request, service, local, estimates, now)
@@ -225,6 +232,18 @@
         is_final = isinstance(found, NoLocalTarget) and found.crowded
         return Rejected(RejectReason.NO_ROOM, wait, is_final)
 
+    def _reject_forwardable(
+        self, request: PlacementRequest, found: LocalResult, now: float
+    ) -> Rejected:
+        """Return a refusal that names the first region to have free capacity."""
+        rejected = self._reject(request, found)
+        if rejected.reason not in CAPACITY_REASONS or not request.refused_regions:
+            return rejected
+        wait = max(MIN_RETRY_AFTER, min(request.refused_regions.values()) - now)
+        if self.may_serve_locally(request):
+            wait = min(wait, rejected.retry_after)
+        return replace(rejected, retry_after=wait)
+
     def _is_version_gone(self, request: PlacementRequest, service: str) -> bool:
         """Return whether no target of the required version is left that may serve."""
         version = request.software_version
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -18,11 +18,12 @@
     TargetAsk,
     TargetGrant,
 )
-from bronzepoint_schema.ids import DataCenterName, HostName
+from bronzepoint_schema.ids import DataCenterName, HostName, RegionName
 
 from ._choice import LocalPlacement, LocalResult, NoLocalTarget
 from ._load_exchange import LoadExchange
 from ._local_request import LocalPlacementRequest
+from ._other_regions import OtherRegions
 from ._scheduler import MAX_WAIT, Scheduler, make_query
 from ._target_table import TargetTable
 from ._tracked_target import TrackedTarget, is_ejected
@@ -59,6 +60,8 @@
         registry: Loads of the regions.
         metrics: Counters.
         update: Updates the table, where that is not done on each change.
+        silent_regions: Returns the regions whose core hosts this host does not hear.
+        regions: What this host knows of the other regions.
     """
 
     def __init__(
@@ -70,6 +73,8 @@
         registry: Registry,
         metrics: Metrics,
         update: Callable[[], None] | None = None,
+        silent_regions: Callable[[], list[RegionName]] = list,
+        regions: OtherRegions | None = None,
     ) -> None:
         self._peers = peers
         self._table = table
@@ -78,6 +83,8 @@
         self._registry = registry
         self._metrics = metrics
         self._update = update
+        self._silent_regions = silent_regions
+        self._regions = regions
         # The random start keeps a restarted host from settling grants of its previous
         # process.
         self._numbers = itertools.count(random.getrandbits(40))
@@ -231,11 +238,17 @@
             # outdated.
             loads = self._registry.loads()
             answer.loads = [load for load in loads if load.service == query.service]
+            answer.silent_regions = self._silent_regions()
+            if self._regions is not None:
+                now = monotonic()
+                answer.forwarded = self._regions.expect_forward(answer.loads, now)
         self._peers.post(peer, Area.SCHEDULING, answer)
 
     async def _resolve(self, answer: TargetGrant | NoTarget) -> None:
         if isinstance(answer, NoTarget):
             self._registry.merge_loads(answer.loads)
+            if self._regions is not None:
+                self._regions.apply_scheduler_answer(answer, monotonic())
         pending = self._pending.get(answer.number)
         if pending is not None:
             pending.answer = answer
--- a/packages/node/src/bronzepoint_node/relay/_answer_writer.py
+++ b/packages/node/src/bronzepoint_node/relay/_answer_writer.py
@@ -13,7 +13,7 @@
 from ._authenticator import Authentication, UnknownKey
 from ._call import Answered, Call, NotRun, TryOutcome
 from ._codec import CallerHead
-from ._host_headers import BLOCKED_HEADER, RAN_HEADER
+from ._host_headers import BLOCKED_HEADER, HOST_REFUSED_HEADER, RAN_HEADER
 
 DEFAULT_RETRY_AFTER = 0.3
 """Seconds until a caller retries, unless a target asked for a longer time."""
@@ -28,6 +28,11 @@
 )
 """Reasons that no retry of the same request changes."""
 
+HOST_REASONS = frozenset(
+    {RejectReason.LAGGING, RejectReason.LEAVING, RejectReason.NO_CATALOGUE}
+)
+"""Reasons that concern one host; another host of its region may take the request."""
+
 _log = get_logger("relay")
 
 
@@ -242,6 +247,8 @@
     more_headers: Mapping[str, str] = MappingProxyType({}),
 ) -> None:
     headers = {**_refusal_headers(retry_after), **more_headers}
+    if reason in HOST_REASONS:
+        headers[HOST_REFUSED_HEADER] = "yes"
     if reason in FINAL_REASONS:
         # Retrying the same request would be refused again.
         del headers["Retry-After"]
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -13,6 +13,7 @@
 from bronzepoint_node.quota import Charge
 from bronzepoint_node.retries import Delivery
 from bronzepoint_node.stream_origins import StreamOrigin, origin_key
+from bronzepoint_schema.ids import RegionName
 
 from ._codec import CallerHead
 from ._host_headers import ARRIVED_HEADER, ORIGIN_HEADER, RUNS_HEADER
@@ -27,11 +28,13 @@
         reason: Reason in the log and the metrics.
         by_target: True if a target received the request and rejected it.
         retry_after: Seconds until the request may be retried; 0: not specified.
+        timed_out: Nothing answered the attempt to connect.
     """
 
     reason: str
     by_target: bool = False
     retry_after: float = 0.0
+    timed_out: bool = False
 
 
 @dataclass(frozen=True)
@@ -121,6 +124,9 @@
         charge: Charge to the organisation's quota; None: no quota applies.
         tried: Incarnations of the targets that it was sent to.
         tried_hosts: Hosts of other regions that it was forwarded to.
+        refused_regions: When each region that has refused it expects to have free
+            capacity, in monotonic seconds.
+        unreached_regions: Regions in which a connection to a host timed out.
         placement_requests: Number of times a placement was requested for it.
         sends: Times it was sent to a target or to another region.
         sent_events: Number of events written to the caller's connection.
@@ -157,6 +163,8 @@
     origin: StreamOrigin | None = None
     tried: set[str] = field(default_factory=set)
     tried_hosts: set[str] = field(default_factory=set)
+    refused_regions: dict[RegionName, float] = field(default_factory=dict)
+    unreached_regions: set[RegionName] = field(default_factory=set)
     placement_requests: int = 0
     sends: int = 0
     sent_events: int = 0
--- a/packages/node/src/bronzepoint_node/relay/_host_headers.py
+++ b/packages/node/src/bronzepoint_node/relay/_host_headers.py
@@ -19,6 +19,9 @@
 targets."""
 BLOCKED_HEADER = "bronzepoint-held"
 """On an answer: the request is blocked, in all regions."""
+HOST_REFUSED_HEADER = "bronzepoint-host-refused"
+"""On a refusal: its reason concerns this host only, so that another host of the region
+may take the request."""
 ORGANISATION_HEADER = "bronzepoint-organisation"
 """Organisation of the caller, version of the catalogue that it was looked up in, and a
 signature of both."""
@@ -37,6 +40,7 @@
         FINGERPRINT_HEADER,
         PERMIT_HEADER,
         BLOCKED_HEADER,
+        HOST_REFUSED_HEADER,
         ORGANISATION_HEADER,
         ORIGIN_HEADER,
         SEND_HEADER,
--- a/packages/node/src/bronzepoint_node/relay/_placement_search.py
+++ b/packages/node/src/bronzepoint_node/relay/_placement_search.py
@@ -38,7 +38,7 @@
         """Return a placement, or a rejection if none is found by ``until``."""
         wait = 0.0
         while True:
-            request = _placement_request(call)
+            request = self._placement_request(call)
             found = await self._find_local(call, request, wait)
             placement = self._placer.decide(request, found, monotonic())
             wait = until - monotonic()
@@ -56,7 +56,7 @@
         A target of the own region is preferred: it is reserved, while another region
         may refuse the request.
         """
-        request = _placement_request(call)
+        request = self._placement_request(call)
         found = await self._find_local(call, request, 0.0)
         if isinstance(found, LocalPlacement):
             return found
@@ -72,6 +72,13 @@
         """Return the known free capacity for a request, for the log."""
         return self._placer.describe_capacity(_placement_request(call), monotonic())
 
+    def _placement_request(self, call: Call) -> PlacementRequest:
+        request = _placement_request(call)
+        if not self._placer.may_serve_locally(request):
+            # There is no queue to wait in, so another host of the region is tried.
+            request.unreached_regions = frozenset()
+        return request
+
     async def _find_local(
         self, call: Call, request: PlacementRequest, wait: float
     ) -> LocalResult:
@@ -104,4 +111,6 @@
         call.organisation,
         call.service,
         call.origin.software_version if call.origin is not None else "",
+        call.refused_regions,
+        frozenset(call.unreached_regions),
     )
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -12,6 +12,7 @@
 from bronzepoint_node.placement import (
     ColdStartLimiter,
     LocalPlacement,
+    OtherRegions,
     Placer,
     RemotePlacement,
     TargetTable,
@@ -398,11 +399,15 @@
             if origin is not None:
                 self._record_stream(call, origin)
 
+        def record_contact(*_head: object) -> None:
+            regions.reachability.record_contact(placement.region, monotonic())
+
         attempt = Try(
             self._hosts,
             self._codec,
             call,
             _ignore_progress,
+            on_head=record_contact,
             on_stream=on_stream,
             buffers=self._buffers,
         )
@@ -424,8 +429,8 @@
             if not isinstance(outcome, NotRun):
                 regions.record_returned(placement.region, service, run_id)
         match outcome:
-            case NotRun(reason="connect_failed"):
-                regions.record_unreachable_host(placement.host, monotonic())
+            case NotRun():
+                _record_not_run(call, placement, outcome, regions)
             case Answered(headers=answered):
                 _update_runs(call, answered)
             case MayHaveRun():
@@ -554,6 +559,23 @@
     return TryResult.timeout
 
 
+def _record_not_run(
+    call: Call, placement: RemotePlacement, outcome: NotRun, regions: OtherRegions
+) -> None:
+    """Record that a forwarded request did not run, so that it isn't forwarded again."""
+    region, now = placement.region, monotonic()
+    match outcome:
+        case NotRun(reason="connect_failed", timed_out=timed_out):
+            regions.record_unreachable_host(region, placement.host, timed_out, now)
+            if timed_out:
+                call.unreached_regions.add(region)
+        case NotRun(reason="region_refused", retry_after=retry_after):
+            call.refused_regions[region] = now + retry_after
+            regions.reachability.record_contact(region, now)
+        case NotRun(reason="host_refused"):
+            regions.reachability.record_contact(region, now)
+
+
 def _update_runs(call: Call, headers: dict[str, str]) -> None:
     """Update the number of runs from another region's answer, without the last run.
 
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -21,7 +21,13 @@
 from ._answer_buffer import AnswerBuffer, BufferPool
 from ._call import Answered, Call, MayHaveRun, NotRun, TryOutcome
 from ._codec import Codec, TargetVerdict
-from ._host_headers import ARRIVED_HEADER, BLOCKED_HEADER, RAN_HEADER, RUNS_HEADER
+from ._host_headers import (
+    ARRIVED_HEADER,
+    BLOCKED_HEADER,
+    HOST_REFUSED_HEADER,
+    RAN_HEADER,
+    RUNS_HEADER,
+)
 
 
 @dataclass(frozen=True)
@@ -122,8 +128,8 @@
                 return await self._relay_answer(answer)
         except _Withheld:
             return NotRun("withheld")
-        except ConnectFailed:
-            return NotRun("connect_failed")
+        except ConnectFailed as exc:
+            return NotRun("connect_failed", timed_out=exc.timed_out)
         except NotSent as exc:
             return NotRun("not_sent") if exc.certain else MayHaveRun("cut")
         except AnswerTimeout:
@@ -153,7 +159,7 @@
     async def _relay_answer(self, answer: ClientAnswer) -> TryOutcome:
         call = self._call
         if answer.headers.get(RAN_HEADER) == "no":
-            reason = "held" if BLOCKED_HEADER in answer.headers else "region_refused"
+            reason = _refusal_reason(answer.headers)
             has_arrived = ARRIVED_HEADER in answer.headers
             return NotRun(reason, has_arrived, _retry_after(answer.headers))
         verdict = self._codec.classify_answer(call.head, answer.status, answer.headers)
@@ -267,6 +273,13 @@
     return Answered(answer.status, headers, body, streamed, by_close)
 
 
+def _refusal_reason(headers: dict[str, str]) -> str:
+    """Return the reason of another host's refusal in the log and the metrics."""
+    if BLOCKED_HEADER in headers:
+        return "held"
+    return "host_refused" if HOST_REFUSED_HEADER in headers else "region_refused"
+
+
 def _retry_after(headers: dict[str, str]) -> float:
     try:
         return max(0.0, float(headers.get("retry-after", "0")))
--- a/tests/_scheduling_region.py
+++ b/tests/_scheduling_region.py
@@ -217,7 +217,13 @@
             self.exchange.staleness,
         )
         self.client = SchedulerClient(
-            self, self.table, self.exchange, scheduler, registry, self.metrics
+            self,
+            self.table,
+            self.exchange,
+            scheduler,
+            registry,
+            self.metrics,
+            regions=self.placer.regions,
         )
 
     def register(self, area, union, handler):
