--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -20,6 +20,7 @@
 )
 from ._load_exchange import LoadExchange
 from ._organisation_weights import organisation_weights
+from ._other_regions import OtherRegions
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
 from ._reservations import Reservations
@@ -37,6 +38,7 @@
     "LoadExchange",
     "LocalResult",
     "NoLocalTarget",
+    "OtherRegions",
     "Placement",
     "PlacementRequest",
     "Placer",
