Add up reported loads as they change

A report of a host made the scheduler add up the reports of all hosts for that target again. Each report now replaces only its host's part of the sum.

--- a/packages/node/src/bronzepoint_node/placement/_engine_load.py
+++ b/packages/node/src/bronzepoint_node/placement/_engine_load.py
@@ -7,6 +7,7 @@
 from bronzepoint_schema.ids import HostName
 
 from ._load_sum import RANK_COUNT, CurrentPrompt, LoadSum
+from ._reported_loads import ReportedLoads
 
 NOTICE_EXPIRY = 3.0
 """Seconds after which the last report of a host is ignored, if no newer one arrives."""
@@ -50,7 +51,7 @@
 
     runs: dict[str, OwnRun] = field(default_factory=dict)
     changed: bool = False
-    _others: dict[HostName, tuple[float, TargetLoad]] = field(default_factory=dict)
+    _others: ReportedLoads = field(default_factory=lambda: ReportedLoads(NOTICE_EXPIRY))
     _total: LoadSum | None = None
     _total_valid_until: float = 0.0
     _reserved: dict[tuple[HostName, int], OwnRun] = field(default_factory=dict)
@@ -96,7 +97,7 @@
 
     def apply_notice(self, host: HostName, load: TargetLoad, now: float) -> None:
         """Record the load report of another host."""
-        self._others[host] = (now, load)
+        self._others.replace(host, load, now)
         self._total = None
 
     def forget_others(self) -> None:
@@ -127,9 +128,7 @@
         """Return the load of all hosts but one, as a single report."""
         total = self.total(now)
         nothing = TargetLoad(incarnation, 0, 0, [0] * RANK_COUNT, 0, 0, 0)
-        at, own = self._others.get(host, (now, nothing))
-        if now - at >= NOTICE_EXPIRY:
-            own = nothing
+        at, own = self._others.get(host, now) or (now, nothing)
         head = total.head
         if head is not None and own.head_tokens:
             own_sent_at = at - own.head_age_ms / 1000
@@ -174,11 +173,12 @@
             for key, run in self._reserved.items()
             if now - run.sent_at < RESERVATION_EXPIRY
         }
-        reports = self._fresh(now).values()
-        until = [at + NOTICE_EXPIRY for at, _ in reports]
-        until += [run.sent_at + RESERVATION_EXPIRY for run in self._reserved.values()]
+        total = self._others.total(now)
+        until = [run.sent_at + RESERVATION_EXPIRY for run in self._reserved.values()]
         self._total_valid_until = min(until, default=float("inf"))
-        total = LoadSum.of(reports)
+        self._total_valid_until = min(
+            self._total_valid_until, self._others.valid_until()
+        )
         for run in (*self.runs.values(), *self._reserved.values()):
             total.in_flight += 1
             total.memory_tokens += run.tokens
@@ -198,10 +198,3 @@
 
     def _unstarted(self) -> list[OwnRun]:
         return [run for run in self.runs.values() if not run.started]
-
-    def _fresh(self, now: float) -> dict[HostName, tuple[float, TargetLoad]]:
-        return {
-            host: report
-            for host, report in self._others.items()
-            if now - report[0] < NOTICE_EXPIRY
-        }
--- a/packages/node/src/bronzepoint_node/placement/_load_sum.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_sum.py
@@ -1,12 +1,7 @@
 """Sum of the loads of several hosts at one target."""
 
-from collections.abc import Iterable
-from typing import Self
-
 from msgspec import Struct
 
-from bronzepoint_schema.generated.target_loads import TargetLoad
-
 RANK_COUNT = 4
 """Number of ranks that are distinguished. Requests of a less urgent rank count with the
 last one."""
@@ -52,21 +47,6 @@
             return False
         return self.head is None and not any(self.unread)
 
-    @classmethod
-    def of(cls, loads: Iterable[tuple[float, TargetLoad]]) -> Self:
-        """Add up the load reports of several hosts, each with its time."""
-        total = cls(0, 0, [0] * RANK_COUNT, None)
-        for at, load in loads:
-            total.in_flight += load.in_flight
-            total.memory_tokens += load.memory_tokens
-            for rank, tokens in enumerate(load.unread):
-                total.unread[rank] += tokens
-            if load.head_tokens:
-                sent_at = at - load.head_age_ms / 1000
-                tokens, rank = load.head_tokens, load.head_rank
-                total.update_head(CurrentPrompt(sent_at, sent_at, tokens, rank))
-        return total
-
     def tokens_before(self, rank: int, rate: float, now: float) -> float:
         """Return the prompt tokens that are read before those of a new request.
 
