Compute a target's pace and cached tokens once for each change

Each choice decayed the pace of every target with exp, although the mean doesn't change by that, built a reading rate for each look-up, and looked through the parts of the prompt up to four times for each target.

--- a/packages/node/src/bronzepoint_node/placement/_cache_estimate.py
+++ b/packages/node/src/bronzepoint_node/placement/_cache_estimate.py
@@ -19,6 +19,8 @@
         self._token_limit = token_limit * CACHE_FILL_SHARE
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._tokens = 0
+        self._last_prompt: Prompt | None = None
+        self._last_cached = 0
 
     def note_used(self, prompt: Prompt) -> None:
         """Mark the parts of a prompt as cached."""
@@ -27,6 +29,7 @@
 
     def note_part(self, name: str, tokens: int) -> None:
         """Mark a part as cached."""
+        self._last_prompt = None
         self._tokens += tokens - self._parts.pop(name, 0)
         self._parts[name] = tokens
         while self._tokens > self._token_limit and self._parts:
@@ -35,16 +38,21 @@
 
     def drop(self, name: str) -> None:
         """Mark a part as no longer cached."""
+        self._last_prompt = None
         self._tokens -= self._parts.pop(name, 0)
 
     def cached_tokens(self, prompt: Prompt) -> int:
         """Return the tokens of the leading parts that are assumed to be cached.
 
-        A part counts only if all parts before it are cached, too.
+        A part counts only if all parts before it are cached, too. The last result is
+        kept, since one choice asks for it several times.
         """
+        if prompt is self._last_prompt:
+            return self._last_cached
         found = 0
         for part in prompt.parts:
             if part.name not in self._parts:
                 break
             found += part.tokens
+        self._last_prompt, self._last_cached = prompt, found
         return found
--- a/packages/node/src/bronzepoint_node/placement/_load_sum.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_sum.py
@@ -55,7 +55,9 @@
             rate: Tokens that an engine reads per second.
             now: Monotonic seconds.
         """
-        waiting = float(sum(self.unread[: min(rank, RANK_COUNT - 1) + 1]))
+        waiting = 0.0
+        for tokens in self.unread[: rank + 1]:
+            waiting += tokens
         head = self.head
         if head is None:
             return waiting
--- a/packages/node/src/bronzepoint_node/placement/_pace.py
+++ b/packages/node/src/bronzepoint_node/placement/_pace.py
@@ -21,22 +21,26 @@
         self._events = 0.0
         self._seconds = 0.0
         self._updated_at = 0.0
+        self._known_until = float("-inf")
 
     def note(self, events: int, seconds: float, now: float) -> None:
         """Record events of a stream and the seconds since the previous ones."""
-        self._decay(now)
-        self._events += events
-        self._seconds += seconds
+        remaining = math.exp(-max(0.0, now - self._updated_at) / TIME_CONSTANT)
+        self._events = self._events * remaining + events
+        self._seconds = self._seconds * remaining + seconds
+        self._updated_at = now
+        self._known_until = float("-inf")
+        if self._events >= MIN_EVENTS:
+            self._known_until = now + TIME_CONSTANT * math.log(
+                self._events / MIN_EVENTS
+            )
 
     def seconds_per_event(self, now: float) -> float:
-        """Return the mean seconds per event; 0 if unknown."""
-        self._decay(now)
-        if self._events < MIN_EVENTS:
+        """Return the mean seconds per event; 0 if unknown.
+
+        The mean doesn't decay, only its weight does, so nothing is computed here for
+        each target of each choice.
+        """
+        if now > self._known_until:
             return 0.0
         return self._seconds / self._events
-
-    def _decay(self, now: float) -> None:
-        remaining = math.exp(-max(0.0, now - self._updated_at) / TIME_CONSTANT)
-        self._events *= remaining
-        self._seconds *= remaining
-        self._updated_at = now
--- a/packages/node/src/bronzepoint_node/placement/_service_estimates.py
+++ b/packages/node/src/bronzepoint_node/placement/_service_estimates.py
@@ -41,7 +41,10 @@
 
     def rate(self, service: str) -> ReadingRate:
         """Return the rate at which the engines of a service read prompts."""
-        return self._rates.setdefault(service, ReadingRate())
+        rate = self._rates.get(service)
+        if rate is None:
+            rate = self._rates[service] = ReadingRate()
+        return rate
 
     def note_first_token(self, service: str, measured: FirstToken, now: float) -> None:
         """Record the time to the first token of a request of this host."""
