Bound what a refusal's log line says of the targets

The line of each refused request named every target of the service. With more than four targets it has their sum, the number in each state, and the four with the most room.

--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -24,6 +24,7 @@
 from ._local_target_selector import LOWEST_RANK, LocalTargetSelector
 from ._other_regions import OtherRegions
 from ._service_estimates import ServiceEstimates
+from ._target_description import describe_targets
 from ._target_table import TargetTable
 from ._tracked_target import TrackedTarget, is_ejected, is_unresponsive
 
@@ -235,16 +236,7 @@
     def describe_capacity(self, request: PlacementRequest, now: float) -> str:
         """Return the known free capacity for a request, for the log."""
         service = request.selected_service
-        here = [
-            f"{t.info.incarnation} {t.load.in_flight(now)}/{t.slots}"
-            f"{'' if request.allows(t.info) else f' of {t.info.software_version}'}"
-            f"{' silent' if is_unresponsive(t, now) else ''}"
-            f"{' ejected' if is_ejected(t) else ''}"
-            f"{' cold' if now < t.cold_until else ''}"
-            f"{'' if t.limit.rate is None else f' limited to {t.limit.rate:g}/s'}"
-            f"{f' rests {t.rests_until - now:.1f} s' if t.is_resting(now) else ''}"
-            for t in self._table.of_service(service)
-        ]
+        here = describe_targets(self._table.of_service(service), request, now)
         there = self.regions.describe(service, request, now)
         closed = sorted(self._table.closed)
         homes = " and ".join(", ".join(homes) for homes in request.homes) or "any"
--- a/tests/test_placement_placer.py
+++ b/tests/test_placement_placer.py
@@ -33,6 +33,7 @@
     TargetTable,
     is_unresponsive,
 )
+from bronzepoint_node.placement._engine_load import OwnRun
 from bronzepoint_node.placement._region_owner import weighted_owner
 from bronzepoint_schema.generated.decisions import TryResult
 from bronzepoint_schema.generated.fleet import (
@@ -144,6 +145,18 @@
         for text in ("b 200/64", "closed ['a-1']"):
             self.assertIn(text, known)
 
+    def test_refusal_names_few_of_many_targets(self):
+        """Guards against log lines that grow with the number of targets."""
+        site = Site(*(info(f"t{number}") for number in range(32)))
+        for number in range(31):
+            target = site.table.get(f"t{number}")
+            target.load.begin("run", OwnRun(1, 0, 0, site.now))
+        site.table.get("t3").record_rest(5.0, site.now)
+        known = site.placer.describe_capacity(site.make_request(), site.now)
+        for text in ("32 targets 31/", "with room, 1 rests", "t31 0/"):
+            self.assertIn(text, known)
+        self.assertLess(len(known), 250)
+
 
 class TestLongPrompts(unittest.TestCase):
     @params(
