Forecast waits and refuse at once what can't be served

Each request could wait for half of its route's objective, so long requests stayed in the queue longer than short ones, and a refused caller was told a random time.

The scheduler forecasts the wait of a request that finds no free capacity: from the rate at which the service starts requests, measured while it is full, the costs ahead of it by rank and fair order, and what cold and limited targets allow. A request that would be late waits behind all that can be in time; one that can't be served is refused at once, with the time until there is room, to which its host adds a jitter of a tenth to a half. A request may wait for as long as the forecast allows instead of a fixed part of the objective. Hosts and schedulers that know nothing of forecasts wait as before.

--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -65,12 +65,15 @@
             their request rate; 0: not all of them do.
         rests_for: Seconds for which all targets want no requests of this host; 0: not
             all of them do.
+        retry_after: Forecast seconds until there is room for the request; 0: unknown.
+            If the queue isn't crowded, the request may wait for that.
     """
 
     late: bool = False
     crowded: bool = False
     limited_for: float = 0.0
     rests_for: float = 0.0
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -21,6 +21,7 @@
 )
 
 from ._choice import LocalPlacement, LocalResult, NoLocalTarget
+from ._cold_start_limiter import RATE_SHARE as COLD_RATE_SHARE
 from ._cold_start_limiter import ColdStartLimiter
 from ._fetch_source import fetch_source
 from ._local_request import LocalPlacementRequest
@@ -200,6 +201,28 @@
         rate = slots / hold + sum(map(self._limited_rate, limited))
         return waiting / rate if rate else math.inf
 
+    def start_rate(self, service: str, now: float) -> float:
+        """Return the requests per second that a service starts when it is full.
+
+        It follows from the slots and the mean duration. Cold targets and those that
+        limit their requests count with their rates, and those that get none with zero.
+        """
+        known = self._table.service(service)
+        cold_rate = known.cold_rate if known is not None else 0.0
+        hold = self._speeds.times(service).hold
+        rate = 0.0
+        for target in self._table.of_service(service):
+            is_closed = not self._table.is_open(target) or is_ejected(target)
+            if is_closed or is_unresponsive(target, now):
+                continue
+            each = target.slots / hold
+            if now < target.cold_until:
+                each = min(each, COLD_RATE_SHARE * cold_rate)
+            if target.limit.rate is not None:
+                each = min(each, self._limited_rate(target))
+            rate += each
+        return rate
+
     def _limited_rate(self, target: TrackedTarget) -> float:
         """Return the requests per second that this host may send to a target."""
         name, hosts = target.info.incarnation, self._selecting_hosts()
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -26,6 +26,7 @@
 from ._service_estimates import ServiceEstimates
 from ._target_table import TargetTable
 from ._tracked_target import TrackedTarget, is_ejected, is_unresponsive
+from ._wait_forecast import MAX_RETRY, MIN_RETRY
 
 MIN_REMOTE_ADVANTAGE = 0.15
 """Seconds by which another region must be faster to be preferred. Its caches do not
@@ -37,6 +38,11 @@
 """Seconds after which a caller retries when all targets write too slowly. Reading the
 longest prompts takes that long, and the measured pace covers little more time."""
 
+RETRY_JITTER = (0.1, 0.5)
+"""Range of the part of the forecast time that is added to it, so that callers don't
+return together."""
+RETRY_FLOOR = 0.7
+"""Part of the longest time from which on longer forecasts are spread evenly."""
 MAX_REST_SPREAD = 2.0
 """Maximum seconds over which callers return once a target takes requests again."""
 
@@ -224,9 +230,14 @@
         if isinstance(found, NoLocalTarget) and found.limited_for:
             wait = found.limited_for * self._rng.uniform(1.0, 1.5)
             return Rejected(RejectReason.LIMITED, wait, found.crowded)
+        is_final = isinstance(found, NoLocalTarget) and found.crowded
+        if isinstance(found, NoLocalTarget) and found.retry_after:
+            jitter = self._rng.uniform(*RETRY_JITTER)
+            bounded = max(MIN_RETRY, found.retry_after) * (1 + jitter)
+            wait = min(bounded, MAX_RETRY * self._rng.uniform(RETRY_FLOOR, 1.0))
+            return Rejected(RejectReason.NO_ROOM, wait, is_final)
         hold = self.estimates.times(service).hold
         wait = min(3.0, max(0.3, hold / 2)) * self._rng.uniform(0.7, 1.5)
-        is_final = isinstance(found, NoLocalTarget) and found.crowded
         return Rejected(RejectReason.NO_ROOM, wait, is_final)
 
     def _is_version_gone(self, request: PlacementRequest, service: str) -> bool:
--- a/packages/node/src/bronzepoint_node/placement/_request_cost.py
+++ b/packages/node/src/bronzepoint_node/placement/_request_cost.py
@@ -51,6 +51,16 @@
         writing = written * self._step(service, now) / max(1, engine.slots)
         return max(MIN_COST, reading + writing)
 
+    def seconds_to_first_token(self, service: str, prompt: Prompt) -> float:
+        """Return the seconds in which an idle target reads a prompt's own part."""
+        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
+        return own / self._estimates.rate(service).tokens_per_second
+
+    def seconds_to_write(self, service: str, prompt: Prompt, now: float) -> float:
+        """Return the seconds in which a target writes the answer to a prompt."""
+        written = prompt.expected_output or prompt.max_output
+        return written * self._step(service, now)
+
     def _step(self, service: str, now: float) -> float:
         """Return the seconds of one decoding step, in which each stream gets a token.
 
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -20,10 +20,19 @@
 from ._request_queue import HEAD_COUNT, QueuedRequest, RequestQueue
 from ._reservations import Reservations
 from ._tracked_target import is_unresponsive
+from ._wait_forecast import MIN_RETRY, Limits, Outlook, WaitForecast
 
 MIN_POLL_PAUSE = 0.02
 """Minimum seconds between two checks of a queue for free capacity."""
 
+MAX_REPORT_AGE = 1.5
+"""Age in seconds of the load information from which on the measured start rate doesn't
+count: ended requests are seen through load reports only."""
+SERVING_TIME = 5.0
+"""Seconds after a query of another host for which this host counts as the scheduler of
+its region."""
+RATE_INTERVAL = 0.1
+"""Seconds for which the start rate that follows from the slots is kept."""
 MAX_WAIT = 1.0
 """Seconds that a request waits in the queue before its host checks other regions, too.
 If hosts repeated their queries at short intervals instead, a burst would use up the
@@ -76,6 +85,9 @@
         self._staleness = staleness
         self._weight = weight
         self._with_organisations: set[str] = set()
+        self._forecasts: dict[str, WaitForecast] = {}
+        self._start_rates: dict[str, tuple[float, float]] = {}
+        self._answered_at = -math.inf
         self._queues: dict[str, RequestQueue] = {}
 
     async def find(self, request: LocalPlacementRequest, wait: float) -> LocalResult:
@@ -99,17 +111,21 @@
 
     async def answer(self, host: HostName, query: TargetAsk) -> TargetGrant | NoTarget:
         """Answer a query of another host, and reserve what it is granted."""
-        request = _read_query(query, monotonic())
+        self._answered_at = monotonic()
+        request = _read_query(query, self._answered_at)
 
         def claim(found: LocalPlacement) -> None:
             self._reserve(host, query.number, request, found)
 
         found = await self._find(request, query.wait_ms / 1000, claim)
         match found:
-            case NoLocalTarget(late=late, crowded=crowded, limited_for=limited_for):
-                limited_ms = math.ceil(limited_for * 1000)
+            case NoLocalTarget(late=late, crowded=crowded):
                 return NoTarget(
-                    query.number, late, crowded=crowded, limited_ms=limited_ms
+                    query.number,
+                    late,
+                    crowded=crowded,
+                    limited_ms=math.ceil(found.limited_for * 1000),
+                    retry_ms=math.ceil(found.retry_after * 1000),
                 )
             case LocalPlacement(target=target, fetch_from=source):
                 return TargetGrant(
@@ -129,25 +145,93 @@
     ) -> LocalResult:
         queue = self._queue(request.service)
         queued = self._queued(request, wait, claim)
-        if request.organisation and self._is_behind(queue, queued):
+        forecast = self._forecast(request)
+        keeps_order = forecast is not None or request.organisation
+        if keeps_order and self._is_behind(queue, queued):
             # Capacity that has become free goes to the waiting requests first, or those
             # who ask most often would get it.
             await self._serve_queue(queue)
-        if not request.organisation or not self._is_behind(queue, queued):
+        if not (keeps_order and self._is_behind(queue, queued)):
             self._try_grant(queue, queued)
-        if wait <= 0 or not _lacks_capacity(queued.found):
+        if not _lacks_capacity(queued.found):
+            return queued.found
+        if forecast is not None:
+            refused = self._admit(queue, queued, forecast)
+            if refused is not None:
+                return refused
+        if wait <= 0:
             return queued.found
-        if self._selector.seconds_to_drain(request.service, len(queue) + 1) > wait:
-            # The request would not be served in time, so its host gets the answer now.
-            return replace(queued.found, crowded=True)
+        if forecast is None:
+            drain = self._selector.seconds_to_drain(request.service, len(queue) + 1)
+            if drain > wait:
+                # The request would not be served in time, so its host gets the answer
+                # now.
+                return replace(queued.found, crowded=True)
         queue.join(queued)
         try:
             while _lacks_capacity(queued.found) and await queue.wait(queued):
                 await self._serve_queue(queue)
         finally:
             await queue.leave(queued)
+        if forecast is not None and _lacks_capacity(queued.found):
+            # The host asks again, with the rank that the request has by then.
+            return replace(queued.found, retry_after=MIN_RETRY)
         return queued.found
 
+    def _forecast(self, request: LocalPlacementRequest) -> WaitForecast | None:
+        """Return the forecast for a request; None: it waits as long as it says.
+
+        A host that chooses for itself alone doesn't know what else is waiting.
+        """
+        now = monotonic()
+        if not request.objective or request.prompt is None:
+            return None
+        if now - self._answered_at > SERVING_TIME:
+            return None
+        return self._forecasts.setdefault(request.service, WaitForecast())
+
+    def _admit(
+        self, queue: RequestQueue, queued: _QueuedPlacement, forecast: WaitForecast
+    ) -> NoLocalTarget | None:
+        """Return the refusal of a request that can't be served; None: it may wait."""
+        request, now = queued.request, monotonic()
+        if self._staleness(now) > MAX_REPORT_AGE:
+            forecast.forget_measurements()
+        rate = self._start_rate(request.service, now)
+        forecast.note_full(rate, now)
+        limits = self._limits(request, now)
+        admission = forecast.admit(queue.order, queued, limits, rate, now)
+        if admission.outlook is Outlook.NOT:
+            retry_after = forecast.retry_after(queue.order, queued, rate, now)
+            forecast.note_demand(queued, now)
+            return replace(queued.found, crowded=True, retry_after=retry_after)
+        queued.rank = admission.key.rank
+        is_in_time = admission.outlook is Outlook.IN_TIME
+        latest = now + (limits.in_time if is_in_time else limits.at_all)
+        queued.until = min(queued.until, latest)
+        queued.found = replace(queued.found, retry_after=max(MIN_RETRY, admission.wait))
+        return None
+
+    def _limits(self, request: LocalPlacementRequest, now: float) -> Limits:
+        """Return the seconds within which a request has to start."""
+        prompt, waited = request.prompt, now - request.arrived
+        costs = self._selector.costs
+        first = costs.seconds_to_first_token(request.service, prompt)
+        writing = costs.seconds_to_write(request.service, prompt, now)
+        return Limits(
+            request.objective - waited - first,
+            request.time_left - first - writing,
+            waited > request.objective,
+        )
+
+    def _start_rate(self, service: str, now: float) -> float:
+        """Return the requests per second by slots and mean duration."""
+        at, rate = self._start_rates.get(service, (-math.inf, 0.0))
+        if now - at > RATE_INTERVAL:
+            rate = self._selector.start_rate(service, now)
+            self._start_rates[service] = now, rate
+        return rate
+
     async def _serve_queue(self, queue: RequestQueue) -> None:
         """Assign free capacity to the queued requests.
 
@@ -212,6 +296,10 @@
             queue.grant(queued)
             queued.claim(found)
             found = replace(found, staleness=self._staleness(now))
+            forecast = self._forecasts.get(queued.request.service)
+            if forecast is not None:
+                rate = self._start_rate(queued.request.service, now)
+                forecast.note_started(queued, rate, now, is_last=not len(queue))
         queued.found = found
 
     def _reserve(
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -110,8 +110,13 @@
         answer = await self._query(scheduler, request, wait)
         timing = f"asked {scheduler}, {(monotonic() - began) * 1000:.0f} ms"
         match answer:
-            case NoTarget(late=late, crowded=crowded, limited_ms=limited_ms):
-                return NoLocalTarget(late, crowded, limited_ms / 1000)
+            case NoTarget(late=late, crowded=crowded):
+                return NoLocalTarget(
+                    late,
+                    crowded,
+                    answer.limited_ms / 1000,
+                    retry_after=answer.retry_ms / 1000,
+                )
             case TargetGrant():
                 target = self._table.get(answer.incarnation)
                 if target is not None and self._may_use(target):
--- a/packages/node/src/bronzepoint_node/relay/_placement_search.py
+++ b/packages/node/src/bronzepoint_node/relay/_placement_search.py
@@ -41,7 +41,9 @@
             request = _placement_request(call)
             found = await self._find_local(call, request, wait)
             placement = self._placer.decide(request, found, monotonic())
-            wait = until - monotonic()
+            # A scheduler that forecasts waits decides how long a request may wait.
+            forecast = isinstance(found, NoLocalTarget) and found.retry_after > 0
+            wait = call.time_left if forecast else until - monotonic()
             if wait <= 0 or not _may_wait(call, placement):
                 return placement
             rests_for = found.rests_for if isinstance(found, NoLocalTarget) else 0.0
--- a/tests/_scheduling_region.py
+++ b/tests/_scheduling_region.py
@@ -233,11 +233,11 @@
         closed = frozenset(names)
         self.table.update(region.infos(), 0.0, services, closed, monotonic())
 
-    def make_request(self, rank=0, tokens=100, arrived=None, avoided=()):
+    def make_request(self, rank=0, tokens=100, arrived=None, avoided=(), **fields):
         now = monotonic()
         at = now if arrived is None else arrived
         return LocalPlacementRequest(
-            "id", "s", prompt(tokens), 5.0, rank, at, set(avoided)
+            "id", "s", prompt(tokens), 5.0, rank, at, set(avoided), **fields
         )
 
     async def send(self, run_id, wait=0.0, **options):
