Estimate the speed of each target relative to its service

The reading speed was one number per service, and a target counted as slow only if it was twice as slow as the fastest. Where one target in four is 2.2 times as fast, all others were treated as equal to it.

Each start of a target now has a reading and a writing speed, from the times to the first token and the seconds between events that all hosts report. It applies to backlog, expected delay, the deadline check and the share of reading.

--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -184,8 +184,7 @@
         for measured in notice.first_tokens:
             tracked = self._table.known(measured.incarnation)
             if tracked is not None:
-                service = tracked.info.service
-                self._speeds.learn_first_token(service, measured, now)
+                self._speeds.learn_first_token(tracked, measured, now)
         for hold in notice.holds:
             self._speeds.learn_hold(hold)
 
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -25,9 +25,10 @@
 from ._fetch_source import fetch_source
 from ._local_request import LocalPlacementRequest
 from ._prompt import Prompt
-from ._reading_share import deadline_factor, is_light
+from ._reading_share import deadline_factor, expected_event_seconds, is_light
 from ._service_estimates import ServiceEstimates
 from ._target_groups import order_groups
+from ._target_speed import MAX_MEASURED_SHARE, update_factors
 from ._target_table import TargetTable
 from ._tracked_target import TRIAL_INTERVAL, TrackedTarget, is_ejected, is_unresponsive
 
@@ -44,6 +45,8 @@
 """Minimum seconds until a request that all targets' limits exclude may be retried."""
 MAX_LIMITED_WAIT = 3.0
 """Maximum of these seconds: a limit may end earlier than it allows the next request."""
+SPEED_INTERVAL = 0.2
+"""Seconds between two computations of the relative speeds of a service's targets."""
 LOWEST_RANK = 9
 """Rank of a request that is served after all others."""
 
@@ -78,10 +81,12 @@
         self._host_count = host_count
         self._selecting_hosts = selecting_hosts
         self._rng = rng
+        self._speeds_at: dict[str, float] = {}
 
     def choose(self, request: LocalPlacementRequest, now: float) -> LocalResult:
         """Return the target for a request, or why there is none."""
         self._table.begin_due_return(request.service, now)
+        self._update_speeds(request.service, now)
         key = request.prompt.shared_key if request.prompt else ""
         is_late = []
         for group in order_groups(self._table.groups(request.service), key, self._rng):
@@ -167,7 +172,7 @@
         choice: TargetChoice,
         now: float,
     ) -> LocalPlacement:
-        rate = self._speeds.rate(request.service).tokens_per_second
+        rate = self._rate(target)
         before = target.load.tokens_before(request.rank, rate, now)
         quiet = target.load.total(now).is_quiet
         if request.prompt is None:
@@ -253,8 +258,8 @@
         """Return a target as input of the choice."""
         report = tracked.report
         cached = tracked.memory.cached_tokens(prompt) if prompt else 0
-        rate = self._speeds.rate(tracked.info.service).tokens_per_second
-        before = tracked.load.tokens_before(rank, rate, now)
+        usual_rate = self._speeds.rate(tracked.info.service).tokens_per_second
+        before = tracked.load.tokens_before(rank, self._rate(tracked), now)
         return TargetView(
             name=TargetName(tracked.info.incarnation),
             region=self._region,
@@ -268,7 +273,9 @@
             report_age=now - tracked.report_at,
             cached_tokens=cached,
             free_tokens=tracked.free_tokens(now),
-            backlog=before / rate,
+            backlog=before / usual_rate,
+            reading_factor=tracked.speed.reading_factor,
+            writing_factor=tracked.speed.writing_factor,
         )
 
     def request_view(self, request: LocalPlacementRequest) -> RequestView:
@@ -309,7 +316,7 @@
         prompt, engine = request.prompt, target.engine
         if prompt is None or engine is None or not engine.event_tokens:
             return True
-        rate = self._speeds.rate(target.info.service).tokens_per_second
+        rate = self._rate(target)
         unread = target.load.tokens_before(LOWEST_RANK, rate, now)
         unread += prompt.tokens - target.memory.cached_tokens(prompt)
         events = prompt.output_tokens / engine.event_tokens
@@ -318,6 +325,31 @@
         factor = deadline_factor(in_flight, target.slots, DEADLINE_FACTOR)
         return unread / rate + writing < factor * request.time_left
 
+    def _rate(self, target: TrackedTarget) -> float:
+        """Return the prompt tokens that a target reads per second."""
+        usual = self._speeds.rate(target.info.service).tokens_per_second
+        return usual / target.speed.reading_factor
+
+    def _update_speeds(self, service: str, now: float) -> None:
+        """Compute the relative speeds of a service's targets, if that is due."""
+        if now - self._speeds_at.get(service, -math.inf) < SPEED_INTERVAL:
+            return
+        self._speeds_at[service] = now
+        targets = self._table.of_service(service)
+        update_factors([target.speed for target in targets], now)
+        rate = self._speeds.rate(service).tokens_per_second
+        event_seconds = self._speeds.mix(service).event_seconds(now)
+        for target in targets:
+            share = target.load.reading.current(rate, now)
+            measures = share <= MAX_MEASURED_SHARE and target.engine is not None
+            target.speed.event_seconds = (
+                expected_event_seconds(
+                    share, rate, target.engine.event_tokens, event_seconds
+                )
+                if measures
+                else 0.0
+            )
+
     def _may_read(
         self, target: TrackedTarget, request: LocalPlacementRequest, now: float
     ) -> bool:
@@ -336,10 +368,11 @@
             prompt.tokens - target.memory.cached_tokens(prompt),
             in_flight,
             target.slots,
-            self._speeds.rate(service).tokens_per_second,
+            self._rate(target),
             engine.event_tokens,
             self._speeds.mix(service),
             now,
+            target.speed.writing_factor,
         )
 
     def _note_granted(
@@ -353,5 +386,6 @@
         events = prompt.output_tokens / target.engine.event_tokens
         mix = self._speeds.mix(request.service)
         mix.note_granted(unread, events, now)
-        mix.note_pace(target.pace.seconds_per_event(now), now)
+        pace = target.pace.seconds_per_event(now) / target.speed.writing_factor
+        mix.note_pace(pace, now)
         target.load.reading.note_granted(unread, events, request.time_left, now)
--- a/packages/node/src/bronzepoint_node/placement/_reading_share.py
+++ b/packages/node/src/bronzepoint_node/placement/_reading_share.py
@@ -26,9 +26,9 @@
 DEADLINE_SHARE = 2 / 3
 """Part of the time to its deadline within which a stream is to be written. The rest is
 for the wait before it and for answers that are longer than expected."""
-FLOOR_GROWTH = 0.002
+FLOOR_GROWTH = 0.01
 """Relative increase per second of the least seconds per event, so that it follows a
-lasting change."""
+lasting change and a measurement of a fast target is forgotten."""
 MIN_EVENT_SECONDS = 1e-4
 """Least seconds per event that are taken as a measurement."""
 
@@ -153,6 +153,7 @@
         event_tokens: int,
         mix: StreamMix,
         now: float,
+        writing_factor: float = 1.0,
     ) -> bool:
         """Return whether the target may get one more prompt to read.
 
@@ -167,21 +168,25 @@
             event_tokens: Tokens in one event of a stream.
             mix: Sizes of the service's streams.
             now: Monotonic seconds.
+            writing_factor: How many times longer it takes to write than usual.
         """
         if unread < MIN_BOUNDED_TOKENS or is_light(in_flight, slots):
             return True
+        current = self.current(rate, now)
+        if current < MIN_SHARE:
+            return True
         full = max_share(
             self.needed_pace(now),
             slots,
             rate,
             event_tokens,
-            mix.event_seconds(now),
+            writing_factor * mix.event_seconds(now),
             mix.events_per_unread,
         )
         if full >= 1.0:
             return True
         bound = 1.0 - _excess_load(in_flight, slots) * (1.0 - full)
-        return self.current(rate, now) < bound
+        return current < bound
 
 
 def max_share(
@@ -207,9 +212,7 @@
     """
     if event_seconds <= 0 or event_tokens <= 0:
         return 1.0
-    # An event takes as many steps as it has tokens, and each of them reads a chunk.
-    idle_pace = 1 / event_seconds
-    reading_pace = 1 / (event_seconds + event_tokens * CHUNK_TOKENS / rate)
+    idle_pace, reading_pace = _paces(rate, event_tokens, event_seconds)
     lost_pace = idle_pace - reading_pace
     in_time = (idle_pace - needed_pace) / lost_pace
     begun = events_per_unread * rate / slots
@@ -217,6 +220,33 @@
     return max(MIN_SHARE, min(1.0, in_time, freed))
 
 
+def expected_event_seconds(
+    share: float, rate: float, event_tokens: int, event_seconds: float
+) -> float:
+    """Return the seconds per event of a target that reads for a share of its time.
+
+    Args:
+        share: The share.
+        rate: Prompt tokens that are read per second.
+        event_tokens: Tokens in one event.
+        event_seconds: Seconds per event while nothing is read; 0 if unknown.
+
+    Returns:
+        The seconds; 0 if unknown.
+    """
+    if event_seconds <= 0 or event_tokens <= 0:
+        return 0.0
+    idle_pace, reading_pace = _paces(rate, event_tokens, event_seconds)
+    return 1 / (share * reading_pace + (1 - share) * idle_pace)
+
+
+def _paces(rate: float, event_tokens: int, event_seconds: float) -> tuple[float, float]:
+    """Return the events per second without reading, and beside reading."""
+    # An event takes as many steps as it has tokens, and each of them reads a chunk.
+    while_reading = event_seconds + event_tokens * CHUNK_TOKENS / rate
+    return 1 / event_seconds, 1 / while_reading
+
+
 def is_light(in_flight: int, slots: int) -> bool:
     """Return whether a target has so many free slots that it may read any prompt."""
     return in_flight <= LIGHT_LOAD * slots
--- a/packages/node/src/bronzepoint_node/placement/_service_estimates.py
+++ b/packages/node/src/bronzepoint_node/placement/_service_estimates.py
@@ -2,16 +2,17 @@
 
 from bronzepoint_node.policy import ServiceTimes
 from bronzepoint_schema.generated.target_loads import FirstToken, Hold
-from bronzepoint_schema.ids import TargetName
 
 from ._reading_rate import ReadingRate
 from ._reading_share import StreamMix
+from ._tracked_target import TrackedTarget
 
 INITIAL_SECONDS_PER_TOKEN = 1 / 35_000
 """Seconds to read a prompt token, until it has been measured."""
 MAX_TOKENS_BEFORE = 500
 """Prompt tokens queued ahead of a request up to which its time to the first token
-measures the target's speed."""
+counts for the usual times of its service. For the speed of its target, more tokens may
+be queued if its own are even more."""
 MAX_UNREPORTED = 200
 """Measurements kept until they are reported; the oldest are dropped first."""
 
@@ -52,20 +53,29 @@
             mix = self._mixes[service] = StreamMix()
         return mix
 
-    def note_first_token(self, service: str, measured: FirstToken, now: float) -> None:
+    def note_first_token(
+        self, target: TrackedTarget, measured: FirstToken, now: float
+    ) -> None:
         """Record the time to the first token of a request of this host."""
-        self.learn_first_token(service, measured, now)
+        self.learn_first_token(target, measured, now)
         self.first_tokens.append(measured)
         del self.first_tokens[:-MAX_UNREPORTED]
 
-    def learn_first_token(self, service: str, measured: FirstToken, now: float) -> None:
+    def learn_first_token(
+        self, target: TrackedTarget, measured: FirstToken, now: float
+    ) -> None:
         """Apply the time to the first token of a request of any host."""
+        if measured.before >= max(MAX_TOKENS_BEFORE, measured.tokens):
+            return
+        service, seconds = target.info.service, measured.ms / 1000
+        times, speed = self.times(service), target.speed
+        expected = max(1e-4, times.first_token(measured.tokens + measured.before))
+        speed.reading.add(seconds / expected, now)
         if measured.before >= MAX_TOKENS_BEFORE:
             return
-        seconds = measured.ms / 1000
-        target = TargetName(measured.incarnation)
-        self.times(service).add_first_token(target, seconds, measured.tokens, now)
-        self.rate(service).add(measured.tokens, seconds, measured.before)
+        usual = seconds / speed.reading_factor
+        times.fit(measured.tokens, usual)
+        self.rate(service).add(measured.tokens, usual, measured.before)
 
     def note_hold(self, measured: Hold) -> None:
         """Record how long a request of this host took."""
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -17,6 +17,7 @@
 from ._pace import Pace
 from ._prompt import Prompt
 from ._request_limit import RequestLimit
+from ._target_speed import TargetSpeed
 
 UNRESPONSIVE_AFTER = 0.25
 """Seconds of failed polls or connections after which a target counts as
@@ -58,7 +59,8 @@
         info: Its entry in the target list.
         cold_until: Until when it is cold, by this host's monotonic clock.
         load: Requests in progress of all hosts.
-        pace: Its writing speed.
+        pace: Its present writing speed, under its present load.
+        speed: Its speed relative to the other targets of its service.
         events: Events of this host's streams that are not reported to other hosts yet.
         event_seconds: Seconds that these events took.
         unreached: Failed connections that are not reported to other hosts yet.
@@ -95,6 +97,7 @@
     cold_until: float = 0.0
     load: EngineLoad = field(default_factory=EngineLoad)
     pace: Pace = field(default_factory=Pace)
+    speed: TargetSpeed = field(default_factory=TargetSpeed)
     events: int = 0
     event_seconds: float = 0.0
     unreached: int = 0
@@ -184,6 +187,7 @@
         """Record events of a stream of this host."""
         self.record_contact(now)
         self.pace.note(events, seconds, now)
+        self.speed.note_events(events, seconds, now)
         self.events += events
         self.event_seconds += seconds
 
@@ -327,6 +331,7 @@
             self.apply_engine_status(load.word, now)
         if load.events:
             self.pace.note(load.events, load.event_ms / 1000, now)
+            self.speed.note_events(load.events, load.event_ms / 1000, now)
             self.record_contact(now)
         self.replaced = self.replaced or load.replaced
         if load.trials:
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -25,6 +25,13 @@
 )
 from bronzepoint_node.policy._policy import Policy, Ticket
 from bronzepoint_node.policy._service_times import ServiceTimes
+from bronzepoint_node.policy._speed_estimate import (
+    PRIOR_SAMPLES,
+    SpeedEstimate,
+    factor,
+    reference_logarithm,
+    shrunk,
+)
 from bronzepoint_node.policy._token_bucket import TokenBucket
 
 __all__ = [
@@ -33,6 +40,7 @@
     "RemotePlacement",
     "LocalPlacement",
     "Limits",
+    "PRIOR_SAMPLES",
     "Placement",
     "Policy",
     "Refused",
@@ -41,6 +49,7 @@
     "RegionView",
     "RequestView",
     "ServiceTimes",
+    "SpeedEstimate",
     "TargetChoice",
     "TargetState",
     "TargetView",
@@ -50,4 +59,7 @@
     "choose_region",
     "choose_target",
     "draw_region",
+    "factor",
+    "reference_logarithm",
+    "shrunk",
 ]
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -153,7 +153,8 @@
         is_preferred: Whether it is the preferred target of the prompt's prefix.
         now: Monotonic seconds.
     """
-    slowness = times.slowness(view.name, now)
+    reading, writing = view.reading_factor, view.writing_factor
+    slowness = times.slowness(view.name, now) if reading is None else reading
     cached = credited_cache(view, load, mean_load, request)
     fetched, fetching = 0, 0.0
     if request.copy_seconds < times.per_token:
@@ -166,7 +167,7 @@
     elif not is_preferred:
         uncached += _DUPLICATE_PREFIX_PENALTY * request.prompt_tokens
     excess_load = max(0.0, load + 1 - view.slots)
-    hold = times.hold * slowness
+    hold = times.hold * (slowness if writing is None else writing)
     return TargetEstimate(
         load=load,
         wait=excess_load * hold / view.slots + view.backlog * slowness,
--- a/packages/node/src/bronzepoint_node/policy/_inputs.py
+++ b/packages/node/src/bronzepoint_node/policy/_inputs.py
@@ -37,7 +37,12 @@
         allowed: maximum number of requests of this host; None: no bound. Set while a
             target returns from ejection.
         free_tokens: memory not used by running requests, in tokens.
-        backlog: seconds of queued prompt processing ahead of a new request.
+        backlog: seconds of queued prompt processing ahead of a new request, at the
+            usual speed of the service.
+        reading_factor: how many times longer it takes to read than the usual target;
+            None: as estimated by the entry's own times.
+        writing_factor: the same for the time that a request holds its slot; None: the
+            factor for reading.
     """
 
     name: TargetName
@@ -55,6 +60,8 @@
     allowed: int | None = None
     free_tokens: float = math.inf
     backlog: float = 0.0
+    reading_factor: float | None = None
+    writing_factor: float | None = None
 
 
 class RegionView(Struct):
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -212,7 +212,7 @@
             elapsed_ms = round((first - now) * 1000)
             before = round(placement.tokens_before)
             measured = FirstToken(name, uncached, elapsed_ms, before)
-            estimates.note_first_token(service, measured, first)
+            estimates.note_first_token(target, measured, first)
 
         def on_head(verdict: TargetVerdict, answer: ClientAnswer) -> None:
             target.record_read(now)
