Keep the targets' speeds when the scheduler is lost

A new scheduler had to learn the speeds of all targets anew, and hosts that choose by themselves knew none.

The scheduler's notices now name each target's factors for reading and writing and the number of samples; members repeat them in full reports. Samples lose weight with age, also in copies, so an estimate that hosts pass to each other ends. Of two estimates the one with more samples counts.

Reports without the fields change nothing.

--- a/packages/node/src/bronzepoint_node/placement/_load_collector.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_collector.py
@@ -128,6 +128,7 @@
         ]
         load.replaced = tracked.replaced
         tracked.add_limit(load, now)
+        tracked.add_speed(load, now)
         if tracked.engine is not None:
             # Plain services are not polled; each host relies on its own connections.
             load.word = tracked.engine_status(now)
--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -234,14 +234,16 @@
         """Return the load changes and measurements that are not reported yet."""
         if full:
             self._reported_all_at = now
-        speeds = self._speeds
+        speeds, loads = self._speeds, []
+        for tracked in self._table.all_known():
+            if tracked.load.changed or (full and tracked.is_in_use(now)):
+                load = tracked.report_load(now)
+                if full:
+                    tracked.add_speed(load, now)
+                loads.append(load)
         notice = LoadNotice(
             NoticeKind.to_collect,
-            [
-                tracked.report_load(now)
-                for tracked in self._table.all_known()
-                if tracked.load.changed or (full and tracked.is_in_use(now))
-            ],
+            loads,
             self._settled,
             speeds.first_tokens,
             speeds.holds,
--- a/packages/node/src/bronzepoint_node/placement/_target_speed.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_speed.py
@@ -3,10 +3,12 @@
 Load: targets of unequal speed, of which some are slower for short intervals.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from bronzepoint_node.policy import (
+    AGE_SECONDS,
     PRIOR_SAMPLES,
     SpeedEstimate,
     factor,
@@ -25,6 +27,34 @@
 below 1 so that one stuck target does not keep new ones unused."""
 
 
+@dataclass(frozen=True)
+class SpeedCopy:
+    """Speed of a target as another host has estimated it.
+
+    Attributes:
+        reading: Logarithm of the factor for reading, shrunk by the samples.
+        writing: Logarithm of the factor for writing, shrunk by the samples.
+        samples: Number of samples, weighted by their age when it was received.
+        at: When it was received, by this host's monotonic clock.
+    """
+
+    reading: float
+    writing: float
+    samples: float
+    at: float
+
+    def certainty(self, now: float) -> float:
+        """Return the number of samples, weighted by their present age."""
+        return self.samples * math.exp(-max(0.0, now - self.at) / AGE_SECONDS)
+
+    def logarithms(self, now: float) -> tuple[float, float]:
+        """Return the logarithms, moved towards 0 as the samples age."""
+        former = self.samples / (self.samples + PRIOR_SAMPLES)
+        certainty = self.certainty(now)
+        kept = certainty / (certainty + PRIOR_SAMPLES) / former
+        return kept * self.reading, kept * self.writing
+
+
 @dataclass
 class TargetSpeed:
     """Speed of one start of a target.
@@ -37,6 +67,9 @@
         reading_factor: Relative time to read, from the last update.
         writing_factor: Relative time to write, from the last update.
         certainty: Number of samples behind the factors, weighted by age.
+        copy: The estimate of another host; None if there is none.
+        updated_at: When the factors were last computed. A host that does not select
+            targets has samples, but no factors.
     """
 
     reading: SpeedEstimate = field(default_factory=SpeedEstimate)
@@ -45,11 +78,14 @@
     reading_factor: float = 1.0
     writing_factor: float = 1.0
     certainty: float = 0.0
+    copy: SpeedCopy | None = None
+    updated_at: float = -math.inf
 
     @property
     def is_new(self) -> bool:
         """Return whether there have been too few samples for any estimate."""
-        return self.reading.seen + self.writing.seen < PRIOR_SAMPLES
+        seen = self.reading.seen + self.writing.seen
+        return self.copy is None and seen < PRIOR_SAMPLES
 
     def note_events(self, events: int, seconds: float, now: float) -> None:
         """Record events of streams, with the seconds since the previous ones."""
@@ -58,6 +94,51 @@
         ratio = seconds / events / self.event_seconds
         self.writing.add(ratio, now, events / EVENTS_PER_SAMPLE)
 
+    def apply_copy(
+        self, reading_permille: int, writing_permille: int, samples: int, now: float
+    ) -> None:
+        """Record the estimate of another host, unless one with more samples is known.
+
+        Args:
+            reading_permille: Its factor for reading, in thousandths; 0 if unknown.
+            writing_permille: Its factor for writing, in thousandths; 0 if unknown.
+            samples: Number of its samples, weighted by age.
+            now: Monotonic seconds.
+        """
+        if samples <= 0 or min(reading_permille, writing_permille) <= 0:
+            return
+        if self.copy is not None and samples < self.copy.certainty(now):
+            return
+        self.copy = SpeedCopy(
+            math.log(reading_permille / 1000),
+            math.log(writing_permille / 1000),
+            samples,
+            now,
+        )
+
+    def better_copy(self, now: float) -> SpeedCopy | None:
+        """Return the estimate of another host if it has more samples than this one."""
+        own = self.reading.certainty(now) + self.writing.certainty(now)
+        if self.copy is None or self.copy.certainty(now) <= own:
+            return None
+        return self.copy
+
+    def reported(self, now: float) -> tuple[int, int, int]:
+        """Return both factors in thousandths and the samples; zeros if unknown."""
+        copy = self.better_copy(now)
+        if copy is not None:
+            read, written = copy.logarithms(now)
+            samples = int(copy.certainty(now))
+        elif now - self.updated_at > AGE_SECONDS:
+            samples = 0
+        else:
+            read = math.log(self.reading_factor)
+            written = math.log(self.writing_factor)
+            samples = int(self.reading.certainty(now) + self.writing.certainty(now))
+        if not samples:
+            return 0, 0, 0
+        return round(1000 * math.exp(read)), round(1000 * math.exp(written)), samples
+
     def age(self, now: float) -> float:
         """Return the seconds since the newest sample; inf if there is none."""
         return min(self.reading.age(now), self.writing.age(now))
@@ -79,6 +160,11 @@
     logarithms = []
     for speed, read, written in zip(speeds, reading, writing, strict=True):
         speed.certainty = read[1] + written[1]
+        copy = speed.copy and speed.better_copy(now)
+        if copy:
+            speed.certainty = copy.certainty(now)
+            logarithms.append(copy.logarithms(now))
+            continue
         own_read, own_written = shrunk(*read), shrunk(*written)
         logarithms.append(
             (shrunk(*read, prior=own_written), shrunk(*written, prior=own_read))
@@ -89,6 +175,7 @@
     slow = tuple(_slow_end([pair[kind] for pair in known]) for kind in (0, 1))
     for speed, pair in zip(speeds, logarithms, strict=True):
         read, written = slow if speed.is_new else pair
+        speed.updated_at = now
         speed.reading_factor, speed.writing_factor = factor(read), factor(written)
 
 
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -333,6 +333,9 @@
             self.pace.note(load.events, load.event_ms / 1000, now)
             self.speed.note_events(load.events, load.event_ms / 1000, now)
             self.record_contact(now)
+        self.speed.apply_copy(
+            load.reading_permille, load.writing_permille, load.samples, now
+        )
         self.replaced = self.replaced or load.replaced
         if load.trials:
             self.isolate(now)
@@ -368,6 +371,11 @@
         self.load.changed = False
         return load
 
+    def add_speed(self, load: TargetLoad, now: float) -> None:
+        """Add the estimated speed to a report, so that the next scheduler knows it."""
+        reported = self.speed.reported(now)
+        load.reading_permille, load.writing_permille, load.samples = reported
+
     def add_limit(self, load: TargetLoad, now: float) -> None:
         """Add the known request limit to a report, or that it has just ended."""
         age = now - self.limit.observed_at
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -26,6 +26,7 @@
 from bronzepoint_node.policy._policy import Policy, Ticket
 from bronzepoint_node.policy._service_times import ServiceTimes
 from bronzepoint_node.policy._speed_estimate import (
+    AGE_SECONDS,
     PRIOR_SAMPLES,
     SpeedEstimate,
     factor,
@@ -35,6 +36,7 @@
 from bronzepoint_node.policy._token_bucket import TokenBucket
 
 __all__ = [
+    "AGE_SECONDS",
     "Admission",
     "EntryRetries",
     "RemotePlacement",
--- a/packages/node/src/bronzepoint_node/policy/_speed_estimate.py
+++ b/packages/node/src/bronzepoint_node/policy/_speed_estimate.py
@@ -129,6 +129,7 @@
 
 
 __all__ = [
+    "AGE_SECONDS",
     "PRIOR_SAMPLES",
     "SpeedEstimate",
     "factor",
--- a/tests/test_placement_target_speed.py
+++ b/tests/test_placement_target_speed.py
@@ -4,13 +4,15 @@
 import unittest
 from collections import Counter
 
+import msgspec
 from nose2.tools import params
 
 from bronzepoint_node.fleet import EngineProperties, ServedService
 from bronzepoint_node.placement import LocalPlacement, Prompt, PromptPart
+from bronzepoint_node.placement._load_collector import LoadCollector
 from bronzepoint_node.placement._target_speed import TargetSpeed, update_factors
 from bronzepoint_node.policy import ServiceTimes
-from bronzepoint_schema.generated.target_loads import FirstToken
+from bronzepoint_schema.generated.target_loads import FirstToken, TargetLoad
 from tests.test_placement_placer import Site, info
 
 SLOW_FACTOR = 2.5
@@ -198,6 +200,82 @@
         self.assertEqual(selector._rate(site.table.get("t2")), rate)
 
 
+class TestTakeover(unittest.TestCase):
+    def setUp(self):
+        self.scheduler = _site_with_fast_target()
+        self.now = self.scheduler.now
+        self.factor = self.scheduler.table.get("t1").speed.reading_factor
+        self.assertLess(self.factor, 0.8)
+
+    def test_next_scheduler_takes_the_estimates_over(self):
+        """Guards against speeds learned anew each time a scheduler is lost."""
+        member, successor = _copied_site(self.now), _copied_site(self.now)
+        collector = LoadCollector("old", self.scheduler.table)
+        collector.record("member", [], self.now)
+        notice = collector.notices(self.now)["member"]
+        _apply("old", notice.loads, member, self.now)
+        later = self.now + 0.5
+        reports = []
+        for target in member.table.all():
+            report = target.report_load(later)
+            target.add_speed(report, later)
+            reports.append(report)
+        _apply("member", reports, successor, later)
+        successor.now = later
+        _choose(successor)
+        speed = successor.table.get("t1").speed
+        self.assertLess(speed.reading_factor, 0.85)
+        self.assertEqual(successor.table.get("t2").speed.reading_factor, 1.0)
+
+    def test_copies_that_are_passed_back_and_forth_age(self):
+        """Guards against an old estimate that hosts keep alive by repeating it."""
+        now = self.now
+        source, other = self.scheduler, _copied_site(now)
+        for _ in range(20):
+            now += 1.0
+            for sender, receiver in ((source, other), (other, source)):
+                target = sender.table.get("t1")
+                report = target.report_load(now)
+                target.add_speed(report, now)
+                _apply("peer", [report], receiver, now)
+        source.now = now
+        _choose(source)
+        self.assertEqual(source.table.get("t1").speed.reading_factor, 1.0)
+
+    @params(
+        # Samples of the two hosts, factor that counts.
+        (5, 20, 2.0),
+        (20, 5, 0.5),
+    )
+    def test_estimate_with_more_samples_counts(self, first, second, expected):
+        speed = TargetSpeed()
+        speed.apply_copy(500, 500, first, 10.0)
+        speed.apply_copy(2000, 2000, second, 10.0)
+        update_factors([speed], 10.0)
+        self.assertAlmostEqual(speed.reading_factor, expected, delta=0.01)
+
+    def test_own_samples_replace_a_wrong_copy(self):
+        """Guards against a copy that is wrong by a factor of four and stays in use."""
+        fleet = _Fleet(*[1.0] * 4)
+        fleet.speeds[0].apply_copy(4000, 4000, 20, 0.0)
+        self.assertGreater(fleet.factors()[0], 3)
+        fleet.run(5)
+        self.assertEqual(fleet.factors()[0], 1.0)
+
+    def test_reports_of_hosts_without_the_fields_change_nothing(self):
+        """Guards against zeros of an earlier version taken as a speed."""
+        speed = TargetSpeed()
+        speed.apply_copy(0, 0, 0, 10.0)
+        self.assertEqual(speed, TargetSpeed())
+
+    def test_host_that_selects_nothing_reports_no_speed_of_its_own(self):
+        """Guards against a member that reports its samples as the usual speed."""
+        speed = TargetSpeed()
+        for tick in range(30):
+            speed.reading.add(3.0, tick / 10)
+        self.assertEqual(speed.reported(3.0), (0, 0, 0))
+
+
 class TestServiceTimes(unittest.TestCase):
     def test_estimates_of_a_service_cost_one_pass(self):
         """Guards against a choice that computes all factors for each candidate."""
@@ -210,6 +288,30 @@
         self.assertIs(times.factors, factors)
 
 
+def _site_with_fast_target():
+    site = Site(*map(info, ("t1", "t2", "t3")), service=SERVICE)
+    for tick in range(60):
+        for name, seconds in (("t1", 0.04), ("t2", 0.1), ("t3", 0.1)):
+            _learn(site, name, seconds, site.now + tick / 10)
+    site.now += 6.0
+    _choose(site)
+    return site
+
+
+def _copied_site(now):
+    """Return another host with the same targets."""
+    site = Site(*map(info, ("t1", "t2", "t3")), service=SERVICE)
+    site.now = now
+    return site
+
+
+def _apply(sender, loads, site, now):
+    """Let a host receive load reports, as they arrive from the network."""
+    encoded = msgspec.msgpack.encode(loads)
+    for load in msgspec.msgpack.decode(encoded, type=list[TargetLoad]):
+        site.table.get(load.incarnation).apply_load(sender, load, now)
+
+
 def _learn(site, name, seconds, now, tokens=2000):
     """Let a target's time to the first token be measured."""
     target = site.table.get(name)
