--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -184,8 +184,7 @@
         for measured in notice.first_tokens:
             tracked = self._table.known(measured.incarnation)
             if tracked is not None:
-                service = tracked.info.service
-                self._speeds.learn_first_token(service, measured, now)
+                self._speeds.learn_first_token(tracked, measured, now)
         for hold in notice.holds:
             self._speeds.learn_hold(hold)
 
@@ -235,14 +234,16 @@
         """Return the load changes and measurements that are not reported yet."""
         if full:
             self._reported_all_at = now
-        speeds = self._speeds
+        speeds, loads = self._speeds, []
+        for tracked in self._table.all_known():
+            if tracked.load.changed or (full and tracked.is_in_use(now)):
+                load = tracked.report_load(now)
+                if full:
+                    tracked.add_speed(load, now)
+                loads.append(load)
         notice = LoadNotice(
             NoticeKind.to_collect,
-            [
-                tracked.report_load(now)
-                for tracked in self._table.all_known()
-                if tracked.load.changed or (full and tracked.is_in_use(now))
-            ],
+            loads,
             self._settled,
             speeds.first_tokens,
             speeds.holds,
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -25,14 +25,24 @@
 )
 from bronzepoint_node.policy._policy import Policy, Ticket
 from bronzepoint_node.policy._service_times import ServiceTimes
+from bronzepoint_node.policy._speed_estimate import (
+    AGE_SECONDS,
+    PRIOR_SAMPLES,
+    SpeedEstimate,
+    factor,
+    reference_logarithm,
+    shrunk,
+)
 from bronzepoint_node.policy._token_bucket import TokenBucket
 
 __all__ = [
+    "AGE_SECONDS",
     "Admission",
     "EntryRetries",
     "RemotePlacement",
     "LocalPlacement",
     "Limits",
+    "PRIOR_SAMPLES",
     "Placement",
     "Policy",
     "Refused",
@@ -41,6 +51,7 @@
     "RegionView",
     "RequestView",
     "ServiceTimes",
+    "SpeedEstimate",
     "TargetChoice",
     "TargetState",
     "TargetView",
@@ -50,4 +61,7 @@
     "choose_region",
     "choose_target",
     "draw_region",
+    "factor",
+    "reference_logarithm",
+    "shrunk",
 ]
