Rank requests by organisation first and by route second

The priority of an organisation replaced that of the route, so its urgent drafts and its long summaries had one rank in the queue and at the targets.

The pairs of both priorities that a catalogue uses are numbered from 0 on, late requests behind all of them, within the ten ranks that targets distinguish. Without priorities of organisations ranks stay as they were. Unread prompt tokens are told apart for all ten ranks; hosts of the former version still read the list of four.

Two test modules import LATE_RANKS from the fleet package, where it moved.

--- a/packages/node/src/bronzepoint_node/fleet/__init__.py
+++ b/packages/node/src/bronzepoint_node/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from ._nearest_core import nearest_core
 from ._organisation import Organisation, Quota, digest_key, shown_digest
+from ._rank_table import LATE_RANKS, MAX_RANK, RankTable
 from ._registry import (
     COLLECTOR_ORDER,
     ENTRY_EXPIRY,
@@ -25,13 +26,16 @@
     "COLLECTOR_ORDER",
     "ENTRY_EXPIRY",
     "MAX_REPORT_AGE",
+    "LATE_RANKS",
     "LOAD_EXPIRY",
+    "MAX_RANK",
     "MAX_CRASH_CASES",
     "CallerLimits",
     "EngineProperties",
     "SyncClient",
     "Organisation",
     "Quota",
+    "RankTable",
     "Registry",
     "RouteKind",
     "ServedCatalogue",
--- a/packages/node/src/bronzepoint_node/fleet/_served.py
+++ b/packages/node/src/bronzepoint_node/fleet/_served.py
@@ -11,6 +11,7 @@
 from bronzepoint_schema.ids import KeyDigest, OrganisationName, RegionName
 
 from ._organisation import Organisation
+from ._rank_table import RankTable
 
 
 class RouteKind(Enum):
@@ -162,6 +163,15 @@
         matching = [r for r in self.routes_of(host) if path.startswith(r.prefix)]
         return max(matching, key=lambda route: len(route.prefix), default=None)
 
+    @cached_property
+    def ranks(self) -> RankTable:
+        """Ranks of requests by the priorities of organisation and route."""
+        organisations = (self.organisations or {}).values()
+        return RankTable.of(
+            (organisation.priority for organisation in organisations),
+            (route.priority for route in self.routes),
+        )
+
     @cached_property
     def _by_host(self) -> dict[str, list[ServedRoute]]:
         found = defaultdict(list)
--- a/packages/node/src/bronzepoint_node/placement/_engine_load.py
+++ b/packages/node/src/bronzepoint_node/placement/_engine_load.py
@@ -6,7 +6,13 @@
 from bronzepoint_schema.generated.target_loads import TargetLoad
 from bronzepoint_schema.ids import HostName
 
-from ._load_sum import RANK_COUNT, CurrentPrompt, LoadSum
+from ._load_sum import (
+    RANK_COUNT,
+    CurrentPrompt,
+    LoadSum,
+    report_unread,
+    unread_by_rank,
+)
 
 NOTICE_EXPIRY = 3.0
 """Seconds after which the last report of a host is ignored, if no newer one arrives."""
@@ -111,15 +117,17 @@
         for run in self._unstarted():
             unread[min(run.rank, RANK_COUNT - 1)] += run.uncached
         head = min(self._unstarted(), key=lambda run: run.sent_at, default=None)
-        return TargetLoad(
+        load = TargetLoad(
             incarnation=incarnation,
             in_flight=len(self.runs),
             memory_tokens=sum(run.tokens for run in self.runs.values()),
-            unread=unread,
+            unread=[],
             head_tokens=head.uncached if head else 0,
             head_rank=head.rank if head else 0,
             head_age_ms=int((now - head.sent_at) * 1000) if head else 0,
         )
+        report_unread(load, unread)
+        return load
 
     def notice_without(
         self, host: HostName, incarnation: str, now: float
@@ -135,16 +143,18 @@
             own_sent_at = at - own.head_age_ms / 1000
             if own_sent_at <= head.sent_at:
                 head = None
-        unread = zip(total.unread, own.unread, strict=True)
-        return TargetLoad(
+        unread = zip(total.unread, unread_by_rank(own), strict=True)
+        load = TargetLoad(
             incarnation=incarnation,
             in_flight=max(0, total.in_flight - own.in_flight),
             memory_tokens=max(0, total.memory_tokens - own.memory_tokens),
-            unread=[max(0, tokens - reported) for tokens, reported in unread],
+            unread=[],
             head_tokens=head.tokens if head else 0,
             head_rank=head.rank if head else 0,
             head_age_ms=int((now - head.began_at) * 1000) if head else 0,
         )
+        report_unread(load, [max(0, tokens - reported) for tokens, reported in unread])
+        return load
 
     def in_flight(self, now: float) -> int:
         """Return the number of requests in progress."""
--- a/packages/node/src/bronzepoint_node/placement/_load_sum.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_sum.py
@@ -7,9 +7,12 @@
 
 from bronzepoint_schema.generated.target_loads import TargetLoad
 
-RANK_COUNT = 4
-"""Number of ranks that are distinguished. Requests of a less urgent rank count with the
-last one."""
+RANK_COUNT = 10
+"""Number of ranks that are distinguished, as by the targets. Requests of a less urgent
+rank count with the last one."""
+REPORTED_COUNT = 4
+"""Length of `TargetLoad.unread`. Earlier hosts accept no longer list, so the ranks from
+the last entry on are reported separately."""
 
 
 class CurrentPrompt(Struct, frozen=True):
@@ -59,7 +62,7 @@
         for at, load in loads:
             total.in_flight += load.in_flight
             total.memory_tokens += load.memory_tokens
-            for rank, tokens in enumerate(load.unread):
+            for rank, tokens in enumerate(unread_by_rank(load)):
                 total.unread[rank] += tokens
             if load.head_tokens:
                 sent_at = at - load.head_age_ms / 1000
@@ -88,3 +91,22 @@
         """Replace the current prompt if the given one was sent earlier."""
         if self.head is None or head.sent_at < self.head.sent_at:
             self.head = head
+
+
+def unread_by_rank(load: TargetLoad) -> list[int]:
+    """Return the unread prompt tokens of a report by rank, for all ranks."""
+    first = load.unread[: REPORTED_COUNT - 1]
+    further = load.unread_further or load.unread[REPORTED_COUNT - 1 :]
+    return [*first, *further, *[0] * RANK_COUNT][:RANK_COUNT]
+
+
+def report_unread(load: TargetLoad, unread: list[int]) -> None:
+    """Set the unread prompt tokens of a report.
+
+    Args:
+        load: The report.
+        unread: Tokens by rank, for all ranks.
+    """
+    last = REPORTED_COUNT - 1
+    load.unread = [*unread[:last], sum(unread[last:])]
+    load.unread_further = unread[last:] if any(unread[last + 1 :]) else []
--- a/packages/node/src/bronzepoint_node/relay/_authenticator.py
+++ b/packages/node/src/bronzepoint_node/relay/_authenticator.py
@@ -161,7 +161,7 @@
         catalogue = self._sync_client.catalogue
         if catalogue is None or catalogue.version <= call.version:
             return True
-        call.version = catalogue.version
+        call.version, call.ranks = catalogue.version, catalogue.ranks
         if catalogue.organisations is None:
             call.organisation = None
             return True
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -6,7 +6,7 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.events import EventSplitter
 from bronzepoint_common.http import Exchange
-from bronzepoint_node.fleet import Organisation, RouteKind, ServedRoute
+from bronzepoint_node.fleet import Organisation, RankTable, RouteKind, ServedRoute
 from bronzepoint_node.forwarded_runs import ForwardedSend
 from bronzepoint_node.placement import select_service
 from bronzepoint_node.quarantine import RequestFingerprints
@@ -73,9 +73,6 @@
         return "answered"
 
 
-LATE_RANKS = 4
-"""Ranks added to a request that can no longer meet its objective: it queues behind
-requests of every priority that still can."""
 TryOutcome = NotRun | MayHaveRun | Answered
 
 
@@ -118,6 +115,7 @@
         has_permit: True if a core host has permitted a trial of this suspect request.
         organisation: Organisation of the caller; None: unknown caller.
         version: Version of the catalogue that the organisation was last looked up in.
+        ranks: Ranks by that catalogue.
         charge: Charge to the organisation's quota; None: no quota applies.
         tried: Incarnations of the targets that it was sent to.
         tried_hosts: Hosts of other regions that it was forwarded to.
@@ -184,6 +182,7 @@
     has_permit: bool = False
     organisation: Organisation | None = None
     version: int = -1
+    ranks: RankTable = RankTable()
     charge: Charge | None = None
 
     @property
@@ -245,15 +244,17 @@
         """
         waited = self.prior_wait + now - self.received_at
         is_late = not self.first_event_at and waited > self.route.objective
-        return self.priority + LATE_RANKS * is_late
+        return self._rank(is_late=is_late)
 
     @property
     def priority(self) -> int:
-        """Rank while not late: the organisation's priority, else the route's."""
+        """Rank while not late, by the priorities of organisation and route."""
+        return self._rank(is_late=False)
+
+    def _rank(self, *, is_late: bool) -> int:
         organisation = self.organisation
-        if organisation is None or organisation.priority is None:
-            return self.route.priority
-        return organisation.priority
+        own = organisation.priority if organisation is not None else None
+        return self.ranks.rank(own, self.route.priority, is_late=is_late)
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/node/src/bronzepoint_node/relay/_request_intake.py
+++ b/packages/node/src/bronzepoint_node/relay/_request_intake.py
@@ -112,6 +112,7 @@
         body = await exchange.body()
         call = self._new_call(exchange, head, route, body, received_at, forwarded)
         call.organisation, call.version = authentication.organisation, catalogue.version
+        call.ranks = catalogue.ranks
         if self._leaving:
             await self._answer_writer.refuse(exchange, head, RejectReason.LEAVING, 0.1)
             return None
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -9,7 +9,13 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import BadRequest, Request
-from bronzepoint_node.fleet import RouteKind, ServedRoute, digest_key
+from bronzepoint_node.fleet import (
+    LATE_RANKS,
+    RankTable,
+    RouteKind,
+    ServedRoute,
+    digest_key,
+)
 from bronzepoint_node.placement import PlacementRequest
 from bronzepoint_node.quarantine import fingerprint_request
 from bronzepoint_node.relay import Authenticator, CallerHead
@@ -18,7 +24,7 @@
     UnconfirmedKey,
     UnknownKey,
 )
-from bronzepoint_node.relay._call import LATE_RANKS, Call
+from bronzepoint_node.relay._call import Call
 from bronzepoint_node.relay._host_headers import HOST_HEADERS, ORGANISATION_HEADER
 from bronzepoint_platform._codec import PlatformCodec
 from bronzepoint_platform._manifest import ManifestInvalid, read_manifest
@@ -313,6 +319,19 @@
         self.assertEqual(waiting_call.rank(now), rank)
         self.assertEqual(waiting_call.rank(now + 1.5), rank + LATE_RANKS)
 
+    @params((0, 0), (1, 2))
+    def test_rank_by_organisation_and_then_by_route(self, priority, level):
+        """Guards against urgent requests of an organisation that share a rank with its
+        long ones, here and at the targets."""
+        organisation = SimpleNamespace(priority=priority)
+        waiting_call = call(head("key-a1"), organisation, 1)
+        waiting_call.ranks = RankTable.of((0, 1), (0, ROUTE.priority))
+        now = waiting_call.received_at
+        # Levels: both priorities of the organisations, with routes 0 and 2, and the
+        # routes alone.
+        self.assertEqual(waiting_call.rank(now), level + 1)
+        self.assertEqual(waiting_call.rank(now + 1.5), level + 1 + 5)
+
 
 class TestFingerprints(unittest.TestCase):
     def test_callers_that_share_an_address_are_distinguished(self):
--- a/tests/test_relay_late_requests.py
+++ b/tests/test_relay_late_requests.py
@@ -6,9 +6,9 @@
 from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
-from bronzepoint_node.fleet import RouteKind, ServedRoute
+from bronzepoint_node.fleet import LATE_RANKS, RouteKind, ServedRoute
 from bronzepoint_node.placement._request_queue import QueuedRequest, RequestQueue
-from bronzepoint_node.relay._call import LATE_RANKS, Call
+from bronzepoint_node.relay._call import Call
 from bronzepoint_node.relay._usual_deadlines import UsualDeadlines
 
 ROUTE = ServedRoute("r", "h", "/", RouteKind.STREAM, 12.0, 1.2, 2, (), 2, True)
