Count the expected end size of requests as memory of a target

A request counted with its own prompt and the caller's estimate of its output, which is right at the median only, and without the shared parts that it brings along. A target whose requests grew beyond its memory preempted them or crashed.

The estimate counts one and a half times, at most the request's maximum, and shared parts count where the target doesn't hold them yet.

--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -278,6 +278,7 @@
         """Return a target as input of the choice."""
         report = tracked.report
         cached = tracked.memory.cached_tokens(prompt) if prompt else 0
+        missing = tracked.missing_tokens(prompt) if prompt else 0
         rate = self._speeds.rate(tracked.info.service).tokens_per_second
         before = tracked.load.tokens_before(rank, rate, now)
         return TargetView(
@@ -292,7 +293,7 @@
             waiting=report.waiting if report else 0,
             report_age=now - tracked.report_at,
             cached_tokens=cached,
-            free_tokens=tracked.free_tokens(now),
+            free_tokens=tracked.free_tokens(now) - missing,
             backlog=before / rate,
         )
 
--- a/packages/node/src/bronzepoint_node/placement/_prompt.py
+++ b/packages/node/src/bronzepoint_node/placement/_prompt.py
@@ -1,7 +1,14 @@
 """Size and shared parts of a request's prompt."""
 
+import math
+
 from msgspec import Struct
 
+OUTPUT_SPREAD = 1.5
+"""Multiple of the estimated output that a request is assumed to write. The estimate is
+right at the median only, and a target that runs out of memory preempts requests or
+crashes."""
+
 
 class PromptPart(Struct, frozen=True):
     """A piece of a prompt that other requests may have in common."""
@@ -32,6 +39,19 @@
 
     @property
     def memory_tokens(self) -> int:
-        """Estimated memory in tokens, without the shared parts."""
-        own = self.parts[-1].tokens if self.parts else self.tokens
-        return own + (self.expected_output or self.max_output)
+        """Expected memory in tokens at its end, without the shared parts."""
+        output = self.max_output
+        if self.expected_output:
+            spread = math.ceil(OUTPUT_SPREAD * self.expected_output)
+            output = min(spread, self.max_output or spread)
+        return self.own_tokens + output
+
+    @property
+    def own_tokens(self) -> int:
+        """Tokens of the part that no other request shares."""
+        return self.parts[-1].tokens if self.parts else self.tokens
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may share."""
+        return self.tokens - self.own_tokens
--- a/packages/node/src/bronzepoint_node/placement/_request_cost.py
+++ b/packages/node/src/bronzepoint_node/placement/_request_cost.py
@@ -45,16 +45,14 @@
         engine = known.engine if known is not None else None
         if prompt is None or engine is None:
             return max(MIN_COST, self._estimates.times(service).hold)
-        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
         written = prompt.expected_output or prompt.max_output
-        reading = own / self._estimates.rate(service).tokens_per_second
+        reading = prompt.own_tokens / self._estimates.rate(service).tokens_per_second
         writing = written * self._step(service, now) / max(1, engine.slots)
         return max(MIN_COST, reading + writing)
 
     def seconds_to_first_token(self, service: str, prompt: Prompt) -> float:
         """Return the seconds in which an idle target reads a prompt's own part."""
-        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
-        return own / self._estimates.rate(service).tokens_per_second
+        return prompt.own_tokens / self._estimates.rate(service).tokens_per_second
 
     def seconds_to_write(self, service: str, prompt: Prompt, now: float) -> float:
         """Return the seconds in which a target writes the answer to a prompt."""
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -318,7 +318,9 @@
             target.trial_at = now
         if request.suspect:
             target.isolate(now)
-        memory = prompt.memory_tokens if prompt else 0
+        memory = 0
+        if prompt is not None:
+            memory = prompt.memory_tokens + target.missing_tokens(prompt)
         uncached = prompt.tokens - found.cached_tokens if prompt else 0
         run = OwnRun(memory, uncached, request.rank, now)
         self._reservations.add(host, number, target, prompt, run)
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -139,6 +139,13 @@
         unknown = max(0, self.report.used_tokens - self.tokens_at_report)
         return (self.report.total_tokens or self.engine.memory_tokens) - known - unknown
 
+    def missing_tokens(self, prompt: Prompt) -> int:
+        """Return the tokens of a prompt's shared parts that it doesn't hold yet.
+
+        They take memory, too, but only once for all requests that share them.
+        """
+        return max(0, prompt.shared_tokens - self.memory.cached_tokens(prompt))
+
     def begin(
         self,
         run_id: str,
@@ -158,7 +165,7 @@
         """
         uncached = tokens = 0
         if prompt is not None:
-            tokens = prompt.memory_tokens
+            tokens = prompt.memory_tokens + self.missing_tokens(prompt)
             uncached = prompt.tokens - cached
             self.memory.note_used(prompt)
             self.parts_sent.update({p.name: p.tokens for p in prompt.parts[:-1]})
