--- a/packages/node/src/bronzepoint_node/placement/_reported_loads.py
+++ b/packages/node/src/bronzepoint_node/placement/_reported_loads.py
@@ -3,7 +3,7 @@
 from bronzepoint_schema.generated.target_loads import TargetLoad
 from bronzepoint_schema.ids import HostName
 
-from ._load_sum import RANK_COUNT, CurrentPrompt, LoadSum
+from ._load_sum import RANK_COUNT, CurrentPrompt, LoadSum, unread_by_rank
 
 
 class ReportedLoads:
@@ -80,6 +80,6 @@
     def _add(self, load: TargetLoad, sign: int) -> None:
         self._in_flight += sign * load.in_flight
         self._memory_tokens += sign * load.memory_tokens
-        for rank, tokens in enumerate(load.unread):
+        for rank, tokens in enumerate(unread_by_rank(load)):
             if tokens:
                 self._unread[rank] += sign * tokens
