Limit requests in progress to what a target finishes faster with

Each target was filled up to its slots. One that finishes no more requests per second beyond, say, two thirds of them only became slower.

The scheduler compares events per second at levels of load; where two higher levels of a target yield no more, its limit is the lowest such level, at least a quarter of the slots. At the limit one more request is tried every 5 s and kept if the throughput grows. A limit that nothing confirms for 20 s is dropped. It is passed to the choice as TargetView.allowed and to the next scheduler in best_concurrency.

--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -272,6 +272,7 @@
             waiting=report.waiting if report else 0,
             report_age=now - tracked.report_at,
             cached_tokens=cached,
+            allowed=tracked.concurrency.limit,
             free_tokens=tracked.free_tokens(now),
             backlog=before / usual_rate,
             reading_factor=tracked.speed.reading_factor,
@@ -340,14 +341,21 @@
         rate = self._speeds.rate(service).tokens_per_second
         event_seconds = self._speeds.mix(service).event_seconds(now)
         for target in targets:
+            if target.engine is None:
+                continue
             share = target.load.reading.current(rate, now)
-            measures = share <= MAX_MEASURED_SHARE and target.engine is not None
-            target.speed.event_seconds = (
-                expected_event_seconds(
-                    share, rate, target.engine.event_tokens, event_seconds
+            expected = 0.0
+            if share <= MAX_MEASURED_SHARE:
+                event_tokens = target.engine.event_tokens
+                expected = expected_event_seconds(
+                    share, rate, event_tokens, event_seconds
                 )
-                if measures
-                else 0.0
+            target.speed.event_seconds = expected
+            target.concurrency.update(
+                target.load.in_flight(now),
+                expected / event_seconds if expected else 0.0,
+                target.slots,
+                now,
             )
 
     def _may_read(
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -12,6 +12,7 @@
 from bronzepoint_schema.generated.target_loads import EngineWord, PartUse, TargetLoad
 from bronzepoint_schema.ids import HostName
 
+from ._best_concurrency import BestConcurrency
 from ._cache_estimate import CacheEstimate
 from ._engine_load import NOTICE_EXPIRY, EngineLoad, OwnRun
 from ._pace import Pace
@@ -61,6 +62,7 @@
         load: Requests in progress of all hosts.
         pace: Its present writing speed, under its present load.
         speed: Its speed relative to the other targets of its service.
+        concurrency: Number of requests up to which more of them are finished.
         events: Events of this host's streams that are not reported to other hosts yet.
         event_seconds: Seconds that these events took.
         unreached: Failed connections that are not reported to other hosts yet.
@@ -98,6 +100,7 @@
     load: EngineLoad = field(default_factory=EngineLoad)
     pace: Pace = field(default_factory=Pace)
     speed: TargetSpeed = field(default_factory=TargetSpeed)
+    concurrency: BestConcurrency = field(default_factory=BestConcurrency)
     events: int = 0
     event_seconds: float = 0.0
     unreached: int = 0
@@ -188,6 +191,7 @@
         self.record_contact(now)
         self.pace.note(events, seconds, now)
         self.speed.note_events(events, seconds, now)
+        self.concurrency.note_events(events)
         self.events += events
         self.event_seconds += seconds
 
@@ -332,10 +336,13 @@
         if load.events:
             self.pace.note(load.events, load.event_ms / 1000, now)
             self.speed.note_events(load.events, load.event_ms / 1000, now)
+            self.concurrency.note_events(load.events)
             self.record_contact(now)
         self.speed.apply_copy(
             load.reading_permille, load.writing_permille, load.samples, now
         )
+        if load.best_concurrency:
+            self.concurrency.apply_copy(load.best_concurrency, now)
         self.replaced = self.replaced or load.replaced
         if load.trials:
             self.isolate(now)
@@ -375,6 +382,7 @@
         """Add the estimated speed to a report, so that the next scheduler knows it."""
         reported = self.speed.reported(now)
         load.reading_permille, load.writing_permille, load.samples = reported
+        load.best_concurrency = self.concurrency.reported(now)
 
     def add_limit(self, load: TargetLoad, now: float) -> None:
         """Add the known request limit to a report, or that it has just ended."""
