--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -19,6 +19,8 @@
     ReportUnreadable,
 )
 from ._load_exchange import LoadExchange
+from ._organisation_weights import organisation_weights
+from ._other_regions import OtherRegions
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
 from ._reservations import Reservations
@@ -36,6 +38,7 @@
     "LoadExchange",
     "LocalResult",
     "NoLocalTarget",
+    "OtherRegions",
     "Placement",
     "PlacementRequest",
     "Placer",
@@ -55,5 +58,6 @@
     "TargetTable",
     "TrackedTarget",
     "is_unresponsive",
+    "organisation_weights",
     "select_service",
 ]
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from bronzepoint_node.fleet import Registry
 from bronzepoint_node.policy import RegionEstimate
@@ -24,8 +25,10 @@
 from ._local_target_selector import LOWEST_RANK, LocalTargetSelector
 from ._other_regions import OtherRegions
 from ._service_estimates import ServiceEstimates
+from ._target_description import describe_targets
 from ._target_table import TargetTable
 from ._tracked_target import TrackedTarget, is_ejected, is_unresponsive
+from ._wait_forecast import MAX_RETRY, MIN_RETRY
 
 MIN_REMOTE_ADVANTAGE = 0.15
 """Seconds by which another region must be faster to be preferred. Its caches do not
@@ -37,6 +40,15 @@
 """Seconds after which a caller retries when all targets write too slowly. Reading the
 longest prompts takes that long, and the measured pace covers little more time."""
 
+CAPACITY_REASONS = frozenset(
+    {RejectReason.NO_ROOM, RejectReason.LIMITED, RejectReason.RESTING}
+)
+"""Reasons that another region with free capacity would resolve."""
+RETRY_JITTER = (0.1, 0.5)
+"""Range of the part of the forecast time that is added to it, so that callers don't
+return together."""
+RETRY_FLOOR = 0.7
+"""Part of the longest time from which on longer forecasts are spread evenly."""
 MAX_REST_SPREAD = 2.0
 """Maximum seconds over which callers return once a target takes requests again."""
 
@@ -110,6 +122,10 @@
             avoided=request.tried,
             suspect=request.suspect,
             software_version=request.software_version,
+            organisation=request.organisation.name if request.organisation else "",
+            route=request.route.name,
+            route_priority=request.route.priority,
+            objective=request.route.objective,
         )
 
     def place(self, request: PlacementRequest, now: float) -> Placement:
@@ -138,7 +154,7 @@
         estimates = self.regions.fresh_estimates(request, service, request_view, now)
         remote = self.regions.best(request, service, request_view, estimates, now)
         if remote is None:
-            return local or self._reject(request, found)
+            return local or self._reject_forwardable(request, found, now)
         if local is None:
             return remote
         cache_holder = self._cache_holder(request, service, local, estimates, now)
@@ -220,11 +236,28 @@
         if isinstance(found, NoLocalTarget) and found.limited_for:
             wait = found.limited_for * self._rng.uniform(1.0, 1.5)
             return Rejected(RejectReason.LIMITED, wait, found.crowded)
+        is_final = isinstance(found, NoLocalTarget) and found.crowded
+        if isinstance(found, NoLocalTarget) and found.retry_after:
+            jitter = self._rng.uniform(*RETRY_JITTER)
+            bounded = max(MIN_RETRY, found.retry_after) * (1 + jitter)
+            wait = min(bounded, MAX_RETRY * self._rng.uniform(RETRY_FLOOR, 1.0))
+            return Rejected(RejectReason.NO_ROOM, wait, is_final)
         hold = self.estimates.times(service).hold
         wait = min(3.0, max(0.3, hold / 2)) * self._rng.uniform(0.7, 1.5)
-        is_final = isinstance(found, NoLocalTarget) and found.crowded
         return Rejected(RejectReason.NO_ROOM, wait, is_final)
 
+    def _reject_forwardable(
+        self, request: PlacementRequest, found: LocalResult, now: float
+    ) -> Rejected:
+        """Return a refusal that names the first region to have free capacity."""
+        rejected = self._reject(request, found)
+        if rejected.reason not in CAPACITY_REASONS or not request.refused_regions:
+            return rejected
+        wait = max(MIN_RETRY, min(request.refused_regions.values()) - now)
+        if self.may_serve_locally(request):
+            wait = min(wait, rejected.retry_after)
+        return replace(rejected, retry_after=wait)
+
     def _is_version_gone(self, request: PlacementRequest, service: str) -> bool:
         """Return whether no target of the required version is left that may serve."""
         version = request.software_version
@@ -235,16 +268,7 @@
     def describe_capacity(self, request: PlacementRequest, now: float) -> str:
         """Return the known free capacity for a request, for the log."""
         service = request.selected_service
-        here = [
-            f"{t.info.incarnation} {t.load.in_flight(now)}/{t.slots}"
-            f"{'' if request.allows(t.info) else f' of {t.info.software_version}'}"
-            f"{' silent' if is_unresponsive(t, now) else ''}"
-            f"{' ejected' if is_ejected(t) else ''}"
-            f"{' cold' if now < t.cold_until else ''}"
-            f"{'' if t.limit.rate is None else f' limited to {t.limit.rate:g}/s'}"
-            f"{f' rests {t.rests_until - now:.1f} s' if t.is_resting(now) else ''}"
-            for t in self._table.of_service(service)
-        ]
+        here = describe_targets(self._table.of_service(service), request, now)
         there = self.regions.describe(service, request, now)
         closed = sorted(self._table.closed)
         homes = " and ".join(", ".join(homes) for homes in request.homes) or "any"
--- a/packages/node/src/bronzepoint_node/placement/_service_estimates.py
+++ b/packages/node/src/bronzepoint_node/placement/_service_estimates.py
@@ -44,7 +44,10 @@
 
     def rate(self, service: str) -> ReadingRate:
         """Return the rate at which the engines of a service read prompts."""
-        return self._rates.setdefault(service, ReadingRate())
+        rate = self._rates.get(service)
+        if rate is None:
+            rate = self._rates[service] = ReadingRate()
+        return rate
 
     def mix(self, service: str) -> StreamMix:
         """Return the sizes of the streams of a service."""
