Don't score targets of which none has a free slot

While requests wait, the scheduler looks for a target for the first of them each 20 ms, and for each new one. More than half of these choices find all targets full, but built a view of each and its score first. They now end as soon as all targets are known to be full. The first target in the rendezvous order of a shared part is kept, and what refused requests ask the table for stops at the first target that decides it.

--- a/packages/node/src/bronzepoint_node/placement/_engine_load.py
+++ b/packages/node/src/bronzepoint_node/placement/_engine_load.py
@@ -147,7 +147,10 @@
 
     def in_flight(self, now: float) -> int:
         """Return the number of requests in progress."""
-        return self.total(now).in_flight
+        total = self._total
+        if total is None or now >= self._total_valid_until:
+            total = self.total(now)
+        return total.in_flight
 
     def memory_tokens(self, now: float) -> int:
         """Return the memory that they occupy, in tokens."""
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -10,6 +10,7 @@
     TargetState,
     TargetView,
     choose_target,
+    may_have_capacity,
 )
 from bronzepoint_schema.ids import (
     EntryName,
@@ -101,6 +102,10 @@
     def _choose_in_group(
         self, request: LocalPlacementRequest, usable: list[TrackedTarget], now: float
     ) -> LocalResult:
+        if not any(may_have_capacity(t.load.in_flight(now), t.slots) for t in usable):
+            # Most choices for queued requests end here; the rest costs far more.
+            may_finish = any(self._finishes_in_time(t, request, now) for t in usable)
+            return NoLocalTarget(late=bool(usable) and not may_finish)
         in_time = [t for t in usable if self._finishes_in_time(t, request, now)]
         for candidates in self._candidate_sets(request, in_time, now):
             choice = self._choose_candidate(request, candidates, now)
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -1,5 +1,7 @@
 """The targets of this region, as known to one entry host."""
 
+import math
+
 from bronzepoint_common.logs import get_logger
 from bronzepoint_node.fleet import ServedService
 from bronzepoint_node.targets import Health, find_ejections, find_return
@@ -155,12 +157,15 @@
             software_version: Version that the targets must have; empty: any.
             now: Monotonic seconds.
         """
-        rests = [
-            target.rests_until - now
-            for target in self.of_service(service)
-            if software_version in ("", target.info.software_version)
-        ]
-        return max(0.0, min(rests, default=0.0))
+        rest = math.inf
+        for target in self._of_service.get(service, []):
+            if not self.is_open(target):
+                continue
+            if software_version in ("", target.info.software_version):
+                rest = min(rest, target.rests_until - now)
+                if rest <= 0:
+                    return 0.0
+        return 0.0 if rest == math.inf else rest
 
     def groups(self, service: str) -> list[Group]:
         """Return all targets of a service, in groups of a bounded size."""
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -302,7 +302,9 @@
 
     def is_isolated(self, now: float) -> bool:
         """Return whether other requests should avoid it because of a suspect there."""
-        return now < self.isolated_until or self._trials_now(now) > 0
+        if now < self.isolated_until:
+            return True
+        return bool(self.trials) and self._trials_now(now) > 0
 
     def _trials_now(self, now: float) -> int:
         return sum(run.is_on_trial(now) for run in self.trials)
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -7,7 +7,7 @@
     draw_region,
     remote_estimate,
 )
-from bronzepoint_node.policy._choose_target import choose_target
+from bronzepoint_node.policy._choose_target import choose_target, may_have_capacity
 from bronzepoint_node.policy._entry_retries import EntryRetries
 from bronzepoint_node.policy._inputs import (
     RegionView,
@@ -50,4 +50,5 @@
     "choose_region",
     "choose_target",
     "draw_region",
+    "may_have_capacity",
 ]
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -8,7 +8,7 @@
 from bronzepoint_node.policy._inputs import RequestView, TargetState, TargetView
 from bronzepoint_node.policy._load_estimate import estimate_loads
 from bronzepoint_node.policy._outputs import TargetChoice
-from bronzepoint_node.policy._rendezvous import ranked
+from bronzepoint_node.policy._rendezvous import first_ranked
 from bronzepoint_node.policy._service_times import ServiceTimes
 from bronzepoint_schema.generated.decisions import Candidate, ExclusionReason
 from bronzepoint_schema.ids import TargetName
@@ -110,6 +110,14 @@
     return load < view.slots or view.in_flight < own_share
 
 
+def may_have_capacity(in_flight: int, slots: int) -> bool:
+    """Return whether `has_free_capacity` can be true for any estimate of the load.
+
+    Estimates are never below the known number of requests in progress.
+    """
+    return in_flight < slots
+
+
 def credited_cache(
     view: TargetView, load: float, mean_load: float, request: RequestView
 ) -> int:
@@ -154,12 +162,12 @@
         now: Monotonic seconds.
     """
     slowness = times.slowness(view.name, now)
-    cached = credited_cache(view, load, mean_load, request)
+    within_bound = load <= _affinity_load_limit(view, mean_load)
+    cached = min(view.cached_tokens, request.prompt_tokens) if within_bound else 0
     fetched, fetching = 0, 0.0
     if request.copy_seconds < times.per_token:
         fetched = max(0, max_cached - cached)
         fetching = fetched * request.copy_seconds
-    within_bound = load <= _affinity_load_limit(view, mean_load)
     uncached = request.prompt_tokens - cached - fetched
     if is_preferred and within_bound:
         uncached *= 1 - _PREFERRED_TARGET_DISCOUNT
@@ -191,8 +199,7 @@
     if not request.prefix_hashes:
         return None
     key = request.prefix_hashes[min(_PREFIX_KEY_BLOCK, len(request.prefix_hashes) - 1)]
-    names = [view.name for view in views]
-    return ranked(key, names)[0] if names else None
+    return first_ranked(key, tuple(view.name for view in views)) if views else None
 
 
 def choose_target(
@@ -268,6 +275,13 @@
     estimate: TargetEstimate | None = None
 
 
+def _any_free(usable: list[_ScoredTarget], request: RequestView, hosts: int) -> bool:
+    return any(
+        has_free_capacity(scored.view, scored.load, hosts, request.memory_tokens)
+        for scored in usable
+    )
+
+
 def _score_targets(
     usable: list[_ScoredTarget],
     mean_load: float,
@@ -277,6 +291,9 @@
     now: float,
 ) -> tuple[list[_ScoredTarget], float]:
     """Return the targets with free capacity, and the least loss of a full one."""
+    if usable and usable[0].candidate is None and not _any_free(usable, request, hosts):
+        # Without a free target the scores decide nothing.
+        return [], math.inf
     preferred = preferred_target(request, [scored.view for scored in usable])
     max_cached = max(
         (credited_cache(o.view, o.load, mean_load, request) for o in usable),
@@ -317,6 +334,7 @@
     "credited_cache",
     "estimate_target",
     "has_free_capacity",
+    "may_have_capacity",
     "preferred_target",
     "target_exclusion",
 ]
--- a/packages/node/src/bronzepoint_node/targets/_ejection.py
+++ b/packages/node/src/bronzepoint_node/targets/_ejection.py
@@ -143,7 +143,9 @@
     Targets return one after another. Those that were ejected together, for example
     by a network fault, would otherwise return together with cold caches and fail again.
     """
-    healths = list(siblings)
+    healths = [h for h in siblings if h.state is not HealthState.healthy]
+    if not healths:
+        return None
     returned = [h.changed_at for h in healths if h.state is HealthState.returning]
     if returned and now - max(returned) < RETURN_GAP_SECONDS:
         return None
--- a/tests/test_policy_targets.py
+++ b/tests/test_policy_targets.py
@@ -193,6 +193,29 @@
 
 
 class TestLateReports(unittest.TestCase):
+    @params(0.0, 0.5, 5.0)
+    def test_estimate_is_never_below_the_known_requests(self, age):
+        """Guards against refusals beside a target whose estimate shows free slots.
+
+        The selector skips the choice if all targets have as many known requests as
+        slots, which is right only if no estimate is lower.
+        """
+        rng = Random(1)
+        for _ in range(200):
+            views = [
+                target(
+                    f"t{number}",
+                    in_flight=rng.randrange(60),
+                    in_flight_at_report=rng.randrange(60),
+                    running=rng.randrange(60),
+                    report_age=age,
+                )
+                for number in range(4)
+            ]
+            loads = estimate_loads(views, 1.0)
+            for view, load in zip(views, loads, strict=True):
+                self.assertGreaterEqual(load, view.in_flight)
+
     def test_old_report_is_replaced_by_the_mean(self):
         fresh = [
             target("a", running=6, report_age=0.0),
