--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -10,6 +10,7 @@
     TargetState,
     TargetView,
     choose_target,
+    may_have_capacity,
 )
 from bronzepoint_schema.ids import (
     EntryName,
@@ -114,6 +115,10 @@
     def _choose_in_group(
         self, request: LocalPlacementRequest, usable: list[TrackedTarget], now: float
     ) -> LocalResult:
+        if not any(may_have_capacity(t.load.in_flight(now), t.slots) for t in usable):
+            # Most choices for queued requests end here; the rest costs far more.
+            may_finish = any(self._finishes_in_time(t, request, now) for t in usable)
+            return NoLocalTarget(late=bool(usable) and not may_finish)
         in_time = [t for t in usable if self._finishes_in_time(t, request, now)]
         admitted = [t for t in in_time if self._may_read(t, request, now)]
         for candidates in self._candidate_sets(request, admitted, now):
