Withdraw the asks of callers that have left

An ask whose caller had left kept its place in the queue, and a grant that came too late kept its share of the organisation's capacity.

TargetRelease names the ask: its place in the queue, or its reservation and what its organisation was charged, are given back in one step. Hosts send it when a caller leaves, when an ask goes unanswered, and for grants that come too late or can't be used.

--- a/packages/node/src/bronzepoint_node/placement/_request_queue.py
+++ b/packages/node/src/bronzepoint_node/placement/_request_queue.py
@@ -96,6 +96,12 @@
         self._remove(queued)
         return charge
 
+    async def withdraw(self, queued: QueuedRequest) -> None:
+        """Remove a request at once whose caller has left, and end its wait."""
+        self._remove(queued)
+        queued.until = float("-inf")
+        await queued.wakeup.set()
+
     def refund(self, charge: Charge) -> None:
         """Give back what a request was charged that was granted in vain."""
         self.order.refund(charge)
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import NamedTuple
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_schema.generated.scheduling import NoTarget, TargetAsk, TargetGrant
@@ -12,8 +13,8 @@
 
 from ._choice import LocalPlacement, LocalResult, NoLocalTarget
 from ._cold_start_limiter import ColdStartLimiter
-from ._engine_load import OwnRun
-from ._fair_order import FlowKey
+from ._engine_load import RESERVATION_EXPIRY, OwnRun
+from ._fair_order import Charge, FlowKey
 from ._local_request import LocalPlacementRequest
 from ._local_target_selector import LocalTargetSelector
 from ._prompt import Prompt, PromptPart
@@ -42,12 +43,25 @@
 """Counts a request at its target, before any other request is placed."""
 
 
+AskKey = tuple[HostName, int]
+"""The asking host and its number of an ask."""
+
+
+class _Grant(NamedTuple):
+    """A grant that may still be given back."""
+
+    at: float
+    queue: RequestQueue
+    charge: Charge
+
+
 @dataclass(order=True)
 class _QueuedPlacement(QueuedRequest):
     """A queued request and the result of its placement."""
 
     request: LocalPlacementRequest = field(kw_only=True, compare=False)
     claim: Claim = field(kw_only=True, compare=False)
+    ask: AskKey = field(kw_only=True, compare=False)
     found: LocalResult = field(default=NoLocalTarget(), kw_only=True, compare=False)
 
 
@@ -88,6 +102,8 @@
         self._forecasts: dict[str, WaitForecast] = {}
         self._start_rates: dict[str, tuple[float, float]] = {}
         self._answered_at = -math.inf
+        self._waiting: dict[AskKey, tuple[RequestQueue, _QueuedPlacement]] = {}
+        self._grants: dict[AskKey, _Grant] = {}
         self._queues: dict[str, RequestQueue] = {}
 
     async def find(self, request: LocalPlacementRequest, wait: float) -> LocalResult:
@@ -104,7 +120,7 @@
         def claim(found: LocalPlacement) -> None:
             self._reserve(self._name, number, request, found)
 
-        found = await self._find(request, wait, claim)
+        found = await self._find(request, wait, claim, (self._name, number))
         if isinstance(found, LocalPlacement):
             self._reservations.settle(self._name, [number])
         return found
@@ -117,7 +133,8 @@
         def claim(found: LocalPlacement) -> None:
             self._reserve(host, query.number, request, found)
 
-        found = await self._find(request, query.wait_ms / 1000, claim)
+        ask = host, query.number
+        found = await self._find(request, query.wait_ms / 1000, claim, ask)
         match found:
             case NoLocalTarget(late=late, crowded=crowded):
                 return NoTarget(
@@ -140,11 +157,32 @@
                     found.quiet,
                 )
 
+    async def release(self, host: HostName, number: int) -> None:
+        """Withdraw a query of another host that is of no use any more.
+
+        Its place in the queue, or its reservation and what its organisation was
+        charged, are given back together, so that no choice sees only one of them. A
+        query that isn't known has been released before, or its grant has expired.
+        """
+        ask = host, number
+        waiting = self._waiting.pop(ask, None)
+        if waiting is not None:
+            queue, queued = waiting
+            await queue.withdraw(queued)
+        grant = self._grants.pop(ask, None)
+        if grant is not None:
+            self._reservations.settle(host, [number])
+            grant.queue.refund(grant.charge)
+
     async def _find(
-        self, request: LocalPlacementRequest, wait: float, claim: Claim
+        self,
+        request: LocalPlacementRequest,
+        wait: float,
+        claim: Claim,
+        ask: AskKey,
     ) -> LocalResult:
         queue = self._queue(request.service)
-        queued = self._queued(request, wait, claim)
+        queued = self._queued(request, wait, claim, ask)
         forecast = self._forecast(request)
         keeps_order = forecast is not None or request.organisation
         if keeps_order and self._is_behind(queue, queued):
@@ -168,10 +206,12 @@
                 # now.
                 return replace(queued.found, crowded=True)
         queue.join(queued)
+        self._waiting[ask] = queue, queued
         try:
             while _lacks_capacity(queued.found) and await queue.wait(queued):
                 await self._serve_queue(queue)
         finally:
+            self._waiting.pop(ask, None)
             await queue.leave(queued)
         if forecast is not None and _lacks_capacity(queued.found):
             # The host asks again, with the rank that the request has by then.
@@ -263,7 +303,11 @@
         return queue
 
     def _queued(
-        self, request: LocalPlacementRequest, wait: float, claim: Claim
+        self,
+        request: LocalPlacementRequest,
+        wait: float,
+        claim: Claim,
+        ask: AskKey,
     ) -> _QueuedPlacement:
         """Return a request as the queue sees it, to be added if it has to wait."""
         now = monotonic()
@@ -283,6 +327,7 @@
             cost=self._selector.costs.cost(request.service, request.prompt, now),
             request=request,
             claim=claim,
+            ask=ask,
         )
 
     def _is_behind(self, queue: RequestQueue, queued: _QueuedPlacement) -> bool:
@@ -293,7 +338,7 @@
         now = monotonic()
         found = self._selector.choose(queued.request, now)
         if isinstance(found, LocalPlacement):
-            queue.grant(queued)
+            self._note_grant(queued.ask, queue, queue.grant(queued), now)
             queued.claim(found)
             found = replace(found, staleness=self._staleness(now))
             forecast = self._forecasts.get(queued.request.service)
@@ -302,6 +347,17 @@
                 forecast.note_started(queued, rate, now, is_last=not len(queue))
         queued.found = found
 
+    def _note_grant(
+        self, ask: AskKey, queue: RequestQueue, charge: Charge, now: float
+    ) -> None:
+        """Keep what a grant was charged for as long as it may be given back."""
+        while self._grants:
+            oldest = next(iter(self._grants))
+            if now - self._grants[oldest].at < RESERVATION_EXPIRY:
+                break
+            del self._grants[oldest]
+        self._grants[ask] = _Grant(now, queue, charge)
+
     def _reserve(
         self,
         host: HostName,
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -17,6 +17,7 @@
     SchedulingMessage,
     TargetAsk,
     TargetGrant,
+    TargetRelease,
 )
 from bronzepoint_schema.ids import DataCenterName, HostName
 
@@ -123,6 +124,7 @@
                     return self._local_placement(target, answer, timing)
                 if target is not None and target.info.data_center in self._table.closed:
                     self._note_outdated(scheduler)
+                self._release(scheduler, answer.number)
         # The scheduler did not answer, or granted a target that this host does not know
         # yet or knows to take no requests.
         self._metrics.incr("schedule.own_choice")
@@ -165,6 +167,10 @@
         try:
             async with curio.ignore_after(min(wait, MAX_WAIT) + ANSWER_TIMEOUT):
                 await pending.done.wait()
+        except curio.CancelledError:
+            # The caller has left.
+            self._release(scheduler, number)
+            raise
         finally:
             del self._pending[number]
             if isinstance(pending.answer, TargetGrant):
@@ -172,6 +178,7 @@
                 self._exchange.note_settled(number)
         self._metrics.timing("schedule.ask_ms", (monotonic() - began) * 1000)
         if pending.answer is None:
+            self._release(scheduler, number)
             self._note_unanswered(scheduler)
         else:
             self._unanswered = 0
@@ -221,7 +228,10 @@
                 # wait for it.
                 await self._tasks.spawn(self._answer, peer, message)
             case TargetGrant() | NoTarget():
-                await self._resolve(message)
+                await self._resolve(peer, message)
+            case TargetRelease(number=number):
+                self._metrics.incr("schedule.released")
+                await self._scheduler.release(peer, number)
 
     def _knows_service(self, service: str) -> bool:
         if self._update is not None and not self._table.has_service(service):
@@ -238,7 +248,11 @@
             answer.loads = [load for load in loads if load.service == query.service]
         self._peers.post(peer, Area.SCHEDULING, answer)
 
-    async def _resolve(self, answer: TargetGrant | NoTarget) -> None:
+    def _release(self, scheduler: HostName, number: int) -> None:
+        """Give back a query that waits for a target, or its grant."""
+        self._peers.post(scheduler, Area.SCHEDULING, TargetRelease(number))
+
+    async def _resolve(self, peer: HostName, answer: TargetGrant | NoTarget) -> None:
         if isinstance(answer, NoTarget):
             self._registry.merge_loads(answer.loads)
         pending = self._pending.get(answer.number)
@@ -249,3 +263,4 @@
             # The grant arrived too late and is not used.
             self._metrics.incr("schedule.late_grant")
             self._exchange.note_settled(answer.number)
+            self._release(peer, answer.number)
--- a/tests/test_placement_admission.py
+++ b/tests/test_placement_admission.py
@@ -10,8 +10,10 @@
 from bronzepoint_common.peers import Area
 from bronzepoint_node.placement import LocalPlacement, NoLocalTarget, Rejected
 from bronzepoint_node.placement._engine_load import OwnRun
+from bronzepoint_node.placement._fair_order import FlowKey, RankKey
 from bronzepoint_node.placement._scheduler import make_query
 from bronzepoint_node.placement._scheduler_client import ANSWER_TIMEOUT
+from bronzepoint_schema.generated.scheduling import TargetRelease
 from bronzepoint_schema.generated.target_loads import Hold
 from tests._scheduling_region import SLOTS, Region
 from tests.test_placement_placer import Site
@@ -170,6 +172,53 @@
 
         self.assertEqual(curio.run(main), (10, 0, 0.0))
 
+    def test_ask_of_a_caller_that_has_left_is_withdrawn(self):
+        """Guards against capacity that is granted to requests whose callers have
+        left."""
+
+        async def main():
+            async with Region(9, 1) as region:
+                load = fill(region)
+                member = region.members[0]
+                task = await curio.spawn(member.send("x", wait=0.9, organisation="a"))
+                await curio.sleep(0.05)
+                queue = region.scheduler.client._scheduler._queues["s"]
+                before = len(queue)
+                await task.cancel()
+                await curio.sleep(0.02)
+                after = len(queue)
+                load.end("0")
+                await curio.sleep(0.05)
+                return before, after, load.in_flight(monotonic())
+
+        self.assertEqual(curio.run(main), (1, 0, SLOTS - 1))
+
+    def test_unused_grant_gives_back_capacity_and_share(self):
+        """Guards against an organisation that is charged for grants which its callers
+        didn't wait for."""
+
+        async def main():
+            async with Region(9, 1) as region:
+                chooser, member = region.scheduler, region.members[0]
+                scheduler = chooser.client._scheduler
+                handle = chooser.handlers[Area.SCHEDULING]
+                request = member.make_request(organisation="a")
+                await handle(member.name, make_query(request, 7, 0.0, monotonic()))
+                load = chooser.table.get("t0").load
+                order = scheduler._queues["s"].order
+
+                def state():
+                    lead = order.lead(RankKey(0), FlowKey("a"))
+                    return load.in_flight(monotonic()), lead > 0
+
+                granted = state()
+                for _ in range(2):
+                    await handle(member.name, TargetRelease(7))
+                return granted, state()
+
+        granted, released = curio.run(main)
+        self.assertEqual((granted, released), ((1, True), (0, False)))
+
     @params(0.3, 1.0)
     def test_refusal_names_a_time_from_the_forecast(self, seconds):
         """Guards against callers that return before there is room, or all together."""
