Spread requests over targets by the age of the load information

Hosts that choose by the same late load information all send to the target that was idle then, so targets are overrun in turns. The estimate now subtracts requests that must have ended and adds expected starts, and the draw gives each target the share that evens out the expected load; exact information gives the choice as before. Used by choose_target where its caller states that several hosts choose; no caller does yet.

--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -5,11 +5,13 @@
 
 from msgspec import Struct
 
+from bronzepoint_node.policy._aged_load import AgedLoad, estimate_aged_loads
 from bronzepoint_node.policy._inputs import RequestView, TargetState, TargetView
 from bronzepoint_node.policy._load_estimate import estimate_loads
 from bronzepoint_node.policy._outputs import TargetChoice
 from bronzepoint_node.policy._rendezvous import ranked
 from bronzepoint_node.policy._service_times import ServiceTimes
+from bronzepoint_node.policy._spread_choice import draw_index, spread_weights
 from bronzepoint_schema.generated.decisions import Candidate, ExclusionReason
 from bronzepoint_schema.ids import TargetName
 
@@ -35,6 +37,9 @@
 _SCORE_MARGIN = 0.05
 """Scores that differ by less than this share of the hold time count as equal: the
 estimates are no more precise."""
+_MIN_UNKNOWN_STARTS = 0.5
+"""Expected starts of other hosts, over all targets, below which the loads count as
+exact."""
 
 
 class TargetEstimate(Struct):
@@ -204,11 +209,14 @@
     rng: Random,
     now: float,
     explain: bool = True,
+    choosers: int = 1,
 ) -> TargetChoice:
     """Choose the target with free capacity that has the least expected loss.
 
     Among nearly equal targets, one is drawn at random. Hosts that decide on the same
-    late reports would otherwise all choose the same one.
+    late reports would otherwise all choose the same one. If several hosts choose, the
+    draw is the more even the more requests of other hosts have started since the
+    reports.
 
     Args:
         request: The request to place.
@@ -219,19 +227,30 @@
         rng: Source of the random draws.
         now: Monotonic seconds.
         explain: Include the score of each candidate, for a decision record.
+        choosers: Number of hosts that choose among these targets, this one included.
+            1: no other host's requests can have started since the reports, or the draw
+            is not to depend on their age.
     """
-    loads = estimate_loads(views, report_memory)
+    aged: list[AgedLoad] = []
+    if choosers > 1:
+        holds = [times.hold * times.slowness(view.name, now) for view in views]
+        aged = estimate_aged_loads(views, holds, choosers)
+        loads = [item.load for item in aged]
+    else:
+        loads = estimate_loads(views, report_memory)
     mean_load = sum(loads) / max(1, sum(view.slots for view in views))
     candidates: list[Candidate] = []
     usable: list[_ScoredTarget] = []
-    for view, load in zip(views, loads, strict=True):
+    for number, (view, load) in enumerate(zip(views, loads, strict=True)):
         excluded = target_exclusion(view, request)
         candidate = None
         if explain:
             candidate = Candidate(view.name, view.region, excluded=excluded)
             candidates.append(candidate)
         if excluded is None:
-            usable.append(_ScoredTarget(view, load, candidate))
+            scored = _ScoredTarget(view, load, candidate)
+            scored.aged = aged[number] if aged else None
+            usable.append(scored)
     with_capacity, least_full_loss = _score_targets(
         usable, mean_load, request, times, hosts, now
     )
@@ -246,13 +265,17 @@
         # for that target, and be refused, while others are idle.
         reason = "waiting for a full target is faster"
         return TargetChoice(None, candidates, reason, len(usable))
-    best = min(scored.score for scored in with_capacity)
-    near = [scored for scored in with_capacity if scored.score <= best + margin]
-    chosen = rng.choice(near)
+    if sum(item.starts for item in aged) >= _MIN_UNKNOWN_STARTS:
+        chosen, near = _draw_spread(with_capacity, request, times, rng, now)
+        reason = f"spread by the age of the reports over {near} targets"
+    else:
+        best = min(scored.score for scored in with_capacity)
+        near = [scored for scored in with_capacity if scored.score <= best + margin]
+        chosen = rng.choice(near)
+        reason = f"least expected loss; {len(near)} within the margin, drawn at random"
     for scored in with_capacity:
         if scored.candidate is not None and scored is not chosen:
             scored.candidate.excluded = ExclusionReason.worse
-    reason = f"least expected loss; {len(near)} within the margin, drawn at random"
     delay, wait = chosen.estimate.delay(), chosen.estimate.wait
     return TargetChoice(chosen.view, candidates, reason, len(usable), delay, wait)
 
@@ -266,6 +289,26 @@
     score: float = math.inf
     loss: float = math.inf
     estimate: TargetEstimate | None = None
+    aged: AgedLoad | None = None
+
+
+def _draw_spread(
+    scored_targets: list[_ScoredTarget],
+    request: RequestView,
+    times: ServiceTimes,
+    rng: Random,
+    now: float,
+) -> tuple[_ScoredTarget, int]:
+    """Draw a target by the age of the reports; return it and how many were possible."""
+    views = [scored.view for scored in scored_targets]
+    aged = [scored.aged for scored in scored_targets]
+    per_slot = request.latency_weight * _BATCH_SLOWDOWN_SHARE * times.hold
+    slopes = [per_slot * times.slowness(view.name, now) / view.slots for view in views]
+    room = [view.slots - load.certain for view, load in zip(views, aged, strict=True)]
+    scores = [scored.score for scored in scored_targets]
+    weights = spread_weights(scores, slopes, aged, room)
+    chosen = scored_targets[draw_index(weights, rng)]
+    return chosen, sum(weight > 0 for weight in weights)
 
 
 def _score_targets(
--- a/packages/node/src/bronzepoint_node/policy/_load_estimate.py
+++ b/packages/node/src/bronzepoint_node/policy/_load_estimate.py
@@ -15,15 +15,21 @@
     return max(0.0, view.running + view.waiting - view.in_flight_at_report)
 
 
-def own_load_trend(views: list[TargetView]) -> float:
+def own_load_trend(
+    views: list[TargetView], smoothing: float = _TREND_SMOOTHING_REQUESTS
+) -> float:
     """Return the factor by which this host's own load has changed since the reports.
 
     Hosts of a region receive similar arrivals, so the load of the others has most
     likely changed like this host's own, the only one that is known without delay.
+
+    Args:
+        views: Targets of one entry.
+        smoothing: Requests added to both counts.
     """
     now = sum(view.in_flight for view in views)
     then = sum(view.in_flight_at_report for view in views)
-    trend = (now + _TREND_SMOOTHING_REQUESTS) / (then + _TREND_SMOOTHING_REQUESTS)
+    trend = (now + smoothing) / (then + smoothing)
     return min(_MAX_TREND, max(1 / _MAX_TREND, trend))
 
 
