--- a/tests/_stale_load_replay.py
+++ b/tests/_stale_load_replay.py
@@ -6,7 +6,7 @@
 from collections import deque
 from random import Random
 
-from bronzepoint_node.policy._service_times import ServiceTimes, _TargetSpeed
+from bronzepoint_node.policy._service_times import ServiceTimes
 from tests._policy_fakes import request, target
 
 HOLD = 2.5
@@ -23,6 +23,19 @@
 UNEQUAL = ((48, 1.0),) * 6 + ((48, 2.0),) * 3 + ((16, 1.0),) * 3
 
 
+class KnownTimes(ServiceTimes):
+    """Durations of a service whose targets' speeds are known.
+
+    Attributes:
+        known: How many times longer each target takes than the fastest one.
+    """
+
+    known: dict = {}
+
+    def slowness(self, target, now):
+        return self.known[target]
+
+
 class Replay:
     """One region of targets that serve the requests of several hosts.
 
@@ -41,11 +54,10 @@
         self.total = [0] * len(targets)
         self.queues = [deque() for _ in targets]
         self.snapshots = deque([(0.0, list(self.total), self._copy_own())])
-        self.times = ServiceTimes(hold=HOLD * sum(self.slots) / self._speed())
-        slowest = min(speed for _, speed in targets)
+        self.times = KnownTimes(hold=HOLD * sum(self.slots) / self._speed())
+        fastest = max(speed for _, speed in targets)
         for name, (_, speed) in zip(self.names, targets, strict=True):
-            known = self.times.speeds[name] = _TargetSpeed(slowest / speed, 0.0)
-            self.times.fastest = min(self.times.fastest, known.ratio)
+            self.times.known[name] = fastest / speed
         self.unplaced = 0
         self.waits, self.idle_wait, self.peak = [], 0.0, 0.0
         self.order = itertools.count()
