Prefer targets nearby, and few streams beside a long prompt

Where bytes between data centers are paid for, half of the prompts crossed from one data center of a region to another without any gain. And a long prompt was placed by its own delay alone, although it delays all streams beside it.

With placement.near_first, an entry host names its data center in its asks (TargetAsk.data_center, generated with make generate). A target elsewhere is then chosen only if it is better by 0.05 s or the near ones are full, and cached tokens aren't copied between data centers. Without the setting nothing changes.

For each second that reading a prompt takes, a tenth of a second for each request in progress beside it is part of the score. Both are preferences: no prompt is excluded.

--- a/packages/node/src/bronzepoint_node/placement/_local_request.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_request.py
@@ -23,6 +23,7 @@
         route_priority: Priority of its route, which decides within a rank.
         objective: Seconds after its arrival within which its answer has its full value;
             0: unknown.
+        data_center: Data center whose targets are preferred; empty: none are.
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     route: str = ""
     route_priority: int = 0
     objective: float = 0.0
+    data_center: str = ""
 
     def allows(self, target: TargetInfo) -> bool:
         """Return whether a target has the software version that the request needs."""
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -47,6 +47,13 @@
 """Minimum seconds until a request that all targets' limits exclude may be retried."""
 MAX_LIMITED_WAIT = 3.0
 """Maximum of these seconds: a limit may end earlier than it allows the next request."""
+NEIGHBOUR_WEIGHT = 0.1
+"""Seconds of delay accepted to save one stream one second beside a prompt that is read.
+Such a delay mostly shows as a longer pause between two events, which costs less than a
+later first event."""
+MIN_CROSS_ADVANTAGE = 0.05
+"""Seconds by which a target in another data center must be better, where those nearby
+are preferred."""
 SPEED_INTERVAL = 0.2
 """Seconds between two computations of the relative speeds of a service's targets."""
 LOWEST_RANK = 9
@@ -156,6 +163,10 @@
         accept_ejected: bool = False,
     ) -> TargetChoice:
         views = [self.view(t, request.prompt, request.rank, now) for t in usable]
+        if request.data_center:
+            for tracked, view in zip(usable, views, strict=True):
+                if tracked.info.data_center != request.data_center:
+                    view.detour = MIN_CROSS_ADVANTAGE
         if accept_ejected:
             for view in views:
                 view.state = TargetState.ready
@@ -185,7 +196,8 @@
             return LocalPlacement(
                 target, choice.reason, choice.expected, None, 0, before, quiet=quiet
             )
-        source = fetch_source(target, usable, request.prompt, rate, now)
+        near = [t for t in usable if _may_copy(t, target, request)]
+        source = fetch_source(target, near, request.prompt, rate, now)
         sources = [target] if source is None else [target, source]
         cached = max(holder.memory.cached_tokens(request.prompt) for holder in sources)
         return LocalPlacement(
@@ -326,6 +338,7 @@
             tried=[TargetName(name) for name in request.avoided],
             memory_tokens=prompt.memory_tokens if prompt else 0,
             copy_seconds=self._copy_seconds(request.service),
+            neighbour_weight=NEIGHBOUR_WEIGHT,
         )
 
     def _copy_seconds(self, service: str) -> float:
@@ -425,3 +438,15 @@
         pace = target.pace.seconds_per_event(now) / target.speed.writing_factor
         mix.note_pace(pace, now)
         target.load.reading.note_granted(unread, events, request.time_left, now)
+
+
+def _may_copy(
+    source: TrackedTarget, target: TrackedTarget, request: LocalPlacementRequest
+) -> bool:
+    """Return whether cached tokens may be copied from one target to another.
+
+    Where targets nearby are preferred, bytes between data centers are dear.
+    """
+    if not request.data_center:
+        return True
+    return source.info.data_center == target.info.data_center
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -65,6 +65,7 @@
         selecting_hosts: Returns the entry hosts of the region that select targets
             themselves; None if all of them do.
         link_bytes: Bandwidth of an entry host's link in bytes per second.
+        near: Data center whose targets are preferred; empty: none are.
 
     Attributes:
         estimates: Latency estimates.
@@ -81,8 +82,10 @@
         rng: random.Random,
         selecting_hosts: Callable[[], list[HostName]] | None = None,
         link_bytes: float = math.inf,
+        near: str = "",
     ) -> None:
         self._region = region
+        self._near = near
         self._table = table
         self._rng = rng
         self.estimates = ServiceEstimates()
@@ -126,6 +129,7 @@
             route=request.route.name,
             route_priority=request.route.priority,
             objective=request.route.objective,
+            data_center=self._near,
         )
 
     def place(self, request: PlacementRequest, now: float) -> Placement:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -348,6 +348,7 @@
         route=request.route,
         route_priority=request.route_priority,
         objective_ms=int(request.objective * 1000),
+        data_center=request.data_center,
     )
 
 
@@ -370,6 +371,7 @@
         route=query.route,
         route_priority=query.route_priority,
         objective=query.objective_ms / 1000,
+        data_center=query.data_center,
     )
 
 
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -47,6 +47,9 @@
         busy: estimated slowdown by other requests in the batch.
         reread: weighted time to compute or copy tokens that another target has cached.
         cost: cost of the slot, in the operator's unit.
+        neighbours: weighted time for which reading the prompt delays all streams that
+            run beside it.
+        detour: seconds by which it must be better than a target nearby.
     """
 
     load: float
@@ -55,6 +58,8 @@
     busy: float
     reread: float
     cost: float
+    neighbours: float = 0.0
+    detour: float = 0.0
 
     def delay(self) -> float:
         """Return the seconds until the first token."""
@@ -68,7 +73,8 @@
 
     def score(self, request: RequestView) -> float:
         """Return the loss including the cost to other requests; lower is better."""
-        return self.loss(request) + request.latency_weight * self.reread
+        added = self.reread + self.neighbours + self.detour
+        return self.loss(request) + request.latency_weight * added
 
     def detail(self) -> str:
         """Return the components as text for the decision record."""
@@ -162,6 +168,7 @@
         fetching = fetched * request.copy_seconds
     within_bound = load <= _affinity_load_limit(view, mean_load)
     uncached = request.prompt_tokens - cached - fetched
+    reading_time = uncached * times.per_token * slowness
     if is_preferred and within_bound:
         uncached *= 1 - _PREFERRED_TARGET_DISCOUNT
     elif not is_preferred:
@@ -177,6 +184,8 @@
         * times.per_token
         * (_COPY_COST_RATIO * fetched + max(0, max_cached - cached - fetched)),
         cost=view.cost * hold,
+        neighbours=request.neighbour_weight * reading_time * load,
+        detour=view.detour,
     )
 
 
@@ -299,7 +308,8 @@
         )
         scored.estimate = estimate
         scored.loss = estimate.loss(request)
-        scored.score = scored.loss + request.latency_weight * estimate.reread
+        added = estimate.reread + estimate.neighbours + estimate.detour
+        scored.score = scored.loss + request.latency_weight * added
         if scored.candidate is not None:
             scored.candidate.score = round(scored.score, 4)
             scored.candidate.detail = estimate.detail()
--- a/packages/node/src/bronzepoint_node/policy/_inputs.py
+++ b/packages/node/src/bronzepoint_node/policy/_inputs.py
@@ -43,6 +43,7 @@
             None: as estimated by the entry's own times.
         writing_factor: the same for the time that a request holds its slot; None: the
             factor for reading.
+        detour: seconds by which it must be better than a target nearby.
     """
 
     name: TargetName
@@ -62,6 +63,7 @@
     backlog: float = 0.0
     reading_factor: float | None = None
     writing_factor: float | None = None
+    detour: float = 0.0
 
 
 class RegionView(Struct):
@@ -111,6 +113,8 @@
         copy_seconds: seconds to copy a cached token from one target to another; inf:
             targets don't copy.
         tried_regions: regions that already refused it.
+        neighbour_weight: seconds of delay accepted to save each running stream beside
+            it one second of waiting for its prompt to be read.
     """
 
     request_id: RequestId
@@ -134,3 +138,4 @@
     memory_tokens: int = 0
     copy_seconds: float = math.inf
     tried_regions: list[RegionName] = field(default_factory=list)
+    neighbour_weight: float = 0.0
