Report the targets' speeds to operators, and shorten the load reports

Nothing told operators which speed the scheduler assumes for a target, or why it is kept below its slots.

Refusals say which targets are slow or at their best concurrency.

The estimates in TargetLoad are now one nullable field, and left out where all targets of a service are equal.

--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -18,6 +18,7 @@
     Reservations,
     Scheduler,
     SchedulerClient,
+    SpeedReport,
     TargetTable,
     organisation_weights,
 )
@@ -108,6 +109,7 @@
             silent_regions,
             self._placer.regions,
         )
+        self._speed_report = SpeedReport(self._table, self._placer.estimates, metrics)
         self._task: curio.Task | None = None
 
     async def start(self) -> None:
@@ -133,6 +135,7 @@
             self._update()
             if self._exchange.has_members(now):
                 self._report_loads(self._placer.region_loads(now))
+                self._speed_report.report(now)
             await curio.sleep(UPDATE_INTERVAL)
 
     def _update(self) -> None:
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -27,6 +27,7 @@
 from ._scheduler import Scheduler
 from ._scheduler_client import SchedulerClient
 from ._service_estimates import ServiceEstimates
+from ._speed_report import SpeedReport
 from ._target_table import TargetTable
 from ._tracked_target import EngineReport, TrackedTarget, is_unresponsive
 
@@ -54,6 +55,7 @@
     "Reservations",
     "Scheduler",
     "SchedulerClient",
+    "SpeedReport",
     "ServiceEstimates",
     "TargetTable",
     "TrackedTarget",
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -134,6 +134,7 @@
                 found = {t.info.incarnation: t for t in candidates}
                 target = found[choice.target.name]
                 return self._local_placement(request, target, in_time, choice, now)
+        self._speeds.held_by_reading += bool(in_time) and not admitted
         return NoLocalTarget(late=bool(usable) and not in_time)
 
     def _candidate_sets(
--- a/packages/node/src/bronzepoint_node/placement/_service_estimates.py
+++ b/packages/node/src/bronzepoint_node/placement/_service_estimates.py
@@ -24,11 +24,14 @@
         first_tokens: Times to the first token measured by this host, and not reported
             yet.
         holds: Durations of requests measured by this host, and not reported yet.
+        held_by_reading: Choices without a target because all targets that could serve
+            the request in time spent too much of it on reading.
     """
 
     def __init__(self) -> None:
         self.first_tokens: list[FirstToken] = []
         self.holds: list[Hold] = []
+        self.held_by_reading = 0
         self._times: dict[str, ServiceTimes] = {}
         self._rates: dict[str, ReadingRate] = {}
         self._mixes: dict[str, StreamMix] = {}
--- a/packages/node/src/bronzepoint_node/placement/_target_description.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_description.py
@@ -60,6 +60,11 @@
         states += (f"limited to {target.limit.rate:g}/s",)
     if target.is_resting(now):
         states += ("rests",)
+    limit = target.concurrency.limit
+    if limit is not None and target.load.in_flight(now) >= limit:
+        states += ("at its best concurrency",)
+    if target.speed.reading_factor > 1:
+        states += ("slow",)
     return states
 
 
--- a/packages/node/src/bronzepoint_node/placement/_target_speed.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_speed.py
@@ -68,6 +68,7 @@
         writing_factor: Relative time to write, from the last update.
         certainty: Number of samples behind the factors, weighted by age.
         copy: The estimate of another host; None if there is none.
+        is_told: Whether other hosts need to know it: the targets of its service differ.
         updated_at: When the factors were last computed. A host that does not select
             targets has samples, but no factors.
     """
@@ -79,6 +80,7 @@
     writing_factor: float = 1.0
     certainty: float = 0.0
     copy: SpeedCopy | None = None
+    is_told: bool = False
     updated_at: float = -math.inf
 
     @property
@@ -124,12 +126,16 @@
         return self.copy
 
     def reported(self, now: float) -> tuple[int, int, int]:
-        """Return both factors in thousandths and the samples; zeros if unknown."""
+        """Return both factors in thousandths and the samples.
+
+        All are zero if they are unknown or if all targets of the service are equal,
+        which keeps the reports of most deployments short.
+        """
         copy = self.better_copy(now)
         if copy is not None:
             read, written = copy.logarithms(now)
             samples = int(copy.certainty(now))
-        elif now - self.updated_at > AGE_SECONDS:
+        elif not self.is_told or now - self.updated_at > AGE_SECONDS:
             samples = 0
         else:
             read = math.log(self.reading_factor)
@@ -175,8 +181,13 @@
     slow = tuple(_slow_end([pair[kind] for pair in known]) for kind in (0, 1))
     for speed, pair in zip(speeds, logarithms, strict=True):
         read, written = slow if speed.is_new else pair
-        speed.updated_at = now
         speed.reading_factor, speed.writing_factor = factor(read), factor(written)
+        speed.updated_at = now
+    differ = any(
+        speed.reading_factor != 1.0 or speed.writing_factor != 1.0 for speed in speeds
+    )
+    for speed in speeds:
+        speed.is_told = differ
 
 
 def _relative(estimates: list[SpeedEstimate], now: float) -> list[tuple[float, float]]:
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -9,7 +9,12 @@
 from bronzepoint_node.quarantine import WatchedRun
 from bronzepoint_node.targets import Health, HealthState
 from bronzepoint_schema.generated.fleet import TargetInfo
-from bronzepoint_schema.generated.target_loads import EngineWord, PartUse, TargetLoad
+from bronzepoint_schema.generated.target_loads import (
+    EngineWord,
+    PartUse,
+    SpeedWord,
+    TargetLoad,
+)
 from bronzepoint_schema.ids import HostName
 
 from ._best_concurrency import BestConcurrency
@@ -338,11 +343,8 @@
             self.speed.note_events(load.events, load.event_ms / 1000, now)
             self.concurrency.note_events(load.events)
             self.record_contact(now)
-        self.speed.apply_copy(
-            load.reading_permille, load.writing_permille, load.samples, now
-        )
-        if load.best_concurrency:
-            self.concurrency.apply_copy(load.best_concurrency, now)
+        if load.speed is not None:
+            self._apply_speed(load.speed, now)
         self.replaced = self.replaced or load.replaced
         if load.trials:
             self.isolate(now)
@@ -351,6 +353,13 @@
         for _ in range(load.unreached):
             self.record_failure(now)
 
+    def _apply_speed(self, word: SpeedWord, now: float) -> None:
+        self.speed.apply_copy(
+            word.reading_permille, word.writing_permille, word.samples, now
+        )
+        if word.best_concurrency:
+            self.concurrency.apply_copy(word.best_concurrency, now)
+
     def is_in_use(self, now: float) -> bool:
         """Return whether its load is part of full reports, which replace lost notices.
 
@@ -380,9 +389,9 @@
 
     def add_speed(self, load: TargetLoad, now: float) -> None:
         """Add the estimated speed to a report, so that the next scheduler knows it."""
-        reported = self.speed.reported(now)
-        load.reading_permille, load.writing_permille, load.samples = reported
-        load.best_concurrency = self.concurrency.reported(now)
+        word = SpeedWord(*self.speed.reported(now), self.concurrency.reported(now))
+        if word.samples or word.best_concurrency:
+            load.speed = word
 
     def add_limit(self, load: TargetLoad, now: float) -> None:
         """Add the known request limit to a report, or that it has just ended."""
