--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -12,7 +12,7 @@
 from bronzepoint_schema.generated.target_loads import (
     EngineWord,
     PartUse,
-    SpeedNotice,
+    SpeedWord,
     TargetLoad,
 )
 from bronzepoint_schema.ids import HostName
@@ -150,13 +150,6 @@
         unknown = max(0, self.report.used_tokens - self.tokens_at_report)
         return (self.report.total_tokens or self.engine.memory_tokens) - known - unknown
 
-    def missing_tokens(self, prompt: Prompt) -> int:
-        """Return the tokens of a prompt's shared parts that it doesn't hold yet.
-
-        They take memory, too, but only once for all requests that share them.
-        """
-        return max(0, prompt.shared_tokens - self.memory.cached_tokens(prompt))
-
     def begin(
         self,
         run_id: str,
@@ -176,7 +169,7 @@
         """
         uncached = tokens = 0
         if prompt is not None:
-            tokens = prompt.memory_tokens + self.missing_tokens(prompt)
+            tokens = prompt.memory_tokens
             uncached = prompt.tokens - cached
             self.memory.note_used(prompt)
             self.parts_sent.update({p.name: p.tokens for p in prompt.parts[:-1]})
@@ -322,9 +315,7 @@
 
     def is_isolated(self, now: float) -> bool:
         """Return whether other requests should avoid it because of a suspect there."""
-        if now < self.isolated_until:
-            return True
-        return bool(self.trials) and self._trials_now(now) > 0
+        return now < self.isolated_until or self._trials_now(now) > 0
 
     def _trials_now(self, now: float) -> int:
         return sum(run.is_on_trial(now) for run in self.trials)
@@ -362,13 +353,12 @@
         for _ in range(load.unreached):
             self.record_failure(now)
 
-    def _apply_speed(self, notice: SpeedNotice, now: float) -> None:
-        """Record what another host has learned of the target's speed."""
+    def _apply_speed(self, word: SpeedWord, now: float) -> None:
         self.speed.apply_copy(
-            notice.reading_permille, notice.writing_permille, notice.samples, now
+            word.reading_permille, word.writing_permille, word.samples, now
         )
-        if notice.best_concurrency:
-            self.concurrency.apply_copy(notice.best_concurrency, now)
+        if word.best_concurrency:
+            self.concurrency.apply_copy(word.best_concurrency, now)
 
     def is_in_use(self, now: float) -> bool:
         """Return whether its load is part of full reports, which replace lost notices.
@@ -399,9 +389,9 @@
 
     def add_speed(self, load: TargetLoad, now: float) -> None:
         """Add the estimated speed to a report, so that the next scheduler knows it."""
-        notice = SpeedNotice(*self.speed.reported(now), self.concurrency.reported(now))
-        if notice.samples or notice.best_concurrency:
-            load.speed = notice
+        word = SpeedWord(*self.speed.reported(now), self.concurrency.reported(now))
+        if word.samples or word.best_concurrency:
+            load.speed = word
 
     def add_limit(self, load: TargetLoad, now: float) -> None:
         """Add the known request limit to a report, or that it has just ended."""
