Show the queue by organisation, and let operators raise a weight

Nobody could see which organisation waits, is granted or refused, nor why a request was refused when it was, and an operator had no way to help one of them for a while.

The scheduler counts waiting, granted and refused requests by organisation and route. A request's line has the latest forecast and the share of its organisation.

--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -14,6 +14,7 @@
     EnginePoller,
     LoadExchange,
     Placer,
+    RaisedWeights,
     ReadReport,
     Reservations,
     Scheduler,
@@ -49,6 +50,9 @@
         served: Returns the catalogue in effect and the closed data centers.
         read: Requests the load report of an engine.
         metrics: Counters.
+
+    Attributes:
+        raised_weights: Weights of organisations that operators have changed.
     """
 
     def __init__(
@@ -72,6 +76,7 @@
         self._table = TargetTable()
         self._weights: dict[str, float] = {}
         self._weights_version = -1
+        self.raised_weights = RaisedWeights(monotonic)
         cold_limiter = ColdStartLimiter(name)
         self._placer = Placer(
             region,
@@ -93,7 +98,8 @@
             cold_limiter,
             reservations,
             self._exchange.staleness,
-            lambda organisation: self._weights.get(organisation, 1.0),
+            self._weight,
+            metrics,
         )
         self._answers = SchedulerClient(
             peers,
@@ -120,6 +126,11 @@
         await self._engine_poller.close()
         await self._exchange.close()
 
+    def _weight(self, organisation: str) -> float:
+        """Return the weight of an organisation in the fair order."""
+        factor = self.raised_weights.factor(organisation)
+        return factor * self._weights.get(organisation, 1.0)
+
     def _poller_count(self) -> int:
         return 1 if self._exchange.has_members(monotonic()) else 0
 
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -22,6 +22,7 @@
 from ._organisation_weights import organisation_weights
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
+from ._raised_weights import RaisedWeights
 from ._reservations import Reservations
 from ._scheduler import Scheduler
 from ._scheduler_client import SchedulerClient
@@ -43,6 +44,7 @@
     "EnginePoller",
     "Prompt",
     "PromptPart",
+    "RaisedWeights",
     "ReadReport",
     "RejectReason",
     "Rejected",
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -42,6 +42,7 @@
         staleness: Maximum age in seconds of the data behind the choice.
         quiet: As far as is known, every other request there has produced its first
             event.
+        share: Share of the organisation in what was started recently; 0: unknown.
     """
 
     target: TrackedTarget
@@ -52,6 +53,7 @@
     tokens_before: float = 0.0
     staleness: float = 0.0
     quiet: bool = False
+    share: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -67,6 +69,7 @@
             all of them do.
         retry_after: Forecast seconds until there is room for the request; 0: unknown.
             If the queue isn't crowded, the request may wait for that.
+        share: Share of the organisation in what was started recently; 0: unknown.
     """
 
     late: bool = False
@@ -74,6 +77,7 @@
     limited_for: float = 0.0
     rests_for: float = 0.0
     retry_after: float = 0.0
+    share: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from bronzepoint_common.clock import monotonic
+from bronzepoint_common.metrics import Metrics
 from bronzepoint_schema.generated.scheduling import NoTarget, TargetAsk, TargetGrant
 from bronzepoint_schema.generated.target_loads import PartUse
 from bronzepoint_schema.ids import HostName
@@ -18,6 +19,7 @@
 from ._local_request import LocalPlacementRequest
 from ._local_target_selector import LocalTargetSelector
 from ._prompt import Prompt, PromptPart
+from ._queue_metrics import QueueMetrics
 from ._request_queue import HEAD_COUNT, QueuedRequest, RequestQueue
 from ._reservations import Reservations
 from ._tracked_target import is_unresponsive
@@ -80,6 +82,7 @@
         reservations: Requests granted by this host.
         staleness: Returns the maximum age in seconds of this host's data about others.
         weight: Returns the weight of an organisation.
+        metrics: Counters; None: nothing is counted.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         reservations: Reservations,
         staleness: Callable[[float], float],
         weight: Callable[[str], float] = lambda _: 1.0,
+        metrics: Metrics | None = None,
     ) -> None:
         self._name = name
         self._numbers = itertools.count()
@@ -101,6 +105,7 @@
         self._with_organisations: set[str] = set()
         self._forecasts: dict[str, WaitForecast] = {}
         self._start_rates: dict[str, tuple[float, float]] = {}
+        self._queue_metrics = QueueMetrics(metrics)
         self._answered_at = -math.inf
         self._waiting: dict[AskKey, tuple[RequestQueue, _QueuedPlacement]] = {}
         self._grants: dict[AskKey, _Grant] = {}
@@ -135,6 +140,7 @@
 
         ask = host, query.number
         found = await self._find(request, query.wait_ms / 1000, claim, ask)
+        self._queue_metrics.note_result(request, found)
         match found:
             case NoLocalTarget(late=late, crowded=crowded):
                 return NoTarget(
@@ -143,6 +149,7 @@
                     crowded=crowded,
                     limited_ms=math.ceil(found.limited_for * 1000),
                     retry_ms=math.ceil(found.retry_after * 1000),
+                    share_permille=round(found.share * 1000),
                 )
             case LocalPlacement(target=target, fetch_from=source):
                 return TargetGrant(
@@ -155,6 +162,7 @@
                     found.reason,
                     round(found.staleness * 1000),
                     found.quiet,
+                    round(found.share * 1000),
                 )
 
     async def release(self, host: HostName, number: int) -> None:
@@ -207,11 +215,13 @@
                 return replace(queued.found, crowded=True)
         queue.join(queued)
         self._waiting[ask] = queue, queued
+        self._queue_metrics.note_waiting(request, 1)
         try:
             while _lacks_capacity(queued.found) and await queue.wait(queued):
                 await self._serve_queue(queue)
         finally:
             self._waiting.pop(ask, None)
+            self._queue_metrics.note_waiting(request, -1)
             await queue.leave(queued)
         if forecast is not None and _lacks_capacity(queued.found):
             # The host asks again, with the rank that the request has by then.
@@ -244,7 +254,10 @@
         if admission.outlook is Outlook.NOT:
             retry_after = forecast.retry_after(queue.order, queued, rate, now)
             forecast.note_demand(queued, now)
-            return replace(queued.found, crowded=True, retry_after=retry_after)
+            share = forecast.share(queued.flow, now)
+            return replace(
+                queued.found, crowded=True, retry_after=retry_after, share=share
+            )
         queued.rank = admission.key.rank
         is_in_time = admission.outlook is Outlook.IN_TIME
         latest = now + (limits.in_time if is_in_time else limits.at_all)
@@ -345,6 +358,7 @@
             if forecast is not None:
                 rate = self._start_rate(queued.request.service, now)
                 forecast.note_started(queued, rate, now, is_last=not len(queue))
+                found = replace(found, share=forecast.share(queued.flow, now))
         queued.found = found
 
     def _note_grant(
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -117,6 +117,7 @@
                     crowded,
                     answer.limited_ms / 1000,
                     retry_after=answer.retry_ms / 1000,
+                    share=answer.share_permille / 1000,
                 )
             case TargetGrant():
                 target = self._table.get(answer.incarnation)
@@ -149,6 +150,7 @@
             grant.tokens_before,
             grant.known_ms / 1000,
             grant.quiet,
+            grant.share_permille / 1000,
         )
 
     async def _query(
--- a/packages/node/src/bronzepoint_node/placement/_wait_forecast.py
+++ b/packages/node/src/bronzepoint_node/placement/_wait_forecast.py
@@ -185,6 +185,15 @@
         flow = granted.flows.setdefault(entry.flow, _Decaying())
         flow.add(entry.cost, now, GRANTED_SECONDS)
 
+    def share(self, flow: FlowKey, now: float) -> float:
+        """Return the share of a flow in what was granted recently, by cost."""
+        total = own = 0.0
+        for granted in self._granted.values():
+            total += _rate(granted.total, now)
+            recent = granted.flows.get(flow)
+            own += _rate(recent, now) if recent is not None else 0.0
+        return own / total if total else 0.0
+
     def start_rate(self, expected_rate: float, now: float) -> float:
         """Return the target seconds per second that the service starts.
 
--- a/packages/node/src/bronzepoint_node/relay/_answer_writer.py
+++ b/packages/node/src/bronzepoint_node/relay/_answer_writer.py
@@ -220,6 +220,8 @@
             tries=call.notes,
             sent_s=[round(at - call.received_at, 3) for at in call.sent_at],
             known_ms=call.staleness_ms,
+            forecast=_rounded(call.forecast),
+            share=_rounded(call.share),
             seconds=round(now - call.received_at, 3),
             first_event=round(first, 3) if first is not None else None,
             gap=round(call.longest_gap, 3),
@@ -231,6 +233,10 @@
         )
 
 
+def _rounded(value: float | None) -> float | None:
+    return round(value, 3) if value is not None else None
+
+
 def _refusal_headers(retry_after: float) -> dict[str, str]:
     return {"Retry-After": f"{retry_after:.2f}", RAN_HEADER: "no"}
 
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -134,6 +134,10 @@
             specified, or not forwarded.
         lent_runs: Further runs lent to the host that the current try forwards to.
         send: Send by which another host has forwarded it; None: not forwarded.
+        forecast: Seconds until there is room for it, by the latest forecast; None:
+            none was made.
+        share: Share of its organisation in what its service has started recently;
+            None: unknown.
         successor: Place that takes it over from the run that was just left.
         ended_runs: The part of ``runs`` whose target process has ended since.
         last_outcome: Outcome of the last try.
@@ -169,6 +173,8 @@
     granted_runs: int = 0
     lent_runs: int = 0
     send: ForwardedSend | None = None
+    forecast: float | None = None
+    share: float | None = None
     successor: Successor | None = None
     ended_runs: int = 0
     last_outcome: TryOutcome | None = None
--- a/packages/node/src/bronzepoint_node/relay/_placement_search.py
+++ b/packages/node/src/bronzepoint_node/relay/_placement_search.py
@@ -80,7 +80,12 @@
         call.placement_requests += 1
         if not self._placer.may_serve_locally(request):
             return NoLocalTarget()
-        return await self._scheduler.find(self._placer.local_request(request), wait)
+        local = self._placer.local_request(request)
+        found = await self._scheduler.find(local, wait)
+        if isinstance(found, NoLocalTarget) and found.retry_after:
+            call.forecast = found.retry_after
+        call.share = found.share or call.share
+        return found
 
 
 def _may_wait(call: Call, placement: Placement) -> bool:
--- a/tests/test_placement_admission.py
+++ b/tests/test_placement_admission.py
@@ -7,10 +7,18 @@
 from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
+from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area
-from bronzepoint_node.placement import LocalPlacement, NoLocalTarget, Rejected
+from bronzepoint_node.placement import (
+    LocalPlacement,
+    NoLocalTarget,
+    RaisedWeights,
+    Rejected,
+)
 from bronzepoint_node.placement._engine_load import OwnRun
 from bronzepoint_node.placement._fair_order import FlowKey, RankKey
+from bronzepoint_node.placement._local_request import LocalPlacementRequest
+from bronzepoint_node.placement._queue_metrics import MAX_NAMES, QueueMetrics
 from bronzepoint_node.placement._scheduler import make_query
 from bronzepoint_node.placement._scheduler_client import ANSWER_TIMEOUT
 from bronzepoint_schema.generated.scheduling import TargetRelease
@@ -132,6 +140,50 @@
         self.assertLessEqual(flood, 3)
 
 
+class TestOperators(unittest.TestCase):
+    def test_raised_weight_ends_by_itself(self):
+        """Guards against an organisation that keeps a raised share for ever because
+        nobody takes it back."""
+        now = [100.0]
+        weights = RaisedWeights(lambda: now[0])
+        weights.set("a", 3.0, 60.0)
+        before = weights.factor("a"), weights.factor("b")
+        now[0] = 161.0
+        self.assertEqual((before, weights.factor("a")), ((3.0, 1.0), 1.0))
+
+    @params((0.0, 60.0), (1e9, 60.0), (float("nan"), 60.0), (2.0, 0.0), (2.0, 1e9))
+    def test_factor_or_time_out_of_range(self, factor, seconds):
+        with self.assertRaises(ValueError):
+            RaisedWeights(monotonic).set("a", factor, seconds)
+
+    def test_metrics_by_organisation_and_route(self):
+        metrics = Metrics()
+        counted = QueueMetrics(metrics)
+        request = LocalPlacementRequest("id", "s", None, 5.0, 0, 0.0, set())
+        request.organisation, request.route = "Acme & Co", "drafts"
+        counted.note_result(request, NoLocalTarget(crowded=True))
+        counted.note_result(request, NoLocalTarget(late=True))
+        counted.note_waiting(request, 1)
+        name = "Acme___Co.drafts"
+        expected = {
+            f"queue.refused_crowded.{name}": 1,
+            f"queue.refused_late.{name}": 1,
+        }
+        self.assertEqual(metrics.counters(), expected)
+        self.assertEqual(metrics.gauges(), {f"queue.waiting.{name}": 1})
+
+    def test_number_of_metrics_is_bounded(self):
+        """Guards against a host that runs out of memory by the metrics of thousands of
+        organisations."""
+        metrics = Metrics()
+        counted = QueueMetrics(metrics)
+        for number in range(3 * MAX_NAMES):
+            request = LocalPlacementRequest("id", "s", None, 5.0, 0, 0.0, set())
+            request.organisation, request.route = f"o{number}", "drafts"
+            counted.note_result(request, NoLocalTarget(crowded=True))
+        self.assertEqual(len(metrics.counters()), MAX_NAMES + 1)
+
+
 class TestFailures(unittest.TestCase):
     def test_lost_scheduler_does_not_hold_requests_back(self):
         """Guards against requests that wait for the forecast of a scheduler that is
