Don't count idle time as time in which a service was full

The time from the last request without capacity to the next grant counted as full, however long it was, so the first requests of a peak after a quiet minute would have been refused.

--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -359,8 +359,15 @@
                 rate = self._start_rate(queued.request.service, now)
                 forecast.note_started(queued, rate, now, is_last=not len(queue))
                 found = replace(found, share=forecast.share(queued.flow, now))
+        elif _lacks_capacity(found):
+            self._note_full(queued.request.service, now)
         queued.found = found
 
+    def _note_full(self, service: str, now: float) -> None:
+        forecast = self._forecasts.get(service)
+        if forecast is not None:
+            forecast.note_full(self._start_rate(service, now), now)
+
     def _note_grant(
         self, ask: AskKey, queue: RequestQueue, charge: Charge, now: float
     ) -> None:
--- a/packages/node/src/bronzepoint_node/placement/_wait_forecast.py
+++ b/packages/node/src/bronzepoint_node/placement/_wait_forecast.py
@@ -19,6 +19,9 @@
 PRIOR_SECONDS = 0.5
 """Seconds of saturation for which the expected start rate counts beside the measured
 one. Without measurements the forecast rests on slots and mean duration."""
+MAX_GAP = 0.5
+"""Seconds without a request that finds no capacity after which the service no longer
+counts as full. While requests wait, they look for capacity every 0.03 s."""
 GRANTED_SECONDS = 1.5
 """Time constant of the measured grants of each rank and organisation."""
 IN_TIME_SHARE = 0.8
@@ -150,8 +153,9 @@
         """
         if self._saturated_since is not None:
             elapsed = now - self._saturated_since
-            work = expected_rate * self._mean_cost * elapsed
-            self._expected.add(work, now, MEASURED_SECONDS)
+            if elapsed <= MAX_GAP:
+                work = expected_rate * self._mean_cost * elapsed
+                self._expected.add(work, now, MEASURED_SECONDS)
         self._saturated_since = now
 
     def note_started(
--- a/tests/test_placement_wait_forecast.py
+++ b/tests/test_placement_wait_forecast.py
@@ -264,6 +264,35 @@
         admission = forecast.admit(order, entry, Limits(1.0, 9.0), 2.0, 10.0)
         self.assertIs(admission.outlook, Outlook.IN_TIME)
 
+    def test_idle_time_does_not_count_as_full(self):
+        """Guards against refusals at the beginning of a peak, because the service seems
+        to have started nothing since the last one."""
+        forecast = WaitForecast()
+        entry = QueuedRequest(0, 0.0, 9.0, cost=0.5)
+        forecast.note_started(entry, 2.0, 0.0, is_last=False)
+        forecast.note_full(2.0, 0.1)
+        forecast.note_started(entry, 2.0, 60.0, is_last=True)
+        self.assertGreaterEqual(forecast.start_rate(2.0, 60.0), 1.0)
+
+    def test_less_urgent_request_is_refused_while_urgent_ones_take_all(self):
+        """Guards against long requests that wait in vain behind a stream of urgent
+        ones, although none of those is waiting."""
+        forecast, order = WaitForecast(), FairOrder(lambda _: 1.0)
+        urgent = QueuedRequest(0, 0.0, 9.0, cost=0.05)
+        for step in range(200):
+            forecast.note_started(urgent, 20.0, step * 0.05, is_last=False)
+        found = [
+            forecast.admit(
+                order,
+                QueuedRequest(rank, 10.0, 19.0, cost=0.05),
+                Limits(1.0, 9.0),
+                20.0,
+                10.0,
+            ).outlook
+            for rank in (0, 2)
+        ]
+        self.assertEqual(found, [Outlook.IN_TIME, Outlook.NOT])
+
     def test_lost_targets_count_at_once(self):
         """Guards against requests that wait for targets which have just crashed."""
         forecast = WaitForecast()
