--- a/packages/node/src/bronzepoint_node/placement/_wait_forecast.py
+++ b/packages/node/src/bronzepoint_node/placement/_wait_forecast.py
@@ -44,7 +44,10 @@
 """Smallest share of the start rate that more urgent ranks are assumed to leave. A
 request that needs more than this is refused."""
 ITERATIONS = 4
-"""Number of steps in which the wait is refined. What goes ahead grows with the wait."""
+"""Maximum number of steps in which the wait is refined. What goes ahead grows with the
+wait."""
+CONVERGED = 0.02
+"""Relative change of the wait at which it is not refined further."""
 MAX_RETRY = 10.0
 """Longest time in seconds that a caller is told. There is no promise of room behind
 it: nobody knows the demand at that time."""
@@ -121,6 +124,23 @@
     flows: dict[FlowKey, _Decaying] = field(default_factory=dict)
 
 
+class _Other(NamedTuple):
+    """What another organisation may start before a request.
+
+    Attributes:
+        waiting: Its waiting work in target seconds.
+        coming: Target seconds per second that come in addition.
+        limit: Work that goes ahead of the request by the fair order.
+    """
+
+    waiting: float
+    coming: float
+    limit: float
+
+    def work(self, wait: float) -> float:
+        return min(self.waiting + self.coming * wait, self.limit)
+
+
 class WaitForecast:
     """Forecasts waits for one service.
 
@@ -307,11 +327,15 @@
         own_cost = flow.waiting_cost if flow is not None else 0.0
         ahead += own_cost
         start = order.next_start(key, entry.flow) + own_cost / order.weight(entry.flow)
+        others = self._others(order, own, key, entry.flow, start, now)
         wait = ahead / left
         for _ in range(ITERATIONS):
-            others = self._others(order, own, key, entry.flow, start, wait, now)
-            promised = self._promised(now, wait) if behind_promises else 0.0
-            wait = (ahead + others + promised) / left
+            work = ahead + sum(other.work(wait) for other in others)
+            if behind_promises:
+                work += self._promised(now, wait)
+            former, wait = wait, work / left
+            if wait - former <= CONVERGED * wait:
+                break
         return wait
 
     def _others(
@@ -321,10 +345,9 @@
         key: RankKey,
         own: FlowKey,
         start: float,
-        wait: float,
         now: float,
-    ) -> float:
-        """Return the work of other organisations that goes ahead of a request.
+    ) -> list[_Other]:
+        """Return what other organisations may start before a request.
 
         Args:
             order: Order of the waiting requests.
@@ -332,21 +355,20 @@
             key: That rank.
             own: Flow of the request.
             start: Virtual time at which the request starts.
-            wait: Seconds until it starts, as far as is known.
             now: Monotonic seconds.
         """
         granted = self._granted.get(key)
-        total = 0.0
+        others = []
         for name, flow in rank.flows.items():
-            if name == own:
+            lead = start - order.next_start(key, name)
+            if name == own or lead <= 0:
                 continue
             recent = granted.flows.get(name) if granted is not None else None
             coming = _rate(recent, now) if recent is not None else 0.0
-            work = flow.waiting_cost + coming * wait
-            if work:
-                lead = max(0.0, start - order.next_start(key, name))
-                total += min(work, lead * order.weight(name))
-        return total
+            if flow.waiting_cost or coming:
+                limit = lead * order.weight(name)
+                others.append(_Other(flow.waiting_cost, coming, limit))
+        return others
 
     def _urgent_rate(self, key: RankKey, now: float) -> float:
         """Return the target seconds per second that more urgent ranks are granted."""
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -200,6 +200,21 @@
         stored = await site.control_call("GET", "/-/config")
         self.assertEqual(json.loads(stored.body)["version"], 5)
 
+    @on_site
+    async def test_operator_changes_the_weight_of_an_organisation(self, site):
+        path = "/-/weights/acme"
+        changed = await site.control_call("PUT", f"{path}?factor=3&seconds=600")
+        invalid = [
+            await site.control_call("PUT", f"{path}?{query}")
+            for query in ("factor=3", "factor=x&seconds=9", "factor=0&seconds=9")
+        ]
+        self.assertEqual(changed.status, 200)
+        self.assertEqual([answer.status for answer in invalid], [400] * 3)
+        (line,) = [
+            line for line in site.lines("core") if line["message"] == "weight changed"
+        ]
+        self.assertEqual((line["organisation"], line["factor"]), ("acme", 3.0))
+
     @on_site
     async def test_evacuated_data_center_gets_no_requests_until_reopened(self, site):
         await site.control_call("POST", "/-/evacuations/x-a")
