--- a/tests/test_placement_wait_forecast.py
+++ b/tests/test_placement_wait_forecast.py
@@ -49,7 +49,7 @@
 class Replay:
     """A service with slots, whose queue goes by forecast."""
 
-    def __init__(self, slots=SLOTS, seed=1, deadline=DEADLINE):
+    def __init__(self, slots=SLOTS, seed=1, deadline=DEADLINE, ranks=None):
         self.slots, self.free = slots, slots
         self.seed, self.rng, self.arrivals = seed, random.Random(seed), {}
         self.order, self.forecast = FairOrder(lambda _: 1.0), WaitForecast()
@@ -58,7 +58,7 @@
         self.served, self.refused, self.late = Counter(), Counter(), 0
         self.returned, self.returned_served = 0, 0
         self.errors = []
-        self.deadline = deadline
+        self.deadline, self.ranks = deadline, ranks or {}
         self.rate = slots / HOLD
 
     def run(self, rates, seconds):
@@ -89,7 +89,7 @@
     def entry(self, caller, now):
         late = now - caller.arrived > OBJECTIVE
         caller.queued_at = caller.queued_at or now
-        rank = LATE_RANKS * late
+        rank = self.ranks.get(caller.organisation, 0) + LATE_RANKS * late
         entry = QueuedRequest(
             rank, caller.queued_at, now, flow=FlowKey(caller.organisation), cost=COST
         )
@@ -184,6 +184,20 @@
         self.assertLess(errors[int(0.9 * len(errors))], 0.3)
 
 
+class TestRanks(unittest.TestCase):
+    @params((0.5, 1.0), (0.7, 1.0), (0.92, 0.5), (1.5, 1.0))
+    def test_less_urgent_requests_use_what_urgent_ones_leave(self, urgent, long):
+        """Guards against capacity that stands idle because forecasts refuse all less
+        urgent requests, and against urgent ones that wait behind them."""
+        seconds = 20.0
+        rates = {"urgent": urgent * CAPACITY, "long": long * CAPACITY}
+        replay = Replay(ranks={"long": 2}).run(lambda now: rates, seconds)
+        offered = min(1.0, urgent) * CAPACITY * seconds
+        self.assertGreaterEqual(replay.served["urgent"], 0.95 * offered)
+        started = replay.served.total()
+        self.assertGreaterEqual(started, 0.95 * CAPACITY * seconds)
+
+
 class TestFlood(unittest.TestCase):
     @params(1, 2, 3)
     def test_others_keep_what_they_have_without_the_flood(self, seed):
