--- a/tests/test_relay_placement_wait.py
+++ b/tests/test_relay_placement_wait.py
@@ -3,10 +3,11 @@
 import unittest
 
 import curio
+from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_node.fleet import RouteKind, ServedRoute, ServiceShare
-from bronzepoint_node.placement import Rejected, RejectReason
+from bronzepoint_node.placement import LocalPlacement, Rejected, RejectReason
 from bronzepoint_node.placement._engine_load import OwnRun
 from bronzepoint_node.relay import CallerHead, PlacementSearch
 from bronzepoint_node.relay._call import Call
@@ -99,5 +100,31 @@
         self.assertEqual(curio.run(main), ("t0", 2))
 
 
+class TestForecast(unittest.TestCase):
+    @params((8, LocalPlacement), (1, Rejected))
+    def test_request_waits_for_as_long_as_the_forecast_says(self, hosts, expected):
+        """Guards against requests that are refused after a fixed part of their
+        objective, although they would have started in time.
+
+        A host that chooses for itself has no forecast.
+        """
+
+        async def main():
+            async with Region(hosts, 1) as region:
+                fill(region, 1000)
+                host = region.members[0] if hosts > 1 else region.scheduler
+                search = PlacementSearch(host.placer, host.client)
+                until = monotonic() + 0.05
+                waiting = await curio.spawn(search.find, make_call(), until)
+                await curio.sleep(0.3)
+                for each in region.hosts.values():
+                    load = each.table.get("t0").load
+                    for name in list(load.runs):
+                        load.end(name)
+                return await waiting.join()
+
+        self.assertIsInstance(curio.run(main), expected)
+
+
 if __name__ == "__main__":
     unittest.main()
