--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -14,6 +14,7 @@
     EnginePoller,
     LoadExchange,
     Placer,
+    RaisedWeights,
     ReadReport,
     Reservations,
     Scheduler,
@@ -51,6 +52,9 @@
         read: Requests the load report of an engine.
         metrics: Counters.
         silent_regions: Returns the regions whose core hosts this host does not hear.
+
+    Attributes:
+        raised_weights: Weights of organisations that operators have changed.
     """
 
     def __init__(
@@ -75,6 +79,7 @@
         self._table = TargetTable()
         self._weights: dict[str, float] = {}
         self._weights_version = -1
+        self.raised_weights = RaisedWeights(monotonic)
         cold_limiter = ColdStartLimiter(name)
         self._placer = Placer(
             region,
@@ -96,7 +101,8 @@
             cold_limiter,
             reservations,
             self._exchange.staleness,
-            lambda organisation: self._weights.get(organisation, 1.0),
+            self._weight,
+            metrics,
         )
         self._answers = SchedulerClient(
             peers,
@@ -126,6 +132,11 @@
         await self._engine_poller.close()
         await self._exchange.close()
 
+    def _weight(self, organisation: str) -> float:
+        """Return the weight of an organisation in the fair order."""
+        factor = self.raised_weights.factor(organisation)
+        return factor * self._weights.get(organisation, 1.0)
+
     def _poller_count(self) -> int:
         return 1 if self._exchange.has_members(monotonic()) else 0
 
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -23,6 +23,7 @@
 from ._other_regions import OtherRegions
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
+from ._raised_weights import RaisedWeights
 from ._reservations import Reservations
 from ._scheduler import Scheduler
 from ._scheduler_client import SchedulerClient
@@ -46,6 +47,7 @@
     "EnginePoller",
     "Prompt",
     "PromptPart",
+    "RaisedWeights",
     "ReadReport",
     "RejectReason",
     "Rejected",
--- a/tests/test_placement_wait_forecast.py
+++ b/tests/test_placement_wait_forecast.py
@@ -49,7 +49,7 @@
 class Replay:
     """A service with slots, whose queue goes by forecast."""
 
-    def __init__(self, slots=SLOTS, seed=1, deadline=DEADLINE):
+    def __init__(self, slots=SLOTS, seed=1, deadline=DEADLINE, ranks=None):
         self.slots, self.free = slots, slots
         self.seed, self.rng, self.arrivals = seed, random.Random(seed), {}
         self.order, self.forecast = FairOrder(lambda _: 1.0), WaitForecast()
@@ -58,7 +58,7 @@
         self.served, self.refused, self.late = Counter(), Counter(), 0
         self.returned, self.returned_served = 0, 0
         self.errors = []
-        self.deadline = deadline
+        self.deadline, self.ranks = deadline, ranks or {}
         self.rate = slots / HOLD
 
     def run(self, rates, seconds):
@@ -89,7 +89,7 @@
     def entry(self, caller, now):
         late = now - caller.arrived > OBJECTIVE
         caller.queued_at = caller.queued_at or now
-        rank = LATE_RANKS * late
+        rank = self.ranks.get(caller.organisation, 0) + LATE_RANKS * late
         entry = QueuedRequest(
             rank, caller.queued_at, now, flow=FlowKey(caller.organisation), cost=COST
         )
@@ -170,7 +170,8 @@
         it holds more of them than it can start in time."""
         seconds = 20.0
         replay = Replay().run(lambda now: {"a": times * CAPACITY}, seconds)
-        best = WORTH * CAPACITY * seconds
+        # All slots are free at the beginning.
+        best = WORTH * (SLOTS + CAPACITY * seconds)
         self.assertGreaterEqual(replay.worth, 0.9 * best)
 
     def test_refused_at_once_and_not_after_a_wait(self):
@@ -184,6 +185,20 @@
         self.assertLess(errors[int(0.9 * len(errors))], 0.3)
 
 
+class TestRanks(unittest.TestCase):
+    @params((0.5, 1.0), (0.7, 1.0), (0.92, 0.5), (1.5, 1.0))
+    def test_less_urgent_requests_use_what_urgent_ones_leave(self, urgent, long):
+        """Guards against capacity that stands idle because forecasts refuse all less
+        urgent requests, and against urgent ones that wait behind them."""
+        seconds = 20.0
+        rates = {"urgent": urgent * CAPACITY, "long": long * CAPACITY}
+        replay = Replay(ranks={"long": 2}).run(lambda now: rates, seconds)
+        offered = min(1.0, urgent) * CAPACITY * seconds
+        self.assertGreaterEqual(replay.served["urgent"], 0.95 * offered)
+        started = replay.served.total()
+        self.assertGreaterEqual(started, 0.95 * CAPACITY * seconds)
+
+
 class TestFlood(unittest.TestCase):
     @params(1, 2, 3)
     def test_others_keep_what_they_have_without_the_flood(self, seed):
@@ -264,6 +279,35 @@
         admission = forecast.admit(order, entry, Limits(1.0, 9.0), 2.0, 10.0)
         self.assertIs(admission.outlook, Outlook.IN_TIME)
 
+    def test_idle_time_does_not_count_as_full(self):
+        """Guards against refusals at the beginning of a peak, because the service seems
+        to have started nothing since the last one."""
+        forecast = WaitForecast()
+        entry = QueuedRequest(0, 0.0, 9.0, cost=0.5)
+        forecast.note_started(entry, 2.0, 0.0, is_last=False)
+        forecast.note_full(2.0, 0.1)
+        forecast.note_started(entry, 2.0, 60.0, is_last=True)
+        self.assertGreaterEqual(forecast.start_rate(2.0, 60.0), 1.0)
+
+    def test_less_urgent_request_is_refused_while_urgent_ones_take_all(self):
+        """Guards against long requests that wait in vain behind a stream of urgent
+        ones, although none of those is waiting."""
+        forecast, order = WaitForecast(), FairOrder(lambda _: 1.0)
+        urgent = QueuedRequest(0, 0.0, 9.0, cost=0.05)
+        for step in range(200):
+            forecast.note_started(urgent, 20.0, step * 0.05, is_last=False)
+        found = [
+            forecast.admit(
+                order,
+                QueuedRequest(rank, 10.0, 19.0, cost=0.05),
+                Limits(1.0, 9.0),
+                20.0,
+                10.0,
+            ).outlook
+            for rank in (0, 2)
+        ]
+        self.assertEqual(found, [Outlook.IN_TIME, Outlook.NOT])
+
     def test_lost_targets_count_at_once(self):
         """Guards against requests that wait for targets which have just crashed."""
         forecast = WaitForecast()
