Lease room between regions

Cause: without coordination, all hosts of several regions use the same reported slots of an idle region, and a region at its peak finds no more room than its neighbours' reports happen to show.

Change: the schedulers of two regions agree on a rate in target seconds per second for 2 s at a time (area `room_leases`; `RoomAsk`, `RoomLease`, `RoomReturn`). The scheduler answers an ask without room by `NoTarget` with a lease; the host forwards under it, and the far region's scheduler admits the request by its number, also from the queue. A region that lends doesn't borrow, and keeps its own requests; one that borrows shows no room to others, and free slots of a report are divided among the regions that have none.

--- a/packages/common/src/bronzepoint_common/peers/_area.py
+++ b/packages/common/src/bronzepoint_common/peers/_area.py
@@ -20,3 +20,4 @@
     QUOTA = 12
     STREAM_ORIGINS = 13
     FORWARDED_RUNS = 14
+    ROOM_LEASES = 15
--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -12,17 +12,21 @@
 from bronzepoint_node.placement import (
     ColdStartLimiter,
     EnginePoller,
+    LeasedAsks,
     LoadExchange,
     Placer,
     ReadReport,
+    RegionLeases,
     Reservations,
     Scheduler,
     SchedulerClient,
+    ServiceRoom,
     TargetTable,
 )
 from bronzepoint_schema.generated.fleet import RegionLoad
 from bronzepoint_schema.ids import DataCenterName, HostName, RegionName
 
+from ._room_lease_exchange import RoomLeaseExchange
 from ._target_reader import Reading
 
 UPDATE_INTERVAL = 0.1
@@ -93,6 +97,11 @@
             reservations,
             self._exchange.staleness,
         )
+        self._scheduler = scheduler
+        leases = RegionLeases(region)
+        self._lease_exchange = RoomLeaseExchange(
+            region, peers, registry, leases, self._room, silent_regions, metrics
+        )
         self._answers = SchedulerClient(
             peers,
             self._table,
@@ -103,6 +112,7 @@
             self._update,
             silent_regions,
             self._placer.regions,
+            LeasedAsks(leases, self._request_cost, metrics),
         )
         self._task: curio.Task | None = None
 
@@ -120,6 +130,26 @@
         await self._engine_poller.close()
         await self._exchange.close()
 
+    def _room(self, load: RegionLoad) -> ServiceRoom | None:
+        """Return the room for leases of a service; None if it has no engines."""
+        known = self._table.service(load.service)
+        if known is None or known.engine is None:
+            return None
+        slots = known.engine.slots
+        return ServiceRoom(
+            load.slots / slots,
+            load.in_progress / slots,
+            self._scheduler.waiting(load.service),
+            self._request_cost(load.service),
+            slots,
+        )
+
+    def _request_cost(self, service: str) -> float:
+        """Return the target seconds that the mean request of a service takes."""
+        known = self._table.service(service)
+        slots = known.engine.slots if known is not None and known.engine else 1
+        return self._placer.estimates.times(service).hold / slots
+
     def _poller_count(self) -> int:
         return 1 if self._exchange.has_members(monotonic()) else 0
 
@@ -127,8 +157,11 @@
         while True:
             now = monotonic()
             self._update()
-            if self._exchange.has_members(now):
-                self._report_loads(self._placer.region_loads(now))
+            has_members = self._exchange.has_members(now)
+            loads = self._placer.region_loads(now) if has_members else []
+            loads = self._lease_exchange.update(loads)
+            if loads:
+                self._report_loads(loads)
             await curio.sleep(UPDATE_INTERVAL)
 
     def _update(self) -> None:
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -18,11 +18,14 @@
     ReportUnavailable,
     ReportUnreadable,
 )
+from ._leased_asks import LeasedAsks
 from ._load_exchange import LoadExchange
 from ._other_regions import OtherRegions
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
+from ._region_leases import LeaseGrant, RegionLeases
 from ._reservations import Reservations
+from ._room_demand import ServiceRoom
 from ._scheduler import Scheduler
 from ._scheduler_client import SchedulerClient
 from ._service_estimates import ServiceEstimates
@@ -30,6 +33,8 @@
 from ._tracked_target import EngineReport, TrackedTarget, is_unresponsive
 
 __all__ = [
+    "LeaseGrant",
+    "LeasedAsks",
     "LocalPlacement",
     "ColdStartLimiter",
     "RemotePlacement",
@@ -46,6 +51,7 @@
     "PromptPart",
     "ReadReport",
     "RejectReason",
+    "RegionLeases",
     "Rejected",
     "ReportOfOtherStart",
     "ReportUnavailable",
@@ -54,6 +60,7 @@
     "Scheduler",
     "SchedulerClient",
     "ServiceEstimates",
+    "ServiceRoom",
     "TargetTable",
     "TrackedTarget",
     "is_unresponsive",
--- a/packages/node/src/bronzepoint_node/placement/_ask.py
+++ b/packages/node/src/bronzepoint_node/placement/_ask.py
@@ -30,6 +30,7 @@
         refused_regions: When each region that has refused it expects to have free
             capacity, in monotonic seconds.
         unreached_regions: Regions that could not be connected to.
+        lease: Lease under which another region has forwarded it; 0: none.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     software_version: str = ""
     refused_regions: dict[RegionName, float] = {}
     unreached_regions: frozenset[RegionName] = frozenset()
+    lease: int = 0
 
     @property
     def selected_service(self) -> str:
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -5,6 +5,7 @@
 
 from bronzepoint_schema.ids import RegionName
 
+from ._region_leases import LeaseGrant
 from ._tracked_target import TrackedTarget
 
 
@@ -65,23 +66,32 @@
             their request rate; 0: not all of them do.
         rests_for: Seconds for which all targets want no requests of this host; 0: not
             all of them do.
+        lease: Lease under which the request may be forwarded; None: there is none.
+        lends: The region leases capacity to others, so the request isn't forwarded.
     """
 
     late: bool = False
     crowded: bool = False
     limited_for: float = 0.0
     rests_for: float = 0.0
+    lease: LeaseGrant | None = None
+    lends: bool = False
 
 
 @dataclass(frozen=True)
 class RemotePlacement:
-    """Forward the request to an entry host of another region."""
+    """Forward the request to an entry host of another region.
+
+    Attributes:
+        lease: Number of the lease that keeps capacity free for it; 0: there is none.
+    """
 
     region: RegionName
     host: str
     address: str
     reason: str
     delay: float = 0.0
+    lease: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_forward_tally.py
+++ b/packages/node/src/bronzepoint_node/placement/_forward_tally.py
@@ -45,9 +45,7 @@
             for load, window in zip(loads, windows, strict=True)
         ]
         free = [
-            0.0
-            if load.region == self._region
-            else max(0.0, load.slots - load.in_progress - count)
+            max(0.0, self.free_slots(load, loads, count))
             for load, count in zip(loads, counts, strict=True)
         ]
         total = sum(free)
@@ -57,6 +55,28 @@
                 self._expected.setdefault(key, deque()).append((now, share / total))
         return [round(count) for count in counts]
 
+    def free_slots(
+        self, load: RegionLoad, loads: list[RegionLoad], sent: float
+    ) -> float:
+        """Return the slots of another region that this region may use.
+
+        Each other region without free slots sees the same report, so each of them uses
+        an equal share of what it shows.
+
+        Args:
+            load: Report of that region.
+            loads: Reports of all regions about the service.
+            sent: Requests forwarded there since the report.
+        """
+        if load.region == self._region:
+            return 0.0
+        full = sum(
+            other.in_progress >= other.slots
+            for other in loads
+            if other.region not in (load.region, self._region)
+        )
+        return (load.slots - load.in_progress) / (1 + full) - sent
+
     def record_reported(
         self, loads: list[RegionLoad], counts: list[int], now: float
     ) -> None:
--- a/packages/node/src/bronzepoint_node/placement/_local_request.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_request.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from bronzepoint_schema.generated.fleet import TargetInfo
+from bronzepoint_schema.ids import RegionName
 
 from ._prompt import Prompt
 
@@ -18,6 +19,9 @@
         suspect: It was in progress at several targets when they crashed. It is sent to
             a target without another suspect and with few other requests.
         software_version: The only software version that may serve it; empty: any.
+        lease: Lease under which another region has forwarded it; -1: it was forwarded
+            without one; 0: not forwarded.
+        lease_regions: Regions that may serve it under a lease.
     """
 
     request_id: str
@@ -29,6 +33,8 @@
     avoided: set[str]
     suspect: bool = False
     software_version: str = ""
+    lease: int = 0
+    lease_regions: list[RegionName] = []
 
     def allows(self, target: TargetInfo) -> bool:
         """Return whether a target has the software version that the request needs."""
--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from dataclasses import replace
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_node.fleet import (
@@ -24,6 +25,7 @@
 from ._ask import PlacementRequest
 from ._choice import RemotePlacement
 from ._forward_tally import ForwardTally
+from ._region_leases import LeaseGrant
 from ._region_owner import weighted_owner
 from ._region_reachability import RegionReachability
 from ._service_estimates import ServiceEstimates
@@ -104,6 +106,46 @@
         chosen = draw_region(estimates, request_view, self._rng)
         return self._remote_placement(chosen, request, chosen.detail(), chosen.delay)
 
+    def lease_regions(
+        self, request: PlacementRequest, service: str, now: float
+    ) -> list[RegionName]:
+        """Return the regions that may serve a request under a lease."""
+        if request.forwarded:
+            return []
+        return [
+            load.region
+            for load in self._registry.loads()
+            if load.service == service and self._may_serve(request, load, now)
+        ]
+
+    def leased(
+        self,
+        request: PlacementRequest,
+        service: str,
+        request_view: RequestView,
+        lease: LeaseGrant,
+        now: float,
+    ) -> RemotePlacement | None:
+        """Return a host of the region that leases capacity to this one.
+
+        The region's load report doesn't matter, as it excludes what is leased.
+        """
+        for load in self._registry.loads(MAX_REPORT_AGE):
+            if (load.region, load.service) != (lease.region, service):
+                continue
+            hosts = self._eligible_hosts(load.region, request)
+            if not hosts or not self._may_serve(request, load, now):
+                return None
+            view = self._region_view(load, request, hosts, in_progress=0, wait=0.0)
+            times = self._speeds.times(service)
+            estimate = remote_estimate(view, request_view, times, 0, CACHED_SHARE)
+            detail = f"lease {lease.number}, {estimate.detail()}"
+            placement = self._remote_placement(
+                estimate, request, detail, estimate.delay
+            )
+            return replace(placement, lease=lease.number)
+        return None
+
     def entry_hosts(
         self, region: RegionName, expiry: float = ENTRY_EXPIRY
     ) -> list[EntryHost]:
@@ -128,10 +170,11 @@
 
     def has_free_slots(self, region: RegionName, service: str, now: float) -> bool:
         """Return whether a region reports free slots that were not used up since."""
+        loads = [load for load in self._registry.loads() if load.service == service]
         return any(
-            load.in_progress + self._sent_since(load, now) < load.slots
-            for load in self._registry.loads()
-            if load.region == region and load.service == service
+            self._tally.free_slots(load, loads, self._sent_since(load, now)) > 0
+            for load in loads
+            if load.region == region
         )
 
     def note_forwarded(
@@ -217,39 +260,55 @@
         now: float,
     ) -> list[RegionEstimate]:
         estimates = []
-        for load in self._registry.loads(expiry):
-            if load.service != service or load.region == self._region:
-                continue
-            if not request.may_be_forwarded_to(load.region):
-                continue
-            if not self.reachability.may_forward(load.region, now):
+        loads = [x for x in self._registry.loads(expiry) if x.service == service]
+        for load in loads:
+            if not self._may_serve(request, load, now):
                 continue
             sent = self._sent_since(load, now)
-            if load.in_progress + sent >= load.slots:
+            if self._tally.free_slots(load, loads, sent) <= 0:
                 # A forwarded request is refused where no slot is free, while it may
                 # wait in the queue of this region.
                 continue
-            version = request.software_version
-            if not self._registry.versions.may_serve(load.region, service, version):
-                continue
             hosts = self._eligible_hosts(load.region, request)
             if not hosts:
                 continue
-            view = RegionView(
-                name=load.region,
-                slots=load.slots,
-                in_progress=load.in_progress,
-                expected_wait=load.wait_ms / 1000,
-                trip=REGION_RTT + self._transfer_time(request),
-                age=load.age_ms / 1000,
-                hosts=len(hosts),
-            )
+            wait = load.wait_ms / 1000
+            view = self._region_view(load, request, hosts, load.in_progress, wait)
             times = self._speeds.times(service)
             estimates.append(
                 remote_estimate(view, request_view, times, sent, CACHED_SHARE)
             )
         return estimates
 
+    def _may_serve(
+        self, request: PlacementRequest, load: RegionLoad, now: float
+    ) -> bool:
+        """Return whether a request may go to a region, whatever the load there."""
+        if load.region == self._region or not request.may_be_forwarded_to(load.region):
+            return False
+        if not self.reachability.may_forward(load.region, now):
+            return False
+        version = request.software_version
+        return self._registry.versions.may_serve(load.region, load.service, version)
+
+    def _region_view(
+        self,
+        load: RegionLoad,
+        request: PlacementRequest,
+        hosts: list[EntryHost],
+        in_progress: int,
+        wait: float,
+    ) -> RegionView:
+        return RegionView(
+            name=load.region,
+            slots=load.slots,
+            in_progress=in_progress,
+            expected_wait=wait,
+            trip=REGION_RTT + self._transfer_time(request),
+            age=load.age_ms / 1000,
+            hosts=len(hosts),
+        )
+
     def may_serve_version(self, request: PlacementRequest, service: str) -> bool:
         """Return whether another region has targets of the version that is needed."""
         versions = self._registry.versions
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -24,6 +24,7 @@
 from ._local_request import LocalPlacementRequest
 from ._local_target_selector import LOWEST_RANK, LocalTargetSelector
 from ._other_regions import OtherRegions
+from ._region_leases import UNLEASED
 from ._service_estimates import ServiceEstimates
 from ._target_table import TargetTable
 from ._tracked_target import TrackedTarget, is_ejected, is_unresponsive
@@ -117,6 +118,7 @@
             avoided=request.tried,
             suspect=request.suspect,
             software_version=request.software_version,
+            lease=request.lease or (UNLEASED if request.forwarded else 0),
         )
 
     def place(self, request: PlacementRequest, now: float) -> Placement:
@@ -142,6 +144,14 @@
         if request.forwarded:
             return local or self._reject(request, found)
         request_view = self.local_selector.request_view(self.local_request(request))
+        if isinstance(found, NoLocalTarget) and found.lends:
+            return self._reject(request, found)
+        if isinstance(found, NoLocalTarget) and found.lease is not None:
+            leased = self.regions.leased(
+                request, service, request_view, found.lease, now
+            )
+            if leased is not None:
+                return leased
         estimates = self.regions.fresh_estimates(request, service, request_view, now)
         remote = self.regions.best(request, service, request_view, estimates, now)
         if remote is None:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -119,6 +119,10 @@
                     found.quiet,
                 )
 
+    def waiting(self, service: str) -> int:
+        """Return the number of requests in the queue of a service."""
+        return len(self._queues.get(service, ()))
+
     async def _find(
         self, request: LocalPlacementRequest, wait: float, claim: Claim
     ) -> LocalResult:
@@ -215,6 +219,8 @@
         avoided=sorted(request.avoided),
         suspect=request.suspect,
         software_version=request.software_version,
+        lease=request.lease,
+        lease_regions=request.lease_regions,
     )
 
 
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -21,9 +21,11 @@
 from bronzepoint_schema.ids import DataCenterName, HostName, RegionName
 
 from ._choice import LocalPlacement, LocalResult, NoLocalTarget
+from ._leased_asks import LeasedAsks
 from ._load_exchange import LoadExchange
 from ._local_request import LocalPlacementRequest
 from ._other_regions import OtherRegions
+from ._region_leases import LeaseGrant
 from ._scheduler import MAX_WAIT, Scheduler, make_query
 from ._target_table import TargetTable
 from ._tracked_target import TrackedTarget, is_ejected
@@ -62,6 +64,7 @@
         update: Updates the table, where that is not done on each change.
         silent_regions: Returns the regions whose core hosts this host does not hear.
         regions: What this host knows of the other regions.
+        leased_asks: Leases of this host's region, if it is the scheduler.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         update: Callable[[], None] | None = None,
         silent_regions: Callable[[], list[RegionName]] = list,
         regions: OtherRegions | None = None,
+        leased_asks: LeasedAsks | None = None,
     ) -> None:
         self._peers = peers
         self._table = table
@@ -85,6 +89,7 @@
         self._update = update
         self._silent_regions = silent_regions
         self._regions = regions
+        self._leased_asks = leased_asks
         # The random start keeps a restarted host from settling grants of its previous
         # process.
         self._numbers = itertools.count(random.getrandbits(40))
@@ -118,7 +123,14 @@
         timing = f"asked {scheduler}, {(monotonic() - began) * 1000:.0f} ms"
         match answer:
             case NoTarget(late=late, crowded=crowded, limited_ms=limited_ms):
-                return NoLocalTarget(late, crowded, limited_ms / 1000)
+                lease = LeaseGrant(answer.lease_region, answer.lease)
+                return NoLocalTarget(
+                    late,
+                    crowded,
+                    limited_ms / 1000,
+                    lease=lease if lease.number else None,
+                    lends=answer.lends,
+                )
             case TargetGrant():
                 target = self._table.get(answer.incarnation)
                 if target is not None and self._may_use(target):
@@ -232,14 +244,21 @@
         return self._table.has_service(service)
 
     async def _answer(self, peer: HostName, query: TargetAsk) -> None:
-        answer = await self._scheduler.answer(peer, query)
+        leased_asks = self._leased_asks
+        may_wait = leased_asks is None or leased_asks.may_wait(query, monotonic())
+        if query.wait_ms and not may_wait:
+            answer = NoTarget(query.number, late=False, crowded=True)
+        else:
+            answer = await self._scheduler.answer(peer, query)
+        if leased_asks is not None:
+            leased_asks.complete(query, answer, monotonic())
         if isinstance(answer, NoTarget):
             # The host now considers other regions, and its data about them may be
             # outdated.
             loads = self._registry.loads()
             answer.loads = [load for load in loads if load.service == query.service]
             answer.silent_regions = self._silent_regions()
-            if self._regions is not None:
+            if self._regions is not None and not answer.lease:
                 now = monotonic()
                 answer.forwarded = self._regions.expect_forward(answer.loads, now)
         self._peers.post(peer, Area.SCHEDULING, answer)
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -9,6 +9,7 @@
 )
 from bronzepoint_node.policy._choose_target import choose_target
 from bronzepoint_node.policy._entry_retries import EntryRetries
+from bronzepoint_node.policy._fair_shares import max_min_shares
 from bronzepoint_node.policy._inputs import (
     RegionView,
     RequestView,
@@ -50,4 +51,5 @@
     "choose_region",
     "choose_target",
     "draw_region",
+    "max_min_shares",
 ]
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -127,6 +127,7 @@
         refused_regions: When each region that has refused it expects to have free
             capacity, in monotonic seconds.
         unreached_regions: Regions in which a connection to a host timed out.
+        lease: Lease under which another region has forwarded it; 0: none.
         placement_requests: Number of times a placement was requested for it.
         sends: Times it was sent to a target or to another region.
         sent_events: Number of events written to the caller's connection.
@@ -165,6 +166,7 @@
     tried_hosts: set[str] = field(default_factory=set)
     refused_regions: dict[RegionName, float] = field(default_factory=dict)
     unreached_regions: set[RegionName] = field(default_factory=set)
+    lease: int = 0
     placement_requests: int = 0
     sends: int = 0
     sent_events: int = 0
--- a/packages/node/src/bronzepoint_node/relay/_host_headers.py
+++ b/packages/node/src/bronzepoint_node/relay/_host_headers.py
@@ -22,6 +22,8 @@
 HOST_REFUSED_HEADER = "bronzepoint-host-refused"
 """On a refusal: its reason concerns this host only, so that another host of the region
 may take the request."""
+LEASE_HEADER = "bronzepoint-lease"
+"""Number of the lease under which the request is forwarded."""
 ORGANISATION_HEADER = "bronzepoint-organisation"
 """Organisation of the caller, version of the catalogue that it was looked up in, and a
 signature of both."""
@@ -41,6 +43,7 @@
         PERMIT_HEADER,
         BLOCKED_HEADER,
         HOST_REFUSED_HEADER,
+        LEASE_HEADER,
         ORGANISATION_HEADER,
         ORIGIN_HEADER,
         SEND_HEADER,
--- a/packages/node/src/bronzepoint_node/relay/_placement_search.py
+++ b/packages/node/src/bronzepoint_node/relay/_placement_search.py
@@ -22,6 +22,11 @@
 and none has free capacity."""
 
 
+LEASED_WAIT = 0.3
+"""Maximum seconds that a request of another region waits here under a lease. Its region
+has counted on room at once, and other regions may have some."""
+
+
 class PlacementSearch:
     """Finds the target, or the host of another region, that a request is sent to.
 
@@ -37,6 +42,8 @@
     async def find(self, call: Call, until: float) -> Placement:
         """Return a placement, or a rejection if none is found by ``until``."""
         wait = 0.0
+        if call.forwarded:
+            until = min(until, monotonic() + LEASED_WAIT)
         while True:
             request = self._placement_request(call)
             found = await self._find_local(call, request, wait)
@@ -62,6 +69,8 @@
             return found
         now = monotonic()
         match self._placer.decide(request, found, now):
+            case RemotePlacement(lease=lease) as remote if lease:
+                return remote
             case RemotePlacement(region=region) as remote:
                 service = request.selected_service
                 is_free = self._placer.regions.has_free_slots(region, service, now)
@@ -85,12 +94,18 @@
         call.placement_requests += 1
         if not self._placer.may_serve_locally(request):
             return NoLocalTarget()
-        return await self._scheduler.find(self._placer.local_request(request), wait)
+        local_request = self._placer.local_request(request)
+        local_request.lease_regions = self._placer.regions.lease_regions(
+            request, request.selected_service, monotonic()
+        )
+        return await self._scheduler.find(local_request, wait)
 
 
 def _may_wait(call: Call, placement: Placement) -> bool:
     """Return whether a request may wait here for free capacity."""
-    if call.forwarded or not isinstance(placement, Rejected):
+    if not isinstance(placement, Rejected):
+        return False
+    if call.forwarded and not call.lease:
         return False
     return not placement.final
 
@@ -113,4 +128,5 @@
         call.origin.software_version if call.origin is not None else "",
         call.refused_regions,
         frozenset(call.unreached_regions),
+        call.lease,
     )
--- a/packages/node/src/bronzepoint_node/relay/_request_intake.py
+++ b/packages/node/src/bronzepoint_node/relay/_request_intake.py
@@ -19,6 +19,7 @@
 from ._codec import CallerHead, Codec
 from ._host_headers import (
     FINGERPRINT_HEADER,
+    LEASE_HEADER,
     MAX_RUNS_HEADER,
     ORIGIN_HEADER,
     PERMIT_HEADER,
@@ -211,6 +212,7 @@
             call.runs = call.reported_runs = _parse_count(headers.get(RUNS_HEADER, ""))
             call.granted_runs = _parse_count(headers.get(MAX_RUNS_HEADER, ""))
             call.has_permit = PERMIT_HEADER in headers
+            call.lease = _parse_count(headers.get(LEASE_HEADER, ""))
             call.origin = StreamOrigin.parse(headers.get(ORIGIN_HEADER, ""))
             call.send = ForwardedSend.parse(headers.get(SEND_HEADER, ""))
         return call
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -35,6 +35,7 @@
 from ._host_headers import (
     FINGERPRINT_HEADER,
     FORWARDED_HEADER,
+    LEASE_HEADER,
     MAX_RUNS_HEADER,
     ORIGIN_HEADER,
     PERMIT_HEADER,
@@ -381,6 +382,9 @@
         # Limits the runs there to one: if the answer is lost, this host must know how
         # often the request can have run in the other region.
         headers[MAX_RUNS_HEADER] = str(call.counted_runs + 1)
+        if placement.lease:
+            headers[LEASE_HEADER] = str(placement.lease)
+            self._metrics.incr("forward.leased")
         forwarding = self._forwarded_runs.begin(
             HostName(placement.host), lambda: self._handover.lend_run(call)
         )
@@ -431,6 +435,8 @@
         match outcome:
             case NotRun():
                 _record_not_run(call, placement, outcome, regions)
+                kind = "leased" if placement.lease else "unleased"
+                self._metrics.incr(f"forward.{kind}_not_run")
             case Answered(headers=answered):
                 _update_runs(call, answered)
             case MayHaveRun():
