--- a/packages/node/src/bronzepoint_node/core/_room_lease_exchange.py
+++ b/packages/node/src/bronzepoint_node/core/_room_lease_exchange.py
@@ -1,5 +1,6 @@
 """Exchange of leases with the schedulers of other regions."""
 
+import re
 from collections.abc import Callable
 
 from bronzepoint_common.clock import monotonic
@@ -23,6 +24,9 @@
 """Number of core hosts of another region that get each ask: its scheduler and the
 successor. Only a host that other hosts report to answers."""
 
+_NOT_IN_NAMES = re.compile(r"[^\w.]")
+"""Characters that names of metrics can't contain."""
+
 _log = get_logger("core")
 
 
@@ -123,7 +127,8 @@
         for key in shown.keys() | former.keys():
             direction, region, _ = key
             permille, before = shown.get(key, 0), former.get(key, 0)
-            name = f"lease.{direction}_permille.{region}.{service}"
+            names = f"{region}.{service}"
+            name = f"lease.{direction}_permille.{_NOT_IN_NAMES.sub('_', names)}"
             self._metrics.gauge(name, permille)
             if bool(permille) != bool(before):
                 _log.info(
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -23,8 +23,9 @@
 from ._other_regions import OtherRegions
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
-from ._region_leases import LeaseGrant, RegionLeases
+from ._region_leases import RegionLeases
 from ._reservations import Reservations
+from ._room_borrower import LeaseGrant
 from ._room_demand import ServiceRoom
 from ._scheduler import Scheduler
 from ._scheduler_client import SchedulerClient
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -5,7 +5,7 @@
 
 from bronzepoint_schema.ids import RegionName
 
-from ._region_leases import LeaseGrant
+from ._room_borrower import LeaseGrant
 from ._tracked_target import TrackedTarget
 
 
--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -25,9 +25,9 @@
 from ._ask import PlacementRequest
 from ._choice import RemotePlacement
 from ._forward_tally import ForwardTally
-from ._region_leases import LeaseGrant
 from ._region_owner import weighted_owner
 from ._region_reachability import RegionReachability
+from ._room_borrower import LeaseGrant
 from ._service_estimates import ServiceEstimates
 
 REGION_RTT = 0.16
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -25,7 +25,7 @@
 from ._load_exchange import LoadExchange
 from ._local_request import LocalPlacementRequest
 from ._other_regions import OtherRegions
-from ._region_leases import LeaseGrant
+from ._room_borrower import LeaseGrant
 from ._scheduler import MAX_WAIT, Scheduler, make_query
 from ._target_table import TargetTable
 from ._tracked_target import TrackedTarget, is_ejected
--- a/tests/test_region_leases.py
+++ b/tests/test_region_leases.py
@@ -23,13 +23,9 @@
 )
 from bronzepoint_node.placement._engine_load import OwnRun
 from bronzepoint_node.placement._forward_tally import ForwardTally
-from bronzepoint_node.placement._region_leases import (
-    BORROWER_BURST,
-    LEASE_TIME,
-    LEND_MARGIN,
-    LENDER_BURST,
-    RENEW_INTERVAL,
-)
+from bronzepoint_node.placement._room_borrower import BORROWER_BURST, RENEW_INTERVAL
+from bronzepoint_node.placement._room_budget import LEASE_TIME
+from bronzepoint_node.placement._room_lender import LEND_MARGIN, LENDER_BURST
 from bronzepoint_node.relay._placement_search import LEASED_WAIT
 from bronzepoint_schema.generated.fleet import RegionLoad
 from bronzepoint_schema.generated.room_leases import RoomAsk, RoomLease, RoomReturn
