--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -18,13 +18,17 @@
     ReportUnavailable,
     ReportUnreadable,
 )
+from ._leased_asks import LeasedAsks
 from ._load_exchange import LoadExchange
 from ._organisation_weights import organisation_weights
 from ._other_regions import OtherRegions
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
 from ._raised_weights import RaisedWeights
+from ._region_leases import RegionLeases
 from ._reservations import Reservations
+from ._room_borrower import LeaseGrant
+from ._room_demand import ServiceRoom
 from ._scheduler import Scheduler
 from ._scheduler_client import SchedulerClient
 from ._service_estimates import ServiceEstimates
@@ -33,6 +37,8 @@
 from ._tracked_target import EngineReport, TrackedTarget, is_unresponsive
 
 __all__ = [
+    "LeaseGrant",
+    "LeasedAsks",
     "LocalPlacement",
     "ColdStartLimiter",
     "RemotePlacement",
@@ -50,6 +56,7 @@
     "RaisedWeights",
     "ReadReport",
     "RejectReason",
+    "RegionLeases",
     "Rejected",
     "ReportOfOtherStart",
     "ReportUnavailable",
@@ -59,6 +66,7 @@
     "SchedulerClient",
     "SpeedReport",
     "ServiceEstimates",
+    "ServiceRoom",
     "TargetTable",
     "TrackedTarget",
     "is_unresponsive",
--- a/packages/node/src/bronzepoint_node/placement/_choice.py
+++ b/packages/node/src/bronzepoint_node/placement/_choice.py
@@ -5,6 +5,7 @@
 
 from bronzepoint_schema.ids import RegionName
 
+from ._room_borrower import LeaseGrant
 from ._tracked_target import TrackedTarget
 
 
@@ -70,6 +71,8 @@
         retry_after: Forecast seconds until there is room for the request; 0: unknown.
             If the queue isn't crowded, the request may wait for that.
         share: Share of the organisation in what was started recently; 0: unknown.
+        lease: Lease under which the request may be forwarded; None: there is none.
+        lends: The region leases capacity to others, so the request isn't forwarded.
     """
 
     late: bool = False
@@ -78,17 +81,24 @@
     rests_for: float = 0.0
     retry_after: float = 0.0
     share: float = 0.0
+    lease: LeaseGrant | None = None
+    lends: bool = False
 
 
 @dataclass(frozen=True)
 class RemotePlacement:
-    """Forward the request to an entry host of another region."""
+    """Forward the request to an entry host of another region.
+
+    Attributes:
+        lease: Number of the lease that keeps capacity free for it; 0: there is none.
+    """
 
     region: RegionName
     host: str
     address: str
     reason: str
     delay: float = 0.0
+    lease: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bronzepoint_node/placement/_local_request.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_request.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from bronzepoint_schema.generated.fleet import TargetInfo
+from bronzepoint_schema.ids import RegionName
 
 from ._prompt import Prompt
 
@@ -24,6 +25,9 @@
         objective: Seconds after its arrival within which its answer has its full value;
             0: unknown.
         data_center: Data center whose targets are preferred; empty: none are.
+        lease: Lease under which another region has forwarded it; -1: it was forwarded
+            without one; 0: not forwarded.
+        lease_regions: Regions that may serve it under a lease.
     """
 
     request_id: str
@@ -40,6 +44,8 @@
     route_priority: int = 0
     objective: float = 0.0
     data_center: str = ""
+    lease: int = 0
+    lease_regions: list[RegionName] = []
 
     def allows(self, target: TargetInfo) -> bool:
         """Return whether a target has the software version that the request needs."""
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -24,6 +24,7 @@
 from ._local_request import LocalPlacementRequest
 from ._local_target_selector import LOWEST_RANK, LocalTargetSelector
 from ._other_regions import OtherRegions
+from ._region_leases import UNLEASED
 from ._service_estimates import ServiceEstimates
 from ._target_description import describe_targets
 from ._target_table import TargetTable
@@ -130,6 +131,7 @@
             route_priority=request.route.priority,
             objective=request.route.objective,
             data_center=self._near,
+            lease=request.lease or (UNLEASED if request.forwarded else 0),
         )
 
     def place(self, request: PlacementRequest, now: float) -> Placement:
@@ -155,6 +157,14 @@
         if request.forwarded:
             return local or self._reject(request, found)
         request_view = self.local_selector.request_view(self.local_request(request))
+        if isinstance(found, NoLocalTarget) and found.lends:
+            return self._reject(request, found)
+        if isinstance(found, NoLocalTarget) and found.lease is not None:
+            leased = self.regions.leased(
+                request, service, request_view, found.lease, now
+            )
+            if leased is not None:
+                return leased
         estimates = self.regions.fresh_estimates(request, service, request_view, now)
         remote = self.regions.best(request, service, request_view, estimates, now)
         if remote is None:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -182,6 +182,10 @@
             self._reservations.settle(host, [number])
             grant.queue.refund(grant.charge)
 
+    def waiting(self, service: str) -> int:
+        """Return the number of requests in the queue of a service."""
+        return len(self._queues.get(service, ()))
+
     async def _find(
         self,
         request: LocalPlacementRequest,
@@ -428,6 +432,8 @@
         route_priority=request.route_priority,
         objective_ms=int(request.objective * 1000),
         data_center=request.data_center,
+        lease=request.lease,
+        lease_regions=request.lease_regions,
     )
 
 
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -9,6 +9,7 @@
 )
 from bronzepoint_node.policy._choose_target import choose_target, may_have_capacity
 from bronzepoint_node.policy._entry_retries import EntryRetries
+from bronzepoint_node.policy._fair_shares import max_min_shares
 from bronzepoint_node.policy._inputs import (
     RegionView,
     RequestView,
@@ -63,6 +64,7 @@
     "draw_region",
     "factor",
     "may_have_capacity",
+    "max_min_shares",
     "reference_logarithm",
     "shrunk",
 ]
