Use the aged load estimate where several hosts choose targets

Hosts whose scheduler is lost, small regions without one, and the own interface chose by old counts as if they were current. They now state how many hosts choose and how old their information is. A guess from own requests alone makes no target full.

The setting placement.spread_by_age (INI section and platform table, true by default) switches it off.

--- a/packages/node/src/bronzepoint_node/_daemon.py
+++ b/packages/node/src/bronzepoint_node/_daemon.py
@@ -86,6 +86,7 @@
             self._metrics,
             self._catalogue.view,
             self._region_hosts,
+            settings.placement.spread_by_age,
         )
         self._run_once = RunOnce(
             host.name,
--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -48,6 +48,7 @@
         served: Returns the catalogue in effect and the closed data centers.
         read: Requests the load report of an engine.
         metrics: Counters.
+        spread_by_age: Whether choices depend on the age of the load information.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         served: Callable[[], tuple[ServedCatalogue | None, frozenset[DataCenterName]]],
         read: ReadReport,
         metrics: Metrics,
+        spread_by_age: bool = True,
     ) -> None:
         self._region = region
         self._zones = zones
@@ -77,6 +79,7 @@
             cold_limiter,
             random.Random(name),
             lambda: [name],
+            spread_by_age=spread_by_age,
         )
         # A core host has no callers, so it has no requests of its own to report.
         reservations = Reservations()
--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -32,6 +32,9 @@
 """Seconds between two checks whether there are hosts to report to."""
 REFRESH_INTERVAL = 1.0
 """Seconds between two full reports, which make up for lost messages."""
+RELEARN_TIME = REFRESH_INTERVAL + 2 * REPORT_INTERVAL
+"""Seconds after a change of the collector until full reports have replaced what its
+predecessor knew."""
 
 
 class LoadExchange:
@@ -78,12 +81,14 @@
         self._reported_all_at = 0.0
         self._selector = CollectorSelector(name)
         self._collector: HostName | None = None
+        self._switched_at = float("-inf")
         self._load_collector = LoadCollector(name, table)
         self._task: curio.Task | None = None
         peers.register(Area.TARGET_LOADS, LoadNotice, self._handle_notice)
 
     async def start(self) -> None:
         """Start the reports."""
+        self._switched_at = monotonic()
         self._task = await curio.spawn(self._run, daemon=True)
 
     async def close(self) -> None:
@@ -131,6 +136,9 @@
         Args:
             now: Monotonic seconds.
         """
+        if now - self._switched_at < RELEARN_TIME:
+            # The data of the former source was dropped.
+            return MAX_AGE
         if self.scheduler is not None:
             return min(MAX_AGE, now - self._complete_as_of)
         return self._staleness.age(now)
@@ -223,6 +231,7 @@
         if collector == self._collector:
             return
         _log.info("collector of loads", collector=collector, former=self._collector)
+        self._switched_at = monotonic()
         self._collector = collector
         self._reported_all_at = 0.0
         self._staleness.forget()
--- a/packages/node/src/bronzepoint_node/placement/_load_sum.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_sum.py
@@ -36,12 +36,15 @@
         memory_tokens: Memory that they occupy, in tokens.
         unread: Prompt tokens that are not read yet, by rank.
         head: The prompt that is being read; None if there is none.
+        reported: The part of the requests that other hosts have reported. The rest is
+            known without delay.
     """
 
     in_flight: int
     memory_tokens: int
     unread: list[int]
     head: CurrentPrompt | None
+    reported: int = 0
 
     @property
     def is_quiet(self) -> bool:
@@ -58,6 +61,7 @@
         total = cls(0, 0, [0] * RANK_COUNT, None)
         for at, load in loads:
             total.in_flight += load.in_flight
+            total.reported += load.in_flight
             total.memory_tokens += load.memory_tokens
             for rank, tokens in enumerate(load.unread):
                 total.unread[rank] += tokens
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -10,6 +10,7 @@
     TargetState,
     TargetView,
     choose_target,
+    reported_others,
 )
 from bronzepoint_schema.ids import (
     EntryName,
@@ -26,6 +27,7 @@
 from ._local_request import LocalPlacementRequest
 from ._prompt import Prompt
 from ._service_estimates import ServiceEstimates
+from ._staleness_bound import MAX_AGE
 from ._target_groups import order_groups
 from ._target_table import TargetTable
 from ._tracked_target import TRIAL_INTERVAL, TrackedTarget, is_ejected, is_unresponsive
@@ -43,6 +45,9 @@
 """Minimum seconds until a request that all targets' limits exclude may be retried."""
 MAX_LIMITED_WAIT = 3.0
 """Maximum of these seconds: a limit may end earlier than it allows the next request."""
+_NO_OWN_SHARE = 1_000_000
+"""Number of hosts for which no host has slots of its own at a target. The slots are for
+the requests of all hosts here, and a target refuses what exceeds them."""
 LOWEST_RANK = 9
 """Rank of a request that is served after all others."""
 
@@ -58,6 +63,8 @@
         host_count: Returns the number of entry hosts of the region.
         selecting_hosts: Returns the entry hosts that select targets themselves.
         rng: Random number generator.
+        spread_by_age: Whether hosts that select targets at the same time spread their
+            requests by the age of what they know of each other.
     """
 
     def __init__(
@@ -69,7 +76,9 @@
         host_count: Callable[[], int],
         selecting_hosts: Callable[[], list[HostName]],
         rng: random.Random,
+        spread_by_age: bool = True,
     ) -> None:
+        self._spread_by_age = spread_by_age
         self._region = region
         self._table = table
         self._cold = cold
@@ -78,15 +87,24 @@
         self._selecting_hosts = selecting_hosts
         self._rng = rng
 
-    def choose(self, request: LocalPlacementRequest, now: float) -> LocalResult:
-        """Return the target for a request, or why there is none."""
+    def choose(
+        self, request: LocalPlacementRequest, now: float, age: float = 0.0
+    ) -> LocalResult:
+        """Return the target for a request, or why there is none.
+
+        Args:
+            request: The request.
+            now: Monotonic seconds.
+            age: Maximum age in seconds of what is known of other hosts' requests.
+        """
+        choosers = self._count_choosers(age)
         self._table.begin_due_return(request.service, now)
         key = request.prompt.shared_key if request.prompt else ""
         is_late = []
         for group in order_groups(self._table.groups(request.service), key, self._rng):
             allowed = [target for target in group if request.allows(target.info)]
             usable = self._filter_usable(allowed, now)
-            found = self._choose_in_group(request, usable, now)
+            found = self._choose_in_group(request, usable, now, age, choosers)
             if isinstance(found, LocalPlacement):
                 return found
             is_late.append(found.late)
@@ -99,15 +117,20 @@
         )
 
     def _choose_in_group(
-        self, request: LocalPlacementRequest, usable: list[TrackedTarget], now: float
+        self,
+        request: LocalPlacementRequest,
+        usable: list[TrackedTarget],
+        now: float,
+        age: float,
+        choosers: int,
     ) -> LocalResult:
         in_time = [t for t in usable if self._finishes_in_time(t, request, now)]
         for candidates in self._candidate_sets(request, in_time, now):
-            choice = self._choose_candidate(request, candidates, now)
+            choice = self._choose_candidate(request, candidates, now, age, choosers)
             if choice.target is None and request.software_version:
                 # The stream can go on nowhere else than at a target of its version.
                 choice = self._choose_candidate(
-                    request, candidates, now, accept_ejected=True
+                    request, candidates, now, age, choosers, accept_ejected=True
                 )
             if choice.target is not None:
                 found = {t.info.incarnation: t for t in candidates}
@@ -138,10 +161,21 @@
         request: LocalPlacementRequest,
         usable: list[TrackedTarget],
         now: float,
+        age: float,
+        choosers: int,
         *,
         accept_ejected: bool = False,
     ) -> TargetChoice:
         views = [self.view(t, request.prompt, request.rank, now) for t in usable]
+        hosts = self._host_count()
+        if choosers > 1:
+            for view, tracked in zip(views, usable, strict=True):
+                _separate_reported(view, tracked, age, now)
+                if len(self._selecting_hosts()) == 1:
+                    # A new scheduler. Its own count includes what it granted to the
+                    # other hosts, so it says nothing about what they run besides.
+                    view.report_age = age
+            hosts = _NO_OWN_SHARE
         if accept_ejected:
             for view in views:
                 view.state = TargetState.ready
@@ -149,13 +183,24 @@
             self.request_view(request),
             views,
             self._speeds.times(request.service),
-            self._host_count(),
+            hosts,
             REPORT_TIME_CONSTANT,
             self._rng,
             now,
             explain=False,
+            choosers=choosers,
         )
 
+    def _count_choosers(self, age: float) -> int:
+        """Return the number of hosts whose choices are unknown until reported.
+
+        A scheduler knows all choices, unless it is new: others chose themselves before.
+        """
+        if not self._spread_by_age:
+            return 1
+        choosers = len(self._selecting_hosts())
+        return choosers if age < MAX_AGE else max(choosers, self._host_count())
+
     def _local_placement(
         self,
         request: LocalPlacementRequest,
@@ -313,3 +358,19 @@
         events = tokens / engine.event_tokens
         writing = events * target.pace.seconds_per_event(now)
         return unread / rate + writing < DEADLINE_FACTOR * request.time_left
+
+
+def _separate_reported(
+    view: TargetView, tracked: TrackedTarget, age: float, now: float
+) -> None:
+    """Separate what other hosts have reported from what is known without delay."""
+    total = tracked.load.total(now)
+    reported = total.reported + reported_others(view)
+    exact = total.in_flight - total.reported
+    if age >= MAX_AGE and tracked.report is not None:
+        # The reports of other hosts were dropped or are overdue. What the engine said
+        # includes their requests.
+        reported = max(reported, view.running + view.waiting - exact)
+    view.in_flight = view.in_flight_at_report = exact
+    view.running, view.waiting = exact + round(reported), 0
+    view.report_age = age if reported or age < MAX_AGE else math.inf
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -53,6 +53,7 @@
         selecting_hosts: Returns the entry hosts of the region that select targets
             themselves; None if all of them do.
         link_bytes: Bandwidth of an entry host's link in bytes per second.
+        spread_by_age: Whether choices depend on the age of the load information.
 
     Attributes:
         estimates: Latency estimates.
@@ -69,6 +70,7 @@
         rng: random.Random,
         selecting_hosts: Callable[[], list[HostName]] | None = None,
         link_bytes: float = math.inf,
+        spread_by_age: bool = True,
     ) -> None:
         self._region = region
         self._table = table
@@ -83,6 +85,7 @@
             lambda: self.regions.host_count(region),
             selecting_hosts or self.hosts,
             rng,
+            spread_by_age,
         )
 
     def hosts(self) -> list[HostName]:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -167,11 +167,12 @@
 
     def _choose(self, request: LocalPlacementRequest, claim: Claim) -> LocalResult:
         now = monotonic()
-        found = self._selector.choose(request, now)
+        staleness = self._staleness(now)
+        found = self._selector.choose(request, now, staleness)
         if isinstance(found, NoLocalTarget):
             return found
         claim(found)
-        return replace(found, staleness=self._staleness(now))
+        return replace(found, staleness=staleness)
 
     def _reserve(
         self,
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -16,6 +16,7 @@
     TargetView,
 )
 from bronzepoint_node.policy._limits import Limits, RegionHosts
+from bronzepoint_node.policy._load_estimate import reported_others
 from bronzepoint_node.policy._outputs import (
     LocalPlacement,
     Placement,
@@ -47,6 +48,7 @@
     "Ticket",
     "TokenBucket",
     "remote_estimate",
+    "reported_others",
     "choose_region",
     "choose_target",
     "draw_region",
--- a/packages/node/src/bronzepoint_node/policy/_aged_load.py
+++ b/packages/node/src/bronzepoint_node/policy/_aged_load.py
@@ -29,11 +29,23 @@
         starts: expected requests of other hosts that have started since and are still
             in progress.
         turnover: expected starts in that time for each of them that is in progress.
+        is_guess: nothing was reported, so the starts are extrapolated from this host's
+            own requests.
     """
 
     certain: float
     starts: float
     turnover: float
+    is_guess: bool = False
+
+    @property
+    def occupied(self) -> float:
+        """Return the number of slots that count as in use.
+
+        A guess makes no target full: one own request may stand for any number of
+        others, and callers would be refused although targets are idle.
+        """
+        return self.certain if self.is_guess else self.load
 
     @property
     def load(self) -> float:
@@ -88,7 +100,7 @@
         total += (others - kept) * trend
         ended_share = -math.expm1(-elapsed)
         turnover = elapsed / ended_share if ended_share else 1.0
-        loads.append(AgedLoad(view.in_flight + kept, 0.0, turnover))
+        loads.append(AgedLoad(view.in_flight + kept, 0.0, turnover, not known))
     heights = [
         load.certain / view.slots for load, view in zip(loads, views, strict=True)
     ]
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -345,7 +345,8 @@
         if scored.candidate is not None:
             scored.candidate.score = round(scored.score, 4)
             scored.candidate.detail = estimate.detail()
-        if has_free_capacity(view, load, hosts, request.memory_tokens):
+        occupied = load if scored.aged is None else scored.aged.occupied
+        if has_free_capacity(view, occupied, hosts, request.memory_tokens):
             with_capacity.append(scored)
             continue
         if scored.candidate is not None:
--- a/packages/node/src/bronzepoint_node/policy/_policy.py
+++ b/packages/node/src/bronzepoint_node/policy/_policy.py
@@ -68,6 +68,7 @@
         metrics: Counts placements, waits, refusals and retries.
         values: Source of the values of limits.
         hosts: Returns the region's current hosts.
+        spread_by_age: Whether choices depend on the age of the load information.
     """
 
     def __init__(
@@ -79,7 +80,9 @@
         metrics: Metrics,
         values: LimitCatalogue,
         hosts: Callable[[], RegionHosts],
+        spread_by_age: bool = True,
     ) -> None:
+        self._spread_by_age = spread_by_age
         self._region = region
         self._settings = settings
         self._metrics = metrics
@@ -306,14 +309,16 @@
         estimates = self._estimates_for(request.entry)
         now = time.monotonic()
         time_left = ticket.deadline - now
+        hosts = len(self._hosts().live)
         choice = choose_target(
             request,
             views,
             estimates.times,
-            len(self._hosts().live),
+            hosts,
             self._settings.report_memory,
             self._rng,
             now,
+            choosers=hosts if self._spread_by_age else 1,
         )
         estimates.update_slots(views, choice, now)
         if request.forwarded:
@@ -322,7 +327,7 @@
             )
         local = self._local_estimate(ticket, ahead, estimates, choice, regions, views)
         remote, excluded_regions = self._other_regions.evaluate(
-            request, regions, estimates.times, len(self._hosts().live), now
+            request, regions, estimates.times, hosts, now
         )
         decided = choose_region(
             request,
--- a/packages/node/src/bronzepoint_node/policy/_spread_choice.py
+++ b/packages/node/src/bronzepoint_node/policy/_spread_choice.py
@@ -12,6 +12,9 @@
 """Multiple of the expected starts over which the draw evens out the load. With 1, hosts
 would correct a difference completely within the age of the information, and the load
 would oscillate."""
+_MAX_FILLED = 0.8
+"""Maximum share of all room over which the draw evens out the load. Beyond it, only the
+room would count, and not where a prompt is cached."""
 _MIN_BOUND = 0.5
 """Requests that a target with free capacity may always get."""
 
@@ -38,8 +41,9 @@
         score - load.starts * slope
         for score, load, slope in zip(scores, loads, slopes, strict=True)
     ]
-    amount = 1 + _SPREAD_FACTOR * sum(load.starts for load in loads)
     bounds = [max(_MIN_BOUND, free) for free in room]
+    amount = 1 + _SPREAD_FACTOR * sum(load.starts for load in loads)
+    amount = min(amount, _MAX_FILLED * sum(bounds))
     shares = fill_evenly(heights, slopes, amount, bounds)
     return [share * load.turnover for share, load in zip(shares, loads, strict=True)]
 
--- a/tests/_stale_load_replay.py
+++ b/tests/_stale_load_replay.py
@@ -33,7 +33,7 @@
     """
 
     def __init__(self, choose, hosts, age, targets, seconds=16.0, load=0.8, seed=1):
-        self.rng = Random(seed)
+        self.seed, self.rng = seed, Random(seed)
         self.choose, self.hosts, self.age, self.targets = choose, hosts, age, targets
         self.names = [f"t{number}" for number in range(len(targets))]
         self.slots = [slots for slots, _ in targets]
@@ -62,7 +62,7 @@
         heapq.heappush(self.events, (at, next(self.order), event))
 
     def _run(self, seconds, rate):
-        arrivals, at = Random(17), 0.0
+        arrivals, at = Random(f"arrivals {self.seed}"), 0.0
         while at < seconds:
             at += arrivals.expovariate(rate)
             host = arrivals.randrange(self.hosts)
