Draw targets by a low-discrepancy sequence, and measure the balance

With independent draws the load of a target varies by the root of the requests that are sent within the age of the information. Each host now draws from a sequence that covers the interval evenly, with a start of its own.

--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -10,6 +10,7 @@
 from bronzepoint_common.peers import Peers
 from bronzepoint_node.fleet import Registry, ServedCatalogue
 from bronzepoint_node.placement import (
+    BalanceMonitor,
     ColdStartLimiter,
     EnginePoller,
     LoadExchange,
@@ -87,7 +88,8 @@
             name, peers, self._table, self._placer.estimates, reservations, lambda: []
         )
         self._engine_poller = EnginePoller(self._table, read, self._poller_count)
-        scheduler = Scheduler(
+        self._balance = BalanceMonitor(self._table, metrics)
+        self._scheduler = scheduler = Scheduler(
             name,
             self._placer.local_selector,
             cold_limiter,
@@ -128,6 +130,10 @@
             self._update()
             if self._exchange.has_members(now):
                 self._report_loads(self._placer.region_loads(now))
+                for service in self._table.services():
+                    self._balance.observe(
+                        service, self._scheduler.waiting(service), now
+                    )
             await curio.sleep(UPDATE_INTERVAL)
 
     def _update(self) -> None:
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -1,6 +1,7 @@
 """Placement of requests on targets and regions, from the state of one host."""
 
 from ._ask import PlacementRequest, select_service
+from ._balance_monitor import BalanceMonitor
 from ._choice import (
     LocalPlacement,
     LocalResult,
@@ -29,6 +30,7 @@
 from ._tracked_target import EngineReport, TrackedTarget, is_unresponsive
 
 __all__ = [
+    "BalanceMonitor",
     "LocalPlacement",
     "ColdStartLimiter",
     "RemotePlacement",
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from bronzepoint_node.policy import (
+    EvenSequence,
     RequestView,
     TargetChoice,
     TargetState,
@@ -79,6 +80,7 @@
         spread_by_age: bool = True,
     ) -> None:
         self._spread_by_age = spread_by_age
+        self._sequences: dict[str, EvenSequence] = {}
         self._region = region
         self._table = table
         self._cold = cold
@@ -189,8 +191,15 @@
             now,
             explain=False,
             choosers=choosers,
+            sequence=self._sequence(request.service),
         )
 
+    def _sequence(self, service: str) -> EvenSequence:
+        sequence = self._sequences.get(service)
+        if sequence is None:
+            sequence = self._sequences[service] = EvenSequence(self._rng)
+        return sequence
+
     def _count_choosers(self, age: float) -> int:
         """Return the number of hosts whose choices are unknown until reported.
 
@@ -373,4 +382,5 @@
         reported = max(reported, view.running + view.waiting - exact)
     view.in_flight = view.in_flight_at_report = exact
     view.running, view.waiting = exact + round(reported), 0
-    view.report_age = age if reported or age < MAX_AGE else math.inf
+    is_missing = age >= MAX_AGE and tracked.report is None and not reported
+    view.report_age = math.inf if is_missing else age
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -73,6 +73,11 @@
         self._staleness = staleness
         self._queues: dict[str, RequestQueue] = {}
 
+    def waiting(self, service: str) -> int:
+        """Return the number of requests of a service that wait for a target."""
+        queue = self._queues.get(service)
+        return len(queue) if queue is not None else 0
+
     async def find(self, request: LocalPlacementRequest, wait: float) -> LocalResult:
         """Return a target for a request of this host, as soon as there is one.
 
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -26,9 +26,11 @@
 )
 from bronzepoint_node.policy._policy import Policy, Ticket
 from bronzepoint_node.policy._service_times import ServiceTimes
+from bronzepoint_node.policy._spread_choice import EvenSequence
 from bronzepoint_node.policy._token_bucket import TokenBucket
 
 __all__ = [
+    "EvenSequence",
     "Admission",
     "EntryRetries",
     "RemotePlacement",
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -11,7 +11,7 @@
 from bronzepoint_node.policy._outputs import TargetChoice
 from bronzepoint_node.policy._rendezvous import ranked
 from bronzepoint_node.policy._service_times import ServiceTimes
-from bronzepoint_node.policy._spread_choice import draw_index, spread_weights
+from bronzepoint_node.policy._spread_choice import EvenSequence, spread_weights
 from bronzepoint_schema.generated.decisions import Candidate, ExclusionReason
 from bronzepoint_schema.ids import TargetName
 
@@ -210,6 +210,7 @@
     now: float,
     explain: bool = True,
     choosers: int = 1,
+    sequence: EvenSequence | None = None,
 ) -> TargetChoice:
     """Choose the target with free capacity that has the least expected loss.
 
@@ -230,6 +231,7 @@
         choosers: Number of hosts that choose among these targets, this one included.
             1: no other host's requests can have started since the reports, or the draw
             is not to depend on their age.
+        sequence: This host's sequence for the service; None: each draw is independent.
     """
     aged: list[AgedLoad] = []
     if choosers > 1:
@@ -266,7 +268,9 @@
         reason = "waiting for a full target is faster"
         return TargetChoice(None, candidates, reason, len(usable))
     if sum(item.starts for item in aged) >= _MIN_UNKNOWN_STARTS:
-        chosen, near = _draw_spread(with_capacity, request, times, rng, now)
+        chosen, near = _draw_spread(
+            with_capacity, request, times, sequence or EvenSequence(rng), now
+        )
         reason = f"spread by the age of the reports over {near} targets"
     else:
         best = min(scored.score for scored in with_capacity)
@@ -296,7 +300,7 @@
     scored_targets: list[_ScoredTarget],
     request: RequestView,
     times: ServiceTimes,
-    rng: Random,
+    sequence: EvenSequence,
     now: float,
 ) -> tuple[_ScoredTarget, int]:
     """Draw a target by the age of the reports; return it and how many were possible."""
@@ -307,7 +311,7 @@
     room = [view.slots - load.certain for view, load in zip(views, aged, strict=True)]
     scores = [scored.score for scored in scored_targets]
     weights = spread_weights(scores, slopes, aged, room)
-    chosen = scored_targets[draw_index(weights, rng)]
+    chosen = scored_targets[sequence.draw(weights)]
     return chosen, sum(weight > 0 for weight in weights)
 
 
--- a/packages/node/src/bronzepoint_node/policy/_entry_estimates.py
+++ b/packages/node/src/bronzepoint_node/policy/_entry_estimates.py
@@ -7,6 +7,7 @@
 from bronzepoint_node.policy._outputs import TargetChoice
 from bronzepoint_node.policy._ramp import ForwardRamp
 from bronzepoint_node.policy._service_times import ServiceTimes
+from bronzepoint_node.policy._spread_choice import EvenSequence
 from bronzepoint_schema.generated.decisions import ExclusionReason
 
 WORKING_EXCLUSIONS = (
@@ -23,12 +24,14 @@
     Attributes:
         times: Durations of its requests.
         ramp: Share of its requests that is forwarded to other regions.
+        sequence: Draws of a target.
         slots: Requests that the targets run at once; a slow target counts for less.
         pool: Targets that its requests wait for.
     """
 
     times: ServiceTimes
     ramp: ForwardRamp
+    sequence: EvenSequence
     slots: float = 1.0
     pool: Pool = frozenset()
 
--- a/packages/node/src/bronzepoint_node/policy/_policy.py
+++ b/packages/node/src/bronzepoint_node/policy/_policy.py
@@ -36,6 +36,7 @@
 from bronzepoint_node.policy._ramp import ForwardRamp
 from bronzepoint_node.policy._refusals import no_region, no_target
 from bronzepoint_node.policy._service_times import ServiceTimes
+from bronzepoint_node.policy._spread_choice import EvenSequence
 from bronzepoint_node.policy._ticket import Ticket
 from bronzepoint_schema.generated.decisions import (
     Candidate,
@@ -82,6 +83,7 @@
         hosts: Callable[[], RegionHosts],
         spread_by_age: bool = True,
     ) -> None:
+        self._host = host
         self._spread_by_age = spread_by_age
         self._region = region
         self._settings = settings
@@ -319,6 +321,7 @@
             self._rng,
             now,
             choosers=hosts if self._spread_by_age else 1,
+            sequence=estimates.sequence,
         )
         estimates.update_slots(views, choice, now)
         if request.forwarded:
@@ -420,7 +423,9 @@
         estimates = self._estimates.get(entry)
         if estimates is None:
             ramp = ForwardRamp(self._settings.away_step)
-            estimates = self._estimates[entry] = EntryEstimates(ServiceTimes(), ramp)
+            estimates = self._estimates[entry] = EntryEstimates(
+                ServiceTimes(), ramp, EvenSequence(Random(f"{self._host} {entry}"))
+            )
         return estimates
 
 
--- a/packages/node/src/bronzepoint_node/policy/_spread_choice.py
+++ b/packages/node/src/bronzepoint_node/policy/_spread_choice.py
@@ -4,6 +4,8 @@
 target gets the share of the requests that evens out the expected load.
 """
 
+import bisect
+import itertools
 from random import Random
 
 from bronzepoint_node.policy._aged_load import AgedLoad, fill_evenly
@@ -12,6 +14,8 @@
 """Multiple of the expected starts over which the draw evens out the load. With 1, hosts
 would correct a difference completely within the age of the information, and the load
 would oscillate."""
+_GOLDEN_RATIO = (5**0.5 - 1) / 2
+"""Step of the sequence; multiples of it are spread most evenly over the interval."""
 _MAX_FILLED = 0.8
 """Maximum share of all room over which the draw evens out the load. Beyond it, only the
 room would count, and not where a prompt is cached."""
@@ -48,9 +52,25 @@
     return [share * load.turnover for share, load in zip(shares, loads, strict=True)]
 
 
-def draw_index(weights: list[float], rng: Random) -> int:
-    """Draw the index of one item."""
-    return rng.choices(range(len(weights)), weights=weights)[0]
+class EvenSequence:
+    """Numbers in [0, 1) that fill the interval more evenly than random ones.
 
+    With random numbers, the requests that one host sends to a target within the age of
+    the information vary by the root of their number. With this sequence they vary by
+    about one, so that the sum over all hosts varies less, too.
 
-__all__ = ["draw_index", "spread_weights"]
+    Args:
+        rng: Source of the random start, which differs between hosts.
+    """
+
+    def __init__(self, rng: Random) -> None:
+        self._last = rng.random()
+
+    def draw(self, weights: list[float]) -> int:
+        """Draw the index of one item."""
+        self._last = (self._last + _GOLDEN_RATIO) % 1.0
+        sums = list(itertools.accumulate(weights))
+        return min(bisect.bisect(sums, self._last * sums[-1]), len(sums) - 1)
+
+
+__all__ = ["EvenSequence", "spread_weights"]
--- a/tests/_stale_load_replay.py
+++ b/tests/_stale_load_replay.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from bronzepoint_node.policy._service_times import ServiceTimes, _TargetSpeed
+from bronzepoint_node.policy._spread_choice import EvenSequence
 from tests._policy_fakes import request, target
 
 HOLD = 2.5
@@ -23,6 +24,14 @@
 UNEQUAL = ((48, 1.0),) * 6 + ((48, 2.0),) * 3 + ((16, 1.0),) * 3
 
 
+class Draws:
+    """Random draws of one host."""
+
+    def __init__(self, seed):
+        self.rng = Random(seed)
+        self.sequence = EvenSequence(self.rng)
+
+
 class Replay:
     """One region of targets that serve the requests of several hosts.
 
@@ -33,7 +42,8 @@
     """
 
     def __init__(self, choose, hosts, age, targets, seconds=16.0, load=0.8, seed=1):
-        self.seed, self.rng = seed, Random(seed)
+        self.seed = seed
+        self.draws = [Draws(f"{seed} {host}") for host in range(hosts)]
         self.choose, self.hosts, self.age, self.targets = choose, hosts, age, targets
         self.names = [f"t{number}" for number in range(len(targets))]
         self.slots = [slots for slots, _ in targets]
@@ -114,7 +124,9 @@
     def _place(self, now, host, work, arrived, is_again=False):
         self.unplaced -= is_again
         views = self.informed(host, now)
-        chosen = self.choose(REQUEST, views, self.times, self.hosts, self.rng, now)
+        chosen = self.choose(
+            REQUEST, views, self.times, self.hosts, self.draws[host], now
+        )
         if chosen.target is None:
             self.unplaced += 1
             self._push(now + RECHECK, self._place, host, work, arrived, True)
@@ -146,4 +158,4 @@
 
 REQUEST = request(latency_weight=1.0, cost_weight=0.0)
 
-__all__ = ["EQUAL", "HOLD", "UNEQUAL", "Replay"]
+__all__ = ["EQUAL", "Draws", "HOLD", "UNEQUAL", "Replay"]
--- a/tests/test_policy_stale_load.py
+++ b/tests/test_policy_stale_load.py
@@ -3,7 +3,6 @@
 import itertools
 import math
 import unittest
-from random import Random
 
 from nose2.tools import params
 
@@ -11,27 +10,36 @@
 from bronzepoint_node.policy._aged_load import estimate_aged_loads, fill_evenly
 from bronzepoint_node.policy._service_times import ServiceTimes
 from tests._policy_fakes import request, target
-from tests._stale_load_replay import EQUAL, RECHECK, UNEQUAL, Replay
+from tests._stale_load_replay import EQUAL, RECHECK, UNEQUAL, Draws, Replay
 
 REPORT_MEMORY = 1.0
 
 
-def by_counts(req, views, times, hosts, rng, now):
+def by_counts(req, views, times, hosts, draws, now):
     """The former choice of hosts that lost their scheduler: old counts as current."""
     for view in views:
         view.in_flight += max(0, view.running - view.in_flight_at_report)
         view.running, view.report_age = 0, math.inf
-    return choose_target(req, views, times, hosts, REPORT_MEMORY, rng, now, False)
+    return choose_target(req, views, times, hosts, REPORT_MEMORY, draws.rng, now, False)
 
 
-def by_reports(req, views, times, hosts, rng, now):
+def by_reports(req, views, times, hosts, draws, now):
     """The former choice of the own interface: reports lose weight with their age."""
-    return choose_target(req, views, times, hosts, REPORT_MEMORY, rng, now, False)
+    return choose_target(req, views, times, hosts, REPORT_MEMORY, draws.rng, now, False)
 
 
-def by_spread(req, views, times, hosts, rng, now):
+def by_spread(req, views, times, hosts, draws, now):
     return choose_target(
-        req, views, times, hosts, REPORT_MEMORY, rng, now, False, hosts
+        req,
+        views,
+        times,
+        hosts,
+        REPORT_MEMORY,
+        draws.rng,
+        now,
+        False,
+        hosts,
+        draws.sequence,
     )
 
 
@@ -62,7 +70,7 @@
             for n, n_in in (("a", 6), ("b", 1), ("c", 5))
         ]
         for seed in range(20):
-            choice = by_spread(request(), views, ServiceTimes(), 80, Random(seed), 0.0)
+            choice = by_spread(request(), views, ServiceTimes(), 80, Draws(seed), 0.0)
             self.assertEqual(choice.target.name, "b")
 
     def test_old_information_gives_shares_by_capacity(self):
@@ -71,9 +79,9 @@
             target("large", slots=48, running=0, report_age=5.0),
             target("small", slots=16, running=16, report_age=5.0),
         ]
-        rng, names = Random(1), []
+        draws, names = Draws(1), []
         for _ in range(400):
-            chosen = by_spread(request(), views, ServiceTimes(), 80, rng, 0.0).target
+            chosen = by_spread(request(), views, ServiceTimes(), 80, draws, 0.0).target
             names.append(chosen.name)
         self.assertAlmostEqual(names.count("large") / 400, 0.75, delta=0.08)
 
@@ -88,15 +96,15 @@
         req.reread_weight = 4.0
         views = [target(n, slots=48, running=10, report_age=0.5) for n in "abcd"]
         views[0].cached_tokens = 6000
-        rng = Random(1)
+        draws = Draws(1)
         names = [
-            by_spread(req, views, times, 80, rng, 0.0).target.name for _ in range(200)
+            by_spread(req, views, times, 80, draws, 0.0).target.name for _ in range(200)
         ]
         self.assertGreater(names.count("a"), 150)
         for view in views:
             view.running = 40
         names = [
-            by_spread(req, views, times, 80, rng, 0.0).target.name for _ in range(200)
+            by_spread(req, views, times, 80, draws, 0.0).target.name for _ in range(200)
         ]
         self.assertLess(names.count("a"), 150)
 
