--- a/packages/node/src/bronzepoint_node/policy/_aged_load.py
+++ b/packages/node/src/bronzepoint_node/policy/_aged_load.py
@@ -29,6 +29,7 @@
         starts: expected requests of other hosts that have started since and are still
             in progress.
         turnover: expected starts in that time for each of them that is in progress.
+        hold: expected seconds for which a request occupies a slot.
         is_guess: nothing was reported, so the starts are extrapolated from this host's
             own requests.
     """
@@ -36,6 +37,7 @@
     certain: float
     starts: float
     turnover: float
+    hold: float
     is_guess: bool = False
 
     @property
@@ -78,29 +80,33 @@
         holds: Expected seconds for which a request occupies a slot, by target.
         choosers: Number of hosts that choose targets, this one included.
     """
-    known = [view for view in views if information_age(view) < math.inf]
-    trend = own_load_trend(known, _TREND_SMOOTHING_REQUESTS)
+    ages = [information_age(view) for view in views]
+    known = [v for v, age in zip(views, ages, strict=True) if age < math.inf]
     if known:
-        slots = sum(view.slots for view in known)
-        per_slot = sum(reported_others(view) for view in known) / max(1, slots)
+        trend = own_load_trend(known, _TREND_SMOOTHING_REQUESTS)
+        slots = sum([view.slots for view in known])
+        per_slot = sum([reported_others(view) for view in known]) / max(1, slots)
     else:
         # Hosts of a region receive similar arrivals.
-        slots = sum(view.slots for view in views)
-        own = sum(view.in_flight for view in views)
-        per_slot, trend = own * (choosers - 1) / max(1, slots), 1.0
+        trend = 1.0
+        slots = sum([view.slots for view in views])
+        own = sum([view.in_flight for view in views])
+        per_slot = own * (choosers - 1) / max(1, slots)
     loads, total = [], 0.0
-    for view, hold in zip(views, holds, strict=True):
-        elapsed = information_age(view) / max(hold, _MIN_HOLD_SECONDS)
-        if elapsed < math.inf:
+    for view, age, hold in zip(views, ages, holds, strict=True):
+        if age < math.inf:
             others = reported_others(view)
-            kept = others * math.exp(-elapsed)
+            elapsed = age / max(hold, _MIN_HOLD_SECONDS)
+            ended_share = -math.expm1(-elapsed)
+            ended = others * ended_share
         else:
-            others, kept = per_slot * view.slots, 0.0
+            others = ended = per_slot * view.slots
             elapsed = MAX_AGE_SECONDS / max(hold, _MIN_HOLD_SECONDS)
-        total += (others - kept) * trend
-        ended_share = -math.expm1(-elapsed)
+            ended_share = -math.expm1(-elapsed)
+        total += ended * trend
         turnover = elapsed / ended_share if ended_share else 1.0
-        loads.append(AgedLoad(view.in_flight + kept, 0.0, turnover, not known))
+        certain = view.in_flight + others - ended
+        loads.append(AgedLoad(certain, 0.0, turnover, hold, not known))
     heights = [
         load.certain / view.slots for load, view in zip(loads, views, strict=True)
     ]
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -269,7 +269,7 @@
         return TargetChoice(None, candidates, reason, len(usable))
     if sum(item.starts for item in aged) >= _MIN_UNKNOWN_STARTS:
         chosen, near = _draw_spread(
-            with_capacity, request, times, sequence or EvenSequence(rng), now
+            with_capacity, request, sequence or EvenSequence(rng)
         )
         reason = f"spread by the age of the reports over {near} targets"
     else:
@@ -299,16 +299,16 @@
 def _draw_spread(
     scored_targets: list[_ScoredTarget],
     request: RequestView,
-    times: ServiceTimes,
     sequence: EvenSequence,
-    now: float,
 ) -> tuple[_ScoredTarget, int]:
     """Draw a target by the age of the reports; return it and how many were possible."""
-    views = [scored.view for scored in scored_targets]
     aged = [scored.aged for scored in scored_targets]
-    per_slot = request.latency_weight * _BATCH_SLOWDOWN_SHARE * times.hold
-    slopes = [per_slot * times.slowness(view.name, now) / view.slots for view in views]
-    room = [view.slots - load.certain for view, load in zip(views, aged, strict=True)]
+    per_slot = request.latency_weight * _BATCH_SLOWDOWN_SHARE
+    slopes, room = [], []
+    for scored in scored_targets:
+        slots = scored.view.slots
+        slopes.append(per_slot * scored.aged.hold / slots)
+        room.append(slots - scored.aged.certain)
     scores = [scored.score for scored in scored_targets]
     weights = spread_weights(scores, slopes, aged, room)
     chosen = scored_targets[sequence.draw(weights)]
