--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -10,6 +10,7 @@
 from bronzepoint_common.peers import Peers
 from bronzepoint_node.fleet import Registry, ServedCatalogue
 from bronzepoint_node.placement import (
+    BalanceMonitor,
     ColdStartLimiter,
     EnginePoller,
     LeasedAsks,
@@ -21,8 +22,8 @@
     Reservations,
     Scheduler,
     SchedulerClient,
-    SpeedReport,
     ServiceRoom,
+    SpeedReport,
     TargetTable,
     organisation_weights,
 )
@@ -56,6 +57,7 @@
         read: Requests the load report of an engine.
         metrics: Counters.
         silent_regions: Returns the regions whose core hosts this host does not hear.
+        spread_by_age: Whether choices depend on the age of the load information.
 
     Attributes:
         raised_weights: Weights of organisations that operators have changed.
@@ -74,6 +76,7 @@
         read: ReadReport,
         metrics: Metrics,
         silent_regions: Callable[[], list[RegionName]] = list,
+        spread_by_age: bool = True,
     ) -> None:
         self._region = region
         self._zones = zones
@@ -92,6 +95,7 @@
             cold_limiter,
             random.Random(name),
             lambda: [name],
+            spread_by_age=spread_by_age,
         )
         # A core host has no callers, so it has no requests of its own to report.
         reservations = Reservations()
@@ -99,7 +103,8 @@
             name, peers, self._table, self._placer.estimates, reservations, lambda: []
         )
         self._engine_poller = EnginePoller(self._table, read, self._poller_count)
-        scheduler = Scheduler(
+        self._balance = BalanceMonitor(self._table, metrics)
+        self._scheduler = Scheduler(
             name,
             self._placer.local_selector,
             cold_limiter,
@@ -108,7 +113,6 @@
             self._weight,
             metrics,
         )
-        self._scheduler = scheduler
         leases = RegionLeases(region)
         self._lease_exchange = RoomLeaseExchange(
             region, peers, registry, leases, self._room, silent_regions, metrics
@@ -117,7 +121,7 @@
             peers,
             self._table,
             self._exchange,
-            scheduler,
+            self._scheduler,
             registry,
             metrics,
             self._update,
@@ -181,6 +185,10 @@
                 self._report_loads(loads)
             if has_members:
                 self._speed_report.report(now)
+                for service in self._table.services():
+                    self._balance.observe(
+                        service, self._scheduler.waiting(service), now
+                    )
             await curio.sleep(UPDATE_INTERVAL)
 
     def _update(self) -> None:
--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -1,6 +1,7 @@
 """Placement of requests on targets and regions, from the state of one host."""
 
 from ._ask import PlacementRequest, select_service
+from ._balance_monitor import BalanceMonitor
 from ._choice import (
     LocalPlacement,
     LocalResult,
@@ -39,6 +40,7 @@
 __all__ = [
     "LeaseGrant",
     "LeasedAsks",
+    "BalanceMonitor",
     "LocalPlacement",
     "ColdStartLimiter",
     "RemotePlacement",
--- a/packages/node/src/bronzepoint_node/placement/_load_sum.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_sum.py
@@ -36,12 +36,15 @@
         memory_tokens: Memory that they occupy, in tokens.
         unread: Prompt tokens that are not read yet, by rank.
         head: The prompt that is being read; None if there is none.
+        reported: The part of the requests that other hosts have reported. The rest is
+            known without delay.
     """
 
     in_flight: int
     memory_tokens: int
     unread: list[int]
     head: CurrentPrompt | None
+    reported: int = 0
 
     @property
     def is_quiet(self) -> bool:
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -5,12 +5,14 @@
 from collections.abc import Callable
 
 from bronzepoint_node.policy import (
+    EvenSequence,
     RequestView,
     TargetChoice,
     TargetState,
     TargetView,
     choose_target,
     may_have_capacity,
+    reported_others,
 )
 from bronzepoint_schema.ids import (
     EntryName,
@@ -30,6 +32,7 @@
 from ._reading_share import deadline_factor, expected_event_seconds, is_light
 from ._request_cost import RequestCosts
 from ._service_estimates import ServiceEstimates
+from ._staleness_bound import MAX_AGE
 from ._target_groups import order_groups
 from ._target_speed import MAX_MEASURED_SHARE, update_factors
 from ._target_table import TargetTable
@@ -57,6 +60,9 @@
 are preferred."""
 SPEED_INTERVAL = 0.2
 """Seconds between two computations of the relative speeds of a service's targets."""
+_NO_OWN_SHARE = 1_000_000
+"""Number of hosts for which no host has slots of its own at a target. The slots are for
+the requests of all hosts here, and a target refuses what exceeds them."""
 LOWEST_RANK = 9
 """Rank of a request that is served after all others."""
 
@@ -72,6 +78,8 @@
         host_count: Returns the number of entry hosts of the region.
         selecting_hosts: Returns the entry hosts that select targets themselves.
         rng: Random number generator.
+        spread_by_age: Whether hosts that select targets at the same time spread their
+            requests by the age of what they know of each other.
 
     Attributes:
         costs: Costs of requests in target seconds.
@@ -86,7 +94,10 @@
         host_count: Callable[[], int],
         selecting_hosts: Callable[[], list[HostName]],
         rng: random.Random,
+        spread_by_age: bool = True,
     ) -> None:
+        self._spread_by_age = spread_by_age
+        self._sequences: dict[str, EvenSequence] = {}
         self._region = region
         self._table = table
         self._cold = cold
@@ -97,8 +108,17 @@
         self.costs = RequestCosts(table, speeds)
         self._speeds_at: dict[str, float] = {}
 
-    def choose(self, request: LocalPlacementRequest, now: float) -> LocalResult:
-        """Return the target for a request, or why there is none."""
+    def choose(
+        self, request: LocalPlacementRequest, now: float, age: float = 0.0
+    ) -> LocalResult:
+        """Return the target for a request, or why there is none.
+
+        Args:
+            request: The request.
+            now: Monotonic seconds.
+            age: Maximum age in seconds of what is known of other hosts' requests.
+        """
+        choosers = self._count_choosers(age)
         self._table.begin_due_return(request.service, now)
         self._update_speeds(request.service, now)
         key = request.prompt.shared_key if request.prompt else ""
@@ -106,7 +126,7 @@
         for group in order_groups(self._table.groups(request.service), key, self._rng):
             allowed = [target for target in group if request.allows(target.info)]
             usable = self._filter_usable(allowed, now)
-            found = self._choose_in_group(request, usable, now)
+            found = self._choose_in_group(request, usable, now, age, choosers)
             if isinstance(found, LocalPlacement):
                 self._note_granted(request, found, now)
                 return found
@@ -120,7 +140,12 @@
         )
 
     def _choose_in_group(
-        self, request: LocalPlacementRequest, usable: list[TrackedTarget], now: float
+        self,
+        request: LocalPlacementRequest,
+        usable: list[TrackedTarget],
+        now: float,
+        age: float,
+        choosers: int,
     ) -> LocalResult:
         if not any(may_have_capacity(t.load.in_flight(now), t.slots) for t in usable):
             # Most choices for queued requests end here; the rest costs far more.
@@ -129,11 +154,11 @@
         in_time = [t for t in usable if self._finishes_in_time(t, request, now)]
         admitted = [t for t in in_time if self._may_read(t, request, now)]
         for candidates in self._candidate_sets(request, admitted, now):
-            choice = self._choose_candidate(request, candidates, now)
+            choice = self._choose_candidate(request, candidates, now, age, choosers)
             if choice.target is None and request.software_version:
                 # The stream can go on nowhere else than at a target of its version.
                 choice = self._choose_candidate(
-                    request, candidates, now, accept_ejected=True
+                    request, candidates, now, age, choosers, accept_ejected=True
                 )
             if choice.target is not None:
                 found = {t.info.incarnation: t for t in candidates}
@@ -165,6 +190,8 @@
         request: LocalPlacementRequest,
         usable: list[TrackedTarget],
         now: float,
+        age: float,
+        choosers: int,
         *,
         accept_ejected: bool = False,
     ) -> TargetChoice:
@@ -173,6 +200,15 @@
             for tracked, view in zip(usable, views, strict=True):
                 if tracked.info.data_center != request.data_center:
                     view.detour = MIN_CROSS_ADVANTAGE
+        hosts = self._host_count()
+        if choosers > 1:
+            for view, tracked in zip(views, usable, strict=True):
+                _separate_reported(view, tracked, age, now)
+                if len(self._selecting_hosts()) == 1:
+                    # A new scheduler. Its own count includes what it granted to the
+                    # other hosts, so it says nothing about what they run besides.
+                    view.report_age = age
+            hosts = _NO_OWN_SHARE
         if accept_ejected:
             for view in views:
                 view.state = TargetState.ready
@@ -180,13 +216,31 @@
             self.request_view(request),
             views,
             self._speeds.times(request.service),
-            self._host_count(),
+            hosts,
             REPORT_TIME_CONSTANT,
             self._rng,
             now,
             explain=False,
+            choosers=choosers,
+            sequence=self._sequence(request.service),
         )
 
+    def _sequence(self, service: str) -> EvenSequence:
+        sequence = self._sequences.get(service)
+        if sequence is None:
+            sequence = self._sequences[service] = EvenSequence(self._rng)
+        return sequence
+
+    def _count_choosers(self, age: float) -> int:
+        """Return the number of hosts whose choices are unknown until reported.
+
+        A scheduler knows all choices, unless it is new: others chose themselves before.
+        """
+        if not self._spread_by_age:
+            return 1
+        choosers = len(self._selecting_hosts())
+        return choosers if age < MAX_AGE else max(choosers, self._host_count())
+
     def _local_placement(
         self,
         request: LocalPlacementRequest,
@@ -457,3 +511,20 @@
     if not request.data_center:
         return True
     return source.info.data_center == target.info.data_center
+
+
+def _separate_reported(
+    view: TargetView, tracked: TrackedTarget, age: float, now: float
+) -> None:
+    """Separate what other hosts have reported from what is known without delay."""
+    total = tracked.load.total(now)
+    reported = total.reported + reported_others(view)
+    exact = total.in_flight - total.reported
+    if age >= MAX_AGE and tracked.report is not None:
+        # The reports of other hosts were dropped or are overdue. What the engine said
+        # includes their requests.
+        reported = max(reported, view.running + view.waiting - exact)
+    view.in_flight = view.in_flight_at_report = exact
+    view.running, view.waiting = exact + round(reported), 0
+    is_missing = age >= MAX_AGE and tracked.report is None and not reported
+    view.report_age = math.inf if is_missing else age
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -67,6 +67,7 @@
             themselves; None if all of them do.
         link_bytes: Bandwidth of an entry host's link in bytes per second.
         near: Data center whose targets are preferred; empty: none are.
+        spread_by_age: Whether choices depend on the age of the load information.
 
     Attributes:
         estimates: Latency estimates.
@@ -84,6 +85,7 @@
         selecting_hosts: Callable[[], list[HostName]] | None = None,
         link_bytes: float = math.inf,
         near: str = "",
+        spread_by_age: bool = True,
     ) -> None:
         self._region = region
         self._near = near
@@ -99,6 +101,7 @@
             lambda: self.regions.host_count(region),
             selecting_hosts or self.hosts,
             rng,
+            spread_by_age,
         )
 
     def hosts(self) -> list[HostName]:
--- a/packages/node/src/bronzepoint_node/placement/_reported_loads.py
+++ b/packages/node/src/bronzepoint_node/placement/_reported_loads.py
@@ -59,7 +59,13 @@
     def total(self, now: float) -> LoadSum:
         """Return the sum of the reports that have not expired."""
         self._expire(now)
-        total = LoadSum(self._in_flight, self._memory_tokens, [*self._unread], None)
+        total = LoadSum(
+            self._in_flight,
+            self._memory_tokens,
+            [*self._unread],
+            None,
+            reported=self._in_flight,
+        )
         for head in self._heads.values():
             total.update_head(head)
         return total
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -353,11 +353,12 @@
     def _try_grant(self, queue: RequestQueue, queued: _QueuedPlacement) -> None:
         """Grant a request the best target with free capacity, if there is one."""
         now = monotonic()
-        found = self._selector.choose(queued.request, now)
+        staleness = self._staleness(now)
+        found = self._selector.choose(queued.request, now, staleness)
         if isinstance(found, LocalPlacement):
             self._note_grant(queued.ask, queue, queue.grant(queued), now)
             queued.claim(found)
-            found = replace(found, staleness=self._staleness(now))
+            found = replace(found, staleness=staleness)
             forecast = self._forecasts.get(queued.request.service)
             if forecast is not None:
                 rate = self._start_rate(queued.request.service, now)
--- a/packages/node/src/bronzepoint_node/policy/__init__.py
+++ b/packages/node/src/bronzepoint_node/policy/__init__.py
@@ -17,6 +17,7 @@
     TargetView,
 )
 from bronzepoint_node.policy._limits import Limits, RegionHosts
+from bronzepoint_node.policy._load_estimate import reported_others
 from bronzepoint_node.policy._outputs import (
     LocalPlacement,
     Placement,
@@ -34,10 +35,12 @@
     reference_logarithm,
     shrunk,
 )
+from bronzepoint_node.policy._spread_choice import EvenSequence
 from bronzepoint_node.policy._token_bucket import TokenBucket
 
 __all__ = [
     "AGE_SECONDS",
+    "EvenSequence",
     "Admission",
     "EntryRetries",
     "RemotePlacement",
@@ -59,6 +62,7 @@
     "Ticket",
     "TokenBucket",
     "remote_estimate",
+    "reported_others",
     "choose_region",
     "choose_target",
     "draw_region",
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -11,7 +11,7 @@
 from bronzepoint_node.policy._outputs import TargetChoice
 from bronzepoint_node.policy._rendezvous import first_ranked
 from bronzepoint_node.policy._service_times import ServiceTimes
-from bronzepoint_node.policy._spread_choice import draw_index, spread_weights
+from bronzepoint_node.policy._spread_choice import EvenSequence, spread_weights
 from bronzepoint_schema.generated.decisions import Candidate, ExclusionReason
 from bronzepoint_schema.ids import TargetName
 
@@ -227,6 +227,7 @@
     now: float,
     explain: bool = True,
     choosers: int = 1,
+    sequence: EvenSequence | None = None,
 ) -> TargetChoice:
     """Choose the target with free capacity that has the least expected loss.
 
@@ -247,6 +248,7 @@
         choosers: Number of hosts that choose among these targets, this one included.
             1: no other host's requests can have started since the reports, or the draw
             is not to depend on their age.
+        sequence: This host's sequence for the service; None: each draw is independent.
     """
     aged: list[AgedLoad] = []
     if choosers > 1:
@@ -283,7 +285,9 @@
         reason = "waiting for a full target is faster"
         return TargetChoice(None, candidates, reason, len(usable))
     if sum(item.starts for item in aged) >= _MIN_UNKNOWN_STARTS:
-        chosen, near = _draw_spread(with_capacity, request, times, rng, now)
+        chosen, near = _draw_spread(
+            with_capacity, request, sequence or EvenSequence(rng)
+        )
         reason = f"spread by the age of the reports over {near} targets"
     else:
         best = min(scored.score for scored in with_capacity)
@@ -312,19 +316,19 @@
 def _draw_spread(
     scored_targets: list[_ScoredTarget],
     request: RequestView,
-    times: ServiceTimes,
-    rng: Random,
-    now: float,
+    sequence: EvenSequence,
 ) -> tuple[_ScoredTarget, int]:
     """Draw a target by the age of the reports; return it and how many were possible."""
-    views = [scored.view for scored in scored_targets]
     aged = [scored.aged for scored in scored_targets]
-    per_slot = request.latency_weight * _BATCH_SLOWDOWN_SHARE * times.hold
-    slopes = [per_slot * times.slowness(view.name, now) / view.slots for view in views]
-    room = [view.slots - load.certain for view, load in zip(views, aged, strict=True)]
+    per_slot = request.latency_weight * _BATCH_SLOWDOWN_SHARE
+    slopes, room = [], []
+    for scored in scored_targets:
+        slots = scored.view.slots
+        slopes.append(per_slot * scored.aged.hold / slots)
+        room.append(slots - scored.aged.certain)
     scores = [scored.score for scored in scored_targets]
     weights = spread_weights(scores, slopes, aged, room)
-    chosen = scored_targets[draw_index(weights, rng)]
+    chosen = scored_targets[sequence.draw(weights)]
     return chosen, sum(weight > 0 for weight in weights)
 
 
@@ -373,7 +377,8 @@
         if scored.candidate is not None:
             scored.candidate.score = round(scored.score, 4)
             scored.candidate.detail = estimate.detail()
-        if has_free_capacity(view, load, hosts, request.memory_tokens):
+        occupied = load if scored.aged is None else scored.aged.occupied
+        if has_free_capacity(view, occupied, hosts, request.memory_tokens):
             with_capacity.append(scored)
             continue
         if scored.candidate is not None:
