Look at each target's load once in a choice

The view of a target asked for its sum four times, and its score twice for the bound on the credit for cached parts. The decisions are the same.

--- a/packages/node/src/bronzepoint_node/placement/_load_sum.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_sum.py
@@ -6,6 +6,8 @@
 """Number of ranks that are distinguished. Requests of a less urgent rank count with the
 last one."""
 
+LAST_RANK = RANK_COUNT - 1
+
 
 class CurrentPrompt(Struct, frozen=True):
     """The prompt that is being read: the unread prompt that was sent first.
@@ -56,7 +58,7 @@
             now: Monotonic seconds.
         """
         waiting = 0.0
-        for tokens in self.unread[: rank + 1]:
+        for tokens in self.unread if rank >= LAST_RANK else self.unread[: rank + 1]:
             waiting += tokens
         head = self.head
         if head is None:
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -256,14 +256,15 @@
         report = tracked.report
         cached = tracked.memory.cached_tokens(prompt) if prompt else 0
         rate = self._speeds.rate(tracked.info.service).tokens_per_second
-        before = tracked.load.tokens_before(rank, rate, now)
+        total = tracked.load.total(now)
+        before = total.tokens_before(rank, rate, now)
         return TargetView(
             name=TargetName(tracked.info.incarnation),
             region=self._region,
             address=tracked.info.address,
             slots=tracked.slots,
             state=TargetState.ejected if is_ejected(tracked) else TargetState.ready,
-            in_flight=tracked.load.in_flight(now),
+            in_flight=total.in_flight,
             in_flight_at_report=tracked.runs_at_report,
             running=report.running if report else 0,
             waiting=report.waiting if report else 0,
--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -133,11 +133,14 @@
         """Return the known memory that running requests leave free, in tokens."""
         if self.engine is None:
             return float("inf")
-        known = self.load.memory_tokens(now)
-        if self.report is None:
+        known = self.load.total(now).memory_tokens
+        report = self.report
+        if report is None:
             return self.engine.memory_tokens - known
-        unknown = max(0, self.report.used_tokens - self.tokens_at_report)
-        return (self.report.total_tokens or self.engine.memory_tokens) - known - unknown
+        unknown = report.used_tokens - self.tokens_at_report
+        if unknown > 0:
+            known += unknown
+        return (report.total_tokens or self.engine.memory_tokens) - known
 
     def begin(
         self,
--- a/packages/node/src/bronzepoint_node/policy/_choose_target.py
+++ b/packages/node/src/bronzepoint_node/policy/_choose_target.py
@@ -63,6 +63,8 @@
     def loss(self, request: RequestView) -> float:
         """Return the loss of this request, as a share of its worth."""
         latency = request.latency_weight * (self.delay() + self.busy)
+        if not request.cost_weight:
+            return latency
         worth = max(request.worth, 1e-9)
         return latency + request.cost_weight * self.cost / worth
 
@@ -82,6 +84,8 @@
     """Return why a target may not be used at all, or None."""
     if view.name in request.tried:
         return ExclusionReason.tried
+    if view.state is TargetState.ready:
+        return None
     match view.state:
         case TargetState.leaving:
             return ExclusionReason.leaving
@@ -175,15 +179,17 @@
         uncached += _DUPLICATE_PREFIX_PENALTY * request.prompt_tokens
     excess_load = max(0.0, load + 1 - view.slots)
     hold = times.hold * slowness
+    reread = 0.0
+    if fetched or max_cached > cached:
+        reread = request.reread_weight * times.per_token
+        reread *= _COPY_COST_RATIO * fetched + max(0, max_cached - cached - fetched)
     return TargetEstimate(
-        load=load,
-        wait=excess_load * hold / view.slots + view.backlog * slowness,
-        first_token=fetching + times.first_token(uncached, slowness),
-        busy=_BATCH_SLOWDOWN_SHARE * hold * load / view.slots,
-        reread=request.reread_weight
-        * times.per_token
-        * (_COPY_COST_RATIO * fetched + max(0, max_cached - cached - fetched)),
-        cost=view.cost * hold,
+        load,
+        excess_load * hold / view.slots + view.backlog * slowness,
+        fetching + times.first_token(uncached, slowness),
+        _BATCH_SLOWDOWN_SHARE * hold * load / view.slots,
+        reread,
+        view.cost * hold,
     )
 
 
@@ -295,10 +301,11 @@
         # Without a free target the scores decide nothing.
         return [], math.inf
     preferred = preferred_target(request, [scored.view for scored in usable])
-    max_cached = max(
-        (credited_cache(o.view, o.load, mean_load, request) for o in usable),
-        default=0,
-    )
+    max_cached = 0
+    for scored in usable:
+        if scored.view.cached_tokens > max_cached:
+            cached = credited_cache(scored.view, scored.load, mean_load, request)
+            max_cached = max(max_cached, cached)
     with_capacity: list[_ScoredTarget] = []
     least_full_loss = math.inf
     for scored in usable:
