Spare a request the timers and tasks that rarely have anything to do

Each request set a timer and tried a read to notice that its caller leaves, and each repeatable one had a task that looked every 0.15 s for signs that its run has ended. The first now only waits for its caller, the second is started at the first sign. The order of the collectors is kept while the hosts of the region are the same.

--- a/packages/common/src/bronzepoint_common/http/_exchange.py
+++ b/packages/common/src/bronzepoint_common/http/_exchange.py
@@ -205,9 +205,8 @@
         """
         while self._early_bytes <= self._limits.max_head:
             try:
-                data = await self._wire.receive(self._limits.idle_timeout)
-            except curio.TaskTimeout:
-                continue
+                # Nearly always there is nothing to read, so no read is tried first.
+                data = await self._wire.receive_next()
             except OSError:
                 return
             if not data:
--- a/packages/node/src/bronzepoint_node/placement/_collector_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_collector_selector.py
@@ -29,6 +29,8 @@
     def __init__(self, name: HostName) -> None:
         self._name = name
         self._last_contact: dict[HostName, float] = {}
+        self._ordered: tuple[tuple[HostName, ...], tuple[HostName, ...]] | None = None
+        self._order: list[HostName] = []
 
     def record_contact(self, host: HostName, now: float) -> None:
         """Record a message from a host that acts as collector."""
@@ -83,5 +85,10 @@
         self, others: list[HostName], core: Sequence[HostName] = ()
     ) -> list[HostName]:
         """Return this host and the others in order of preference as collector."""
-        first = rendezvous_order(COLLECTOR_ORDER, core)
-        return [*first, *rendezvous_order(COLLECTOR_ORDER, [self._name, *others])]
+        key = (tuple(core), tuple(others))
+        if key != self._ordered:
+            # Asked for with each report, while the hosts change rarely.
+            first = rendezvous_order(COLLECTOR_ORDER, core)
+            rest = rendezvous_order(COLLECTOR_ORDER, [self._name, *others])
+            self._ordered, self._order = key, [*first, *rest]
+        return self._order
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -458,16 +458,24 @@
         if not call.route.repeatable:
             return await run
         work = await curio.spawn(run)
-        search = await curio.spawn(self._search_successor, call, watch)
-        async with curio.TaskGroup([work, search], wait=any):
-            pass
+        try:
+            await _wait_for_sign(work, watch)
+        except BaseException:
+            await work.cancel()
+            raise
+        search = None
+        # Most runs end without a sign, and need no task that searches.
+        if not work.terminated:
+            search = await curio.spawn(self._search_successor, call, watch)
+            async with curio.TaskGroup([work, search], wait=any):
+                pass
         match work.exception:
             case None:
                 if isinstance(work.result, Answered):
                     # It may have been answered just as it was to be left.
                     call.successor = None
                 return work.result
-            case curio.TaskCancelled():
+            case curio.TaskCancelled() if search is not None:
                 sign = search.result
                 timed_out = sign is Sign.SILENT
                 return MayHaveRun(sign.value, timed_out, unread=True)
@@ -477,19 +485,18 @@
     async def _search_successor(self, call: Call, watch: RunWatch) -> Sign:
         """Return the sign for which a run is left, once a place can take over."""
         while True:
-            await curio.sleep(CHECK_INTERVAL)
             sign = watch.due_sign(monotonic())
-            if sign is None:
-                continue
-            try:
-                if await self._hand_over(call, watch):
-                    return sign
-            except Exception as exc:
-                # The run must not end because the search for its successor fails.
-                _log.exception(
-                    "search failed", request=call.head.request_id, reason=repr(exc)
-                )
-            watch.note_search(monotonic())
+            if sign is not None:
+                try:
+                    if await self._hand_over(call, watch):
+                        return sign
+                except Exception as exc:
+                    # The run must not end because the search for its successor fails.
+                    _log.exception(
+                        "search failed", request=call.head.request_id, reason=repr(exc)
+                    )
+                watch.note_search(monotonic())
+            await curio.sleep(CHECK_INTERVAL)
 
     async def _hand_over(self, call: Call, watch: RunWatch) -> bool:
         """Claim a place that takes over from a run; False: the run goes on."""
@@ -501,6 +508,16 @@
         return self._handover.claim(call, successor)
 
 
+async def _wait_for_sign(work: curio.Task, watch: RunWatch) -> None:
+    """Return when a run has ended, or shows a sign that it may have."""
+    while not work.terminated:
+        async with curio.ignore_after(CHECK_INTERVAL):
+            await work.wait()
+            return
+        if watch.due_sign(monotonic()) is not None:
+            return
+
+
 def _note_progress(call: Call, attempt: Try, outcome: TryOutcome) -> None:
     """Note what had come of an answer that isn't whole."""
     if isinstance(outcome, MayHaveRun):
