--- a/packages/node/src/bronzepoint_node/placement/_load_sum.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_sum.py
@@ -11,6 +11,8 @@
 """Length of `TargetLoad.unread`. Earlier hosts accept no longer list, so the ranks from
 the last entry on are reported separately."""
 
+LAST_RANK = RANK_COUNT - 1
+
 
 class CurrentPrompt(Struct, frozen=True):
     """The prompt that is being read: the unread prompt that was sent first.
@@ -64,7 +66,7 @@
             now: Monotonic seconds.
         """
         waiting = 0.0
-        for tokens in self.unread[: rank + 1]:
+        for tokens in self.unread if rank >= LAST_RANK else self.unread[: rank + 1]:
             waiting += tokens
         head = self.head
         if head is None:
