--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -26,7 +26,12 @@
 from ._fetch_source import fetch_source
 from ._local_request import LocalPlacementRequest
 from ._prompt import Prompt
-from ._reading_share import deadline_factor, expected_event_seconds, is_light
+from ._reading_share import (
+    MIN_BOUNDED_TOKENS,
+    deadline_factor,
+    expected_event_seconds,
+    is_light,
+)
 from ._request_cost import RequestCosts
 from ._service_estimates import ServiceEstimates
 from ._target_groups import order_groups
@@ -121,8 +126,11 @@
     def _choose_in_group(
         self, request: LocalPlacementRequest, usable: list[TrackedTarget], now: float
     ) -> LocalResult:
-        in_time = [t for t in usable if self._finishes_in_time(t, request, now)]
-        admitted = [t for t in in_time if self._may_read(t, request, now)]
+        rate = self._speeds.rate(request.service).tokens_per_second
+        in_time = [t for t in usable if self._finishes_in_time(t, request, rate, now)]
+        admitted = in_time
+        if _is_bounded(request):
+            admitted = [t for t in in_time if self._may_read(t, request, rate, now)]
         for candidates in self._candidate_sets(request, admitted, now):
             choice = self._choose_candidate(request, candidates, now)
             if choice.target is None and request.software_version:
@@ -197,8 +205,12 @@
             return LocalPlacement(
                 target, choice.reason, choice.expected, None, 0, before, quiet=quiet
             )
-        near = [t for t in usable if _may_copy(t, target, request)]
-        source = fetch_source(target, near, request.prompt, rate, now)
+        holders = usable
+        if request.data_center:
+            # Where targets nearby are preferred, bytes between data centers are dear.
+            data_center = target.info.data_center
+            holders = [t for t in usable if t.info.data_center == data_center]
+        source = fetch_source(target, holders, request.prompt, rate, now)
         sources = [target] if source is None else [target, source]
         cached = max(holder.memory.cached_tokens(request.prompt) for holder in sources)
         return LocalPlacement(
@@ -300,7 +312,8 @@
         report = tracked.report
         cached = tracked.memory.cached_tokens(prompt) if prompt else 0
         usual_rate = self._speeds.rate(tracked.info.service).tokens_per_second
-        before = tracked.load.tokens_before(rank, self._rate(tracked), now)
+        rate = usual_rate / tracked.speed.reading_factor
+        before = tracked.load.tokens_before(rank, rate, now)
         return TargetView(
             name=TargetName(tracked.info.incarnation),
             region=self._region,
@@ -349,7 +362,11 @@
         return known.engine.seconds_to_copy
 
     def _finishes_in_time(
-        self, target: TrackedTarget, request: LocalPlacementRequest, now: float
+        self,
+        target: TrackedTarget,
+        request: LocalPlacementRequest,
+        usual_rate: float,
+        now: float,
     ) -> bool:
         """Return whether a stream that starts now would end by its deadline.
 
@@ -359,7 +376,7 @@
         prompt, engine = request.prompt, target.engine
         if prompt is None or engine is None or not engine.event_tokens:
             return True
-        rate = self._rate(target)
+        rate = usual_rate / target.speed.reading_factor
         unread = target.load.tokens_before(LOWEST_RANK, rate, now)
         unread += prompt.tokens - target.memory.cached_tokens(prompt)
         events = prompt.output_tokens / engine.event_tokens
@@ -401,26 +418,24 @@
             )
 
     def _may_read(
-        self, target: TrackedTarget, request: LocalPlacementRequest, now: float
+        self,
+        target: TrackedTarget,
+        request: LocalPlacementRequest,
+        usual_rate: float,
+        now: float,
     ) -> bool:
-        """Return whether a target may read one more prompt beside its streams.
-
-        A stream that goes on after a failure is admitted: its caller waits in the
-        middle of an answer.
-        """
+        """Return whether a target may read one more long prompt beside its streams."""
         prompt, engine = request.prompt, target.engine
-        if prompt is None or engine is None or request.software_version:
-            return True
-        service, in_flight = target.info.service, target.load.in_flight(now)
-        if is_light(in_flight, target.slots):
+        in_flight = target.load.in_flight(now)
+        if prompt is None or engine is None or is_light(in_flight, target.slots):
             return True
         return target.load.reading.admits(
             prompt.tokens - target.memory.cached_tokens(prompt),
             in_flight,
             target.slots,
-            self._rate(target),
+            usual_rate / target.speed.reading_factor,
             engine.event_tokens,
-            self._speeds.mix(service),
+            self._speeds.mix(request.service),
             now,
             target.speed.writing_factor,
         )
@@ -441,13 +456,12 @@
         target.load.reading.note_granted(unread, events, request.time_left, now)
 
 
-def _may_copy(
-    source: TrackedTarget, target: TrackedTarget, request: LocalPlacementRequest
-) -> bool:
-    """Return whether cached tokens may be copied from one target to another.
+def _is_bounded(request: LocalPlacementRequest) -> bool:
+    """Return whether a prompt may be too long for targets that read much already.
 
-    Where targets nearby are preferred, bytes between data centers are dear.
+    A stream that goes on after a failure is not held up: its caller waits in the middle
+    of an answer.
     """
-    if not request.data_center:
-        return True
-    return source.info.data_center == target.info.data_center
+    if request.prompt is None or request.software_version:
+        return False
+    return request.prompt.tokens >= MIN_BOUNDED_TOKENS
--- a/packages/node/src/bronzepoint_node/placement/_reading_share.py
+++ b/packages/node/src/bronzepoint_node/placement/_reading_share.py
@@ -48,9 +48,9 @@
         self._at = max(self._at, now)
 
     def at(self, now: float) -> float:
-        if not self._amount:
-            return 0.0
-        return self._amount * math.exp(-max(0.0, now - self._at) / self._time_constant)
+        if not self._amount or now <= self._at:
+            return self._amount
+        return self._amount * math.exp((self._at - now) / self._time_constant)
 
 
 class StreamMix:
@@ -141,7 +141,8 @@
             rate: Prompt tokens that the target reads per second.
             now: Monotonic seconds.
         """
-        tokens = max(self._granted.at(now), self._reported.at(now))
+        granted, reported = self._granted.at(now), self._reported.at(now)
+        tokens = granted if granted > reported else reported
         return tokens / (rate * TIME_CONSTANT)
 
     def admits(
