Let requests without an own queue wait in the far region

Cause: a region whose requests wait reports no free slot, so home-bound requests of regions that may not serve them would have been refused as long as a queue isn't empty, though they are often more urgent than what waits there. The scheduler also counted asks as forwards whose hosts can't forward them.

Change: such requests are forwarded up to 1.5 requests per slot, as before, and marked (`bronzepoint-lease: -2`); they wait in the far region as its own requests do. Only regions that the ask names count as forwarded to.

--- a/packages/node/src/bronzepoint_node/placement/__init__.py
+++ b/packages/node/src/bronzepoint_node/placement/__init__.py
@@ -23,7 +23,7 @@
 from ._other_regions import OtherRegions
 from ._placer import Placer
 from ._prompt import Prompt, PromptPart
-from ._region_leases import RegionLeases
+from ._region_leases import NO_OWN_QUEUE, RegionLeases
 from ._reservations import Reservations
 from ._room_borrower import LeaseGrant
 from ._room_demand import ServiceRoom
@@ -34,6 +34,7 @@
 from ._tracked_target import EngineReport, TrackedTarget, is_unresponsive
 
 __all__ = [
+    "NO_OWN_QUEUE",
     "LeaseGrant",
     "LeasedAsks",
     "LocalPlacement",
--- a/packages/node/src/bronzepoint_node/placement/_ask.py
+++ b/packages/node/src/bronzepoint_node/placement/_ask.py
@@ -30,7 +30,9 @@
         refused_regions: When each region that has refused it expects to have free
             capacity, in monotonic seconds.
         unreached_regions: Regions that could not be connected to.
-        lease: Lease under which another region has forwarded it; 0: none.
+        lease: Lease under which another region has forwarded it; 0: none; -2: that
+            region may not serve it.
+        has_own_queue: Whether it may wait in this region.
     """
 
     request_id: str
@@ -50,6 +52,7 @@
     refused_regions: dict[RegionName, float] = {}
     unreached_regions: frozenset[RegionName] = frozenset()
     lease: int = 0
+    has_own_queue: bool = True
 
     @property
     def selected_service(self) -> str:
@@ -80,7 +83,9 @@
         A region that has refused it would refuse it again, and a further connection
         timeout takes longer than waiting in the own queue.
         """
-        if region in self.refused_regions or region in self.unreached_regions:
+        if region in self.refused_regions:
+            return False
+        if region in self.unreached_regions and self.has_own_queue:
             return False
         return self.may_go_to(region)
 
--- a/packages/node/src/bronzepoint_node/placement/_forward_tally.py
+++ b/packages/node/src/bronzepoint_node/placement/_forward_tally.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Collection
 
 from bronzepoint_schema.generated.fleet import RegionLoad
 from bronzepoint_schema.ids import RegionName
@@ -28,7 +29,11 @@
         self._reported: dict[tuple[RegionName, str], tuple[float, int]] = {}
 
     def expect_forward(
-        self, loads: list[RegionLoad], windows: list[float], now: float
+        self,
+        loads: list[RegionLoad],
+        windows: list[float],
+        eligible: Collection[RegionName],
+        now: float,
     ) -> list[int]:
         """Return the number of forwards to each region, and count one more.
 
@@ -38,6 +43,7 @@
         Args:
             loads: Reports about one service.
             windows: For each report, the seconds for which a forward isn't part of it.
+            eligible: Regions that the request may be forwarded to.
             now: Monotonic seconds.
         """
         counts = [
@@ -46,6 +52,8 @@
         ]
         free = [
             max(0.0, self.free_slots(load, loads, count))
+            if load.region in eligible
+            else 0.0
             for load, count in zip(loads, counts, strict=True)
         ]
         total = sum(free)
--- a/packages/node/src/bronzepoint_node/placement/_leased_asks.py
+++ b/packages/node/src/bronzepoint_node/placement/_leased_asks.py
@@ -5,7 +5,7 @@
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_schema.generated.scheduling import NoTarget, TargetAsk, TargetGrant
 
-from ._region_leases import UNLEASED, RegionLeases
+from ._region_leases import NO_OWN_QUEUE, UNLEASED, RegionLeases
 
 
 class LeasedAsks:
@@ -28,9 +28,9 @@
         """Return whether an ask may be queued, and count the arrival of a request.
 
         A request of another region may be queued only under a lease: without one it is
-        refused, so that it waits in its own region.
+        refused, so that it waits in its own region, if it can.
         """
-        if ask.lease:
+        if ask.lease not in (0, NO_OWN_QUEUE):
             return self._leases.admits(ask.lease, now)
         if not ask.wait_ms:
             self._leases.note_arrival(ask.service, now)
@@ -50,11 +50,11 @@
         match answer:
             case TargetGrant() if ask.lease == UNLEASED:
                 self._leases.lender.note_unleased(ask.service, cost, now)
-            case TargetGrant() if ask.lease:
+            case TargetGrant() if ask.lease > 0:
                 self._metrics.incr("lease.admitted")
                 self._leases.lender.charge(ask.lease, cost, now)
             case NoTarget() if ask.lease:
-                kind = "unleased" if ask.lease == UNLEASED else "lease"
+                kind = "lease" if ask.lease > 0 else "unleased"
                 self._metrics.incr(f"{kind}.not_admitted")
             case NoTarget() if self._leases.lender.lent(ask.service, now):
                 answer.lends = True
--- a/packages/node/src/bronzepoint_node/placement/_local_request.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_request.py
@@ -19,8 +19,8 @@
         suspect: It was in progress at several targets when they crashed. It is sent to
             a target without another suspect and with few other requests.
         software_version: The only software version that may serve it; empty: any.
-        lease: Lease under which another region has forwarded it; -1: it was forwarded
-            without one; 0: not forwarded.
+        lease: Lease under which another region has forwarded it; -1: without one; -2:
+            that region may not serve it; 0: it was not forwarded.
         lease_regions: Regions that may serve it under a lease.
     """
 
--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Collection
 from dataclasses import replace
 
 from bronzepoint_common.clock import monotonic
@@ -45,6 +46,11 @@
 not reported here."""
 
 
+FULL_LOAD_FACTOR = 1.5
+"""Requests in progress per slot from which on a region gets no more requests that can't
+wait in this region, and wait in that one."""
+
+
 class OtherRegions:
     """Decides whether a request may be forwarded, and to which host.
 
@@ -265,7 +271,10 @@
             if not self._may_serve(request, load, now):
                 continue
             sent = self._sent_since(load, now)
-            if self._tally.free_slots(load, loads, sent) <= 0:
+            if load.in_progress + sent >= load.slots * FULL_LOAD_FACTOR:
+                continue
+            free = self._tally.free_slots(load, loads, sent)
+            if request.has_own_queue and free <= 0:
                 # A forwarded request is refused where no slot is free, while it may
                 # wait in the queue of this region.
                 continue
@@ -367,20 +376,23 @@
         reported_at, count = reported
         return max(len(recent), count + sum(at > reported_at for at in recent.values()))
 
-    def expect_forward(self, loads: list[RegionLoad], now: float) -> list[int]:
+    def expect_forward(
+        self, loads: list[RegionLoad], eligible: Collection[RegionName], now: float
+    ) -> list[int]:
         """Return what the hosts of this region have forwarded since each report.
 
         Called by the scheduler for each request that its host may forward now.
 
         Args:
             loads: Reports about one service.
+            eligible: Regions that the request may be forwarded to.
             now: Monotonic seconds.
         """
         windows = [
             REGION_RTT + min(load.age_ms / 1000, self._speeds.times(load.service).hold)
             for load in loads
         ]
-        return self._tally.expect_forward(loads, windows, now)
+        return self._tally.expect_forward(loads, windows, eligible, now)
 
     def apply_scheduler_answer(self, answer: NoTarget, now: float) -> None:
         """Apply what the scheduler knows of the other regions."""
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -24,7 +24,7 @@
 from ._local_request import LocalPlacementRequest
 from ._local_target_selector import LOWEST_RANK, LocalTargetSelector
 from ._other_regions import OtherRegions
-from ._region_leases import UNLEASED
+from ._region_leases import NO_OWN_QUEUE, UNLEASED
 from ._service_estimates import ServiceEstimates
 from ._target_table import TargetTable
 from ._tracked_target import TrackedTarget, is_ejected, is_unresponsive
@@ -141,6 +141,7 @@
         """
         local = found if isinstance(found, LocalPlacement) else None
         service = request.selected_service
+        request.has_own_queue = self.may_serve_locally(request)
         if request.forwarded:
             return local or self._reject(request, found)
         request_view = self.local_selector.request_view(self.local_request(request))
@@ -156,6 +157,8 @@
         remote = self.regions.best(request, service, request_view, estimates, now)
         if remote is None:
             return local or self._reject_forwardable(request, found, now)
+        if not request.has_own_queue:
+            return replace(remote, lease=NO_OWN_QUEUE)
         if local is None:
             return remote
         cache_holder = self._cache_holder(request, service, local, estimates, now)
@@ -250,7 +253,7 @@
         if rejected.reason not in CAPACITY_REASONS or not request.refused_regions:
             return rejected
         wait = max(MIN_RETRY_AFTER, min(request.refused_regions.values()) - now)
-        if self.may_serve_locally(request):
+        if request.has_own_queue:
             wait = min(wait, rejected.retry_after)
         return replace(rejected, retry_after=wait)
 
--- a/packages/node/src/bronzepoint_node/placement/_region_leases.py
+++ b/packages/node/src/bronzepoint_node/placement/_region_leases.py
@@ -27,6 +27,9 @@
 predecessor may have granted them."""
 UNLEASED = -1
 """Number in the ask for a request that another region has forwarded without a lease."""
+NO_OWN_QUEUE = -2
+"""Number for a request that its own region may not serve. It can't wait there, so it
+waits in the region that it is forwarded to, as one of that region."""
 
 
 class RegionLeases:
@@ -99,13 +102,13 @@
         requests, which may not cross.
         """
         service = load.service
-        kept = 0.0
+        in_progress = load.in_progress
         if room.waiting or self.borrower.held(service, now):
-            kept = room.capacity
+            in_progress = max(in_progress, load.slots)
         elif self.lender.has_lent(service, now):
             unused = self.lender.unused(service, now)
             kept = unused + OWN_RESERVE * room.capacity
-        in_progress = load.in_progress + round(kept * room.slots)
+            in_progress += round(kept * room.slots)
         return structs.replace(load, in_progress=in_progress)
 
     def admits(self, number: int, now: float) -> bool:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler_client.py
@@ -258,9 +258,12 @@
             loads = self._registry.loads()
             answer.loads = [load for load in loads if load.service == query.service]
             answer.silent_regions = self._silent_regions()
-            if self._regions is not None and not answer.lease:
-                now = monotonic()
-                answer.forwarded = self._regions.expect_forward(answer.loads, now)
+            if self._regions is not None:
+                stays = answer.lease or answer.lends
+                eligible = [] if stays else query.lease_regions
+                answer.forwarded = self._regions.expect_forward(
+                    answer.loads, eligible, monotonic()
+                )
         self._peers.post(peer, Area.SCHEDULING, answer)
 
     async def _resolve(self, answer: TargetGrant | NoTarget) -> None:
--- a/packages/node/src/bronzepoint_node/relay/_answer_writer.py
+++ b/packages/node/src/bronzepoint_node/relay/_answer_writer.py
@@ -215,7 +215,7 @@
             version=call.version,
             outcome=outcome,
             forwarded=call.forwarded,
-            lease=call.lease or None,
+            lease=call.lease if call.lease > 0 else None,
             resumes=call.head.resumes,
             origin=str(call.origin) if call.origin is not None else None,
             after_event=call.head.last_event,
--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -127,7 +127,8 @@
         refused_regions: When each region that has refused it expects to have free
             capacity, in monotonic seconds.
         unreached_regions: Regions in which a connection to a host timed out.
-        lease: Lease under which another region has forwarded it; 0: none.
+        lease: Lease under which another region has forwarded it; 0: none; -2: that
+            region may not serve it.
         placement_requests: Number of times a placement was requested for it.
         sends: Times it was sent to a target or to another region.
         sent_events: Number of events written to the caller's connection.
--- a/packages/node/src/bronzepoint_node/relay/_host_headers.py
+++ b/packages/node/src/bronzepoint_node/relay/_host_headers.py
@@ -23,7 +23,8 @@
 """On a refusal: its reason concerns this host only, so that another host of the region
 may take the request."""
 LEASE_HEADER = "bronzepoint-lease"
-"""Number of the lease under which the request is forwarded."""
+"""Number of the lease under which the request is forwarded; -2: its own region may not
+serve it, so it may wait in this one."""
 ORGANISATION_HEADER = "bronzepoint-organisation"
 """Organisation of the caller, version of the catalogue that it was looked up in, and a
 signature of both."""
--- a/packages/node/src/bronzepoint_node/relay/_placement_search.py
+++ b/packages/node/src/bronzepoint_node/relay/_placement_search.py
@@ -42,10 +42,10 @@
     async def find(self, call: Call, until: float) -> Placement:
         """Return a placement, or a rejection if none is found by ``until``."""
         wait = 0.0
-        if call.forwarded:
+        if call.lease > 0:
             until = min(until, monotonic() + LEASED_WAIT)
         while True:
-            request = self._placement_request(call)
+            request = _placement_request(call)
             found = await self._find_local(call, request, wait)
             placement = self._placer.decide(request, found, monotonic())
             wait = until - monotonic()
@@ -63,13 +63,13 @@
         A target of the own region is preferred: it is reserved, while another region
         may refuse the request.
         """
-        request = self._placement_request(call)
+        request = _placement_request(call)
         found = await self._find_local(call, request, 0.0)
         if isinstance(found, LocalPlacement):
             return found
         now = monotonic()
         match self._placer.decide(request, found, now):
-            case RemotePlacement(lease=lease) as remote if lease:
+            case RemotePlacement(lease=lease) as remote if lease > 0:
                 return remote
             case RemotePlacement(region=region) as remote:
                 service = request.selected_service
@@ -81,13 +81,6 @@
         """Return the known free capacity for a request, for the log."""
         return self._placer.describe_capacity(_placement_request(call), monotonic())
 
-    def _placement_request(self, call: Call) -> PlacementRequest:
-        request = _placement_request(call)
-        if not self._placer.may_serve_locally(request):
-            # There is no queue to wait in, so another host of the region is tried.
-            request.unreached_regions = frozenset()
-        return request
-
     async def _find_local(
         self, call: Call, request: PlacementRequest, wait: float
     ) -> LocalResult:
@@ -105,7 +98,7 @@
     """Return whether a request may wait here for free capacity."""
     if not isinstance(placement, Rejected):
         return False
-    if call.forwarded and not call.lease:
+    if call.forwarded and call.lease == 0:
         return False
     return not placement.final
 
--- a/packages/node/src/bronzepoint_node/relay/_request_intake.py
+++ b/packages/node/src/bronzepoint_node/relay/_request_intake.py
@@ -8,7 +8,7 @@
 from bronzepoint_common.lag import Lag
 from bronzepoint_node.fleet import ServedCatalogue, ServedRoute, SyncClient
 from bronzepoint_node.forwarded_runs import ForwardedSend
-from bronzepoint_node.placement import RejectReason
+from bronzepoint_node.placement import NO_OWN_QUEUE, RejectReason
 from bronzepoint_node.quarantine import RequestFingerprints, fingerprint_request
 from bronzepoint_node.quota import OverQuota, Quotas
 from bronzepoint_node.stream_origins import StreamOrigin
@@ -212,7 +212,7 @@
             call.runs = call.reported_runs = _parse_count(headers.get(RUNS_HEADER, ""))
             call.granted_runs = _parse_count(headers.get(MAX_RUNS_HEADER, ""))
             call.has_permit = PERMIT_HEADER in headers
-            call.lease = _parse_count(headers.get(LEASE_HEADER, ""))
+            call.lease = _parse_lease(headers.get(LEASE_HEADER, ""))
             call.origin = StreamOrigin.parse(headers.get(ORIGIN_HEADER, ""))
             call.send = ForwardedSend.parse(headers.get(SEND_HEADER, ""))
         return call
@@ -231,5 +231,11 @@
     return fingerprint_request(call.head.host, request.raw_path, caller, call.body)
 
 
+def _parse_lease(text: str) -> int:
+    if text == str(NO_OWN_QUEUE):
+        return NO_OWN_QUEUE
+    return _parse_count(text)
+
+
 def _parse_count(text: str) -> int:
     return int(text) if text.isdigit() else 0
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -384,7 +384,7 @@
         headers[MAX_RUNS_HEADER] = str(call.counted_runs + 1)
         if placement.lease:
             headers[LEASE_HEADER] = str(placement.lease)
-            self._metrics.incr("forward.leased")
+            self._metrics.incr("forward.leased", placement.lease > 0)
         forwarding = self._forwarded_runs.begin(
             HostName(placement.host), lambda: self._handover.lend_run(call)
         )
@@ -435,7 +435,7 @@
         match outcome:
             case NotRun():
                 _record_not_run(call, placement, outcome, regions)
-                kind = "leased" if placement.lease else "unleased"
+                kind = "leased" if placement.lease > 0 else "unleased"
                 self._metrics.incr(f"forward.{kind}_not_run")
             case Answered(headers=answered):
                 _update_runs(call, answered)
--- a/tests/test_forwarding_discipline.py
+++ b/tests/test_forwarding_discipline.py
@@ -10,6 +10,7 @@
 from bronzepoint_node.core._core_sync import REGION_SILENCE
 from bronzepoint_node.fleet import Registry
 from bronzepoint_node.placement import (
+    NO_OWN_QUEUE,
     NoLocalTarget,
     OtherRegions,
     Rejected,
@@ -25,13 +26,15 @@
     TIMEOUT_WINDOW,
     RegionReachability,
 )
-from bronzepoint_node.relay import CallerHead, PlacementSearch
+from bronzepoint_node.relay import CallerHead
 from bronzepoint_node.relay._call import Call, NotRun
 from bronzepoint_node.relay._host_headers import (
     BLOCKED_HEADER,
     HOST_REFUSED_HEADER,
     RAN_HEADER,
 )
+from bronzepoint_node.relay._placement_search import _may_wait, _placement_request
+from bronzepoint_node.relay._request_intake import _parse_lease
 from bronzepoint_node.relay._sender import _record_not_run
 from bronzepoint_node.relay._try import _refusal_reason
 from bronzepoint_schema.generated.fleet import (
@@ -58,9 +61,7 @@
 
 def find(site, call):
     """Place a call where the own region has no room."""
-    search = PlacementSearch(site.placer, None)
-    request = search._placement_request(call)
-    return site.placer.decide(request, NO_ROOM, monotonic())
+    return site.placer.decide(_placement_request(call), NO_ROOM, monotonic())
 
 
 def two_hosts_of_b(site):
@@ -234,7 +235,7 @@
         forwarded = 0
         for ask in range(asks):
             site = sites[ask % hosts]
-            counts = scheduler.expect_forward([load], now)
+            counts = scheduler.expect_forward([load], "b", now)
             answer = NoTarget(ask, False, [load], forwarded=counts)
             site.registry.merge_loads([load])
             site.placer.regions.apply_scheduler_answer(answer, now)
@@ -245,15 +246,49 @@
                 site.placer.regions.note_forwarded("b", "s", str(ask), now)
         self.assertEqual(forwarded, min(free, asks))
 
+    def test_request_that_stays_is_not_counted(self):
+        """Guards against room that counts as used up by requests that may not go
+        there, or that another region has forwarded here."""
+        regions = OtherRegions("a", Registry(), ServiceEstimates(), random.Random(1))
+        load, now = RegionLoad("b", "s", 12, 0, 0, 0), monotonic()
+        for _ in range(12):
+            regions.expect_forward([load], [], now)
+        self.assertEqual(regions.expect_forward([load], "b", now), [0])
+
     def test_count_ends_with_the_next_report(self):
         """Guards against room that counts as used up for good."""
         regions = OtherRegions("a", Registry(), ServiceEstimates(), random.Random(1))
         load, now = RegionLoad("b", "s", 12, 0, 0, 0), monotonic()
         for _ in range(12):
-            regions.expect_forward([load], now)
-        self.assertEqual(regions.expect_forward([load], now), [12])
+            regions.expect_forward([load], "b", now)
+        self.assertEqual(regions.expect_forward([load], "b", now), [12])
         later = now + REGION_RTT + 0.1
-        self.assertEqual(regions.expect_forward([load], later), [0])
+        self.assertEqual(regions.expect_forward([load], "b", later), [0])
+
+
+class TestNoOwnQueue(unittest.TestCase):
+    """Requests that their own region may not serve."""
+
+    @params((0, RemotePlacement), (64, RemotePlacement), (96, Rejected))
+    def test_home_bound_request_goes_to_a_full_home(self, used, expected):
+        """Guards against home-bound requests that are refused as long as the queue of
+        their home isn't empty, though they are more urgent than what waits there."""
+        site = Site(info("t1"))
+        site.remote_loads(b=used)
+        placement = find(site, make_call(route(("b",))))
+        self.assertIsInstance(placement, expected)
+        if expected is RemotePlacement:
+            self.assertEqual(placement.lease, NO_OWN_QUEUE)
+
+    @params(("-2", True), ("7", True), ("0", False), ("", False), ("-1", False))
+    def test_it_may_wait_in_the_region_that_it_is_forwarded_to(self, header, expected):
+        """Guards against a refusal of what can wait nowhere else, and against a queue
+        of requests that can."""
+        call = make_call()
+        call.forwarded = True
+        call.lease = _parse_lease(header)
+        rejected = Rejected(RejectReason.NO_ROOM, 1.0)
+        self.assertEqual(_may_wait(call, rejected), expected)
 
 
 class TestRetryAfter(unittest.TestCase):
--- a/tests/test_region_leases.py
+++ b/tests/test_region_leases.py
@@ -404,7 +404,7 @@
         self.asks_of(pair.b).complete(self.ask(lease=number), grant, pair.now)
         self.assertAlmostEqual(pair.b.lender.used("s", pair.now), COST)
 
-    @params((0, True), (7, False))
+    @params((0, True), (-1, False), (-2, True), (7, False))
     def test_only_known_leases_let_other_regions_queue(self, number, expected):
         """Guards against requests of other regions that take places in the queue."""
         pair = Pair()
@@ -664,7 +664,7 @@
         reports = [report for report, _ in region.reports.values()]
         windows = [now - at + RTT for _, at in region.reports.values()]
         if self.is_new:
-            sent = region.tally.expect_forward(reports, windows, now)
+            sent = region.tally.expect_forward(reports, windows, names, now)
         else:
             own = region.sent[request % HOSTS]
             sent = [
