--- a/packages/node/src/bronzepoint_node/placement/_local_request.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_request.py
@@ -25,8 +25,8 @@
         objective: Seconds after its arrival within which its answer has its full value;
             0: unknown.
         data_center: Data center whose targets are preferred; empty: none are.
-        lease: Lease under which another region has forwarded it; -1: it was forwarded
-            without one; 0: not forwarded.
+        lease: Lease under which another region has forwarded it; -1: without one; -2:
+            that region may not serve it; 0: it was not forwarded.
         lease_regions: Regions that may serve it under a lease.
     """
 
