--- a/packages/node/src/bronzepoint_node/placement/_tracked_target.py
+++ b/packages/node/src/bronzepoint_node/placement/_tracked_target.py
@@ -153,6 +153,13 @@
             known += unknown
         return (report.total_tokens or self.engine.memory_tokens) - known
 
+    def missing_tokens(self, prompt: Prompt) -> int:
+        """Return the tokens of a prompt's shared parts that it doesn't hold yet.
+
+        They take memory, too, but only once for all requests that share them.
+        """
+        return max(0, prompt.shared_tokens - self.memory.cached_tokens(prompt))
+
     def begin(
         self,
         run_id: str,
@@ -172,7 +179,7 @@
         """
         uncached = tokens = 0
         if prompt is not None:
-            tokens = prompt.memory_tokens
+            tokens = prompt.memory_tokens + self.missing_tokens(prompt)
             uncached = prompt.tokens - cached
             self.memory.note_used(prompt)
             self.parts_sent.update({p.name: p.tokens for p in prompt.parts[:-1]})
@@ -318,7 +325,9 @@
 
     def is_isolated(self, now: float) -> bool:
         """Return whether other requests should avoid it because of a suspect there."""
-        return now < self.isolated_until or self._trials_now(now) > 0
+        if now < self.isolated_until:
+            return True
+        return bool(self.trials) and self._trials_now(now) > 0
 
     def _trials_now(self, now: float) -> int:
         return sum(run.is_on_trial(now) for run in self.trials)
