Tell other regions only of slots that targets may use

A region's summary counted all slots of a target that is kept at its best concurrency, so other regions forwarded requests that it then refused. The limit counts instead.

--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -218,7 +218,7 @@
     ) -> RegionLoad:
         views = [self.local_selector.view(t, None, LOWEST_RANK, now) for t in targets]
         running = sum(max(v.in_flight, v.running + v.waiting) for v in views)
-        slots = sum(v.slots for v in views)
+        slots = sum(v.slots if v.allowed is None else v.allowed for v in views)
         hold = self.estimates.times(service).hold
         wait = min((v.backlog for v in views), default=0.0)
         if slots and running >= slots:
--- a/tests/test_placement_best_concurrency.py
+++ b/tests/test_placement_best_concurrency.py
@@ -149,6 +149,13 @@
         view = site.placer.local_selector.view(tracked, None, 0, site.now)
         self.assertFalse(has_free_capacity(view, view.in_flight, 1))
 
+    def test_other_regions_are_told_of_usable_slots_only(self):
+        """Guards against forwarded requests for slots above the limit."""
+        site = Site(info("t1"), info("t2"))
+        site.table.get("t1").concurrency.apply_copy(20, site.now)
+        (load,) = site.placer.region_loads(site.now)
+        self.assertEqual(load.slots, 20 + site.table.get("t2").slots)
+
     def test_restart_has_no_limit(self):
         """Guards against the limit of a former start applied to the next one."""
         site = Site(info("t1~1"))
