--- a/tests/test_region_leases.py
+++ b/tests/test_region_leases.py
@@ -371,8 +371,8 @@
 class TestAsks(unittest.TestCase):
     def ask(self, wait_ms=0, lease=0, regions=()):
         return TargetAsk(
-            1, "s", "id", [], 100, 10, 0, 0, 5000, 0, wait_ms, [], False, "", lease,
-            list(regions),
+            1, "s", "id", [], 100, 10, 0, 0, 5000, 0, wait_ms, [],
+            lease=lease, lease_regions=list(regions),
         )  # fmt: skip
 
     def asks_of(self, leases):
