Start the search for a run's successor after the first interval

Waiting with a timer for each interval cost a long stream more than the task that it replaced. A run that ends before the first check still needs none.

--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -459,12 +459,13 @@
             return await run
         work = await curio.spawn(run)
         try:
-            await _wait_for_sign(work, watch)
+            async with curio.ignore_after(CHECK_INTERVAL):
+                await work.wait()
         except BaseException:
             await work.cancel()
             raise
         search = None
-        # Most runs end without a sign, and need no task that searches.
+        # A run that ends before the first check needs no task that searches.
         if not work.terminated:
             search = await curio.spawn(self._search_successor, call, watch)
             async with curio.TaskGroup([work, search], wait=any):
@@ -508,16 +509,6 @@
         return self._handover.claim(call, successor)
 
 
-async def _wait_for_sign(work: curio.Task, watch: RunWatch) -> None:
-    """Return when a run has ended, or shows a sign that it may have."""
-    while not work.terminated:
-        async with curio.ignore_after(CHECK_INTERVAL):
-            await work.wait()
-            return
-        if watch.due_sign(monotonic()) is not None:
-            return
-
-
 def _note_progress(call: Call, attempt: Try, outcome: TryOutcome) -> None:
     """Note what had come of an answer that isn't whole."""
     if isinstance(outcome, MayHaveRun):
