Stop at the first target that decides why a request is refused

Refusals listed all open targets to learn whether all of them limit their requests, and each grant looked for a target to copy cached parts from where copying isn't configured.

The decisions are the same.

--- a/packages/node/src/bronzepoint_node/placement/_fetch_source.py
+++ b/packages/node/src/bronzepoint_node/placement/_fetch_source.py
@@ -35,7 +35,8 @@
         rate: Tokens that an engine reads per second.
         now: Monotonic seconds.
     """
-    if target.engine is None:
+    if target.engine is None or target.engine.seconds_to_copy >= 1 / rate:
+        # Copying a token takes as long as reading it, or isn't possible.
         return None
     kept = target.memory.cached_tokens(prompt)
     best, max_cached = None, kept
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -216,8 +216,10 @@
 
     def _limited_for(self, service: str, now: float) -> float:
         """Return `NoLocalTarget.limited_for` for a service."""
+        if self._table.has_unlimited(service):
+            return 0.0
         targets = self._table.of_service(service)
-        if not targets or any(target.limit.rate is None for target in targets):
+        if not targets:
             return 0.0
         wait = min(self._seconds_until_next(target, now) for target in targets)
         return min(MAX_LIMITED_WAIT, max(MIN_LIMITED_WAIT, wait))
--- a/packages/node/src/bronzepoint_node/placement/_target_table.py
+++ b/packages/node/src/bronzepoint_node/placement/_target_table.py
@@ -149,6 +149,13 @@
             for target in self._of_service.get(service, [])
         )
 
+    def has_unlimited(self, service: str) -> bool:
+        """Return whether a target of a service may get requests without a limit."""
+        return any(
+            target.limit.rate is None and self.is_open(target)
+            for target in self._of_service.get(service, [])
+        )
+
     def rests_for(self, service: str, software_version: str, now: float) -> float:
         """Return the seconds for which all targets of a service rest; 0: not all do.
 
