--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,8 @@
 	$(BIN)/python -m bronzepoint_emulator.experiments --seeds $(SEEDS)
 
 # Cost against size, for docs/CAPACITY.md; one file for each part that is measured.
-SLOPES := agreement decisions directory entry limits membership orders run_once spread
+SLOPES := agreement decisions directory entry limits membership orders run_once scheduler \
+	spread
 slopes: setup
 	mkdir -p docs/measurements/slopes
 	set -e; for part in $(SLOPES); do \
