Let hosts that choose by old reports consider targets that look full

A choice ended early if every target had as many known requests as slots. A host without a scheduler goes by reports up to a second old, of which a part has ended by now, so it found no target although the estimate said that there was one. The early end now applies only where one host knows all choices. Found by reading the two parts together; the scheduler's path, for which the short cut was made, is unchanged.

--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -153,8 +153,11 @@
         choosers: int,
     ) -> LocalResult:
         rate = self._speeds.rate(request.service).tokens_per_second
-        if not any(may_have_capacity(t.load.in_flight(now), t.slots) for t in usable):
-            # Most choices for queued requests end here; the rest costs far more.
+        if choosers == 1 and not any(
+            may_have_capacity(t.load.in_flight(now), t.slots) for t in usable
+        ):
+            # Most choices for queued requests end here; the rest costs far more. With
+            # older reports, some of the known requests are expected to have ended.
             may_finish = any(
                 self._finishes_in_time(t, request, rate, now) for t in usable
             )
