Let short prompts pass long ones that no target may read now

Long prompts waited at the head of the queue for targets that had read enough; new requests may not pass waiting ones, and a check of the queue ended after three failures, so short prompts waited behind them although there was room.

Now three failed long prompts only end the search for long ones, and a new short prompt goes behind waiting short ones only. The test holds a queue of one and of five long prompts; the short one was refused before and gets a target now, while the long ones go on waiting. Ruled out: the concurrency limit, since it needs three levels of load within a minute.

--- a/packages/node/src/bronzepoint_node/placement/_local_request.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_request.py
@@ -6,6 +6,7 @@
 from bronzepoint_schema.ids import RegionName
 
 from ._prompt import Prompt
+from ._reading_share import MIN_BOUNDED_TOKENS
 
 
 class LocalPlacementRequest(Struct):
@@ -47,6 +48,17 @@
     lease: int = 0
     lease_regions: list[RegionName] = []
 
+    @property
+    def has_long_prompt(self) -> bool:
+        """Whether targets that already read much may lack room for its prompt only.
+
+        A stream that goes on after a failure is not held up: its caller waits in the
+        middle of an answer.
+        """
+        if self.prompt is None or self.software_version:
+            return False
+        return self.prompt.tokens >= MIN_BOUNDED_TOKENS
+
     def allows(self, target: TargetInfo) -> bool:
         """Return whether a target has the software version that the request needs."""
         return self.software_version in ("", target.software_version)
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -30,7 +30,6 @@
 from ._local_request import LocalPlacementRequest
 from ._prompt import Prompt
 from ._reading_share import (
-    MIN_BOUNDED_TOKENS,
     deadline_factor,
     expected_event_seconds,
     is_light,
@@ -164,7 +163,7 @@
             return NoLocalTarget(late=bool(usable) and not may_finish)
         in_time = [t for t in usable if self._finishes_in_time(t, request, rate, now)]
         admitted = in_time
-        if _is_bounded(request):
+        if request.has_long_prompt:
             admitted = [t for t in in_time if self._may_read(t, request, rate, now)]
         for candidates in self._candidate_sets(request, admitted, now):
             choice = self._choose_candidate(request, candidates, now, age, choosers)
@@ -524,17 +523,6 @@
         target.load.reading.note_granted(unread, events, request.time_left, now)
 
 
-def _is_bounded(request: LocalPlacementRequest) -> bool:
-    """Return whether a prompt may be too long for targets that read much already.
-
-    A stream that goes on after a failure is not held up: its caller waits in the middle
-    of an answer.
-    """
-    if request.prompt is None or request.software_version:
-        return False
-    return request.prompt.tokens >= MIN_BOUNDED_TOKENS
-
-
 def _separate_reported(
     view: TargetView, tracked: TrackedTarget, age: float, now: float
 ) -> None:
--- a/packages/node/src/bronzepoint_node/placement/_request_queue.py
+++ b/packages/node/src/bronzepoint_node/placement/_request_queue.py
@@ -32,6 +32,7 @@
         flow: Requests that it shares capacity with.
         cost: What it takes, in target seconds.
         is_waiting: Whether it is in the queue and has not been granted a target.
+        has_long_prompt: Whether targets may lack room for its prompt only.
     """
 
     rank: int
@@ -42,6 +43,7 @@
     flow: FlowKey = field(default=FlowKey(), compare=False)
     cost: float = field(default=0.0, compare=False)
     is_waiting: bool = field(default=False, compare=False)
+    has_long_prompt: bool = field(default=False, compare=False)
 
     @property
     def key(self) -> RankKey:
@@ -62,6 +64,7 @@
     Attributes:
         polled_at: Time of the last check for free capacity.
         order: Order of the requests.
+        short_count: Number of waiting requests without a long prompt.
     """
 
     def __init__(self, weight: Callable[[str], float] = lambda _: 1.0) -> None:
@@ -69,6 +72,7 @@
         self.order = FairOrder(weight)
         self._heads: list[QueuedRequest] | None = None
         self._count = 0
+        self.short_count = 0
 
     def __len__(self) -> int:
         return self._count
@@ -77,6 +81,7 @@
         """Add a request behind earlier ones of the same rank and organisation."""
         self.order.add(queued, monotonic())
         self._count += 1
+        self.short_count += not queued.has_long_prompt
         queued.is_waiting = True
         self._heads = None
 
@@ -140,6 +145,7 @@
             queued.is_waiting = False
             self.order.remove(queued)
             self._count -= 1
+            self.short_count -= not queued.has_long_prompt
 
     def _is_head(self, queued: QueuedRequest) -> bool:
         return any(other is queued for other in self.heads())
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -300,18 +300,25 @@
         if now < queue.polled_at + MIN_POLL_PAUSE:
             return
         queue.polled_at = now
-        failed = 0
+        failed = failed_long = 0
         for queued in queue.in_order():
             if not queued.is_waiting:
                 continue
+            if queued.has_long_prompt and failed_long == HEAD_COUNT:
+                if not queue.short_count:
+                    return
+                continue
             self._try_grant(queue, queued)
             if not _lacks_capacity(queued.found):
                 await queued.wakeup.set()
-                continue
-            # A request bound to one version may lack capacity where others have some.
-            failed += not queued.request.software_version
-            if failed == HEAD_COUNT:
-                return
+            elif queued.has_long_prompt:
+                # Targets that read too much may still have room for short prompts.
+                failed_long += 1
+            elif not queued.request.software_version:
+                # One bound to a version may lack capacity where others have some.
+                failed += 1
+                if failed == HEAD_COUNT:
+                    return
 
     def _queue(self, service: str) -> RequestQueue:
         queue = self._queues.get(service)
@@ -342,13 +349,19 @@
             route_priority=route_priority,
             flow=flow,
             cost=self._selector.costs.cost(request.service, request.prompt, now),
+            has_long_prompt=request.has_long_prompt,
             request=request,
             claim=claim,
             ask=ask,
         )
 
     def _is_behind(self, queue: RequestQueue, queued: _QueuedPlacement) -> bool:
-        return len(queue) > 0 and queue.order.is_behind_others(queued)
+        """Return whether a request must not be granted capacity before others.
+
+        Long prompts wait for targets that have read enough, which a short one needn't.
+        """
+        ahead = len(queue) if queued.has_long_prompt else queue.short_count
+        return ahead > 0 and queue.order.is_behind_others(queued)
 
     def _try_grant(self, queue: RequestQueue, queued: _QueuedPlacement) -> None:
         """Grant a request the best target with free capacity, if there is one."""
--- a/tests/test_placement_admission.py
+++ b/tests/test_placement_admission.py
@@ -271,6 +271,37 @@
         granted, released = curio.run(main)
         self.assertEqual((granted, released), ((1, True), (0, False)))
 
+    @params(1, 5)
+    def test_long_prompts_that_wait_hold_up_no_short_ones(self, waiting):
+        """Guards against idle slots behind prompts that no target may read now."""
+
+        async def main():
+            async with Region(9, 1) as region:
+                selector = region.scheduler.placer.local_selector
+                selector._may_read = lambda *arguments: False
+                hosts = region.members
+                for _ in range(200):
+                    region.scheduler.placer.estimates.learn_hold(Hold("s", HOLD_MS))
+                found = []
+                fields = {"objective": 2.0, "organisation": "a"}
+                long = [
+                    await curio.spawn(
+                        wait_for(found, hosts[n], f"long{n}", tokens=9000, **fields)
+                    )
+                    for n in range(waiting)
+                ]
+                await curio.sleep(0.1)
+                fields["organisation"] = "b"
+                short = await hosts[6].send("short", rank=1, **fields)
+                still_waiting = not found
+                for task in long:
+                    await task.cancel()
+                return short, still_waiting
+
+        short, still_waiting = curio.run(main)
+        self.assertIsInstance(short, LocalPlacement)
+        self.assertTrue(still_waiting)
+
     @params(0.3, 1.0)
     def test_refusal_names_a_time_from_the_forecast(self, seconds):
         """Guards against callers that return before there is room, or all together."""
