Hold up only prompts that are read for longer than their answer is written

A prompt now counts as long from 8 tokens for each expected token of its answer on, which is what an engine reads while it writes one in a full batch.

--- a/packages/node/src/bronzepoint_node/placement/_local_request.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_request.py
@@ -6,7 +6,7 @@
 from bronzepoint_schema.ids import RegionName
 
 from ._prompt import Prompt
-from ._reading_share import MIN_BOUNDED_TOKENS
+from ._reading_share import MIN_BOUNDED_TOKENS, READ_PER_WRITTEN
 
 
 class LocalPlacementRequest(Struct):
@@ -52,12 +52,15 @@
     def has_long_prompt(self) -> bool:
         """Whether targets that already read much may lack room for its prompt only.
 
-        A stream that goes on after a failure is not held up: its caller waits in the
-        middle of an answer.
+        A request that writes for longer than it reads is not held up, since it leaves
+        the other streams as much time as it takes. Neither is a stream that goes on
+        after a failure: its caller waits in the middle of an answer.
         """
-        if self.prompt is None or self.software_version:
+        prompt = self.prompt
+        if prompt is None or self.software_version:
             return False
-        return self.prompt.tokens >= MIN_BOUNDED_TOKENS
+        read_in_writing_time = READ_PER_WRITTEN * prompt.output_tokens
+        return prompt.tokens >= max(MIN_BOUNDED_TOKENS, read_in_writing_time)
 
     def allows(self, target: TargetInfo) -> bool:
         """Return whether a target has the software version that the request needs."""
--- a/packages/node/src/bronzepoint_node/placement/_reading_share.py
+++ b/packages/node/src/bronzepoint_node/placement/_reading_share.py
@@ -17,6 +17,9 @@
 MIN_BOUNDED_TOKENS = CHUNK_TOKENS // 2
 """Prompt tokens to be read below which a request is always admitted: it lengthens at
 most one or two steps, and writes for longer than it reads."""
+READ_PER_WRITTEN = 8
+"""Prompt tokens that an engine reads in the time in which it writes one token of an
+answer in a full batch; engines differ between 5 and 13."""
 LIGHT_LOAD = 0.5
 """Share of the slots in use up to which any prompt is admitted. Streams that are slow
 then occupy slots that nobody waits for."""
--- a/tests/test_placement_reading_share.py
+++ b/tests/test_placement_reading_share.py
@@ -12,6 +12,7 @@
     Prompt,
     PromptPart,
 )
+from bronzepoint_node.placement._local_request import LocalPlacementRequest
 from bronzepoint_node.placement._reading_share import (
     MIN_SHARE,
     TIME_CONSTANT,
@@ -288,3 +289,20 @@
     found = _choose(site)
     assert isinstance(found, LocalPlacement)
     return found
+
+
+class TestLongPrompts(unittest.TestCase):
+    @params(
+        # prompt tokens, expected output, long
+        (826, 294, False),
+        (2000, 294, False),
+        (9190, 52, True),
+        (9190, 2000, False),
+        (1500, 10, True),
+        (900, 1, False),
+    )
+    def test_urgent_drafts_are_not_held_up_by_their_size(self, tokens, output, long):
+        """Guards against drafts of a longer prompt that wait while slots are idle."""
+        prompt = Prompt((PromptPart("own", tokens),), tokens, output, output)
+        request = LocalPlacementRequest("id", "s", prompt, 5.0, 0, 0.0, set())
+        self.assertEqual(request.has_long_prompt, long)
