Judge plain services by the former threshold of twice the usual time

A target that had limited itself got one request in some seconds; each took milliseconds, most of them for the connection, so it looked 1.3 times slower than its neighbours and was never chosen again.

The estimate of a target's speed is now for engines only, whose prompts take long enough to measure. Plain services have the former estimate with its threshold of two.

--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -396,8 +396,8 @@
             allowed=tracked.concurrency.limit,
             free_tokens=tracked.free_tokens(now) - missing,
             backlog=before / usual_rate,
-            reading_factor=tracked.speed.reading_factor,
-            writing_factor=tracked.speed.writing_factor,
+            reading_factor=tracked.speed.reading_factor if tracked.engine else None,
+            writing_factor=tracked.speed.writing_factor if tracked.engine else None,
         )
 
     def request_view(self, request: LocalPlacementRequest) -> RequestView:
@@ -462,13 +462,13 @@
         if now - self._speeds_at.get(service, -math.inf) < SPEED_INTERVAL:
             return
         self._speeds_at[service] = now
-        targets = self._table.of_service(service)
+        targets = [
+            target for target in self._table.of_service(service) if target.engine
+        ]
         update_factors([target.speed for target in targets], now)
         rate = self._speeds.rate(service).tokens_per_second
         event_seconds = self._speeds.mix(service).event_seconds(now)
         for target in targets:
-            if target.engine is None:
-                continue
             share = target.load.reading.current(rate, now)
             expected = 0.0
             if share <= MAX_MEASURED_SHARE:
--- a/packages/node/src/bronzepoint_node/placement/_service_estimates.py
+++ b/packages/node/src/bronzepoint_node/placement/_service_estimates.py
@@ -2,6 +2,7 @@
 
 from bronzepoint_node.policy import ServiceTimes
 from bronzepoint_schema.generated.target_loads import FirstToken, Hold
+from bronzepoint_schema.ids import TargetName
 
 from ._reading_rate import ReadingRate
 from ._reading_share import StreamMix
@@ -75,6 +76,12 @@
             return
         service, seconds = target.info.service, measured.ms / 1000
         times, speed = self.times(service), target.speed
+        if target.engine is None:
+            # Answers within milliseconds measure the connection rather than the target,
+            # so only a target that takes twice as long counts as slow.
+            name = TargetName(target.info.incarnation)
+            times.add_first_token(name, seconds, measured.tokens, now)
+            return
         expected = max(1e-4, times.first_token(measured.tokens + measured.before))
         speed.reading.add(seconds / expected, now)
         if measured.before >= MAX_TOKENS_BEFORE:
