--- a/review/common/site.py
+++ b/review/common/site.py
@@ -8,7 +8,6 @@
 import json
 import os
 import random
-import resource
 import shutil
 import signal
 import socket
@@ -50,7 +49,7 @@
 cpu_share = 0.537
 cores = 2
 memory_mb = 300
-max_fds = {max_fds}
+max_fds = 4100
 link_mbps = 1000.0
 disk_mb = {disk}
 [fault_tolerance]
@@ -85,10 +84,6 @@
 duties = []
 lag_ms = 800
 """
-MAX_FDS = 4100
-"""Descriptors of a machine."""
-RESERVED_FDS = 200
-"""Descriptors that a process can't use for sockets (DEPLOY.md, Machines)."""
 CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "places"]
 LIMITS = {
     "max_header_bytes": 16384,
@@ -199,9 +194,6 @@
         zones: Region by zone.
         core: Zone of each core host, by its name.
         entry: Zone of each entry host, by its name.
-
-    Attributes:
-        max_fds: Descriptors of the machines that have fewer than usual, by name.
     """
 
     def __init__(
@@ -229,7 +221,6 @@
         self.replica_port = ports[5]
         self.cloud_address = f"{net}.2:{ports[6]}"
         self.cloud = Server(self._answer_list)
-        self.max_fds: dict[str, int] = {}
         self._roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
 
     def _free_ports(self, count: int) -> list[int]:
@@ -321,7 +312,6 @@
             disk=128 if is_core else 0,
             cloud=self.cloud_address,
             contracts=json.dumps(CONTRACTS),
-            max_fds=self.max_fds.get(name, MAX_FDS),
         )
         path = self.folder / f"{name}.toml"
         path.write_text(settings)
@@ -334,9 +324,6 @@
             process = subprocess.Popen(
                 command, cwd=ROOT, env=env, stdout=log, stderr=log
             )
-        if name in self.max_fds:
-            usable = self.max_fds[name] - RESERVED_FDS
-            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (usable, usable))
         self.processes[name] = process
 
     async def put(self, body: bytes, name: str, timeout: float = 3.0) -> bool:
