Encode messages to peers inside the guard of their task

A reply that holds a value without an encoding, such as an integer of more than 64 bits, raised outside the guard of the handler in Peers._handle. It ended the only task that handles the messages of that peer: the host looked live and ready, and never answered that peer again. A notice with such a value ended the task that sends it, and with it all its other messages.

Replies, calls and notices are now encoded in one place. A failure is logged with the type of the message and counted (peers.unencodable); the caller of a call hears of it at once, a notice is lost as on the network, and the task goes on.

--- a/packages/common/src/bronzepoint_common/peers/__init__.py
+++ b/packages/common/src/bronzepoint_common/peers/__init__.py
@@ -3,6 +3,7 @@
 from bronzepoint_common.peers._area import Area
 from bronzepoint_common.peers._errors import (
     FrameRejected,
+    MessageUnencodable,
     PeerError,
     PeerFailed,
     PeerTimeout,
@@ -14,6 +15,7 @@
     "Area",
     "FrameRejected",
     "Handler",
+    "MessageUnencodable",
     "PeerError",
     "PeerFailed",
     "PeerTimeout",
--- a/packages/common/src/bronzepoint_common/peers/_errors.py
+++ b/packages/common/src/bronzepoint_common/peers/_errors.py
@@ -38,6 +38,17 @@
         super().__init__(peer, f"host {peer} failed to answer: {reason}; see its log")
 
 
+class MessageUnencodable(PeerError):
+    """The message wasn't sent, since it can't be encoded."""
+
+    def __init__(self, peer: HostName, kind: str) -> None:
+        super().__init__(
+            peer,
+            f"a {kind} for host {peer} can't be encoded; see the log of this host, and "
+            "report the value that it names",
+        )
+
+
 class FrameRejected(Exception):
     """A frame is invalid or from outside the cluster; it is dropped and counted."""
 
--- a/packages/common/src/bronzepoint_common/peers/_peers.py
+++ b/packages/common/src/bronzepoint_common/peers/_peers.py
@@ -15,6 +15,7 @@
 from bronzepoint_common.peers._area import Area
 from bronzepoint_common.peers._calls import Calls, OnLateReply
 from bronzepoint_common.peers._errors import (
+    MessageUnencodable,
     PeerFailed,
     PeerTimeout,
     PeerUnknown,
@@ -140,8 +141,15 @@
         self._registrations[area] = _Registration(decoder, handler)
 
     def post(self, peer: HostName, area: Area, message: Any) -> bool:
-        """Send a message without a reply; return False if the peer is unknown."""
-        return self._send(peer, FrameKind.post, area, 0, message)
+        """Send a message without a reply.
+
+        Returns:
+            False if the peer is unknown, or the message can't be encoded.
+        """
+        payload = self._encode(area, message)
+        if payload is None:
+            return False
+        return self._send_payload(peer, FrameKind.post, area, 0, payload)
 
     async def call(
         self,
@@ -166,10 +174,13 @@
         """
         if self._outbox(peer) is None:
             raise PeerUnknown(peer)
+        payload = self._encode(area, message)
+        if payload is None:
+            raise MessageUnencodable(peer, type(message).__name__)
         began = monotonic()
         call_id = self._calls.begin(peer, on_late_reply)
         try:
-            self._send(peer, FrameKind.call, area, call_id, message)
+            self._send_payload(peer, FrameKind.call, area, call_id, payload)
             async with curio.ignore_after(timeout):
                 return self._decode_reply(await self._calls.wait(call_id))
             self._renew_connection(peer, began)
@@ -196,12 +207,22 @@
         except msgspec.MsgspecError as exc:
             raise PeerFailed(envelope.sender, str(exc)) from exc
 
-    def _send(
-        self, peer: HostName, frame: FrameKind, area: int, call_id: int, message: Any
-    ) -> bool:
-        return self._send_payload(
-            peer, frame, area, call_id, self._encoder.encode(message)
-        )
+    def _encode(self, area: int, message: Any) -> bytes | None:
+        """Return an encoded message, or None if it holds a value without an encoding.
+
+        Such a value, as an integer of more than 64 bits, is an error of this host. It
+        must not end the task that sends the message, which also sends others.
+        """
+        try:
+            return self._encoder.encode(message)
+        except Exception:
+            self._metrics.incr("peers.unencodable")
+            _log.exception(
+                "message can't be encoded",
+                area=_area_name(area),
+                type=type(message).__name__,
+            )
+            return None
 
     def _send_payload(
         self, peer: HostName, frame: FrameKind, area: int, call_id: int, payload: bytes
@@ -336,9 +357,20 @@
             self._fail(envelope, f"{type(exc).__name__}: {exc}")
             return
         if envelope.frame is FrameKind.call and reply is not None:
-            self._send(
-                envelope.sender, FrameKind.reply, envelope.area, envelope.call_id, reply
-            )
+            self._reply(envelope, reply)
+
+    def _reply(self, envelope: Envelope, reply: Any) -> None:
+        payload = self._encode(envelope.area, reply)
+        if payload is None:
+            self._fail(envelope, "reply can't be encoded")
+            return
+        self._send_payload(
+            envelope.sender,
+            FrameKind.reply,
+            envelope.area,
+            envelope.call_id,
+            payload,
+        )
 
     def _fail(self, envelope: Envelope, reason: str) -> None:
         if envelope.frame is not FrameKind.call:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 from bronzepoint_common.peers import (
     Area,
     FrameRejected,
+    MessageUnencodable,
     PeerFailed,
     Peers,
     PeerTimeout,
@@ -155,6 +156,36 @@
 
         curio.run(run_pair, use)
 
+    def test_unencodable_reply_ends_no_service(self):
+        """Guards against a host that never answers a peer again after such a reply."""
+
+        async def answer(sender, message):
+            return Burst(2**64 if message.text == "bad" else 1)
+
+        async def use(a, b):
+            for host in (a, b):
+                host.register(Area.AGREEMENT, Ping | Burst, answer)
+            with self.assertRaises(PeerFailed):
+                await a.call(B, Area.AGREEMENT, Ping("bad"), MAX_WAIT)
+            reply = await a.call(B, Area.AGREEMENT, Ping("good"), MAX_WAIT)
+            self.assertEqual(reply, Burst(1))
+            self.assertEqual(b._metrics.counters()["peers.unencodable"], 1)
+
+        curio.run(run_pair, use)
+
+    def test_unencodable_message_does_not_end_its_sender(self):
+        """Guards against a task whose further messages are lost with one of them."""
+
+        async def use(a, b):
+            for host in (a, b):
+                host.register(Area.AGREEMENT, Ping | Burst, None)
+            self.assertFalse(a.post(B, Area.AGREEMENT, Burst(2**64)))
+            with self.assertRaises(MessageUnencodable):
+                await a.call(B, Area.AGREEMENT, Burst(2**64), MAX_WAIT)
+            self.assertEqual(a._metrics.counters()["peers.unencodable"], 2)
+
+        curio.run(run_pair, use)
+
     def test_unknown_peer(self):
         async def use(a, b):
             self.assertFalse(a.post(HostName("c"), Area.AGREEMENT, Ping("x")))
