--- a/tests/test_platform_list.py
+++ b/tests/test_platform_list.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import curio
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 from nose2.tools import params
@@ -69,11 +70,21 @@
     entry(born="1"),
     entry(zone=["x"]),
     entry(version=1),
+    # A message between hosts can't carry these numbers.
+    entry(cold_left_ms=1e20),
+    entry(slots=2**70),
+    entry(born=2**70),
+    entry(born=-1),
+    entry(address="nowhere:80"),
+    entry(address="10.0.0.999:80"),
+    entry(address="10.0.0.1:65536"),
     5,
     None,
     [],
     "i-1",
     b'{"id":"\xff\xfe"}',
+    b'{"id":"i-1","more":%s%s}' % (b"[" * 3000, b"]" * 3000),
+    b'%s"}"%s' % (b'{"id":' * 3000, b"}" * 3000),
     # The following ones make the whole page invalid JSON.
     b'{"id":"i-1","service":',
     b"{]",
@@ -121,6 +132,22 @@
         else:
             self.assertEqual(found.instances, [])
 
+    @given(
+        st.sampled_from(sorted(entry())),
+        st.integers() | st.floats() | st.text() | st.lists(st.integers()),
+    )
+    def test_any_value_of_a_field_gives_a_target_that_can_be_sent(self, name, value):
+        """Guards against a value in the list that no message to a host can carry."""
+        for instance in read_page(page(entry(**{name: value}))).instances:
+            msgspec.msgpack.encode(_list._target(instance))
+
+    def test_object_without_an_end_does_not_hide_other_entries(self):
+        """Guards against a page that seems whole though its last entry has no end."""
+        body = b'{"instances":[%s,%s],"next_token":null}'
+        entries = json.dumps(entry()).encode(), b'{"id":' * 3000
+        with self.assertRaises(PageUnreadable):
+            read_page(body % entries)
+
     def test_reason_names_the_invalid_field(self):
         (found,) = read_page(page(entry(slots="6"))).unreadable
         self.assertIn("slots", found.reason)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -200,6 +200,23 @@
         stored = await site.control_call("GET", "/-/config")
         self.assertEqual(json.loads(stored.body)["version"], 5)
 
+    @on_site
+    async def test_change_takes_effect_beside_a_foreign_list_entry(self, site):
+        """Guards against one entry in the list that cuts a region off from the core."""
+        foreign = site.targets[0].listed() | {"id": "job-17", "service": "jobs"}
+        site.listed.append(foreign | {"cold_left_ms": 1e20})
+
+        async def is_listed():
+            return any("job-17" in str(line) for line in site.lines("core"))
+
+        await site.until(is_listed)
+        await site.put(manifest(2, path_prefix="/new/"))
+
+        async def is_served():
+            return (await site.ask("/new/a")).status == 200
+
+        await site.until(is_served)
+
     @on_site
     async def test_operator_changes_the_weight_of_an_organisation(self, site):
         path = "/-/weights/acme"
