Bound the numbers of manifests, engines' reports and request headers

A manifest of version 2^64 failed in the middle of its agreement: the operator got 500, as from a fault of ours that another host may not have. A priority of -2^70 was accepted, and no query to the scheduler can carry it. By reading, a report with such a number ended the task that exchanges loads. A length hint of "inf" was answered 500.

Manifests and headers with such numbers are refused with 400, reports are unreadable, which leaves the load of that engine unknown.

--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -49,6 +49,12 @@
         {"x_bronzepoint_deadline_ms": "soon"},
         {"x_bronzepoint_token_usage": "many"},
         {"x_bronzepoint_prompt_prefix": "5c:x"},
+        # A message to the scheduler can't carry these numbers.
+        {"x_bronzepoint_token_usage": "9" * 20},
+        {"x_bronzepoint_token_usage": f"{2**53},1"},
+        {"x_bronzepoint_prompt_prefix": f"5c:{2**70}"},
+        {"x_bronzepoint_token_usage": "1,1", "x_bronzepoint_length_hint": "inf"},
+        {"x_bronzepoint_token_usage": "1,1", "x_bronzepoint_length_hint": "1e30"},
     )
     def test_unreadable_header_is_a_bad_request(self, headers):
         with self.assertRaises(BadRequest):
--- a/tests/test_platform_list.py
+++ b/tests/test_platform_list.py
@@ -251,6 +251,8 @@
         ("i-1~5", {**REPORT, "born": "5"}, ReportUnreadable),
         ("i-1~5", {**REPORT, "running": None}, ReportUnreadable),
         ("i-1~5", {"running": 1}, ReportUnreadable),
+        ("i-1~5", {**REPORT, "waiting": 2**64}, ReportUnreadable),
+        ("i-1~5", {**REPORT, "kv_total": -1}, ReportUnreadable),
         ("i-1~5", [], ReportUnreadable),
     )
     def test_report_is_checked_for_restarts(self, incarnation, body, expected):
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -163,6 +163,9 @@
         (json.dumps(manifest(2, service="none")).encode(), "not declared"),
         (json.dumps(manifest(2, path_prefix="/once/")).encode(), "share a host"),
         (json.dumps(manifest(2, timeout_ms=0)).encode(), "above 0"),
+        (json.dumps(manifest(2**64)).encode(), "can't be read"),
+        (json.dumps(manifest(2, priority=-(2**70))).encode(), "can't be read"),
+        (b'{"version":2,"more":%s%s}' % (b"[" * 3000, b"]" * 3000), "can't be read"),
         (
             json.dumps(
                 manifest(2, traffic_split=[{"service": "s", "weight": 0}])
