Try to connect to a peer again after a lack of descriptors

connect() created its socket outside the guard, so EMFILE ended the task that sends to that peer, and nothing started it again.

A socket that can't be created is a failed attempt like any other and is tried again after the usual pause.

--- a/packages/common/src/bronzepoint_common/peers/_stream.py
+++ b/packages/common/src/bronzepoint_common/peers/_stream.py
@@ -75,7 +75,10 @@
 async def connect(address: str, timeout: float) -> socket.socket | None:
     """Connect to ``host:port``; return None if that fails or times out (seconds)."""
     host, port = split_address(address)
-    sock = socket.socket(family(host))
+    try:
+        sock = socket.socket(family(host))
+    except OSError:  # too many open files
+        return None
     sock.setblocking(False)
     try:
         async with curio.ignore_after(timeout):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Control messages between hosts: exchange, rejection, and loss."""
 
+import errno
 import unittest
 from unittest import mock
 
@@ -18,6 +19,7 @@
     PeerTimeout,
     PeerUnknown,
     _outbox,
+    _stream,
 )
 from bronzepoint_common.peers._frame import decode_frame, encode_frame
 from bronzepoint_common.peers._outbox import Outbox
@@ -186,6 +188,26 @@
 
         curio.run(run_pair, use)
 
+    def test_lack_of_descriptors_does_not_end_the_sending(self):
+        """Guards against a host that is cut off for good once descriptors run out."""
+        received = []
+
+        async def note(sender, message):
+            received.append(message.text)
+
+        async def use(a, b):
+            b.register(Area.AGREEMENT, Ping, note)
+            error = OSError(errno.EMFILE, "too many open files")
+            with mock.patch.object(_stream.socket, "socket", side_effect=error):
+                a.post(B, Area.AGREEMENT, Ping("first"))
+                await curio.sleep(0.2)
+            async with curio.ignore_after(MAX_WAIT):
+                while not received:
+                    await curio.sleep(0.01)
+            self.assertEqual(received, ["first"])
+
+        curio.run(run_pair, use)
+
     def test_unknown_peer(self):
         async def use(a, b):
             self.assertFalse(a.post(HostName("c"), Area.AGREEMENT, Ping("x")))
