Start background tasks again after unexpected errors

All tasks that serve for the life of a process ran without a guard. If one ended, the process stayed live and ready without it: a core host that reads the list no more, an entry host that syncs no more, a scheduler whose knowledge grows old.

A leader whose task fails steps down before. An entry host treats an answer that it can't apply like none and asks another core host, also at the start, and goes on with targets and closed data centers if it can't read a catalogue.

What logs and metrics couldn't tell apart: on an entry host, a core that doesn't answer it any more looked like a network partition, and readiness shows neither. New are the gauge catalogue.confirmed_age on entry hosts and the counter log.errors on all.

--- a/packages/common/src/bronzepoint_common/http/_server.py
+++ b/packages/common/src/bronzepoint_common/http/_server.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.http._address import format_address, parse_address
 from bronzepoint_common.http._errors import HttpError, TooManyConnections
 from bronzepoint_common.http._exchange import Exchange
@@ -80,7 +81,7 @@
         self._listener = listener
         self._address = format_address(*listener.getsockname()[:2])
         self._state = ServerState.SERVING
-        self._accepting = await curio.spawn(self._accept_all, daemon=True)
+        self._accepting = await spawn_background(self._accept_all)
 
     async def _accept_all(self) -> None:
         while True:
--- a/packages/common/src/bronzepoint_common/http/_stall_monitor.py
+++ b/packages/common/src/bronzepoint_common/http/_stall_monitor.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.http._answer import ClientAnswer
 
 INTERVAL = 0.25
@@ -26,7 +27,7 @@
         """Start monitoring an answer."""
         self._answers.add(answer)
         if self._task is None:
-            self._task = await curio.spawn(self._run, daemon=True)
+            self._task = await spawn_background(self._run)
 
     def remove(self, answer: ClientAnswer) -> None:
         """Stop monitoring an answer."""
--- a/packages/common/src/bronzepoint_common/logs.py
+++ b/packages/common/src/bronzepoint_common/logs.py
@@ -51,7 +51,8 @@
         stream: Output stream of the lines.
         level: Minimum level that is written.
         host: Name of this host, a field of each line.
-        metrics: Counts dropped lines as ``log.lost_lines``.
+        metrics: Counts errors as ``log.errors``, and dropped lines as
+            ``log.lost_lines``.
     """
 
     def __init__(
@@ -75,6 +76,8 @@
         error must not end the request that logs, so the line is dropped and counted;
         the next line that can be written carries the count in ``lost_lines``.
         """
+        if record.level >= logbook.ERROR:
+            self._metrics.incr("log.errors")
         line = self._encode(record)
         try:
             self._stream.write(line)
--- a/packages/common/src/bronzepoint_common/loop_lag_monitor.py
+++ b/packages/common/src/bronzepoint_common/loop_lag_monitor.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.lag import Lag
 from bronzepoint_common.logs import get_logger
@@ -39,7 +40,7 @@
 
     async def start(self) -> None:
         """Start measuring."""
-        self._task = await curio.spawn(self._run, daemon=True)
+        self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
         """Stop measuring."""
--- a/packages/common/src/bronzepoint_common/metrics.py
+++ b/packages/common/src/bronzepoint_common/metrics.py
@@ -7,6 +7,7 @@
 from hdrh.histogram import HdrHistogram
 from statsd import StatsClient
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.settings import split_address
 from bronzepoint_schema.generated.settings import MetricsSection
 
@@ -96,7 +97,7 @@
                 maxudpsize=MAX_PACKET,
                 ipv6=":" in host,
             )
-            self._task = await curio.spawn(self._flush_periodically, daemon=True)
+            self._task = await spawn_background(self._flush_periodically)
         return self
 
     async def close(self) -> None:
--- a/packages/common/src/bronzepoint_common/peers/_listener.py
+++ b/packages/common/src/bronzepoint_common/peers/_listener.py
@@ -7,6 +7,7 @@
 import curio
 from curio.traps import _read_wait
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.peers._errors import FrameRejected
 from bronzepoint_common.peers._stream import (
     MAX_FRAME_BYTES,
@@ -64,7 +65,7 @@
             (host, port), family=family(host), backlog=_BACKLOG
         )
         self._sock.setblocking(False)
-        self._accepting = await curio.spawn(self._accept, self._sock, daemon=True)
+        self._accepting = await spawn_background(self._accept, self._sock)
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
--- a/packages/common/src/bronzepoint_common/peers/_outbox.py
+++ b/packages/common/src/bronzepoint_common/peers/_outbox.py
@@ -8,6 +8,7 @@
 import curio
 from curio.traps import _read_wait, _write_wait
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.peers._stream import connect, frame_head
 
@@ -104,7 +105,7 @@
     async def resume(self) -> None:
         """Start the task, or let it write queued frames."""
         if self._task is None and not self._closed:
-            self._task = await curio.spawn(self._run, daemon=True)
+            self._task = await spawn_background(self._run)
             return
         await self._has_work.set()
 
--- a/packages/common/src/bronzepoint_common/peers/_peers.py
+++ b/packages/common/src/bronzepoint_common/peers/_peers.py
@@ -9,6 +9,7 @@
 import msgspec
 from curio.traps import _read_wait
 
+from bronzepoint_common.background import keep_running
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
@@ -94,7 +95,7 @@
         # `post` isn't a coroutine, so it can't set a curio event; an eventfd wakes
         # the task instead.
         self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
-        await self._tasks.spawn(self._resume_outboxes)
+        await self._tasks.spawn(keep_running, self._resume_outboxes)
         for peer in self._addresses:
             self._add_outbox(peer)
 
@@ -300,7 +301,7 @@
         if inbox is None:
             inbox = curio.Queue()
             self._inboxes[envelope.sender] = inbox
-            await self._tasks.spawn(self._serve, inbox)
+            await self._tasks.spawn(keep_running, self._serve, inbox)
         # A peer that sends faster than this host handles messages must not fill its
         # memory. The protocols tolerate the loss like one on the network.
         if inbox.qsize() >= _MAX_INBOX_FRAMES:
--- a/packages/node/src/bronzepoint_node/_daemon.py
+++ b/packages/node/src/bronzepoint_node/_daemon.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.http import HttpClient, HttpLimits, HttpServer
 from bronzepoint_common.logs import JsonLinesHandler, get_logger
 from bronzepoint_common.loop_lag_monitor import LoopLagMonitor
@@ -232,7 +233,7 @@
 
 async def run_daemon(settings: Settings, log_handler: JsonLinesHandler) -> None:
     """Run one daemon until SIGTERM or SIGINT; a second signal stops it immediately."""
-    await curio.spawn(log_handler.flush_periodically, daemon=True)
+    await spawn_background(log_handler.flush_periodically)
     async with SignalWaiter() as signals:
         daemon = Daemon(settings)
         try:
--- a/packages/node/src/bronzepoint_node/_load_publisher.py
+++ b/packages/node/src/bronzepoint_node/_load_publisher.py
@@ -3,6 +3,7 @@
 import curio
 import msgspec
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_node.catalogue import CatalogueView
 from bronzepoint_node.membership import LoadSummary, Membership
 from bronzepoint_node.policy import Policy
@@ -34,7 +35,7 @@
 
     async def start(self) -> None:
         """Start publishing."""
-        self._task = await curio.spawn(self._run)
+        self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
         """Stop publishing."""
--- a/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
@@ -5,6 +5,7 @@
 import curio
 import uuid_utils
 
+from bronzepoint_common.background import keep_running
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.documents import (
     DeltaMismatch,
@@ -141,8 +142,8 @@
             last_index=self._voter.log.last_index,
         )
         if may_form and not self._voter.log.identity.cluster:
-            await self._tasks.spawn(self._form_cluster)
-        await self._tasks.spawn(self._keep_joined)
+            await self._tasks.spawn(keep_running, self._form_cluster)
+        await self._tasks.spawn(keep_running, self._keep_joined)
 
     async def close(self) -> None:
         """Stop this host's voter and its tasks."""
--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from bronzepoint_common.background import keep_running
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
@@ -139,8 +140,8 @@
         # because the log is damaged.
         self._is_open = True
         await self._applied.set()
-        await self._tasks.spawn(self._run_elections)
-        await self._tasks.spawn(self._update_catalogue)
+        await self._tasks.spawn(keep_running, self._run_elections)
+        await self._tasks.spawn(keep_running, self._update_catalogue)
 
     async def close(self) -> None:
         """Stop the voter's tasks and close the files."""
@@ -419,4 +420,8 @@
                     await leadership.run()
             except StorageError as exc:
                 await self.fail(exc)
-            self._leadership = None
+            finally:
+                # Without its task, a term must not seem to be led by this host.
+                if self._leadership is not None:
+                    self._leadership.stop()
+                self._leadership = None
--- a/packages/node/src/bronzepoint_node/catalogue/_catalogue.py
+++ b/packages/node/src/bronzepoint_node/catalogue/_catalogue.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from bronzepoint_common.background import keep_running
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
@@ -114,9 +115,9 @@
         self._started_at = monotonic()
         if self._recovered:
             self._on_held_change()
-        await self._tasks.spawn(self._catch_up)
-        await self._tasks.spawn(self._follow)
-        await self._tasks.spawn(self._monitor)
+        await self._tasks.spawn(keep_running, self._catch_up)
+        await self._tasks.spawn(keep_running, self._follow)
+        await self._tasks.spawn(keep_running, self._monitor)
 
     async def close(self) -> None:
         """Stop replication and close the files."""
--- a/packages/node/src/bronzepoint_node/core/_core_quarantine.py
+++ b/packages/node/src/bronzepoint_node/core/_core_quarantine.py
@@ -7,6 +7,7 @@
 import curio
 import msgspec
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, Peers
@@ -73,7 +74,7 @@
     async def start(self) -> None:
         """Load the saved records and start saving changes."""
         await self._load()
-        self._task = await curio.spawn(self._run, daemon=True)
+        self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
         """Stop saving."""
--- a/packages/node/src/bronzepoint_node/core/_core_sync.py
+++ b/packages/node/src/bronzepoint_node/core/_core_sync.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.documents import NO_BASE
 from bronzepoint_common.logs import get_logger
@@ -83,7 +84,7 @@
 
     async def start(self) -> None:
         """Start sending notices."""
-        self._task = await curio.spawn(self._send_notices, daemon=True)
+        self._task = await spawn_background(self._send_notices)
 
     async def close(self) -> None:
         """Stop sending notices."""
--- a/packages/node/src/bronzepoint_node/core/_region_scheduler.py
+++ b/packages/node/src/bronzepoint_node/core/_region_scheduler.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
@@ -134,7 +135,7 @@
 
     async def start(self) -> None:
         """Start answering entry hosts."""
-        self._task = await curio.spawn(self._run, daemon=True)
+        self._task = await spawn_background(self._run)
         await self._exchange.start()
         await self._engine_poller.start()
 
--- a/packages/node/src/bronzepoint_node/core/_target_reader.py
+++ b/packages/node/src/bronzepoint_node/core/_target_reader.py
@@ -7,6 +7,7 @@
 import curio
 import msgspec
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_schema.generated.fleet import ServiceVersion, TargetInfo, TargetList
@@ -65,7 +66,7 @@
 
     async def start(self) -> None:
         """Start reading."""
-        self._task = await curio.spawn(self._run, daemon=True)
+        self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
         """Stop reading."""
--- a/packages/node/src/bronzepoint_node/decisions/_decisions.py
+++ b/packages/node/src/bronzepoint_node/decisions/_decisions.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area, PeerError, Peers
 from bronzepoint_node.decisions._backups import HostsView
@@ -58,7 +59,7 @@
     async def start(self) -> None:
         """Start to answer queries of other hosts and to send copies."""
         self._peers.register(Area.DECISIONS, DecisionMessage, self._handle)
-        self._task = await curio.spawn(self._copy_periodically, daemon=True)
+        self._task = await spawn_background(self._copy_periodically)
 
     async def close(self) -> None:
         """Send the records that have not been copied yet.
--- a/packages/node/src/bronzepoint_node/fleet/_sync_client.py
+++ b/packages/node/src/bronzepoint_node/fleet/_sync_client.py
@@ -6,9 +6,11 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.documents import NO_BASE
 from bronzepoint_common.logs import get_logger
+from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area, PeerError, Peers
 from bronzepoint_node.quarantine import CrashTable
 from bronzepoint_schema.generated.fleet import (
@@ -71,6 +73,7 @@
         decode: Decodes a catalogue document.
         seeds: Core hosts to query first.
         peers: Links to the other hosts.
+        metrics: Receives the age of the last confirmation by the core.
 
     Attributes:
         catalogue: Catalogue in effect, None until received; its version only grows.
@@ -90,6 +93,7 @@
         decode: Callable[[bytes], ServedCatalogue],
         seeds: list[HostName],
         peers: Peers,
+        metrics: Metrics | None = None,
     ) -> None:
         self.catalogue: ServedCatalogue | None = None
         self.closed: frozenset[DataCenterName] = frozenset()
@@ -104,12 +108,15 @@
         self._decode = decode
         self._seeds = seeds
         self._peers = peers
+        self._metrics = metrics if metrics is not None else Metrics()
+        self._started_at = monotonic()
         self._region = region
         self._current: HostName | None = None
         self._revision = 0
         self._confirmed_at = float("-inf")
         self._reports_loads = False
         self._copy = DocumentCopy()
+        self._unreadable_version = NO_BASE
         self._avoided_until: dict[HostName, float] = {}
         self._on_change: list[Callable[[], None]] = []
         self._task: curio.Task | None = None
@@ -122,8 +129,8 @@
 
     async def start(self) -> None:
         """Start querying the core."""
-        self._task = await curio.spawn(self._run, daemon=True)
-        self._secondary_task = await curio.spawn(self._query_secondary, daemon=True)
+        self._task = await spawn_background(self._run)
+        self._secondary_task = await spawn_background(self._query_secondary)
 
     async def close(self) -> None:
         """Stop querying the core."""
@@ -148,6 +155,7 @@
             began = monotonic()
             core = self._select_core_host()
             answered = await self._query(core)
+            self._report_age()
             elapsed = monotonic() - began
             is_current = answered and core not in self._avoided_until
             is_last = answered and not self._usable_core_hosts()
@@ -181,6 +189,14 @@
             if others:
                 await self._query(random.choice(others))
 
+    def _report_age(self) -> None:
+        """Update the metric that shows whether the core still confirms the catalogue.
+
+        Readiness doesn't show it: a host that is cut off goes on serving.
+        """
+        age = min(self.confirmed_age(), monotonic() - self._started_at)
+        self._metrics.gauge("catalogue.confirmed_age", round(age, 3))
+
     def _select_core_host(self) -> HostName:
         """Return the core host to query, from this region if one there is current."""
         names = self._usable_core_hosts()
@@ -214,6 +230,11 @@
                 "core host lost", core=core, reason=str(exc), held_version=held
             )
             return False
+        except Exception:
+            # The answers of other core hosts may be sound.
+            self._avoid(core)
+            _log.exception("answer not applied", core=core)
+            return False
         finally:
             self._copy.release(core)
         return True
@@ -309,9 +330,15 @@
         if not self._copy.take(core, reply.document, seconds):
             return False
         held = self.catalogue.version if self.catalogue else NO_BASE
-        if self._copy.version > held:
+        if self._copy.version > max(held, self._unreadable_version):
             began = time.process_time()
-            self.catalogue = self._decode(self._copy.content)
+            try:
+                self.catalogue = self._decode(self._copy.content)
+            except Exception:
+                # The rest of the answer is sound: targets, closed data centers.
+                self._unreadable_version = self._copy.version
+                _log.exception("catalogue not read", version=self._copy.version)
+                return False
             used = time.process_time()
             _log.info(
                 "catalogue in force",
--- a/packages/node/src/bronzepoint_node/membership/_membership.py
+++ b/packages/node/src/bronzepoint_node/membership/_membership.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from bronzepoint_common.background import keep_running
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area, Peers
@@ -98,9 +99,9 @@
     async def start(self) -> None:
         """Start answering other hosts and start gossip."""
         self._peers.register(Area.MEMBERSHIP, MembershipMessage, self._handle)
-        await self._tasks.spawn(self._run_gossip)
-        await self._tasks.spawn(self._run_reporter)
-        await self._tasks.spawn(self._run_clock)
+        await self._tasks.spawn(keep_running, self._run_gossip)
+        await self._tasks.spawn(keep_running, self._run_reporter)
+        await self._tasks.spawn(keep_running, self._run_clock)
 
     async def close(self) -> None:
         """Announce to the region that this host has left, and stop."""
--- a/packages/node/src/bronzepoint_node/orders/_orders.py
+++ b/packages/node/src/bronzepoint_node/orders/_orders.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
@@ -86,7 +87,7 @@
 
     async def start(self) -> None:
         """Start the control loop."""
-        self._task = await curio.spawn(self._run, daemon=True)
+        self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
         """Stop sending orders."""
--- a/packages/node/src/bronzepoint_node/placement/_engine_poller.py
+++ b/packages/node/src/bronzepoint_node/placement/_engine_poller.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 
@@ -62,7 +63,7 @@
 
     async def start(self) -> None:
         """Start polling."""
-        self._run = await curio.spawn(self._manage_tasks, daemon=True)
+        self._run = await spawn_background(self._manage_tasks)
 
     async def close(self) -> None:
         """Stop polling."""
@@ -75,9 +76,7 @@
         while True:
             names = {t.info.incarnation for t in self._table.all() if t.engine}
             for name in names - self._tasks.keys():
-                self._tasks[name] = await curio.spawn(
-                    self._poll_repeatedly, name, daemon=True
-                )
+                self._tasks[name] = await spawn_background(self._poll_repeatedly, name)
             for name in self._tasks.keys() - names:
                 self._unreadable.pop(name, None)
                 await self._tasks.pop(name).cancel()
--- a/packages/node/src/bronzepoint_node/placement/_load_exchange.py
+++ b/packages/node/src/bronzepoint_node/placement/_load_exchange.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, Peers
@@ -89,7 +90,7 @@
     async def start(self) -> None:
         """Start the reports."""
         self._switched_at = monotonic()
-        self._task = await curio.spawn(self._run, daemon=True)
+        self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
         """Stop the reports."""
--- a/packages/node/src/bronzepoint_node/policy/_limits.py
+++ b/packages/node/src/bronzepoint_node/policy/_limits.py
@@ -7,6 +7,7 @@
 import curio
 from msgspec import Struct, field
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area, PeerError, Peers
 from bronzepoint_node.policy._inputs import RequestView
@@ -149,7 +150,7 @@
 
     async def start(self) -> None:
         """Start reporting demand."""
-        self._task = await curio.spawn(self._report_periodically)
+        self._task = await spawn_background(self._report_periodically)
 
     async def close(self) -> None:
         """Stop reporting."""
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
@@ -171,7 +172,7 @@
 
     async def start(self) -> None:
         """Start the removal of expired crashes and the return of unused permits."""
-        self._task = await curio.spawn(self._expire, daemon=True)
+        self._task = await spawn_background(self._expire)
 
     async def close(self) -> None:
         """Stop the removal of expired crashes and the return of unused permits."""
--- a/packages/node/src/bronzepoint_node/quota/_quota_counter.py
+++ b/packages/node/src/bronzepoint_node/quota/_quota_counter.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, Peers
@@ -68,7 +69,7 @@
 
     async def start(self) -> None:
         """Start sending sums to the other counters."""
-        self._task = await curio.spawn(self._run, daemon=True)
+        self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
         """Stop sending sums."""
--- a/packages/node/src/bronzepoint_node/quota/_quotas.py
+++ b/packages/node/src/bronzepoint_node/quota/_quotas.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
@@ -60,7 +61,7 @@
 
     async def start(self) -> None:
         """Start reporting."""
-        self._task = await curio.spawn(self._run, daemon=True)
+        self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
         """Stop reporting."""
--- a/packages/node/src/bronzepoint_node/run_once/_replica_log.py
+++ b/packages/node/src/bronzepoint_node/run_once/_replica_log.py
@@ -7,6 +7,7 @@
 import curio
 import msgspec
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.storage import RecordLog, StorageCorrupt, StorageFailed
@@ -94,7 +95,7 @@
             _log.error(str(exc), set_aside=str(aside))
             lines = await curio.run_in_thread(self._log.open)
         self._count = len(lines)
-        self._task = await curio.spawn(self._write_groups, daemon=True)
+        self._task = await spawn_background(self._write_groups)
         decoder = msgspec.msgpack.Decoder(LogRecord)
         return [decoder.decode(line) for line in lines]
 
--- a/packages/node/src/bronzepoint_node/run_once/_run_once.py
+++ b/packages/node/src/bronzepoint_node/run_once/_run_once.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from bronzepoint_common.background import keep_running
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area, PeerError, Peers
@@ -126,8 +127,8 @@
         self._owners.begin()
         await self._restore(await self._log.start())
         self._peers.register(Area.RUN_ONCE, RunOnceMessage, self._handle)
-        await self._background.spawn(self._recovery.run)
-        await self._background.spawn(self._expire)
+        await self._background.spawn(keep_running, self._recovery.run)
+        await self._background.spawn(keep_running, self._expire)
 
     async def close(self, grace: float | None = None) -> None:
         """Wait for outcomes that are not yet recorded, then stop.
--- a/packages/node/src/bronzepoint_node/stream_origins/_origins.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_origins.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.batches import first_batch
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.metrics import Metrics
@@ -107,7 +108,7 @@
 
     async def start(self) -> None:
         """Start telling the keepers of streams."""
-        self._task = await curio.spawn(self._run, daemon=True)
+        self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
         """Stop telling the keepers, after what is left to tell."""
--- a/packages/node/src/bronzepoint_node/targets/_poller.py
+++ b/packages/node/src/bronzepoint_node/targets/_poller.py
@@ -8,6 +8,7 @@
 import curio
 import msgspec
 
+from bronzepoint_common.background import spawn_background
 from bronzepoint_common.http import (
     ConnectFailed,
     HttpClient,
@@ -66,7 +67,7 @@
 
     async def start(self) -> None:
         """Start polling."""
-        self._task = await curio.spawn(self._run, daemon=True)
+        self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
         """Stop polling."""
--- a/packages/node/src/bronzepoint_node/targets/_targets.py
+++ b/packages/node/src/bronzepoint_node/targets/_targets.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from bronzepoint_common.background import keep_running
 from bronzepoint_common.http import HttpClient
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
@@ -96,7 +97,7 @@
 
     async def start(self) -> None:
         """Start watching."""
-        await self._tasks.spawn(self._run)
+        await self._tasks.spawn(keep_running, self._run)
         platform = self._settings.platform
         if platform.host_list:
             reader = HostListReader(
@@ -106,7 +107,7 @@
                 self._on_host_list,
                 self._metrics,
             )
-            await self._tasks.spawn(reader.run)
+            await self._tasks.spawn(keep_running, reader.run)
 
     async def close(self) -> None:
         """Stop watching."""
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -5,6 +5,7 @@
 
 import curio
 import msgspec
+from logbook import TestHandler as LogCapture
 from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
@@ -30,6 +31,8 @@
 )
 
 READY = EntryState.ready
+MAX_WAIT = 10.0
+"""Seconds after which a host counts as stuck."""
 
 
 def entry(name, age_ms=0, state=READY):
@@ -262,6 +265,52 @@
         self.assertEqual(peers.queried[-1], "c2")
         self.assertLessEqual(peers.queried.count("c1"), 1)
 
+    def test_age_of_the_last_confirmation_is_reported(self):
+        """Guards against a host that is ready, and cut off without a sign of it."""
+        client, peers = make_client({"c1": make_reply(3)})
+
+        async def main():
+            await client._query("c1")
+            peers.answers.clear()
+            await client._query("c1")
+            await curio.sleep(0.05)
+            client._report_age()
+
+        curio.run(main)
+        age = client._metrics.gauges()["catalogue.confirmed_age"]
+        self.assertGreaterEqual(age, 0.05)
+
+    def test_core_host_whose_answer_fails_is_replaced_by_the_next(self):
+        """Guards against a host that never starts since one core host answers badly."""
+        unusable = make_reply(3, targets=make_target_list())
+        unusable.hosts = [None]
+        usable = make_reply(3, targets=make_target_list())
+        client, _ = make_client({"c1": unusable, "c2": usable}, seeds=("c1", "c2"))
+
+        async def main():
+            async with curio.ignore_after(MAX_WAIT):
+                await client._query_seeds()
+            async with curio.ignore_after(MAX_WAIT):
+                while not await client._query(client._select_core_host()):
+                    pass
+            return client._current
+
+        with LogCapture() as log:
+            self.assertEqual(curio.run(main), "c2")
+        messages = [record.message for record in log.records]
+        self.assertIn("answer not applied", messages)
+
+    def test_unreadable_catalogue_does_not_hold_up_the_rest(self):
+        """Guards against a host that gets no targets while it can't read a document."""
+        client, _ = make_client()
+        client._decode = mock.Mock(side_effect=ValueError("a newer format"))
+        for _ in range(2):
+            reply = make_reply(3, closed=["z"], targets=make_target_list())
+            client._apply_reply("c1", reply, monotonic())
+        self.assertEqual(client.closed, {"z"})
+        self.assertEqual(len(client.targets), 1)
+        self.assertEqual(client._decode.call_count, 1)
+
     @params(
         ({"c1": None, "c2": make_reply(3, targets=make_target_list())}, 3),
         ({"c1": make_reply(-1), "c2": make_reply(3, targets=make_target_list())}, 3),
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -14,6 +14,7 @@
     get_logger,
     setup_logs,
 )
+from bronzepoint_common.metrics import Metrics
 from bronzepoint_schema.generated.settings import LogSection
 from bronzepoint_schema.ids import HostName
 
@@ -90,6 +91,14 @@
         self.assertEqual([line["number"] for line in lines], [2, 3])
         self.assertEqual([line.get("lost_lines") for line in lines], [2, None])
 
+    @params(("info", 0), ("warning", 0), ("error", 1), ("critical", 1))
+    def test_errors_are_counted(self, level, count):
+        """Guards against failures of background tasks that no metric shows."""
+        metrics = Metrics()
+        with JsonLinesHandler(io.StringIO(), "info", "h", metrics).applicationbound():
+            getattr(log, level)("line")
+        self.assertEqual(metrics.counters().get("log.errors", 0), count)
+
 
 class LogFiles(unittest.TestCase):
     def test_file_is_appended_to(self):
