--- a/packages/node/src/bronzepoint_node/agreement/__init__.py
+++ b/packages/node/src/bronzepoint_node/agreement/__init__.py
@@ -9,6 +9,7 @@
     Invalid,
     NoQuorum,
     NotLeader,
+    Overtaken,
     SettingsUnsafe,
     VoterWithoutDisk,
 )
@@ -25,6 +26,7 @@
     "Invalid",
     "NoQuorum",
     "NotLeader",
+    "Overtaken",
     "Role",
     "SeededAgreement",
     "SettingsUnsafe",
--- a/packages/node/src/bronzepoint_node/agreement/_errors.py
+++ b/packages/node/src/bronzepoint_node/agreement/_errors.py
@@ -50,6 +50,16 @@
         )
 
 
+class Overtaken(AgreementError):
+    """Another order was applied since this one was given; this one has no effect."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "Another order to close or open a data center was accepted since this one "
+            "arrived, so it was dropped. Remedy: send it again if it still holds."
+        )
+
+
 class ChangeExpired(AgreementError):
     """The change is older than the outcomes that voters keep."""
 
--- a/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
@@ -1,5 +1,6 @@
 """Agreement on one document in a cluster that is formed from seed hosts."""
 
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import curio
@@ -46,7 +47,7 @@
 )
 
 from ._documents import compress_document
-from ._errors import InitialiseRefused, NotLeader
+from ._errors import Conflict, InitialiseRefused, NotLeader, Overtaken
 from ._initialisation import initialise_cluster
 from ._proposer import Proposer
 from ._voter import Voter
@@ -63,9 +64,15 @@
 """Seconds between two attempts to read the newest document from the leader."""
 _JOIN_INTERVAL = 0.5
 """Seconds between two requests to join while no leader replicates to this host."""
+OPERATOR_PATIENCE = 0.8
+"""Seconds for which no order of the same operator can have overtaken this one, as
+operators wait for an answer for a second before they ask another host."""
 _FIRST_START = "first-start"
 """Name of a snapshot file that marks a folder as empty at the system's first start."""
 
+Admit = Callable[[], Awaitable[None]]
+"""Returns while an operator waits for an order, else raises."""
+
 _log = get_logger("agreement")
 
 
@@ -215,15 +222,42 @@
         await self._propose(compress_document(version, content), timeout)
 
     async def close_data_center(
-        self, data_center: DataCenterName, closed: bool, timeout: float
+        self,
+        data_center: DataCenterName,
+        closed: bool,
+        timeout: float,
+        admit: Admit,
     ) -> None:
         """Close a data center's targets to new requests, or open them again.
 
+        The order applies only to the state that this host knew while the operator
+        still waited for it. An operator who gives up sends the next order through
+        another host, and this one may be delivered after that: by this host once it
+        resumes, or by the network.
+
+        Args:
+            data_center: The data center.
+            closed: False to open it again.
+            timeout: Seconds until the outcome counts as unknown.
+            admit: Returns while the operator waits for this order, else raises.
+
         Raises:
+            Overtaken: Another order was accepted since; this one has no effect.
             NotLeader: No leader was found; the change was not accepted.
             NoQuorum: The outcome is unknown; sending it again is harmless.
         """
-        await self._propose(CloseDataCenter(data_center, closed), timeout)
+        began = monotonic()
+        known_index = self._voter.state_machine.index
+        while True:
+            await admit()
+            op = CloseDataCenter(data_center, closed, known_index)
+            try:
+                await self._propose(op, began + timeout - monotonic())
+                return
+            except Conflict as exc:
+                if monotonic() - began > OPERATOR_PATIENCE:
+                    raise Overtaken from exc
+                known_index = exc.version
 
     async def read_newest(self, timeout: float) -> ReplaceDocument | None:
         """Return the document that was the newest one at some time during this call.
--- a/packages/node/src/bronzepoint_node/agreement/_state_machine.py
+++ b/packages/node/src/bronzepoint_node/agreement/_state_machine.py
@@ -89,6 +89,7 @@
     Attributes:
         documents: The catalogue document; without one, the catalogue is kept by item.
         closed: Data centers whose targets receive no requests.
+        closing_index: Position of the last order to close or open a data center.
     """
 
     def __init__(self, cluster: ClusterId, voters: list[Voter]) -> None:
@@ -99,6 +100,7 @@
         self.revision = Revision(0)
         self.documents = DocumentHistory()
         self.closed: frozenset[DataCenterName] = frozenset()
+        self.closing_index = 0
         self._items: dict[ItemKey, CatalogueItem] = {}
         self._versions: dict[ItemKey, StoredVersion] = {}
         self._removed: dict[ItemKey, None] = {}
@@ -130,6 +132,7 @@
                 document.version, document.content
             )
         state_machine.closed = frozenset(snapshot.closed)
+        state_machine.closing_index = snapshot.closing_index
         return state_machine
 
     @property
@@ -156,6 +159,7 @@
             forgotten=self._newest_evicted,
             document=self.document,
             closed=sorted(self.closed),
+            closing_index=self.closing_index,
         )
 
     def view(self) -> ViewSnapshot:
@@ -246,6 +250,16 @@
         return self._accept(change, document_version(op))
 
     def _close_data_center(self, change: Change, op: CloseDataCenter) -> ApplyResult:
+        """Apply an order unless another one has been applied since it was given.
+
+        An order without effect counts, too: it may be the repetition of one that is
+        still on its way from another host.
+        """
+        if 0 <= op.known_index < self.closing_index:
+            result = Conflicted(change.change_id, OperatorName(""), self.closing_index)
+            self._store_result(result)
+            return ApplyResult(result)
+        self.closing_index = self.index
         names = {op.data_center}
         closed = self.closed | names if op.closed else self.closed - names
         if closed != self.closed:
--- a/packages/node/src/bronzepoint_node/core/__init__.py
+++ b/packages/node/src/bronzepoint_node/core/__init__.py
@@ -2,6 +2,7 @@
 
 from ._core_quarantine import CoreQuarantine
 from ._core_sync import CoreSync
+from ._order_gate import OrderGate, OrderRefused
 from ._region_scheduler import RegionScheduler
 from ._target_reader import ListUnavailable, TargetReader
 
@@ -9,6 +10,8 @@
     "CoreSync",
     "ListUnavailable",
     "CoreQuarantine",
+    "OrderGate",
+    "OrderRefused",
     "RegionScheduler",
     "TargetReader",
 ]
--- a/tests/test_agreement_seeded.py
+++ b/tests/test_agreement_seeded.py
@@ -1,12 +1,15 @@
 """A core that forms from seeds, replicates one document and replaces lost hosts."""
 
 import unittest
+from unittest import mock
 
 import curio
 from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
-from bronzepoint_node.agreement import AgreementError
+from bronzepoint_common.http import Disconnected
+from bronzepoint_node.agreement import AgreementError, Overtaken
+from bronzepoint_node.agreement import _seeded_agreement as seeded_agreement
 from bronzepoint_node.agreement._vote_handler import VoteHandler
 from bronzepoint_schema.generated.agreement import Voter, VoteRequest, VotersBody
 from tests._seeded_cluster import PartitionablePeers, SeededCluster, with_cluster
@@ -14,6 +17,10 @@
 FIVE = ("a1", "b1", "c1", "a2", "b2")
 
 
+async def admitted():
+    """Admit an order whose operator waits."""
+
+
 def repairs(entries, name, cluster):
     """Return whether an entry gives a host's new storage its vote."""
     if name not in cluster.running:
@@ -189,7 +196,7 @@
         test_agreement_storage."""
         await cluster.until(lambda: cluster.voters("a1") == set(FIVE))
         await cluster.put("a1", 9, b"nine")
-        await cluster.running["b1"].close_data_center("a-x", True, 10.0)
+        await cluster.running["b1"].close_data_center("a-x", True, 10.0, admitted)
         for name in FIVE:
             await cluster.stop(name)
         for name in FIVE:
@@ -197,6 +204,55 @@
         self.assertEqual(await cluster.read("b2"), (9, b"nine"))
         await cluster.until(lambda: cluster.running["c1"].closed == {"a-x"})
 
+    @mock.patch.object(seeded_agreement, "OPERATOR_PATIENCE", 0.0)
+    @with_cluster(*FIVE)
+    async def test_order_is_dropped_when_a_newer_one_was_accepted(self, cluster):
+        """Guards against an evacuation undone by a host that was stopped meanwhile."""
+        a1, b1 = cluster.running["a1"], cluster.running["b1"]
+        await a1.close_data_center("a-x", True, 10.0, admitted)
+        resumed = curio.Event()
+
+        async def work():
+            await b1.close_data_center("a-x", False, 10.0, resumed.wait)
+
+        # b1 stops between reading the order and proposing it.
+        late = await curio.spawn(work)
+        await curio.sleep(0)
+        await a1.close_data_center("a-x", False, 10.0, admitted)
+        await a1.close_data_center("a-x", True, 10.0, admitted)
+        await resumed.set()
+        with self.assertRaises(curio.TaskError) as caught:
+            await late.join()
+        self.assertIsInstance(caught.exception.__cause__, Overtaken)
+        await cluster.until(lambda: b1.revision == a1.revision)
+        self.assertEqual((a1.closed, b1.closed), ({"a-x"}, {"a-x"}))
+
+    @mock.patch.object(seeded_agreement, "OPERATOR_PATIENCE", 60.0)
+    @with_cluster(*FIVE)
+    async def test_order_behind_another_is_given_again_if_its_operator_waits(
+        self, cluster
+    ):
+        """Guards against a refusal of one of two operators who order at once, and
+        against an order that is given again though its operator has left."""
+        a1, b1 = cluster.running["a1"], cluster.running["b1"]
+        checks = []
+
+        async def admit():
+            checks.append(None)
+            if len(checks) == 1:
+                await a1.close_data_center("a-x", True, 10.0, admitted)
+            elif len(checks) == 4:
+                raise Disconnected("it has left")
+            elif len(checks) == 3:
+                await a1.close_data_center("a-z", True, 10.0, admitted)
+
+        await b1.close_data_center("a-y", True, 10.0, admit)
+        self.assertEqual(len(checks), 2)
+        with self.assertRaises(Disconnected):
+            await b1.close_data_center("a-x", False, 10.0, admit)
+        await cluster.until(lambda: b1.revision == a1.revision)
+        self.assertEqual(b1.closed, {"a-x", "a-y", "a-z"})
+
     @with_cluster(*FIVE)
     async def test_restarted_host_confirms_nothing_before_leader_contact(self, cluster):
         """Guards against a route refused with 404 although its change was accepted.
--- a/tests/test_agreement_state_machine.py
+++ b/tests/test_agreement_state_machine.py
@@ -18,6 +18,7 @@
 from bronzepoint_schema.generated.agreement import (
     Accepted,
     ChangeBody,
+    CloseDataCenter,
     Conflicted,
     Expired,
     LogEntry,
@@ -50,6 +51,30 @@
         self.assertEqual(second, Conflicted(second.change_id, "olive", 1))
         self.assertEqual(self.state_machine.revision, 1)
 
+    @params(
+        # orders as (closed, known position or None for the newest), and what applies
+        ([(True, None)], {"z"}, [True]),
+        ([(True, None), (False, None)], set(), [True, True]),
+        # The opening was given before the closing that is applied first.
+        ([(True, None), (False, 1), (True, None), (False, 1)], {"z"}, [1, 1, 1, 0]),
+        # The same, and the newer closing finds it closed.
+        ([(True, None), (True, None), (False, 1)], {"z"}, [1, 1, 0]),
+        # Orders from an earlier version don't state what their host knew.
+        ([(True, None), (True, None), (False, -1)], set(), [1, 1, 1]),
+    )
+    def test_overtaken_order_has_no_effect(self, orders, closed, applied):
+        """Guards against an evacuation undone by an order that was delivered late."""
+        found = []
+        for close, known in orders:
+            known = self.state_machine.index if known is None else known
+            result = self.apply(make_change(CloseDataCenter("z", close, known)))
+            found.append(isinstance(result, Accepted))
+            snapshot = msgspec.msgpack.encode(self.state_machine.snapshot())
+            decoded = msgspec.msgpack.decode(snapshot, type=MachineSnapshot)
+            self.state_machine = StateMachine.restore(decoded)
+        self.assertEqual(self.state_machine.closed, closed)
+        self.assertEqual(found, [bool(each) for each in applied])
+
     @params(0, 2, 7)
     def test_version_must_be_the_next(self, version):
         self.assertIsInstance(self.apply(self.put(version=version)), Conflicted)
--- a/tests/test_platform_frozen_host.py
+++ b/tests/test_platform_frozen_host.py
@@ -5,6 +5,7 @@
 import unittest
 
 import curio
+from nose2.tools import params
 
 from tests._platform_site import PlatformSite
 
@@ -87,5 +88,55 @@
         self.assertEqual(self._arrivals(close_connections=False), CALLERS)
 
 
+CORES = {
+    "core": ("core", "127.0.0.2"),
+    "core-2": ("core", "127.0.0.4"),
+    "core-3": ("core", "127.0.0.5"),
+}
+FREEZE_TIME = 2.5
+"""Seconds for which a core host is suspended."""
+
+
+class TestFrozenCoreHost(unittest.TestCase):
+    @params("operator leaves", "end of the connection is lost", "operator goes on")
+    def test_order_read_after_a_pause_does_not_undo_newer_ones(self, case):
+        """Guards against an evacuation undone by an order that a frozen host had."""
+
+        async def main():
+            hosts = {**CORES, "entry": ("entry", "127.0.0.3")}
+            async with PlatformSite(hosts=hosts) as site:
+                await self._order(site, "POST", "core-2")
+                await site.until(lambda: self._is_closed(site))
+                site.signal("core-2", signal.SIGSTOP)
+                conn = socket.create_connection(("127.0.0.4", site.control))
+                conn.sendall(b"DELETE /-/evacuations/x-a HTTP/1.1\r\nHost: c\r\n\r\n")
+                await curio.sleep(1.0)
+                if case == "operator leaves":
+                    conn.close()
+                await self._order(site, "DELETE", "core-3")
+                if case != "operator goes on":
+                    await self._order(site, "POST", "core-3")
+                await curio.sleep(FREEZE_TIME - 1.0)
+                site.signal("core-2", signal.SIGCONT)
+                await curio.sleep(2.0)
+                closed = await self._is_closed(site)
+                conn.close()
+                messages = {line["message"] for line in site.lines("core-2")}
+                return closed, "data center open" in messages
+
+        closed = case != "operator goes on"
+        self.assertEqual(curio.run(main), (closed, False))
+
+    async def _order(self, site, method, name):
+        async def accepted():
+            path = "/-/evacuations/x-a"
+            return (await site.control_call(method, path, name=name)).status == 200
+
+        await site.until(accepted)
+
+    async def _is_closed(self, site):
+        return (await site.ask("/safe/a")).status == 503
+
+
 if __name__ == "__main__":
     unittest.main()
