Remember the software versions of the last minute across restarts

What callers saw: streams that broke off as all hosts were killed, taken up again, ran to their end with 200 and held events of two software versions: the first ones of a version that had left 0.3 s before the kill, the rest of the new one.

Cause: that a service has several versions was known to the memory of the core only. After a restart the core reported what the list named, one version, and entry hosts took "no report of several" for "a single one" and resumed any stream there. With the core alive, or while the list still names the old version, it holds by refusing: five of six cases of the test pass before. By reading, a second way: an entry host whose first answers of the core come after their timeout served without having heard of any version.

Core hosts store the versions of the last minute and say with each report whether any may be missing; one with a new disk asks the others. An entry host without such a report searches for the origin, and refuses with a time to come back if nobody knows it. Versions in late answers count.

--- a/packages/node/src/bronzepoint_node/core/__init__.py
+++ b/packages/node/src/bronzepoint_node/core/__init__.py
@@ -5,6 +5,7 @@
 from ._order_gate import OrderGate, OrderRefused
 from ._region_scheduler import RegionScheduler
 from ._target_reader import ListUnavailable, TargetReader
+from ._version_memory import VersionMemory
 
 __all__ = [
     "CoreSync",
@@ -14,4 +15,5 @@
     "OrderRefused",
     "RegionScheduler",
     "TargetReader",
+    "VersionMemory",
 ]
--- a/packages/node/src/bronzepoint_node/core/_core_sync.py
+++ b/packages/node/src/bronzepoint_node/core/_core_sync.py
@@ -20,6 +20,8 @@
     RegionLoad,
     SyncReply,
     SyncRequest,
+    VersionsReply,
+    VersionsRequest,
 )
 from bronzepoint_schema.ids import HostName, RegionName
 
@@ -91,6 +93,11 @@
         if self._task is not None:
             await self._task.cancel()
 
+    def other_core_hosts(self) -> set[HostName]:
+        """Return the core hosts that are known besides this one."""
+        hosts = {host.name for host in self._core()} | self._agreement.known_hosts()
+        return hosts - {self._name}
+
     def syncing_hosts(self) -> list[HostName]:
         """Return the entry hosts that sync with this host."""
         return [host.name for host in self._syncing_entries()]
@@ -134,6 +141,9 @@
                 self.registry.merge_loads(message.loads)
                 self.registry.merge_core(message.core)
                 self._crashes.merge(message.crashes, monotonic())
+            case VersionsRequest():
+                now, history = monotonic(), self._reader.history
+                return VersionsReply(history.is_complete(now), history.versions(now))
         return None
 
     def _answer(self, request: SyncRequest) -> SyncReply:
@@ -165,7 +175,8 @@
             crashes=self._crashes.select_cases(
                 now, MAX_CRASH_CASES, MIN_CRASHES_SUSPECT
             ),
-            versions=self._reader.versions(),
+            versions=self._reader.history.report(now),
+            versions_complete=self._reader.history.is_complete(now),
         )
 
     def _next_part(self, request: SyncRequest) -> DocumentPart | None:
@@ -184,10 +195,8 @@
 
     async def _send_notices(self) -> None:
         while True:
-            core = self._core()
-            hosts = {host.name for host in core} | self._agreement.known_hosts()
-            hosts.discard(self._name)
-            notice = self._build_notice(core, len(hosts))
+            hosts = self.other_core_hosts()
+            notice = self._build_notice(self._core(), len(hosts))
             for host in hosts:
                 self._peers.post(host, Area.FLEET, notice)
             await curio.sleep(NOTICE_INTERVAL)
--- a/packages/node/src/bronzepoint_node/core/_target_reader.py
+++ b/packages/node/src/bronzepoint_node/core/_target_reader.py
@@ -10,7 +10,7 @@
 from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
-from bronzepoint_schema.generated.fleet import ServiceVersion, TargetInfo, TargetList
+from bronzepoint_schema.generated.fleet import TargetInfo, TargetList
 from bronzepoint_schema.ids import DataCenterName, RegionName
 
 from ._target_listing import TargetListing, content_digest, without_countdown
@@ -49,6 +49,9 @@
     Args:
         read: Reads the list.
         region_of: Returns the region of a data center, or None if it is unknown.
+
+    Attributes:
+        history: Software versions of the last minute.
     """
 
     def __init__(
@@ -58,7 +61,7 @@
     ) -> None:
         self._read = read
         self._listing = TargetListing(region_of)
-        self._versions = VersionHistory(region_of)
+        self.history = VersionHistory(region_of)
         self._targets: list[TargetInfo] | None = None
         self._digest = ""
         self._read_at = 0.0
@@ -97,10 +100,6 @@
             return None
         return self._listing.changes_since(region, known, self.age_ms)
 
-    def versions(self) -> list[ServiceVersion]:
-        """Return the software versions of the services that have several of them."""
-        return self._versions.report(monotonic())
-
     async def _run(self) -> None:
         while True:
             began = monotonic()
@@ -115,7 +114,7 @@
 
     def _update(self, targets: list[TargetInfo], began: float) -> None:
         self._read_at = began
-        self._versions.update(targets, began)
+        self.history.update(targets, began)
         digest = content_digest(targets)
         if digest != self._digest:
             self._log_changes(targets)
--- a/packages/node/src/bronzepoint_node/fleet/_service_versions.py
+++ b/packages/node/src/bronzepoint_node/fleet/_service_versions.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self._versions: dict[str, dict[str, _Listed]] = {}
+        self._complete_at = float("-inf")
 
     def merge(self, reports: Iterable[ServiceVersion]) -> None:
         """Merge reports of a core host, keeping the newer ones."""
@@ -40,6 +41,18 @@
                 listed = _Listed(at, frozenset(report.regions))
                 versions[report.software_version] = listed
 
+    def confirm(self) -> None:
+        """Note that a core host that knows all versions has just reported them."""
+        self._complete_at = monotonic()
+
+    def is_complete(self) -> bool:
+        """Return whether no service has a version that isn't known here.
+
+        A host that has just started has heard of none, and one that the core hasn't
+        reported to for a minute may have missed some.
+        """
+        return monotonic() - self._complete_at <= VERSION_RETENTION
+
     def services(self) -> set[str]:
         """Return the services that have, or recently had, several versions."""
         return {service for service in list(self._versions) if self.several(service)}
--- a/packages/node/src/bronzepoint_node/fleet/_sync_client.py
+++ b/packages/node/src/bronzepoint_node/fleet/_sync_client.py
@@ -288,7 +288,6 @@
         self.registry.note_size(self._region, reply.region_hosts)
         self.registry.merge_core(reply.core)
         self.registry.merge_loads(reply.loads)
-        self.registry.versions.merge(reply.versions)
         self.crashes.merge(reply.crashes, monotonic())
         self._notify_listeners()
         return has_more
@@ -307,6 +306,9 @@
     def _apply_versioned(self, core: HostName, reply: SyncReply, began: float) -> bool:
         """Apply all versioned parts; return whether the sender has more of them."""
         has_more = self._apply_document(core, reply, monotonic() - began)
+        self.registry.versions.merge(reply.versions)
+        if reply.versions_complete:
+            self.registry.versions.confirm()
         # A core host that is behind must not reopen closed data centers.
         if reply.revision >= self._revision:
             self._revision = reply.revision
--- a/packages/node/src/bronzepoint_node/stream_origins/_origins.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_origins.py
@@ -156,7 +156,8 @@
     ) -> StreamOrigin | None:
         """Return where a stream began; None if no host that may know it does.
 
-        Other hosts are asked only if its service has several software versions.
+        Other hosts are asked only if its service has several software versions, or if
+        the core hasn't reported yet whether it has.
 
         Args:
             key: Key of the stream.
@@ -171,9 +172,13 @@
         if found:
             self._metrics.incr("origin.found_here")
             return _only(found)
-        if not self._registry.versions.several(service):
+        versions = self._registry.versions
+        if versions.is_complete() and not versions.several(service):
             return None
-        match await self._search(key, patience):
+        result = await self._search(key, patience)
+        if result is Unfound.UNKNOWN and not versions.is_complete():
+            result = Unfound.UNANSWERED
+        match result:
             case Unfound.UNKNOWN:
                 self._metrics.incr("origin.unknown")
                 return None
--- a/tests/_versioned_site.py
+++ b/tests/_versioned_site.py
@@ -125,6 +125,10 @@
             for target in self.targets
         ]
 
+    def remove(self, version):
+        """Take the targets of a version off the list."""
+        self.listed = [t.listed() for t in self.targets if t.version != version]
+
     def log_lines(self, answer):
         """Return the log lines of the last attempt, for failures."""
         return [
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -25,6 +25,7 @@
     EntryHost,
     EntryState,
     RegionLoad,
+    ServiceVersion,
     SyncReply,
     TargetInfo,
     TargetList,
@@ -265,6 +266,18 @@
         self.assertEqual(peers.queried[-1], "c2")
         self.assertLessEqual(peers.queried.count("c1"), 1)
 
+    @params((True, True), (False, False))
+    def test_versions_of_a_late_answer_are_used(self, complete, expected):
+        """Guards against a slow host that serves without knowing of two versions."""
+        client, _ = make_client()
+        self.assertFalse(client.registry.versions.is_complete())
+        reply = make_reply(targets=make_target_list())
+        reply.versions = [ServiceVersion("s", v, ["r"], 0) for v in ("v1", "v2")]
+        reply.versions_complete = complete
+        client._apply_late_reply("c1", reply, monotonic())
+        self.assertTrue(client.registry.versions.several("s"))
+        self.assertIs(client.registry.versions.is_complete(), expected)
+
     def test_age_of_the_last_confirmation_is_reported(self):
         """Guards against a host that is ready, and cut off without a sign of it."""
         client, peers = make_client({"c1": make_reply(3)})
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -74,6 +74,7 @@
         """
         registry = Registry()
         registry.versions.merge(versions)
+        registry.versions.confirm()
         registry.merge_entries(
             entry_host(host) for host in HOSTS if host not in missing
         )
@@ -155,6 +156,7 @@
         origins = network.origins["a1"]
         origins._registry = Registry()
         origins._registry.versions.merge(BOTH)
+        origins._registry.versions.confirm()
         origins.record(7, V1, forwarded=False)
         origins._registry = network.registries["a1"]
         curio.run(origins.close)
@@ -225,6 +227,7 @@
         reporting = origins._registry
         origins._registry = Registry()
         origins._registry.versions.merge(BOTH)
+        origins._registry.versions.confirm()
         network.messages.clear()
         origins.record(7, V1, forwarded=False)
         told = list(network.messages)
@@ -243,6 +246,7 @@
         origins = network.origins["a1"]
         origins._registry = Registry()
         origins._registry.versions.merge(BOTH)
+        origins._registry.versions.confirm()
         with self.assertRaises(UnansweredOrigin):
             network.find("a1", 7)
 
@@ -344,7 +348,56 @@
         self.assertTrue(str(origin).isprintable())
 
 
+class TestUnreportedVersions(unittest.TestCase):
+    """Guards against a stream that goes on at another version because a host has not
+    heard yet that its service has several."""
+
+    def find(self, record):
+        network = Network([])
+        if record:
+            network.origins["a1"].record(7, V1, forwarded=False)
+        asking = network.origins["a2"]
+        asking._registry.versions = ServiceVersions()
+        with mock.patch.object(_origins, "REMOTE_DELAY", 0.0):
+            return curio.run(asking.find, 7, "s")
+
+    def test_known_origin_is_found(self):
+        self.assertEqual(self.find(record=True), V1)
+
+    def test_unknown_origin_is_not_final(self):
+        with self.assertRaises(UnansweredOrigin):
+            self.find(record=False)
+
+    def test_reports_of_the_core_become_outdated(self):
+        versions = ServiceVersions()
+        self.assertFalse(versions.is_complete())
+        versions.confirm()
+        self.assertTrue(versions.is_complete())
+        later = monotonic() + VERSION_RETENTION + 1
+        with mock.patch(
+            "bronzepoint_node.fleet._service_versions.monotonic", lambda: later
+        ):
+            self.assertFalse(versions.is_complete())
+
+
 class TestVersions(unittest.TestCase):
+    @params((0.0, False), (VERSION_RETENTION - 1.0, False), (VERSION_RETENTION, True))
+    def test_history_is_complete_after_a_whole_retention_time(self, age, complete):
+        history = VersionHistory(REGIONS.get)
+        self.assertFalse(history.is_complete(0.0))
+        history.update([target("i-1", "v1")], 0.0)
+        self.assertIs(history.is_complete(age), complete)
+        history.confirm()
+        self.assertTrue(history.is_complete(0.0))
+
+    def test_versions_of_another_host_are_merged(self):
+        history = VersionHistory(REGIONS.get)
+        history.update([target("i-2", "v2")], 0.0)
+        self.assertEqual(history.report(0.0), [])
+        history.merge([ServiceVersion("s", "v1", [], 5000)], 10.0)
+        found = {v.software_version: v.age_ms for v in history.report(10.0)}
+        self.assertEqual(found, {"v1": 5000, "v2": 10000})
+
     def test_a_version_that_left_the_list_is_remembered(self):
         history = VersionHistory(REGIONS.get)
         history.update([target("i-1", "v1"), target("i-2", "v2", "y-a")], 0.0)
--- a/tests/test_stream_versions_processes.py
+++ b/tests/test_stream_versions_processes.py
@@ -6,6 +6,7 @@
 import unittest
 
 import curio
+from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_node.stream_origins._keepers import keepers
@@ -26,6 +27,8 @@
 SUSPENSION = 1.5
 """Seconds for which the hosts that know are suspended, longer than a first question
 waits."""
+RELEASE_AGE = 0.3
+"""Seconds between a change of the listed versions and the kill of the hosts."""
 READY = EntryState.ready
 AT_ONCE = 1.5
 """Seconds within which a stream that can't go on is refused; its deadline is at 4."""
@@ -135,6 +138,41 @@
 
         run(main)
 
+    @params(*itertools.product(("both", "leaving", "gone"), (False, True)))
+    def test_no_stream_is_joined_after_a_kill_during_a_release(self, old, with_core):
+        """Guards against a restart that forgets the version that has just left."""
+
+        async def main():
+            async with VersionedSite() as site:
+                await site.serve_routes()
+                site.break_streams()
+                hosts = itertools.cycle(site.entries)
+                answers = [await _begin(site, next(hosts)) for _ in range(STREAMS)]
+                site.break_streams(False)
+                if old == "leaving":
+                    site.leave("v1")
+                elif old == "gone":
+                    site.remove("v1")
+                await curio.sleep(RELEASE_AGE)
+                killed = [*site.entries, "core"] if with_core else site.entries
+                for host in killed:
+                    site.signal(host, signal.SIGKILL)
+                for host in killed:
+                    site.processes[host].wait()
+                    site.start(host, first=False)
+
+                async def is_served():
+                    found = [await site.stream(h, RESUMED) for h in site.entries]
+                    return all(answer.is_whole for answer in found)
+
+                await site.until(is_served)
+                for answer in answers:
+                    await _resume(site, next(hosts), answer)
+                    self.assertEqual(answer.status, 200 if answer.is_whole else 503)
+                self.assert_one_version(answers)
+
+        run(main)
+
     def test_a_stream_whose_version_has_gone_is_refused_at_once(self):
         async def main():
             async with VersionedSite() as site:
