Request the version history of other core hosts at each start

A core host that restarts with a stored history took it for complete. A version that came and went while the host was down, beside a rollback to the former one, would be missing, and its streams would go on at the other. The history of the other core hosts is now requested once at each start, stored history or not.

Evidence: the row (True, True) of test_restarted_host_asks_another_one. Found by reading; no run has shown the case with real processes.

--- a/packages/node/src/bronzepoint_node/core/_version_memory.py
+++ b/packages/node/src/bronzepoint_node/core/_version_memory.py
@@ -34,8 +34,8 @@
 
     A host that knows the versions on the list only would take a service whose former
     version has just left for one with a single version, and streams that began at the
-    former one would go on at the other. The history is therefore stored on disk. A host
-    without it requests that of another core host.
+    former one would go on at the other. The history is therefore stored on disk, and
+    that of the other core hosts is requested at each start.
 
     Args:
         history: The history.
@@ -80,6 +80,8 @@
             await self._task.cancel()
 
     async def _run(self) -> None:
+        # A version may have come and gone while this host was down.
+        await self._request()
         while True:
             if not self._history.is_complete(monotonic()):
                 await self._request()
--- a/tests/test_core_version_memory.py
+++ b/tests/test_core_version_memory.py
@@ -109,13 +109,13 @@
         messages = [record.message for record in log.records]
         self.assertEqual("versions not read" in messages, content is not None)
 
-    @params(True, False)
-    def test_host_with_a_new_disk_asks_another_one(self, complete):
+    @params((True, False), (False, False), (True, True))
+    def test_restarted_host_asks_another_one(self, complete, first_start):
         async def answer(sender, message):
             return VersionsReply(complete, [V1])
 
         async def main():
-            host = CoreHost(self.folder, others=["c2"])
+            host = CoreHost(self.folder, first_start, others=["c2"])
             other = Peers("c2", free_address(), b"k" * 32, Metrics())
             other.register(Area.FLEET, FleetMessage, answer)
             await other.start()
