Bound what targets and engines report in our own interface

The slots that a target reports go into the heartbeat of each host that polls it: a number of more than 64 bits would have made all heartbeats of these hosts unsendable. A deeply nested answer (RecursionError) ended the polls of that target; an engine's one, by reading, the orders to all engines. A catalogue change with a version of 2^64 failed where it is stored.

--- a/platform/bronzepoint_platform/_decoding.py
+++ b/packages/common/src/bronzepoint_common/decoding.py
@@ -1,18 +1,13 @@
-"""Decoding of what other programs write, with bounds on its numbers."""
+"""Decoding of JSON that other programs write."""
 
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
-from msgspec import Meta
 
 MAX_INTEGER = 2**53 - 1
 """Largest integer that every JSON program reads exactly. Larger ones could also become
 too large for the 64 bits of an integer in a message between hosts."""
 
-Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
-Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
-Milliseconds = Annotated[float, Meta(ge=0, le=MAX_INTEGER)]
-
 
 class Undecodable(Exception):
     """The data isn't JSON of the expected type; the message says why."""
@@ -28,3 +23,6 @@
         return decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         raise Undecodable(str(exc)) from exc
+
+
+__all__ = ["MAX_INTEGER", "Undecodable", "decode"]
--- a/packages/node/src/bronzepoint_node/entry/_admin_endpoints.py
+++ b/packages/node/src/bronzepoint_node/entry/_admin_endpoints.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bronzepoint_common.decoding import Undecodable, decode
 from bronzepoint_common.http import Exchange
 from bronzepoint_common.tokens import Operator
 from bronzepoint_node.agreement import (
@@ -37,6 +38,8 @@
 from bronzepoint_schema.generated.decisions import Ran, RefusalKind
 from bronzepoint_schema.ids import HostName
 
+_change_decoder = msgspec.json.Decoder(Change)
+
 PROPOSE_TIMEOUT = 5.0
 """Seconds to wait until a proposed change is accepted."""
 RETRY_CHANGE = 1.0
@@ -126,8 +129,10 @@
 
     async def _change(self, operator: Operator, body: bytes) -> Accepted:
         try:
-            change = msgspec.json.decode(body, type=Change)
-        except msgspec.DecodeError as exc:
+            change = decode(_change_decoder, body)
+            # Integers of more than 64 bits can't be stored.
+            msgspec.msgpack.encode(change)
+        except (Undecodable, OverflowError) as exc:
             raise refused(
                 RefusalKind.bad_request,
                 f"The body is not a valid catalogue change: {exc}.",
--- a/packages/node/src/bronzepoint_node/orders/_engine.py
+++ b/packages/node/src/bronzepoint_node/orders/_engine.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bronzepoint_common.decoding import Undecodable, decode
 from bronzepoint_common.http import (
     Answer,
     HttpClient,
@@ -20,6 +21,8 @@
 from bronzepoint_schema.generated.platform import EngineState, Order, OrderRefusal
 
 PATH = "/orders"
+_state_decoder = msgspec.json.Decoder(EngineState)
+_refusal_decoder = msgspec.json.Decoder(OrderRefusal)
 _JSON = {"Content-Type": "application/json"}
 _DEFAULT_RETRY_AFTER = 1.0
 """Seconds to wait if the engine's answer has no valid Retry-After header."""
@@ -66,8 +69,8 @@
         if answer.status != 200:
             raise EngineUnreachable(target.name, f"status {answer.status}")
         try:
-            return msgspec.json.decode(answer.body, type=EngineState)
-        except msgspec.MsgspecError as exc:
+            return decode(_state_decoder, answer.body)
+        except Undecodable as exc:
             raise EngineUnreachable(target.name, str(exc)) from exc
 
     async def send(
@@ -120,8 +123,8 @@
 
 def _seen_number(answer: Answer) -> int:
     try:
-        return msgspec.json.decode(answer.body, type=OrderRefusal).fencing_number
-    except msgspec.MsgspecError:
+        return decode(_refusal_decoder, answer.body).fencing_number
+    except Undecodable:
         return 0
 
 
--- a/packages/node/src/bronzepoint_node/targets/_host_list.py
+++ b/packages/node/src/bronzepoint_node/targets/_host_list.py
@@ -6,6 +6,7 @@
 import curio
 import msgspec
 
+from bronzepoint_common.decoding import Undecodable, decode
 from bronzepoint_common.http import HttpClient, HttpError, Unframed
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_node.targets._byte_budget import ByteBudget
@@ -63,8 +64,8 @@
                 _TIMEOUT_SECONDS,
                 unframed=Unframed.ACCEPTED,
             )
-            listed = _decoder.decode(answer.body)
-        except (HttpError, msgspec.MsgspecError) as exc:
+            listed = decode(_decoder, answer.body)
+        except (HttpError, Undecodable) as exc:
             self._metrics.incr(f"targets.list_failed.{type(exc).__name__}")
             return
         self._budget.charge(len(answer.body), time.monotonic())
--- a/packages/node/src/bronzepoint_node/targets/_poller.py
+++ b/packages/node/src/bronzepoint_node/targets/_poller.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bronzepoint_common.background import spawn_background
+from bronzepoint_common.decoding import Undecodable, decode
 from bronzepoint_common.http import (
     ConnectFailed,
     HttpClient,
@@ -95,8 +96,8 @@
         if body is None:
             return
         try:
-            report = _load_decoder.decode(body)
-        except msgspec.MsgspecError:
+            report = decode(_load_decoder, body)
+        except Undecodable:
             self._metrics.incr("targets.poll_failed.malformed")
             return
         self._tracked.note_report(report, time.time())
@@ -110,8 +111,8 @@
         now = time.monotonic()
         self._event_budget.charge(len(body), now)
         try:
-            answer = _events_decoder.decode(body)
-        except msgspec.MsgspecError:
+            answer = decode(_events_decoder, body)
+        except Undecodable:
             self._metrics.incr("targets.poll_failed.malformed")
             return
         gaps = memory.gaps
