--- a/tests/test_platform_list.py
+++ b/tests/test_platform_list.py
@@ -78,6 +78,7 @@
     entry(address="nowhere:80"),
     entry(address="10.0.0.999:80"),
     entry(address="10.0.0.1:65536"),
+    entry(address="10.0.0.1:80\n"),
     5,
     None,
     [],
@@ -141,6 +142,11 @@
         for instance in read_page(page(entry(**{name: value}))).instances:
             msgspec.msgpack.encode(_list._target(instance))
 
+    @params("10.0.0.1:1", "255.255.255.255:65535", "127.0.0.9:9999", "1.2.3.4:60000")
+    def test_address_that_can_be_connected_to(self, address):
+        (found,) = read_page(page(entry(address=address))).instances
+        self.assertEqual(found.address, address)
+
     def test_object_without_an_end_does_not_hide_other_entries(self):
         """Guards against a page that seems whole though its last entry has no end."""
         body = b'{"instances":[%s,%s],"next_token":null}'
