Ask for the vote of voters that have answered the leader, in their test

Its description says that the voter has just answered the leader's heartbeat, but the test didn't see to it.

The test now waits for a contact after the start of the request and gives the voter an election timeout that can't expire meanwhile, so the vote must be withheld whatever the load. As strict as before: with the check of the contact taken out of the vote handler it fails (run on a scratch copy).

--- a/tests/test_agreement_voting.py
+++ b/tests/test_agreement_voting.py
@@ -13,6 +13,8 @@
 
 THREE = "bkk1 sgp1 cnx1"
 FIVE = "bkk1 bkk2 sgp1 sgp2 cnx1"
+LONG_TIMEOUT = 120.0
+"""Seconds of an election timeout that doesn't expire during a test."""
 
 
 def vote_request(cluster, term, pre_vote=False):
@@ -132,6 +134,11 @@
             term = leader.status.term
             for host in cluster.hosts.values():
                 if host is not leader:
+                    voter = host.agreement._voter
+                    # Without contact for the election timeout the vote may be granted.
+                    voter.section.election_timeout = LONG_TIMEOUT
+                    asked_at = monotonic()
+                    await until(lambda v=voter, t=asked_at: v.last_contact_at > t)
                     request = vote_request(cluster, term + 5)
                     reply = await leader.peers.call(
                         host.name, Area.AGREEMENT, request, 5
