Show what the logs say of refused requests when a test of crashes fails

Nothing told why: the logs end with the site. The five assertions on answers of unrelated callers now show how often each host logged which outcome, and how late its timers were. No assertion is changed.

--- a/tests/_crashing_site.py
+++ b/tests/_crashing_site.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+from collections import Counter
 from dataclasses import dataclass, field
 
 import curio
@@ -137,6 +138,10 @@
         targets: Number of targets.
         queue: Seconds for which targets queue a request.
         elsewhere: Hosts of another region, which has no targets.
+
+    Attributes:
+        summary: What the hosts' logs say of requests that weren't answered, for
+            failures; set when the site ends.
     """
 
     def __init__(self, keeps_id=False, hosts=None, targets=4, queue=0.0, elsewhere=()):
@@ -144,12 +149,22 @@
         self.regions = dict.fromkeys(elsewhere, "y")
         self.keeps_id = keeps_id
         self.queue = queue
+        self.summary = {}
 
     async def __aexit__(self, *exc_info):
+        self.summary = {name: self._summarise(name) for name in self.processes}
         for target in self.targets:
             await target.stay_down()
         await super().__aexit__(*exc_info)
 
+    def _summarise(self, name):
+        """Return how often each other outcome was logged, and the latest timer."""
+        lines = self.lines(name)
+        outcomes = Counter(line["outcome"] for line in lines if "outcome" in line)
+        del outcomes["answered"]
+        late = [x["seconds"] for x in lines if x["message"] == "event loop late"]
+        return dict(outcomes), f"timers up to {max(late, default=0.0):.2f} s late"
+
     def make_target(self, name, ip, port):
         return CrashingTarget(name, ip, port, self, self.keeps_id, self.queue)
 
--- a/tests/test_quarantine_processes.py
+++ b/tests/test_quarantine_processes.py
@@ -89,8 +89,11 @@
     def test_request_that_crashed_three_targets_reaches_few_more(self, path, keeps_id):
         """Guards against a repeated request that crashes one target after another."""
 
+        sites = []
+
         async def main():
             async with CrashingSite(keeps_id) as site:
+                sites.append(site)
                 callers = await run_callers(site, path)
                 third = site.crashes()[2]
                 return len(site.late_arrivals()), callers.plain_success_rate(
@@ -99,13 +102,16 @@
 
         late, plain_success_rate = curio.run(main)
         self.assertLessEqual(late, MAX_ARRIVALS)
-        self.assertEqual(plain_success_rate, 1.0)
+        self.assertEqual(plain_success_rate, 1.0, sites[0].summary)
 
     def test_caller_uses_many_addresses(self):
         """Guards against a caller that uses another address for each request."""
 
+        sites = []
+
         async def main():
             async with CrashingSite() as site:
+                sites.append(site)
                 sources = [f"127.0.1.{n}" for n in range(1, 60)]
                 callers = Callers(site, "/safe/death", sources)
                 await callers.run(SETTLE_TIME + COUNTING_TIME + 4.0)
@@ -115,13 +121,16 @@
 
         late, plain_success_rate = curio.run(main)
         self.assertLessEqual(late, MAX_ARRIVALS)
-        self.assertEqual(plain_success_rate, 1.0)
+        self.assertEqual(plain_success_rate, 1.0, sites[0].summary)
 
     def test_targets_are_busy_with_resumed_streams(self):
         """Guards against many suspects that hide the harmful request among them."""
 
+        sites = []
+
         async def main():
             async with CrashingSite(queue=QUEUE_DELAY, targets=5) as site:
+                sites.append(site)
                 callers = Callers(site, "/once/death")
                 await callers.run(
                     SETTLE_TIME + COUNTING_TIME + 6.0, callers.send_streams
@@ -134,13 +143,16 @@
 
         late, complete = curio.run(main)
         self.assertLessEqual(late, MAX_ARRIVALS)
-        self.assertEqual(complete, 1.0)
+        self.assertEqual(complete, 1.0, sites[0].summary)
 
     def test_crashes_count_across_regions(self):
         """Guards against regions that compute different fingerprints of a request."""
 
+        sites = []
+
         async def main():
             async with CrashingSite(elsewhere=("entry-2", "entry-3")) as site:
+                sites.append(site)
                 callers = await run_callers(site, "/safe/death")
                 third = site.crashes()[2]
                 answers = [
@@ -153,7 +165,7 @@
 
         late, plain_success_rate, statuses = curio.run(main)
         self.assertLessEqual(late, MAX_ARRIVALS)
-        self.assertEqual(plain_success_rate, 1.0)
+        self.assertEqual(plain_success_rate, 1.0, sites[0].summary)
         self.assertEqual(statuses, [503] * 3)
 
     def test_records_outlast_the_scheduler(self):
@@ -279,8 +291,11 @@
     def test_streams_interrupted_by_the_crashes_are_served(self):
         """Guards against blaming streams that ran on each target that crashed."""
 
+        sites = []
+
         async def main():
             async with CrashingSite() as site:
+                sites.append(site)
                 callers = Callers(site, "/stream/death")
                 answers = []
 
@@ -309,7 +324,9 @@
 
         first, again = curio.run(main)
         self.assertEqual(first, STREAM_COUNT)
-        self.assertEqual([answer.status for answer in again], [200] * STREAM_COUNT)
+        self.assertEqual(
+            [answer.status for answer in again], [200] * STREAM_COUNT, sites[0].summary
+        )
         self.assertEqual(
             {answer.body.count(b"id: ") for answer in again}, {STREAM_EVENTS}
         )
