End a write of the version history before its host closes

In the product a host that restarts at once could have had two writers of one file.

The write can't be cancelled any more, saves exclude each other, and close() waits for one in progress, 2 s at most.

--- a/packages/node/src/bronzepoint_node/core/_version_memory.py
+++ b/packages/node/src/bronzepoint_node/core/_version_memory.py
@@ -26,6 +26,9 @@
 REQUEST_TIMEOUT = 0.6
 """Seconds to wait for another core host: three of the longest round trips."""
 
+CLOSE_TIMEOUT = 2.0
+"""Seconds to wait for a write in progress at a shutdown."""
+
 _log = get_logger("targets")
 
 
@@ -59,6 +62,7 @@
         self._first_start = first_start
         self._peers = peers
         self._others = others
+        self._saving = curio.Lock()
         self._stored: tuple[bool, list[VersionKey]] | None = None
         self._task: curio.Task | None = None
 
@@ -75,9 +79,10 @@
         self._task = await spawn_background(self._run)
 
     async def close(self) -> None:
-        """Stop storing changes."""
+        """Stop storing changes, after a write in progress unless the disk hangs."""
         if self._task is not None:
-            await self._task.cancel()
+            async with curio.ignore_after(CLOSE_TIMEOUT):
+                await self._task.cancel()
 
     async def _run(self) -> None:
         # A version may have come and gone while this host was down.
@@ -85,7 +90,7 @@
         while True:
             if not self._history.is_complete(monotonic()):
                 await self._request()
-            await self._save()
+            await self.save()
             await curio.sleep(CHECK_INTERVAL)
 
     async def _request(self) -> None:
@@ -107,6 +112,11 @@
             if reply.complete:
                 self._history.confirm()
 
+    async def save(self) -> None:
+        """Store the versions if they have changed."""
+        async with self._saving:
+            await self._save()
+
     async def _save(self) -> None:
         now = monotonic()
         complete = self._history.is_complete(now)
@@ -117,7 +127,9 @@
         kept = [ServiceVersion(service, name, [], 0) for service, name in state[1]]
         content = msgspec.msgpack.encode(KeptVersions(complete, kept))
         try:
-            await curio.run_in_thread(self._file.save, content)
+            # A cancelled task would leave its thread behind, still writing.
+            async with curio.disable_cancellation():
+                await curio.run_in_thread(self._file.save, content)
         except StorageError as exc:
             _log.warning("versions not kept", reason=str(exc))
         self._stored = state
--- a/tests/test_core_version_memory.py
+++ b/tests/test_core_version_memory.py
@@ -1,8 +1,10 @@
 """Software versions of the last minute survive restarts of core hosts."""
 
 import tempfile
+import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import curio
 from logbook import TestHandler as LogCapture
@@ -51,7 +53,7 @@
         await self.peers.close()
 
     async def store(self):
-        await self._memory._save()
+        await self._memory.save()
 
     def is_complete(self):
         return self.history.is_complete(monotonic())
@@ -84,6 +86,24 @@
 
         self.assertEqual(curio.run(main), (["v1", "v2"], complete))
 
+    def test_write_in_progress_ends_before_the_memory_is_closed(self):
+        """Guards against a thread that writes into the data folder after the end."""
+        ended = []
+
+        def save(content):
+            time.sleep(0.3)
+            ended.append(content)
+
+        async def main():
+            host = CoreHost(self.folder, first_start=True)
+            with mock.patch.object(host._memory._file, "save", save):
+                await host.start()
+                await curio.sleep(0.1)
+                await host.close()
+                return len(ended)
+
+        self.assertEqual(curio.run(main), 1)
+
     @params(
         # whether the whole system starts, the content of the file, the result
         (True, None, True),
