Watch the repair from a host that is never wiped, in its test

The leader was asked for again after thirty changes; if the leadership had moved to the host that is wiped next, the test read the voters of a blank host. Its state has none in no other case, since the set of hosts never changes here.

The test now reads the voters at the host that is neither wiped nor stopped.

--- a/tests/test_agreement_repair.py
+++ b/tests/test_agreement_repair.py
@@ -42,9 +42,10 @@
 
         async def scenario(cluster):
             wiped, second = await followers(cluster)
+            # The leader may change, and a wiped one would know no voters.
+            (third,) = set(cluster.hosts.values()) - {wiped, second}
             for number in range(30):
                 await cluster["bkk1"].propose(f"owner{number}")
-            leader = await cluster.leader()
             lost_storage = wiped.status.storage
             await wiped.stop()
             wiped.wipe()
@@ -53,14 +54,14 @@
             self.assertNotEqual(wiped.status.storage, lost_storage)
             await until(
                 lambda: (
-                    agreed_storage(leader, wiped) == wiped.status.storage
+                    agreed_storage(third, wiped) == wiped.status.storage
                     and is_voter(wiped)
                 )
             )
             await second.stop()
             accepted = await wiped.propose("after")
             self.assertEqual(accepted.revision, 32)
-            await cluster.wait_for_revision(32, wiped.name, leader.name)
+            await cluster.wait_for_revision(32, wiped.name, third.name)
             await second.start()
             await cluster.wait_for_revision(32)
 
