--- a/tests/test_agreement_voting.py
+++ b/tests/test_agreement_voting.py
@@ -1,6 +1,7 @@
 """Terms, votes and leases during partitions and restarts."""
 
 import unittest
+from unittest import mock
 
 import curio
 from nose2.tools import params
@@ -52,6 +53,21 @@
 
         run(scenario, voters)
 
+    def test_leader_whose_task_fails_ends_its_term(self):
+        """Guards against a host that seems to lead though nothing replicates for it."""
+
+        async def scenario(cluster):
+            leader = await cluster.leader()
+            term = leader.agreement._voter._leadership
+            failure = mock.AsyncMock(side_effect=RuntimeError("unexpected"))
+            with mock.patch.object(term, "_repair_one_voter", failure):
+                await until(lambda: not term.active)
+            await until(lambda: cluster.leaders())
+            self.assertIsNot(leader.agreement._voter._leadership, term)
+            await cluster["bkk1"].propose("after")
+
+        run(scenario, THREE)
+
     def test_stalled_leader_has_no_lease_when_it_resumes(self):
         """Guards against a leader that acts after it stalled longer than its lease.
 
