Measure the slowness of plain targets beyond the time of a connection

Callers there see a third of the capacity unused.

Ruled out: the limit. Lines added in a scratch copy show that the scheduler hears of its end after the first answer without it and then counts all three targets as candidates.

Cause: the time to the first byte decides which plain target is slow. With answers of 1 ms, a request that has to open a connection takes 4 ms, and most requests to a target that gets few of them do. It counted as 2.0 to 2.3 times slower than the others, got even fewer requests, and so kept that estimate. Slower machines hide it: the others' answers take 3 ms there.

Change: both the measured and the expected time are lengthened by the error of the measurement before they are compared.

The new test fails in two of its three rows without the change.

--- a/packages/node/src/bronzepoint_node/policy/_service_times.py
+++ b/packages/node/src/bronzepoint_node/policy/_service_times.py
@@ -22,6 +22,9 @@
 caller shows whether a slow target has recovered, so it is tried rarely."""
 _FACTORS_VALID_SECONDS = 0.2
 """Seconds for which the targets' factors are kept if there are no new samples."""
+_TIMING_ERROR = 0.01
+"""Seconds that opening a connection may add to a measured time. Most requests to a
+target that gets few of them need a new connection."""
 _RIDGE = 1e-3
 """Added to the variance, in squared tokens, to avoid a division by zero."""
 _INITIAL_BASE_SECONDS = 0.05
@@ -96,7 +99,7 @@
         speed = self.speeds.get(target)
         if speed is None:
             speed = self.speeds[target] = SpeedEstimate(age_seconds=_AGE_SECONDS)
-        speed.add(seconds / expected, now)
+        speed.add((seconds + _TIMING_ERROR) / (expected + _TIMING_ERROR), now)
         self._update_factors(now)
         self.fit(uncached, seconds / self.slowness(target, now))
 
--- a/tests/test_policy_targets.py
+++ b/tests/test_policy_targets.py
@@ -167,6 +167,24 @@
         times.add_first_token("a", 2.0, 50, 0.0)
         self.assertEqual(times.slowness("a", 0.0), 1.0)
 
+    @params(
+        # milliseconds of a target that gets few requests, whether it is slow
+        (4, False),
+        (6, False),
+        (60, True),
+    )
+    def test_new_connections_make_no_target_slow(self, ms, is_slow):
+        """Guards against a target that stays unused because its few requests each need
+        a new connection."""
+        times = ServiceTimes()
+        for number in range(400):
+            now = number * 0.025
+            for name in "bc":
+                times.add_first_token(name, 0.001, 0, now)
+            if number % 40 == 0:
+                times.add_first_token("a", ms / 1000, 0, now)
+        self.assertEqual(times.slowness("a", now) > 1.0, is_slow)
+
     def test_hosts_agree_where_a_new_prefix_goes(self):
         """All hosts must send a new prefix to the same target.
 
