Keep an event loop alive when a task uses a closed connection

Callers had all streams of that host broken off.

Ruled out: a failed start. The line says so, since it is the one for errors of the event loop as well; the host had served for 22 s.

Cause: Wire waited for its descriptor before it touched the socket, and closed it whoever waited. curio raises the error of epoll_ctl out of run, so one task ended the process.

Change: a task gets ConnectionAbortedError instead of a wait for a closed connection, and close leaves the descriptor to the last waiting task.

--- a/packages/common/src/bronzepoint_common/http/_wire.py
+++ b/packages/common/src/bronzepoint_common/http/_wire.py
@@ -1,7 +1,9 @@
 """A TCP connection whose reads and writes have timeouts."""
 
+import errno
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 
 import curio
 from curio.traps import _read_wait, _write_wait
@@ -24,6 +26,7 @@
     A timer is set only if a read or a write has to wait.
 
     Attributes:
+        closed: Whether it was closed. Tasks that read or write then get an OSError.
         sent: Bytes written since this was last set to 0.
     """
 
@@ -33,6 +36,7 @@
         self._recv = sock._socket.recv
         self._send = sock._socket.send
         self._ready_reads = 0
+        self._waiting = 0
         self.closed = False
         self.sent = 0
         self._rest = memoryview(b"")
@@ -60,7 +64,7 @@
     async def _receive_later(self, timeout: float) -> bytes:
         async with curio.timeout_after(timeout):
             while True:
-                await _read_wait(self._fd)
+                await self._wait(_read_wait)
                 try:
                     return self._recv(READ_SIZE)
                 except BlockingIOError:
@@ -77,12 +81,32 @@
             OSError: The connection failed.
         """
         while True:
-            await _read_wait(self._fd)
+            await self._wait(_read_wait)
             try:
                 return self._recv(READ_SIZE)
             except BlockingIOError:
                 continue
 
+    async def _wait(self, wait: Callable[[curio.io._Fd], Awaitable[None]]) -> None:
+        """Wait until the socket can be read or written.
+
+        Raises:
+            OSError: The connection was closed by another task.
+        """
+        self._check_open()
+        self._waiting += 1
+        try:
+            await wait(self._fd)
+        finally:
+            self._waiting -= 1
+            if self.closed and not self._waiting:
+                await self._sock.close()
+        self._check_open()
+
+    def _check_open(self) -> None:
+        if self.closed:
+            raise ConnectionAbortedError(errno.ECONNABORTED, "closed by this host")
+
     async def send(self, data: bytes, timeout: float) -> None:
         """Write all data.
 
@@ -118,7 +142,7 @@
         while self._rest:
             # The timeout is per piece: a slow reader is served, a stalled one is not.
             async with curio.timeout_after(timeout):
-                await _write_wait(self._fd)
+                await self._wait(_write_wait)
             try:
                 sent = self._send(self._rest)
             except BlockingIOError:
@@ -185,8 +209,16 @@
             return
 
     async def close(self) -> None:
-        """Close; written data is still delivered, except after `reset_on_close`."""
+        """Close; written data is still delivered, except after `reset_on_close`.
+
+        While other tasks wait for the socket, the last of them closes it: a wait for a
+        closed descriptor ends the event loop, and so the whole process.
+        """
         if self.closed:
             return
         self.closed = True
+        if self._waiting:
+            # Wakes a reader; a writer has a timeout.
+            self.finish_receiving()
+            return
         await self._sock.close()
