Start a search for an origin again after it has failed

If its task ended on an unexpected error, each further query for that stream raised the same error, although a new search could have found the origin: the caller's resumption was refused. Two queries that waited for the same task could also drop a search that had been started since.

Change: a task that has ended is dropped before its result is used, and only if it is still the current one.

Evidence: test_search_that_fails_is_started_again fails before with TaskError on the second query; the module passes, 42 of 42. Conclusion: one failed search costs one query.

--- a/packages/node/src/bronzepoint_node/stream_origins/_relayed_searches.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_relayed_searches.py
@@ -61,8 +61,9 @@
             await task.wait()
         if not task.terminated:
             return Unfound.UNANSWERED
+        if search.task is task:
+            search.task = None
         result = await task.join()
-        search.task = None
         if result is not Unfound.UNANSWERED and self._searches.get(key) is search:
             del self._searches[key]
         return result
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -305,6 +305,25 @@
 
         curio.run(main)
 
+    def test_search_that_fails_is_started_again(self):
+        """Guards against an origin that stays unknown after one search has failed."""
+        searched = []
+
+        async def search(lookup):
+            searched.append(lookup)
+            if len(searched) == 1:
+                raise RuntimeError("unexpected")
+            return (V1,)
+
+        async def main():
+            searches = RelayedSearches(search)
+            with self.assertRaises(curio.TaskError):
+                await searches.result(7)
+            self.assertEqual(await searches.result(7), (V1,))
+            await searches.close()
+
+        curio.run(main)
+
     def test_searches_are_bounded(self):
         async def main():
             searches = RelayedSearches(lambda lookup: curio.sleep(3600))
