Remember the core hosts of which an entry host was last told

Cause: the registry forgets a core host 4 s after its last report, by age alone, also while nothing at all is heard. An entry host without a live core host was left with the seeds of its start. Ruled out: a core host that refuses it (it was never asked), and a catalogue that can't be read (no such line).

Change: reports that have expired are kept as those of lost hosts. Without a live core host, an entry host queries those that were live when it last heard of any, its region's first, and then all it knows and the seeds. What counts as live is unchanged.

Conclusion: holds where one of the core hosts last heard of still runs.

--- a/packages/node/src/bronzepoint_node/core/_core_sync.py
+++ b/packages/node/src/bronzepoint_node/core/_core_sync.py
@@ -69,7 +69,7 @@
         crashes: CrashTable | None = None,
     ) -> None:
         self._crashes = crashes if crashes is not None else CrashTable()
-        self.registry = Registry()
+        self.registry = Registry(name)
         self._name = name
         self._region = region
         self._agreement = agreement
--- a/packages/node/src/bronzepoint_node/fleet/_registry.py
+++ b/packages/node/src/bronzepoint_node/fleet/_registry.py
@@ -29,32 +29,49 @@
 MAX_REPORT_AGE = 10.0
 """Seconds for which reports are kept, longer than they count as current. If nothing
 newer is known, using an old report is better than refusing a request."""
+LOST_RETENTION = 86_400.0
+"""Seconds for which a lost host is remembered, counted to the newest report of another
+host of its role. A host that hears nobody forgets nobody."""
+MAX_LOST_HOSTS = 1024
+"""Maximum number of lost hosts that are remembered, about 0.3 MB."""
 
 Key = TypeVar("Key")
 Word = TypeVar("Word", EntryHost, CoreHost, RegionLoad)
 
 
 class _LatestReports(Generic[Key, Word]):
-    """The newest report for each key and the local time to which it refers."""
+    """The newest report for each key and the local time to which it refers.
 
-    def __init__(self) -> None:
+    Args:
+        max_lost: Maximum number of outdated reports that are kept.
+        own: Key of this host's own report.
+    """
+
+    def __init__(self, max_lost: int = 0, own: Key | None = None) -> None:
+        self._max_lost = max_lost
+        self._own = own
         self._reports: dict[Key, tuple[float, Word]] = {}
+        self._lost: dict[Key, tuple[float, Word]] = {}
+        self._newest_at = float("-inf")
         self._cached_results: dict[float, tuple[float, list[Word]]] = {}
 
     def merge(self, key: Key, report: Word) -> None:
         """Store a report if it is newer than the stored one."""
         at = monotonic() - report.age_ms / 1000
-        stored = self._reports.get(key)
+        stored = self._stored(key)
         if stored is not None and at <= stored[0]:
             return
+        self._lost.pop(key, None)
         self._reports[key] = (at, report)
+        if key != self._own:
+            self._newest_at = max(self._newest_at, at)
         if stored is None or _differs(stored[1], report):
             # Cached results may have outdated ages but not outdated content.
             self._cached_results.clear()
 
     def get(self, key: Key) -> Word | None:
         """Return the report for a key regardless of its age."""
-        stored = self._reports.get(key)
+        stored = self._stored(key)
         return stored[1] if stored is not None else None
 
     def newer_than(self, expiry: float) -> list[Word]:
@@ -65,16 +82,47 @@
             cached = self._cached_results[expiry] = (now, self._collect(expiry, now))
         return list(cached[1])
 
+    def by_age(self) -> list[Word]:
+        """Return all reports with current ages, the newest first."""
+        self._limit_lost()
+        now = monotonic()
+        stored = [*self._reports.values(), *self._lost.values()]
+        stored.sort(key=lambda known: known[0], reverse=True)
+        return [_aged(known, now) for known in stored]
+
+    def _stored(self, key: Key) -> tuple[float, Word] | None:
+        return self._reports.get(key) or self._lost.get(key)
+
     def _collect(self, expiry: float, now: float) -> list[Word]:
-        for key, (at, _) in list(self._reports.items()):
-            if now - at > MAX_REPORT_AGE:
+        for key, known in list(self._reports.items()):
+            if now - known[0] > MAX_REPORT_AGE:
                 del self._reports[key]
+                if self._max_lost:
+                    self._lost[key] = known
+                    self._limit_lost()
         return [
-            msgspec.structs.replace(report, age_ms=max(0, int((now - at) * 1000)))
-            for at, report in self._reports.values()
-            if now - at <= expiry
+            _aged(known, now)
+            for known in self._reports.values()
+            if now - known[0] <= expiry
         ]
 
+    def _limit_lost(self) -> None:
+        """Remove the lost hosts beyond the limits, those heard first before others."""
+        oldest = self._newest_at - LOST_RETENTION
+        excess = len(self._lost) - self._max_lost
+        by_age = sorted(self._lost.items(), key=lambda item: item[1][0])
+        for number, (key, (at, _)) in enumerate(by_age):
+            if number >= excess and at >= oldest:
+                break
+            del self._lost[key]
+
+
+def _aged(stored: tuple[float, Word], now: float) -> Word:
+    """Return a report with its age at this time."""
+    at, report = stored
+    age_ms = max(0, int((now - at) * 1000))
+    return msgspec.structs.replace(report, age_ms=age_ms)
+
 
 def _differs(one: Word, other: Word) -> bool:
     """Return whether two reports of one key differ in more than their age."""
@@ -87,14 +135,21 @@
     Messages carry ages in milliseconds, which are converted to local times on arrival.
     This avoids comparing the clocks of two hosts.
 
+    Args:
+        own: Name of this host, if it reports itself to its own registry.
+
     Attributes:
         versions: Software versions of the services that have several.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, own: HostName | None = None) -> None:
         self.versions = ServiceVersions()
-        self._entries: _LatestReports[HostName, EntryHost] = _LatestReports()
-        self._core: _LatestReports[HostName, CoreHost] = _LatestReports()
+        self._entries: _LatestReports[HostName, EntryHost] = _LatestReports(
+            MAX_LOST_HOSTS
+        )
+        self._core: _LatestReports[HostName, CoreHost] = _LatestReports(
+            MAX_LOST_HOSTS, own
+        )
         self._loads: _LatestReports[tuple[RegionName, str], RegionLoad] = (
             _LatestReports()
         )
@@ -142,6 +197,23 @@
         """Return the live core hosts."""
         return self._core.newer_than(CORE_EXPIRY)
 
+    def known_core(self) -> list[CoreHost]:
+        """Return the live and the lost core hosts, those heard last first."""
+        return self._core.by_age()
+
+    def known_entries(self) -> list[EntryHost]:
+        """Return the live and the lost entry hosts, those heard last first."""
+        return self._entries.by_age()
+
+    def last_core(self) -> list[CoreHost]:
+        """Return the core hosts that were live when this host last heard of any."""
+        known = self.known_core()
+        return [
+            host
+            for host in known
+            if host.age_ms <= known[0].age_ms + CORE_EXPIRY * 1000
+        ]
+
     def loads(self, expiry: float = LOAD_EXPIRY) -> list[RegionLoad]:
         """Return the loads reported within the last ``expiry`` seconds."""
         return self._loads.newer_than(expiry)
--- a/packages/node/src/bronzepoint_node/fleet/_sync_client.py
+++ b/packages/node/src/bronzepoint_node/fleet/_sync_client.py
@@ -202,16 +202,22 @@
         names = self._usable_core_hosts()
         if not names:
             # All are avoided, as in a network partition; any may recover first.
-            known = [host.name for host in self._known_core()]
+            known = [host.name for host in self.registry.known_core()]
             return random.choice(known + list(self._seeds))
         if self._current not in names:
             self._current = random.choice(sorted(names))
         return self._current
 
     def _known_core(self) -> list[CoreHost]:
-        return self.registry.core() or [
-            CoreHost(seed, RegionName(""), 0) for seed in self._seeds
-        ]
+        """Return the core hosts to choose from; the last live ones if none is left.
+
+        The seeds may all have been replaced since the start of this process.
+        """
+        return (
+            self.registry.core()
+            or self.registry.last_core()
+            or [CoreHost(seed, RegionName(""), 0) for seed in self._seeds]
+        )
 
     def _usable_core_hosts(self) -> list[HostName]:
         return nearest_core(
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -98,6 +98,46 @@
         self.registry.merge_entries([entry("h", second)])
         self.assertIs(self.registry.entries()[0].state, state)
 
+    def test_silence_of_all_hosts_removes_no_core_host(self):
+        """Guards against a host that is cut off for a day and then knows nobody whom
+        it could ask."""
+        self.registry.merge_core([CoreHost("a", "r", 0), CoreHost("b", "r", 8000)])
+        self.now += 2 * registry_module.LOST_RETENTION
+        self.assertEqual(self.registry.core(), [])
+        names = [host.name for host in self.registry.known_core()]
+        self.assertEqual(names, ["a", "b"])
+        self.assertEqual([host.name for host in self.registry.last_core()], ["a"])
+
+    @params((0.9, ["b", "a"]), (1.1, ["b"]))
+    def test_lost_host_is_removed_after_a_day_of_others_reports(self, days, known):
+        """Guards against asking an address for ever that has been given up."""
+        self.registry.merge_core([CoreHost("a", "r", 0)])
+        self.now += days * registry_module.LOST_RETENTION
+        self.registry.merge_core([CoreHost("b", "r", 0)])
+        self.registry.core()
+        self.assertEqual([host.name for host in self.registry.known_core()], known)
+
+    def test_number_of_lost_hosts_is_limited(self):
+        """Guards against memory that grows with each host that is replaced."""
+        limit = registry_module.MAX_LOST_HOSTS
+        for number in range(limit + 5):
+            self.registry.merge_core([CoreHost(f"c{number}", "r", 0)])
+            self.now += 11.0
+            self.registry.core()
+        names = [host.name for host in self.registry.known_core()]
+        self.assertEqual(len(names), limit)
+        self.assertNotIn("c4", names)
+
+    def test_own_report_does_not_age_those_of_others(self):
+        """Guards against a core host that is cut off for a day and forgets the core,
+        since it reports itself all the time."""
+        registry = Registry("a")
+        registry.merge_core([CoreHost("b", "r", 0)])
+        self.now += 2 * registry_module.LOST_RETENTION
+        registry.merge_core([CoreHost("a", "r", 0)])
+        self.assertEqual([host.name for host in registry.core()], ["a"])
+        self.assertIn("b", [host.name for host in registry.known_core()])
+
     def test_region_of_a_core_host_is_kept(self):
         """Seeds are listed without their regions. A report without a region must not
         erase the known one."""
@@ -266,6 +306,23 @@
         self.assertEqual(peers.queried[-1], "c2")
         self.assertLessEqual(peers.queried.count("c1"), 1)
 
+    @params((5.0,), (60.0,), (7200.0,))
+    def test_last_core_is_queried_after_all_seeds_were_replaced(self, silence):
+        """Guards against a host that was cut off for some seconds and then queries only
+        the seeds of its start, which have all been replaced."""
+        client, peers = make_client({"c4": make_reply(7)}, seeds=("c1", "c2", "c3"))
+        client.registry.merge_core([CoreHost("c4", "far", 0), CoreHost("c5", "r", 0)])
+
+        async def main():
+            later = monotonic() + silence
+            with mock.patch.object(registry_module, "monotonic", lambda: later):
+                for _ in range(2):
+                    await client._query(client._select_core_host())
+
+        curio.run(main)
+        self.assertEqual(peers.queried, ["c5", "c4"])
+        self.assertEqual(client.catalogue.version, 7)
+
     @params((True, True), (False, False))
     def test_versions_of_a_late_answer_are_used(self, complete, expected):
         """Guards against a slow host that serves without knowing of two versions."""
