Stop connecting to a host that is gone for good

Found by looking at what one question to an address that isn't ours any more costs; no caller has seen it. A frame for a host that can't be reached stays queued, and the outbox tries to connect every 1 to 3 s as long as anything is queued: one message to a replaced host causes attempts until the process ends, on each host that has ever sent it one.

Change: after 10 s without a connection the queued frames are dropped, as the protocols tolerate, and the next frame starts the attempts again.

--- a/packages/common/src/bronzepoint_common/peers/_outbox.py
+++ b/packages/common/src/bronzepoint_common/peers/_outbox.py
@@ -29,6 +29,9 @@
 """Seconds between the first two attempts to connect; doubles with each failure."""
 _RETRY_MAX = 1.0
 """Maximum seconds between two attempts to connect."""
+_MAX_CONNECT_TIME = 10.0
+"""Seconds without a connection after which the queued frames are dropped. Otherwise one
+message to a host that is gone for good would cause attempts to connect for ever."""
 _IDLE_TIMEOUT = 60.0
 """Seconds without a frame after which the connection is closed."""
 
@@ -96,8 +99,7 @@
     def close(self) -> None:
         """Drop what is queued; the task ends and closes the connection."""
         self._closed = True
-        self._frames.clear()
-        self._queued_bytes = 0
+        self._drop_queued()
         if self._sock is not None:
             _shut_down(self._sock)
         self._wake(self)
@@ -117,16 +119,21 @@
 
     async def _run(self) -> None:
         delay, timeout = _RETRY_MIN, _FIRST_CONNECT_TIMEOUT
+        connecting_since = monotonic()
         while not self._closed:
             if not self._has_waiting():
                 self._has_work.clear()
                 await self._has_work.wait()
+                connecting_since = monotonic()
                 continue
             sock = await connect(self.address, timeout)
             timeout = min(2 * timeout, _MAX_CONNECT_TIMEOUT)
             if sock is not None:
                 delay, timeout = _RETRY_MIN, _FIRST_CONNECT_TIMEOUT
                 await self._send_over(sock)
+                connecting_since = monotonic()
+            elif monotonic() - connecting_since > _MAX_CONNECT_TIME:
+                self._drop_queued()
             await curio.sleep(delay)
             delay = min(2 * delay, _RETRY_MAX)
 
@@ -186,6 +193,10 @@
     def _has_waiting(self) -> bool:
         return bool(self._frames or self._partial)
 
+    def _drop_queued(self) -> None:
+        self._frames.clear()
+        self._queued_bytes = 0
+
     def _drop_excess(self) -> bool:
         """Drop the oldest frames beyond the limits; return whether none was dropped."""
         dropped = False
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -315,3 +315,36 @@
         ):
             curio.run(main)
         self.assertEqual(timeouts[:5], [0.4, 0.8, 1.6, 2.0, 2.0])
+
+    def test_attempts_to_connect_end(self):
+        """Guards against attempts without end after one message to a host that is gone
+        for good; a later message must still be sent."""
+        attempts = []
+
+        async def connect(address, timeout):
+            attempts.append(timeout)
+
+        async def main():
+            outbox = Outbox("127.0.0.1:1", lambda box: None)
+            counts = []
+            for _ in range(2):
+                outbox.send(b"x")
+                await outbox.resume()
+                async with curio.ignore_after(MAX_WAIT):
+                    while outbox.waiting_bytes:
+                        await curio.sleep(0.01)
+                ended = len(attempts)
+                await curio.sleep(0.2)
+                counts.append(len(attempts) - ended)
+                attempts.append(None)
+            await outbox.cancel()
+            return counts
+
+        with (
+            mock.patch.object(_outbox, "connect", connect),
+            mock.patch.object(_outbox, "_RETRY_MAX", 0.01),
+            mock.patch.object(_outbox, "_MAX_CONNECT_TIME", 0.1),
+        ):
+            self.assertEqual(curio.run(main), [0, 0])
+        self.assertGreater(attempts.index(None), 1)
+        self.assertGreater(len(attempts) - attempts.index(None), 2)
