Contact removed hosts of a region now and then

A host that the settings don't name is removed half an hour (twice the lifetime of run-once records) after it was last heard, by age alone, and from then on nobody contacts it. After a partition of a region that lasted longer, each side has removed the other, and only a host that both sides' settings name could join them. If that one has been replaced meanwhile, the region stays split for good: two directories, run-once records that the other side doesn't see, targets used by two sides that don't know of each other's load.

Change: removed hosts, of which tombstones are kept anyway, are contacted in one round of sixteen, one at a time. A heartbeat of theirs restores them, as before. The number of tombstones is limited to 256; it wasn't.

Evidence: test_sides_of_a_long_partition_meet_again fails before (the hosts are not live 30 s after the partition) and passes.

--- a/packages/node/src/bronzepoint_node/membership/_host_table.py
+++ b/packages/node/src/bronzepoint_node/membership/_host_table.py
@@ -260,7 +260,8 @@
         """Remove hosts that have been dead for a long time, and return their names.
 
         A tombstone of each removed host is kept. Otherwise another host that has not
-        removed it yet would add it again as a new host.
+        removed it yet would add it again as a new host, and two sides of a partition
+        that have removed each other would never meet again.
         """
         old = [
             name
@@ -274,9 +275,15 @@
             self._names.pop(known.host_id, None)
             self._tombstones[name] = known
             self.version += 1
+        while len(self._tombstones) > MAX_TOMBSTONES:
+            del self._tombstones[next(iter(self._tombstones))]
         self._recount()
         return old
 
+    def removed(self) -> list[HostName]:
+        """Return the hosts that were removed and may still run behind a partition."""
+        return list(self._tombstones)
+
     def _recount(self) -> None:
         contacted = [
             known for known in self._hosts.values() if known.last_contact_at is not None
@@ -363,6 +370,8 @@
         return HostState.live
 
 
+MAX_TOMBSTONES = 256
+"""Maximum number of removed hosts that are remembered; the oldest are dropped."""
 SMALL_REGION = 16
 """Maximum number of hosts for which rounds use the interval of the settings."""
 
--- a/packages/node/src/bronzepoint_node/membership/_partners.py
+++ b/packages/node/src/bronzepoint_node/membership/_partners.py
@@ -12,6 +12,8 @@
 """Minimum rounds between two direct contacts of the same host."""
 _RETRY_ROUNDS = 4
 """Rounds between two contacts of dead hosts."""
+_REMOVED_ROUNDS = 16
+"""Rounds between two contacts of removed hosts."""
 
 
 class Partners:
@@ -19,8 +21,8 @@
 
     A host without a heartbeat for some rounds is contacted directly, so that a
     healthy host is not suspected only because its heartbeats took a long path. A dead
-    host is contacted periodically, so that two sides of a partition that consider
-    each other dead reconnect after it heals.
+    or removed host is contacted periodically, so that two sides of a partition that
+    consider each other dead reconnect after it heals, however long it took.
 
     Args:
         rng: Random number generator.
@@ -32,8 +34,19 @@
         self._order: list[HostName] = []
         self._last_contacted: dict[HostName, int] = {}
 
-    def next(self, others: Sequence[HostInfo], interval: float) -> list[HostName]:
-        """Return the hosts to exchange with in this round, usually one."""
+    def next(
+        self,
+        others: Sequence[HostInfo],
+        interval: float,
+        removed: Sequence[HostName] = (),
+    ) -> list[HostName]:
+        """Return the hosts to exchange with in this round, usually one.
+
+        Args:
+            others: The other known hosts of the region.
+            interval: Seconds between two rounds.
+            removed: Hosts that were dead for so long that they were removed.
+        """
         self._round += 1
         live = [info for info in others if info.state is not HostState.dead]
         dead = [info for info in others if info.state is HostState.dead]
@@ -44,6 +57,8 @@
             )
         if dead and self._round % _RETRY_ROUNDS == 0:
             chosen.append(self._rng.choice(dead).name)
+        if removed and self._round % _REMOVED_ROUNDS == 0:
+            chosen.append(self._rng.choice(removed))
         for name in chosen:
             self._last_contacted[name] = self._round
         return chosen
--- a/tests/test_membership_gossip.py
+++ b/tests/test_membership_gossip.py
@@ -3,8 +3,10 @@
 import time
 import unittest
 from bisect import insort
+from unittest import mock
 
 from bronzepoint_node.membership import HostState, LoadSummary
+from bronzepoint_node.membership import _membership as membership_module
 from bronzepoint_schema.generated.membership import (
     EntryShare,
     HostRecord,
@@ -25,6 +27,11 @@
     )
 
 
+def any_known(group: Group, hosts: list[str], others: list[str]) -> bool:
+    """Return whether any of these hosts lists any of the others."""
+    return any(group.members[name].host(other) for name in hosts for other in others)
+
+
 class TestRegion(unittest.TestCase):
     def test_hosts_that_settings_do_not_name_are_learned(self) -> None:
         async def scenario(group: Group) -> None:
@@ -54,6 +61,25 @@
 
         run_group(Group(REGION), scenario)
 
+    def test_sides_of_a_long_partition_meet_again(self) -> None:
+        """Guards against a region that stays split for good: each side has removed the
+        hosts of the other, and the only host that the settings name is gone."""
+        first, second = ["bkk-1", "bkk-2"], ["bkk-3", "bkk-4"]
+
+        async def scenario(group: Group) -> None:
+            everyone = ["bkk-0", *first, *second]
+            await until(lambda: all_live(group, everyone))
+            await group.members.pop("bkk-0")._tasks.cancel_remaining()
+            del group.network.links["bkk-0"]
+            group.network.partition(first, second)
+            await until(lambda: not any_known(group, first, second))
+            await until(lambda: not any_known(group, second, first))
+            group.network.blocked_links.clear()
+            await until(lambda: all_live(group, [*first, *second]))
+
+        with mock.patch.object(membership_module, "_REMOVE_AFTER_LIFETIMES", 0.002):
+            run_group(Group(["bkk-0", *first, *second], ["bkk-0"]), scenario)
+
     def test_restarted_host_replaces_its_earlier_incarnation(self) -> None:
         """A host that is killed and restarted immediately must be seen as live.
 
