Ask any known host where the core is after contact with it was lost

Cause: a host that was cut off for longer than the others need to replace all core hosts that it knows is left with addresses of hosts that are gone, whatever it remembers. All that would know better run and can be reached, and it asks none of them: entry hosts of its region and others, which it knows, and which ignored such messages. A core host is in the same state: it knows the voters of its log and the seeds, and never finds the others if these were replaced.

Change: CoreSearch, on hosts of both roles. A host whose catalogue no leader has confirmed for 4 s asks three hosts in a round of a second which core hosts they know: seeds, core hosts and entry hosts, those that were live when contact was lost first. An answer holds the hosts with their ages, so that old news stays old. A host that doesn't know the core either tells those that have asked it as soon as it does. What is found is merged as usual: an entry host queries it, a core host sends it notices and asks it to join. Logs: core lost, core hosts found (told by whom), core found; metrics core.lost, core_search.asked, core_search.found.

Conclusion: holds as long as one known host of either role still runs.

--- a/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
@@ -1,5 +1,6 @@
 """Agreement on one document in a cluster that is formed from seed hosts."""
 
+import random
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -93,6 +94,8 @@
         section: Intervals and timeouts.
         peers: Links to the other hosts.
         metrics: Counters.
+        live_core_hosts: Returns the core hosts that were heard lately, some of which
+            may be neither voters nor seeds.
     """
 
     def __init__(
@@ -105,11 +108,13 @@
         section: AgreementSection,
         peers: Peers,
         metrics: Metrics,
+        live_core_hosts: Callable[[], list[HostName]] = list,
     ) -> None:
         self._name = name
         self._region = region
         self._folder = folder
         self._seeds = seeds
+        self._live_core_hosts = live_core_hosts
         self._first_start = first_start
         self._peers = peers
         self._voter = Voter(
@@ -126,6 +131,7 @@
         self._proposer = Proposer(name, list(seeds), self._voter, peers, metrics)
         self._election_timeout = section.election_timeout
         self._join_attempts = 0
+        self._asks_live_host = False
         self._tasks = curio.TaskGroup()
         peers.register(Area.AGREEMENT, AgreementMessage, self._handle)
 
@@ -183,8 +189,9 @@
         return self._voter.failure
 
     def known_hosts(self) -> set[HostName]:
-        """Return the voters known to this host, and the seeds."""
-        return {v.host for v in self._voter.known_voters()} | set(self._seeds)
+        """Return the voters known to this host, the seeds and the live core hosts."""
+        voters = {voter.host for voter in self._voter.known_voters()}
+        return {*voters, *self._seeds, *self._live_core_hosts()}
 
     def leader(self) -> HostName:
         """Return the leader known to this host; empty if none is known."""
@@ -352,6 +359,10 @@
         # never catch up, and neither would the entry hosts that query it.
         if self._voter.leader and self._has_recent_contact():
             return self._voter.leader
+        live = sorted(set(self._live_core_hosts()) - {self._name})
+        self._asks_live_host = bool(live) and not self._asks_live_host
+        if self._asks_live_host:
+            return random.choice(live)
         hosts = sorted(self.known_hosts() - {self._name})
         self._join_attempts += 1
         return hosts[self._join_attempts % len(hosts)] if hosts else self._name
--- a/packages/node/src/bronzepoint_node/core/_core_sync.py
+++ b/packages/node/src/bronzepoint_node/core/_core_sync.py
@@ -1,19 +1,29 @@
 """Synchronisation of a core host with entry hosts and with the other core hosts."""
 
+from collections.abc import Callable
+
 import curio
 
 from bronzepoint_common.background import spawn_background
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.documents import NO_BASE
 from bronzepoint_common.logs import get_logger
+from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area, Peers
 from bronzepoint_common.turns import rotating_slice
 from bronzepoint_node.agreement import SeededAgreement
-from bronzepoint_node.fleet import COLLECTOR_ORDER, MAX_CRASH_CASES, Registry
+from bronzepoint_node.fleet import (
+    COLLECTOR_ORDER,
+    MAX_CRASH_CASES,
+    CoreSearch,
+    Registry,
+)
 from bronzepoint_node.quarantine import MIN_CRASHES_SUSPECT, CrashTable
 from bronzepoint_schema.generated.documents import DocumentPart
 from bronzepoint_schema.generated.fleet import (
     CoreHost,
+    CoreHostsReport,
+    CoreHostsRequest,
     CoreNotice,
     EntryHost,
     FleetMessage,
@@ -57,6 +67,8 @@
         reader: The list of targets.
         peers: Links to the other hosts.
         crashes: Requests involved in target crashes.
+        seeds: Returns the core hosts that the settings name at that moment.
+        metrics: Counts what is done to restore lost contact.
     """
 
     def __init__(
@@ -67,6 +79,8 @@
         reader: TargetReader,
         peers: Peers,
         crashes: CrashTable | None = None,
+        seeds: Callable[[], list[HostName]] = list,
+        metrics: Metrics | None = None,
     ) -> None:
         self._crashes = crashes if crashes is not None else CrashTable()
         self.registry = Registry(name)
@@ -82,17 +96,28 @@
         self._heard_at: dict[RegionName, float] = {}
         self._turn = 0
         self._task: curio.Task | None = None
+        self._confirmed_at = monotonic()
+        metrics = metrics if metrics is not None else Metrics()
+        self._search = CoreSearch(
+            name, self.registry, peers, seeds, self._core_silence, metrics
+        )
         peers.register(Area.FLEET, FleetMessage, self._handle)
 
     async def start(self) -> None:
         """Start sending notices."""
         self._task = await spawn_background(self._send_notices)
+        await self._search.start()
 
     async def close(self) -> None:
         """Stop sending notices."""
+        await self._search.close()
         if self._task is not None:
             await self._task.cancel()
 
+    def live_core_hosts(self) -> list[HostName]:
+        """Return the core hosts that were heard lately, besides this one."""
+        return [h.name for h in self.registry.core() if h.name != self._name]
+
     def other_core_hosts(self) -> set[HostName]:
         """Return the core hosts that are known besides this one."""
         hosts = {host.name for host in self._core()} | self._agreement.known_hosts()
@@ -129,6 +154,13 @@
         if region not in ("", self._region):
             self._heard_at[region] = monotonic()
 
+    def _core_silence(self) -> float:
+        """Return the seconds since a leader last confirmed this host's state."""
+        age = self._agreement.confirmed_age()
+        if age is not None:
+            self._confirmed_at = max(self._confirmed_at, monotonic() - age)
+        return monotonic() - self._confirmed_at
+
     async def _handle(
         self, peer: HostName, message: FleetMessage
     ) -> FleetMessage | None:
@@ -144,6 +176,8 @@
             case VersionsRequest():
                 now, history = monotonic(), self._reader.history
                 return VersionsReply(history.is_complete(now), history.versions(now))
+            case CoreHostsRequest() | CoreHostsReport():
+                return self._search.answer(peer, message)
         return None
 
     def _answer(self, request: SyncRequest) -> SyncReply:
--- a/packages/node/src/bronzepoint_node/fleet/__init__.py
+++ b/packages/node/src/bronzepoint_node/fleet/__init__.py
@@ -1,10 +1,12 @@
 """State shared by the hosts of a seeded system: hosts, catalogue, targets and loads."""
 
+from ._core_search import CoreSearch
 from ._nearest_core import nearest_core
 from ._organisation import Organisation, Quota, digest_key, shown_digest
 from ._rank_table import LATE_RANKS, MAX_RANK, RankTable
 from ._registry import (
     COLLECTOR_ORDER,
+    CORE_EXPIRY,
     ENTRY_EXPIRY,
     LOAD_EXPIRY,
     MAX_REPORT_AGE,
@@ -24,6 +26,7 @@
 
 __all__ = [
     "COLLECTOR_ORDER",
+    "CORE_EXPIRY",
     "ENTRY_EXPIRY",
     "MAX_REPORT_AGE",
     "LATE_RANKS",
@@ -31,6 +34,7 @@
     "MAX_RANK",
     "MAX_CRASH_CASES",
     "CallerLimits",
+    "CoreSearch",
     "EngineProperties",
     "SyncClient",
     "Organisation",
--- a/packages/node/src/bronzepoint_node/fleet/_sync_client.py
+++ b/packages/node/src/bronzepoint_node/fleet/_sync_client.py
@@ -25,6 +25,7 @@
 )
 from bronzepoint_schema.ids import DataCenterName, HostName, RegionName
 
+from ._core_search import CoreSearch
 from ._document_copy import DocumentCopy
 from ._nearest_core import nearest_core
 from ._registry import Registry
@@ -67,11 +68,12 @@
     """Syncs an entry host with the core, preferably with core hosts of its region.
 
     Args:
-        region: Region of this host.
+        name: This host.
+        region: Its region.
         describe: Returns the entry of this host for the registry.
         own_loads: Returns the loads of this region's targets.
         decode: Decodes a catalogue document.
-        seeds: Core hosts to query first.
+        seeds: Returns the core hosts that the settings name at that moment.
         peers: Links to the other hosts.
         metrics: Receives the age of the last confirmation by the core.
 
@@ -87,11 +89,12 @@
 
     def __init__(
         self,
+        name: HostName,
         region: RegionName,
         describe: Callable[[], EntryHost],
         own_loads: Callable[[], list[RegionLoad]],
         decode: Callable[[bytes], ServedCatalogue],
-        seeds: list[HostName],
+        seeds: Callable[[], list[HostName]],
         peers: Peers,
         metrics: Metrics | None = None,
     ) -> None:
@@ -114,6 +117,7 @@
         self._current: HostName | None = None
         self._revision = 0
         self._confirmed_at = float("-inf")
+        self._core_confirmed_at = float("-inf")
         self._reports_loads = False
         self._copy = DocumentCopy()
         self._unreadable_version = NO_BASE
@@ -121,7 +125,10 @@
         self._on_change: list[Callable[[], None]] = []
         self._task: curio.Task | None = None
         self._secondary_task: curio.Task | None = None
-        peers.register(Area.FLEET, FleetMessage, self._ignore)
+        self._search = CoreSearch(
+            name, self.registry, peers, seeds, self._core_silence, self._metrics
+        )
+        peers.register(Area.FLEET, FleetMessage, self._handle)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each answer that was applied."""
@@ -131,9 +138,11 @@
         """Start querying the core."""
         self._task = await spawn_background(self._run)
         self._secondary_task = await spawn_background(self._query_secondary)
+        await self._search.start()
 
     async def close(self) -> None:
         """Stop querying the core."""
+        await self._search.close()
         for task in (self._task, self._secondary_task):
             if task is not None:
                 await task.cancel()
@@ -146,8 +155,15 @@
         """Sync at once to report a change of this host, such as leaving."""
         await self._query(self._select_core_host())
 
-    async def _ignore(self, peer: HostName, message: FleetMessage) -> None:
-        """Ignore unrequested messages, which are meant for core hosts."""
+    def _core_silence(self) -> float:
+        """Return the seconds since a core host had contact with the leader."""
+        return monotonic() - self._core_confirmed_at
+
+    async def _handle(
+        self, peer: HostName, message: FleetMessage
+    ) -> FleetMessage | None:
+        """Answer a host that searches the core; the rest is meant for core hosts."""
+        return self._search.answer(peer, message)
 
     async def _run(self) -> None:
         await self._query_seeds()
@@ -163,16 +179,29 @@
             await curio.sleep(max(0.05, pause - elapsed))
 
     async def _query_seeds(self) -> None:
-        """Query all seeds concurrently until the catalogue and targets are received."""
+        """Query all seeds concurrently until the catalogue and targets are received.
+
+        If no seed can be reached, the core hosts that the search has found are queried.
+        """
 
         async def query(seed: HostName) -> None:
             while not self._has_initial_state():
                 await self._query(seed, SEED_SYNC_TIMEOUT)
                 await curio.sleep(SEED_SYNC_INTERVAL)
 
+        seeds = self._seeds()
+
+        async def query_found() -> None:
+            while not self._has_initial_state():
+                found = {host.name for host in self.registry.core()} - {*seeds}
+                if found:
+                    await self._query(random.choice([*found]), SEED_SYNC_TIMEOUT)
+                await curio.sleep(SYNC_INTERVAL)
+
         async with curio.TaskGroup(wait=any) as group:
-            for seed in self._seeds:
+            for seed in seeds:
                 await group.spawn(query, seed)
+            await group.spawn(query_found)
         # Seeds that didn't answer in time may have become available.
         self._avoided_until.clear()
 
@@ -202,8 +231,8 @@
         names = self._usable_core_hosts()
         if not names:
             # All are avoided, as in a network partition; any may recover first.
-            known = [host.name for host in self.registry.known_core()]
-            return random.choice(known + list(self._seeds))
+            known = [host.name for host in self._known_core()]
+            return random.choice(known + self._seeds())
         if self._current not in names:
             self._current = random.choice(sorted(names))
         return self._current
@@ -216,7 +245,7 @@
         return (
             self.registry.core()
             or self.registry.last_core()
-            or [CoreHost(seed, RegionName(""), 0) for seed in self._seeds]
+            or [CoreHost(seed, RegionName(""), 0) for seed in self._seeds()]
         )
 
     def _usable_core_hosts(self) -> list[HostName]:
@@ -322,10 +351,11 @@
             if closed != self.closed:
                 _log.info("closed data centers", closed=sorted(closed), core=core)
             self.closed = closed
-        is_newest = self._copy.version >= reply.document_version
-        if is_newest and reply.confirmed_age_ms >= 0:
+        if reply.confirmed_age_ms >= 0:
             confirmed_at = began - reply.confirmed_age_ms / 1000
-            self._confirmed_at = max(self._confirmed_at, confirmed_at)
+            self._core_confirmed_at = max(self._core_confirmed_at, confirmed_at)
+            if self._copy.version >= reply.document_version:
+                self._confirmed_at = max(self._confirmed_at, confirmed_at)
         return has_more
 
     def _notify_listeners(self) -> None:
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -190,7 +190,9 @@
 
 def make_client(answers=(), seeds=("c1",)):
     peers = FakePeers(dict(answers))
-    client = SyncClient("r", lambda: entry("h"), list, decode, list(seeds), peers)
+    client = SyncClient(
+        "h", "r", lambda: entry("h"), list, decode, lambda: list(seeds), peers
+    )
     return client, peers
 
 
