Tell hosts that nobody hears any more where the core is

Where all entry hosts are cut off while the whole core is replaced, or start after a loss of power with settings whose seeds are all gone, none of them knows an address that answers; the core hosts, which knew all of theirs, forgot them 10 s after the last report and never called an entry host.

All core hosts do so, each at moments of its own. - A core host that is new to another one is told by it of the lost hosts, 128 of each role at most; otherwise replacing the core would end the memory. - Known hosts are stored on the disk when the set of them changes, and are restored as lost ones. Ages aren't stored. - A lost host that is heard again counts at once; the cached results could be 50 ms old.

Evidence, in-process with real connections: with the notifier switched off, test_core_calls_entry_hosts_that_know_none_of_it, test_core_host_that_knows_no_other_is_called and test_core_calls_entry_hosts_after_a_loss_of_power_of_all fail, the last one also with the memory switched off; with both all pass, 76 of 76 in the three modules before the last point, which test_restored_hosts_are_lost_until_they_are_heard found. An address that is given up gets fewer than 100 messages in two hours from each core host.

--- a/packages/node/src/bronzepoint_node/core/__init__.py
+++ b/packages/node/src/bronzepoint_node/core/__init__.py
@@ -2,6 +2,7 @@
 
 from ._core_quarantine import CoreQuarantine
 from ._core_sync import CoreSync
+from ._host_memory import HostMemory
 from ._order_gate import OrderGate, OrderRefused
 from ._region_scheduler import RegionScheduler
 from ._target_reader import ListUnavailable, TargetReader
@@ -9,6 +10,7 @@
 
 __all__ = [
     "CoreSync",
+    "HostMemory",
     "ListUnavailable",
     "CoreQuarantine",
     "OrderGate",
--- a/packages/node/src/bronzepoint_node/core/_core_sync.py
+++ b/packages/node/src/bronzepoint_node/core/_core_sync.py
@@ -36,6 +36,7 @@
 from bronzepoint_schema.ids import HostName, RegionName
 
 from ._document_feed import DocumentFeed
+from ._lost_host_notifier import LostHostNotifier
 from ._target_reader import TargetReader
 from ._visible_hosts import HostOrderCache, count_ready_hosts, visible_hosts
 
@@ -45,6 +46,9 @@
 """Maximum number of crash cases in one notice."""
 MAX_HOSTS_PER_NOTICE = 20
 """Maximum number of core hosts listed in one notice; more are listed round robin."""
+MAX_LOST_HOSTS_TOLD = 128
+"""Maximum number of lost hosts of each role in the first notice to a core host, those
+heard last; about 15 KB."""
 FULL_NOTICE_HOSTS = 8
 """Number of other core hosts up to which each notice holds the full number of cases."""
 REGION_SILENCE = 1.2
@@ -95,21 +99,25 @@
         self._syncing_hosts: set[HostName] = set()
         self._heard_at: dict[RegionName, float] = {}
         self._turn = 0
+        self._told_hosts: set[HostName] = set()
         self._task: curio.Task | None = None
         self._confirmed_at = monotonic()
         metrics = metrics if metrics is not None else Metrics()
         self._search = CoreSearch(
             name, self.registry, peers, seeds, self._core_silence, metrics
         )
+        self._notifier = LostHostNotifier(self.registry, self._search, peers, metrics)
         peers.register(Area.FLEET, FleetMessage, self._handle)
 
     async def start(self) -> None:
         """Start sending notices."""
         self._task = await spawn_background(self._send_notices)
         await self._search.start()
+        await self._notifier.start()
 
     async def close(self) -> None:
         """Stop sending notices."""
+        await self._notifier.close()
         await self._search.close()
         if self._task is not None:
             await self._task.cancel()
@@ -233,8 +241,23 @@
             notice = self._build_notice(self._core(), len(hosts))
             for host in hosts:
                 self._peers.post(host, Area.FLEET, notice)
+            self._tell_lost_hosts()
             await curio.sleep(NOTICE_INTERVAL)
 
+    def _tell_lost_hosts(self) -> None:
+        """Tell core hosts that are new to this one which hosts are lost.
+
+        A core host that has replaced another has never heard those itself.
+        """
+        live = set(self.live_core_hosts())
+        new, self._told_hosts = live - self._told_hosts, live
+        if not new:
+            return
+        entries = self.registry.lost_entries()[:MAX_LOST_HOSTS_TOLD]
+        core = self.registry.lost_core()[:MAX_LOST_HOSTS_TOLD]
+        for host in new if entries or core else ():
+            self._peers.post(host, Area.FLEET, CoreNotice(entries, [], core, []))
+
     def _build_notice(self, core: list[CoreHost], others: int) -> CoreNotice:
         """Return the notice for the other core hosts.
 
--- a/packages/node/src/bronzepoint_node/fleet/_registry.py
+++ b/packages/node/src/bronzepoint_node/fleet/_registry.py
@@ -61,11 +61,11 @@
         stored = self._stored(key)
         if stored is not None and at <= stored[0]:
             return
-        self._lost.pop(key, None)
+        was_lost = self._lost.pop(key, None) is not None
         self._reports[key] = (at, report)
         if key != self._own:
             self._newest_at = max(self._newest_at, at)
-        if stored is None or _differs(stored[1], report):
+        if stored is None or was_lost or _differs(stored[1], report):
             # Cached results may have outdated ages but not outdated content.
             self._cached_results.clear()
 
@@ -82,11 +82,20 @@
             cached = self._cached_results[expiry] = (now, self._collect(expiry, now))
         return list(cached[1])
 
-    def by_age(self) -> list[Word]:
-        """Return all reports with current ages, the newest first."""
+    def by_age(self, older_than: float = 0.0) -> list[Word]:
+        """Return reports with current ages, the newest first.
+
+        Args:
+            older_than: Minimum age in seconds.
+        """
         self._limit_lost()
         now = monotonic()
-        stored = [*self._reports.values(), *self._lost.values()]
+        stored = [
+            known
+            for reports in (self._reports, self._lost)
+            for known in reports.values()
+            if now - known[0] >= older_than
+        ]
         stored.sort(key=lambda known: known[0], reverse=True)
         return [_aged(known, now) for known in stored]
 
@@ -205,6 +214,17 @@
         """Return the live and the lost entry hosts, those heard last first."""
         return self._entries.by_age()
 
+    def lost_core(self) -> list[CoreHost]:
+        """Return the core hosts that are remembered only, those heard last first."""
+        return self._core.by_age(CORE_EXPIRY)
+
+    def lost_entries(self) -> list[EntryHost]:
+        """Return the entry hosts that are remembered only, those heard last first.
+
+        An entry host may be late for some seconds without being lost.
+        """
+        return self._entries.by_age(CORE_EXPIRY)
+
     def last_core(self) -> list[CoreHost]:
         """Return the core hosts that were live when this host last heard of any."""
         known = self.known_core()
--- a/tests/_core_fleet.py
+++ b/tests/_core_fleet.py
@@ -6,7 +6,7 @@
 
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_node.agreement import SeededAgreement
-from bronzepoint_node.core import CoreSync, TargetReader
+from bronzepoint_node.core import CoreSync, HostMemory, TargetReader
 from bronzepoint_node.fleet import CallerLimits, ServedCatalogue, SyncClient
 from bronzepoint_schema.generated.fleet import EntryHost, EntryState
 from tests._seeded_cluster import TIMES, PartitionablePeers, SeededCluster
@@ -58,8 +58,9 @@
             lambda: self.current_seeds[name],
             self.metrics[name],
         )
+        memory = HostMemory(core_sync.registry, self.root / name)
         self.running[name] = agreement
-        self._parts[name] = [reader, core_sync]
+        self._parts[name] = [reader, memory, core_sync]
         for part in (agreement, *self._parts[name]):
             await part.start()
 
