Ask a third region for the hosts of a region that can't be reached

A region knows another one by six hosts that it listed last and by those of the settings. Where both sides of a partition replace all of these, no report arrives any more, and each counts the other as unreachable for good: requests that should be forwarded are refused, although a third region talks to both.

Change: after four reports in a row without an answer, a reporter asks a host of another region for the hosts that the lost region has listed there, and sends every other report to one of these. The answer is used as addresses only; the age of a region's own reports still decides whether it is reachable. One question a round and reporter, of which there are two a region.

--- a/packages/node/src/bronzepoint_node/membership/_membership.py
+++ b/packages/node/src/bronzepoint_node/membership/_membership.py
@@ -31,6 +31,7 @@
     Exchange,
     LoadShare,
     MembershipMessage,
+    RegionHostsRequest,
     RegionReport,
     TargetNotice,
 )
@@ -216,6 +217,8 @@
             case RegionReport():
                 self._gossip.merge_report_hosts(message.hosts)
                 return self._region_reporter.merge(message)
+            case RegionHostsRequest(region=region):
+                return self._region_reporter.hosts_of(region)
         return None
 
     async def _run_gossip(self) -> None:
--- a/packages/node/src/bronzepoint_node/membership/_region_reporter.py
+++ b/packages/node/src/bronzepoint_node/membership/_region_reporter.py
@@ -22,6 +22,8 @@
     EntryLoad,
     HostRecord,
     LoadShare,
+    RegionHosts,
+    RegionHostsRequest,
     RegionReport,
     ReportSeen,
 )
@@ -45,6 +47,9 @@
 """Maximum load shares per second that a reporter should receive."""
 _SEED_ROUNDS = 4
 """Rounds between two reports to hosts from the settings."""
+_LOST_ROUNDS = 4
+"""Rounds in a row without an answer of a region after which other regions are asked for
+its hosts. All those known here may have been replaced."""
 
 
 class RegionReporter:
@@ -79,6 +84,8 @@
         self._listed: dict[RegionName, tuple[int, list[HostRecord]]] = {}
         self._round_trips: dict[RegionName, float] = {}
         self._acknowledged: dict[HostName, int] = {}
+        self._failed_rounds: dict[RegionName, int] = {}
+        self._told_hosts: dict[RegionName, list[HostRecord]] = {}
         self._round = 0
 
     def add_seed(self, record: HostRecord) -> None:
@@ -177,12 +184,44 @@
         except PeerError as exc:
             self._metrics.incr(f"membership.report_failed.{type(exc).__name__}")
             self._acknowledged.pop(contact, None)
+            failed = self._failed_rounds[region] = (
+                self._failed_rounds.get(region, 0) + 1
+            )
+            if failed >= _LOST_ROUNDS:
+                await self._ask_other_regions(region)
             return
+        self._failed_rounds.pop(region, None)
+        self._told_hosts.pop(region, None)
         self._record_round_trip(region, time.monotonic() - started)
         if isinstance(seen, ReportSeen):
             self._acknowledged[contact] = seen.sequence
             self._advance_sequence(seen.sequence)
 
+    def hosts_of(self, region: RegionName) -> RegionHosts:
+        """Return the hosts that a region has listed to this one."""
+        return RegionHosts(self._regions.hosts(region))
+
+    async def _ask_other_regions(self, lost: RegionName) -> None:
+        """Ask a host of another region for hosts of a region that can't be reached."""
+        regions = [name for name in self.other_regions() if name != lost]
+        hosts = [host for name in regions for host in self._contacts_for_round(name)]
+        if not hosts:
+            return
+        asked = hosts[self._round % len(hosts)].name
+        self._metrics.incr("membership.region_hosts_asked")
+        request = RegionHostsRequest(lost)
+        try:
+            answer = await self._peers.call(
+                asked, Area.MEMBERSHIP, request, _CALL_TIMEOUT
+            )
+        except PeerError as exc:
+            self._metrics.incr(f"membership.report_failed.{type(exc).__name__}")
+            return
+        if isinstance(answer, RegionHosts) and answer.hosts:
+            for record in answer.hosts:
+                self._peers.set_address(record.name, record.peer)
+            self._told_hosts[lost] = answer.hosts
+
     def _advance_sequence(self, sequence: int) -> None:
         """Continue above a sequence number that others have received of this region.
 
@@ -218,8 +257,12 @@
 
         During a long partition both regions may have replaced all hosts that they
         listed; then no report would ever arrive. The settings can be corrected by an
-        operator, so their hosts are used every `_SEED_ROUNDS` rounds.
+        operator, so their hosts are used every `_SEED_ROUNDS` rounds. Hosts that
+        another region has named are used every other round.
         """
+        told = self._told_hosts.get(region)
+        if told and self._round % 2:
+            return told
         named = self._regions.hosts(region)
         seeds = self._seeds.get(region, [])
         if seeds and (not named or self._round % _SEED_ROUNDS == 0):
--- a/tests/test_membership_gossip.py
+++ b/tests/test_membership_gossip.py
@@ -229,6 +229,25 @@
 
         run_group(Group(["bkk-0", "sgp-0"]), scenario)
 
+    def test_regions_meet_again_through_a_third_one(self) -> None:
+        """Guards against two regions that never meet again, since each has
+        replaced all hosts that the other knows, while a third region knows both."""
+
+        async def scenario(group: Group) -> None:
+            def has_met(name: str, other: str) -> bool:
+                hosts = group.members[f"{name}-0"]._regions.hosts(other)
+                return [record.name for record in hosts] == [f"{other}-0"]
+
+            group.network.partition(["bkk-0"], ["sgp-0"])
+            for name, other in (("bkk", "sgp"), ("sgp", "bkk")):
+                reporter = group.members[f"{name}-0"]._region_reporter
+                reporter._seeds[other] = make_replaced_hosts(other)
+            await until(lambda: has_met("ist", "bkk") and has_met("ist", "sgp"))
+            group.network.blocked_links.clear()
+            await until(lambda: has_met("bkk", "sgp") and has_met("sgp", "bkk"))
+
+        run_group(Group(["bkk-0", "sgp-0", "ist-0"]), scenario)
+
 
 def make_replaced_hosts(region: str) -> list[HostRecord]:
     """Return the list of a region whose only listed host no longer exists."""
