Read the hosts of changed settings while a daemon runs

The list that is read once at a start, in our own interface: `[peer NAME]` sections were read at the start only, so a host whose known hosts had all been replaced needed a restart although its file named others, and SIGHUP ended the daemon (seen on: exit status -1).

Hosts that it names are contacted now and then and are listed when they answer; counting them before would change where run-once records are placed, at each host at another moment. Hosts of other regions get reports like those of the start. A changed address replaces the former one from the settings. All other settings still need a restart.

--- a/packages/common/src/bronzepoint_common/peers/_peers.py
+++ b/packages/common/src/bronzepoint_common/peers/_peers.py
@@ -116,10 +116,10 @@
         Args:
             peer: The peer.
             address: Its ``host:port``.
-            fixed: True for an address from the settings, which later calls don't
-                replace.
+            fixed: True for an address from the settings, which only another one from
+                there replaces.
         """
-        if peer == self._name or peer in self._fixed:
+        if peer == self._name or (peer in self._fixed and not fixed):
             return
         if fixed:
             self._fixed.add(peer)
--- a/packages/node/src/bronzepoint_node/__main__.py
+++ b/packages/node/src/bronzepoint_node/__main__.py
@@ -37,7 +37,7 @@
         raise typer.Exit(EXIT_SETTINGS) from None
     try:
         log_handler = setup_logs(cfg.log, cfg.host.name)
-        curio.run(run_daemon, cfg, log_handler)
+        curio.run(run_daemon, cfg, log_handler, settings)
     except (AddressUnusable, OSError, StorageError, LogFileError) as exc:
         print(exc, file=sys.stderr)
         raise typer.Exit(EXIT_START) from None
--- a/packages/node/src/bronzepoint_node/_daemon.py
+++ b/packages/node/src/bronzepoint_node/_daemon.py
@@ -1,5 +1,6 @@
 """Builds the components of a daemon, and starts and closes them in order."""
 
+import signal
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -12,10 +13,11 @@
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Peers
 from bronzepoint_common.settings import cluster_key
-from bronzepoint_common.signals import SignalWaiter
+from bronzepoint_common.signals import STOP_SIGNALS, SignalWaiter
 from bronzepoint_common.tokens import Tokens
 from bronzepoint_node._listening import listening
 from bronzepoint_node._load_publisher import LoadPublisher
+from bronzepoint_node._settings_watcher import SettingsWatcher
 from bronzepoint_node.agreement import Agreement
 from bronzepoint_node.catalogue import Catalogue
 from bronzepoint_node.decisions import Decisions
@@ -49,9 +51,10 @@
 
     Args:
         settings: Checked settings of this host.
+        path: Their file.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, path: Path) -> None:
         self._settings = settings
         host = settings.host
         folder = Path(host.data_folder) if host.data_folder else None
@@ -63,6 +66,7 @@
             http_limits(settings.http), settings.http.connect_timeout
         )
         self._membership = Membership(settings, self._peers, self._metrics)
+        self._settings_watcher = SettingsWatcher(path, self._membership.add_contacts)
         self._catalogue = Catalogue(
             settings, self._peers, self._metrics, self._membership.hosts
         )
@@ -119,6 +123,7 @@
             self._decisions,
             self._orders,
             self._load,
+            self._settings_watcher,
         ]
         self._started: list[Component] = []
         self._membership.on_drain_acknowledged(self._gateway.refuse_calls)
@@ -215,6 +220,10 @@
             regions=self._membership.region_count(),
         )
 
+    def reload(self) -> None:
+        """Read the hosts of the settings again if the file has changed."""
+        self._settings_watcher.check()
+
     def _known_hosts(self) -> list[HostName]:
         return [info.name for info in self._membership.region_hosts()]
 
@@ -231,18 +240,28 @@
     )
 
 
-async def run_daemon(settings: Settings, log_handler: JsonLinesHandler) -> None:
-    """Run one daemon until SIGTERM or SIGINT; a second signal stops it immediately."""
+async def run_daemon(
+    settings: Settings, log_handler: JsonLinesHandler, path: Path
+) -> None:
+    """Run one daemon until SIGTERM or SIGINT; a second signal stops it immediately.
+
+    SIGHUP makes it read the hosts of the settings again.
+    """
     await spawn_background(log_handler.flush_periodically)
-    async with SignalWaiter() as signals:
-        daemon = Daemon(settings)
+    async with SignalWaiter((*STOP_SIGNALS, signal.SIGHUP)) as signals:
+        daemon = Daemon(settings, path)
         try:
             await daemon.start()
         except BaseException:
             await daemon.close_components()
             raise
-        await signals.wait()
+        await _wait_stop(signals, daemon)
         closing = await curio.spawn(daemon.close)
-        second_signal = await curio.spawn(signals.wait)
+        second_signal = await curio.spawn(_wait_stop, signals, daemon)
         async with curio.TaskGroup([closing, second_signal], wait=any):
             pass
+
+
+async def _wait_stop(signals: SignalWaiter, daemon: Daemon) -> None:
+    while await signals.wait() == signal.SIGHUP:
+        daemon.reload()
--- a/packages/node/src/bronzepoint_node/membership/_gossip.py
+++ b/packages/node/src/bronzepoint_node/membership/_gossip.py
@@ -74,7 +74,7 @@
         others = [i for i in self._hosts.infos() if i.name != self._hosts.own.name]
         since = self._clock.now() - _RUMOR_ROUNDS * interval
         self._new_notices = [new for new in self._new_notices if new[0] >= since]
-        partners = self._partners.next(others, interval, self._hosts.removed())
+        partners = self._partners.next(others, interval, self._hosts.unlisted())
         await self.exchange_with(partners, interval)
 
     async def exchange(self, partner: HostName, timeout: float) -> bool:
--- a/packages/node/src/bronzepoint_node/membership/_host_table.py
+++ b/packages/node/src/bronzepoint_node/membership/_host_table.py
@@ -89,6 +89,7 @@
         self._names: dict[HostId, HostName] = {}
         self._seeds: set[HostName] = set()
         self._tombstones: dict[HostName, KnownHost] = {}
+        self._contacts: set[HostName] = set()
         self._contacted_count = 0
         self.version = 0
         self._put(own)
@@ -280,9 +281,17 @@
         self._recount()
         return old
 
-    def removed(self) -> list[HostName]:
-        """Return the hosts that were removed and may still run behind a partition."""
-        return list(self._tombstones)
+    def add_contact(self, name: HostName) -> None:
+        """Add a host to contact that isn't listed before it answers."""
+        self._contacts.add(name)
+
+    def unlisted(self) -> list[HostName]:
+        """Return the hosts to contact that aren't listed.
+
+        These are removed ones, which may still run behind a partition, and those that
+        changed settings name.
+        """
+        return sorted({*self._tombstones, *self._contacts} - self._hosts.keys())
 
     def _recount(self) -> None:
         contacted = [
--- a/packages/node/src/bronzepoint_node/membership/_membership.py
+++ b/packages/node/src/bronzepoint_node/membership/_membership.py
@@ -256,6 +256,19 @@
             flags |= HeartbeatFlag.RUN_ONCE_READY
         self._hosts.update_own_heartbeat(load.load, load.revision, flags)
 
+    def add_contacts(self, settings: Settings) -> None:
+        """Contact hosts that changed settings name and that this host doesn't know.
+
+        They are listed once they answer. Counting them before that would change where
+        run-once records are placed.
+        """
+        for record in make_seed_records(settings):
+            self._peers.set_address(record.name, record.peer, fixed=True)
+            if record.region == self.region:
+                self._hosts.add_contact(record.name)
+            else:
+                self._region_reporter.add_seed(record)
+
     def _add_seeds(self) -> None:
         for record in make_seed_records(self._settings):
             self._peers.set_address(record.name, record.peer, fixed=True)
--- a/packages/node/src/bronzepoint_node/membership/_partners.py
+++ b/packages/node/src/bronzepoint_node/membership/_partners.py
@@ -12,8 +12,8 @@
 """Minimum rounds between two direct contacts of the same host."""
 _RETRY_ROUNDS = 4
 """Rounds between two contacts of dead hosts."""
-_REMOVED_ROUNDS = 16
-"""Rounds between two contacts of removed hosts."""
+_UNLISTED_ROUNDS = 16
+"""Rounds between two contacts of hosts that aren't listed."""
 
 
 class Partners:
@@ -38,14 +38,14 @@
         self,
         others: Sequence[HostInfo],
         interval: float,
-        removed: Sequence[HostName] = (),
+        unlisted: Sequence[HostName] = (),
     ) -> list[HostName]:
         """Return the hosts to exchange with in this round, usually one.
 
         Args:
             others: The other known hosts of the region.
             interval: Seconds between two rounds.
-            removed: Hosts that were dead for so long that they were removed.
+            unlisted: Hosts that were removed, or that changed settings name.
         """
         self._round += 1
         live = [info for info in others if info.state is not HostState.dead]
@@ -57,8 +57,8 @@
             )
         if dead and self._round % _RETRY_ROUNDS == 0:
             chosen.append(self._rng.choice(dead).name)
-        if removed and self._round % _REMOVED_ROUNDS == 0:
-            chosen.append(self._rng.choice(removed))
+        if unlisted and self._round % _UNLISTED_ROUNDS == 0:
+            chosen.append(self._rng.choice(unlisted))
         for name in chosen:
             self._last_contacted[name] = self._round
         return chosen
--- a/packages/node/src/bronzepoint_node/membership/_region_reporter.py
+++ b/packages/node/src/bronzepoint_node/membership/_region_reporter.py
@@ -89,8 +89,10 @@
         self._round = 0
 
     def add_seed(self, record: HostRecord) -> None:
-        """Add a host of another region from the settings."""
-        self._seeds.setdefault(record.region, []).append(record)
+        """Add or replace a host of another region from the settings."""
+        seeds = self._seeds.get(record.region, [])
+        others = [seed for seed in seeds if seed.name != record.name]
+        self._seeds[record.region] = [*others, record]
 
     @property
     def interval(self) -> float:
--- a/tests/test_membership_gossip.py
+++ b/tests/test_membership_gossip.py
@@ -5,6 +5,8 @@
 from bisect import insort
 from unittest import mock
 
+import curio
+
 from bronzepoint_node.membership import HostState, LoadSummary
 from bronzepoint_node.membership import _membership as membership_module
 from bronzepoint_schema.generated.membership import (
@@ -13,7 +15,7 @@
     RegionReport,
     TargetNotice,
 )
-from tests._membership_net import Group, run_group, until
+from tests._membership_net import Group, make_settings, run_group, until
 
 REGION = ["bkk-0", "bkk-1", "bkk-2"]
 TWO_REGIONS = [*REGION, "sgp-0", "sgp-1", "sgp-2"]
@@ -80,6 +82,20 @@
         with mock.patch.object(membership_module, "_REMOVE_AFTER_LIFETIMES", 0.002):
             run_group(Group(["bkk-0", *first, *second], ["bkk-0"]), scenario)
 
+    def test_host_that_changed_settings_name_is_contacted(self) -> None:
+        """Guards against a host that reads its settings at its start only: those that
+        it knows are gone, and the file names others by then."""
+        hosts = ["bkk-1", "bkk-2"]
+
+        async def scenario(group: Group) -> None:
+            await curio.sleep(1.0)
+            self.assertFalse(any_known(group, hosts[:1], hosts[1:]))
+            group.members["bkk-1"].add_contacts(make_settings("bkk-1", hosts))
+            self.assertFalse(any_known(group, hosts[:1], hosts[1:]))
+            await until(lambda: all_live(group, hosts))
+
+        run_group(Group(hosts, ["bkk-0"]), scenario)
+
     def test_restarted_host_replaces_its_earlier_incarnation(self) -> None:
         """A host that is killed and restarted immediately must be seen as live.
 
