--- a/packages/node/src/bronzepoint_node/core/_core_sync.py
+++ b/packages/node/src/bronzepoint_node/core/_core_sync.py
@@ -48,7 +48,7 @@
 """Maximum number of core hosts listed in one notice; more are listed round robin."""
 MAX_LOST_HOSTS_TOLD = 128
 """Maximum number of lost hosts of each role in the first notice to a core host, those
-heard last; about 15 KB."""
+heard last; about 12 KB."""
 FULL_NOTICE_HOSTS = 8
 """Number of other core hosts up to which each notice holds the full number of cases."""
 REGION_SILENCE = 1.2
--- a/packages/node/src/bronzepoint_node/fleet/_registry.py
+++ b/packages/node/src/bronzepoint_node/fleet/_registry.py
@@ -33,7 +33,7 @@
 """Seconds for which a lost host is remembered, counted to the newest report of another
 host of its role. A host that hears nobody forgets nobody."""
 MAX_LOST_HOSTS = 1024
-"""Maximum number of lost hosts that are remembered, about 0.3 MB."""
+"""Maximum number of lost hosts that are remembered, about 0.4 MB."""
 
 Key = TypeVar("Key")
 Word = TypeVar("Word", EntryHost, CoreHost, RegionLoad)
