--- a/packages/node/src/bronzepoint_node/membership/_region_reporter.py
+++ b/packages/node/src/bronzepoint_node/membership/_region_reporter.py
@@ -1,6 +1,7 @@
 """Reports between regions, sent by a few reporter hosts of each region."""
 
 import time
+from collections import Counter
 
 import curio
 import msgspec
@@ -84,7 +85,7 @@
         self._listed: dict[RegionName, tuple[int, list[HostRecord]]] = {}
         self._round_trips: dict[RegionName, float] = {}
         self._acknowledged: dict[HostName, int] = {}
-        self._failed_rounds: dict[RegionName, int] = {}
+        self._failed_rounds: Counter[RegionName] = Counter()
         self._told_hosts: dict[RegionName, list[HostRecord]] = {}
         self._round = 0
 
@@ -186,10 +187,8 @@
         except PeerError as exc:
             self._metrics.incr(f"membership.report_failed.{type(exc).__name__}")
             self._acknowledged.pop(contact, None)
-            failed = self._failed_rounds[region] = (
-                self._failed_rounds.get(region, 0) + 1
-            )
-            if failed >= _LOST_ROUNDS:
+            self._failed_rounds[region] += 1
+            if self._failed_rounds[region] >= _LOST_ROUNDS:
                 await self._ask_other_regions(region)
             return
         self._failed_rounds.pop(region, None)
--- a/tests/_core_fleet.py
+++ b/tests/_core_fleet.py
@@ -11,6 +11,9 @@
 from bronzepoint_schema.generated.fleet import EntryHost, EntryState
 from tests._seeded_cluster import TIMES, PartitionablePeers, SeededCluster
 
+MAX_WAIT = 60.0
+"""Maximum seconds to wait for a state: a guard against a hang, not a limit on speed."""
+
 
 class CoreFleet(SeededCluster):
     """Hosts of both roles; the letter of a name is its region.
@@ -127,6 +130,9 @@
         registries = [self.entries[name].registry for name in names]
         return all({h.name for h in r.entries()} == set(names) for r in registries)
 
+    async def until(self, condition, max_wait=MAX_WAIT):
+        await super().until(condition, max_wait)
+
     async def until_in_force(self, version, *names):
         await self.until(lambda: all(self.in_force(n) == version for n in names))
 
