--- a/packages/node/src/bronzepoint_node/fleet/_core_search.py
+++ b/packages/node/src/bronzepoint_node/fleet/_core_search.py
@@ -30,7 +30,7 @@
 ANSWER_TIMEOUT = 0.6
 """Seconds to wait for an answer: three of the longest round trips."""
 MAX_HOSTS_REPORTED = 16
-"""Maximum number of core hosts in a report, those heard last; about 0.5 KB."""
+"""Maximum number of core hosts in a report, those heard last; about 0.4 KB."""
 MAX_WAITING_HOSTS = 64
 """Maximum number of hosts that are told of the core once this host has found it."""
 
--- a/tests/test_fleet_large_catalogue.py
+++ b/tests/test_fleet_large_catalogue.py
@@ -62,7 +62,7 @@
         self.held = {}
         self._operator = operator
         self._client = SyncClient(
-            "a", lambda: ENTRY, list, read_manifest, ["a1"], self.link
+            "h", "a", lambda: ENTRY, list, read_manifest, lambda: ["a1"], self.link
         )
 
     async def run(self, until):
--- a/tests/test_fleet_late_answers.py
+++ b/tests/test_fleet_late_answers.py
@@ -55,7 +55,9 @@
         core, core_address = make_peers("a1")
         host, host_address = make_peers("h")
         core.register(Area.FLEET, FleetMessage, answer)
-        sync_client = SyncClient("a", lambda: ENTRY, list, read_manifest, ["a1"], host)
+        sync_client = SyncClient(
+            "h", "a", lambda: ENTRY, list, read_manifest, lambda: ["a1"], host
+        )
         await core.start()
         host.set_address("a1", core_address)
         core.set_address("h", host_address)
