--- a/tests/_core_fleet.py
+++ b/tests/_core_fleet.py
@@ -22,12 +22,14 @@
         seeds: Core hosts that the settings of a host name at its start.
         current_seeds: The same as the settings file of a running host names them.
         entries: Running entry hosts by name.
+        core_syncs: What running core hosts know of the other hosts.
     """
 
     def __init__(self, *names):
         super().__init__(*names)
         self.current_seeds = {}
         self.entries = {}
+        self.core_syncs = {}
         self._parts = {}
 
     async def __aexit__(self, *exc_info):
@@ -62,7 +64,7 @@
             self.metrics[name],
         )
         memory = HostMemory(core_sync.registry, self.root / name)
-        self.running[name] = agreement
+        self.running[name], self.core_syncs[name] = agreement, core_sync
         self._parts[name] = [reader, memory, core_sync]
         for part in (agreement, *self._parts[name]):
             await part.start()
@@ -125,10 +127,11 @@
         catalogue = self.entries[name].catalogue
         return None if catalogue is None else catalogue.version
 
-    def knows_all(self, names):
-        """Return whether each of these entry hosts knows all of them."""
-        registries = [self.entries[name].registry for name in names]
-        return all({h.name for h in r.entries()} == set(names) for r in registries)
+    def knows_all(self, core, entries):
+        """Return whether each host knows all of these entry hosts."""
+        registries = [self.entries[name].registry for name in entries]
+        registries += [self.core_syncs[name].registry for name in core]
+        return all({h.name for h in r.entries()} == set(entries) for r in registries)
 
     async def until(self, condition, max_wait=MAX_WAIT):
         await super().until(condition, max_wait)
@@ -162,7 +165,7 @@
                     for name in entries:
                         await fleet.start_entry(name)
                     await fleet.until_in_force(1, *entries)
-                    await fleet.until(lambda: fleet.knows_all(entries))
+                    await fleet.until(lambda: fleet.knows_all(core, entries))
                     await test(self, fleet, *arguments)
 
             curio.run(main)
