Keep the ages of lost hosts across restarts of a core host

Found by reading the change once more; nothing has shown it. The file of known hosts held no ages, and each restart restored a host that was gone for hours as one that was lost 10 s ago.

Change: the file holds the ages, and is written again when a lost host has aged by an hour. A restored host is at least 10 s old, as before.

Evidence: test_restarts_do_not_renew_a_host_that_is_given_up fails before (10 s where 20 hours are expected) and passes; its module and those of the pages and the generated code pass, 133 of 133.

--- a/packages/node/src/bronzepoint_node/core/_host_memory.py
+++ b/packages/node/src/bronzepoint_node/core/_host_memory.py
@@ -16,8 +16,11 @@
 """Seconds between two checks for hosts to store."""
 CLOSE_TIMEOUT = 2.0
 """Seconds to wait for a write in progress at a shutdown."""
-RESTORED_AGE_MS = int(MAX_REPORT_AGE * 1000)
-"""Age of restored reports: the hosts count as lost until they are heard."""
+MIN_RESTORED_AGE_MS = int(MAX_REPORT_AGE * 1000)
+"""Minimum age of restored reports: the hosts count as lost until they are heard."""
+AGE_STEP_MS = 3_600_000
+"""Milliseconds by which a lost host must have aged to be stored again. Without its age,
+each restart would remember it for another day."""
 
 _log = get_logger("core")
 
@@ -37,7 +40,7 @@
     def __init__(self, registry: Registry, folder: Path) -> None:
         self._registry = registry
         self._file = SnapshotFile(folder, "hosts")
-        self._stored: set[HostName] = set()
+        self._stored: set[tuple[HostName, int]] = set()
         self._task: curio.Task | None = None
 
     async def start(self) -> None:
@@ -62,14 +65,12 @@
             await self.save()
 
     async def save(self) -> None:
-        """Store the known hosts if others have been added or removed."""
+        """Store the known hosts if the set of them or an age has changed much."""
         hosts = self._registry.known_entries()
         core = self._registry.known_core()
-        names = {host.name for host in [*hosts, *core]}
-        if names == self._stored:
+        state = {(host.name, host.age_ms // AGE_STEP_MS) for host in [*hosts, *core]}
+        if state == self._stored:
             return
-        for host in [*hosts, *core]:
-            host.age_ms = 0
         content = msgspec.msgpack.encode(KeptHosts(hosts, core))
         try:
             # A cancelled task would leave its thread behind, still writing.
@@ -78,10 +79,10 @@
         except StorageError as exc:
             _log.warning("hosts not kept", reason=str(exc))
             return
-        self._stored = names
+        self._stored = state
 
     def _restore(self, kept: KeptHosts) -> None:
         for host in [*kept.hosts, *kept.core]:
-            host.age_ms = RESTORED_AGE_MS
+            host.age_ms = max(host.age_ms, MIN_RESTORED_AGE_MS)
         self._registry.merge_entries(kept.hosts)
         self._registry.merge_core(kept.core)
--- a/tests/test_core_host_memory.py
+++ b/tests/test_core_host_memory.py
@@ -51,6 +51,21 @@
         restored.merge_entries([entry("h1")])
         self.assertEqual([h.name for h in restored.entries()], ["h1"])
 
+    def test_restarts_do_not_renew_a_host_that_is_given_up(self):
+        """Guards against calling an address for ever, since each restart of a core host
+        would make it a host that was lost just now."""
+        registry, memory = self.make()
+        lost = entry("h1")
+        registry.merge_entries([lost])
+        curio.run(memory.save)
+        lost.age_ms = 20 * 3_600_000
+        registry = Registry()
+        registry.merge_entries([lost])
+        memory._registry = registry
+        curio.run(memory.save)
+        (restored,) = self.restore().lost_entries()
+        self.assertGreaterEqual(restored.age_ms, lost.age_ms)
+
     @params(b"", b"not a snapshot", None)
     def test_unreadable_file_does_not_prevent_the_start(self, content):
         path = SnapshotFile(self.folder, "hosts").path
