Log each order to close a data center where it is applied

An undone evacuation couldn't be told from a host that hadn't heard of it: no line named the order that a core host applied, its position, or the state of the core that an entry host followed.

Every core host now logs each order with its position, the position that its proposer knew, the outcome, the revision and its age; an entry host logs the revision and the age of the confirmation with its closed data centers. The revision joins both.

--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -1,5 +1,6 @@
 """One voter: its durable log, its votes and its replicated state."""
 
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -13,9 +14,12 @@
 from bronzepoint_common.storage import StorageError
 from bronzepoint_node.catalogue import Catalogue
 from bronzepoint_schema.generated.agreement import (
+    Accepted,
     AppendReply,
     AppendRequest,
+    Change,
     ChangeBody,
+    CloseDataCenter,
     Delta,
     GenesisRequest,
     IdentityReply,
@@ -46,7 +50,7 @@
 from ._leadership import Leadership
 from ._quorum import VoterSets, required_sets
 from ._replication_handler import ReplicationHandler
-from ._state_machine import StateMachine
+from ._state_machine import ApplyResult, StateMachine
 from ._status import AgreementStatus, Role, VoterStatus
 from ._vote_handler import VoteHandler
 from ._voter_log import VoterLog
@@ -384,10 +388,31 @@
         applied = self.state_machine.apply(entry)
         if applied.delta is not None:
             self._deltas.append(applied.delta)
+        match entry.body:
+            case ChangeBody(change=Change(op=CloseDataCenter() as op)):
+                self._log_order(entry, op, applied)
         if isinstance(entry.body, ChangeBody) and self.is_leader:
             change_id = entry.body.change.change_id
             await self._leadership.deliver(change_id, applied.result)
 
+    def _log_order(
+        self, entry: LogEntry, op: CloseDataCenter, applied: ApplyResult
+    ) -> None:
+        """Log the outcome of an order to close or open a data center.
+
+        Every host of the core logs it, so that their logs can be compared.
+        """
+        _log.info(
+            "order applied",
+            order="close" if op.closed else "open",
+            name=op.data_center,
+            accepted=isinstance(applied.result, Accepted),
+            index=entry.index,
+            known_index=op.known_index,
+            revision=self.state_machine.revision,
+            age_seconds=round(time.time() - entry.time, 3),
+        )
+
     async def _compact(self) -> None:
         snapshot = self.log.snapshot
         since = self.state_machine.index - (snapshot.index if snapshot else 0)
--- a/packages/node/src/bronzepoint_node/fleet/_sync_client.py
+++ b/packages/node/src/bronzepoint_node/fleet/_sync_client.py
@@ -349,7 +349,13 @@
             self._revision = reply.revision
             closed = frozenset(reply.closed)
             if closed != self.closed:
-                _log.info("closed data centers", closed=sorted(closed), core=core)
+                _log.info(
+                    "closed data centers",
+                    closed=sorted(closed),
+                    core=core,
+                    revision=reply.revision,
+                    confirmed_age_ms=reply.confirmed_age_ms,
+                )
             self.closed = closed
         if reply.confirmed_age_ms >= 0:
             confirmed_at = began - reply.confirmed_age_ms / 1000
