--- a/packages/node/src/bronzepoint_node/agreement/_leadership.py
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -152,15 +152,18 @@
         if result is not None:
             self._voter.metrics.incr("agreement.resend_answered")
             return ProposeReply(change.change_id, self._voter.name, result)
-        waiting_hosts = self._waiting_hosts.setdefault(change.change_id, set())
-        is_first = not waiting_hosts
-        waiting_hosts.add(host)
+        is_first = change.change_id not in self._waiting_hosts
         if is_first:
             log, state_machine = self._voter.log, self._voter.state_machine
             pending = log.entries_after(
                 state_machine.index, log.last_index - state_machine.index
             )
+            conflict = state_machine.find_overtaking(change, pending)
+            if conflict is not None:
+                return ProposeReply(change.change_id, self._voter.name, conflict)
             encoded = state_machine.delta_encode(change, pending)
+        self._waiting_hosts.setdefault(change.change_id, set()).add(host)
+        if is_first:
             await self._append_locked(ChangeBody(encoded))
         return None
 
--- a/packages/node/src/bronzepoint_node/agreement/_state_machine.py
+++ b/packages/node/src/bronzepoint_node/agreement/_state_machine.py
@@ -54,6 +54,7 @@
     delta_encode_document,
     document_version,
 )
+from ._order_positions import OrderPositions
 
 MAX_RESULTS = 20_000
 """Outcomes kept to answer resends.
@@ -90,6 +91,7 @@
         documents: The catalogue document; without one, the catalogue is kept by item.
         closed: Data centers whose targets receive no requests.
         closing_index: Position of the last order to close or open a data center.
+        order_positions: Position of the last such order of each data center.
     """
 
     def __init__(self, cluster: ClusterId, voters: list[Voter]) -> None:
@@ -101,6 +103,7 @@
         self.documents = DocumentHistory()
         self.closed: frozenset[DataCenterName] = frozenset()
         self.closing_index = 0
+        self.order_positions = OrderPositions()
         self._items: dict[ItemKey, CatalogueItem] = {}
         self._versions: dict[ItemKey, StoredVersion] = {}
         self._removed: dict[ItemKey, None] = {}
@@ -133,6 +136,10 @@
             )
         state_machine.closed = frozenset(snapshot.closed)
         state_machine.closing_index = snapshot.closing_index
+        floor = snapshot.orders_floor
+        state_machine.order_positions = OrderPositions(
+            floor if floor >= 0 else snapshot.closing_index, snapshot.orders
+        )
         return state_machine
 
     @property
@@ -160,6 +167,8 @@
             document=self.document,
             closed=sorted(self.closed),
             closing_index=self.closing_index,
+            orders=self.order_positions.listed(),
+            orders_floor=self.order_positions.floor,
         )
 
     def view(self) -> ViewSnapshot:
@@ -189,8 +198,40 @@
             case ReplaceDocument() | PatchDocument():
                 newest = self._documents_after(pending)
                 return delta_encode_document(change, newest)
+            case CloseDataCenter() as op:
+                newest_index = max([self.index, *(entry.index for entry in pending)])
+                op = msgspec.structs.replace(op, known_index=newest_index)
+                return msgspec.structs.replace(change, op=op)
         return delta_encode(change, self._items.get(_change_key(change)))
 
+    def find_overtaking(
+        self, change: Change, pending: Iterable[LogEntry] = ()
+    ) -> Conflicted | None:
+        """Return the conflict of an order that another one has overtaken, else None.
+
+        Args:
+            change: The change.
+            pending: Entries of the log that aren't applied yet, in order.
+        """
+        match change.op:
+            case CloseDataCenter(data_center=name, known_index=known) if known >= 0:
+                last = self._last_order(name, change.change_id, pending)
+                if known < last:
+                    return Conflicted(change.change_id, OperatorName(""), last)
+        return None
+
+    def _last_order(
+        self, name: DataCenterName, change_id: ChangeId, pending: Iterable[LogEntry]
+    ) -> int:
+        """Return the position of the last order of a data center by other changes."""
+        last = self.order_positions.last(name)
+        for entry in pending:
+            match entry.body:
+                case ChangeBody(change=Change(op=CloseDataCenter(data_center=other))):
+                    if other == name and entry.body.change.change_id != change_id:
+                        last = entry.index
+        return last
+
     def _documents_after(self, pending: Iterable[LogEntry]) -> DocumentHistory:
         """Return the document after pending entries are applied."""
         newest = DocumentHistory(self.documents.version, self.documents.content)
@@ -253,13 +294,16 @@
         """Apply an order unless another one has been applied since it was given.
 
         An order without effect counts, too: it may be the repetition of one that is
-        still on its way from another host.
+        still on its way from another host. Orders of all data centers count, as in
+        earlier versions, on which voters may still run; a leader of this version
+        appends none to which that applies.
         """
         if 0 <= op.known_index < self.closing_index:
             result = Conflicted(change.change_id, OperatorName(""), self.closing_index)
             self._store_result(result)
             return ApplyResult(result)
         self.closing_index = self.index
+        self.order_positions.record(op.data_center, self.index)
         names = {op.data_center}
         closed = self.closed | names if op.closed else self.closed - names
         if closed != self.closed:
--- a/tests/test_agreement_state_machine.py
+++ b/tests/test_agreement_state_machine.py
@@ -10,7 +10,7 @@
 import uuid_utils
 from nose2.tools import params
 
-from bronzepoint_node.agreement import _state_machine
+from bronzepoint_node.agreement import _order_positions, _state_machine
 from bronzepoint_node.agreement._quorum import is_quorum, reached_by_quorum
 from bronzepoint_node.agreement._state_machine import StateMachine
 from bronzepoint_node.agreement._voter_log import VoterLog
@@ -75,6 +75,69 @@
         self.assertEqual(self.state_machine.closed, closed)
         self.assertEqual(found, [bool(each) for each in applied])
 
+    @params(
+        # data centers of earlier orders, the late order's, what its host knew, and the
+        # position of the order that has overtaken it
+        (["z"], "z", 0, 1),
+        (["z"], "y", 0, None),
+        (["z", "y"], "z", 0, 1),
+        (["z", "y"], "z", 1, None),
+        (["z", "y", "z"], "z", 1, 3),
+        # Orders from an earlier version don't state what their host knew.
+        (["z"], "z", -1, None),
+        # Of "w" only the position is known that no order of it stands behind.
+        (["w", "x", "y", "z"], "w", 0, 2),
+        (["w", "x", "y", "z"], "w", 2, None),
+        (["w", "x", "y", "z"], "y", 2, 3),
+    )
+    def test_order_is_overtaken_by_orders_for_its_data_center(
+        self, names, name, known, position
+    ):
+        """Guards against orders that are dropped because of another data center's."""
+        with mock.patch.object(_order_positions, "MAX_POSITIONS", 2):
+            for each in names:
+                self.close(each)
+            self.state_machine = self.restored()
+        late = make_change(CloseDataCenter(name, False, known))
+        self.assert_overtaken(late, [], position)
+        # The same orders, none of them applied.
+        pending = [
+            LogEntry(
+                index, 1, 0.0, ChangeBody(make_change(CloseDataCenter(each, True)))
+            )
+            for index, each in enumerate(names, 1)
+        ]
+        self.state_machine = StateMachine("c", [])
+        last = {each: index for index, each in enumerate(names, 1)}.get(name, 0)
+        overtaken = last if 0 <= known < last else None
+        self.assert_overtaken(late, pending, overtaken)
+
+    def assert_overtaken(self, change, pending, position):
+        found = self.state_machine.find_overtaking(change, pending)
+        self.assertEqual(found and found.version, position)
+
+    def test_resent_order_is_not_overtaken_by_itself(self):
+        """Guards against a conflict with an order's own entry, which a former leader
+        has appended."""
+        change = make_change(CloseDataCenter("z", True, 0))
+        pending = [LogEntry(1, 1, 0.0, ChangeBody(change))]
+        self.assert_overtaken(change, pending, None)
+
+    def test_orders_of_a_former_version_are_not_forgotten(self):
+        """Guards against an evacuation undone after an upgrade, whose snapshots don't
+        state the data centers of the last orders."""
+        self.close("z")
+        snapshot = msgspec.structs.replace(
+            self.state_machine.snapshot(), orders=[], orders_floor=-1
+        )
+        self.state_machine = StateMachine.restore(snapshot)
+        late = make_change(CloseDataCenter("z", False, 0))
+        self.assert_overtaken(late, [], 1)
+
+    def close(self, name):
+        known = self.state_machine.index
+        return self.apply(make_change(CloseDataCenter(name, True, known)))
+
     @params(0, 2, 7)
     def test_version_must_be_the_next(self, version):
         self.assertIsInstance(self.apply(self.put(version=version)), Conflicted)
