Say that an order was overtaken by one for the same data center

Operators who read it would look for a conflict that isn't there. Text only; no test or page quotes it.

--- a/packages/node/src/bronzepoint_node/agreement/_errors.py
+++ b/packages/node/src/bronzepoint_node/agreement/_errors.py
@@ -55,7 +55,7 @@
 
     def __init__(self) -> None:
         super().__init__(
-            "Another order to close or open a data center was accepted since this one "
+            "Another order for this data center was accepted since this one "
             "arrived, so it was dropped. Remedy: send it again if it still holds."
         )
 
