--- a/packages/node/src/bronzepoint_node/fleet/_service_versions.py
+++ b/packages/node/src/bronzepoint_node/fleet/_service_versions.py
@@ -14,6 +14,9 @@
 MAX_LIST_SKEW = 3.0
 """Seconds by which the core hosts' readings of the list may differ in age. A version
 that was last listed longer than this before another one is listed no more."""
+MAX_READING_AGE = 3.0
+"""Seconds since a reading of the list up to which a version that it lacks is too new to
+have begun a stream whose host and keepers are all beyond reach."""
 
 
 class _Listed(Struct):
@@ -29,6 +32,7 @@
     def __init__(self) -> None:
         self._versions: dict[str, dict[str, _Listed]] = {}
         self._complete_at = float("-inf")
+        self._read_at = float("-inf")
 
     def merge(self, reports: Iterable[ServiceVersion]) -> None:
         """Merge reports of a core host, keeping the newer ones."""
@@ -41,9 +45,14 @@
                 listed = _Listed(at, frozenset(report.regions))
                 versions[report.software_version] = listed
 
-    def confirm(self) -> None:
-        """Note that a core host that knows all versions has just reported them."""
+    def confirm(self, read_at: float) -> None:
+        """Note that a core host that knows all versions has just reported them.
+
+        Args:
+            read_at: Monotonic time at which that host read the list.
+        """
         self._complete_at = monotonic()
+        self._read_at = max(self._read_at, read_at)
 
     def is_complete(self) -> bool:
         """Return whether no service has a version that isn't known here.
@@ -53,6 +62,15 @@
         """
         return monotonic() - self._complete_at <= VERSION_RETENTION
 
+    def is_single(self, service: str) -> bool:
+        """Return whether a service certainly has one version, by a recent reading.
+
+        A host that was suspended or cut off has the reading of before. A newer one may
+        name a version that has begun streams meanwhile.
+        """
+        is_current = monotonic() - self._read_at <= MAX_READING_AGE
+        return is_current and self.is_complete() and not self.several(service)
+
     def services(self) -> set[str]:
         """Return the services that have, or recently had, several versions."""
         return {service for service in list(self._versions) if self.several(service)}
--- a/packages/node/src/bronzepoint_node/fleet/_sync_client.py
+++ b/packages/node/src/bronzepoint_node/fleet/_sync_client.py
@@ -343,7 +343,8 @@
         has_more = self._apply_document(core, reply, monotonic() - began)
         self.registry.versions.merge(reply.versions)
         if reply.versions_complete:
-            self.registry.versions.confirm()
+            age = reply.targets_age_ms / 1000
+            self.registry.versions.confirm(began - age if age >= 0 else float("-inf"))
         # A core host that is behind must not reopen closed data centers.
         if reply.revision >= self._revision:
             self._revision = reply.revision
--- a/packages/node/src/bronzepoint_node/placement/_other_regions.py
+++ b/packages/node/src/bronzepoint_node/placement/_other_regions.py
@@ -319,9 +319,13 @@
         )
 
     def may_serve_version(self, request: PlacementRequest, service: str) -> bool:
-        """Return whether another region has targets of the version that is needed."""
+        """Return whether another region may have targets of the version needed.
+
+        While the service has a single one here, another that began a stream is too new
+        to be known here.
+        """
         versions = self._registry.versions
-        return any(
+        return not versions.several(service) or any(
             load.service == service
             and load.region != self._region
             and request.may_go_to(load.region)
--- a/packages/node/src/bronzepoint_node/stream_origins/_origins.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_origins.py
@@ -156,8 +156,9 @@
     ) -> StreamOrigin | None:
         """Return where a stream began; None if no host that may know it does.
 
-        Other hosts are asked only if its service has several software versions, or if
-        the core hasn't reported yet whether it has.
+        Other hosts are asked although its service has a single software version here:
+        the host of the stream may have heard of another one before. While the service
+        certainly has a single one, they are asked once, and needn't all answer.
 
         Args:
             key: Key of the stream.
@@ -173,11 +174,11 @@
             self._metrics.incr("origin.found_here")
             return _only(found)
         versions = self._registry.versions
-        if versions.is_complete() and not versions.several(service):
-            return None
-        result = await self._search(key, patience)
+        result = await self._search(key, service, patience)
         if result is Unfound.UNKNOWN and not versions.is_complete():
             result = Unfound.UNANSWERED
+        elif result is Unfound.UNANSWERED and versions.is_single(service):
+            result = Unfound.UNKNOWN
         match result:
             case Unfound.UNKNOWN:
                 self._metrics.incr("origin.unknown")
@@ -189,8 +190,8 @@
                 self._metrics.incr("origin.found_elsewhere")
                 return _only(found)
 
-    async def _search(self, key: int, patience: float) -> Found | Unfound:
-        """Ask other hosts until all that may know have answered."""
+    async def _search(self, key: int, service: str, patience: float) -> Found | Unfound:
+        """Ask other hosts until all that may know have answered, or needn't answer."""
         until = monotonic() + patience
         lookup = Lookup(key)
         timeout, pause, remote_delay = ASK_TIMEOUT, ASK_INTERVAL, REMOTE_DELAY
@@ -199,7 +200,7 @@
             if result is not Unfound.UNANSWERED:
                 return result
             left = until - monotonic()
-            if left <= 0:
+            if left <= 0 or self._registry.versions.is_single(service):
                 return result
             await curio.sleep(min(pause, left))
             # A keeper may have been told of the stream meanwhile, also this host.
--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -30,6 +30,8 @@
 AMPLE_RETRIES = "retry_ratio = 20"
 """Lets a process that has just started retry each request. Tests of the retry budget
 set the limits that they check."""
+FIXED_PORTS = 7
+"""Number of ports of a site besides those of its targets."""
 DEFAULT_HOSTS = {"core": ("core", "127.0.0.2"), "entry": ("entry", "127.0.0.3")}
 """Role and address of each host, by its name."""
 SETTINGS = """
@@ -44,6 +46,7 @@
 [zones]
 x-a = "x"
 y-a = "y"
+z-a = "z"
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -115,8 +118,9 @@
 
     async def __aenter__(self):
         self.ports.start()
-        port = [int(self.ports.address().rpartition(":")[2]) for _ in range(11)]
-        self.metrics = port[10]
+        count = FIXED_PORTS + self.target_count
+        port = [int(self.ports.address().rpartition(":")[2]) for _ in range(count)]
+        self.metrics = port[-1]
         self.first, self.front, self.ready, self.control = port[0], *port[2:5]
         self.list_server = HttpServer(self._answer_list, HttpLimits())
         await self.list_server.start(f"127.0.0.1:{port[5]}")
--- a/tests/_versioned_site.py
+++ b/tests/_versioned_site.py
@@ -1,6 +1,7 @@
 """A platform deployment whose targets run two software versions and break streams."""
 
 import itertools
+import json
 
 import curio
 
@@ -19,6 +20,14 @@
 VERSIONS = ("v1", "v2")
 EXTRA_WAIT = 2.0
 """Seconds to wait for an answer after its deadline."""
+CORE = {"core": "x"}
+"""Region of the core host by its name."""
+ENTRIES = {"entry": "x", "entry-2": "x", "entry-y": "y", "entry-y2": "y"}
+"""Region of each entry host by its name."""
+LARGE_CORE = {"core": "x", "core-2": "x", "core-y": "y", "core-y2": "y", "core-z": "z"}
+"""Region of each core host of a site with three regions."""
+LARGE_ENTRIES = {**ENTRIES, "entry-z": "z", "entry-z2": "z"}
+"""Region of each entry host of a site with three regions."""
 CUT_AFTER = 2
 """Number of events after which a stream breaks off."""
 
@@ -28,13 +37,17 @@
 
     Attributes:
         version: Version of its software.
+        region: Its region.
         breaks: Whether each stream breaks off after its first events.
+        hold: Seconds for which a stream that begins there is kept open at its end.
     """
 
-    def __init__(self, name, ip, port, version):
+    def __init__(self, name, ip, port, version, region="x"):
         super().__init__(name, ip, port)
         self.version = version
+        self.region = region
         self.breaks = False
+        self.hold = 0.0
 
     async def _stream(self, exchange, headers, count):
         first = int(exchange.request.headers.get("last-event-id", "0")) + 1
@@ -47,10 +60,13 @@
             await curio.sleep(0.05)
             await exchange.abort()
             return
+        if first == 1:
+            await curio.sleep(self.hold)
         await exchange.end()
 
     def listed(self, state="ready"):
-        return {**super().listed(state), "version": self.version}
+        found = super().listed(state)
+        return {**found, "version": self.version, "zone": f"{self.region}-a"}
 
 
 class Answer:
@@ -60,37 +76,69 @@
         versions: Software version of each event.
         is_whole: Whether the stream ended as complete.
         status: Status of the last attempt; 0: its connection broke before.
+        numbers: Number of each event.
     """
 
     def __init__(self):
         self.versions = []
+        self.numbers = []
         self.is_whole = False
         self.status = 0
 
 
 class VersionedSite(PlatformSite):
-    """Two entry hosts in each of two regions before two targets of each version.
+    """Entry hosts of some regions before targets of two versions.
 
     Streams of `RESUMED` may be resumed by the system, those of `SINGLE` by their
     callers only.
 
     Args:
         deadline_ms: Deadline of each request, in milliseconds.
+        entries: Region of each entry host by its name.
+        core: Region of each core host by its name.
+        target_regions: Regions that have targets of both versions.
+        targets: Number of targets of each version in each of these regions.
+        objective_ms: Objective of the routes, in milliseconds.
+
+    Attributes:
+        unlisted: Versions whose targets are missing from the list.
     """
 
-    def __init__(self, deadline_ms=4000):
+    def __init__(
+        self,
+        deadline_ms=4000,
+        *,
+        entries=ENTRIES,
+        core=CORE,
+        target_regions=("x",),
+        targets=2,
+        objective_ms=1000,
+    ):
         self.deadline_ms = deadline_ms
-        self.entries = ("entry", "entry-2", "entry-y", "entry-y2")
-        hosts = {"core": ("core", "127.0.0.2")}
-        for number, name in enumerate(self.entries):
-            hosts[name] = ("entry", f"127.0.0.{3 + number}")
-        self._versions = itertools.cycle(VERSIONS)
+        self.objective_ms = objective_ms
+        self.entries = tuple(entries)
+        self.unlisted = set()
+        hosts = {
+            name: ("core" if name in core else "entry", f"127.0.0.{2 + number}")
+            for number, name in enumerate([*core, *entries])
+        }
+        kinds = [(v, r) for r in target_regions for v in VERSIONS] * targets
+        self._kinds = iter(kinds)
         self._numbers = itertools.count()
-        super().__init__(hosts=hosts, targets=4)
-        self.regions = {"entry-y": "y", "entry-y2": "y"}
+        super().__init__(hosts=hosts, targets=len(kinds))
+        self.regions = {
+            name: region
+            for name, region in {**core, **entries}.items()
+            if region != "x"
+        }
 
     def make_target(self, name, ip, port):
-        return VersionedTarget(name, ip, port, next(self._versions))
+        return VersionedTarget(name, ip, port, *next(self._kinds))
+
+    async def _answer_list(self, exchange):
+        shown = [t for t in self.listed if t["version"] not in self.unlisted]
+        body = json.dumps({"instances": shown, "next_token": None}).encode()
+        await exchange.respond(200, {"Content-Type": "application/json"}, body)
 
     async def serve_routes(self):
         """Put the routes in force, and wait until all entry hosts serve them."""
@@ -98,6 +146,7 @@
         # No route of the first manifest matches another host name.
         stream = {**document["routes"].pop(), "host": HOST_NAME}
         stream["timeout_ms"] = max(stream["timeout_ms"], self.deadline_ms)
+        stream["target_latency_ms"] = self.objective_ms
         document["routes"] += [
             {**stream, "name": "resumed", "path_prefix": RESUMED},
             {**stream, "name": "single", "path_prefix": SINGLE, "max_attempts": 1},
@@ -174,7 +223,17 @@
         if answer.status == 200:
             lines = text.decode().splitlines()
             answer.versions += [line[6:] for line in lines if line[:6] == "data: "]
+            answer.numbers += [int(line[4:]) for line in lines if line[:4] == "id: "]
         return answer
 
 
-__all__ = ["CUT_AFTER", "EVENTS", "RESUMED", "SINGLE", "VERSIONS", "VersionedSite"]
+__all__ = [
+    "CUT_AFTER",
+    "EVENTS",
+    "LARGE_CORE",
+    "LARGE_ENTRIES",
+    "RESUMED",
+    "SINGLE",
+    "VERSIONS",
+    "VersionedSite",
+]
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -12,6 +12,7 @@
 from bronzepoint_common.peers import PeerTimeout
 from bronzepoint_node.core._version_history import VersionHistory
 from bronzepoint_node.fleet import VERSION_RETENTION, Registry, ServiceVersions
+from bronzepoint_node.fleet._service_versions import MAX_READING_AGE
 from bronzepoint_node.stream_origins import (
     AmbiguousOrigin,
     Origins,
@@ -74,7 +75,7 @@
         """
         registry = Registry()
         registry.versions.merge(versions)
-        registry.versions.confirm()
+        registry.versions.confirm(monotonic())
         registry.merge_entries(
             entry_host(host) for host in HOSTS if host not in missing
         )
@@ -156,7 +157,7 @@
         origins = network.origins["a1"]
         origins._registry = Registry()
         origins._registry.versions.merge(BOTH)
-        origins._registry.versions.confirm()
+        origins._registry.versions.confirm(monotonic())
         origins.record(7, V1, forwarded=False)
         origins._registry = network.registries["a1"]
         curio.run(origins.close)
@@ -227,7 +228,7 @@
         reporting = origins._registry
         origins._registry = Registry()
         origins._registry.versions.merge(BOTH)
-        origins._registry.versions.confirm()
+        origins._registry.versions.confirm(monotonic())
         network.messages.clear()
         origins.record(7, V1, forwarded=False)
         told = list(network.messages)
@@ -246,7 +247,7 @@
         origins = network.origins["a1"]
         origins._registry = Registry()
         origins._registry.versions.merge(BOTH)
-        origins._registry.versions.confirm()
+        origins._registry.versions.confirm(monotonic())
         with self.assertRaises(UnansweredOrigin):
             network.find("a1", 7)
 
@@ -390,7 +391,7 @@
     def test_reports_of_the_core_become_outdated(self):
         versions = ServiceVersions()
         self.assertFalse(versions.is_complete())
-        versions.confirm()
+        versions.confirm(monotonic())
         self.assertTrue(versions.is_complete())
         later = monotonic() + VERSION_RETENTION + 1
         with mock.patch(
@@ -399,6 +400,41 @@
             self.assertFalse(versions.is_complete())
 
 
+class TestNewVersion(unittest.TestCase):
+    """Guards against a stream that goes on at another version because the version that
+    began it has been listed for the first time, and only its host has heard of it."""
+
+    def find(self, *, read, record=True, cut=()):
+        """Return what a host finds that knows one version, read some seconds ago."""
+        network = Network([])
+        network.registries["a1"].versions.merge(BOTH)
+        if record:
+            network.origins["a1"].record(7, V2, forwarded=False)
+        network.cut = set(cut)
+        versions = network.registries["b1"].versions = ServiceVersions()
+        versions.confirm(monotonic() - read)
+        with mock.patch.object(_origins, "REMOTE_DELAY", 0.0):
+            return network.find("b1", 7)
+
+    @params((), ("a1",), ("a1", "a2", "a3"))
+    def test_the_version_is_found_at_its_host_or_a_keeper(self, *cut):
+        for read in (0.0, MAX_READING_AGE + 1):
+            self.assertEqual(self.find(read=read, cut=cut), V2)
+
+    @params(False, True)
+    def test_a_single_version_needs_no_answers(self, is_alone):
+        cut = set(HOSTS) - {"b1"} if is_alone else ()
+        self.assertIsNone(self.find(read=0.0, record=False, cut=cut))
+
+    def test_an_old_reading_names_no_single_version(self):
+        """Guards against a host that resumes after a pause, or is cut off, and takes
+        the versions of before for all."""
+        old = MAX_READING_AGE + 1
+        self.assertIsNone(self.find(read=old, record=False))
+        with self.assertRaises(UnansweredOrigin):
+            self.find(read=old, record=False, cut={"a1"})
+
+
 class TestVersions(unittest.TestCase):
     @params((0.0, False), (VERSION_RETENTION - 1.0, False), (VERSION_RETENTION, True))
     def test_history_is_complete_after_a_whole_retention_time(self, age, complete):
--- a/tests/test_stream_versions_processes.py
+++ b/tests/test_stream_versions_processes.py
@@ -67,11 +67,11 @@
             async with VersionedSite() as site:
                 await site.serve_routes()
                 site.break_streams()
-                answers = [await _begin(site, first) for _ in range(STREAMS)]
+                answers = [await begin(site, first) for _ in range(STREAMS)]
                 site.signal(first, signal.SIGKILL)
                 site.processes[first].wait()
                 for answer in answers:
-                    await _resume(site, second, answer)
+                    await resume(site, second, answer)
                 self.assert_one_version(answers)
                 self.assert_whole(site, answers)
 
@@ -87,14 +87,13 @@
                 await site.serve_routes()
                 site.break_streams()
                 first = "entry-y"
-                answers = [await _begin(site, first) for _ in range(STREAMS)]
+                answers = [await begin(site, first) for _ in range(STREAMS)]
                 asked = _no_keeper(site, first)
                 late = [name for name in site.entries if name != asked]
                 for name in late:
                     site.signal(name, signal.SIGSTOP)
                 tasks = [
-                    await curio.spawn(_resume, site, asked, answer)
-                    for answer in answers
+                    await curio.spawn(resume, site, asked, answer) for answer in answers
                 ]
                 await curio.sleep(SUSPENSION)
                 for name in late:
@@ -112,7 +111,7 @@
                 await site.serve_routes()
                 site.break_streams()
                 answers = [
-                    await _begin(site, host)
+                    await begin(site, host)
                     for host in itertools.islice(itertools.cycle(site.entries), STREAMS)
                 ]
                 site.break_streams(False)
@@ -131,7 +130,7 @@
                     answers, itertools.cycle(site.entries), strict=False
                 ):
                     began = monotonic()
-                    await _resume(site, host, answer)
+                    await resume(site, host, answer)
                     self.assertLess(monotonic() - began, AT_ONCE)
                     self.assertEqual(answer.status, 200 if answer.is_whole else 503)
                 self.assert_one_version(answers)
@@ -147,7 +146,7 @@
                 await site.serve_routes()
                 site.break_streams()
                 hosts = itertools.cycle(site.entries)
-                answers = [await _begin(site, next(hosts)) for _ in range(STREAMS)]
+                answers = [await begin(site, next(hosts)) for _ in range(STREAMS)]
                 site.break_streams(False)
                 if old == "leaving":
                     site.leave("v1")
@@ -167,7 +166,7 @@
 
                 await site.until(is_served)
                 for answer in answers:
-                    await _resume(site, next(hosts), answer)
+                    await resume(site, next(hosts), answer)
                     self.assertEqual(answer.status, 200 if answer.is_whole else 503)
                 self.assert_one_version(answers)
 
@@ -178,7 +177,7 @@
             async with VersionedSite() as site:
                 await site.serve_routes()
                 site.break_streams()
-                answers = [await _begin(site, "entry") for _ in range(STREAMS)]
+                answers = [await begin(site, "entry") for _ in range(STREAMS)]
                 site.break_streams(False)
                 site.leave("v1")
 
@@ -189,7 +188,7 @@
                 await site.until(has_left)
                 for answer in answers:
                     began = monotonic()
-                    await _resume(site, "entry-2", answer)
+                    await resume(site, "entry-2", answer)
                     self.assertLess(monotonic() - began, AT_ONCE)
                     is_gone = answer.versions[0] == "v1"
                     self.assertEqual(answer.status, 503 if is_gone else 200)
@@ -213,7 +212,7 @@
     )
 
 
-async def _begin(site, host):
+async def begin(site, host):
     """Begin a stream that breaks off, and return what came of it."""
     answer = await site.stream(host, SINGLE)
     if len(answer.versions) != CUT_AFTER:
@@ -222,7 +221,7 @@
     return answer
 
 
-async def _resume(site, host, answer):
+async def resume(site, host, answer):
     await site.stream(host, SINGLE, answer, resumes=answer.first_id)
 
 
