--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -202,6 +202,9 @@
             call.notes.append(self._search.describe_capacity(call))
             await self._answer_writer.reject(call, placement)
             return True
+        if self._resumption.is_outdated(call):
+            # What was found while it was queued may have another version.
+            return False
         organisation = call.organisation
         if not self._authenticator.still_admits(call):
             await self._answer_writer.reject(
--- a/packages/node/src/bronzepoint_node/relay/_resumption.py
+++ b/packages/node/src/bronzepoint_node/relay/_resumption.py
@@ -57,6 +57,13 @@
             return _refused(RejectReason.ORIGIN_UNKNOWN)
         return None
 
+    def is_outdated(self, call: Call) -> bool:
+        """Return whether a second version has appeared since the check of a stream."""
+        versions = self._registry.versions
+        return (
+            call.is_resumed and call.origin is None and versions.several(call.service)
+        )
+
 
 def _may_use(call: Call, origin: StreamOrigin) -> bool:
     """Return whether the route still uses the service that began the stream."""
--- a/tests/test_stream_new_version.py
+++ b/tests/test_stream_new_version.py
@@ -3,19 +3,23 @@
 import functools
 import os
 import random
+import signal
 import unittest
 
 import curio
+from nose2.tools import params
 
 from bronzepoint_common.clock import monotonic
 from tests._versioned_site import (
     EVENTS,
     LARGE_CORE,
     LARGE_ENTRIES,
+    RESUMED,
     SINGLE,
     VersionedSite,
 )
 from tests.test_http_server import run
+from tests.test_stream_versions_processes import begin, resume
 
 CALLERS = 8
 """Number of callers that begin streams and take them up elsewhere at the same time."""
@@ -23,6 +27,14 @@
 """Seconds for which callers run before and after the second version is listed."""
 SEEDS = [int(seed) for seed in os.environ.get("STREAM_SEEDS", "1,2").split(",")]
 """Seeds of the callers; more are given by hand."""
+SLOTS = 6
+"""Number of requests that a target runs at the same time."""
+HELD = 5.0
+"""Seconds for which a stream keeps its slot, longer than targets take to be listed."""
+QUEUED = 0.5
+"""Seconds until resumed streams wait for room."""
+LONG_MS = 12_000
+"""Deadline and objective of streams that wait for room."""
 
 
 class NewVersion(unittest.TestCase):
@@ -87,6 +99,46 @@
             with self.subTest(seed=seed):
                 run(functools.partial(main, seed))
 
+    @params(False, True)
+    def test_a_stream_waits_for_room_while_a_version_appears(self, is_killed):
+        """Guards against a stream that is resumed while its service has one version,
+        waits for room, and gets a target of a version that was listed meanwhile."""
+
+        async def main():
+            site = VersionedSite(LONG_MS, objective_ms=LONG_MS, targets=1)
+            site.unlisted = {"v2"}
+            async with site:
+                await site.serve_routes()
+                site.break_streams()
+                answers = [await begin(site, "entry") for _ in range(SLOTS)]
+                site.break_streams(False)
+                old = next(t for t in site.targets if t.version == "v1")
+                old.hold, served = HELD, len(old.seen)
+                tasks = [
+                    await curio.spawn(site.stream, "entry-y", RESUMED)
+                    for _ in range(SLOTS)
+                ]
+
+                async def is_full():
+                    return len(old.seen) >= served + SLOTS
+
+                await site.until(is_full)
+                if is_killed:
+                    site.signal("entry", signal.SIGKILL)
+                tasks += [
+                    await curio.spawn(resume, site, "entry-2", answer)
+                    for answer in answers
+                ]
+                await curio.sleep(QUEUED)
+                self.assertEqual([a.versions for a in answers], [["v1"] * 2] * SLOTS)
+                site.unlisted = set()
+                for task in tasks:
+                    await task.join()
+                mixed = [a.versions for a in answers if len(set(a.versions)) > 1]
+                self.assertEqual(mixed, [])
+
+        run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
