--- a/packages/node/src/bronzepoint_node/relay/__init__.py
+++ b/packages/node/src/bronzepoint_node/relay/__init__.py
@@ -8,6 +8,7 @@
 from ._placement_search import PlacementSearch
 from ._relay import Relay
 from ._request_intake import RequestIntake
+from ._resume_check import ResumeCheck
 from ._resumption import ResumptionCheck
 from ._sender import Sender
 
@@ -22,6 +23,7 @@
     "PlacementSearch",
     "RequestIntake",
     "Relay",
+    "ResumeCheck",
     "ResumptionCheck",
     "Sender",
     "TargetVerdict",
--- a/packages/node/src/bronzepoint_node/relay/_relay.py
+++ b/packages/node/src/bronzepoint_node/relay/_relay.py
@@ -22,6 +22,7 @@
 from ._host_headers import SEND_HEADER
 from ._placement_search import PlacementSearch
 from ._request_intake import RequestIntake
+from ._resume_check import ResumeCheck
 from ._resumption import ResumptionCheck
 from ._sender import Sender
 
@@ -50,6 +51,7 @@
         sender: Sends requests to targets and other regions.
         answer_writer: Sends final answers.
         forwarded_runs: Tells forwarding hosts of the progress of their requests.
+        resume_check: Tells whether the known targets are from before a pause.
 
     Attributes:
         in_progress: Number of requests in progress.
@@ -67,6 +69,7 @@
         sender: Sender,
         answer_writer: AnswerWriter,
         forwarded_runs: ForwardedRuns,
+        resume_check: ResumeCheck,
     ) -> None:
         self._request_intake = request_intake
         self._authenticator = authenticator
@@ -78,6 +81,7 @@
         self._sender = sender
         self._answer_writer = answer_writer
         self._forwarded_runs = forwarded_runs
+        self._resume_check = resume_check
         self.in_progress = 0
 
     async def serve(self, exchange: Exchange) -> None:
@@ -193,6 +197,7 @@
         successor, call.successor = call.successor, None
         if successor is not None:
             return await self._send(call, successor.placement, service)
+        await self._resume_check.wait(call.time_left)
         refusal = await self._resumption.check(call)
         if refusal is not None:
             await self._answer_writer.reject(call, refusal)
--- a/packages/node/src/bronzepoint_node/relay/_request_intake.py
+++ b/packages/node/src/bronzepoint_node/relay/_request_intake.py
@@ -14,7 +14,13 @@
 from bronzepoint_node.stream_origins import StreamOrigin
 
 from ._answer_writer import AnswerWriter
-from ._authenticator import Authenticated, Authentication, Authenticator
+from ._authenticator import (
+    CONFIRM_WAIT,
+    CONFIRM_WAIT_SHARE,
+    Authenticated,
+    Authentication,
+    Authenticator,
+)
 from ._call import Call
 from ._codec import CallerHead, Codec
 from ._host_headers import (
@@ -26,6 +32,7 @@
     RUNS_HEADER,
     SEND_HEADER,
 )
+from ._resume_check import ResumeCheck
 from ._usual_deadlines import UsualDeadlines
 
 ANSWER_MARGIN = 0.05
@@ -53,6 +60,7 @@
         answer_writer: Sends final answers.
         codec: Parses request headers.
         lag: Measured lag of this host's event loop.
+        resume_check: Tells whether the catalogue is from before a pause.
     """
 
     def __init__(
@@ -63,6 +71,7 @@
         answer_writer: AnswerWriter,
         codec: Codec,
         lag: Lag,
+        resume_check: ResumeCheck,
     ) -> None:
         self._sync_client = sync_client
         self._authenticator = authenticator
@@ -70,6 +79,7 @@
         self._answer_writer = answer_writer
         self._codec = codec
         self._lag = lag
+        self._resume_check = resume_check
         self._leaving = False
         self._usual = UsualDeadlines()
 
@@ -101,6 +111,17 @@
         if self._lag.seconds > LAG_SHARE * route.objective:
             await self._answer_writer.shed(exchange, head)
             return None
+        if self._resume_check.is_outdated():
+            max_wait = CONFIRM_WAIT_SHARE * _deadline(head)
+            if not await self._resume_check.wait(max_wait):
+                await self._answer_writer.refuse(
+                    exchange, head, RejectReason.NO_CATALOGUE, CONFIRM_WAIT
+                )
+                return None
+            # The route may have changed, or gone.
+            route = await self._find_route(exchange, head)
+            if route is None:
+                return None
         catalogue = self._sync_client.catalogue
         authentication = await self._authenticate(
             exchange, head, route, catalogue, forwarded
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -42,6 +42,7 @@
     RUNS_HEADER,
     SEND_HEADER,
 )
+from ._resume_check import ResumeCheck
 from ._run_watch import (
     CHECK_INTERVAL,
     RunWatch,
@@ -90,6 +91,7 @@
         handover: Finds places that take over from runs that may have ended.
         forwarded_runs: Exchanges runs and progress with the hosts forwarded to.
         metrics: Counters.
+        resume_check: Tells whether the known targets are from before a pause.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         handover: Handover,
         forwarded_runs: ForwardedRuns,
         metrics: Metrics,
+        resume_check: ResumeCheck,
     ) -> None:
         self._region = region
         self._table = table
@@ -121,6 +124,7 @@
         self._handover = handover
         self._forwarded_runs = forwarded_runs
         self._metrics = metrics
+        self._resume_check = resume_check
         self._buffers = BufferPool()
 
     async def send(
@@ -225,7 +229,8 @@
                 self._record_leaving(target, answer)
 
         def may_send() -> bool:
-            return not (target.said_leaving or target.is_resting(monotonic()))
+            is_leaving = target.said_leaving or target.is_resting(monotonic())
+            return not (is_leaving or self._resume_check.is_outdated())
 
         def on_stream(answered: dict[str, str]) -> None:
             self._record_stream(call, StreamOrigin(service, version))
--- a/tests/test_relay_request_intake.py
+++ b/tests/test_relay_request_intake.py
@@ -9,7 +9,12 @@
 from bronzepoint_common.http import Request
 from bronzepoint_common.lag import Lag
 from bronzepoint_common.metrics import Metrics
-from bronzepoint_node.relay import AnswerWriter, Authenticator, RequestIntake
+from bronzepoint_node.relay import (
+    AnswerWriter,
+    Authenticator,
+    RequestIntake,
+    ResumeCheck,
+)
 from bronzepoint_platform._codec import PlatformCodec
 from bronzepoint_platform._manifest import read_manifest
 from tests._platform_site import manifest
@@ -80,6 +85,7 @@
             answer_writer,
             PlatformCodec(),
             loop_lag,
+            ResumeCheck(sync_client, Metrics()),
         )
         exchange = Exchange(path)
         task = await curio.spawn(request_intake.receive, exchange, False)
--- /dev/null
+++ b/tests/test_relay_resume_check.py
@@ -0,0 +1,102 @@
+"""Requests held back after a pause until the core confirms what a host knows."""
+
+import unittest
+from unittest import mock
+
+import curio
+from nose2.tools import params
+
+from bronzepoint_common import pause_detector
+from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.pause_detector import PauseDetector
+from bronzepoint_node.relay import ResumeCheck
+from bronzepoint_node.relay._authenticator import CONFIRM_WAIT, CONFIRMED_WITHIN
+from tests.test_relay_request_intake import CONFIRMED, OUTDATED, SyncClient, receive
+
+PAUSE = 3.0
+"""Seconds for which the process didn't run."""
+STILL_OUTDATED = CONFIRMED_WITHIN + PAUSE
+
+
+def just_resumed(resumed):
+    return mock.patch.object(PauseDetector, "has_just_resumed", lambda self: resumed)
+
+
+class TestResumeCheck(unittest.TestCase):
+    @params(
+        # pause, seconds since it, age of what is known, whether it is outdated
+        (0.0, 0.0, STILL_OUTDATED, False),
+        (0.2, 0.0, STILL_OUTDATED, False),
+        (PAUSE, 0.0, STILL_OUTDATED, True),
+        (PAUSE, 0.0, CONFIRMED, False),
+        (PAUSE, CONFIRM_WAIT / 2, STILL_OUTDATED, True),
+        # A host that the core doesn't reach serves by what it knows.
+        (PAUSE, CONFIRM_WAIT + 0.1, STILL_OUTDATED, False),
+    )
+    def test_knowledge_is_outdated_after_a_pause(self, pause, since, age, expected):
+        """Guards against requests sent by what a host knew before a pause."""
+        now = [0.0]
+        with mock.patch.object(pause_detector, "monotonic", lambda: now[0]):
+            check = ResumeCheck(SyncClient(age), Metrics())
+            now[0] = pause
+            check.is_outdated()
+            for step in range(1, 11):
+                now[0] = pause + since * step / 10
+                found = check.is_outdated()
+        self.assertIs(found, expected)
+
+
+class TestRequestAfterAPause(unittest.TestCase):
+    @params(
+        # resumed, age of what is known, status, served
+        (False, OUTDATED, None, True),
+        (True, CONFIRMED, None, True),
+        (True, OUTDATED, 503, False),
+    )
+    def test_request_is_served_by_confirmed_knowledge(
+        self, resumed, age, status, served
+    ):
+        with just_resumed(resumed):
+            found = receive(SyncClient(age), "/safe/a")
+        self.assertEqual(found, (status, served))
+
+    def test_request_waits_for_the_confirmation(self):
+        sync_client = SyncClient(OUTDATED)
+
+        def confirm():
+            sync_client.age = CONFIRMED
+
+        with just_resumed(True):
+            found = receive(sync_client, "/safe/a", confirm)
+        self.assertEqual(found, (None, True))
+
+    def test_route_that_is_gone_after_the_pause_is_not_used(self):
+        """Guards against requests served by a route that was removed meanwhile."""
+        sync_client = SyncClient(OUTDATED)
+        whole = sync_client.catalogue
+
+        class Emptied:
+            version = whole.version + 1
+
+            def find_route(self, host, path):
+                return None
+
+        def remove():
+            sync_client.catalogue = Emptied()
+            sync_client.age = CONFIRMED
+
+        with just_resumed(True):
+            found = receive(sync_client, "/safe/a", remove)
+        self.assertEqual(found, (404, False))
+
+    def test_wait_ends_with_its_time(self):
+        async def main():
+            check = ResumeCheck(SyncClient(OUTDATED), Metrics())
+            return await check.wait(0.05)
+
+        with just_resumed(True):
+            self.assertFalse(curio.run(main))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_relay_run_watch.py
+++ b/tests/test_relay_run_watch.py
@@ -68,7 +68,7 @@
 
 
 async def run_with(handover, run, is_confirmed=confirmed):
-    sender = Sender(*[None] * 10, handover, None, None)
+    sender = Sender(*[None] * 10, handover, None, None, None)
     watched = watch(FakeTry(), unreachable=True, is_confirmed=is_confirmed)
     async with curio.timeout_after(MAX_WAIT):
         return await sender._run(make_call(), watched, run)
--- a/tests/test_retry_late_arrivals.py
+++ b/tests/test_retry_late_arrivals.py
@@ -192,7 +192,7 @@
             async def _serve_until_disconnect(self, call):
                 pass
 
-        relay = EndingRelay(Intake(), *[None] * 3, retry_budget, *[None] * 5)
+        relay = EndingRelay(Intake(), *[None] * 3, retry_budget, *[None] * 6)
         curio.run(relay.serve_forwarded, call.exchange)
         left = take_all(retry_budget, monotonic())
         self.assertEqual(left, 1 + expected)
