Log why a request is held back and what its trial proved

After a crash the lines didn't say whether a request is held back because it ran alone, by five crashes, or because its permitted trial failed, nor what its host knew of the trial, so an innocent stream that was held back couldn't be traced. The line of a standing now has the early crashes, the targets where the request ran alone and whether its trial failed; the line of a crash tells of each suspect what speaks against a proof; a permit that is used up has a line.

--- a/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
@@ -80,6 +80,14 @@
         on_trial = self.is_on_trial(self.ended_at)
         return on_trial and self.quiet and not self.overlapped
 
+    def describe_trial(self) -> str:
+        """Return for the log whether a crash proves something about this suspect."""
+        if not self.is_on_trial(self.ended_at):
+            return "over"
+        if not self.quiet:
+            return "not quiet"
+        return "overlapped" if self.overlapped else "alone"
+
 
 @dataclass(frozen=True)
 class Crash:
@@ -392,6 +400,11 @@
                 run.fingerprints.exact: round(run.ended_at - run.began, 3)
                 for run in newest
             },
+            trials={
+                run.fingerprints.exact: run.describe_trial()
+                for run in runs
+                if run.suspect
+            },
             parts=dict(
                 Counter(
                     part for run in early for part in run.fingerprints.parts
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -389,7 +389,10 @@
             "former": before.name.lower(),
             "service": record.service,
             "crashes": len(crash_records),
+            "early": sum(crash_record.early for crash_record in crash_records.values()),
             "alone": sum(crash_record.alone for crash_record in crash_records.values()),
+            "alone_at": sorted(n for n, m in crash_records.items() if m.alone),
+            "tried": was_tried(crash_records.values()),
             "targets": sorted(crash_records),
         }
         noun = "prompt part" if is_part(record.fingerprint) else "request"
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -399,7 +399,10 @@
         now = monotonic()
         is_own = permit == fingerprints.content
         found = _fingerprints(fingerprints) if is_own else [permit]
-        self._report([n for n in found if self._table.record_trial(n, now)])
+        recorded = [n for n in found if self._table.record_trial(n, now)]
+        if recorded:
+            _log.info("trial failed", fingerprints=recorded)
+        self._report(recorded)
 
     def _keep_permit(self, fingerprint: Fingerprint, permit: _Permit | None) -> None:
         """Keep an unused permit for the next copy; None: it can't be returned."""
