Give a disturbed trial by permit one repetition, and keep such trials apart

A stream that had run beside a harmful request at three crashes was answered 503 with a Retry-After of ten minutes when its caller asked again. Both were doubtful, each got a permit of its own, both were sent to the one target that was left, the harmful one crashed it, and a permit that is used up was taken for a failed trial: both were held back.

A trial by permit waits, as long as its request may, for a target where no other suspect is on trial. A trial that ended in a crash blocks a request unless another one was at all its crashes; then there is one more permit in the whole system, and at five crashes a request is held back in any case.

--- a/packages/node/src/bronzepoint_node/core/_core_quarantine.py
+++ b/packages/node/src/bronzepoint_node/core/_core_quarantine.py
@@ -173,7 +173,8 @@
             # Another core host granted the permit, or this one before its restart.
             time_left = self.table.blocked_for(fingerprint, now)
             return TrialReply(False, int(time_left * 1000))
-        if is_clear or self._permits.grant(fingerprint, now, query):
+        is_repeated = record is not None and self._was_disturbed(record)
+        if is_clear or self._permits.grant(fingerprint, now, query, is_repeated):
             return TrialReply(True, 0)
         time_left = min(self._permits.seconds_left(fingerprint, now), RETENTION)
         return TrialReply(False, int(time_left * 1000))
@@ -183,7 +184,14 @@
         if is_part(record.fingerprint):
             # A part gets another permit later, unless it is proven harmful.
             return self.table.standing(record.fingerprint) is SuspicionLevel.HELD
-        return was_tried(record.active_crash_records.values())
+        return self.table.has_failed_trial(record.fingerprint)
+
+    def _was_disturbed(self, record: SuspectRecord) -> bool:
+        """Return whether the trial of a request failed, but proved nothing."""
+        if is_part(record.fingerprint):
+            return False
+        is_tried = was_tried(record.active_crash_records.values())
+        return is_tried and not self._is_trial_over(record)
 
     async def _run(self) -> None:
         while True:
--- a/packages/node/src/bronzepoint_node/core/_trial_permits.py
+++ b/packages/node/src/bronzepoint_node/core/_trial_permits.py
@@ -29,6 +29,7 @@
 class _Grant(NamedTuple):
     at: float
     query: PermitQuery
+    repeated: bool
 
 
 def _validity(fingerprint: Fingerprint) -> float:
@@ -38,7 +39,8 @@
 
 
 class TrialPermits:
-    """Grants one permit per request, and another one if it is returned unused.
+    """Grants one permit per request, and another one if it is returned unused, or if
+    its trial was disturbed.
 
     Entry hosts can't limit trials on their own, as a caller may use any of them. All of
     them ask the same core host about one request. If they choose different core hosts,
@@ -49,13 +51,25 @@
         self._grants: dict[Fingerprint, _Grant] = {}
 
     def grant(
-        self, fingerprint: Fingerprint, now: float, query: PermitQuery = NO_QUERY
+        self,
+        fingerprint: Fingerprint,
+        now: float,
+        query: PermitQuery = NO_QUERY,
+        repeated: bool = False,
     ) -> bool:
-        """Grant a permit; return False if one was granted before."""
+        """Grant a permit; return False if one was granted before.
+
+        Args:
+            fingerprint: Fingerprint of the request or part.
+            now: Monotonic seconds.
+            query: Query that asks for it.
+            repeated: The trial of the former permit was disturbed.
+        """
         self._expire(now)
-        if fingerprint in self._grants:
+        grant = self._grants.get(fingerprint)
+        if grant is not None and (grant.repeated or not repeated):
             return False
-        self._grants[fingerprint] = _Grant(now, query)
+        self._grants[fingerprint] = _Grant(now, query, repeated)
         return True
 
     def take_back(self, fingerprint: Fingerprint, query: PermitQuery) -> bool:
--- a/packages/node/src/bronzepoint_node/placement/_ask.py
+++ b/packages/node/src/bronzepoint_node/placement/_ask.py
@@ -33,6 +33,7 @@
         lease: Lease under which another region has forwarded it; 0: none; -2: that
             region may not serve it.
         has_own_queue: Whether it may wait in this region.
+        apart: It is sent to a target where no other suspect is on trial, or waits.
     """
 
     request_id: str
@@ -53,6 +54,7 @@
     unreached_regions: frozenset[RegionName] = frozenset()
     lease: int = 0
     has_own_queue: bool = True
+    apart: bool = False
 
     @property
     def selected_service(self) -> str:
--- a/packages/node/src/bronzepoint_node/placement/_local_request.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_request.py
@@ -29,6 +29,8 @@
         lease: Lease under which another region has forwarded it; -1: without one; -2:
             that region may not serve it; 0: it was not forwarded.
         lease_regions: Regions that may serve it under a lease.
+        apart: It is a suspect, and waits if another one is on trial at each target. A
+            crash would prove nothing about either.
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     data_center: str = ""
     lease: int = 0
     lease_regions: list[RegionName] = []
+    apart: bool = False
 
     @property
     def has_long_prompt(self) -> bool:
--- a/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
+++ b/packages/node/src/bronzepoint_node/placement/_local_target_selector.py
@@ -187,12 +187,13 @@
         A suspect goes to the target with the fewest requests in progress, since a crash
         loses all of them. It avoids targets that run another suspect: after a crash the
         two could not be distinguished. If no such target has free capacity, all usable
-        targets are candidates.
+        targets are candidates, except for a request that waits to be apart.
         """
         not_isolated = [target for target in usable if not target.is_isolated(now)]
         if request.suspect:
             not_isolated.sort(key=lambda target: target.load.in_flight(now))
-            return [*([target] for target in not_isolated), usable]
+            apart = [[target] for target in not_isolated]
+            return apart if request.apart else [*apart, usable]
         if len(not_isolated) == len(usable):
             return [usable]
         return [not_isolated, usable]
--- a/packages/node/src/bronzepoint_node/placement/_placer.py
+++ b/packages/node/src/bronzepoint_node/placement/_placer.py
@@ -135,6 +135,7 @@
             objective=request.route.objective,
             data_center=self._near,
             lease=request.lease or (UNLEASED if request.forwarded else 0),
+            apart=request.apart,
         )
 
     def place(self, request: PlacementRequest, now: float) -> Placement:
--- a/packages/node/src/bronzepoint_node/placement/_scheduler.py
+++ b/packages/node/src/bronzepoint_node/placement/_scheduler.py
@@ -314,8 +314,9 @@
             elif queued.has_long_prompt:
                 # Targets that read too much may still have room for short prompts.
                 failed_long += 1
-            elif not queued.request.software_version:
-                # One bound to a version may lack capacity where others have some.
+            elif not (queued.request.software_version or queued.request.apart):
+                # One bound to a version, or that waits for the end of other trials, may
+                # lack capacity where others have some.
                 failed += 1
                 if failed == HEAD_COUNT:
                     return
@@ -448,6 +449,7 @@
         data_center=request.data_center,
         lease=request.lease,
         lease_regions=request.lease_regions,
+        apart=request.apart,
     )
 
 
@@ -471,6 +473,7 @@
         route_priority=query.route_priority,
         objective=query.objective_ms / 1000,
         data_center=query.data_center,
+        apart=query.apart,
     )
 
 
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -12,6 +12,7 @@
 from ._standing import (
     MIN_CRASHES_SUSPECT,
     SuspicionLevel,
+    has_failed_trial,
     suspicion_levels,
     was_tried,
 )
@@ -112,6 +113,17 @@
         """Return the record of a request, or None if it has no recorded crash."""
         return self._records.get(fingerprint)
 
+    def has_failed_trial(self, fingerprint: Fingerprint) -> bool:
+        """Return whether the trial of a request failed for no other request's fault."""
+        return has_failed_trial(
+            fingerprint,
+            {
+                record.fingerprint: record.active_crash_records
+                for record in self.records(MIN_CRASHES_SUSPECT)
+                if not is_part(record.fingerprint)
+            },
+        )
+
     def blocked_for(self, fingerprint: Fingerprint, now: float) -> float:
         """Return the seconds until a blocked request or part may be tried again."""
         record = self._records.get(fingerprint)
--- a/packages/node/src/bronzepoint_node/quarantine/_standing.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_standing.py
@@ -1,7 +1,7 @@
 """Classification of requests by the target crashes they were involved in."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import IntEnum
 
 from bronzepoint_schema.ids import Fingerprint
@@ -89,7 +89,9 @@
             standing = min(standing, SuspicionLevel.DOUBTFUL)
         elif standing is SuspicionLevel.HELD:
             attributed.update(active_crash_records[fingerprint])
-        elif standing is SuspicionLevel.DOUBTFUL and was_tried(counted.values()):
+        elif standing is SuspicionLevel.DOUBTFUL and has_failed_trial(
+            fingerprint, active_crash_records
+        ):
             # It may be unrelated, so its crashes still count against others.
             standing = SuspicionLevel.HELD
         if standing is not SuspicionLevel.CLEAR:
@@ -98,10 +100,40 @@
 
 
 def was_tried(crash_records: Iterable[CrashRecord]) -> bool:
-    """Return whether the permitted trial of a request has been used up."""
+    """Return whether a permitted trial of a request has been used up."""
     return any(crash_record.tried for crash_record in crash_records)
 
 
+def has_failed_trial(
+    fingerprint: Fingerprint, crash_records: Mapping[Fingerprint, CrashRecords]
+) -> bool:
+    """Return whether the permitted trial of a request has ended without an answer, and
+    no other request explains that.
+
+    A target that crashed during the trial was crashed by any request that had just
+    begun there. One that was there at all crashes of this request explains them as
+    well, so that this one gets another permit. After that trial, either no crash has
+    come after the latest trial or there are enough to block the request.
+
+    Args:
+        fingerprint: Fingerprint of the request.
+        crash_records: Crashes of all requests that still count.
+    """
+    own = crash_records.get(fingerprint, {})
+    if not was_tried(own.values()):
+        return False
+    early = {target for target, crash in own.items() if crash.early}
+    crashed_since = any(not own[target].tried for target in early)
+    if not crashed_since or len(early) >= MIN_CRASHES_BLOCKED_UNPROVEN:
+        return True
+    return not any(
+        is_any_caller(other) == is_any_caller(fingerprint)
+        and other != fingerprint
+        and all(target in found and found[target].early for target in early)
+        for other, found in crash_records.items()
+    )
+
+
 def _proven_crashes(
     active_crash_records: dict[Fingerprint, CrashRecords],
 ) -> dict[Fingerprint, set[str]]:
--- a/packages/node/src/bronzepoint_node/relay/_placement_search.py
+++ b/packages/node/src/bronzepoint_node/relay/_placement_search.py
@@ -40,19 +40,28 @@
         self._scheduler = scheduler
 
     async def find(self, call: Call, until: float) -> Placement:
-        """Return a placement, or a rejection if none is found by ``until``."""
+        """Return a placement, or a rejection if none is found by ``until``.
+
+        A trial by permit waits for a target without another suspect, as its end decides
+        whether the request is blocked. If there is none in time, it goes to any target.
+        """
         wait = 0.0
+        apart = call.has_permit
         if call.lease > 0:
             until = min(until, monotonic() + LEASED_WAIT)
         while True:
             request = _placement_request(call)
+            request.apart = apart
             found = await self._find_local(call, request, wait)
             placement = self._placer.decide(request, found, monotonic())
             # A scheduler that forecasts waits decides how long a request may wait.
             forecast = isinstance(found, NoLocalTarget) and found.retry_after > 0
             wait = call.time_left if forecast else until - monotonic()
             if wait <= 0 or not _may_wait(call, placement):
-                return placement
+                if not (apart and isinstance(placement, Rejected)):
+                    return placement
+                apart, wait = False, 0.0
+                continue
             rests_for = found.rests_for if isinstance(found, NoLocalTarget) else 0.0
             if rests_for > wait:
                 return placement
--- a/tests/test_placement_suspects.py
+++ b/tests/test_placement_suspects.py
@@ -58,6 +58,31 @@
         # A suspect is not refused because no target is free of other suspects.
         self.assertIsNotNone(trials[3])
 
+    @params((3,), (8,))
+    def test_trial_by_permit_waits_for_the_end_of_others(self, hosts):
+        """Guards against two trials at one target, whose crash would prove nothing.
+
+        Other requests needn't wait behind it.
+        """
+
+        async def main():
+            async with Region(hosts, 1) as region:
+                first, second, *_ = region.hosts.values()
+                _, run = await find(first, suspect=True)
+                await curio.sleep(0.3)
+                request = second.make_request(suspect=True, apart=True)
+                waiting = await curio.spawn(second.client.find, request, 3.0)
+                await curio.sleep(0.1)
+                other = await second.client.find(second.make_request(), 0.5)
+                is_waiting = not waiting.terminated
+                run.first_event_at = monotonic() - 10.0
+                return is_waiting, other, await waiting.join()
+
+        is_waiting, other, found = curio.run(main)
+        self.assertTrue(is_waiting)
+        self.assertIsInstance(other, LocalPlacement)
+        self.assertIsInstance(found, LocalPlacement)
+
     def test_other_requests_avoid_the_target_of_a_suspect(self):
         """Guards against a crash that fails more requests than necessary."""
 
--- a/tests/test_quarantine_admission.py
+++ b/tests/test_quarantine_admission.py
@@ -427,6 +427,31 @@
         self.assertIs(table.standing("q"), SuspicionLevel.HELD)
         self.assertIs(table.standing("cause"), SuspicionLevel.DOUBTFUL)
 
+    def test_disturbed_trial_is_repeated_once(self):
+        """Guards against blocking an unrelated request that was tried beside the
+        harmful one, and against trials without end."""
+        tables = [self.core.table, *(host._table for host in self.hosts)]
+        for table in tables:
+            for name in ("p", "*p"):
+                add_crashes(table, name, 3)
+        admissions = []
+        for number, host in enumerate(self.hosts):
+            admissions.append(self.admit(number))
+            host.note_trial_failed(Q)
+            cases = host._table.select_cases(monotonic(), 16)
+            for table in tables:
+                table.merge(cases, monotonic())
+                crash_records = {
+                    name: CrashRecord(monotonic(), True)
+                    for name in ("q", "*q", "p", "*p")
+                }
+                crashed = f"t{3 + number}"
+                table.record_crash(crash_records, "s", crashed, monotonic())
+            host.end_trial(Q, TrialEnd.USED)
+        admissions += [self.admit(0), self.admit(1)]
+        self.assertEqual(admissions[:2], [Admitted(True, True)] * 2)
+        self.assertEqual([type(each) for each in admissions[2:]], [Blocked] * 2)
+
     @params(TrialEnd.USED, TrialEnd.TURNED_AWAY)
     def test_permit_that_reached_a_target_is_not_returned(self, end):
         """Guards against a further arrival on each host that gets the permit."""
--- a/tests/test_quarantine_table.py
+++ b/tests/test_quarantine_table.py
@@ -1,5 +1,6 @@
 """Standing of requests by the crashes that all hosts have recorded."""
 
+import itertools
 import unittest
 
 from nose2.tools import params
@@ -139,6 +140,93 @@
         self.assertAlmostEqual(table.blocked_for("q", later), time_left)
 
 
+def try_by_permit(table, names, target="", others=(), at=NOW):
+    """Record the failed trials of doubtful requests, and the crash that ended them."""
+    for name in names:
+        table.record_trial(name, at)
+    if target:
+        add_crash(table, target, [*names, *others], at=at)
+
+
+class TestDisturbedTrials(unittest.TestCase):
+    """The harmful request is "q", "a" ran beside it."""
+
+    def setUp(self):
+        self.table = CrashTable()
+        for target in ("t1", "t2", "t3"):
+            add_crash(self.table, target, "qa")
+
+    def standings(self):
+        return [self.table.standing(name) for name in "qa"]
+
+    def test_crash_at_the_trial_of_two_requests_blocks_neither(self):
+        """Guards against blocking an unrelated request because the harmful one was
+        tried at the same target."""
+        try_by_permit(self.table, "qa", "t4")
+        self.assertEqual(self.standings(), [SuspicionLevel.DOUBTFUL] * 2)
+
+    def test_next_trial_decides(self):
+        """Guards against a harmful request that goes free because of another one."""
+        try_by_permit(self.table, "qa", "t4")
+        try_by_permit(self.table, "q", "t5")
+        expected = [SuspicionLevel.HELD, SuspicionLevel.CLEAR]
+        self.assertEqual(self.standings(), expected)
+
+    @params(
+        # targets that crashed at further trials of "q" beside "a"; standing of "q"
+        (["t4"], SuspicionLevel.DOUBTFUL),
+        (["t4", ""], SuspicionLevel.HELD),
+        (["t4", "t5"], SuspicionLevel.HELD),
+    )
+    def test_one_more_permit_is_granted(self, targets, expected):
+        """Guards against trials without end of a harmful request."""
+        for target in targets:
+            try_by_permit(self.table, "q", target, others="a")
+        self.assertIs(self.table.standing("q"), expected)
+
+    @params(
+        # requests beside "q" at the crash that ended its trial
+        ("",),
+        # one that wasn't at all crashes of "q"
+        ("b",),
+    )
+    def test_trial_beside_requests_that_explain_less(self, others):
+        """Guards against a further crash by a request that nothing else explains."""
+        table = CrashTable()
+        for target in ("t1", "t2", "t3"):
+            add_crash(table, target, "q")
+        add_crash(table, "t3", "b")
+        try_by_permit(table, "q", "t4", others)
+        self.assertIs(table.standing("q"), SuspicionLevel.HELD)
+
+    def test_trial_that_ended_without_a_crash_blocks(self):
+        try_by_permit(self.table, "a")
+        expected = [SuspicionLevel.DOUBTFUL, SuspicionLevel.HELD]
+        self.assertEqual(self.standings(), expected)
+
+    def test_request_that_was_cleared_explains_nothing(self):
+        try_by_permit(self.table, "q", "t4", others="a")
+        self.table.clear("a", NOW)
+        expected = [SuspicionLevel.HELD, SuspicionLevel.CLEAR]
+        self.assertEqual(self.standings(), expected)
+
+    @params(*itertools.permutations(range(3)))
+    def test_order_of_the_reports_does_not_matter(self, *order):
+        """Guards against hosts that judge a trial differently for good."""
+        hosts = [CrashTable() for _ in order]
+        for number, name in enumerate("qa"):
+            hosts[number].merge(self.table.select_cases(NOW, 16), NOW)
+            try_by_permit(hosts[number], name, "t4")
+        hosts[2].merge(self.table.select_cases(NOW, 16), NOW)
+        for _ in range(2):
+            for number in order:
+                cases = hosts[number].select_cases(NOW, 16)
+                for host in hosts:
+                    host.merge(cases, NOW)
+        for self.table in hosts:
+            self.assertEqual(self.standings(), [SuspicionLevel.DOUBTFUL] * 2)
+
+
 class TestManyHosts(unittest.TestCase):
     def test_both_sides_of_a_partition_add_up(self):
         """Guards against three trials on each side of a network partition."""
--- a/tests/test_relay_placement_wait.py
+++ b/tests/test_relay_placement_wait.py
@@ -83,6 +83,26 @@
             return await find_placement(host, call), call.placement_requests
 
 
+class TestTrialByPermit(unittest.TestCase):
+    def test_no_target_is_free_of_trials_in_time(self):
+        """Guards against refusing an unrelated request while all targets have suspects
+        on trial."""
+
+        async def main():
+            async with Region(1, 2) as region:
+                for tracked in region.scheduler.table.all():
+                    tracked.isolate(monotonic() + OBJECTIVE)
+                call = make_call()
+                call.suspect = call.has_permit = True
+                began = monotonic()
+                placement = await find_placement(region.scheduler, call)
+                return placement, monotonic() - began
+
+        placement, seconds = curio.run(main)
+        self.assertIsInstance(placement, LocalPlacement)
+        self.assertGreaterEqual(seconds, WAIT)
+
+
 class TestQueueThatMoves(unittest.TestCase):
     def test_request_waits_for_capacity_in_queue(self):
         async def main():
