Take no crash for a proof at which another suspect was on trial

A suspect that had run beside a harmful request could be held back at its third crash, and the harmful one be cleared by it. Found by reading while a held stream was traced, not seen in a site's log. Whether a crash proves something (`alone`) was judged by the runs of one host. Two suspects meet at one target if nothing else has room, or if hosts haven't heard of each other's yet: the second one isn't alone, as its host knows of the first; the host of the first one knows nothing of the second, and was believed, whichever of the two crashes targets. Only a second claim of being alone spoke against it.

A crash is now reported with whether the request was on trial there, alone or not, and proves nothing where several were, unless the others have been answered since. The same holds for parts of prompts, by the requests on trial at the crash. Both are then doubtful and tried by permit, apart, so the bound of arrivals is that of doubtful requests.

test_suspects_of_two_hosts_at_one_target (requests and parts): 3 of its 5 cases fail on the former code (one held, the other clear), all pass now. Older hosts don't send the field; their reports count as before. Real processes: not run yet on this commit.

--- a/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_detector.py
@@ -76,13 +76,18 @@
 
     @property
     def is_alone(self) -> bool:
-        """Return whether no other run can have caused the crash that ended it."""
-        on_trial = self.is_on_trial(self.ended_at)
-        return on_trial and self.quiet and not self.overlapped
+        """Return whether no other run of this host, and none that this host knew of as
+        it was sent, can have caused the crash that ended it."""
+        return self.ended_on_trial and self.quiet and not self.overlapped
+
+    @property
+    def ended_on_trial(self) -> bool:
+        """Return whether it was a suspect that ended in its early phase."""
+        return self.is_on_trial(self.ended_at)
 
     def describe_trial(self) -> str:
         """Return for the log whether a crash proves something about this suspect."""
-        if not self.is_on_trial(self.ended_at):
+        if not self.ended_on_trial:
             return "over"
         if not self.quiet:
             return "not quiet"
--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -284,6 +284,7 @@
                     mark.tried,
                     tuple(mark.requests),
                     mark.outage,
+                    mark.on_trial,
                 )
                 if self._add(case.fingerprint, case.service, mark.target, received):
                     changed.add(case.fingerprint)
--- a/packages/node/src/bronzepoint_node/quarantine/_part_standing.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_part_standing.py
@@ -49,6 +49,7 @@
     explains them better. Two that only come together can't be told apart: only requests
     with both are blocked, so that a request with one of them can clear it.
     """
+    records = list(records)
     candidates = {
         record.fingerprint: record
         for record in records
@@ -64,7 +65,7 @@
         for name, found in crashes.items()
         if not any(found < other for other in distinct)
     }
-    blocked_together = _proven_sets(suspects)
+    blocked_together = _proven_sets(suspects, _disturbed_crashes(records))
     levels = {
         name: _classify(record, frozenset([name]) in blocked_together, now)
         for name, record in suspects.items()
@@ -86,14 +87,27 @@
     return not set.intersection(*(set(crash.requests) for crash in crash_records))
 
 
-def _proven_sets(suspects: dict[Fingerprint, SuspectRecord]) -> list[Parts]:
+def _disturbed_crashes(records: Iterable[SuspectRecord]) -> set[str]:
+    """Return the targets at which a request that didn't run alone was on trial."""
+    return {
+        target
+        for record in records
+        if not is_part(record.fingerprint)
+        for target, crash in record.crash_records.items()
+        if crash.on_trial and not crash.alone and not crash.cleared
+    }
+
+
+def _proven_sets(
+    suspects: dict[Fingerprint, SuspectRecord], disturbed: set[str]
+) -> list[Parts]:
     """Return for each crash of a request that ran alone the suspect parts it had."""
     parts_by_target: dict[str, set[Fingerprint]] = {}
     for name, record in suspects.items():
         if len(record.early_crash_records) < MIN_CRASHES_BLOCKED:
             continue
         for target, crash in record.early_crash_records.items():
-            if crash.alone:
+            if crash.alone and target not in disturbed:
                 parts_by_target.setdefault(target, set()).add(name)
     return list({frozenset(parts) for parts in parts_by_target.values()})
 
--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -189,7 +189,9 @@
         crash_records: dict[Fingerprint, CrashRecord] = {}
         for run in crash.runs:
             for fingerprint in _fingerprints(run.fingerprints):
-                crash_record = CrashRecord(crash.at, run.is_early, run.is_alone)
+                crash_record = CrashRecord(
+                    crash.at, run.is_early, run.is_alone, on_trial=run.ended_on_trial
+                )
                 crash_records.setdefault(fingerprint, crash_record).merge(crash_record)
             for part in run.fingerprints.parts if run.is_early else ():
                 crash_record = CrashRecord(
--- a/packages/node/src/bronzepoint_node/quarantine/_standing.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_standing.py
@@ -56,13 +56,14 @@
     be involved in several crashes. Crashes attributed to a blocked request thus don't
     count against others.
     """
+    records = list(records)
     active_crash_records = {
         record.fingerprint: crash_records
         for record in records
         if len(record.crash_records) >= MIN_CRASHES_SUSPECT
         and len(crash_records := record.active_crash_records) >= MIN_CRASHES_SUSPECT
     }
-    proven_crashes = _proven_crashes(active_crash_records)
+    proven_crashes = _proven_crashes(active_crash_records, _count_trials(records))
     ordered = sorted(
         active_crash_records,
         key=lambda fingerprint: (
@@ -134,25 +135,36 @@
     )
 
 
+def _count_trials(
+    records: Iterable[SuspectRecord],
+) -> Counter[tuple[bool, str]]:
+    """Return how many requests were on trial at each crash.
+
+    The counts of fingerprints with and without the caller are separate.
+    """
+    return Counter(
+        (is_any_caller(record.fingerprint), target)
+        for record in records
+        for target, crash_record in record.crash_records.items()
+        if (crash_record.on_trial or crash_record.alone) and not crash_record.cleared
+    )
+
+
 def _proven_crashes(
     active_crash_records: dict[Fingerprint, CrashRecords],
+    trials: Counter[tuple[bool, str]],
 ) -> dict[Fingerprint, set[str]]:
     """Return the crashes in which each request was the only suspect.
 
-    Hosts that haven't synced may send two suspects to one target, and each host reports
-    its own as alone. A crash that several requests claim proves nothing.
+    Hosts that haven't synced may send two suspects to one target, and if nothing else
+    has free capacity, any host does. A host knows only of its own runs which one was
+    sent there later, so a crash with several suspects on trial proves nothing.
     """
-    claims = Counter(
-        (is_any_caller(fingerprint), target)
-        for fingerprint, crash_records in active_crash_records.items()
-        for target, crash_record in crash_records.items()
-        if crash_record.alone
-    )
     return {
         fingerprint: {
             target
             for target, crash_record in crash_records.items()
-            if crash_record.alone and claims[is_any_caller(fingerprint), target] == 1
+            if crash_record.alone and trials[is_any_caller(fingerprint), target] == 1
         }
         for fingerprint, crash_records in active_crash_records.items()
     }
--- a/packages/node/src/bronzepoint_node/quarantine/_suspect_record.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_suspect_record.py
@@ -28,6 +28,7 @@
         requests: For a prompt part, tags of requests with it that had just begun.
         outage: First by name of the targets of the data center that crashed at that
             time; empty: not several did.
+        on_trial: Whether the request was on trial, alone or not.
     """
 
     at: float
@@ -37,6 +38,7 @@
     tried: bool = False
     requests: tuple[str, ...] = ()
     outage: str = ""
+    on_trial: bool = False
 
     def merge(self, other: "CrashRecord") -> bool:
         """Merge another host's record of the same crash.
@@ -54,11 +56,13 @@
             self.tried or other.tried,
             tuple(sorted({*self.requests, *other.requests})[:MAX_TAGS]),
             min(filter(None, (self.outage, other.outage)), default=""),
+            self.on_trial or other.on_trial,
         )
         changed = joined.flags != self.flags
         self.at, self.early, self.tried = joined.at, joined.early, joined.tried
         self.alone, self.cleared = joined.alone, joined.cleared
         self.requests, self.outage = joined.requests, joined.outage
+        self.on_trial = joined.on_trial
         return changed
 
     @property
@@ -71,6 +75,7 @@
             self.tried,
             self.requests,
             self.outage,
+            self.on_trial,
         )
 
 
@@ -158,6 +163,7 @@
                     crash_record.tried,
                     list(crash_record.requests),
                     crash_record.outage,
+                    crash_record.on_trial,
                 )
                 for name, crash_record in self.crash_records.items()
             ],
--- a/tests/test_quarantine_admission.py
+++ b/tests/test_quarantine_admission.py
@@ -102,11 +102,11 @@
     return TargetInfo(name, "s", "10.0.0.1:80", data_center, 6, False, 0)
 
 
-def failed_run(name, suspect=False):
+def failed_run(name, suspect=False, quiet=True):
     now = monotonic()
     fingerprints = RequestFingerprints(name, f"*{name}")
     return WatchedRun(
-        fingerprints, now - 0.1, ended_at=now, suspect=suspect, quiet=suspect
+        fingerprints, now - 0.1, ended_at=now, suspect=suspect, quiet=suspect and quiet
     )
 
 
@@ -207,6 +207,36 @@
         self.assertTrue(table.record("q").crash_records["t1"].alone)
         self.assertFalse(table.record("a").crash_records["t1"].alone)
 
+    @params(
+        # whether each of the two requests had been sent while nothing else ran there
+        (True, True),
+        (True, False),
+        (False, True),
+    )
+    def test_suspects_of_two_hosts_at_one_target(self, *quiet):
+        """Guards against blocking a suspect, and clearing another one, as its host
+        doesn't know that the other one was sent to the target after it."""
+        hosts = [make_quarantine() for _ in quiet]
+        for (quarantine, *_), name, is_quiet in zip(hosts, "pq", quiet, strict=True):
+            for number in range(3):
+                run = failed_run(name, suspect=number == 2, quiet=is_quiet)
+                quarantine.note_crash(Crash(target(f"t{number}"), monotonic(), [run]))
+        cases = [table.select_cases(monotonic(), 16) for _, table, _ in hosts]
+        for (_, table, _), reported in zip(hosts, reversed(cases), strict=True):
+            table.merge(reported, monotonic())
+            standings = [table.standing(name) for name in "pq"]
+            self.assertEqual(standings, [SuspicionLevel.DOUBTFUL] * 2)
+
+    def test_suspect_beside_one_that_was_answered_since(self):
+        """Guards against a harmful request that goes free by suspects beside it."""
+        quarantine, table, _ = make_quarantine()
+        for number in range(3):
+            runs = [failed_run("q", suspect=True)]
+            runs += [failed_run("p", suspect=True, quiet=False)]
+            quarantine.note_crash(Crash(target(f"t{number}"), monotonic(), runs))
+        quarantine.record_answered(RequestFingerprints("p", "*p"))
+        self.assertIs(table.standing("q"), SuspicionLevel.HELD)
+
     @params(("x-a", SuspicionLevel.CLEAR), ("", SuspicionLevel.SUSPECT))
     def test_data_center_outage_makes_no_request_a_suspect(self, data_center, expected):
         """Guards against a power failure that makes suspects of all its requests."""
--- a/tests/test_quarantine_parts.py
+++ b/tests/test_quarantine_parts.py
@@ -112,6 +112,23 @@
                 add_crash(table, name, runs, alone, NOW + number)
             self.assertIs(table.standing_of(request(names)), expected)
 
+    @params((False, HELD), (True, DOUBTFUL))
+    def test_suspects_of_two_hosts_at_one_target(self, is_disturbed, expected):
+        """Guards against blocking a part because its host doesn't know that another
+        suspect was sent to the target after it."""
+        table, quarantine = new_quarantine()
+        other_table, other = new_quarantine()
+        for number in range(3):
+            run = run_early("a", number, alone=number == 2)
+            crash = Crash(target(f"t{number}"), NOW + number, [run])
+            quarantine.note_crash(crash)
+            run = run_early("b", 10 + number)
+            run.suspect = is_disturbed and number == 2
+            crash = Crash(target(f"t{number}"), NOW + number, [run])
+            other.note_crash(crash)
+        table.merge(other_table.select_cases(NOW + 3, 32), NOW + 3)
+        self.assertIs(table.standing_of(request("a")), expected)
+
     def test_first_part_of_all_requests_is_served(self):
         """Guards against blocking a part that harmful and sound requests share."""
         table = CrashTable()
