--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -115,14 +115,13 @@
 
     def has_failed_trial(self, fingerprint: Fingerprint) -> bool:
         """Return whether the trial of a request failed for no other request's fault."""
-        return has_failed_trial(
-            fingerprint,
-            {
-                record.fingerprint: record.active_crash_records
-                for record in self.records(MIN_CRASHES_SUSPECT)
-                if not is_part(record.fingerprint)
-            },
-        )
+        crash_records = {
+            record.fingerprint: record.active_crash_records
+            for record in self.records(MIN_CRASHES_SUSPECT)
+            if not is_part(record.fingerprint)
+        }
+        own = crash_records.get(fingerprint, {})
+        return has_failed_trial(fingerprint, own, crash_records)
 
     def blocked_for(self, fingerprint: Fingerprint, now: float) -> float:
         """Return the seconds until a blocked request or part may be tried again."""
--- a/packages/node/src/bronzepoint_node/quarantine/_standing.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_standing.py
@@ -91,7 +91,7 @@
         elif standing is SuspicionLevel.HELD:
             attributed.update(active_crash_records[fingerprint])
         elif standing is SuspicionLevel.DOUBTFUL and has_failed_trial(
-            fingerprint, active_crash_records
+            fingerprint, counted, active_crash_records
         ):
             # It may be unrelated, so its crashes still count against others.
             standing = SuspicionLevel.HELD
@@ -106,7 +106,9 @@
 
 
 def has_failed_trial(
-    fingerprint: Fingerprint, crash_records: Mapping[Fingerprint, CrashRecords]
+    fingerprint: Fingerprint,
+    own: CrashRecords,
+    crash_records: Mapping[Fingerprint, CrashRecords],
 ) -> bool:
     """Return whether the permitted trial of a request has ended without an answer, and
     no other request explains that.
@@ -118,9 +120,9 @@
 
     Args:
         fingerprint: Fingerprint of the request.
-        crash_records: Crashes of all requests that still count.
+        own: Its crashes that count.
+        crash_records: Crashes of all requests.
     """
-    own = crash_records.get(fingerprint, {})
     if not was_tried(own.values()):
         return False
     early = {target for target, crash in own.items() if crash.early}
--- a/tests/test_quarantine_table.py
+++ b/tests/test_quarantine_table.py
@@ -199,6 +199,16 @@
         try_by_permit(table, "q", "t4", others)
         self.assertIs(table.standing("q"), SuspicionLevel.HELD)
 
+    def test_trial_is_forgotten_with_the_crashes_before_it(self):
+        """Guards against blocking a request by a trial after crashes that another one
+        has been found to cause."""
+        try_by_permit(self.table, "a")
+        add_crash(self.table, "t4", "q", alone="q")
+        self.assertEqual(self.standings(), [SuspicionLevel.HELD, SuspicionLevel.CLEAR])
+        for target in ("t5", "t6", "t7"):
+            add_crash(self.table, target, "ab")
+        self.assertIs(self.table.standing("a"), SuspicionLevel.DOUBTFUL)
+
     def test_trial_that_ended_without_a_crash_blocks(self):
         try_by_permit(self.table, "a")
         expected = [SuspicionLevel.DOUBTFUL, SuspicionLevel.HELD]
