--- a/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_crash_table.py
@@ -12,6 +12,7 @@
 from ._standing import (
     MIN_CRASHES_SUSPECT,
     SuspicionLevel,
+    has_failed_trial,
     suspicion_levels,
     was_tried,
 )
@@ -112,6 +113,16 @@
         """Return the record of a request, or None if it has no recorded crash."""
         return self._records.get(fingerprint)
 
+    def has_failed_trial(self, fingerprint: Fingerprint) -> bool:
+        """Return whether the trial of a request failed for no other request's fault."""
+        crash_records = {
+            record.fingerprint: record.active_crash_records
+            for record in self.records(MIN_CRASHES_SUSPECT)
+            if not is_part(record.fingerprint)
+        }
+        own = crash_records.get(fingerprint, {})
+        return has_failed_trial(fingerprint, own, crash_records)
+
     def blocked_for(self, fingerprint: Fingerprint, now: float) -> float:
         """Return the seconds until a blocked request or part may be tried again."""
         record = self._records.get(fingerprint)
@@ -272,6 +283,7 @@
                     mark.tried,
                     tuple(mark.requests),
                     mark.outage,
+                    mark.on_trial,
                 )
                 if self._add(case.fingerprint, case.service, mark.target, received):
                     changed.add(case.fingerprint)
@@ -389,7 +401,10 @@
             "former": before.name.lower(),
             "service": record.service,
             "crashes": len(crash_records),
+            "early": sum(crash_record.early for crash_record in crash_records.values()),
             "alone": sum(crash_record.alone for crash_record in crash_records.values()),
+            "alone_at": sorted(n for n, m in crash_records.items() if m.alone),
+            "tried": was_tried(crash_records.values()),
             "targets": sorted(crash_records),
         }
         noun = "prompt part" if is_part(record.fingerprint) else "request"
