--- a/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_quarantine.py
@@ -189,7 +189,9 @@
         crash_records: dict[Fingerprint, CrashRecord] = {}
         for run in crash.runs:
             for fingerprint in _fingerprints(run.fingerprints):
-                crash_record = CrashRecord(crash.at, run.is_early, run.is_alone)
+                crash_record = CrashRecord(
+                    crash.at, run.is_early, run.is_alone, on_trial=run.ended_on_trial
+                )
                 crash_records.setdefault(fingerprint, crash_record).merge(crash_record)
             for part in run.fingerprints.parts if run.is_early else ():
                 crash_record = CrashRecord(
@@ -399,7 +401,10 @@
         now = monotonic()
         is_own = permit == fingerprints.content
         found = _fingerprints(fingerprints) if is_own else [permit]
-        self._report([n for n in found if self._table.record_trial(n, now)])
+        recorded = [n for n in found if self._table.record_trial(n, now)]
+        if recorded:
+            _log.info("trial failed", fingerprints=recorded)
+        self._report(recorded)
 
     def _keep_permit(self, fingerprint: Fingerprint, permit: _Permit | None) -> None:
         """Keep an unused permit for the next copy; None: it can't be returned."""
--- a/packages/node/src/bronzepoint_node/quarantine/_standing.py
+++ b/packages/node/src/bronzepoint_node/quarantine/_standing.py
@@ -1,7 +1,7 @@
 """Classification of requests by the target crashes they were involved in."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import IntEnum
 
 from bronzepoint_schema.ids import Fingerprint
@@ -56,13 +56,14 @@
     be involved in several crashes. Crashes attributed to a blocked request thus don't
     count against others.
     """
+    records = list(records)
     active_crash_records = {
         record.fingerprint: crash_records
         for record in records
         if len(record.crash_records) >= MIN_CRASHES_SUSPECT
         and len(crash_records := record.active_crash_records) >= MIN_CRASHES_SUSPECT
     }
-    proven_crashes = _proven_crashes(active_crash_records)
+    proven_crashes = _proven_crashes(active_crash_records, _count_trials(records))
     ordered = sorted(
         active_crash_records,
         key=lambda fingerprint: (
@@ -89,7 +90,9 @@
             standing = min(standing, SuspicionLevel.DOUBTFUL)
         elif standing is SuspicionLevel.HELD:
             attributed.update(active_crash_records[fingerprint])
-        elif standing is SuspicionLevel.DOUBTFUL and was_tried(counted.values()):
+        elif standing is SuspicionLevel.DOUBTFUL and has_failed_trial(
+            fingerprint, counted, active_crash_records
+        ):
             # It may be unrelated, so its crashes still count against others.
             standing = SuspicionLevel.HELD
         if standing is not SuspicionLevel.CLEAR:
@@ -98,29 +101,72 @@
 
 
 def was_tried(crash_records: Iterable[CrashRecord]) -> bool:
-    """Return whether the permitted trial of a request has been used up."""
+    """Return whether a permitted trial of a request has been used up."""
     return any(crash_record.tried for crash_record in crash_records)
 
 
+def has_failed_trial(
+    fingerprint: Fingerprint,
+    own: CrashRecords,
+    crash_records: Mapping[Fingerprint, CrashRecords],
+) -> bool:
+    """Return whether the permitted trial of a request has ended without an answer, and
+    no other request explains that.
+
+    A target that crashed during the trial was crashed by any request that had just
+    begun there. One that was there at all crashes of this request explains them as
+    well, so that this one gets another permit. After that trial, either no crash has
+    come after the latest trial or there are enough to block the request.
+
+    Args:
+        fingerprint: Fingerprint of the request.
+        own: Its crashes that count.
+        crash_records: Crashes of all requests.
+    """
+    if not was_tried(own.values()):
+        return False
+    early = {target for target, crash in own.items() if crash.early}
+    crashed_since = any(not own[target].tried for target in early)
+    if not crashed_since or len(early) >= MIN_CRASHES_BLOCKED_UNPROVEN:
+        return True
+    return not any(
+        is_any_caller(other) == is_any_caller(fingerprint)
+        and other != fingerprint
+        and all(target in found and found[target].early for target in early)
+        for other, found in crash_records.items()
+    )
+
+
+def _count_trials(
+    records: Iterable[SuspectRecord],
+) -> Counter[tuple[bool, str]]:
+    """Return how many requests were on trial at each crash.
+
+    The counts of fingerprints with and without the caller are separate.
+    """
+    return Counter(
+        (is_any_caller(record.fingerprint), target)
+        for record in records
+        for target, crash_record in record.crash_records.items()
+        if (crash_record.on_trial or crash_record.alone) and not crash_record.cleared
+    )
+
+
 def _proven_crashes(
     active_crash_records: dict[Fingerprint, CrashRecords],
+    trials: Counter[tuple[bool, str]],
 ) -> dict[Fingerprint, set[str]]:
     """Return the crashes in which each request was the only suspect.
 
-    Hosts that haven't synced may send two suspects to one target, and each host reports
-    its own as alone. A crash that several requests claim proves nothing.
+    Hosts that haven't synced may send two suspects to one target, and if nothing else
+    has free capacity, any host does. A host knows only of its own runs which one was
+    sent there later, so a crash with several suspects on trial proves nothing.
     """
-    claims = Counter(
-        (is_any_caller(fingerprint), target)
-        for fingerprint, crash_records in active_crash_records.items()
-        for target, crash_record in crash_records.items()
-        if crash_record.alone
-    )
     return {
         fingerprint: {
             target
             for target, crash_record in crash_records.items()
-            if crash_record.alone and claims[is_any_caller(fingerprint), target] == 1
+            if crash_record.alone and trials[is_any_caller(fingerprint), target] == 1
         }
         for fingerprint, crash_records in active_crash_records.items()
     }
--- a/tests/test_quarantine_admission.py
+++ b/tests/test_quarantine_admission.py
@@ -102,11 +102,11 @@
     return TargetInfo(name, "s", "10.0.0.1:80", data_center, 6, False, 0)
 
 
-def failed_run(name, suspect=False):
+def failed_run(name, suspect=False, quiet=True):
     now = monotonic()
     fingerprints = RequestFingerprints(name, f"*{name}")
     return WatchedRun(
-        fingerprints, now - 0.1, ended_at=now, suspect=suspect, quiet=suspect
+        fingerprints, now - 0.1, ended_at=now, suspect=suspect, quiet=suspect and quiet
     )
 
 
@@ -207,6 +207,36 @@
         self.assertTrue(table.record("q").crash_records["t1"].alone)
         self.assertFalse(table.record("a").crash_records["t1"].alone)
 
+    @params(
+        # whether each of the two requests had been sent while nothing else ran there
+        (True, True),
+        (True, False),
+        (False, True),
+    )
+    def test_suspects_of_two_hosts_at_one_target(self, *quiet):
+        """Guards against blocking a suspect, and clearing another one, as its host
+        doesn't know that the other one was sent to the target after it."""
+        hosts = [make_quarantine() for _ in quiet]
+        for (quarantine, *_), name, is_quiet in zip(hosts, "pq", quiet, strict=True):
+            for number in range(3):
+                run = failed_run(name, suspect=number == 2, quiet=is_quiet)
+                quarantine.note_crash(Crash(target(f"t{number}"), monotonic(), [run]))
+        cases = [table.select_cases(monotonic(), 16) for _, table, _ in hosts]
+        for (_, table, _), reported in zip(hosts, reversed(cases), strict=True):
+            table.merge(reported, monotonic())
+            standings = [table.standing(name) for name in "pq"]
+            self.assertEqual(standings, [SuspicionLevel.DOUBTFUL] * 2)
+
+    def test_suspect_beside_one_that_was_answered_since(self):
+        """Guards against a harmful request that goes free by suspects beside it."""
+        quarantine, table, _ = make_quarantine()
+        for number in range(3):
+            runs = [failed_run("q", suspect=True)]
+            runs += [failed_run("p", suspect=True, quiet=False)]
+            quarantine.note_crash(Crash(target(f"t{number}"), monotonic(), runs))
+        quarantine.record_answered(RequestFingerprints("p", "*p"))
+        self.assertIs(table.standing("q"), SuspicionLevel.HELD)
+
     @params(("x-a", SuspicionLevel.CLEAR), ("", SuspicionLevel.SUSPECT))
     def test_data_center_outage_makes_no_request_a_suspect(self, data_center, expected):
         """Guards against a power failure that makes suspects of all its requests."""
@@ -427,6 +457,31 @@
         self.assertIs(table.standing("q"), SuspicionLevel.HELD)
         self.assertIs(table.standing("cause"), SuspicionLevel.DOUBTFUL)
 
+    def test_disturbed_trial_is_repeated_once(self):
+        """Guards against blocking an unrelated request that was tried beside the
+        harmful one, and against trials without end."""
+        tables = [self.core.table, *(host._table for host in self.hosts)]
+        for table in tables:
+            for name in ("p", "*p"):
+                add_crashes(table, name, 3)
+        admissions = []
+        for number, host in enumerate(self.hosts):
+            admissions.append(self.admit(number))
+            host.note_trial_failed(Q)
+            cases = host._table.select_cases(monotonic(), 16)
+            for table in tables:
+                table.merge(cases, monotonic())
+                crash_records = {
+                    name: CrashRecord(monotonic(), True)
+                    for name in ("q", "*q", "p", "*p")
+                }
+                crashed = f"t{3 + number}"
+                table.record_crash(crash_records, "s", crashed, monotonic())
+            host.end_trial(Q, TrialEnd.USED)
+        admissions += [self.admit(0), self.admit(1)]
+        self.assertEqual(admissions[:2], [Admitted(True, True)] * 2)
+        self.assertEqual([type(each) for each in admissions[2:]], [Blocked] * 2)
+
     @params(TrialEnd.USED, TrialEnd.TURNED_AWAY)
     def test_permit_that_reached_a_target_is_not_returned(self, end):
         """Guards against a further arrival on each host that gets the permit."""
