--- a/packages/common/src/bronzepoint_common/loop_lag_monitor.py
+++ b/packages/common/src/bronzepoint_common/loop_lag_monitor.py
@@ -24,7 +24,8 @@
     """Measures how late a periodic timer of this process fires.
 
     The processor time used in the meantime shows the cause: it is close to the delay
-    if a task didn't yield, and small if the process itself wasn't scheduled.
+    if a task didn't yield, and small if the process itself wasn't scheduled. What
+    counts as overload follows from both.
 
     Args:
         metrics: Records the delays as ``loop.late_ms``.
@@ -55,8 +56,9 @@
             await curio.sleep(INTERVAL)
             now = monotonic()
             late = now - began - INTERVAL
+            cpu_seconds = time.process_time() - used
             self._metrics.timing("loop.late_ms", late * 1000)
-            if self.lag.record(late, now):
+            if self.lag.record(late, now, cpu_seconds):
                 message = "lags" if self.lag.is_lagging else "lags no more"
                 _log.warning(message, average=round(self.lag.seconds, 3))
             if late < MIN_LOGGED_DELAY or now < next_line_at:
@@ -65,7 +67,8 @@
             _log.warning(
                 "event loop late",
                 seconds=round(late, 3),
-                cpu_seconds=round(time.process_time() - used, 3),
+                cpu_seconds=round(cpu_seconds, 3),
+                counted=round(self.lag.counted, 3),
             )
 
 
--- a/tests/test_platform_paused_host.py
+++ b/tests/test_platform_paused_host.py
@@ -111,6 +111,14 @@
 
         return curio.run(main)
 
+    def test_a_pause_is_not_overload(self):
+        """Guards against a host that refuses requests as overloaded, and is left out by
+        others, since it was suspended once."""
+        statuses, messages, _ = self._pause()
+        self.assertEqual(statuses, [200] * CALLERS)
+        self.assertIn("event loop late", messages)
+        self.assertNotIn("lags", messages)
+
     @params("closed", "leaving")
     def test_nothing_is_sent_by_what_was_known_before_the_pause(self, change):
         """Guards against requests that a host sends to a data center that was closed,
