--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -517,7 +517,8 @@
         successor = await self._handover.find(call, running=True)
         if successor is None or watch.has_progressed():
             return False
-        return self._handover.claim(call, successor)
+        watch.attempt.is_left = self._handover.claim(call, successor)
+        return watch.attempt.is_left
 
 
 def _note_progress(call: Call, attempt: Try, outcome: TryOutcome) -> None:
--- a/packages/node/src/bronzepoint_node/relay/_try.py
+++ b/packages/node/src/bronzepoint_node/relay/_try.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import curio
+
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.events import EventTooLong, may_be_events
 from bronzepoint_common.http import (
@@ -73,6 +75,7 @@
         received_events: Number of events that this try has received.
         is_sending_on: Whether it waits for the caller to read a part of the answer, and
             reads no further part meanwhile.
+        is_left: Whether another run takes over, and this one is about to be cancelled.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         self.progress_at = monotonic()
         self.received_events = 0
         self.is_sending_on = False
+        self.is_left = False
 
     def describe_progress(self) -> str:
         """Return what has come of the answer, for the log."""
@@ -191,6 +195,7 @@
                     # Nobody needs the rest of an error, and only the rest of a stream
                     # may follow a part of it.
                     return MayHaveRun("too_long")
+                await self._stop_if_left()
                 return await self._send_on(answer, buffer)
             self._on_progress(0, 0.0)
             headers = self._codec.answer_headers(answer.headers)
@@ -227,6 +232,7 @@
         has_events = False
         last = monotonic()
         async for piece in answer.chunks():
+            await self._stop_if_left()
             before = call.events.count
             events = call.events.feed(piece)
             now = self.progress_at = monotonic()
@@ -246,6 +252,7 @@
             self.is_sending_on = False
             call.sent_events = call.events.count
             self.progress_at = monotonic()
+        await self._stop_if_left()
         unfinished = len(call.events.remainder())
         framing = answer.framing.value
         call.notes[-1] += f", ends by {framing}, {unfinished} B after its last event"
@@ -258,6 +265,15 @@
         await exchange.end()
         return _answered(answer, headers, streamed=True)
 
+    async def _stop_if_left(self) -> None:
+        """Wait to be cancelled if another run takes over.
+
+        A part that was sent on now might be cut by the cancellation, while the other
+        run goes on after it.
+        """
+        if self.is_left:
+            await curio.Event().wait()
+
     def _note_stream(self, headers: dict[str, str]) -> None:
         if self._on_stream is not None:
             self._on_stream(headers)
--- a/tests/test_relay_progress.py
+++ b/tests/test_relay_progress.py
@@ -114,6 +114,38 @@
     return before, call.sent_events
 
 
+async def last_event_and_events_sent():
+    """Return what a run is left with whose second event comes as it is left, and whose
+    caller has read the first event only."""
+    exchange = UnreadCaller()
+    await exchange.is_reading.set()
+    now = monotonic()
+    events = EventSplitter(None)
+    call = Call(exchange, None, ROUTE, b"", now, now + 60.0, True, events)
+    call.notes.append("try")
+
+    async def chunks():
+        yield EVENT
+        exchange.is_reading.clear()
+        while call.successor is None:
+            await curio.sleep(0)
+        yield EVENT.replace(b"1", b"2")
+
+    framing = SimpleNamespace(value="chunked")
+    answer = SimpleNamespace(status=200, headers={}, chunks=chunks, framing=framing)
+    attempt = Try(None, PlatformCodec(), call, lambda events, seconds: None)
+
+    async def is_confirmed():
+        return True
+
+    watch = RunWatch(attempt, 0.0, lambda: 0.0, lambda: False, is_confirmed)
+    sender = ProgressSender(None)
+    async with curio.meta.finalize(answer.chunks()) as pieces:
+        answer.chunks = lambda: pieces
+        await sender._run(call, watch, attempt._stream_events(answer))
+    return call.events.last_id, call.sent_events
+
+
 class TestProgress(unittest.TestCase):
     def test_end_of_an_answer_on_its_way_is_awaited(self):
         """Guards against a second run while the answer of the first is on its way."""
@@ -130,6 +162,12 @@
         found = curio.run(events_sent_before_and_after)
         self.assertEqual(found, (0, 1))
 
+    def test_no_event_is_lost_between_two_runs(self):
+        """Guards against an event that is missing in a stream, because it came just as
+        its run was left, and was cut while the caller didn't read."""
+        last, sent = curio.run(last_event_and_events_sent)
+        self.assertEqual((last, sent), ("1", 1))
+
 
 if __name__ == "__main__":
     unittest.main()
