--- a/packages/node/src/bronzepoint_node/agreement/_replication_handler.py
+++ b/packages/node/src/bronzepoint_node/agreement/_replication_handler.py
@@ -39,6 +39,7 @@
         self, peer: HostName, request: AppendRequest
     ) -> AppendReply | None:
         """Append entries and return the reply, or None to drop the message."""
+        received_at = monotonic()
         voter = self._voter
         log = voter.log
         if not log.identity.cluster:
@@ -56,6 +57,7 @@
         last = previous + len(entries)
         await log.append(self._missing_entries(entries))
         await voter.commit(min(request.commit, last))
+        voter.record_confirmation(request.commit, received_at)
         return self._reply(True, last)
 
     async def on_snapshot(
--- a/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
@@ -209,9 +209,10 @@
         """
         if self._voter.lease() is not None:
             return 0.0
+        confirmed_at = self._voter.confirmed_at
         if not self._voter.leader or not self._voter.has_applied_term():
             return None
-        return monotonic() - self._voter.last_contact_at
+        return None if confirmed_at is None else monotonic() - confirmed_at
 
     async def replace_document(
         self, version: int, content: bytes, timeout: float
--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -10,6 +10,7 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
+from bronzepoint_common.pause_detector import PauseDetector
 from bronzepoint_common.peers import Peers
 from bronzepoint_common.storage import StorageError
 from bronzepoint_node.catalogue import Catalogue
@@ -55,6 +56,12 @@
 from ._vote_handler import VoteHandler
 from ._voter_log import VoterLog
 
+MIN_PAUSE = 0.75
+"""Seconds without running, three heartbeats, after which a leader's message may be so
+old that others have been accepted since."""
+CATCH_UP = 0.5
+"""Seconds after such a pause in which messages that arrived meanwhile are read."""
+
 Deliver = Callable[[HostName, ProposeReply], Awaitable[None]]
 
 _log = get_logger("agreement")
@@ -82,6 +89,8 @@
         role: Role of this voter in the current term.
         last_contact_at: When the last message of a leader arrived, by this host's
             monotonic clock in seconds.
+        confirmed_at: When the state last held all that the leader knew to be durable,
+            by this host's monotonic clock in seconds; None: never since the start.
         has_leader_contact: Whether a leader has made contact, or this voter was
             elected, since its start.
         is_early_candidate: Whether it requests votes without waiting for a lease to
@@ -119,6 +128,8 @@
         self._catalogue = catalogue
         self._leadership: Leadership | None = None
         self.last_contact_at = 0.0
+        self.confirmed_at: float | None = None
+        self._pauses = PauseDetector(MIN_PAUSE, CATCH_UP)
         self.has_leader_contact = False
         self.is_early_candidate = False
         self.failure = ""
@@ -144,6 +155,7 @@
         # because the log is damaged.
         self._is_open = True
         await self._applied.set()
+        await self._pauses.start()
         await self._tasks.spawn(keep_running, self._run_elections)
         await self._tasks.spawn(keep_running, self._update_catalogue)
 
@@ -152,6 +164,7 @@
         if self._leadership is not None:
             self._leadership.stop()
         await self._tasks.cancel_remaining()
+        await self._pauses.close()
         await self.log.close()
 
     @property
@@ -211,6 +224,20 @@
         sets = self.voter_sets()
         return list(sets[-1]) if sets else []
 
+    def record_confirmation(self, commit: int, received_at: float) -> None:
+        """Record that the leader has confirmed the state of this host.
+
+        Contact alone doesn't confirm it: the host may still lack entries, or read
+        messages that waited for it while it was paused.
+
+        Args:
+            commit: Last position that the leader knew to be durable.
+            received_at: Monotonic seconds at which its message was read.
+        """
+        is_complete = self.state_machine.index >= commit
+        if is_complete and not self._pauses.has_just_resumed():
+            self.confirmed_at = received_at
+
     def status(self) -> AgreementStatus:
         """Return the status of this voter for operators."""
         until = self.lease_until()
--- a/tests/test_agreement_seeded.py
+++ b/tests/test_agreement_seeded.py
@@ -10,10 +10,16 @@
 
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import Disconnected
+from bronzepoint_common.pause_detector import PauseDetector
 from bronzepoint_node.agreement import AgreementError, Overtaken
 from bronzepoint_node.agreement import _seeded_agreement as seeded_agreement
 from bronzepoint_node.agreement._vote_handler import VoteHandler
-from bronzepoint_schema.generated.agreement import Voter, VoteRequest, VotersBody
+from bronzepoint_schema.generated.agreement import (
+    AppendRequest,
+    Voter,
+    VoteRequest,
+    VotersBody,
+)
 from tests._seeded_cluster import PartitionablePeers, SeededCluster, with_cluster
 
 FIVE = ("a1", "b1", "c1", "a2", "b2")
@@ -325,6 +331,52 @@
         await cluster.until(lambda: cluster.running["c1"].confirmed_age() is not None)
         self.assertEqual(cluster.running["c1"].document.version, 1)
 
+    @params(
+        # entries that the message doesn't hold, whether the host has just resumed,
+        # whether the message confirms the state
+        (0, False, True),
+        (1, False, False),
+        (0, True, False),
+    )
+    def test_message_of_the_leader_confirms_the_state(self, missing, resumed, confirms):
+        """Guards against a host that is behind and tells entry hosts that it isn't.
+
+        It lacks committed entries, or reads messages that waited while it was paused.
+        """
+
+        @with_cluster("a1", "b1", "c1")
+        async def check(self, cluster):
+            await cluster.put("a1", 1)
+            hosts = cluster.running.values()
+            await cluster.until(lambda: all(a.document is not None for a in hosts))
+            await cluster.until(
+                lambda: all(a.confirmed_age() is not None for a in hosts)
+            )
+            leader = next(n for n, a in cluster.running.items() if a._voter.is_leader)
+            follower = next(n for n in ("c1", "b1") if n != leader)
+            PartitionablePeers.isolated_hosts = {follower}
+            await curio.sleep(0.5)
+            agreement = cluster.running[follower]
+            log, last = agreement._voter.log, agreement._voter.log.last_index
+            message = AppendRequest(
+                log.identity.cluster,
+                log.term,
+                cluster.running[leader]._voter.log.identity.storage,
+                last,
+                log.last_term,
+                last + missing,
+                [],
+            )
+            sent_at = monotonic()
+            with mock.patch.object(
+                PauseDetector, "has_just_resumed", lambda self: resumed
+            ):
+                await agreement._voter.handle(leader, message)
+            age = agreement.confirmed_age()
+            self.assertEqual(monotonic() - age >= sent_at, confirms)
+
+        check(self)
+
 
 async def answer_candidate(set_up, storage="other", trial=True, unled=True):
     """Return the reply of a voter without a leader to a vote request.
