Let a trial wait no longer than its request waits for room

What callers saw: a request on trial by permit was held until just before its deadline, 4.7 of 5.0 s, while suspects were on trial at all targets, and only then sent to one of them.

Cause: where a scheduler forecasts waits, a request may wait for as long as it has left, since the scheduler refuses what would wait for too long. It forecasts room, not the end of other requests' trials.

A request that waits to be apart has the bound of a host that chooses by itself now. The test runs with one and with eight hosts; with eight it took 4.707 s before, and less than half of the deadline now.

--- a/packages/node/src/bronzepoint_node/relay/_placement_search.py
+++ b/packages/node/src/bronzepoint_node/relay/_placement_search.py
@@ -54,9 +54,11 @@
             request.apart = apart
             found = await self._find_local(call, request, wait)
             placement = self._placer.decide(request, found, monotonic())
-            # A scheduler that forecasts waits decides how long a request may wait.
+            # A scheduler that forecasts waits decides how long a request may wait. It
+            # doesn't know when other trials end.
             forecast = isinstance(found, NoLocalTarget) and found.retry_after > 0
-            wait = call.time_left if forecast else until - monotonic()
+            may_outlast = forecast and not apart
+            wait = call.time_left if may_outlast else until - monotonic()
             if wait <= 0 or not _may_wait(call, placement):
                 if not (apart and isinstance(placement, Rejected)):
                     return placement
--- a/tests/test_relay_placement_wait.py
+++ b/tests/test_relay_placement_wait.py
@@ -16,12 +16,14 @@
 
 OBJECTIVE = 1.0
 """Objective of the route, in seconds."""
+DEADLINE = 5.0
+"""Seconds until the deadline of a request."""
 ROUTE = ServedRoute(
     "r",
     "h",
     "/",
     RouteKind.STREAM,
-    5.0,
+    DEADLINE,
     OBJECTIVE,
     0,
     (ServiceShare("s", 1.0),),
@@ -40,8 +42,8 @@
 
 def make_call():
     now = monotonic()
-    head = CallerHead("id", "h", 5.0, prompt(), None, {})
-    return Call(None, head, ROUTE, b"", now, now + 5.0, False, None)
+    head = CallerHead("id", "h", DEADLINE, prompt(), None, {})
+    return Call(None, head, ROUTE, b"", now, now + DEADLINE, False, None)
 
 
 def fill(region, hold_ms):
@@ -84,23 +86,27 @@
 
 
 class TestTrialByPermit(unittest.TestCase):
-    def test_no_target_is_free_of_trials_in_time(self):
+    @params(1, 8)
+    def test_no_target_is_free_of_trials_in_time(self, hosts):
         """Guards against refusing an unrelated request while all targets have suspects
-        on trial."""
+        on trial, and against holding it until its deadline."""
 
         async def main():
-            async with Region(1, 2) as region:
-                for tracked in region.scheduler.table.all():
-                    tracked.isolate(monotonic() + OBJECTIVE)
+            async with Region(hosts, 2) as region:
+                for each in [*region.hosts.values(), *region.core.values()]:
+                    for tracked in each.table.all():
+                        tracked.isolate(monotonic() + 2 * DEADLINE)
+                host = region.members[0] if hosts > 1 else region.scheduler
                 call = make_call()
                 call.suspect = call.has_permit = True
                 began = monotonic()
-                placement = await find_placement(region.scheduler, call)
+                placement = await find_placement(host, call)
                 return placement, monotonic() - began
 
         placement, seconds = curio.run(main)
         self.assertIsInstance(placement, LocalPlacement)
         self.assertGreaterEqual(seconds, WAIT)
+        self.assertLess(seconds, DEADLINE / 2)
 
 
 class TestQueueThatMoves(unittest.TestCase):
