--- a/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
@@ -63,6 +63,8 @@
 """
 _READ_INTERVAL = 0.1
 """Seconds between two attempts to read the newest document from the leader."""
+_APPLIED_INTERVAL = 0.02
+"""Seconds between two looks whether a position of the log is applied on this host."""
 _JOIN_INTERVAL = 0.5
 """Seconds between two requests to join while no leader replicates to this host."""
 OPERATOR_PATIENCE = 0.8
@@ -263,9 +265,22 @@
                 await self._propose(op, began + timeout - monotonic())
                 return
             except Conflict as exc:
-                if monotonic() - began > OPERATOR_PATIENCE:
-                    raise Overtaken from exc
-                known_index = exc.version
+                known_index = await self._wait_until_applied(exc, began)
+
+    async def _wait_until_applied(self, conflict: Conflict, began: float) -> int:
+        """Return the position applied here once it includes the order in conflict.
+
+        That order may not be committed yet. If its leader is lost, others may get its
+        position or lower ones, and would seem to be known to this order.
+
+        Raises:
+            Overtaken: The operator may have turned to another host by then.
+        """
+        while monotonic() - began <= OPERATOR_PATIENCE:
+            if self._voter.state_machine.index >= conflict.version:
+                return self._voter.state_machine.index
+            await curio.sleep(_APPLIED_INTERVAL)
+        raise Overtaken from conflict
 
     async def read_newest(self, timeout: float) -> ReplaceDocument | None:
         """Return the document that was the newest one at some time during this call.
--- a/tests/test_agreement_seeded.py
+++ b/tests/test_agreement_seeded.py
@@ -11,7 +11,7 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.http import Disconnected
 from bronzepoint_common.pause_detector import PauseDetector
-from bronzepoint_node.agreement import AgreementError, Overtaken
+from bronzepoint_node.agreement import AgreementError, Conflict, Overtaken
 from bronzepoint_node.agreement import _seeded_agreement as seeded_agreement
 from bronzepoint_node.agreement._vote_handler import VoteHandler
 from bronzepoint_schema.generated.agreement import (
@@ -20,6 +20,7 @@
     VoteRequest,
     VotersBody,
 )
+from bronzepoint_schema.ids import OperatorName
 from tests._seeded_cluster import PartitionablePeers, SeededCluster, with_cluster
 
 FIVE = ("a1", "b1", "c1", "a2", "b2")
@@ -314,6 +315,46 @@
         await cluster.until(lambda: b1.revision == a1.revision)
         self.assertEqual(b1.closed, {"a-x", "a-y"})
 
+    @params((0, 0, True), (2, 2, True), (2, 1, False))
+    def test_order_is_given_again_behind_what_is_applied(
+        self, ahead, applied, accepted
+    ):
+        """Guards against an evacuation undone by an order that names a position which
+        its leader had not committed and another leader has given to other entries."""
+
+        @with_cluster("a1", "b1", "c1")
+        async def check(self, cluster):
+            agreement = cluster.running["b1"]
+            await cluster.put("b1", 1)
+            await cluster.until(lambda: agreement.document is not None)
+            machine = agreement._voter.state_machine
+            first = machine.index
+            known = []
+
+            async def propose(change, timeout):
+                known.append((change.op.known_index, machine.index))
+                if len(known) == 1:
+                    raise Conflict(OperatorName(""), first + ahead)
+
+            async def commit():
+                for number in range(applied):
+                    await cluster.put("a1", 2 + number)
+
+            agreement._proposer.propose, original = propose, agreement._proposer.propose
+            committing = await curio.spawn(commit)
+            try:
+                await agreement.close_data_center("a-x", True, 10.0, admitted)
+            except Overtaken:
+                pass
+            finally:
+                agreement._proposer.propose = original
+                await committing.join()
+            self.assertEqual(len(known), 2 if accepted else 1)
+            for stated, held in known:
+                self.assertLessEqual(stated, held)
+
+        check(self)
+
     @with_cluster(*FIVE)
     async def test_restarted_host_confirms_nothing_before_leader_contact(self, cluster):
         """Guards against a route refused with 404 although its change was accepted.
