--- a/packages/node/src/bronzepoint_node/relay/_resume_check.py
+++ b/packages/node/src/bronzepoint_node/relay/_resume_check.py
@@ -13,7 +13,7 @@
     CONFIRMED_WITHIN,
 )
 
-MIN_PAUSE = 0.5
+MIN_PAUSE = CONFIRMED_WITHIN
 """Seconds without running after which the knowledge of this host may be outdated."""
 
 
--- a/packages/node/src/bronzepoint_node/relay/_sender.py
+++ b/packages/node/src/bronzepoint_node/relay/_sender.py
@@ -140,6 +140,8 @@
         Raises:
             Disconnected: The caller closed its connection.
         """
+        # A place may have been found before a pause, or in a queue during one.
+        await self._resume_check.wait(call.time_left)
         call.exchange.check_connected()
         call.sends += 1
         call.sent_at.append(monotonic())
@@ -229,8 +231,12 @@
                 self._record_leaving(target, answer)
 
         def may_send() -> bool:
+            if self._resume_check.is_outdated():
+                # Nothing speaks against this target.
+                call.tried.discard(name)
+                return False
             is_leaving = target.said_leaving or target.is_resting(monotonic())
-            return not (is_leaving or self._resume_check.is_outdated())
+            return self._table.is_open(target) and not is_leaving
 
         def on_stream(answered: dict[str, str]) -> None:
             self._record_stream(call, StreamOrigin(service, version))
--- a/tests/test_relay_resume_check.py
+++ b/tests/test_relay_resume_check.py
@@ -7,10 +7,13 @@
 from nose2.tools import params
 
 from bronzepoint_common import pause_detector
+from bronzepoint_common.clock import monotonic
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.pause_detector import PauseDetector
-from bronzepoint_node.relay import ResumeCheck
+from bronzepoint_node.placement import LocalPlacement
+from bronzepoint_node.relay import CallerHead, ResumeCheck, Sender
 from bronzepoint_node.relay._authenticator import CONFIRM_WAIT, CONFIRMED_WITHIN
+from bronzepoint_node.relay._call import Answered, Call
 from tests.test_relay_request_intake import CONFIRMED, OUTDATED, SyncClient, receive
 
 PAUSE = 3.0
@@ -98,5 +101,53 @@
             self.assertFalse(curio.run(main))
 
 
+class Caller:
+    """Connection of a caller who waits."""
+
+    def check_connected(self):
+        pass
+
+
+class RecordingSender(Sender):
+    """Sender that records whether knowledge was outdated as a try began."""
+
+    def __init__(self, sync_client):
+        check = ResumeCheck(sync_client, Metrics())
+        super().__init__(*[None] * 12, Metrics(), check)
+        self.outdated = []
+
+    async def _try_target(self, call, placement, service):
+        self.outdated.append(self._resume_check.is_outdated())
+        call.notes.append("")
+        return Answered(200, {}, b"")
+
+
+class TestPlacedBeforeAPause(unittest.TestCase):
+    def test_try_begins_once_the_core_has_answered(self):
+        """Guards against streams that break off after a pause, since the place that was
+        found for the rest of them is given up."""
+        sync_client = SyncClient(OUTDATED)
+        sender = RecordingSender(sync_client)
+
+        async def confirm():
+            await curio.sleep(0.1)
+            sync_client.age = CONFIRMED
+
+        async def main():
+            now = monotonic()
+            head = CallerHead("id", "h", 5.0, None, None, {})
+            call = Call(Caller(), head, None, b"", now, now + 5.0, False, None)
+            confirming = await curio.spawn(confirm)
+            placement = LocalPlacement(None, "")
+            outcome = await sender.send(call, placement, "s")
+            await confirming.join()
+            return outcome, call.sends
+
+        with just_resumed(True):
+            outcome, sends = curio.run(main)
+        self.assertEqual(outcome, Answered(200, {}, b""))
+        self.assertEqual((sender.outdated, sends), ([False], 1))
+
+
 if __name__ == "__main__":
     unittest.main()
