--- a/packages/node/src/bronzepoint_node/relay/_resume_check.py
+++ b/packages/node/src/bronzepoint_node/relay/_resume_check.py
@@ -51,13 +51,16 @@
     async def wait(self, max_wait: float) -> bool:
         """Wait until this host may act on what it knows; False: not in time.
 
+        A host that is paused again and again never seems to be up to date, so no wait
+        is longer than `CONFIRM_WAIT`.
+
         Args:
             max_wait: Maximum seconds to wait.
         """
         if not self.is_outdated():
             return True
         self._metrics.incr("resume.waited")
-        until = monotonic() + max_wait
+        until = monotonic() + min(max_wait, CONFIRM_WAIT)
         while self.is_outdated():
             if monotonic() >= until:
                 return False
--- a/tests/test_relay_resume_check.py
+++ b/tests/test_relay_resume_check.py
@@ -19,6 +19,8 @@
 PAUSE = 3.0
 """Seconds for which the process didn't run."""
 STILL_OUTDATED = CONFIRMED_WITHIN + PAUSE
+LONG_DEADLINE = 5.0
+"""Seconds that a request has left."""
 
 
 def just_resumed(resumed):
@@ -48,6 +50,20 @@
                 found = check.is_outdated()
         self.assertIs(found, expected)
 
+    def test_wait_has_a_bound_while_pauses_go_on(self):
+        """Guards against requests held until their deadline by a host that gets too
+        little processor time."""
+
+        async def main():
+            check = ResumeCheck(SyncClient(STILL_OUTDATED), Metrics())
+            began = monotonic()
+            return await check.wait(LONG_DEADLINE), monotonic() - began
+
+        with just_resumed(True):
+            is_current, seconds = curio.run(main)
+        self.assertFalse(is_current)
+        self.assertLess(seconds, LONG_DEADLINE / 2)
+
 
 class TestRequestAfterAPause(unittest.TestCase):
     @params(
