Search the origin of a stream once and briefly while one version serves

Each try searched again, hosts that had ended were asked for a minute, and those that don't answer were waited for 0.6 s.

A request now remembers that nobody knew its origin, and searches again only once its service may have several versions. While it has one, only hosts that are reported at the moment are asked, for 0.25 s in the region and 0.2 s more elsewhere. A resumption that names no former attempt asks nobody meanwhile: its id is its own.

Ruled out: asking nobody while one version is known, since the host of the stream may have heard of another one.

--- a/packages/node/src/bronzepoint_node/relay/_call.py
+++ b/packages/node/src/bronzepoint_node/relay/_call.py
@@ -112,6 +112,7 @@
         events: Splitter of the stream that is sent to the caller.
         origin: Target service and version that began the stream, also in an earlier
             attempt of the caller; None: it hasn't begun, or that isn't known.
+        is_origin_unknown: True if no host that was asked has known the origin.
         prior_wait: Estimated seconds that the caller had waited before this request.
         fingerprints: Fingerprints of the request, the same when it is repeated.
         suspect: True if several targets crashed while it was in progress there.
@@ -165,6 +166,7 @@
     forwarded: bool
     events: EventSplitter
     origin: StreamOrigin | None = None
+    is_origin_unknown: bool = False
     tried: set[str] = field(default_factory=set)
     tried_hosts: set[str] = field(default_factory=set)
     refused_regions: dict[RegionName, float] = field(default_factory=dict)
@@ -207,6 +209,11 @@
         """Id of the caller's attempt that brought the first event, or may bring it."""
         return self.head.resumes or self.head.request_id
 
+    @property
+    def names_attempt(self) -> bool:
+        """Whether the caller names the attempt that brought the first event."""
+        return bool(self.head.resumes)
+
     @property
     def service(self) -> str:
         """Service that serves the request, the same when its stream is resumed."""
--- a/packages/node/src/bronzepoint_node/relay/_resumption.py
+++ b/packages/node/src/bronzepoint_node/relay/_resumption.py
@@ -39,10 +39,9 @@
         if not call.is_resumed:
             return None
         service, origin = call.service, call.origin
-        if origin is None and not call.exchange.started:
+        if origin is None and self._needs_search(call):
             try:
-                patience = SEARCH_SHARE * call.time_left
-                origin = await self._origins.find(call.origin_key, service, patience)
+                origin = await self._find(call)
             except AmbiguousOrigin:
                 call.notes.append("its attempt's id has begun streams of two versions")
                 return _refused(RejectReason.ORIGIN_UNKNOWN)
@@ -50,6 +49,7 @@
                 # A host that is late, or cut off, may still know it.
                 return Rejected(RejectReason.ORIGIN_UNCONFIRMED, DEFAULT_RETRY_AFTER)
             call.origin = origin
+            call.is_origin_unknown = origin is None
         if origin is not None and not _may_use(call, origin):
             return _refused(RejectReason.VERSION_GONE)
         is_bound = origin is not None and origin.software_version
@@ -57,6 +57,24 @@
             return _refused(RejectReason.ORIGIN_UNKNOWN)
         return None
 
+    def _needs_search(self, call: Call) -> bool:
+        """Return whether the origin is to be searched, also once more.
+
+        What no host knew while the service had a single version is searched again only
+        once it may have several.
+        """
+        if call.exchange.started:
+            return False
+        is_single = self._registry.versions.is_single(call.service)
+        return not (call.is_origin_unknown and is_single)
+
+    async def _find(self, call: Call) -> StreamOrigin | None:
+        if call.names_attempt or not self._registry.versions.is_single(call.service):
+            patience = SEARCH_SHARE * call.time_left
+            return await self._origins.find(call.origin_key, call.service, patience)
+        # No other host can know a stream by the id of this very request.
+        return self._origins.find_here(call.origin_key)
+
     def is_outdated(self, call: Call) -> bool:
         """Return whether a second version has appeared since the check of a stream."""
         versions = self._registry.versions
--- a/packages/node/src/bronzepoint_node/stream_origins/_origins.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_origins.py
@@ -48,6 +48,11 @@
 """Seconds until hosts that have not answered are asked again, doubled each time."""
 MAX_ASK_INTERVAL = 1.6
 """Maximum seconds until hosts that have not answered are asked again."""
+SINGLE_TIMEOUT = 0.25
+"""Seconds to wait for the hosts of the region while the service has a single version.
+Callers of a host that has failed would wait for it otherwise."""
+SINGLE_REMOTE_TIME = 0.2
+"""Seconds by which other regions may answer later than that: a round trip."""
 RELAYED_TIMEOUT = 0.4
 """Seconds to wait for the hosts of the own region on behalf of another one."""
 HOST_EXPIRY = 3.0
@@ -158,7 +163,8 @@
 
         Other hosts are asked although its service has a single software version here:
         the host of the stream may have heard of another one before. While the service
-        certainly has a single one, they are asked once, and needn't all answer.
+        certainly has a single one, only hosts that are reported at the moment are asked
+        once, and needn't all answer.
 
         Args:
             key: Key of the stream.
@@ -169,10 +175,9 @@
             AmbiguousOrigin: Streams of several origins have this key.
             UnansweredOrigin: Hosts that may know it have not answered.
         """
-        found = self._table.find(key, monotonic())
-        if found:
-            self._metrics.incr("origin.found_here")
-            return _only(found)
+        origin = self.find_here(key)
+        if origin is not None:
+            return origin
         versions = self._registry.versions
         result = await self._search(key, service, patience)
         if result is Unfound.UNKNOWN and not versions.is_complete():
@@ -190,10 +195,31 @@
                 self._metrics.incr("origin.found_elsewhere")
                 return _only(found)
 
+    def find_here(self, key: int) -> StreamOrigin | None:
+        """Return where a stream began, as far as this host knows.
+
+        Args:
+            key: Key of the stream.
+
+        Raises:
+            AmbiguousOrigin: Streams of several origins have this key.
+        """
+        found = self._table.find(key, monotonic())
+        if not found:
+            return None
+        self._metrics.incr("origin.found_here")
+        return _only(found)
+
     async def _search(self, key: int, service: str, patience: float) -> Found | Unfound:
         """Ask other hosts until all that may know have answered, or needn't answer."""
         until = monotonic() + patience
         lookup = Lookup(key)
+        if self._registry.versions.is_single(service):
+            found = await self._ask_reported(lookup)
+            if found is not None:
+                return found
+            if self._registry.versions.is_single(service):
+                return Unfound.UNKNOWN
         timeout, pause, remote_delay = ASK_TIMEOUT, ASK_INTERVAL, REMOTE_DELAY
         while True:
             result = await self._ask_others(lookup, timeout, remote_delay)
@@ -210,29 +236,45 @@
             timeout = min(2 * timeout, MAX_ASK_TIMEOUT, max(left, ASK_INTERVAL))
             pause, remote_delay = min(2 * pause, MAX_ASK_INTERVAL), 0.0
 
+    async def _ask_reported(self, lookup: Lookup) -> Found | None:
+        """Ask the hosts that are reported at the moment, and wait for none of them."""
+        hosts = self._reported_hosts()
+        remote = SINGLE_TIMEOUT + SINGLE_REMOTE_TIME - REMOTE_DELAY
+        async with curio.TaskGroup(wait=object) as group:
+            await group.spawn(self._ask_region, lookup, hosts, SINGLE_TIMEOUT)
+            await group.spawn(
+                self._ask_other_regions, lookup, hosts, remote, REMOTE_DELAY
+            )
+        return _result_of(group)
+
     async def _ask_others(
         self, lookup: Lookup, timeout: float, remote_delay: float
     ) -> Found | Unfound:
+        hosts = self._known_hosts()
         async with curio.TaskGroup(wait=object) as group:
-            await group.spawn(self._ask_region, lookup, timeout)
-            await group.spawn(self._ask_other_regions, lookup, timeout, remote_delay)
+            await group.spawn(self._ask_region, lookup, hosts, timeout)
+            await group.spawn(
+                self._ask_other_regions, lookup, hosts, timeout, remote_delay
+            )
         found = _result_of(group)
         if found is not None:
             return found
-        return self._unfound(lookup, self._remote_left(lookup))
+        return self._unfound(lookup, self._remote_left(lookup, self._known_hosts()))
 
-    async def _ask_region(self, lookup: Lookup, timeout: float) -> Found | None:
-        hosts = self._local_left(lookup)
+    async def _ask_region(
+        self, lookup: Lookup, known: list[EntryHost], timeout: float
+    ) -> Found | None:
+        hosts = self._local_left(lookup, known)
         async with curio.TaskGroup(wait=object) as group:
             for host in hosts:
                 await group.spawn(self._ask_local, lookup, host, timeout)
         return _result_of(group)
 
     async def _ask_other_regions(
-        self, lookup: Lookup, timeout: float, delay: float
+        self, lookup: Lookup, known: list[EntryHost], timeout: float, delay: float
     ) -> Found | None:
         await curio.sleep(delay)
-        hosts = self._remote_left(lookup)
+        hosts = self._remote_left(lookup, known)
         async with curio.TaskGroup(wait=object) as group:
             for region, host in hosts:
                 await group.spawn(self._ask_remote, lookup, region, host, timeout)
@@ -268,12 +310,14 @@
             lookup.fail(host)
             return None
 
-    def _local_left(self, lookup: Lookup) -> list[HostName]:
-        hosts = local_hosts(self._known_hosts(), self._region, self._name)
+    def _local_left(self, lookup: Lookup, known: list[EntryHost]) -> list[HostName]:
+        hosts = local_hosts(known, self._region, self._name)
         return lookup.local_left(hosts)
 
-    def _remote_left(self, lookup: Lookup) -> list[tuple[RegionName, HostName]]:
-        by_region = remote_hosts(self._known_hosts(), self._region)
+    def _remote_left(
+        self, lookup: Lookup, known: list[EntryHost]
+    ) -> list[tuple[RegionName, HostName]]:
+        by_region = remote_hosts(known, self._region)
         reported = {host.name for host in self._reported_hosts()}
         return lookup.remote_left(by_region, reported)
 
@@ -281,7 +325,8 @@
         self, lookup: Lookup, remote_left: list[tuple[RegionName, HostName]]
     ) -> Unfound:
         # A host that has heard of no host at all doesn't know whom to ask.
-        if not self._known_hosts() or remote_left or self._local_left(lookup):
+        known = self._known_hosts()
+        if not known or remote_left or self._local_left(lookup, known):
             return Unfound.UNANSWERED
         return Unfound.UNKNOWN
 
@@ -352,7 +397,8 @@
 
     async def _search_region(self, lookup: Lookup) -> Found | Unfound:
         """Ask the hosts of the own region on behalf of another one."""
-        found = await self._ask_region(lookup, RELAYED_TIMEOUT)
+        hosts = self._known_hosts()
+        found = await self._ask_region(lookup, hosts, RELAYED_TIMEOUT)
         return self._unfound(lookup, []) if found is None else found
 
     def _known_hosts(self) -> list[EntryHost]:
