Tell keepers of a new version's streams past the limit of notices

In a region of more than 16 hosts a stream could go on at another version. Its host had heard of a second version, the one that took it up had not, for up to 3 s; hosts there know eight of the region, and the keepers were told late once more than 40 streams had begun at once, or more than 8 a second: the next notice waited for the token bucket. While one version is known the host that asks waits for nobody else.

For 3.4 s, the age up to which a reading names a single version plus one report, streams of a version that was first reported here are told of as soon as the tasks that can run have run, in one message for those that began in the same turn, whatever the bucket holds.

Ruled out: a message for each stream before its first event, which would be 500 messages to a keeper where one suffices; a larger bucket, which only moves the limit.

With 18 hosts and 45 streams the last five were unknown to the host that took them up; now all are found. Without the change three of the new tests fail. Origins and resumption pass (64 tests, three times).

--- a/packages/node/src/bronzepoint_node/fleet/_service_versions.py
+++ b/packages/node/src/bronzepoint_node/fleet/_service_versions.py
@@ -18,12 +18,22 @@
 """Seconds since a reading of the list up to which a version that it lacks is too new to
 have begun a stream whose host and keepers are all beyond reach."""
 
+MAX_SYNC_PAUSE = 0.4
+"""Seconds between two reports of the core to a host."""
+NEW_VERSION_TIME = MAX_READING_AGE + MAX_SYNC_PAUSE
+"""Seconds since a version was first reported here for which other hosts may not have
+heard of it, and take its service for one with a single version."""
+
 
 class _Listed(Struct):
-    """When a version was last listed, in monotonic seconds, and where it serves."""
+    """When a version was last listed and first reported here, and where it serves.
+
+    Both times are monotonic seconds.
+    """
 
     at: float
     regions: frozenset[RegionName]
+    reported_at: float
 
 
 class ServiceVersions:
@@ -42,7 +52,8 @@
             at = now - report.age_ms / 1000
             known = versions.get(report.software_version)
             if known is None or at > known.at:
-                listed = _Listed(at, frozenset(report.regions))
+                reported_at = now if known is None else known.reported_at
+                listed = _Listed(at, frozenset(report.regions), reported_at)
                 versions[report.software_version] = listed
 
     def confirm(self, read_at: float) -> None:
@@ -89,6 +100,11 @@
             del self._versions[service]
         return False
 
+    def is_new(self, service: str, version: str) -> bool:
+        """Return whether other hosts may not have heard of a version yet."""
+        listed = self._versions.get(service, {}).get(version)
+        return listed is None or monotonic() - listed.reported_at <= NEW_VERSION_TIME
+
     def may_serve(self, region: RegionName, service: str, version: str) -> bool:
         """Return whether a region may have targets of a version.
 
--- a/packages/node/src/bronzepoint_node/stream_origins/_origins.py
+++ b/packages/node/src/bronzepoint_node/stream_origins/_origins.py
@@ -1,8 +1,10 @@
 """Records where streams began, and finds it out when they are to go on."""
 
+import os
 from collections import defaultdict
 
 import curio
+from curio.traps import _read_wait
 
 from bronzepoint_common.background import spawn_background
 from bronzepoint_common.batches import first_batch
@@ -108,17 +110,25 @@
             NOTICE_BURST,
         )
         self._relayed = RelayedSearches(self._search_region)
-        self._task: curio.Task | None = None
+        self._tasks: list[curio.Task] = []
+        self._wake_fd = -1
         peers.register(Area.STREAM_ORIGINS, OriginMessage, self._handle)
 
     async def start(self) -> None:
         """Start telling the keepers of streams."""
-        self._task = await spawn_background(self._run)
+        self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        self._tasks = [
+            await spawn_background(self._run),
+            await spawn_background(self._flush_woken),
+        ]
 
     async def close(self) -> None:
         """Stop telling the keepers, after what is left to tell."""
-        if self._task is not None:
-            await self._task.cancel()
+        for task in self._tasks:
+            await task.cancel()
+        if self._wake_fd >= 0:
+            os.close(self._wake_fd)
+            self._wake_fd = -1
         await self._relayed.close()
         self._flush()
 
@@ -128,6 +138,12 @@
             self._known_hosts()
             self._flush_if_due()
 
+    async def _flush_woken(self) -> None:
+        while True:
+            await _read_wait(self._wake_fd)
+            os.eventfd_read(self._wake_fd)
+            self._flush()
+
     def record(self, key: int, origin: StreamOrigin, *, forwarded: bool) -> None:
         """Record that a stream has begun or gone on; called before its next event.
 
@@ -140,9 +156,12 @@
         now = monotonic()
         self._table.add(key, origin, now, own=not forwarded)
         self._metrics.gauge("origin.kept", len(self._table))
-        if not forwarded and self._registry.versions.several(origin.service):
+        versions = self._registry.versions
+        if not forwarded and versions.several(origin.service):
             self._pending.append((key, origin))
             self._flush_if_due()
+            if versions.is_new(origin.service, origin.software_version):
+                self._flush_after_turn()
 
     def publish_new_services(self) -> None:
         """Tell other hosts of the streams of services that now have several versions.
@@ -330,6 +349,15 @@
             return Unfound.UNANSWERED
         return Unfound.UNKNOWN
 
+    def _flush_after_turn(self) -> None:
+        """Tell the keepers of a stream once the tasks that can run have run.
+
+        A host that hasn't heard of its version takes the one that it knows for the only
+        one, and doesn't wait for hosts that it can't reach or doesn't know.
+        """
+        if self._pending and self._wake_fd >= 0:
+            os.eventfd_write(self._wake_fd, 1)
+
     def _flush_if_due(self) -> None:
         is_due = self._told_unreported and self._reported_keepers()
         if not is_due:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -11,8 +11,13 @@
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import PeerTimeout
 from bronzepoint_node.core._version_history import VersionHistory
-from bronzepoint_node.fleet import VERSION_RETENTION, Registry, ServiceVersions
-from bronzepoint_node.fleet._service_versions import MAX_READING_AGE
+from bronzepoint_node.fleet import (
+    VERSION_RETENTION,
+    Registry,
+    ServiceVersions,
+    _service_versions,
+)
+from bronzepoint_node.fleet._service_versions import MAX_READING_AGE, NEW_VERSION_TIME
 from bronzepoint_node.stream_origins import (
     AmbiguousOrigin,
     Origins,
@@ -435,6 +440,72 @@
             self.find(read=old, record=False, cut={"a1"})
 
 
+class TestLargeRegion(unittest.TestCase):
+    """Guards against a stream that goes on at another version in a region whose hosts
+    know a part of it only, because its keepers are told of it too late."""
+
+    STREAMS = 45
+    """Streams that begin at once, more than the notices of a burst."""
+    TURNS = 5
+    """Turns of the loop until the keepers have been told; no time passes."""
+
+    def play(self, *, age=0.0):
+        """Return what a host finds for streams that began within one turn.
+
+        Their host and the one that is asked don't know each other.
+
+        Args:
+            age: Seconds since their host has heard of the second version.
+        """
+
+        async def begin(network):
+            origins = network.origins["h10"]
+            await origins.start()
+            network.messages.clear()
+            with mock.patch.object(_service_versions, "monotonic", lambda: later):
+                for key in range(self.STREAMS):
+                    origins.record(key, V2, forwarded=False)
+                for _ in range(self.TURNS):
+                    await curio.sleep(0)
+            told = Counter(peer for _, peer in network.messages)
+            found = [await network.origins["h11"].find(k, "s") for k in streams]
+            await origins.close()
+            return found, told
+
+        streams = range(self.STREAMS)
+        names = {f"h{number:02}": "x" for number in range(18)} | {"y1": "y", "y2": "y"}
+        hidden = {name for name in list(names)[8:] if name[0] == "h"}
+        with (
+            mock.patch.dict(HOSTS, names, clear=True),
+            mock.patch.object(_origins, "REMOTE_DELAY", 0.0),
+            mock.patch.object(_origins, "FLUSH_INTERVAL", 3600.0),
+        ):
+            network = Network([])
+            for name in names:
+                network.start(name, [], missing=hidden)
+            network.registries["h10"].versions.merge(BOTH)
+            network.origins["h10"].publish_new_services()
+            later = monotonic() + age
+            return curio.run(begin, network)
+
+    def test_streams_of_a_new_version_are_told_of_at_once(self):
+        found, told = self.play()
+        self.assertEqual(found, [V2] * self.STREAMS)
+        self.assertLessEqual(max(told.values()), self.STREAMS)
+
+    def test_streams_that_begin_in_one_turn_share_a_notice(self):
+        """Guards against a message for each stream above the rate of notices."""
+        with mock.patch.object(_origins, "NOTICES_PER_SECOND", 0.2):
+            _, told = self.play()
+        self.assertEqual(set(told.values()), {2})
+
+    @params((NEW_VERSION_TIME - 0.5, True), (NEW_VERSION_TIME + 0.5, False))
+    def test_a_version_is_new_for_a_few_seconds(self, age, is_new):
+        """Guards against notices above their rate once all hosts know a version."""
+        found, _ = self.play(age=age)
+        self.assertEqual(found[-1], V2 if is_new else None)
+
+
 class TestVersions(unittest.TestCase):
     @params((0.0, False), (VERSION_RETENTION - 1.0, False), (VERSION_RETENTION, True))
     def test_history_is_complete_after_a_whole_retention_time(self, age, complete):
