--- a/tests/test_stream_resumption.py
+++ b/tests/test_stream_resumption.py
@@ -101,6 +101,21 @@
         refusal = self.check(resumed_call(60.0))
         self.assertEqual(refusal, Rejected(RejectReason.ORIGIN_UNKNOWN, 0.0, True))
 
+    def test_other_hosts_are_asked_again_only_for_several_versions(self):
+        """Guards against two searches for each stream of a service with one version,
+        and against none after a second version has appeared."""
+        self.network = Network([])
+        call = resumed_call(60.0)
+        self.assertIsNone(self.check(call))
+        asked = len(self.network.messages)
+        self.assertGreater(asked, 0)
+        self.assertIsNone(self.check(call))
+        self.assertEqual(len(self.network.messages), asked)
+        self.network.registries["a2"].versions.merge(BOTH)
+        refusal = self.check(call)
+        self.assertEqual(refusal, Rejected(RejectReason.ORIGIN_UNKNOWN, 0.0, True))
+        self.assertGreater(len(self.network.messages), asked)
+
     def test_refusal_names_the_time_of_a_retry_while_hosts_are_beyond_reach(self):
         """Guards against a final refusal of a stream that a host beyond reach knows."""
         self.network.cut = set(HOSTS) - {"a2"}
