Serve streams of one version while nobody can read the target list

A reading older than 3 s counted as outdated, which is right for a host that was suspended or cut off, but not if nobody has a newer one: then no host can have heard of a new version.

An old reading now names a single version, too, if the core has answered this host within 3 s, and for 3 s without a gap above 1.5 s, and the last core host that did isn't more than 3 s behind the newest reading known here. The lasting contact is needed because a core host that was suspended with this host answers with its old reading first.

Ruled out: the last contact alone, for that reason. It remains, and is noted as a limit, that only some core hosts can't read the list.

--- a/packages/node/src/bronzepoint_node/fleet/_service_versions.py
+++ b/packages/node/src/bronzepoint_node/fleet/_service_versions.py
@@ -18,6 +18,9 @@
 """Seconds since a reading of the list up to which a version that it lacks is too new to
 have begun a stream whose host and keepers are all beyond reach."""
 
+MAX_CONTACT_GAP = 1.5
+"""Seconds between two queries that the core has answered above which this host, or the
+core, may have been suspended. A core host that runs reads the list once a second."""
 MAX_SYNC_PAUSE = 0.4
 """Seconds between two reports of the core to a host."""
 NEW_VERSION_TIME = MAX_READING_AGE + MAX_SYNC_PAUSE
@@ -43,6 +46,9 @@
         self._versions: dict[str, dict[str, _Listed]] = {}
         self._complete_at = float("-inf")
         self._read_at = float("-inf")
+        self._heard_since = float("-inf")
+        self._heard_at = float("-inf")
+        self._heard_read_at = float("-inf")
 
     def merge(self, reports: Iterable[ServiceVersion]) -> None:
         """Merge reports of a core host, keeping the newer ones."""
@@ -56,14 +62,24 @@
                 listed = _Listed(at, frozenset(report.regions), reported_at)
                 versions[report.software_version] = listed
 
-    def confirm(self, read_at: float) -> None:
+    def confirm(self, read_at: float, asked_at: float | None = None) -> None:
         """Note that a core host that knows all versions has just reported them.
 
         Args:
             read_at: Monotonic time at which that host read the list.
+            asked_at: Monotonic time at which it was asked; None: now.
         """
-        self._complete_at = monotonic()
+        now = monotonic()
+        self._complete_at = now
         self._read_at = max(self._read_at, read_at)
+        self._note_contact(read_at, now if asked_at is None else asked_at)
+
+    def _note_contact(self, read_at: float, asked_at: float) -> None:
+        if asked_at < self._heard_at:
+            return
+        if asked_at - self._heard_at > MAX_CONTACT_GAP:
+            self._heard_since = asked_at
+        self._heard_at, self._heard_read_at = asked_at, read_at
 
     def is_complete(self) -> bool:
         """Return whether no service has a version that isn't known here.
@@ -74,14 +90,27 @@
         return monotonic() - self._complete_at <= VERSION_RETENTION
 
     def is_single(self, service: str) -> bool:
-        """Return whether a service certainly has one version, by a recent reading.
+        """Return whether a service certainly has one version, by a current reading.
 
         A host that was suspended or cut off has the reading of before. A newer one may
         name a version that has begun streams meanwhile.
         """
         is_current = monotonic() - self._read_at <= MAX_READING_AGE
+        is_current = is_current or self._is_list_silent()
         return is_current and self.is_complete() and not self.several(service)
 
+    def _is_list_silent(self) -> bool:
+        """Return whether the core can't read the list, so that nobody has a newer one.
+
+        The core has answered for longer than a core host that has just resumed takes to
+        read the list, and the last one that did isn't behind the others.
+        """
+        is_heard = monotonic() - self._heard_at <= MAX_READING_AGE
+        is_lasting = self._heard_at - self._heard_since >= MAX_READING_AGE
+        # Without any reading this difference isn't a number, and the list not silent.
+        is_level = self._read_at - self._heard_read_at <= MAX_LIST_SKEW
+        return is_heard and is_lasting and is_level
+
     def services(self) -> set[str]:
         """Return the services that have, or recently had, several versions."""
         return {service for service in list(self._versions) if self.several(service)}
--- a/packages/node/src/bronzepoint_node/fleet/_sync_client.py
+++ b/packages/node/src/bronzepoint_node/fleet/_sync_client.py
@@ -344,7 +344,8 @@
         self.registry.versions.merge(reply.versions)
         if reply.versions_complete:
             age = reply.targets_age_ms / 1000
-            self.registry.versions.confirm(began - age if age >= 0 else float("-inf"))
+            read_at = began - age if age >= 0 else float("-inf")
+            self.registry.versions.confirm(read_at, began)
         # A core host that is behind must not reopen closed data centers.
         if reply.revision >= self._revision:
             self._revision = reply.revision
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -1,5 +1,6 @@
 """Where streams began: a host's table, its keepers, and the versions of services."""
 
+import itertools
 import unittest
 from collections import Counter
 from unittest import mock
@@ -440,6 +441,52 @@
             self.find(read=old, record=False, cut={"a1"})
 
 
+NEVER = float("-inf")
+
+
+def contacts(begin, end, *read_at):
+    """Return contacts with core hosts: seconds of each, and of the reading it told."""
+    readings = itertools.cycle(read_at)
+    steps = round((end - begin) / 0.4)
+    return [(begin + 0.4 * step, next(readings)) for step in range(steps + 1)]
+
+
+class TestSilentList(unittest.TestCase):
+    """Guards against streams that are refused while nobody can read the target list,
+    and against a host that takes its own old reading for one of a silent list."""
+
+    @params(
+        ("nobody reads", contacts(0, 10, 0.0), 10.2, True),
+        ("last readings differ", contacts(0, 10, 0.0, 0.9), 10.2, True),
+        ("a core host is lost", contacts(0, 8, 0.0) + contacts(9, 10, 0.0), 10, True),
+        ("paused", contacts(0, 5, 4.0), 50.0, False),
+        ("paused, heard once", [*contacts(0, 5, 4.0), (50, 4.0)], 50, False),
+        ("paused before", contacts(0, 5, 4.0) + contacts(50, 54, 4.0), 54, True),
+        ("paused with a silent list", contacts(0, 9, 0.0) + [(12, 0.0)], 12, False),
+        ("cut off", contacts(0, 10, 0.0), 13.5, False),
+        ("core host behind", contacts(0, 7, 6.0) + contacts(7, 12, 0.0), 12, False),
+        ("just started", contacts(0, 2, -20.0), 2.1, False),
+        ("never read", contacts(0, 10, NEVER), 10, False),
+    )
+    def test_single_version(self, _name, heard, now, expected):
+        versions = ServiceVersions()
+        with mock.patch.object(_service_versions, "monotonic") as clock:
+            for at, read_at in heard:
+                clock.return_value = at
+                versions.confirm(read_at, at)
+            clock.return_value = now
+            self.assertIs(versions.is_single("s"), expected)
+
+    def test_stream_goes_on_beside_a_dead_host(self):
+        network = Network([])
+        network.cut = {"a1"}
+        versions = network.registries["b1"].versions = ServiceVersions()
+        now = monotonic()
+        for at, read_at in contacts(now - 6.0, now, now - 10.0):
+            versions.confirm(read_at, at)
+        self.assertIsNone(network.find("b1", 7))
+
+
 class TestLargeRegion(unittest.TestCase):
     """Guards against a stream that goes on at another version in a region whose hosts
     know a part of it only, because its keepers are told of it too late."""
