Log why elections are lost and which voters answered a change

The record of the incident can't tell its hypotheses apart: an election that fails wrote nothing, a refused vote only incremented a counter, and a change that nobody answered looked like one that a leader had taken.

A refused vote now says why. A candidate logs the refusals, the voters that didn't answer and the sets of which it needs a majority, at most every 5 s; a leader that gives up logs who was silent for how long; a proposer logs what each voter last answered; each host logs which voters are in force.

--- a/packages/node/src/bronzepoint_node/agreement/_election.py
+++ b/packages/node/src/bronzepoint_node/agreement/_election.py
@@ -1,12 +1,14 @@
 """Leader election, started when the leader stops responding."""
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import curio
 
 from bronzepoint_common.clock import monotonic
+from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, PeerError
 from bronzepoint_schema.generated.agreement import VoteReply, VoteRequest
 from bronzepoint_schema.ids import HostName, Term
@@ -26,6 +28,12 @@
 
 Voters then rarely become candidates at the same time.
 """
+_LOG_INTERVAL = 5.0
+"""Minimum seconds between two log lines about lost elections."""
+_NO_ANSWER = "no answer"
+"""Reason that is logged for a voter that doesn't answer."""
+
+_log = get_logger("agreement")
 
 
 @dataclass(frozen=True)
@@ -36,10 +44,12 @@
         granted: A quorum granted its votes.
         no_leader: All voters answered, and none leads or has had contact with a
             leader since its start.
+        refusals: Why each voter that was asked didn't grant its vote.
     """
 
     granted: bool
     no_leader: bool
+    refusals: Mapping[HostName, str]
 
 
 class Election:
@@ -56,6 +66,8 @@
         self._voter = voter
         self._campaigned_at = 0.0
         self._early = False
+        self._lost_count = 0
+        self._logged_at = float("-inf")
 
     async def wait_for_timeout(self) -> None:
         """Wait until this voter may become a candidate.
@@ -115,6 +127,7 @@
         term = Term(voter.log.term + 1)
         tally = await self._request_votes(term, pre_vote=True, early=early)
         if not tally.granted or (early and not tally.no_leader):
+            self._log_lost("pre-vote", term, tally)
             return None
         async with voter.lock:
             # A leader may have made contact while the replies arrived. This voter's
@@ -132,16 +145,37 @@
             voter.vote_handler.record_vote()
             voter.role = Role.candidate
         voter.metrics.incr("agreement.candidacy")
-        elected = (await self._request_votes(term, pre_vote=False, early=early)).granted
+        tally = await self._request_votes(term, pre_vote=False, early=early)
+        if not tally.granted:
+            self._log_lost("vote", term, tally)
         async with voter.lock:
             if (
-                not elected
+                not tally.granted
                 or voter.log.term != term
                 or voter.role is not Role.candidate
             ):
                 return None
+            self._lost_count = 0
             return voter.become_leader(term)
 
+    def _log_lost(self, phase: str, term: Term, tally: _Tally) -> None:
+        """Log a lost election, at most one in a while."""
+        self._lost_count += 1
+        if monotonic() - self._logged_at < _LOG_INTERVAL:
+            return
+        self._logged_at = monotonic()
+        sets = self._voter.voter_sets()
+        _log.warning(
+            "election lost",
+            phase=phase,
+            term=term,
+            early=self._early,
+            lost=self._lost_count,
+            refused=dict(sorted(tally.refusals.items())),
+            majorities_needed_of=[[v.host for v in voters] for voters in sets],
+            last_index=self._voter.log.last_index,
+        )
+
     async def _request_votes(self, term: Term, pre_vote: bool, early: bool) -> _Tally:
         """Request votes from all voters until a quorum has granted them.
 
@@ -162,6 +196,7 @@
         granted = {log.identity.storage}
         hosts = {v.host for voters in voter.voter_sets() for v in voters}
         unanswered = hosts - {voter.name}
+        refusals = dict.fromkeys(unanswered, _NO_ANSWER)
         any_leads = False
         async with curio.TaskGroup() as group:
             for host in unanswered:
@@ -171,6 +206,7 @@
                 if not isinstance(reply, VoteReply):
                     continue
                 unanswered = unanswered - {host}
+                refusals[host] = reply.refusal
                 any_leads = any_leads or reply.leads
                 if reply.granted:
                     granted.add(reply.storage)
@@ -182,7 +218,9 @@
                     await group.cancel_remaining()
                     break
         return _Tally(
-            is_quorum(granted, voter.voter_sets()), not unanswered and not any_leads
+            is_quorum(granted, voter.voter_sets()),
+            not unanswered and not any_leads,
+            {host: reason for host, reason in refusals.items() if reason},
         )
 
     async def _request_vote(
--- a/packages/node/src/bronzepoint_node/agreement/_leadership.py
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -213,6 +213,13 @@
         contact = max(self._quorum_contact(), self._started_at)
         if monotonic() - contact > self._voter.section.election_timeout:
             self._voter.metrics.incr("agreement.quorum_lost")
+            silent = {
+                progress.host: round(monotonic() - progress.acked_at, 3)
+                if progress.acked_at > 0
+                else None
+                for progress in self._progress.values()
+            }
+            _log.warning("quorum lost", term=self.term, seconds_since_answer=silent)
             async with self._voter.lock:
                 await self._voter.step_down(self.term)
 
--- a/packages/node/src/bronzepoint_node/agreement/_proposer.py
+++ b/packages/node/src/bronzepoint_node/agreement/_proposer.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from bronzepoint_common.logs import get_logger
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.peers import Area, Peers
 from bronzepoint_schema.generated.agreement import (
@@ -25,12 +26,19 @@
 _RETRY_INTERVAL = 0.1
 """Seconds to wait after a voter that knows no leader or can't be reached."""
 
+_log = get_logger("agreement")
+
 
 @dataclass
 class _PendingChange:
-    """A change whose outcome this host waits for."""
+    """A change whose outcome this host waits for.
+
+    Attributes:
+        answers: What each voter that was asked last answered.
+    """
 
     result: ChangeResult | None = None
+    answers: dict[HostName, str] = field(default_factory=dict)
     refused_by: HostName | None = None
     leader: HostName = HostName("")
     updated: curio.Event = field(default_factory=curio.Event)
@@ -85,6 +93,13 @@
             waiting.remove(pending)
             if not waiting:
                 self._pending.pop(change.change_id, None)
+        if pending.result is None:
+            _log.warning(
+                "change without an outcome",
+                change=change.change_id,
+                seconds=timeout,
+                answers=pending.answers,
+            )
         return _outcome(change, pending.result, outcome_unknown[0])
 
     async def on_reply(self, host: HostName, reply: ProposeReply) -> None:
@@ -143,8 +158,10 @@
         request = ProposeRequest(change)
         previously_unknown, outcome_unknown[0] = outcome_unknown[0], True
         if not await self._send_proposal(host, request):
+            pending.answers[host] = "not sent"
             outcome_unknown[0] = previously_unknown
             return False
+        pending.answers[host] = "no answer"
         async with curio.ignore_after(_RESEND_AFTER):
             while pending.result is None and pending.refused_by != host:
                 await pending.updated.wait()
@@ -152,6 +169,8 @@
         if pending.result is not None:
             return True
         if pending.refused_by == host:
+            named = pending.leader
+            pending.answers[host] = f"leader is {named}" if named else "no leader"
             outcome_unknown[0] = previously_unknown
             return bool(pending.leader)
         self._metrics.incr("retry.propose_unanswered")
--- a/packages/node/src/bronzepoint_node/agreement/_vote_handler.py
+++ b/packages/node/src/bronzepoint_node/agreement/_vote_handler.py
@@ -1,5 +1,6 @@
 """Handling of vote requests: when a voter grants or withholds its vote."""
 
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from bronzepoint_common.clock import monotonic
@@ -18,6 +19,19 @@
 """
 
 
+class VoteRefusal(StrEnum):
+    """Why a voter doesn't grant its vote; written to the candidate's log."""
+
+    none = ""
+    no_storage = "its storage belongs to no cluster"
+    not_a_voter = "its storage is not a member of the voters"
+    lease = "a leader may hold a lease"
+    other_candidate = "another early candidate goes first"
+    log_behind = "the candidate lacks entries"
+    term = "the candidate's term is not newer"
+    voted = "it voted for another candidate of this term"
+
+
 class VoteHandler:
     """Answers the vote requests that reach one voter.
 
@@ -51,36 +65,43 @@
         if not log.identity.cluster:
             # This storage belongs to no cluster, for instance after its disk was lost.
             # It must not vote, but it can report that it isn't the leader.
-            return self._reply(False)
+            return self._reply(VoteRefusal.no_storage)
         if not voter.is_own_cluster(request.cluster):
             return None
         if request.unled and self._disrupts_election(request):
-            return self._reply(False, leads=True)
+            return self._reply(VoteRefusal.other_candidate, leads=True)
         waives_wait = request.unled and not voter.has_leader_contact
         if not voter.may_vote() or (self.withholds_votes() and not waives_wait):
             # The term of such a candidate isn't adopted either: a voter back from a
             # partition would depose a healthy leader with it.
             voter.metrics.incr("agreement.vote_withheld")
-            return self._reply(False)
+            is_member = voter.may_vote()
+            return self._reply(
+                VoteRefusal.lease if is_member else VoteRefusal.not_a_voter
+            )
         up_to_date = (request.last_term, request.last_index) >= (
             log.last_term,
             log.last_index,
         )
+        refusal = VoteRefusal.none if up_to_date else VoteRefusal.log_behind
         if request.trial:
-            return self._reply(up_to_date and request.term > log.term)
+            is_newer = request.term > log.term
+            return self._reply(refusal if is_newer else VoteRefusal.term)
         if request.term > log.term:
             await voter.step_down(log.term)
             voted_for = request.storage if up_to_date else StorageId("")
             await log.save_vote(request.term, voted_for)
             if up_to_date:
                 self.record_vote()
-            return self._reply(up_to_date)
-        if request.term < log.term or not up_to_date:
-            return self._reply(False)
-        if not log.voted_for:
+            return self._reply(refusal)
+        if request.term < log.term:
+            return self._reply(VoteRefusal.term)
+        if up_to_date and not log.voted_for:
             await log.save_vote(request.term, request.storage)
             self.record_vote()
-        return self._reply(log.voted_for == request.storage)
+        if up_to_date and log.voted_for != request.storage:
+            refusal = VoteRefusal.voted
+        return self._reply(refusal)
 
     def record_vote(self) -> None:
         """Record the time of a granted vote, including a vote for itself."""
@@ -101,8 +122,12 @@
             request.trial and self._voter.is_early_candidate and own < request.storage
         )
 
-    def _reply(self, granted: bool, leads: bool = False) -> VoteReply:
+    def _reply(self, refusal: VoteRefusal, leads: bool = False) -> VoteReply:
+        """Return the reply that refuses the vote for a reason, or grants it."""
         log = self._voter.log
         identity = log.identity
         leads = leads or self._voter.is_leader or self._voter.has_leader_contact
-        return VoteReply(identity.cluster, log.term, identity.storage, granted, leads)
+        granted = refusal is VoteRefusal.none
+        return VoteReply(
+            identity.cluster, log.term, identity.storage, granted, leads, refusal
+        )
--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -418,6 +418,9 @@
         match entry.body:
             case ChangeBody(change=Change(op=CloseDataCenter() as op)):
                 self._log_order(entry, op, applied)
+            case VotersBody(voters=voters):
+                hosts = [voter.host for voter in voters]
+                _log.info("voters in force", voters=hosts, index=entry.index)
         if isinstance(entry.body, ChangeBody) and self.is_leader:
             change_id = entry.body.change.change_id
             await self._leadership.deliver(change_id, applied.result)
--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -95,6 +95,8 @@
     Attributes:
         hosts: Role and address of each host by name.
         regions: Region of each host outside "x", the region of all targets.
+        seeds: Hosts that the settings of a host name as seeds when it starts; None:
+            all core hosts.
         bounds: Further lines of the settings' table of bounds.
         code: Folder of the source code that is run.
         keep: Whether files and logs are kept after the end.
@@ -104,6 +106,7 @@
     def __init__(self, grace=8.0, targets=2, hosts=DEFAULT_HOSTS):
         self.hosts = hosts
         self.regions = {}
+        self.seeds = None
         self.bounds = AMPLE_RETRIES
         self.code = ROOT
         self.keep = False
@@ -192,14 +195,14 @@
         data = self.root / f"data-{name}"
         data.mkdir(exist_ok=True)
         path = self.root / f"{name}.toml"
-        core = [host[1] for host in self.hosts.values() if host[0] == "core"]
+        seeds = self.seeds or [n for n, host in self.hosts.items() if host[0] == "core"]
         text = SETTINGS.format(
             name=name,
             ip=ip,
             region=self.regions.get(name, "x"),
             first=self.first,
             last=self.first + 1,
-            seeds=json.dumps([f"{address}:{self.control}" for address in core]),
+            seeds=json.dumps([f"{self.hosts[n][1]}:{self.control}" for n in seeds]),
             first_start=json.dumps(first),
             control=self.control,
             front=self.front,
