--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -1,12 +1,17 @@
 """Reads KNOWN-RED.txt, the list of tests that may fail without failing CI.
 
-Each line has the form ``TEST, CAUSE, ISSUE``; at most nine lines are allowed.
+Each line has the form ``TEST, CAUSE, ISSUE`` and names one test. The number of lines
+is limited, except for those of issues whose tests their users exempt.
 """
 
+import re
 from dataclasses import dataclass
 from pathlib import Path
 
-MAX_LINES = 9
+MAX_LINES = 26
+EXEMPT_ISSUES = {"73"}
+"""Issues whose lines don't count towards the limit."""
+_TEST_NAME = re.compile(r"\btests\.test_\w+\.\w+\.test_")
 
 
 class KnownRedError(Exception):
@@ -31,10 +36,12 @@
     if not path.exists():
         return []
     lines = [line.strip() for line in path.read_text().splitlines() if line.strip()]
-    if len(lines) > MAX_LINES:
-        problem = f"{path.name} has {len(lines)} lines; repair tests until {MAX_LINES}"
-        raise KnownRedError(f"{problem} are left")
-    return [_parse_line(path, line) for line in lines]
+    found = [_parse_line(path, line) for line in lines]
+    counted = [line for line in found if line.issue not in EXEMPT_ISSUES]
+    if len(counted) > MAX_LINES:
+        problem = f"{path.name} has {len(counted)} lines"
+        raise KnownRedError(f"{problem}; repair tests until {MAX_LINES} are left")
+    return found
 
 
 def _parse_line(path: Path, line: str) -> KnownRed:
@@ -44,4 +51,6 @@
         raise KnownRedError(
             f"{path.name}: write 'TEST, CAUSE, ISSUE' in place of {line!r}"
         )
+    if _TEST_NAME.search(cause):
+        raise KnownRedError(f"{path.name}: write one line for each test of {line!r}")
     return KnownRed(test.strip(), cause.strip(), issue.strip())
