Elect without a quorum of voters that were replaced before a restart

What operators saw: after all hosts were restarted, every core host answered 503 ('No voter knows a leader', 'handed to a voter') for good, although three of five voters ran.

Cause: a voter knows only in memory that an entry is committed. Once it starts again, the newest change of the voters in its log counts as pending, and it needs a majority of the former set too. A replaced host is in that set and never comes back, so that two lost disks leave two voters of the former five. The same with the first three voters after they have become five, and two of their disks. Three losses at different times counted as if they were one.

A candidate whose newest change is committed needs a majority of the new set alone. This is safe: whoever is elected without that change would need a majority of the former set, of which a majority holds the change and refuses a shorter log.

--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -204,16 +204,20 @@
 
         The former set is that of the newest change, not the applied one: a leader
         appends a change only after all earlier ones are committed, and a voter that
-        restarts has applied none of those in its log.
+        restarts has applied none of those in its log. Nor does it need the former set
+        if it recorded that the newest one is committed: the hosts that this change
+        removed may be lost for good.
         """
-        change = self._pending_voters_change()
-        if change is not None:
-            return required_sets(change.former, change.voters)
+        entry = self.log.last_voters_entry(self.state_machine.index)
+        if entry is not None and entry.index <= self.log.committed_index:
+            return [entry.body.voters]
+        if entry is not None:
+            return required_sets(entry.body.former, entry.body.voters)
         return [self.state_machine.voters] if self.state_machine.voters else []
 
     def is_changing_voters(self) -> bool:
         """Return whether the newest change of the voters isn't known to be durable."""
-        return self._pending_voters_change() is not None
+        return self.log.last_voters_entry(self.state_machine.index) is not None
 
     def has_applied_term(self) -> bool:
         """Return whether an entry of the current term is applied on this host."""
@@ -355,10 +359,6 @@
             self._leadership.stop()
         self.role = Role.failed
 
-    def _pending_voters_change(self) -> VotersBody | None:
-        entry = self.log.last_voters_entry(self.state_machine.index)
-        return entry.body if entry is not None else None
-
     def _restore_machine(self) -> None:
         identity = self.log.identity
         if self.log.snapshot is not None:
@@ -419,6 +419,7 @@
             case ChangeBody(change=Change(op=CloseDataCenter() as op)):
                 self._log_order(entry, op, applied)
             case VotersBody(voters=voters):
+                await self.log.save_committed(entry.index)
                 hosts = [voter.host for voter in voters]
                 _log.info("voters in force", voters=hosts, index=entry.index)
         if isinstance(entry.body, ChangeBody) and self.is_leader:
--- a/packages/node/src/bronzepoint_node/agreement/_voter_log.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter_log.py
@@ -41,6 +41,8 @@
         identity: Storage id and cluster.
         term: Newest term seen.
         voted_for: Storage voted for in that term; empty if there was no vote.
+        committed_index: Position of the newest change of the voters known to be
+            durable on a quorum, or 0.
         snapshot: State at ``base_index`` or later; None if the log starts at 1.
         base_index: Position before the first entry in memory.
         base_term: Term of that position.
@@ -52,6 +54,7 @@
         self.identity = IdentityRecord(StorageId(""), ClusterId(""), [])
         self.term = Term(0)
         self.voted_for = StorageId("")
+        self.committed_index = 0
         self.snapshot: MachineSnapshot | None = None
         self.base_index = 0
         self.base_term = Term(0)
@@ -125,9 +128,15 @@
 
     async def save_vote(self, term: Term, voted_for: StorageId) -> None:
         """Store the term and the vote in it."""
-        await self._write([VoteRecord(term, voted_for)])
+        await self._write([VoteRecord(term, voted_for, self.committed_index)])
         self.term, self.voted_for = term, voted_for
 
+    async def save_committed(self, index: int) -> None:
+        """Store that a change of the voters is durable on a quorum."""
+        if index > self.committed_index:
+            await self._write([VoteRecord(self.term, self.voted_for, index)])
+            self.committed_index = index
+
     async def append(self, entries: list[LogEntry]) -> None:
         """Append entries, after removing those from the first one's position on."""
         if not entries:
@@ -178,7 +187,8 @@
         await _run_uncancelled(self._log.append, encoded)
 
     async def _rewrite(self, entries: list[LogEntry]) -> None:
-        head = [self.identity, VoteRecord(self.term, self.voted_for)]
+        vote = VoteRecord(self.term, self.voted_for, self.committed_index)
+        head = [self.identity, vote]
         encoded = [_encoder.encode(record) for record in [*head, *entries]]
         await _run_uncancelled(self._log.rewrite, encoded)
 
@@ -205,8 +215,9 @@
             match _record_decoder.decode(content):
                 case IdentityRecord() as identity:
                     self.identity = identity
-                case VoteRecord(term=term, voted_for=voted_for):
+                case VoteRecord(term=term, voted_for=voted_for) as vote:
                     self.term, self.voted_for = term, voted_for
+                    self.committed_index = vote.committed_index
                 case LogEntry(index=index) as entry:
                     for stale in range(index, last + 1):
                         entries.pop(stale, None)
--- a/tests/test_agreement_state_machine.py
+++ b/tests/test_agreement_state_machine.py
@@ -310,6 +310,22 @@
         after = self.reopen()
         self.assertEqual((after.base_index, after.last_index), (8, 12))
 
+    def test_committed_change_of_the_voters_is_restored_on_reopen(self):
+        """Guards against a voter that needs a quorum of former voters once it starts
+        again, as it has forgotten that their last change is committed."""
+
+        async def steps(log):
+            await log.append(self.entries(1, 6, 1))
+            await log.save_committed(4)
+            await log.save_committed(2)
+            await log.save_vote(2, "b")
+            await log.compact(snapshot_at(3, 1), keep=1)
+
+        self.run_on_log(steps)
+        after = self.reopen()
+        found = (after.term, after.voted_for, after.committed_index)
+        self.assertEqual(found, (2, "b", 4))
+
     def test_entries_of_a_replaced_log_are_dropped_after_a_snapshot(self):
         """Guards against uncommitted entries after a leader's snapshot.
 
