Use late votes and acknowledgements instead of asking again

Cause: all timeouts of the agreement are fixed. A vote, an acknowledgement or an identity that takes longer is dropped, and the same is asked again, which costs the busy host the same work again. A leader also counted its contact with the quorum from the sending of requests, so that answers slower than half an election timeout ended its term.

The timeout of each host now grows with its late answers, up to a limit, and falls with prompt ones; silence doesn't change it, so that a lost host is noticed as soon as before. A late acknowledgement is processed. A leader steps down when no answers of a quorum arrive for an election timeout. The lease still counts from the sending.

--- a/packages/node/src/bronzepoint_node/agreement/_election.py
+++ b/packages/node/src/bronzepoint_node/agreement/_election.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from bronzepoint_common.call_pacing import AdaptiveTimeout
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, PeerError
@@ -66,6 +67,7 @@
         self._voter = voter
         self._campaigned_at = 0.0
         self._early = False
+        self._timeouts: dict[HostName, AdaptiveTimeout] = {}
         self._lost_count = 0
         self._logged_at = float("-inf")
 
@@ -226,9 +228,20 @@
     async def _request_vote(
         self, host: HostName, request: VoteRequest
     ) -> tuple[HostName, object]:
-        timeout = self._voter.section.election_timeout / 2
+        election_timeout = self._voter.section.election_timeout
+        timeout = self._timeouts.setdefault(
+            host, AdaptiveTimeout(election_timeout / 2, 2 * election_timeout)
+        )
+        began = monotonic()
+
+        def record_late(reply: VoteReply) -> None:
+            timeout.record_late(monotonic() - began)
+
         try:
-            reply = await self._voter.peers.call(host, Area.AGREEMENT, request, timeout)
+            reply = await self._voter.peers.call(
+                host, Area.AGREEMENT, request, timeout.seconds, record_late
+            )
         except PeerError:
             return host, None
+        timeout.record_prompt(monotonic() - began)
         return host, reply
--- a/packages/node/src/bronzepoint_node/agreement/_leadership.py
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bronzepoint_common.batches import first_batch
+from bronzepoint_common.call_pacing import AdaptiveTimeout
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, PeerError
@@ -59,6 +60,10 @@
         next_index: Next position to send; 0 if a snapshot must be sent first.
         match_index: Last position that the storage is known to have synced.
         acked_at: When the newest request that it answered was sent, in seconds.
+        answered_at: When its last answer arrived, in seconds.
+        late_reply: Reply that came after the timeout of its request, and when that
+            was sent, in seconds; None: it has been processed.
+        timeout: Timeout of append requests.
         wake: Set when there is something to send.
         dropped: Whether replication to this host has ended.
     """
@@ -66,8 +71,11 @@
     host: HostName
     storage: StorageId
     next_index: int
+    timeout: AdaptiveTimeout
     match_index: int = 0
     acked_at: float = _NEVER
+    answered_at: float = _NEVER
+    late_reply: tuple[AppendReply, float] | None = None
     wake: curio.Event = field(default_factory=curio.Event)
     dropped: bool = False
 
@@ -120,7 +128,9 @@
     async def _start_replication(self, host: HostName, storage: StorageId) -> None:
         if host == self._voter.name or host in self._progress:
             return
-        progress = Progress(host, storage, self._voter.log.last_index)
+        limit = self._voter.section.election_timeout
+        timeout = AdaptiveTimeout(limit / 2, limit)
+        progress = Progress(host, storage, self._voter.log.last_index, timeout)
         self._progress[host] = progress
         await self._group.spawn(self._replicate, progress)
 
@@ -199,18 +209,27 @@
 
     def _quorum_contact(self) -> float:
         """Return the send time of the latest requests that a quorum has answered."""
-        contacts = {p.storage: p.acked_at for p in self._progress.values()}
-        contacts[self._voter.log.identity.storage] = monotonic()
-        return reached_by_quorum(contacts, self._voter.voter_sets(), _NEVER)
+        return self._reached_by_quorum(
+            {p.storage: p.acked_at for p in self._progress.values()}
+        )
+
+    def _reached_by_quorum(self, times: dict[StorageId, float]) -> float:
+        """Return the latest time that a quorum, with this host now, has reached."""
+        times[self._voter.log.identity.storage] = monotonic()
+        return reached_by_quorum(times, self._voter.voter_sets(), _NEVER)
 
     async def _step_down_without_quorum(self) -> None:
         """Step down if no quorum has answered for an election timeout.
 
         A leader whose messages are lost would otherwise continue to accept changes
         that it can't commit, and the proposing hosts would wait for an outcome instead
-        of querying another voter.
+        of querying another voter. What counts is when answers arrive: on a busy quorum
+        they are old, and another leader would get none sooner.
         """
-        contact = max(self._quorum_contact(), self._started_at)
+        answered_at = self._reached_by_quorum(
+            {p.storage: p.answered_at for p in self._progress.values()}
+        )
+        contact = max(answered_at, self._started_at)
         if monotonic() - contact > self._voter.section.election_timeout:
             self._voter.metrics.incr("agreement.quorum_lost")
             silent = {
@@ -258,6 +277,9 @@
             sent_at = monotonic()
             request = self._next_request(progress)
             reply = await self._send_request(progress, request)
+            if reply is None and progress.late_reply is not None:
+                reply, sent_at = progress.late_reply
+            progress.late_reply = None
             if isinstance(reply, AppendReply):
                 async with self._voter.lock:
                     await self._process_reply(progress, reply, sent_at)
@@ -269,13 +291,27 @@
     async def _send_request(
         self, progress: Progress, request: AppendRequest | SnapshotInstall
     ) -> object:
-        timeout = self._voter.section.election_timeout / 2
+        """Send a request; return the reply, or None if there is none in time.
+
+        A late reply is kept. It is as true as one in time, and the same entries would
+        be sent again without it.
+        """
+        began = monotonic()
+
+        def keep_late(reply: AppendReply) -> None:
+            progress.timeout.record_late(monotonic() - began)
+            progress.late_reply = reply, began
+
+        timeout = progress.timeout.seconds
         if isinstance(request, SnapshotInstall):
             timeout = _SNAPSHOT_TIMEOUT
         try:
-            return await self._voter.peers.call(
-                progress.host, Area.AGREEMENT, request, timeout
+            reply = await self._voter.peers.call(
+                progress.host, Area.AGREEMENT, request, timeout, keep_late
             )
+            if isinstance(request, AppendRequest):
+                progress.timeout.record_prompt(monotonic() - began)
+            return reply
         except PeerError as exc:
             self._voter.metrics.incr(f"agreement.append_{type(exc).__name__}")
             await curio.sleep(self._voter.section.heartbeat)
@@ -314,10 +350,12 @@
             self._voter.metrics.incr("agreement.storage_changed")
             progress.storage = reply.storage
             progress.match_index, progress.acked_at = 0, _NEVER
+            progress.answered_at = _NEVER
         if reply.cluster != self._voter.log.identity.cluster:
             progress.next_index = 0
             return
         progress.acked_at = max(progress.acked_at, sent_at)
+        progress.answered_at = monotonic()
         if not reply.accepted:
             progress.next_index = max(0, min(progress.next_index - 1, reply.index + 1))
             return
--- a/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
+++ b/packages/node/src/bronzepoint_node/agreement/_seeded_agreement.py
@@ -3,11 +3,13 @@
 import random
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 import curio
 import uuid_utils
 
 from bronzepoint_common.background import keep_running
+from bronzepoint_common.call_pacing import AdaptiveTimeout
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.documents import (
     DeltaMismatch,
@@ -56,6 +58,8 @@
 
 _QUERY_TIMEOUT = 0.6
 """Seconds to wait for one host's answer: three of the longest round trips."""
+_MAX_QUERY_TIMEOUT = 4.0
+"""Maximum seconds to wait for a host whose answers have come late."""
 _FORM_INTERVAL = 0.2
 """Seconds between two attempts to form the cluster.
 
@@ -132,6 +136,7 @@
         )
         self._proposer = Proposer(name, list(seeds), self._voter, peers, metrics)
         self._election_timeout = section.election_timeout
+        self._timeouts: dict[HostName, AdaptiveTimeout] = {}
         self._join_attempts = 0
         self._asks_live_host = False
         self._tasks = curio.TaskGroup()
@@ -304,9 +309,7 @@
         if host == self._name:
             return self._read(held)
         try:
-            return await self._peers.call(
-                host, Area.AGREEMENT, ReadRequest(held), _QUERY_TIMEOUT
-            )
+            return await self._call(host, ReadRequest(held))
         except PeerError:
             self._proposer.leader = HostName("")
             return None
@@ -389,7 +392,7 @@
             return None
         request = JoinRequest(self._voter.log.identity.storage, self._region)
         try:
-            return await self._peers.call(host, Area.AGREEMENT, request, _QUERY_TIMEOUT)
+            return await self._call(host, request)
         except PeerError as exc:
             _log.debug("join request failed", asked=host, reason=str(exc))
             return None
@@ -400,10 +403,30 @@
         if host == self._name:
             return await self._handle(host, request)
         try:
-            return await self._peers.call(host, Area.AGREEMENT, request, _QUERY_TIMEOUT)
+            return await self._call(host, request)
         except PeerError:
             return None
 
+    async def _call(self, host: HostName, request: AgreementMessage) -> Any:
+        """Send a request and return the reply; wait longer for a host that is slow.
+
+        Raises:
+            PeerError: There was no reply in time.
+        """
+        timeout = self._timeouts.setdefault(
+            host, AdaptiveTimeout(_QUERY_TIMEOUT, _MAX_QUERY_TIMEOUT)
+        )
+        began = monotonic()
+        reply = await self._peers.call(
+            host,
+            Area.AGREEMENT,
+            request,
+            timeout.seconds,
+            lambda late: timeout.record_late(monotonic() - began),
+        )
+        timeout.record_prompt(monotonic() - began)
+        return reply
+
     async def _handle(
         self, peer: HostName, message: AgreementMessage
     ) -> AgreementMessage | None:
