Let entry hosts wait for a busy core host and back off

The timeout of a core host now follows its late answers up to 4 s, and the pauses grow with jitter, up to 1.6 s, while no core host answers at all. A host that has core hosts left to try still tries the next one after 0.1 s.

--- a/packages/node/src/bronzepoint_node/fleet/_sync_client.py
+++ b/packages/node/src/bronzepoint_node/fleet/_sync_client.py
@@ -7,6 +7,7 @@
 import curio
 
 from bronzepoint_common.background import spawn_background
+from bronzepoint_common.call_pacing import AdaptiveTimeout, RetryBackoff
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.documents import NO_BASE
 from bronzepoint_common.logs import get_logger
@@ -35,8 +36,15 @@
 """Seconds between two queries; a change must take effect on every host within 4 s."""
 SYNC_TIMEOUT = 0.7
 """Seconds to wait for the answer of a core host: four of the longest round trips."""
+MAX_SYNC_TIMEOUT = 4.0
+"""Maximum seconds to wait for a core host whose answers have come late."""
 SEED_SYNC_INTERVAL = 0.1
-"""Seconds between two queries to each seed until the first state is received."""
+"""Seconds between the first two queries to each seed until the first state is received;
+doubles up to ``SYNC_INTERVAL``, or to ``MAX_RETRY_PAUSE`` for a seed that is silent."""
+MAX_RETRY_PAUSE = 1.6
+"""Maximum mean of the seconds between two queries while no core host answers."""
+MAX_TIMED_HOSTS = 64
+"""Maximum number of core hosts whose timeouts are kept."""
 SEED_SYNC_TIMEOUT = 0.4
 """Seconds to wait for the answer of a seed before the first state is received. After a
 restart of all hosts, some core hosts aren't running yet and others have no leader.
@@ -122,6 +130,7 @@
         self._copy = DocumentCopy()
         self._unreadable_version = NO_BASE
         self._avoided_until: dict[HostName, float] = {}
+        self._timeouts: dict[HostName, AdaptiveTimeout] = {}
         self._on_change: list[Callable[[], None]] = []
         self._task: curio.Task | None = None
         self._secondary_task: curio.Task | None = None
@@ -167,14 +176,20 @@
 
     async def _run(self) -> None:
         await self._query_seeds()
+        backoff = RetryBackoff(NEXT_CORE_PAUSE, MAX_RETRY_PAUSE)
         while True:
             began = monotonic()
             core = self._select_core_host()
             answered = await self._query(core)
             self._report_age()
+            if not answered and not self._usable_core_hosts():
+                await curio.sleep(backoff.next())
+                continue
             elapsed = monotonic() - began
             is_current = answered and core not in self._avoided_until
             is_last = answered and not self._usable_core_hosts()
+            if answered:
+                backoff.reset()
             pause = SYNC_INTERVAL if is_current or is_last else NEXT_CORE_PAUSE
             await curio.sleep(max(0.05, pause - elapsed))
 
@@ -185,9 +200,11 @@
         """
 
         async def query(seed: HostName) -> None:
+            silent = RetryBackoff(SEED_SYNC_INTERVAL, MAX_RETRY_PAUSE)
+            behind = RetryBackoff(SEED_SYNC_INTERVAL, SYNC_INTERVAL)
             while not self._has_initial_state():
-                await self._query(seed, SEED_SYNC_TIMEOUT)
-                await curio.sleep(SEED_SYNC_INTERVAL)
+                answered = await self._query(seed, SEED_SYNC_TIMEOUT)
+                await curio.sleep((behind if answered else silent).next())
 
         seeds = self._seeds()
 
@@ -254,7 +271,12 @@
         )
 
     async def _query(self, core: HostName, timeout: float = SYNC_TIMEOUT) -> bool:
-        """Query a core host for all changes; return whether it answered."""
+        """Query a core host for all changes; return whether it answered.
+
+        Args:
+            core: The core host.
+            timeout: Seconds to wait for it, unless its answers have come late.
+        """
         try:
             while await self._query_once(core, timeout):
                 pass
@@ -290,12 +312,16 @@
             crashes=self.crashes.select_cases(monotonic(), MAX_CRASH_CASES),
         )
         self._reports_loads = bool(request.loads)
+        adaptive = self._timeout_of(core)
         began = monotonic()
 
         def apply_late(reply: SyncReply) -> None:
+            adaptive.record_late(monotonic() - began)
             self._apply_late_reply(core, reply, began)
 
+        timeout = max(timeout, adaptive.seconds)
         reply = await self._peers.call(core, Area.FLEET, request, timeout, apply_late)
+        adaptive.record_prompt(monotonic() - began)
         self._avoided_until.pop(core, None)
         if not 0 <= reply.confirmed_age_ms <= MAX_CORE_AGE_MS:
             # The core host answers but receives no changes. Querying it further would
@@ -303,6 +329,13 @@
             self._avoid(core)
         return self._apply_reply(core, reply, began)
 
+    def _timeout_of(self, core: HostName) -> AdaptiveTimeout:
+        if core not in self._timeouts and len(self._timeouts) >= MAX_TIMED_HOSTS:
+            self._timeouts.pop(next(iter(self._timeouts)))
+        return self._timeouts.setdefault(
+            core, AdaptiveTimeout(SEED_SYNC_TIMEOUT, MAX_SYNC_TIMEOUT)
+        )
+
     def _avoid(self, core: HostName) -> None:
         self._avoided_until[core] = monotonic() + AVOIDED_CORE_RETRY
         if self._current == core:
--- a/tests/test_fleet_late_answers.py
+++ b/tests/test_fleet_late_answers.py
@@ -33,6 +33,19 @@
 class TestLateAnswers(unittest.TestCase):
     def test_host_with_only_late_answers_receives_the_catalogue(self):
         """Guards against a slow host that stays on an old catalogue."""
+        self.assertEqual(self.follow_slow_core(lambda client: client.catalogue), 1)
+
+    def test_core_host_that_answers_late_is_waited_for(self):
+        """Guards against hosts that give up a busy core host and query it again, at
+        once and for ever, so that it stays busy."""
+
+        def is_waited_for(client):
+            return client.catalogue and not client._avoided_until
+
+        self.assertEqual(self.follow_slow_core(is_waited_for), 1)
+
+    def follow_slow_core(self, condition):
+        """Return the version held once a condition of the sync client is met."""
 
         async def main():
             async with SeededCluster("a1") as cluster:
@@ -46,12 +59,12 @@
                     await curio.sleep(DELAY)
                     return await core_sync._handle(peer, message)
 
-                return await self.follow(answer)
+                return await self.follow(answer, condition)
 
-        self.assertEqual(curio.run(main), 1)
+        return curio.run(main)
 
-    async def follow(self, answer):
-        """Return the version that an entry host receives, or None."""
+    async def follow(self, answer, condition):
+        """Return the version that an entry host holds, or None if it isn't met."""
         core, core_address = make_peers("a1")
         host, host_address = make_peers("h")
         core.register(Area.FLEET, FleetMessage, answer)
@@ -64,12 +77,13 @@
         await host.start()
         await sync_client.start()
         async with curio.ignore_after(MAX_WAIT):
-            while sync_client.catalogue is None:
+            while not condition(sync_client):
                 await curio.sleep(0.05)
+        is_met = condition(sync_client)
         await sync_client.close()
         await host.close()
         await core.close()
-        return sync_client.catalogue.version if sync_client.catalogue else None
+        return sync_client.catalogue.version if is_met else None
 
 
 if __name__ == "__main__":
