Show what clients that keep no limits do to a process

The machines have 160 MB (entry) and 200 MB (core) and 500 descriptors, 200 of them for files, as their settings tell. A process must live and stay within both, and an ordinary request and a read of the configuration must be answered while the crowd is still there.

--- a/tests/_platform_site.py
+++ b/tests/_platform_site.py
@@ -57,6 +57,8 @@
 {bounds}
 [cloud_api]
 address = "{list}"
+[limits]
+{limits}
 """
 
 
@@ -98,6 +100,7 @@
         seeds: Hosts that the settings of a host name as seeds when it starts; None:
             all core hosts.
         bounds: Further lines of the settings' table of bounds.
+        limits: Lines of the settings' table of the machine's limits.
         code: Folder of the source code that is run.
         keep: Whether files and logs are kept after the end.
         unread: Read end of the output pipe, by name, for hosts whose log isn't read.
@@ -108,6 +111,7 @@
         self.regions = {}
         self.seeds = None
         self.bounds = AMPLE_RETRIES
+        self.limits = ""
         self.code = ROOT
         self.keep = False
         self.unread = {}
@@ -210,6 +214,7 @@
             data=data,
             grace=self.grace,
             bounds=self.bounds,
+            limits=self.limits,
             list=self.list_server.address,
         )
         path.write_text(text)
