--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-MAX_LINES = 26
+MAX_LINES = 23
 EXEMPT_ISSUES = {"73"}
 """Issues whose lines don't count towards the limit."""
 _TEST_NAME = re.compile(r"\btests\.test_\w+\.\w+\.test_")
