Take no room for connections that had to give way

A connection that was closed to make room may still read what had arrived for it. That was added to what the process holds, and never taken off again, as the connection wasn't among those that hold something: with enough of them all requests would have been refused for good.

Such a connection now gets no room, and its request is refused with 503 (not run); after an answer it is closed without a word. The test fails without the change (10 bytes and a connection's share stay held).

--- a/packages/common/src/bronzepoint_common/http/_client_memory.py
+++ b/packages/common/src/bronzepoint_common/http/_client_memory.py
@@ -81,6 +81,7 @@
             self._shares.remove(share)
             self.held -= share.held
             share.held = 0
+            share.closed = True
 
     def _close_one(self, asking: "ConnectionShare | None", size: int = 0) -> bool:
         """Close the connection that gives way; return False if it is the asking one."""
@@ -123,6 +124,8 @@
         held: Bytes held.
         progress_at: Monotonic seconds at which its client last sent or read something.
         at_work: Whether a whole request is being worked on.
+        closed: Whether the connection was closed or had to give way; it holds nothing
+            any more.
         close: Closes the connection.
     """
 
@@ -130,6 +133,7 @@
         self.held = 0
         self.progress_at = monotonic()
         self.at_work = False
+        self.closed = False
         self.close = close
         self._memory = memory
 
@@ -138,8 +142,10 @@
 
         Raises:
             MemoryExhausted: There is no room for more, as other connections hold less
-                or are being worked on.
+                or are being worked on, or this one had to give way.
         """
+        if self.closed:
+            raise MemoryExhausted()
         self.progress_at = monotonic()
         change = CONNECTION_BYTES + size - self.held
         if change > 0 and not self._memory.make_room(change, self):
--- a/packages/common/src/bronzepoint_common/http/_server_connection.py
+++ b/packages/common/src/bronzepoint_common/http/_server_connection.py
@@ -147,6 +147,8 @@
     async def _start_next(self) -> bool:
         done = (self._conn.our_state, self._conn.their_state)
         if done == (h11.DONE, h11.DONE):
+            if self.share.closed:
+                return False
             self._conn.start_next_cycle()
             self._received = len(self._conn.trailing_data[0])
             self.share.resize(self._received)
--- a/tests/test_http_client_memory.py
+++ b/tests/test_http_client_memory.py
@@ -81,6 +81,20 @@
         self.assertEqual(self.closed, ["b"])
         self.assertEqual(self.memory.held, 8 * CONNECTION_BYTES)
 
+    def test_connection_that_gave_way_takes_no_room(self):
+        """Guards against room that is never given back, by data that a connection had
+        received when it was closed."""
+        share = self.open("a", MB)
+        newcomer = self.open("new")
+        self.now += 2.0
+        newcomer.resize(int(3.5 * MB))
+        self.assertEqual(self.closed, ["a"])
+        with self.assertRaises(MemoryExhausted):
+            share.resize(10)
+        share.end()
+        newcomer.end()
+        self.assertEqual(self.memory.held, 0)
+
     def test_connection_is_refused_while_all_others_are_at_work(self):
         for name in "abcdefgh":
             self.open(name, 0, at_work=True)
