--- a/tests/test_agreement_batches.py
+++ b/tests/test_agreement_batches.py
@@ -16,6 +16,7 @@
 from nose2.tools import params
 
 from bronzepoint_common.batches import BATCH_BYTES, first_batch
+from bronzepoint_common.call_pacing import AdaptiveTimeout
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_node.agreement._leadership import Leadership, Progress
 from bronzepoint_node.agreement._voter import Voter
@@ -63,7 +64,8 @@
             )
             await voter.log.open()
             await voter.log.append([entry(i, size) for i in range(1, log_size + 1)])
-            found = Leadership(voter, 1)._next_request(Progress("b", "s", 1))
+            progress = Progress("b", "s", 1, AdaptiveTimeout(1.0, 2.0))
+            found = Leadership(voter, 1)._next_request(progress)
             await voter.log.close()
             return found
 
--- a/tests/test_platform_main.py
+++ b/tests/test_platform_main.py
@@ -9,6 +9,7 @@
 from nose2.tools import params
 
 from bronzepoint_platform import _main
+from bronzepoint_platform._settings import Limits
 
 
 class FakeProgram:
@@ -38,7 +39,11 @@
     def test_error_of_the_event_loop_is_no_failed_start(self, starts, message, traced):
         """Guards against a log that blames the start for the end of a process."""
         settings = SimpleNamespace(
-            node_name="h", ip="127.0.0.1", seeds=[], bootstrap=False
+            node_name="h",
+            ip="127.0.0.1",
+            seeds=[],
+            bootstrap=False,
+            limits=Limits(),
         )
         with (
             LogCapture() as log,
