--- a/review/site2/deployment.py
+++ b/review/site2/deployment.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -139,10 +140,17 @@
         record: Log of the case.
         hosts: Role (``core`` or ``entry``) and region by name of the host.
         seeds: Names of the three core hosts that are named as seeds.
+        memory_mb: Memory of each machine, as the settings state it.
+        disk_mb: Size of the disks; 0: they have no bound. A file can't grow beyond it.
+
+    Attributes:
+        own_ends: Number of times that the process of each host ended by itself, or was
+            killed as it used more memory than its machine has.
     """
 
-    def __init__(self, record, hosts, seeds, memory_mb=300):
+    def __init__(self, record, hosts, seeds, memory_mb=300, disk_mb=0):
         self.record = record
+        self.disk_mb = disk_mb
         self.hosts = hosts
         self.seeds = seeds
         self.memory_mb = memory_mb
@@ -152,6 +160,8 @@
         self.own_ip = f"{net}.200"
         self.provider = Provider(self.own_ip)
         self.processes = {}
+        self.own_ends = {name: 0 for name in hosts}
+        self._is_closing = False
         first = self._free_ports()
         self.peer_port = first
         self.control_port = first + 2
@@ -234,9 +244,36 @@
                 env=environment,
                 stdout=log,
                 stderr=log,
+                preexec_fn=self._limit_disk if is_core else None,
             )
         self.record.write(f"started {name} ({role}, {region}) at {ip}")
 
+    def _limit_disk(self):
+        if self.disk_mb:
+            size = self.disk_mb << 20
+            resource.setrlimit(resource.RLIMIT_FSIZE, (size, size))
+
+    def watch(self):
+        """Start processes that end by themselves again, as the platform does.
+
+        A process that uses more memory than its machine has is killed first.
+        """
+        threading.Thread(target=self._watch, daemon=True).start()
+
+    def _watch(self):
+        while not self._is_closing:
+            for name, process in list(self.processes.items()):
+                used_mb = _resident_mb(process.pid) if process.poll() is None else 0
+                if used_mb > self.memory_mb:
+                    self.record.write(f"{name} uses {used_mb} MB: killed")
+                    process.kill()
+                    process.wait()
+                if process.poll() is not None and not self._is_closing:
+                    self.own_ends[name] += 1
+                    self.record.write(f"{name} has ended: {process.returncode}")
+                    self.start(name, bootstrap=False)
+            time.sleep(0.2)
+
     def signal(self, name, number):
         """Send a signal to the process of a host."""
         self.record.write(f"{signal.Signals(number).name} to {name}")
@@ -316,6 +353,8 @@
 
     def close(self):
         """End all processes, and remove their files."""
+        self._is_closing = True
+        time.sleep(0.3)
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
@@ -327,6 +366,15 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def _resident_mb(pid):
+    """Return the resident memory of a process in MB."""
+    try:
+        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    except (OSError, IndexError, ValueError):
+        return 0
+    return pages * resource.getpagesize() >> 20
+
+
 def until(condition, within, pause=0.05):
     """Wait for a condition; return whether it was met in time."""
     end = time.monotonic() + within
