--- a/review/7/case.py
+++ b/review/7/case.py
@@ -29,7 +29,11 @@
 REQUESTS = 20
 REQUEST_BODY = bytes(4 << 20)
 """Body of a request; the manifest allows 4,194,304 bytes."""
-PIECES = [b"first half of the answer\n", b"second half of the answer\n"]
+PIECES = [
+    b"first half of the answer\n" * 16_000,
+    b"second half of the answer\n" * 16_000,
+]
+"""The two halves of an answer, of some 400,000 bytes each."""
 
 
 def early_answer(disrupt):
@@ -41,7 +45,7 @@
         time.sleep(0.1)
         link.send(PIECES[0])
         if disrupt:
-            # The rest of the answer is lost with the channel.
+            # What isn't on its way yet is lost with the channel.
             link.reset()
             return False
         time.sleep(0.1)
