--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,10 @@
-"""A request that is being served is cut when the next one on its channel is long."""
+"""Callers that leave fill a process's memory, and all others lose their requests."""
 
+import http.client
 import os
 import socket
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -27,111 +29,149 @@
     "front": ("entry", "a"),
 }
 SEEDS = ["a1", "b1", "c1"]
-CHANNELS = 8
+MEMORY_MB = 300
+"""Memory of an entry host, as the users' sheets state it."""
+LARGE = 4_000_000
+"""Bytes of a large request's body; the manifest allows 4,194,304."""
+LARGE_CALLERS = 6
+PAUSE = 0.25
+"""Seconds between the sends of two large requests of one caller, at least: together
+they use less than the 1,000 Mbit/s of the host's link."""
+PATIENCE = 0.2
+"""Seconds after which a caller leaves; its request would take WORK."""
+WORK = 0.25
+SMALL_CALLERS = 16
+TIME = 60.0
+"""Seconds for which callers send requests at most."""
 ALLOWED = 3
-"""Number of requests that may be cut so without breaking the rule."""
-LONG_BODY = bytes(110_000)
-"""Body of the longest requests of the users' sheets (`req_bytes`, `max`)."""
-WORK = 0.2
-"""Seconds for which a replica works on a request."""
+"""Number of requests on kept channels that may be cut without breaking the rule."""
 
 
 def serve(replica, link, head):
     """Serve a request soundly."""
     link.read_body(head)
-    replica.note_run(head)
+    replica.ran.append(head.request_id)
     time.sleep(WORK)
     return replica.answer(link, head, b"done " + head.request_id.encode())
 
 
-def request(method, path, request_id, body=b""):
-    """Return the bytes of a request."""
-    head = [
-        f"{method} {path} HTTP/1.1",
-        "Host: shop.example",
-        f"X-Bronzepoint-Request-Id: {request_id}",
-        "X-Bronzepoint-Deadline-Ms: 4000",
-    ]
-    if body:
-        head.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*head, "", ""]).encode() + body
-
-
-def read_answers(sock, count, data=b""):
-    """Return the bodies of so many answers, fewer if the channel ends before."""
-    bodies = []
-    try:
-        while len(bodies) < count:
-            while b"\r\n\r\n" not in data:
-                piece = sock.recv(65536)
-                if not piece:
-                    return bodies
-                data += piece
-            head, _, data = data.partition(b"\r\n\r\n")
-            fields = dict(
-                line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
-            )
-            size = int(fields[b"content-length"])
-            while len(data) < size:
-                piece = sock.recv(65536)
-                if not piece:
-                    return bodies
-                data += piece
-            bodies.append(data[:size])
-            data = data[size:]
-    except OSError:
-        pass
-    return bodies
-
-
-def use_channel(site, record, replicas, disrupt):
-    """Use one kept channel for three requests; return whether the second was cut."""
-    front = (site.ips["front"], site.front_port)
-    with socket.create_connection(front, timeout=6.0) as sock:
-        sock.sendall(request("GET", "/safe/x", new_id()))
-        if len(read_answers(sock, 1)) < 1:
-            raise CannotRun("the first request of a channel was not answered")
-        second, third = new_id(), new_id()
-        sock.sendall(request("GET", "/safe/x", second))
-        if disrupt:
-            answers = []
-            time.sleep(WORK / 4)
-        else:
-            answers = read_answers(sock, 1)
-        sock.sendall(request("POST", "/safe/x", third, LONG_BODY))
-        answers += read_answers(sock, 2 - len(answers))
-    time.sleep(0.3)
-    ran = any(second in replica.ran for replica in replicas)
-    record.write(
-        f"{second} and {third}: {len(answers)} answers; the first of them "
-        f"{'was' if ran else 'was not'} passed on"
-    )
-    return ran and not answers
+class Callers:
+    """Callers of one entry host, until `stop` is set or the time is over."""
+
+    def __init__(self, address, record, disrupt):
+        self._address = address
+        self._record = record
+        self._disrupt = disrupt
+        self.stop = threading.Event()
+        self.sent = self.answered = self.left = self.large = 0
+        self.cut = []
+        self._lock = threading.Lock()
+
+    def start(self):
+        """Start all callers."""
+        work = [self._send_large] * LARGE_CALLERS + [self._send_small] * SMALL_CALLERS
+        for each in work:
+            threading.Thread(target=self._repeat, args=(each,), daemon=True).start()
+
+    def _repeat(self, work):
+        while not self.stop.is_set():
+            work()
+
+    def _send_large(self):
+        began = time.monotonic()
+        head = (
+            f"POST /once/x HTTP/1.1\r\nHost: shop.example\r\n"
+            f"X-Bronzepoint-Request-Id: {new_id()}\r\n"
+            f"X-Bronzepoint-Deadline-Ms: 4000\r\nContent-Length: {LARGE}\r\n\r\n"
+        )
+        try:
+            with socket.create_connection(self._address, timeout=5.0) as sock:
+                sock.sendall(head.encode() + bytes(LARGE))
+                self.large += 1
+                if self._disrupt:
+                    time.sleep(PATIENCE)
+                    self.left += 1
+                else:
+                    sock.recv(4096)
+        except OSError:
+            time.sleep(0.2)
+        time.sleep(max(0.0, began + PAUSE - time.monotonic()))
+
+    def _send_small(self):
+        """Send requests on one channel, until it ends."""
+        link = http.client.HTTPConnection(*self._address, timeout=6.0)
+        try:
+            link.connect()
+            while not self.stop.is_set():
+                self._ask(link)
+        except (OSError, http.client.HTTPException):
+            time.sleep(0.2)
+        finally:
+            link.close()
+
+    def _ask(self, link):
+        request_id = new_id()
+        headers = {
+            "Host": "shop.example",
+            "X-Bronzepoint-Request-Id": request_id,
+            "X-Bronzepoint-Deadline-Ms": "4000",
+        }
+        self.sent += 1
+        try:
+            link.request("GET", "/safe/x", headers=headers)
+            answer = link.getresponse()
+            answer.read()
+        except (OSError, http.client.HTTPException) as exc:
+            with self._lock:
+                self.cut.append(request_id)
+            self._record.write(f"{request_id} cut: {type(exc).__name__}")
+            raise
+        self.answered += answer.status == 200
 
 
 def run(site, record, disrupt):
     """Return whether the rule held."""
-    replicas = [Replica(record, site.own_ip, "s", "a-a", serve) for _ in range(3)]
+    replicas = [Replica(record, site.own_ip, "s", "a-a", serve, 16) for _ in range(3)]
     site.provider.entries = [replica.entry() for replica in replicas]
     for name in HOSTS:
         site.start(name, bootstrap=True)
-    document = manifest(1, [route("r", "/safe/", "safe", "s")], ["s"])
-    if site.put(document, SEEDS, 20.0) is None:
+    routes = [route("r1", "/safe/", "safe", "s"), route("r2", "/once/", "unsafe", "s")]
+    if site.put(manifest(1, routes, ["s"]), SEEDS, 20.0) is None:
         raise CannotRun("the manifest was not accepted")
     if not until(lambda: site.is_ready("front"), 20.0):
         raise CannotRun("the entry host did not become ready")
     # In touch: the processes have run for contact_ms.
     time.sleep(7.0)
-    cut = sum(use_channel(site, record, replicas, disrupt) for _ in range(CHANNELS))
-    record.write(f"{cut} of {CHANNELS} requests passed on, and cut without an answer")
-    return cut <= ALLOWED
+    site.watch()
+    callers = Callers((site.ips["front"], site.front_port), record, disrupt)
+    callers.start()
+    end = time.monotonic() + TIME
+    peak = 0
+    while time.monotonic() < end and not site.own_ends["front"]:
+        peak = max(peak, site.resident_mb("front"))
+        time.sleep(0.25)
+    time.sleep(1.0)
+    callers.stop.set()
+    ran = {request_id for replica in replicas for request_id in replica.ran}
+    lost = [request_id for request_id in callers.cut if request_id in ran]
+    record.write(
+        f"{callers.large} large requests, {callers.left} of their callers left; "
+        f"{callers.sent} small ones, {callers.answered} answered; {peak} MB seen"
+    )
+    record.write(
+        f"ends of the entry host: {site.own_ends['front']}; {len(lost)} requests on "
+        "kept channels passed on and cut without an answer"
+    )
+    if not callers.answered:
+        raise CannotRun("no request was answered")
+    return len(lost) <= ALLOWED
 
 
 def main():
     """Run the case; return its exit status."""
     record = Record(HERE / "record.txt")
     disrupt = os.environ.get("TROUBLE", "1") != "0"
-    site = Deployment(record, HOSTS, SEEDS)
+    site = Deployment(record, HOSTS, SEEDS, MEMORY_MB)
     try:
         held = run(site, record, disrupt)
     except CannotRun as exc:
--- a/review/site2/deployment.py
+++ b/review/site2/deployment.py
@@ -260,6 +260,10 @@
         """
         threading.Thread(target=self._watch, daemon=True).start()
 
+    def resident_mb(self, name):
+        """Return the resident memory of the process of a host in MB."""
+        return _resident_mb(self.processes[name].pid)
+
     def _watch(self):
         while not self._is_closing:
             for name, process in list(self.processes.items()):
