--- a/review/site3/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""A small deployment for the cases of the second review."""
