--- a/tests/test_call_pacing.py
+++ b/tests/test_call_pacing.py
@@ -72,19 +72,26 @@
                 voters = [host._voter for host in cluster.running.values()]
                 await cluster.until(lambda: any(v.lease() for v in voters), MAX_WAIT)
                 SlowPeers.one_way = ONE_WAY
+                agreed = []
                 for version in (1, 2):
                     await cluster.until(
                         lambda: cluster.running["a1"].leader(), MAX_WAIT
                     )
                     await cluster.put("a1", version)
-                return cluster.running["a1"].documents.version
+                    agreed.append(await cluster.read("a1", MAX_WAIT))
+                hosts = cluster.running.values()
+                await cluster.until(
+                    lambda: all(host.documents.version == 2 for host in hosts),
+                    MAX_WAIT,
+                )
+                return agreed
 
         self.addCleanup(setattr, SlowPeers, "one_way", 0.0)
         with (
             mock.patch("tests._seeded_cluster.PartitionablePeers", SlowPeers),
             mock.patch("tests._seeded_cluster.TIMES", TIMES),
         ):
-            self.assertEqual(curio.run(main), 2)
+            self.assertEqual(curio.run(main), [(1, b"x"), (2, b"x")])
 
 
 if __name__ == "__main__":
