Give other connections a turn between requests that were sent at once

Curio switches tasks only when one waits. A connection that had received further requests served them without a wait until its send buffer was full.

What callers saw: nobody else was served meanwhile, on any port of the process.

Change: a connection yields before a request that it has received already.

--- a/packages/common/src/bronzepoint_common/http/_server_connection.py
+++ b/packages/common/src/bronzepoint_common/http/_server_connection.py
@@ -152,6 +152,10 @@
             self._conn.start_next_cycle()
             self._received = len(self._conn.trailing_data[0])
             self.share.resize(self._received)
+            if self._received:
+                # Curio switches tasks only when one has to wait: a client that sends
+                # many requests at once would keep all other connections waiting.
+                await curio.sleep(0)
             return True
         # The caller may still be sending the body. If the connection were closed at
         # once, the kernel would send RST, which can discard the answer in transit:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -102,6 +102,31 @@
     curio.run(bounded)
 
 
+class TurnsTest(unittest.TestCase):
+    def test_many_requests_sent_at_once_keep_no_other_caller_waiting(self) -> None:
+        """Guards against a caller that sends requests without reading answers, and so
+        keeps all other callers from being served."""
+        paths = []
+
+        async def main() -> None:
+            async def handler(exchange: Exchange) -> None:
+                paths.append(exchange.request.path)
+                if len(paths) == 1:
+                    other._socket.send(GET.replace(b"/a", b"/other"))
+                await exchange.respond(200, {})
+
+            async with ServerFixture(handler) as fixture:
+                other = await fixture.caller()
+                many = await fixture.caller(GET * 200)
+                await read_until(other, b"\r\n\r\n")
+                served_before.append(paths.index("/other"))
+                await read_until(many, b"\r\n\r\n")
+
+        served_before: list[int] = []
+        run(main)
+        self.assertLess(served_before[0], 20)
+
+
 class BadInputTest(unittest.TestCase):
     """Guards against invalid input that ends the process or hangs a connection.
 
