Take a full disk for a condition that passes, not for a broken one

For want of room that doesn't help: the file is as full after the restart, and without room no voter can store a vote. All voters hold the same log, so all of them ended.

What callers saw: the change got no answer, and from then on no core host answered.

Change: an append for which there is no room is undone; all data before it was synced by earlier appends, so the file is as it was, and can be written again. The voter drops the message, or tells the leader that it is full, which still counts as contact: the lease is kept and reads go on. If a quorum has said so the leader refuses changes at once, with the reason and a time. A leader whose own disk is full lets the others campaign first, once in 30 s at most. Temporary files that couldn't be written are removed. Errors other than want of room end the voter as before.

Old proposers ignore the new fields.

--- a/packages/common/src/bronzepoint_common/storage/_errors.py
+++ b/packages/common/src/bronzepoint_common/storage/_errors.py
@@ -30,16 +30,29 @@
     Args:
         path: The file that was written.
         cause: Error of the operating system, or another reason.
+
+    Attributes:
+        remedy: What an operator can do.
     """
 
+    remedy = "check that the disk has space and is healthy, then restart the host"
+
     def __init__(self, path: Path, cause: object) -> None:
         self.path = path
         super().__init__(
-            f"{path} could not be written: {cause}. Remedy: check that the disk has "
-            "space and is healthy, then restart the host."
+            f"{path} could not be written: {cause}. Remedy: {self.remedy}."
         )
 
 
+class StorageFull(StorageFailed):
+    """There was no room for a write; the file holds what it held before.
+
+    It can be written again as soon as there is room.
+    """
+
+    remedy = "free space on the disk; the host continues by itself"
+
+
 class StorageInUse(StorageError):
     """Another process has locked the data folder.
 
--- a/packages/common/src/bronzepoint_common/storage/_record_log.py
+++ b/packages/common/src/bronzepoint_common/storage/_record_log.py
@@ -3,15 +3,16 @@
 import fcntl
 import os
 import threading
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 
 from bronzepoint_common.logs import get_logger
 
-from ._errors import StorageCorrupt, StorageFailed, StorageInUse
-from ._folder import replace_file, sync_folder
-from ._frames import decode_frame, encode_frame, find_frame
+from ._errors import StorageCorrupt, StorageFailed, StorageFull, StorageInUse
+from ._folder import NO_ROOM, put_in_place, sync_folder, write_all, write_beside
+from ._frames import encode_frame, find_frame, read_frame
 
 _log = get_logger("storage")
 _encoder = msgspec.msgpack.Encoder()
@@ -46,6 +47,17 @@
     def open(self) -> list[bytes]:
         """Open or create the file and return its records, oldest first.
 
+        Raises the same errors as `replay`.
+        """
+        records: list[bytes] = []
+        self.replay(records.append)
+        return records
+
+    def replay(self, handle: Callable[[bytes], None]) -> None:
+        """Open or create the file and pass on its records, oldest first.
+
+        One frame at a time is held in memory.
+
         Raises:
             StorageInUse: Another process has locked the log.
             StorageCorrupt: The file is damaged before its last frame.
@@ -53,7 +65,7 @@
         self.path.parent.mkdir(parents=True, exist_ok=True)
         self._lock()
         try:
-            return self._read()
+            self._read(handle)
         except BaseException:
             self.close()
             raise
@@ -62,14 +74,19 @@
         """Append records; on return they are on the disk.
 
         Raises:
+            StorageFull: There is no room for them; the log is as it was.
             StorageFailed: The write failed; the log rejects writes until reopened.
         """
         with self._mutex:
             self._check_usable()
             frame = encode_frame(self._sequence + 1, _encoder.encode(records))
             try:
-                self._write(frame)
+                write_all(self._file, frame)
+                os.fdatasync(self._file)
             except OSError as exc:
+                if exc.errno in NO_ROOM:
+                    self._drop_partial_frame()
+                    raise StorageFull(self.path, exc) from exc
                 # After a failed sync the kernel may drop the dirty pages and report
                 # success for the next sync: a later append would be acknowledged
                 # although data before it is lost. So all writes are rejected until
@@ -83,16 +100,22 @@
         """Replace all records; a crash leaves either the old or the new ones.
 
         Raises:
+            StorageFull: There is no room for them; the log is as it was.
             StorageFailed: The write failed; the log rejects writes until reopened.
         """
         with self._mutex:
             self._check_usable()
             content = encode_frame(1, _encoder.encode(records))
+            written = False
             try:
-                replace_file(self.path, content)
+                temporary = write_beside(self.path, content)
+                written = True
+                put_in_place(temporary, self.path)
                 os.close(self._file)
                 self._file = os.open(self.path, os.O_RDWR | os.O_APPEND)
             except OSError as exc:
+                if exc.errno in NO_ROOM and not written:
+                    raise StorageFull(self.path, exc) from exc
                 self._failure = StorageFailed(self.path, exc)
                 raise self._failure from exc
             self._sequence = 1
@@ -116,7 +139,7 @@
             self.close()
             raise StorageInUse(self._lock_path) from exc
 
-    def _read(self) -> list[bytes]:
+    def _read(self, handle: Callable[[bytes], None]) -> None:
         self._failure = None
         self._sequence = 0
         created = not self.path.exists()
@@ -124,43 +147,49 @@
         self._file = os.open(self.path, flags, 0o600)
         if created:
             sync_folder(self.path.parent)
-        content = self.path.read_bytes()
-        records: list[bytes] = []
+        size = os.fstat(self._file).st_size
         end = 0
-        while (frame := decode_frame(content, end)) is not None:
-            if frame.sequence != self._sequence + 1:
-                detail = f"frame {frame.sequence} follows frame {self._sequence}"
+        with open(self.path, "rb") as file:
+            while (frame := read_frame(file, end, size)) is not None:
+                if frame.sequence != self._sequence + 1:
+                    detail = f"frame {frame.sequence} follows frame {self._sequence}"
+                    raise StorageCorrupt(self.path, detail)
+                for record in _decoder.decode(frame.payload):
+                    handle(record)
+                self._sequence = frame.sequence
+                end = frame.end
+            self.size = end
+            # Each append is synced before the next one begins, so a crash can tear
+            # only the last frame. An undamaged frame after a damaged one means that
+            # acknowledged records are damaged: without them this host would break
+            # promises that it has made to other hosts.
+            if find_frame(file, end + 1, self._sequence, size) is not None:
+                detail = f"checksum error at offset {end}, but later frames are valid"
                 raise StorageCorrupt(self.path, detail)
-            records.extend(_decoder.decode(frame.payload))
-            self._sequence = frame.sequence
-            end = frame.end
-        self.size = end
-        self._drop_torn_tail(content, end)
-        return records
+        self.dropped = size - end
+        if self.dropped:
+            _log.warning("torn write dropped", bytes=self.dropped, file=str(self.path))
+            self._truncate()
+
+    def _drop_partial_frame(self) -> None:
+        """Restore the file after an append for which there was no room.
 
-    def _drop_torn_tail(self, content: bytes, end: int) -> None:
-        """Truncate a last write that was interrupted by a crash.
+        All data before the partial frame was synced by earlier appends, so nothing but
+        that frame can be missing on the disk.
 
-        Each append is synced before the next one begins, so a crash can tear only the
-        last frame. An undamaged frame after a damaged one means that acknowledged
-        records are damaged: without them this host would break promises that it has
-        made to other hosts.
+        Raises:
+            StorageFailed: The file can't be restored; it must be read again.
         """
-        self.dropped = len(content) - end
-        if self.dropped == 0:
-            return
-        if find_frame(content, end + 1, self._sequence) is not None:
-            detail = f"checksum error at offset {end}, but later frames are valid"
-            raise StorageCorrupt(self.path, detail)
-        _log.warning("torn write dropped", bytes=self.dropped, file=str(self.path))
-        os.ftruncate(self._file, end)
-        os.fsync(self._file)
+        try:
+            self._truncate()
+        except OSError as exc:
+            self._failure = StorageFailed(self.path, exc)
+            raise self._failure from exc
 
-    def _write(self, frame: bytes) -> None:
-        written = 0
-        while written < len(frame):
-            written += os.write(self._file, frame[written:])
-        os.fdatasync(self._file)
+    def _truncate(self) -> None:
+        """Truncate the file to its complete frames."""
+        os.ftruncate(self._file, self.size)
+        os.fsync(self._file)
 
     def _check_usable(self) -> None:
         if self._failure is not None:
--- a/packages/common/src/bronzepoint_common/storage/_snapshot_file.py
+++ b/packages/common/src/bronzepoint_common/storage/_snapshot_file.py
@@ -2,8 +2,8 @@
 
 from pathlib import Path
 
-from ._errors import StorageCorrupt, StorageFailed
-from ._folder import replace_file
+from ._errors import StorageCorrupt, StorageFailed, StorageFull
+from ._folder import NO_ROOM, replace_file
 from ._frames import decode_frame, encode_frame
 
 
@@ -39,10 +39,13 @@
         """Replace the value; on return it is on the disk.
 
         Raises:
+            StorageFull: There is no room; the old value is still there.
             StorageFailed: The write failed; the old value is still there.
         """
         self.path.parent.mkdir(parents=True, exist_ok=True)
         try:
             replace_file(self.path, encode_frame(1, value))
         except OSError as exc:
+            if exc.errno in NO_ROOM:
+                raise StorageFull(self.path, exc) from exc
             raise StorageFailed(self.path, exc) from exc
--- a/packages/node/src/bronzepoint_node/agreement/_election.py
+++ b/packages/node/src/bronzepoint_node/agreement/_election.py
@@ -87,6 +87,8 @@
                 voter.last_contact_at,
                 voter.vote_handler.granted_at,
                 self._campaigned_at,
+                # One that had no room on its disk lets the others go first.
+                voter.handed_over_at + voter.section.election_timeout,
             )
             time_left = last_activity_at + timeout - monotonic()
             if time_left <= 0 and voter.may_vote() and not voter.failure:
--- a/packages/node/src/bronzepoint_node/agreement/_errors.py
+++ b/packages/node/src/bronzepoint_node/agreement/_errors.py
@@ -37,6 +37,24 @@
         )
 
 
+class NoRoom(AgreementError):
+    """The voters have no room for the change; it was certainly not accepted.
+
+    Attributes:
+        retry_after: Seconds after which there may be room; 0: there will be none.
+    """
+
+    def __init__(self, reason: str, retry_after: float) -> None:
+        self.retry_after = retry_after
+        remedy = "send it again later"
+        if not retry_after:
+            remedy = "send a smaller one, or make room on all voters"
+        super().__init__(
+            f"The change was not taken, as there is no room for it: {reason}. "
+            f"Remedy: {remedy}."
+        )
+
+
 class Conflict(AgreementError):
     """The item has another version than the change was made for."""
 
--- a/packages/node/src/bronzepoint_node/agreement/_leadership.py
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -2,6 +2,7 @@
 
 import time
 import zlib
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -13,7 +14,7 @@
 from bronzepoint_common.clock import monotonic
 from bronzepoint_common.logs import get_logger
 from bronzepoint_common.peers import Area, PeerError
-from bronzepoint_common.storage import StorageError
+from bronzepoint_common.storage import StorageError, StorageFull
 from bronzepoint_schema.generated.agreement import (
     AppendReply,
     AppendRequest,
@@ -46,6 +47,16 @@
 """Seconds to wait for the answer to a snapshot."""
 _LEARNER_MAX_WAIT = 20.0
 """Seconds without an answer after which replication to a learner ends."""
+_ROOM_RETRY_AFTER = 1.0
+"""Seconds after which there may be room for a change, as those before it are durable,
+or another host leads."""
+_FULL_RETRY_AFTER = 5.0
+"""Seconds after which operators may have made room on the disks of a quorum."""
+_ENTRIES_RETRY = 1.0
+"""Seconds after which entries are sent again to a host that had no room for them."""
+_HANDOVER_INTERVAL = 30.0
+"""Minimum seconds between two times that a host gives up the lead for want of room, so
+that the catalogue can be read while all disks are full."""
 _encoder = msgspec.msgpack.Encoder()
 _log = get_logger("agreement")
 
@@ -65,6 +76,7 @@
             was sent, in seconds; None: it has been processed.
         timeout: Timeout of append requests.
         wake: Set when there is something to send.
+        full_at: When it last had no room on its disk, in seconds; None: it has room.
         dropped: Whether replication to this host has ended.
     """
 
@@ -77,8 +89,15 @@
     answered_at: float = _NEVER
     late_reply: tuple[AppendReply, float] | None = None
     wake: curio.Event = field(default_factory=curio.Event)
+    full_at: float | None = None
     dropped: bool = False
 
+    def is_short_of_room(self) -> bool:
+        """Return whether entries would find no room on its disk."""
+        if self.full_at is None:
+            return False
+        return monotonic() - self.full_at < _ENTRIES_RETRY
+
 
 class Leadership:
     """Replicates the log, commits entries and manages the voters for one term.
@@ -172,11 +191,39 @@
             if conflict is not None:
                 return ProposeReply(change.change_id, self._voter.name, conflict)
             encoded = state_machine.delta_encode(change, pending)
+            refusal = self._find_lack_of_room(encoded)
+            if refusal is not None and not _contains(pending, change.change_id):
+                return refusal
         self._waiting_hosts.setdefault(change.change_id, set()).add(host)
         if is_first:
-            await self._append_locked(ChangeBody(encoded))
+            try:
+                await self._append_locked(ChangeBody(encoded))
+            except StorageFull as exc:
+                del self._waiting_hosts[change.change_id]
+                self._voter.report_full(exc)
+                await self._hand_over()
+                return _refused(change, str(exc), _ROOM_RETRY_AFTER)
+        return None
+
+    def _find_lack_of_room(self, change: Change) -> ProposeReply | None:
+        """Return the refusal of a change for which there is no room, else None."""
+        if not self._has_quorum_room():
+            full = [p.host for p in self._progress.values() if p.full_at is not None]
+            reason = f"no room on the disks of {', '.join(full)}"
+            return _refused(change, reason, _FULL_RETRY_AFTER)
         return None
 
+    def _has_quorum_room(self) -> bool:
+        """Return whether a quorum has not said that it has no room on its disks."""
+        room = {p.storage: float(p.full_at is None) for p in self._progress.values()}
+        return reached_by_quorum(room, self._voter.voter_sets(), 1.0) > 0
+
+    async def _hand_over(self) -> None:
+        """Step down, as another voter may have room on its disk."""
+        if monotonic() - self._voter.handed_over_at >= _HANDOVER_INTERVAL:
+            self._voter.handed_over_at = monotonic()
+            await self._voter.step_down(self.term)
+
     async def deliver(self, change_id: ChangeId, result: ChangeResult) -> None:
         """Send the outcome of a change to the hosts that wait for it."""
         reply = ProposeReply(change_id, self._voter.name, result)
@@ -262,6 +309,9 @@
         """Replicate the log to one host for this term."""
         try:
             await self._replicate_until_stopped(progress)
+        except StorageFull as exc:
+            # Only a newer term is stored here, which ends this one.
+            self._voter.report_full(exc)
         except StorageError as exc:
             await self._voter.fail(exc)
         except Exception:
@@ -283,7 +333,8 @@
             if isinstance(reply, AppendReply):
                 async with self._voter.lock:
                     await self._process_reply(progress, reply, sent_at)
-                if 0 <= progress.next_index <= self._voter.log.last_index:
+                is_behind = 0 <= progress.next_index <= self._voter.log.last_index
+                if is_behind and progress.full_at is None:
                     continue
             async with curio.ignore_after(self._voter.section.heartbeat):
                 await progress.wake.wait()
@@ -329,7 +380,9 @@
             return SnapshotInstall(
                 cluster, self.term, storage, snapshot.index, snapshot.term, state
             )
-        entries = first_batch(log.entries_after(previous, _MAX_ENTRIES))
+        entries = []
+        if not progress.is_short_of_room():
+            entries = first_batch(log.entries_after(previous, _MAX_ENTRIES))
         commit = self._voter.commit_index
         return AppendRequest(
             cluster, self.term, storage, previous, previous_term, commit, entries
@@ -356,9 +409,13 @@
             return
         progress.acked_at = max(progress.acked_at, sent_at)
         progress.answered_at = monotonic()
+        if reply.full:
+            progress.full_at = progress.answered_at
         if not reply.accepted:
             progress.next_index = max(0, min(progress.next_index - 1, reply.index + 1))
             return
+        if reply.index > progress.match_index:
+            progress.full_at = None
         progress.match_index = max(progress.match_index, reply.index)
         progress.next_index = progress.match_index + 1
         await self._advance_commit()
@@ -480,3 +537,18 @@
         voter = self._voter
         is_recent = monotonic() - progress.acked_at < voter.section.lease
         return is_recent and progress.match_index >= voter.commit_index
+
+
+def _refused(change: Change, reason: str, retry_after: float) -> ProposeReply:
+    """Return the refusal of a change; 0 seconds: there will be no room for it."""
+    return ProposeReply(
+        change.change_id, HostName(""), refusal=reason, retry_after=retry_after
+    )
+
+
+def _contains(entries: Iterable[LogEntry], change_id: ChangeId) -> bool:
+    """Return whether one of the entries is this change."""
+    return any(
+        isinstance(entry.body, ChangeBody) and entry.body.change.change_id == change_id
+        for entry in entries
+    )
--- a/packages/node/src/bronzepoint_node/agreement/_proposer.py
+++ b/packages/node/src/bronzepoint_node/agreement/_proposer.py
@@ -18,7 +18,7 @@
 )
 from bronzepoint_schema.ids import ChangeId, HostName
 
-from ._errors import ChangeExpired, Conflict, NoQuorum, NotLeader
+from ._errors import ChangeExpired, Conflict, NoQuorum, NoRoom, NotLeader
 from ._voter import Voter
 
 _RESEND_AFTER = 0.5
@@ -35,11 +35,15 @@
 
     Attributes:
         answers: What each voter that was asked last answered.
+        answer: Last answer without an outcome.
+        refusal: Answer of a leader that has no room for it; it ends the attempts.
     """
 
     result: ChangeResult | None = None
     answers: dict[HostName, str] = field(default_factory=dict)
     refused_by: HostName | None = None
+    answer: ProposeReply | None = None
+    refusal: ProposeReply | None = None
     leader: HostName = HostName("")
     updated: curio.Event = field(default_factory=curio.Event)
 
@@ -79,6 +83,7 @@
         Raises:
             NotLeader: No leader was found; the change was not accepted.
             NoQuorum: It was sent to a voter, and its outcome is unknown.
+            NoRoom: The voters have no room for it; it was not accepted.
             Conflict: Another change of the item was accepted first.
             ChangeExpired: Its outcome is no longer kept, so it may have been applied.
         """
@@ -93,13 +98,15 @@
             waiting.remove(pending)
             if not waiting:
                 self._pending.pop(change.change_id, None)
-        if pending.result is None:
+        if pending.result is None and pending.refusal is None:
             _log.warning(
                 "change without an outcome",
                 change=change.change_id,
                 seconds=timeout,
                 answers=pending.answers,
             )
+        if pending.refusal is not None:
+            raise NoRoom(pending.refusal.refusal, pending.refusal.retry_after)
         return _outcome(change, pending.result, outcome_unknown[0])
 
     async def on_reply(self, host: HostName, reply: ProposeReply) -> None:
@@ -111,6 +118,7 @@
             else:
                 pending.refused_by = host
                 pending.leader = reply.leader
+                pending.answer = reply
             await pending.updated.set()
 
     async def deliver(self, host: HostName, reply: ProposeReply) -> None:
@@ -125,7 +133,7 @@
     ) -> None:
         attempt = 0
         next_host = self.leader
-        while pending.result is None:
+        while pending.result is None and pending.refusal is None:
             if not next_host:
                 next_host = (
                     self.voters[attempt % len(self.voters)] if self.voters else ""
@@ -169,9 +177,14 @@
         if pending.result is not None:
             return True
         if pending.refused_by == host:
+            outcome_unknown[0] = previously_unknown
+            answer = pending.answer
             named = pending.leader
             pending.answers[host] = f"leader is {named}" if named else "no leader"
-            outcome_unknown[0] = previously_unknown
+            if answer is not None and answer.refusal:
+                pending.answers[host] = answer.refusal
+                if not previously_unknown:
+                    pending.refusal = answer
             return bool(pending.leader)
         self._metrics.incr("retry.propose_unanswered")
         self.leader = HostName("")
--- a/packages/node/src/bronzepoint_node/agreement/_replication_handler.py
+++ b/packages/node/src/bronzepoint_node/agreement/_replication_handler.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bronzepoint_common.clock import monotonic
+from bronzepoint_common.storage import StorageFull
 from bronzepoint_schema.generated.agreement import (
     AppendReply,
     AppendRequest,
@@ -55,7 +56,12 @@
                 resume_at = min(log.last_index, request.previous_index - 1)
                 return self._reply(False, max(resume_at, voter.commit_index))
         last = previous + len(entries)
-        await log.append(self._missing_entries(entries))
+        try:
+            await log.append(self._missing_entries(entries))
+        except StorageFull as exc:
+            # The leader keeps its lease by this reply, and reads go on.
+            voter.report_full(exc)
+            return self._reply(False, log.last_index, full=True)
         await voter.commit(min(request.commit, last))
         voter.record_confirmation(request.commit, received_at)
         return self._reply(True, last)
@@ -76,7 +82,11 @@
             await voter.commit(request.index)
         elif request.index > voter.commit_index or blank:
             state = _snapshot_decoder.decode(zlib.decompress(request.state))
-            await voter.install_snapshot(state)
+            try:
+                await voter.install_snapshot(state)
+            except StorageFull as exc:
+                voter.report_full(exc)
+                return self._reply(False, voter.log.last_index, full=True)
         return self._reply(True, request.index)
 
     async def _accept_leader(
@@ -106,7 +116,9 @@
                 return entries[position:]
         return []
 
-    def _reply(self, accepted: bool, index: int) -> AppendReply:
+    def _reply(self, accepted: bool, index: int, full: bool = False) -> AppendReply:
         log = self._voter.log
         known = log.identity
-        return AppendReply(known.cluster, log.term, known.storage, accepted, index)
+        return AppendReply(
+            known.cluster, log.term, known.storage, accepted, index, full
+        )
--- a/packages/node/src/bronzepoint_node/agreement/_state_machine.py
+++ b/packages/node/src/bronzepoint_node/agreement/_state_machine.py
@@ -92,6 +92,8 @@
         closed: Data centers whose targets receive no requests.
         closing_index: Position of the last order to close or open a data center.
         order_positions: Position of the last such order of each data center.
+        voters_index: Position of the last change of the voters since the start; 0:
+            there was none.
     """
 
     def __init__(self, cluster: ClusterId, voters: list[Voter]) -> None:
@@ -104,6 +106,7 @@
         self.closed: frozenset[DataCenterName] = frozenset()
         self.closing_index = 0
         self.order_positions = OrderPositions()
+        self.voters_index = 0
         self._items: dict[ItemKey, CatalogueItem] = {}
         self._versions: dict[ItemKey, StoredVersion] = {}
         self._removed: dict[ItemKey, None] = {}
@@ -253,6 +256,7 @@
                 return self._apply_change(change)
             case VotersBody(voters=voters):
                 self.voters = voters
+                self.voters_index = entry.index
                 return ApplyResult()
             case TermBody():
                 return ApplyResult()
--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -12,7 +12,7 @@
 from bronzepoint_common.metrics import Metrics
 from bronzepoint_common.pause_detector import PauseDetector
 from bronzepoint_common.peers import Peers
-from bronzepoint_common.storage import StorageError
+from bronzepoint_common.storage import StorageError, StorageFull
 from bronzepoint_node.catalogue import Catalogue
 from bronzepoint_schema.generated.agreement import (
     Accepted,
@@ -61,6 +61,10 @@
 old that others have been accepted since."""
 CATCH_UP = 0.5
 """Seconds after such a pause in which messages that arrived meanwhile are read."""
+COMPACTION_RETRY = 1.0
+"""Seconds after which a snapshot for which there was no room is tried again."""
+FULL_LOG_INTERVAL = 10.0
+"""Minimum seconds between two log lines about a disk without room."""
 
 Deliver = Callable[[HostName, ProposeReply], Awaitable[None]]
 
@@ -95,6 +99,8 @@
             elected, since its start.
         is_early_candidate: Whether it requests votes without waiting for a lease to
             expire.
+        handed_over_at: When this host last gave up the lead for want of room, by its
+            monotonic clock in seconds.
         failure: Why this voter has stopped; empty while it runs.
     """
 
@@ -133,6 +139,9 @@
         self.has_leader_contact = False
         self.is_early_candidate = False
         self.failure = ""
+        self.handed_over_at = float("-inf")
+        self._compact_at = 0.0
+        self._full_logged_at = float("-inf")
         self._deltas: list[Delta] = []
         self._applied = curio.Event()
         self._is_open = False
@@ -287,6 +296,8 @@
                         return await self._replication_handler.on_snapshot(
                             peer, message
                         )
+        except StorageFull as exc:
+            self.report_full(exc)
         except StorageError as exc:
             await self.fail(exc)
         return None
@@ -324,7 +335,11 @@
             blank = not self.log.identity.cluster
             if blank and own in request.voters and hosts == sorted(self._expected):
                 cluster = derive_cluster_id(request.voters)
-                await self.log.join_cluster(cluster, request.voters)
+                try:
+                    await self.log.join_cluster(cluster, request.voters)
+                except StorageFull as exc:
+                    self.report_full(exc)
+                    return self.identity()
                 self._restore_machine()
                 await self._applied.set()
         return self.identity()
@@ -347,8 +362,28 @@
         while self.state_machine.index < min(self.commit_index, self.log.last_index):
             await self._apply(self.log.entry(self.state_machine.index + 1))
         await self._applied.set()
+        await self._save_committed()
         await self._compact()
 
+    async def _save_committed(self) -> None:
+        """Store that the applied change of the voters is durable on a quorum.
+
+        Without room for it, it is stored with the next commit.
+        """
+        applied = self.state_machine.voters_index
+        if applied > self.log.committed_index:
+            try:
+                await self.log.save_committed(applied)
+            except StorageFull as exc:
+                self.report_full(exc)
+
+    def report_full(self, exc: StorageFull) -> None:
+        """Report a write for which there was no room, at most once in a while."""
+        self.metrics.incr("agreement.storage_full")
+        if monotonic() - self._full_logged_at >= FULL_LOG_INTERVAL:
+            self._full_logged_at = monotonic()
+            _log.error("no room on the disk", reason=str(exc))
+
     async def fail(self, exc: StorageError) -> None:
         """Stop this voter, since it can't store votes and entries without its disk."""
         if not self.failure:
@@ -419,7 +454,6 @@
             case ChangeBody(change=Change(op=CloseDataCenter() as op)):
                 self._log_order(entry, op, applied)
             case VotersBody(voters=voters):
-                await self.log.save_committed(entry.index)
                 hosts = [voter.host for voter in voters]
                 _log.info("voters in force", voters=hosts, index=entry.index)
         if isinstance(entry.body, ChangeBody) and self.is_leader:
@@ -445,12 +479,34 @@
         )
 
     async def _compact(self) -> None:
+        """Replace the applied entries by a snapshot if they are many."""
+        if not self._needs_compaction() or monotonic() < self._compact_at:
+            return
+        former = self.log.file_bytes
+        try:
+            await self.log.compact(
+                self.state_machine.snapshot(),
+                self.section.snapshot_every // 2,
+            )
+        except StorageFull as exc:
+            # The log is as it was; it takes further entries while there is room.
+            self._compact_at = monotonic() + COMPACTION_RETRY
+            self.report_full(exc)
+            return
+        self.metrics.incr("agreement.compacted")
+        _log.info(
+            "log compacted",
+            index=self.state_machine.index,
+            former_bytes=former,
+            bytes=self.log.file_bytes,
+            entries=self.log.entry_count,
+        )
+
+    def _needs_compaction(self) -> bool:
         snapshot = self.log.snapshot
-        since = self.state_machine.index - (snapshot.index if snapshot else 0)
-        if since >= self.section.snapshot_every:
-            keep = self.section.snapshot_every // 2
-            await self.log.compact(self.state_machine.snapshot(), keep)
-            self.metrics.incr("agreement.compacted")
+        stored = snapshot.index if snapshot else 0
+        applied = self.state_machine.index
+        return applied - stored >= self.section.snapshot_every
 
     async def _update_catalogue(self) -> None:
         """Pass committed changes to the catalogue of this host."""
@@ -474,6 +530,8 @@
                 leadership = await election.campaign()
                 if leadership is not None:
                     await leadership.run()
+            except StorageFull as exc:
+                self.report_full(exc)
             except StorageError as exc:
                 await self.fail(exc)
             finally:
--- a/packages/node/src/bronzepoint_node/agreement/_voter_log.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter_log.py
@@ -97,6 +97,11 @@
         """Term of the last position held."""
         return self._entries[-1].term if self._entries else self.base_term
 
+    @property
+    def file_bytes(self) -> int:
+        """Size of the file in bytes."""
+        return self._log.size
+
     @property
     def entry_count(self) -> int:
         """Entries kept after the snapshot."""
@@ -172,15 +177,19 @@
         self._entries = kept
 
     async def install(self, snapshot: MachineSnapshot) -> None:
-        """Replace everything by a leader's snapshot, and join its cluster."""
+        """Replace everything by a leader's snapshot, and join its cluster.
+
+        Raises:
+            StorageFull: There is no room; the entries are as they were.
+        """
         await _run_uncancelled(self._snapshot_file.save, _encoder.encode(snapshot))
         self._join_cluster_of(snapshot)
-        self._entries = []
-        self._set_snapshot(snapshot)
         # This entry takes the snapshot's position and is never applied. Without it the
         # next start would treat the entries after it as those of an older log.
         anchor = LogEntry(snapshot.index, snapshot.term, 0.0, TermBody(HostName("")))
         await self._rewrite([anchor])
+        self._entries = []
+        self._set_snapshot(snapshot)
 
     async def _write(self, records: list[StoredRecord]) -> None:
         encoded = [_encoder.encode(record) for record in records]
--- a/packages/node/src/bronzepoint_node/entry/_admin_endpoints.py
+++ b/packages/node/src/bronzepoint_node/entry/_admin_endpoints.py
@@ -10,6 +10,7 @@
     Conflict,
     InitialiseRefused,
     NoQuorum,
+    NoRoom,
     NotLeader,
     VoterStatus,
 )
@@ -231,6 +232,10 @@
             return refused(
                 RefusalKind.not_leader, message, remedy, RETRY_CHANGE, Ran.unknown
             )
+        case NoRoom(retry_after=retry_after) if retry_after:
+            return refused(RefusalKind.overloaded, message, remedy, retry_after)
+        case NoRoom():
+            return refused(RefusalKind.body_too_large, message, remedy)
         case InitialiseRefused():
             return refused(RefusalKind.not_ready, message, remedy, RETRY_CHANGE)
     ran = Ran.unknown if exc.outcome_unknown else Ran.no
--- a/tests/test_storage_files.py
+++ b/tests/test_storage_files.py
@@ -1,5 +1,6 @@
 """Append-only log and snapshot after crashes and disk errors."""
 
+import errno
 import os
 import tempfile
 import unittest
@@ -13,6 +14,7 @@
     SnapshotFile,
     StorageCorrupt,
     StorageFailed,
+    StorageFull,
     StorageInUse,
 )
 
@@ -131,6 +133,49 @@
         self.assertEqual(synced[1:], [f"{log.path}.new", str(self.folder)])
 
 
+class TestFullDisk(StorageCase):
+    """Guards against files that can't be written any more after the disk was full."""
+
+    def full_write(self, written):
+        def write(descriptor, content):
+            os.pwrite(descriptor, bytes(content[:written]), self.sound)
+            raise OSError(errno.ENOSPC, "no space")
+
+        return mock.patch("os.write", side_effect=write)
+
+    @params(0, 10, 40)
+    def test_append_without_room_leaves_the_log_as_it_was(self, written):
+        path = self.write([b"first"])
+        log, _ = self.open()
+        self.sound = path.stat().st_size
+        with self.full_write(written), self.assertRaises(StorageFull):
+            log.append([b"second" * 10])
+        self.assertEqual(path.stat().st_size, self.sound)
+        log.append([b"third"])
+        log.close()
+        self.assertEqual(self.open()[1], [b"first", b"third"])
+
+    def test_rewrite_without_room_leaves_the_log_as_it_was(self):
+        path = self.write([b"first"])
+        log, _ = self.open()
+        self.sound = 0
+        with self.full_write(10), self.assertRaises(StorageFull):
+            log.rewrite([b"second"])
+        self.assertEqual([p.name for p in path.parent.glob("*.new")], [])
+        log.append([b"third"])
+        log.close()
+        self.assertEqual(self.open()[1], [b"first", b"third"])
+
+    def test_save_without_room_takes_no_room(self):
+        snapshot = SnapshotFile(self.folder, "state")
+        snapshot.save(b"old")
+        self.sound = 0
+        with self.full_write(10), self.assertRaises(StorageFull):
+            snapshot.save(b"new")
+        self.assertEqual(os.listdir(self.folder), ["state.snapshot"])
+        self.assertEqual(snapshot.load(), b"old")
+
+
 class TestSnapshotFile(StorageCase):
     def test_saved_value_comes_back(self):
         snapshot = SnapshotFile(self.folder, "state")
