Bound what a voter keeps in bytes, by its machine

Some 65 changes of a catalogue of 4 MB, 2 MB each, filled 128 MB of disk and needed over 300 MB of memory to be read again.

What callers saw: no core host answered any more, and none came back by itself.

Change: [agreement] log_bytes, a sixteenth of the disk or the memory by default, bounds the applied entries, those that wait for a quorum, and superseded records; the catalogue may have twice as much. A leader refuses a change that would exceed a bound, at once, with the reason and a time, or as too large.

--- a/packages/node/src/bronzepoint_node/agreement/__init__.py
+++ b/packages/node/src/bronzepoint_node/agreement/__init__.py
@@ -14,6 +14,7 @@
     SettingsUnsafe,
     VoterWithoutDisk,
 )
+from ._log_bounds import LogBounds, default_log_bytes
 from ._seeded_agreement import SeededAgreement
 from ._status import AgreementStatus, Role, VoterStatus
 
@@ -25,6 +26,7 @@
     "Conflict",
     "InitialiseRefused",
     "Invalid",
+    "LogBounds",
     "NoQuorum",
     "NoRoom",
     "NotLeader",
@@ -34,5 +36,6 @@
     "SettingsUnsafe",
     "VoterStatus",
     "VoterWithoutDisk",
+    "default_log_bytes",
     "voter_hosts",
 ]
--- a/packages/node/src/bronzepoint_node/agreement/_errors.py
+++ b/packages/node/src/bronzepoint_node/agreement/_errors.py
@@ -48,7 +48,7 @@
         self.retry_after = retry_after
         remedy = "send it again later"
         if not retry_after:
-            remedy = "send a smaller one, or make room on all voters"
+            remedy = "send a smaller one, or raise [agreement] log_bytes on all voters"
         super().__init__(
             f"The change was not taken, as there is no room for it: {reason}. "
             f"Remedy: {remedy}."
--- a/packages/node/src/bronzepoint_node/agreement/_leadership.py
+++ b/packages/node/src/bronzepoint_node/agreement/_leadership.py
@@ -23,6 +23,7 @@
     ChangeResult,
     LogEntry,
     ProposeReply,
+    Remove,
     SnapshotInstall,
     TermBody,
     VotersBody,
@@ -207,6 +208,26 @@
 
     def _find_lack_of_room(self, change: Change) -> ProposeReply | None:
         """Return the refusal of a change for which there is no room, else None."""
+        voter = self._voter
+        log, bounds = voter.log, voter.bounds
+        size = len(_encoder.encode(change))
+        if size > bounds.records:
+            return _refused(
+                change,
+                f"the change has {size} bytes of {bounds.records} allowed",
+                retry_after=0,
+            )
+        state = voter.state_machine.item_bytes + size
+        if state > bounds.state and not isinstance(change.op, Remove):
+            return _refused(
+                change,
+                f"the catalogue would have {state} bytes of {bounds.state} allowed",
+                retry_after=0,
+            )
+        waiting = log.bytes_between(voter.commit_index + 1, log.last_index)
+        if waiting and waiting + size > bounds.records:
+            reason = f"{waiting} bytes of changes wait for a quorum of the voters"
+            return _refused(change, reason, _ROOM_RETRY_AFTER)
         if not self._has_quorum_room():
             full = [p.host for p in self._progress.values() if p.full_at is not None]
             reason = f"no room on the disks of {', '.join(full)}"
--- a/packages/node/src/bronzepoint_node/agreement/_state_machine.py
+++ b/packages/node/src/bronzepoint_node/agreement/_state_machine.py
@@ -65,6 +65,9 @@
 """Number of removed items whose versions are kept."""
 
 
+_encoder = msgspec.msgpack.Encoder()
+
+
 class ApplyResult(msgspec.Struct):
     """Effect of one log entry.
 
@@ -92,6 +95,7 @@
         closed: Data centers whose targets receive no requests.
         closing_index: Position of the last order to close or open a data center.
         order_positions: Position of the last such order of each data center.
+        item_bytes: Bytes of all items.
         voters_index: Position of the last change of the voters since the start; 0:
             there was none.
     """
@@ -107,6 +111,8 @@
         self.closing_index = 0
         self.order_positions = OrderPositions()
         self.voters_index = 0
+        self.item_bytes = 0
+        self._item_sizes: dict[ItemKey, int] = {}
         self._items: dict[ItemKey, CatalogueItem] = {}
         self._versions: dict[ItemKey, StoredVersion] = {}
         self._removed: dict[ItemKey, None] = {}
@@ -121,7 +127,8 @@
         state_machine.index = snapshot.index
         state_machine.term = snapshot.term
         state_machine.revision = snapshot.revision
-        state_machine._items = {item_key(item): item for item in snapshot.items}
+        for item in snapshot.items:
+            state_machine._store_item(item_key(item), item)
         for version in snapshot.versions:
             key = ItemKey.of(version.item_kind, version.name)
             state_machine._versions[key] = version
@@ -336,6 +343,7 @@
                 delta = self._put(key, change.version, patched(former, change.op))
             case Remove(item_kind=kind):
                 del self._items[key]
+                self.item_bytes -= self._item_sizes.pop(key)
                 self._removed[key] = None
                 delta = Delta(self.revision, change.op)
         self._versions[key] = StoredVersion(
@@ -347,10 +355,16 @@
     def _put(self, key: ItemKey, version: int, item: CatalogueItem) -> Delta:
         former = self._items.get(key)
         item = msgspec.structs.replace(item, version=version)
-        self._items[key] = item
+        self._store_item(key, item)
         self._removed.pop(key, None)
         return make_delta(self.revision, former, item)
 
+    def _store_item(self, key: ItemKey, item: CatalogueItem) -> None:
+        size = len(_encoder.encode(item))
+        self.item_bytes += size - self._item_sizes.get(key, 0)
+        self._item_sizes[key] = size
+        self._items[key] = item
+
     def _store_result(self, result: Accepted | Conflicted) -> None:
         self._results[result.change_id] = result
         heapq.heappush(self._id_heap, result.change_id)
--- a/packages/node/src/bronzepoint_node/agreement/_voter.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter.py
@@ -49,6 +49,7 @@
 from ._election import Election
 from ._initialisation import derive_cluster_id
 from ._leadership import Leadership
+from ._log_bounds import log_bounds
 from ._quorum import VoterSets, required_sets
 from ._replication_handler import ReplicationHandler
 from ._state_machine import ApplyResult, StateMachine
@@ -86,6 +87,7 @@
         region: Region of this host; empty if voters are not spread over regions.
 
     Attributes:
+        bounds: Bounds on what is kept on the disk and in memory.
         lock: Must be held to change the log, the term or the role.
         commit_index: Last position known to be durable on a quorum.
         leader: Leader of the current term; empty if not known.
@@ -122,7 +124,8 @@
         self.peers = peers
         self.metrics = metrics
         self.deliver = deliver
-        self.log = VoterLog(folder)
+        self.bounds = log_bounds(section.log_bytes, folder)
+        self.log = VoterLog(folder, self.bounds.records)
         self.state_machine = StateMachine(ClusterId(""), [])
         self.lock = curio.Lock()
         self.commit_index = 0
@@ -479,7 +482,7 @@
         )
 
     async def _compact(self) -> None:
-        """Replace the applied entries by a snapshot if they are many."""
+        """Replace the applied entries by a snapshot if they are many or large."""
         if not self._needs_compaction() or monotonic() < self._compact_at:
             return
         former = self.log.file_bytes
@@ -487,6 +490,7 @@
             await self.log.compact(
                 self.state_machine.snapshot(),
                 self.section.snapshot_every // 2,
+                self.bounds.kept,
             )
         except StorageFull as exc:
             # The log is as it was; it takes further entries while there is room.
@@ -506,7 +510,11 @@
         snapshot = self.log.snapshot
         stored = snapshot.index if snapshot else 0
         applied = self.state_machine.index
-        return applied - stored >= self.section.snapshot_every
+        if applied - stored >= self.section.snapshot_every:
+            return True
+        if applied == stored:
+            return False
+        return self.log.bytes_between(0, applied) > self.bounds.records
 
     async def _update_catalogue(self) -> None:
         """Pass committed changes to the catalogue of this host."""
--- a/packages/node/src/bronzepoint_node/agreement/_voter_log.py
+++ b/packages/node/src/bronzepoint_node/agreement/_voter_log.py
@@ -1,14 +1,21 @@
 """Durable state of a voter: its storage id, term, vote, log and snapshot."""
 
 import secrets
+import sys
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 import curio
 import msgspec
 
-from bronzepoint_common.storage import RecordLog, SnapshotFile, StorageCorrupt
+from bronzepoint_common.storage import (
+    RecordLog,
+    SnapshotFile,
+    StorageCorrupt,
+    StorageFull,
+)
 from bronzepoint_schema.generated.agreement import (
     IdentityRecord,
     LogEntry,
@@ -36,6 +43,8 @@
 
     Args:
         folder: The data folder.
+        max_superseded: Bytes of superseded records in the file beyond which it is
+            rewritten.
 
     Attributes:
         identity: Storage id and cluster.
@@ -48,7 +57,8 @@
         base_term: Term of that position.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, max_superseded: int = sys.maxsize) -> None:
+        self._max_superseded = max_superseded
         self._log = RecordLog(folder, _NAME)
         self._snapshot_file = SnapshotFile(folder, _NAME)
         self.identity = IdentityRecord(StorageId(""), ClusterId(""), [])
@@ -59,6 +69,8 @@
         self.base_index = 0
         self.base_term = Term(0)
         self._entries: list[LogEntry] = []
+        self._sizes: list[int] = []
+        self._head_bytes = 0
 
     def exists(self) -> bool:
         """Return whether the folder holds a storage already."""
@@ -70,12 +82,13 @@
         Raises:
             StorageError: The folder is damaged or used by another process.
         """
-        records = await curio.run_in_thread(self._log.open)
         content = await curio.run_in_thread(self._snapshot_file.load)
         if content is not None:
             self._set_snapshot(_snapshot_decoder.decode(content))
-        if records:
-            self._replay(records)
+        replay = _Replay(self.identity, max(0, self.base_index))
+        await curio.run_in_thread(self._log.replay, replay.add)
+        if replay.count:
+            self._restore(replay)
         elif content is not None:
             raise StorageCorrupt(
                 self._log.path, "it is empty although a snapshot exists"
@@ -97,15 +110,20 @@
         """Term of the last position held."""
         return self._entries[-1].term if self._entries else self.base_term
 
+    @property
+    def entry_count(self) -> int:
+        """Entries kept after the snapshot."""
+        return len(self._entries)
+
     @property
     def file_bytes(self) -> int:
         """Size of the file in bytes."""
         return self._log.size
 
-    @property
-    def entry_count(self) -> int:
-        """Entries kept after the snapshot."""
-        return len(self._entries)
+    def bytes_between(self, first: int, last: int) -> int:
+        """Return the bytes of the entries from one position to another."""
+        start = max(0, first - self.base_index - 1)
+        return sum(self._sizes[start : max(0, last - self.base_index)])
 
     def term_at(self, index: int) -> Term | None:
         """Return the term of a position, or None if the log doesn't hold it."""
@@ -146,9 +164,9 @@
         """Append entries, after removing those from the first one's position on."""
         if not entries:
             return
-        await self._write(list(entries))
-        del self._entries[entries[0].index - self.base_index - 1 :]
-        self._entries.extend(entries)
+        sizes = await self._write(list(entries))
+        kept = entries[0].index - self.base_index - 1
+        self._entries[kept:], self._sizes[kept:] = entries, sizes
 
     async def join_cluster(self, cluster: ClusterId, voters: list[Voter]) -> None:
         """Make this storage a permanent part of a cluster."""
@@ -156,25 +174,32 @@
         await self._write([identity])
         self.identity = identity
 
-    async def compact(self, snapshot: MachineSnapshot, keep: int) -> None:
+    async def compact(
+        self, snapshot: MachineSnapshot, keep: int, keep_bytes: int = sys.maxsize
+    ) -> None:
         """Replace the log up to a snapshot, except for its last ``keep`` entries.
 
-        These entries are kept for voters that are slightly behind. A crash between
-        the two writes leaves the whole log together with the new snapshot, from which
-        the state is restored correctly.
+        These entries, and not more than ``keep_bytes`` of them, are kept for voters
+        that are slightly behind. A crash between the two writes leaves the whole log
+        together with the new snapshot, from which the state is restored correctly.
+
+        Raises:
+            StorageFull: There is no room; the log is as it was.
         """
         content = _encoder.encode(snapshot)
         await _run_uncancelled(self._snapshot_file.save, content)
         first = max(self.base_index, snapshot.index - keep)
+        while self.bytes_between(first + 1, snapshot.index) > keep_bytes:
+            first += 1
         # The entry at the snapshot's position is always kept. At the next start it
         # proves that the entries after it continue this snapshot.
         first = min(first, snapshot.index - 1)
         kept = self._entries[first - self.base_index :]
         base_term = self.term_at(first)
-        await self._rewrite(kept)
+        sizes = await self._rewrite(kept)
         self.snapshot = snapshot
         self.base_index, self.base_term = first, base_term
-        self._entries = kept
+        self._entries, self._sizes = kept, sizes
 
     async def install(self, snapshot: MachineSnapshot) -> None:
         """Replace everything by a leader's snapshot, and join its cluster.
@@ -188,18 +213,32 @@
         # next start would treat the entries after it as those of an older log.
         anchor = LogEntry(snapshot.index, snapshot.term, 0.0, TermBody(HostName("")))
         await self._rewrite([anchor])
-        self._entries = []
+        self._entries, self._sizes = [], []
         self._set_snapshot(snapshot)
 
-    async def _write(self, records: list[StoredRecord]) -> None:
+    async def _write(self, records: list[StoredRecord]) -> list[int]:
+        """Append records and return their sizes in bytes."""
         encoded = [_encoder.encode(record) for record in records]
+        if self._superseded_bytes() > self._max_superseded:
+            # Without room for this, there may still be room for a vote.
+            with suppress(StorageFull):
+                await self._rewrite(self._entries)
         await _run_uncancelled(self._log.append, encoded)
+        return [len(record) for record in encoded]
+
+    def _superseded_bytes(self) -> int:
+        """Return the bytes in the file that belong to no record in use."""
+        return self._log.size - self._head_bytes - sum(self._sizes)
 
-    async def _rewrite(self, entries: list[LogEntry]) -> None:
+    async def _rewrite(self, entries: list[LogEntry]) -> list[int]:
+        """Replace the file and return the sizes of the entries in bytes."""
         vote = VoteRecord(self.term, self.voted_for, self.committed_index)
-        head = [self.identity, vote]
-        encoded = [_encoder.encode(record) for record in [*head, *entries]]
-        await _run_uncancelled(self._log.rewrite, encoded)
+        head = [_encoder.encode(record) for record in (self.identity, vote)]
+        encoded = [_encoder.encode(entry) for entry in entries]
+        await _run_uncancelled(self._log.rewrite, [*head, *encoded])
+        sizes = [len(entry) for entry in encoded]
+        self._head_bytes = self._log.size - sum(sizes)
+        return sizes
 
     async def _create_identity(self) -> None:
         storage = StorageId(secrets.token_hex(8))
@@ -217,26 +256,17 @@
         self.snapshot = snapshot
         self.base_index, self.base_term = snapshot.index, snapshot.term
 
-    def _replay(self, records: list[bytes]) -> None:
-        entries: dict[int, LogEntry] = {}
-        last = 0
-        for content in records:
-            match _record_decoder.decode(content):
-                case IdentityRecord() as identity:
-                    self.identity = identity
-                case VoteRecord(term=term, voted_for=voted_for) as vote:
-                    self.term, self.voted_for = term, voted_for
-                    self.committed_index = vote.committed_index
-                case LogEntry(index=index) as entry:
-                    for stale in range(index, last + 1):
-                        entries.pop(stale, None)
-                    entries[index] = entry
-                    last = index
+    def _restore(self, replay: "_Replay") -> None:
+        self.identity = replay.identity
+        if replay.vote is not None:
+            self.term, self.voted_for = replay.vote.term, replay.vote.voted_for
+            self.committed_index = replay.vote.committed_index
         if not self.identity.storage:
             raise StorageCorrupt(self._log.path, "it lacks the storage's identity")
         if self.snapshot is not None:
             self._join_cluster_of(self.snapshot)
-        self._entries = self._entries_after_snapshot(entries)
+        self._entries = self._entries_after_snapshot(replay.entries)
+        self._sizes = [replay.sizes[entry.index] for entry in self._entries]
 
     def _entries_after_snapshot(self, entries: dict[int, LogEntry]) -> list[LogEntry]:
         """Return the entries that continue the snapshot.
@@ -257,6 +287,46 @@
         return kept
 
 
+class _Replay:
+    """Collects what is in use of the records of a file, while it is read.
+
+    Args:
+        identity: Identity before the first record.
+        base_index: Position of the snapshot; earlier entries aren't kept.
+
+    Attributes:
+        count: Number of records.
+        vote: The last vote; None: there is none.
+        entries: Entries by their position.
+        sizes: Their bytes.
+    """
+
+    def __init__(self, identity: IdentityRecord, base_index: int) -> None:
+        self.identity = identity
+        self.count = 0
+        self.vote: VoteRecord | None = None
+        self.entries: dict[int, LogEntry] = {}
+        self.sizes: dict[int, int] = {}
+        self._base_index = base_index
+        self._last = 0
+
+    def add(self, record: bytes) -> None:
+        """Add the next record."""
+        self.count += 1
+        match _record_decoder.decode(record):
+            case IdentityRecord() as identity:
+                self.identity = identity
+            case VoteRecord() as vote:
+                self.vote = vote
+            case LogEntry(index=index) as entry:
+                for stale in range(index, self._last + 1):
+                    self.entries.pop(stale, None)
+                self._last = index
+                if index >= self._base_index:
+                    self.entries[index] = entry
+                    self.sizes[index] = len(record)
+
+
 async def _run_uncancelled(write: Callable[[Any], None], content: Any) -> None:
     """Write in a thread and wait for its end, also if the task is cancelled.
 
