Don't take a reset during an upload for the end of an answer

Cause: the kernel reports a reset once, to whatever uses the socket next; a read after that returns the end of the data.

What callers saw: status 200 with the part that had come, as a complete answer; streams cut between two events as ended.

Change: a connection records a failed read or write and raises it again where the end of the data is read. Data that had arrived is read first. EPIPE alone doesn't count, as the target has ended its answer in order before. All answers are read this way.

--- a/packages/common/src/bronzepoint_common/http/_wire.py
+++ b/packages/common/src/bronzepoint_common/http/_wire.py
@@ -25,6 +25,10 @@
 
     A timer is set only if a read or a write has to wait.
 
+    The kernel reports a reset once, to whatever uses the socket next; reads after that
+    return the end of the data as if the peer had closed the connection in order. So the
+    reset is recorded here, and reading the end raises it again.
+
     Attributes:
         closed: Whether it was closed. Tasks that read or write then get an OSError.
         sent: Bytes written since this was last set to 0.
@@ -40,6 +44,7 @@
         self.closed = False
         self.sent = 0
         self._rest = memoryview(b"")
+        self._failure: OSError | None = None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     async def receive(self, timeout: float) -> bytes:
@@ -54,7 +59,7 @@
             self._ready_reads = 0
             await curio.sleep(0)
         try:
-            data = self._recv(READ_SIZE)
+            data = self._read()
         except BlockingIOError:
             self._ready_reads = 0
             return await self._receive_later(timeout)
@@ -66,7 +71,7 @@
             while True:
                 await self._wait(_read_wait)
                 try:
-                    return self._recv(READ_SIZE)
+                    return self._read()
                 except BlockingIOError:
                     continue
 
@@ -83,10 +88,37 @@
         while True:
             await self._wait(_read_wait)
             try:
-                return self._recv(READ_SIZE)
+                return self._read()
             except BlockingIOError:
                 continue
 
+    def _read(self) -> bytes:
+        """Read without blocking; b"" at the end.
+
+        Raises:
+            BlockingIOError: There is no data.
+            OSError: The connection failed, now or at an earlier read or write.
+        """
+        try:
+            data = self._recv(READ_SIZE)
+        except BlockingIOError:
+            raise
+        except OSError as exc:
+            self._record_failure(exc)
+            raise
+        if not data and self._failure is not None:
+            raise ConnectionResetError(self._failure.errno, self._failure.strerror)
+        return data
+
+    def _record_failure(self, exc: OSError) -> None:
+        """Record that the connection was reset.
+
+        EPIPE doesn't show that: where no other error comes first, the peer has ended
+        its data in order, or this host has shut down its own direction.
+        """
+        if exc.errno != errno.EPIPE:
+            self._failure = exc
+
     async def _wait(self, wait: Callable[[curio.io._Fd], Awaitable[None]]) -> None:
         """Wait until the socket can be read or written.
 
@@ -129,7 +161,10 @@
             return False
         try:
             sent = self._send(data)
-        except OSError:
+        except BlockingIOError:
+            sent = 0
+        except OSError as exc:
+            self._record_failure(exc)
             sent = 0
         self.sent += sent
         if sent == len(data):
@@ -148,6 +183,9 @@
                 sent = self._send(self._rest)
             except BlockingIOError:
                 sent = 0
+            except OSError as exc:
+                self._record_failure(exc)
+                raise
             self.sent += sent
             self._rest = self._rest[sent:]
             if len(self._rest) < len(self._rest.obj) // 2:
@@ -161,7 +199,7 @@
     def poll(self) -> bytes | None:
         """Read without blocking: None if there is no data, b"" at the end."""
         try:
-            return self._recv(READ_SIZE)
+            return self._read()
         except BlockingIOError:
             return None
         except OSError:
@@ -173,7 +211,8 @@
             return not self._recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return False
-        except OSError:
+        except OSError as exc:
+            self._record_failure(exc)
             return True
 
     def finish_sending(self) -> None:
--- a/tests/test_http_client_targets.py
+++ b/tests/test_http_client_targets.py
@@ -13,9 +13,11 @@
     ConnectFailed,
     HttpClient,
     HttpLimits,
+    NotSent,
     Unframed,
     format_address,
 )
+from bronzepoint_common.http._wire import Wire
 from tests.test_http_client import WHOLE, ScriptedServer
 from tests.test_http_server import read_until, run
 
@@ -94,6 +96,119 @@
         run(main)
 
 
+EVENTS = b"data: 1\n\ndata: 2\n\n"
+EVENTS_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+UPLOAD = bytes(4 << 20)
+REPEATS = 20
+"""Number of answers, as the order of a failed write and a read varies."""
+
+
+class TestResetDuringUpload(unittest.TestCase):
+    """Guards against a truncated answer that is relayed as a complete one.
+
+    A target answers a long request at once, without a length, and resets the connection
+    while the request is still being sent. The write that fails takes the error, and the
+    next read returns what looks like an ordinary end.
+    """
+
+    @params(
+        (UNFRAMED, b"a part"),
+        (UNFRAMED, b"a part" * 70_000),
+        (CONTINUE + UNFRAMED, b"a part" * 70_000),
+        (EVENTS_HEAD, EVENTS),
+        (EVENTS_HEAD, EVENTS * 20_000),
+    )
+    def test_a_part_is_not_taken_for_the_whole(self, head, part):
+        async def play(sock):
+            await read_until(sock, b"\r\n\r\n")
+            await sock.sendall(head)
+            await curio.sleep(0.05)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            # Part and reset reach the client between two looks at its sockets.
+            sock._socket.send(part)
+            sock._socket.close()
+
+        self.assertEqual(curio.run(self.count_whole, play), 0)
+
+    def test_an_ordinary_end_before_the_reset_is_the_end(self):
+        """Guards against a whole answer that is taken for a part, as its target closes
+        the connection before it has read the request."""
+
+        async def play(sock):
+            await read_until(sock, b"\r\n\r\n")
+            await sock.sendall(UNFRAMED + b"whole")
+            sock._socket.shutdown(socket.SHUT_WR)
+            await curio.sleep(0.1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+        self.assertEqual(curio.run(self.count_whole, play), REPEATS)
+
+    async def count_whole(self, play):
+        """Return how many answers are taken for whole ones."""
+        whole = 0
+        async with RawServer(play) as server:
+            client = HttpClient(LIMITS, 2.0)
+            for _ in range(REPEATS):
+                exchange = client.stream(
+                    server.address,
+                    "POST",
+                    "/",
+                    {},
+                    UPLOAD,
+                    5.0,
+                    unframed=Unframed.ACCEPTED,
+                )
+                try:
+                    await collect(exchange)
+                    whole += 1
+                except (AnswerCut, NotSent):
+                    continue
+            await client.close()
+        return whole
+
+    @params("send_now", "send", "poll", "has_ended")
+    def test_a_reset_is_remembered_whatever_met_it_first(self, operation):
+        async def main():
+            listener = curio.network.tcp_server_socket("127.0.0.1", 0)
+            sock = curio.io.Socket(socket.socket())
+            await sock.connect(listener.getsockname())
+            peer, _ = await listener.accept()
+            wire = Wire(sock)
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            await peer.close()
+            while not self.meet_reset(wire, operation):
+                await curio.sleep(0.001)
+            with self.assertRaises(ConnectionResetError):
+                await wire.receive(5.0)
+            with self.assertRaises(ConnectionResetError):
+                await wire.receive_next()
+            await wire.close()
+            await listener.close()
+
+        run(main)
+
+    def meet_reset(self, wire, operation):
+        """Return whether an operation has met the reset."""
+        match operation:
+            case "send_now":
+                return not wire.send_now(b"x")
+            case "send":
+                task = wire.send(b"x", 5.0)
+                try:
+                    task.send(None)
+                except StopIteration:
+                    return False
+                except OSError:
+                    return True
+                task.close()
+                return True
+            case "poll":
+                return wire.poll() == b""
+            case "has_ended":
+                return wire.has_ended()
+
+
 class TestAcceptedFraming(unittest.TestCase):
     @params(
         (Unframed.REFUSED, b"text/event-stream", AnswerMalformed),
