Refuse answers with a status, version or field value that HTTP doesn't allow

Cause: the parser lets a status above 599, major versions other than 1 and control characters in a field's value pass. What callers saw: such answers of a target in trouble were passed on.

Change: they count as malformed, like 30 other kinds that were refused before (a status of 000, a blank or a control character in a field's name, and so on), which is a test now.

Evidence: five of the 35 kinds of the table failed before: 600, 999, HTTP/2.0, 0x01 and 0x7f in a value.

--- a/packages/common/src/bronzepoint_common/http/_client.py
+++ b/packages/common/src/bronzepoint_common/http/_client.py
@@ -2,6 +2,7 @@
 
 import errno
 import math
+import re
 import socket
 from collections.abc import Callable
 from enum import Enum
@@ -27,6 +28,9 @@
 from bronzepoint_common.http._wire import Wire
 
 BODYLESS_STATUSES = (204, 304)
+MAX_STATUS = 599
+CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+"""Characters that no value of a header field may contain."""
 NO_ROUTE_ERRORS = (None, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 """Errors of a connection that nothing answered; None: this client's own timeout."""
 MAX_INTERIM_ANSWERS = 16
@@ -437,6 +441,7 @@
             self._conn.receive_data(data)
         if not isinstance(event, h11.Response):
             raise AnswerMalformed(self._address, "no answer head")
+        self._check_head(event)
         headers = headers_of(event.headers)
         self._check_length(event.status_code, headers)
         return ClientAnswer(
@@ -473,6 +478,18 @@
         except h11.RemoteProtocolError as exc:
             raise AnswerMalformed(self._address, str(exc)) from exc
 
+    def _check_head(self, event: h11.Response) -> None:
+        """Refuse what HTTP doesn't allow and h11 lets pass."""
+        if event.status_code > MAX_STATUS:
+            raise AnswerMalformed(self._address, f"status {event.status_code}")
+        if not event.http_version.startswith(b"1."):
+            version = event.http_version.decode("ascii", "replace")
+            raise AnswerMalformed(self._address, f"version {version}")
+        for name, value in event.headers:
+            if CONTROL_CHARACTERS.search(value):
+                field = name.decode("ascii", "replace")
+                raise AnswerMalformed(self._address, f"control character in {field}")
+
     def _check_length(self, status: int, headers: dict[str, str]) -> None:
         # An answer that ends with its connection does not show whether it is
         # complete or truncated: a part of it would be relayed as the whole.
--- a/tests/test_http_client_targets.py
+++ b/tests/test_http_client_targets.py
@@ -209,6 +209,75 @@
                 return wire.has_ended()
 
 
+def head_with(*lines, status=b"HTTP/1.1 200 OK"):
+    """Return an answer of five bytes with these lines in its head."""
+    listed = (status, *lines, b"Content-Length: 5", b"", b"whole")
+    return b"\r\n".join(listed)
+
+
+def chunked_with(size, trailer=b""):
+    """Return a chunked answer with this size of its chunk."""
+    lines = (b"Transfer-Encoding: chunked", b"", size, b"whole", b"0", trailer, b"")
+    return b"\r\n".join((b"HTTP/1.1 200 OK", *lines))
+
+
+INVALID_ANSWERS = (
+    *(
+        head_with(status=b"HTTP/1.1 %s X" % status)
+        for status in (b"000", b"099", b"0200", b"20", b"2x0", b"+20", b"600", b"999")
+    ),
+    head_with(status=b"HTTP/2.0 200 OK"),
+    head_with(status=b"noise\r\nHTTP/1.1 200 OK"),
+    head_with(status=b"\0HTTP/1.1 200 OK"),
+    *(
+        head_with(b"X-%sName: v" % mark)
+        for mark in (b" ", b"\t", b"\0", b"\1", b"\x7f")
+    ),
+    head_with(b"X-Name : v"),
+    head_with(b": v"),
+    head_with(b"X-Name"),
+    *(head_with(b"X-Name: a%sb" % mark) for mark in (b"\r", b"\0", b"\1", b"\x7f")),
+    head_with(b"Content-Length: 4"),
+    head_with(b"Content-Length : 4"),
+    head_with(b"Transfer-Encoding : chunked"),
+    head_with(b"Transfer-Encoding: chunked"),
+    head_with(b"Transfer-Encoding: gzip"),
+    *(chunked_with(size) for size in (b"-5", b"+5", b"0x5", b"5 5", b"", b"g")),
+    chunked_with(b"5", b"X Name: v\r\n"),
+)
+
+
+class TestInvalidAnswers(unittest.TestCase):
+    @params(*INVALID_ANSWERS)
+    def test_an_invalid_answer_is_not_passed_on(self, answer):
+        """Guards against what a target in trouble sends being told as its answer."""
+
+        async def play(sock):
+            await read_until(sock, b"\r\n\r\n")
+            await sock.sendall(answer)
+            await curio.sleep(0.05)
+
+        async def main():
+            async with RawServer(play) as server:
+                client = HttpClient(LIMITS, 2.0)
+                for unframed in (Unframed.ACCEPTED, Unframed.REFUSED):
+                    for framing in (b"", b"body"):
+                        exchange = client.stream(
+                            server.address,
+                            "POST",
+                            "/",
+                            {},
+                            framing,
+                            5.0,
+                            unframed=unframed,
+                        )
+                        with self.assertRaises((AnswerMalformed, AnswerCut)):
+                            await collect(exchange)
+                await client.close()
+
+        run(main)
+
+
 class TestAcceptedFraming(unittest.TestCase):
     @params(
         (Unframed.REFUSED, b"text/event-stream", AnswerMalformed),
